--- a/bench/baseline_scheduler.hpp
+++ b/bench/baseline_scheduler.hpp
@@ -3,9 +3,9 @@
 #ifndef APRICOTLB_BENCH_BASELINE_SCHEDULER_HPP
 #define APRICOTLB_BENCH_BASELINE_SCHEDULER_HPP
 
-#include "core/commitments.hpp"
 #include "core/messages.hpp"
-#include "core/scheduler_state.hpp"
+#include "core/scheduling/commitments.hpp"
+#include "core/scheduling/scheduler_state.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -2,7 +2,7 @@
 // prints a table with bound, baseline and verdict. The seed is an optional
 // argument.
 #include "baseline_scheduler.hpp"
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 #include "policy_size.hpp"
 #include "policy_world.hpp"
 
--- a/bench/policy_size.hpp
+++ b/bench/policy_size.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_BENCH_POLICY_SIZE_HPP
 #define APRICOTLB_BENCH_POLICY_SIZE_HPP
 
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 
 #include <malloc.h>
 
--- a/bench/policy_world.hpp
+++ b/bench/policy_world.hpp
@@ -4,7 +4,7 @@
 #define APRICOTLB_BENCH_POLICY_WORLD_HPP
 
 #include "core/messages.hpp"
-#include "core/scheduler_state.hpp"
+#include "core/scheduling/scheduler_state.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/bench/share_bench.cpp
+++ b/bench/share_bench.cpp
@@ -1,7 +1,7 @@
 /// Measures what a heartbeat costs the share ledger at the size of the
 /// design: 5,800 backend servers, 10 entries. Each heartbeat reports all
 /// shares that the entry holds and its demand for every service.
-#include "core/share_ledger.hpp"
+#include "core/leader/share_ledger.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/bench/slope_world.hpp
+++ b/bench/slope_world.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_BENCH_SLOPE_WORLD_HPP
 #define APRICOTLB_BENCH_SLOPE_WORLD_HPP
 
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -4,7 +4,7 @@
 /// time is that of this thread.
 #include "adapters/json_codec.hpp"
 #include "adapters/msgpack_codec.hpp"
-#include "core/leader_state.hpp"
+#include "core/leader/leader_state.hpp"
 #include "slope_fit.hpp"
 #include "slope_world.hpp"
 
--- a/src/adapters/disk_format.hpp
+++ b/src/adapters/disk_format.hpp
@@ -9,7 +9,7 @@
 #ifndef APRICOTLB_ADAPTERS_DISK_FORMAT_HPP
 #define APRICOTLB_ADAPTERS_DISK_FORMAT_HPP
 
-#include "core/raft_messages.hpp"
+#include "core/log/raft_messages.hpp"
 
 #include <apricotlb/fields.hpp>
 #include <apricotlb/ids.hpp>
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -1,6 +1,6 @@
 #include "adapters/metrics.hpp"
 
-#include "core/retry_policy.hpp"
+#include "core/entry/retry_policy.hpp"
 
 #include <boost/histogram.hpp>
 
--- a/src/adapters/soup_call.hpp
+++ b/src/adapters/soup_call.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_ADAPTERS_SOUP_CALL_HPP
 #define APRICOTLB_ADAPTERS_SOUP_CALL_HPP
 
-#include "core/http.hpp"
+#include "core/entry/http.hpp"
 #include "ports/http.hpp"
 
 #include <apricotlb/ids.hpp>
--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_APP_CONTROL_LINK_HPP
 #define APRICOTLB_APP_CONTROL_LINK_HPP
 
-#include "core/call_table.hpp"
+#include "core/entry/call_table.hpp"
 #include "core/messages.hpp"
 #include "ports/clock.hpp"
 
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -7,7 +7,7 @@
 #include "app/log_machine.hpp"
 #include "app/peer_message.hpp"
 #include "app/replica.hpp"
-#include "core/leader_state.hpp"
+#include "core/leader/leader_state.hpp"
 #include "ports/clock.hpp"
 #include "ports/log_store.hpp"
 #include "ports/worker_client.hpp"
--- a/src/app/control_views.hpp
+++ b/src/app/control_views.hpp
@@ -4,8 +4,8 @@
 #define APRICOTLB_APP_CONTROL_VIEWS_HPP
 
 #include "app/replica.hpp"
-#include "core/leader_state.hpp"
-#include "core/state_machine.hpp"
+#include "core/leader/leader_state.hpp"
+#include "core/state/state_machine.hpp"
 
 #include <apricotlb/fields.hpp>
 #include <apricotlb/ids.hpp>
--- a/src/app/entry_api.hpp
+++ b/src/app/entry_api.hpp
@@ -5,8 +5,8 @@
 
 #include "app/api_bodies.hpp"
 #include "app/settings.hpp"
-#include "core/api_route.hpp"
-#include "core/entry_view.hpp"
+#include "core/entry/api_route.hpp"
+#include "core/entry/entry_view.hpp"
 #include "core/messages.hpp"
 
 #include <apricotlb/config.hpp>
--- a/src/app/entry_node.hpp
+++ b/src/app/entry_node.hpp
@@ -7,7 +7,7 @@
 #include "app/entry_role.hpp"
 #include "app/peer_message.hpp"
 #include "app/settings.hpp"
-#include "core/entry_view.hpp"
+#include "core/entry/entry_view.hpp"
 #include "ports/clock.hpp"
 
 #include <apricotlb/config.hpp>
--- a/src/app/key_writer.hpp
+++ b/src/app/key_writer.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_APP_KEY_WRITER_HPP
 #define APRICOTLB_APP_KEY_WRITER_HPP
 
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 #include "ports/clock.hpp"
 #include "ports/key_log.hpp"
 
--- a/src/app/live_request.hpp
+++ b/src/app/live_request.hpp
@@ -3,12 +3,12 @@
 #define APRICOTLB_APP_LIVE_REQUEST_HPP
 
 #include "app/body_relay.hpp"
-#include "core/admission.hpp"
-#include "core/entry_request.hpp"
-#include "core/http.hpp"
-#include "core/request_flow.hpp"
-#include "core/router.hpp"
-#include "core/service_path.hpp"
+#include "core/entry/admission.hpp"
+#include "core/entry/entry_request.hpp"
+#include "core/entry/http.hpp"
+#include "core/entry/request_flow.hpp"
+#include "core/entry/router.hpp"
+#include "core/entry/service_path.hpp"
 
 #include <apricotlb/config.hpp>
 #include <apricotlb/contract.hpp>
--- a/src/app/log_machine.hpp
+++ b/src/app/log_machine.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_APP_LOG_MACHINE_HPP
 #define APRICOTLB_APP_LOG_MACHINE_HPP
 
-#include "core/state_machine.hpp"
+#include "core/state/state_machine.hpp"
 #include "ports/codec.hpp"
 #include "ports/state_machine.hpp"
 
--- a/src/app/peer_message.hpp
+++ b/src/app/peer_message.hpp
@@ -2,8 +2,8 @@
 #ifndef APRICOTLB_APP_PEER_MESSAGE_HPP
 #define APRICOTLB_APP_PEER_MESSAGE_HPP
 
+#include "core/log/raft_messages.hpp"
 #include "core/messages.hpp"
-#include "core/raft_messages.hpp"
 
 #include <apricotlb/ids.hpp>
 
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -3,7 +3,7 @@
 #ifndef APRICOTLB_APP_PEER_TRANSPORT_HPP
 #define APRICOTLB_APP_PEER_TRANSPORT_HPP
 
-#include "core/sequence_window.hpp"
+#include "core/entry/sequence_window.hpp"
 #include "ports/clock.hpp"
 #include "ports/codec.hpp"
 #include "ports/metrics.hpp"
--- a/src/app/problem.hpp
+++ b/src/app/problem.hpp
@@ -2,8 +2,8 @@
 #ifndef APRICOTLB_APP_PROBLEM_HPP
 #define APRICOTLB_APP_PROBLEM_HPP
 
-#include "core/admission.hpp"
-#include "core/http.hpp"
+#include "core/entry/admission.hpp"
+#include "core/entry/http.hpp"
 
 #include <apricotlb/error.hpp>
 
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_APP_REPLICA_HPP
 #define APRICOTLB_APP_REPLICA_HPP
 
-#include "core/raft.hpp"
+#include "core/log/raft.hpp"
 #include "ports/clock.hpp"
 #include "ports/codec.hpp"
 #include "ports/log_store.hpp"
--- a/src/app/whole_body.hpp
+++ b/src/app/whole_body.hpp
@@ -3,7 +3,7 @@
 #define APRICOTLB_APP_WHOLE_BODY_HPP
 
 #include "app/problem.hpp"
-#include "core/http.hpp"
+#include "core/entry/http.hpp"
 #include "ports/http.hpp"
 
 #include <apricotlb/config.hpp>
--- a/src/core/admission.cpp
+++ b/src/core/entry/admission.cpp
@@ -1,4 +1,4 @@
-#include "core/admission.hpp"
+#include "core/entry/admission.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/admission.hpp
+++ b/src/core/entry/admission.hpp
@@ -1,9 +1,9 @@
 /// Admits, queues or refuses requests by the limits of their contract.
-#ifndef APRICOTLB_CORE_ADMISSION_HPP
-#define APRICOTLB_CORE_ADMISSION_HPP
+#ifndef APRICOTLB_CORE_ENTRY_ADMISSION_HPP
+#define APRICOTLB_CORE_ENTRY_ADMISSION_HPP
 
-#include "core/router.hpp"
-#include "core/service_times.hpp"
+#include "core/entry/router.hpp"
+#include "core/entry/service_times.hpp"
 
 #include <apricotlb/contract.hpp>
 #include <apricotlb/error.hpp>
--- a/src/core/api_route.cpp
+++ b/src/core/entry/api_route.cpp
@@ -1,4 +1,4 @@
-#include "core/api_route.hpp"
+#include "core/entry/api_route.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/core/api_route.hpp
+++ b/src/core/entry/api_route.hpp
@@ -1,6 +1,6 @@
 /// Routes of the HTTP API: what a method and a path ask for, and who may ask.
-#ifndef APRICOTLB_CORE_API_ROUTE_HPP
-#define APRICOTLB_CORE_API_ROUTE_HPP
+#ifndef APRICOTLB_CORE_ENTRY_API_ROUTE_HPP
+#define APRICOTLB_CORE_ENTRY_API_ROUTE_HPP
 
 #include <apricotlb/result.hpp>
 
--- a/src/core/backend_health.cpp
+++ b/src/core/entry/backend_health.cpp
@@ -1,4 +1,4 @@
-#include "core/backend_health.hpp"
+#include "core/entry/backend_health.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/backend_health.hpp
+++ b/src/core/entry/backend_health.hpp
@@ -1,6 +1,6 @@
 /// What an entry learned of one backend server from its own requests.
-#ifndef APRICOTLB_CORE_BACKEND_HEALTH_HPP
-#define APRICOTLB_CORE_BACKEND_HEALTH_HPP
+#ifndef APRICOTLB_CORE_ENTRY_BACKEND_HEALTH_HPP
+#define APRICOTLB_CORE_ENTRY_BACKEND_HEALTH_HPP
 
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/call_table.cpp
+++ b/src/core/entry/call_table.cpp
@@ -1,4 +1,4 @@
-#include "core/call_table.hpp"
+#include "core/entry/call_table.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -1,7 +1,7 @@
 /// Calls to the control leader that wait for an answer: whom to ask, when to
 /// ask again, when to give up.
-#ifndef APRICOTLB_CORE_CALL_TABLE_HPP
-#define APRICOTLB_CORE_CALL_TABLE_HPP
+#ifndef APRICOTLB_CORE_ENTRY_CALL_TABLE_HPP
+#define APRICOTLB_CORE_ENTRY_CALL_TABLE_HPP
 
 #include "core/messages.hpp"
 
--- a/src/core/drain.hpp
+++ b/src/core/entry/drain.hpp
@@ -1,6 +1,6 @@
 /// Graceful shutdown of an entry process.
-#ifndef APRICOTLB_CORE_DRAIN_HPP
-#define APRICOTLB_CORE_DRAIN_HPP
+#ifndef APRICOTLB_CORE_ENTRY_DRAIN_HPP
+#define APRICOTLB_CORE_ENTRY_DRAIN_HPP
 
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/entry_request.cpp
+++ b/src/core/entry/entry_request.cpp
@@ -1,6 +1,6 @@
-#include "core/entry_request.hpp"
+#include "core/entry/entry_request.hpp"
 
-#include "core/service_path.hpp"
+#include "core/entry/service_path.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/entry_request.hpp
+++ b/src/core/entry/entry_request.hpp
@@ -1,8 +1,8 @@
 /// What the entry reads from the head of an urgent request.
-#ifndef APRICOTLB_CORE_ENTRY_REQUEST_HPP
-#define APRICOTLB_CORE_ENTRY_REQUEST_HPP
+#ifndef APRICOTLB_CORE_ENTRY_ENTRY_REQUEST_HPP
+#define APRICOTLB_CORE_ENTRY_ENTRY_REQUEST_HPP
 
-#include "core/http.hpp"
+#include "core/entry/http.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/src/core/entry_view.cpp
+++ b/src/core/entry/entry_view.cpp
@@ -1,4 +1,4 @@
-#include "core/entry_view.hpp"
+#include "core/entry/entry_view.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/entry_view.hpp
+++ b/src/core/entry/entry_view.hpp
@@ -1,7 +1,7 @@
 /// An entry's copy of what the control leader decides: its lease, contracts,
 /// backend servers and shares.
-#ifndef APRICOTLB_CORE_ENTRY_VIEW_HPP
-#define APRICOTLB_CORE_ENTRY_VIEW_HPP
+#ifndef APRICOTLB_CORE_ENTRY_ENTRY_VIEW_HPP
+#define APRICOTLB_CORE_ENTRY_ENTRY_VIEW_HPP
 
 #include "core/messages.hpp"
 
--- a/src/core/http.cpp
+++ b/src/core/entry/http.cpp
@@ -1,4 +1,4 @@
-#include "core/http.hpp"
+#include "core/entry/http.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/core/http.hpp
+++ b/src/core/entry/http.hpp
@@ -1,8 +1,8 @@
 /// Requests and answers as plain data, apart from any HTTP library.
-#ifndef APRICOTLB_CORE_HTTP_HPP
-#define APRICOTLB_CORE_HTTP_HPP
+#ifndef APRICOTLB_CORE_ENTRY_HTTP_HPP
+#define APRICOTLB_CORE_ENTRY_HTTP_HPP
 
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/error.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/load_report.cpp
+++ b/src/core/entry/load_report.cpp
@@ -1,4 +1,4 @@
-#include "core/load_report.hpp"
+#include "core/entry/load_report.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/load_report.hpp
+++ b/src/core/entry/load_report.hpp
@@ -1,8 +1,8 @@
 /// What an entry reports of its load with each heartbeat.
-#ifndef APRICOTLB_CORE_LOAD_REPORT_HPP
-#define APRICOTLB_CORE_LOAD_REPORT_HPP
+#ifndef APRICOTLB_CORE_ENTRY_LOAD_REPORT_HPP
+#define APRICOTLB_CORE_ENTRY_LOAD_REPORT_HPP
 
-#include "core/admission.hpp"
+#include "core/entry/admission.hpp"
 #include "core/messages.hpp"
 
 #include <apricotlb/ids.hpp>
--- a/src/core/queue_entry.cpp
+++ b/src/core/entry/queue_entry.cpp
@@ -1,4 +1,4 @@
-#include "core/queue_entry.hpp"
+#include "core/entry/queue_entry.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/queue_entry.hpp
+++ b/src/core/entry/queue_entry.hpp
@@ -1,10 +1,10 @@
 /// Decides whether a request may wait for a slot, and why it got none.
-#ifndef APRICOTLB_CORE_QUEUE_ENTRY_HPP
-#define APRICOTLB_CORE_QUEUE_ENTRY_HPP
+#ifndef APRICOTLB_CORE_ENTRY_QUEUE_ENTRY_HPP
+#define APRICOTLB_CORE_ENTRY_QUEUE_ENTRY_HPP
 
-#include "core/admission.hpp"
-#include "core/entry_view.hpp"
-#include "core/router.hpp"
+#include "core/entry/admission.hpp"
+#include "core/entry/entry_view.hpp"
+#include "core/entry/router.hpp"
 
 #include <apricotlb/time.hpp>
 
--- a/src/core/request_flow.cpp
+++ b/src/core/entry/request_flow.cpp
@@ -1,4 +1,4 @@
-#include "core/request_flow.hpp"
+#include "core/entry/request_flow.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/request_flow.hpp
+++ b/src/core/entry/request_flow.hpp
@@ -1,12 +1,12 @@
 /// The life of one urgent request as a state machine.
-#ifndef APRICOTLB_CORE_REQUEST_FLOW_HPP
-#define APRICOTLB_CORE_REQUEST_FLOW_HPP
+#ifndef APRICOTLB_CORE_ENTRY_REQUEST_FLOW_HPP
+#define APRICOTLB_CORE_ENTRY_REQUEST_FLOW_HPP
 
-#include "core/admission.hpp"
-#include "core/backend_health.hpp"
-#include "core/commands.hpp"
-#include "core/http.hpp"
-#include "core/retry_policy.hpp"
+#include "core/entry/admission.hpp"
+#include "core/entry/backend_health.hpp"
+#include "core/entry/http.hpp"
+#include "core/entry/retry_policy.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/src/core/retry_policy.cpp
+++ b/src/core/entry/retry_policy.cpp
@@ -1,4 +1,4 @@
-#include "core/retry_policy.hpp"
+#include "core/entry/retry_policy.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/retry_policy.hpp
+++ b/src/core/entry/retry_policy.hpp
@@ -1,6 +1,6 @@
 /// Decides which failed requests are sent again.
-#ifndef APRICOTLB_CORE_RETRY_POLICY_HPP
-#define APRICOTLB_CORE_RETRY_POLICY_HPP
+#ifndef APRICOTLB_CORE_ENTRY_RETRY_POLICY_HPP
+#define APRICOTLB_CORE_ENTRY_RETRY_POLICY_HPP
 
 #include <apricotlb/error.hpp>
 #include <apricotlb/ids.hpp>
--- a/src/core/router.cpp
+++ b/src/core/entry/router.cpp
@@ -1,4 +1,4 @@
-#include "core/router.hpp"
+#include "core/entry/router.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/router.hpp
+++ b/src/core/entry/router.hpp
@@ -1,9 +1,9 @@
 /// Chooses a backend server for a request.
-#ifndef APRICOTLB_CORE_ROUTER_HPP
-#define APRICOTLB_CORE_ROUTER_HPP
+#ifndef APRICOTLB_CORE_ENTRY_ROUTER_HPP
+#define APRICOTLB_CORE_ENTRY_ROUTER_HPP
 
-#include "core/backend_health.hpp"
-#include "core/entry_view.hpp"
+#include "core/entry/backend_health.hpp"
+#include "core/entry/entry_view.hpp"
 #include "core/random.hpp"
 
 #include <apricotlb/ids.hpp>
--- a/src/core/sequence_window.hpp
+++ b/src/core/entry/sequence_window.hpp
@@ -1,6 +1,6 @@
 /// Detects duplicated messages by their sequence numbers.
-#ifndef APRICOTLB_CORE_SEQUENCE_WINDOW_HPP
-#define APRICOTLB_CORE_SEQUENCE_WINDOW_HPP
+#ifndef APRICOTLB_CORE_ENTRY_SEQUENCE_WINDOW_HPP
+#define APRICOTLB_CORE_ENTRY_SEQUENCE_WINDOW_HPP
 
 #include <apricotlb/ids.hpp>
 
--- a/src/core/service_path.cpp
+++ b/src/core/entry/service_path.cpp
@@ -1,4 +1,4 @@
-#include "core/service_path.hpp"
+#include "core/entry/service_path.hpp"
 
 namespace apricotlb
 {
--- a/src/core/service_path.hpp
+++ b/src/core/entry/service_path.hpp
@@ -1,6 +1,6 @@
 /// Paths of urgent requests.
-#ifndef APRICOTLB_CORE_SERVICE_PATH_HPP
-#define APRICOTLB_CORE_SERVICE_PATH_HPP
+#ifndef APRICOTLB_CORE_ENTRY_SERVICE_PATH_HPP
+#define APRICOTLB_CORE_ENTRY_SERVICE_PATH_HPP
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/src/core/service_times.cpp
+++ b/src/core/entry/service_times.cpp
@@ -1,4 +1,4 @@
-#include "core/service_times.hpp"
+#include "core/entry/service_times.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/service_times.hpp
+++ b/src/core/entry/service_times.hpp
@@ -1,6 +1,6 @@
 /// Learned service times by service and path prefix.
-#ifndef APRICOTLB_CORE_SERVICE_TIMES_HPP
-#define APRICOTLB_CORE_SERVICE_TIMES_HPP
+#ifndef APRICOTLB_CORE_ENTRY_SERVICE_TIMES_HPP
+#define APRICOTLB_CORE_ENTRY_SERVICE_TIMES_HPP
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/time.hpp>
--- a/src/core/backend_table.hpp
+++ b/src/core/leader/backend_table.hpp
@@ -1,6 +1,6 @@
 /// The leader's table of announced backend servers.
-#ifndef APRICOTLB_CORE_BACKEND_TABLE_HPP
-#define APRICOTLB_CORE_BACKEND_TABLE_HPP
+#ifndef APRICOTLB_CORE_LEADER_BACKEND_TABLE_HPP
+#define APRICOTLB_CORE_LEADER_BACKEND_TABLE_HPP
 
 #include "core/messages.hpp"
 
--- a/src/core/entry_leases.cpp
+++ b/src/core/leader/entry_leases.cpp
@@ -1,4 +1,4 @@
-#include "core/entry_leases.hpp"
+#include "core/leader/entry_leases.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/entry_leases.hpp
+++ b/src/core/leader/entry_leases.hpp
@@ -1,9 +1,9 @@
 /// The leader's view of the entries that may admit requests.
-#ifndef APRICOTLB_CORE_ENTRY_LEASES_HPP
-#define APRICOTLB_CORE_ENTRY_LEASES_HPP
+#ifndef APRICOTLB_CORE_LEADER_ENTRY_LEASES_HPP
+#define APRICOTLB_CORE_LEADER_ENTRY_LEASES_HPP
 
-#include "core/commands.hpp"
 #include "core/messages.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/time.hpp>
 
--- a/src/core/fair_targets.cpp
+++ b/src/core/leader/fair_targets.cpp
@@ -1,4 +1,4 @@
-#include "core/fair_targets.hpp"
+#include "core/leader/fair_targets.hpp"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/core/fair_targets.hpp
+++ b/src/core/leader/fair_targets.hpp
@@ -1,6 +1,6 @@
 /// Max-min fair division of slots.
-#ifndef APRICOTLB_CORE_FAIR_TARGETS_HPP
-#define APRICOTLB_CORE_FAIR_TARGETS_HPP
+#ifndef APRICOTLB_CORE_LEADER_FAIR_TARGETS_HPP
+#define APRICOTLB_CORE_LEADER_FAIR_TARGETS_HPP
 
 #include <apricotlb/units.hpp>
 
--- a/src/core/leader_state.cpp
+++ b/src/core/leader/leader_state.cpp
@@ -1,4 +1,4 @@
-#include "core/leader_state.hpp"
+#include "core/leader/leader_state.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/leader_state.hpp
+++ b/src/core/leader/leader_state.hpp
@@ -1,15 +1,15 @@
 /// What the control leader does beside the log: entry leases, backend
 /// servers, shares and the scheduler, fed by one stream of events.
-#ifndef APRICOTLB_CORE_LEADER_STATE_HPP
-#define APRICOTLB_CORE_LEADER_STATE_HPP
+#ifndef APRICOTLB_CORE_LEADER_LEADER_STATE_HPP
+#define APRICOTLB_CORE_LEADER_LEADER_STATE_HPP
 
-#include "core/backend_table.hpp"
-#include "core/commands.hpp"
-#include "core/entry_leases.hpp"
+#include "core/leader/backend_table.hpp"
+#include "core/leader/entry_leases.hpp"
+#include "core/leader/share_ledger.hpp"
 #include "core/messages.hpp"
-#include "core/scheduler.hpp"
-#include "core/share_ledger.hpp"
-#include "core/state_machine.hpp"
+#include "core/scheduling/scheduler.hpp"
+#include "core/state/commands.hpp"
+#include "core/state/state_machine.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/src/core/share_allocation.cpp
+++ b/src/core/leader/share_allocation.cpp
@@ -1,5 +1,5 @@
-#include "core/fair_targets.hpp"
-#include "core/share_ledger.hpp"
+#include "core/leader/fair_targets.hpp"
+#include "core/leader/share_ledger.hpp"
 
 #include <algorithm>
 
--- a/src/core/share_ledger.cpp
+++ b/src/core/leader/share_ledger.cpp
@@ -1,4 +1,4 @@
-#include "core/share_ledger.hpp"
+#include "core/leader/share_ledger.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/share_ledger.hpp
+++ b/src/core/leader/share_ledger.hpp
@@ -1,6 +1,6 @@
 /// Leases the slots and connections of backend servers to entries.
-#ifndef APRICOTLB_CORE_SHARE_LEDGER_HPP
-#define APRICOTLB_CORE_SHARE_LEDGER_HPP
+#ifndef APRICOTLB_CORE_LEADER_SHARE_LEDGER_HPP
+#define APRICOTLB_CORE_LEADER_SHARE_LEDGER_HPP
 
 #include "core/messages.hpp"
 
--- a/src/core/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -4,11 +4,11 @@
 /// The core performs no I/O and reads no clock. Each step takes the time and
 /// returns what is to be done. raft.cpp holds the interface, the others the
 /// steps: raft_election.cpp, raft_leader.cpp and raft_follower.cpp.
-#ifndef APRICOTLB_CORE_RAFT_HPP
-#define APRICOTLB_CORE_RAFT_HPP
+#ifndef APRICOTLB_CORE_LOG_RAFT_HPP
+#define APRICOTLB_CORE_LOG_RAFT_HPP
 
-#include "core/raft_log.hpp"
-#include "core/raft_messages.hpp"
+#include "core/log/raft_log.hpp"
+#include "core/log/raft_messages.hpp"
 #include "core/random.hpp"
 
 #include <apricotlb/ids.hpp>
--- a/src/core/raft_log.cpp
+++ b/src/core/log/raft_log.cpp
@@ -1,4 +1,4 @@
-#include "core/raft_log.hpp"
+#include "core/log/raft_log.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/raft_log.hpp
+++ b/src/core/log/raft_log.hpp
@@ -1,8 +1,8 @@
 /// The part of the log that is held in memory, and the members at each entry.
-#ifndef APRICOTLB_CORE_RAFT_LOG_HPP
-#define APRICOTLB_CORE_RAFT_LOG_HPP
+#ifndef APRICOTLB_CORE_LOG_RAFT_LOG_HPP
+#define APRICOTLB_CORE_LOG_RAFT_LOG_HPP
 
-#include "core/raft_messages.hpp"
+#include "core/log/raft_messages.hpp"
 
 #include <apricotlb/ids.hpp>
 
--- a/src/core/raft_messages.hpp
+++ b/src/core/log/raft_messages.hpp
@@ -1,6 +1,6 @@
 /// Messages and stored data of the replicated log.
-#ifndef APRICOTLB_CORE_RAFT_MESSAGES_HPP
-#define APRICOTLB_CORE_RAFT_MESSAGES_HPP
+#ifndef APRICOTLB_CORE_LOG_RAFT_MESSAGES_HPP
+#define APRICOTLB_CORE_LOG_RAFT_MESSAGES_HPP
 
 #include <apricotlb/fields.hpp>
 #include <apricotlb/ids.hpp>
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_CORE_MESSAGES_HPP
 #define APRICOTLB_CORE_MESSAGES_HPP
 
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/contract.hpp>
 #include <apricotlb/fields.hpp>
--- a/src/core/commitments.cpp
+++ b/src/core/scheduling/commitments.cpp
@@ -1,4 +1,4 @@
-#include "core/commitments.hpp"
+#include "core/scheduling/commitments.hpp"
 
 #include <algorithm>
 
--- a/src/core/commitments.hpp
+++ b/src/core/scheduling/commitments.hpp
@@ -1,8 +1,8 @@
 /// Resources committed on each worker and by each customer.
-#ifndef APRICOTLB_CORE_COMMITMENTS_HPP
-#define APRICOTLB_CORE_COMMITMENTS_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_COMMITMENTS_HPP
+#define APRICOTLB_CORE_SCHEDULING_COMMITMENTS_HPP
 
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/units.hpp>
 
--- a/src/core/explain.cpp
+++ b/src/core/scheduling/explain.cpp
@@ -1,4 +1,4 @@
-#include "core/explain.hpp"
+#include "core/scheduling/explain.hpp"
 
 #include <array>
 
--- a/src/core/explain.hpp
+++ b/src/core/scheduling/explain.hpp
@@ -1,6 +1,6 @@
 /// Reasons behind the scheduler's decisions on one task.
-#ifndef APRICOTLB_CORE_EXPLAIN_HPP
-#define APRICOTLB_CORE_EXPLAIN_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_EXPLAIN_HPP
+#define APRICOTLB_CORE_SCHEDULING_EXPLAIN_HPP
 
 #include <apricotlb/contract.hpp>
 #include <apricotlb/fields.hpp>
--- a/src/core/free_index.cpp
+++ b/src/core/scheduling/free_index.cpp
@@ -1,4 +1,4 @@
-#include "core/free_index.hpp"
+#include "core/scheduling/free_index.hpp"
 
 #include <algorithm>
 #include <bit>
--- a/src/core/free_index.hpp
+++ b/src/core/scheduling/free_index.hpp
@@ -1,6 +1,6 @@
 /// Index over workers by free capacity.
-#ifndef APRICOTLB_CORE_FREE_INDEX_HPP
-#define APRICOTLB_CORE_FREE_INDEX_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_FREE_INDEX_HPP
+#define APRICOTLB_CORE_SCHEDULING_FREE_INDEX_HPP
 
 #include <apricotlb/units.hpp>
 
--- a/src/core/guard.cpp
+++ b/src/core/scheduling/guard.cpp
@@ -1,4 +1,4 @@
-#include "core/guard.hpp"
+#include "core/scheduling/guard.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/guard.hpp
+++ b/src/core/scheduling/guard.hpp
@@ -1,8 +1,8 @@
 /// Protects urgent work on each worker from batch work.
-#ifndef APRICOTLB_CORE_GUARD_HPP
-#define APRICOTLB_CORE_GUARD_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_GUARD_HPP
+#define APRICOTLB_CORE_SCHEDULING_GUARD_HPP
 
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/interference.cpp
+++ b/src/core/scheduling/interference.cpp
@@ -1,4 +1,4 @@
-#include "core/interference.hpp"
+#include "core/scheduling/interference.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/interference.hpp
+++ b/src/core/scheduling/interference.hpp
@@ -1,9 +1,9 @@
 /// What batch work costs services on the same worker, as learned.
-#ifndef APRICOTLB_CORE_INTERFERENCE_HPP
-#define APRICOTLB_CORE_INTERFERENCE_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_INTERFERENCE_HPP
+#define APRICOTLB_CORE_SCHEDULING_INTERFERENCE_HPP
 
-#include "core/commands.hpp"
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/placement.cpp
+++ b/src/core/scheduling/placement.cpp
@@ -1,4 +1,4 @@
-#include "core/placement.hpp"
+#include "core/scheduling/placement.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/placement.hpp
+++ b/src/core/scheduling/placement.hpp
@@ -1,10 +1,10 @@
 /// Choice of a worker for one task.
-#ifndef APRICOTLB_CORE_PLACEMENT_HPP
-#define APRICOTLB_CORE_PLACEMENT_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_PLACEMENT_HPP
+#define APRICOTLB_CORE_SCHEDULING_PLACEMENT_HPP
 
-#include "core/commitments.hpp"
-#include "core/free_index.hpp"
-#include "core/refs.hpp"
+#include "core/scheduling/commitments.hpp"
+#include "core/scheduling/free_index.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/config.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/policy.hpp
+++ b/src/core/scheduling/policy.hpp
@@ -1,6 +1,6 @@
 /// Switches of the scheduler's policies, for deployments and measurements.
-#ifndef APRICOTLB_CORE_POLICY_HPP
-#define APRICOTLB_CORE_POLICY_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_POLICY_HPP
+#define APRICOTLB_CORE_SCHEDULING_POLICY_HPP
 
 namespace apricotlb
 {
--- a/src/core/refs.hpp
+++ b/src/core/scheduling/refs.hpp
@@ -1,6 +1,6 @@
 /// Dense references that stand for string ids inside the scheduler.
-#ifndef APRICOTLB_CORE_REFS_HPP
-#define APRICOTLB_CORE_REFS_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_REFS_HPP
+#define APRICOTLB_CORE_SCHEDULING_REFS_HPP
 
 #include "core/random.hpp"
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduling/scheduler.cpp
@@ -1,6 +1,6 @@
 // Applied events, tasks and attempts; reports and placement have files of
 // their own.
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 
 #include <algorithm>
 
--- a/src/core/scheduler.hpp
+++ b/src/core/scheduling/scheduler.hpp
@@ -1,19 +1,19 @@
 /// The leader's scheduler: events and reports in, actions out.
-#ifndef APRICOTLB_CORE_SCHEDULER_HPP
-#define APRICOTLB_CORE_SCHEDULER_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_SCHEDULER_HPP
+#define APRICOTLB_CORE_SCHEDULING_SCHEDULER_HPP
 
-#include "core/commitments.hpp"
-#include "core/explain.hpp"
-#include "core/guard.hpp"
-#include "core/interference.hpp"
 #include "core/messages.hpp"
-#include "core/placement.hpp"
-#include "core/policy.hpp"
-#include "core/scheduler_state.hpp"
-#include "core/task_leases.hpp"
-#include "core/task_queue.hpp"
-#include "core/work_model.hpp"
-#include "core/worker_health.hpp"
+#include "core/scheduling/commitments.hpp"
+#include "core/scheduling/explain.hpp"
+#include "core/scheduling/guard.hpp"
+#include "core/scheduling/interference.hpp"
+#include "core/scheduling/placement.hpp"
+#include "core/scheduling/policy.hpp"
+#include "core/scheduling/scheduler_state.hpp"
+#include "core/scheduling/task_leases.hpp"
+#include "core/scheduling/task_queue.hpp"
+#include "core/scheduling/work_model.hpp"
+#include "core/scheduling/worker_health.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/scheduler_dispatch.cpp
+++ b/src/core/scheduling/scheduler_dispatch.cpp
@@ -1,5 +1,5 @@
 // Placement of waiting work, the tick and explanations.
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 
 #include <algorithm>
 
--- a/src/core/scheduler_reports.cpp
+++ b/src/core/scheduling/scheduler_reports.cpp
@@ -1,5 +1,5 @@
 // Commands to workers and reports from them.
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 
 #include <algorithm>
 
--- a/src/core/scheduler_state.hpp
+++ b/src/core/scheduling/scheduler_state.hpp
@@ -1,13 +1,13 @@
 /// Records that the scheduler keeps for jobs, tasks, attempts and workers.
-#ifndef APRICOTLB_CORE_SCHEDULER_STATE_HPP
-#define APRICOTLB_CORE_SCHEDULER_STATE_HPP
-
-#include "core/commands.hpp"
-#include "core/explain.hpp"
-#include "core/placement.hpp"
-#include "core/refs.hpp"
-#include "core/task_queue.hpp"
-#include "core/worker_commands.hpp"
+#ifndef APRICOTLB_CORE_SCHEDULING_SCHEDULER_STATE_HPP
+#define APRICOTLB_CORE_SCHEDULING_SCHEDULER_STATE_HPP
+
+#include "core/scheduling/explain.hpp"
+#include "core/scheduling/placement.hpp"
+#include "core/scheduling/refs.hpp"
+#include "core/scheduling/task_queue.hpp"
+#include "core/scheduling/worker_commands.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/contract.hpp>
 #include <apricotlb/job.hpp>
--- a/src/core/scheduler_tasks.cpp
+++ b/src/core/scheduling/scheduler_tasks.cpp
@@ -1,5 +1,5 @@
 // Tasks and attempts in the scheduler's tables.
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 
 #include <algorithm>
 
--- a/src/core/task_leases.cpp
+++ b/src/core/scheduling/task_leases.cpp
@@ -1,4 +1,4 @@
-#include "core/task_leases.hpp"
+#include "core/scheduling/task_leases.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/task_leases.hpp
+++ b/src/core/scheduling/task_leases.hpp
@@ -1,8 +1,8 @@
 /// Leases of running attempts, in the memory of the leader.
-#ifndef APRICOTLB_CORE_TASK_LEASES_HPP
-#define APRICOTLB_CORE_TASK_LEASES_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_TASK_LEASES_HPP
+#define APRICOTLB_CORE_SCHEDULING_TASK_LEASES_HPP
 
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/time.hpp>
 
--- a/src/core/task_queue.cpp
+++ b/src/core/scheduling/task_queue.cpp
@@ -1,4 +1,4 @@
-#include "core/task_queue.hpp"
+#include "core/scheduling/task_queue.hpp"
 
 #include <algorithm>
 
--- a/src/core/task_queue.hpp
+++ b/src/core/scheduling/task_queue.hpp
@@ -1,8 +1,8 @@
 /// Order in which waiting work is offered for placement.
-#ifndef APRICOTLB_CORE_TASK_QUEUE_HPP
-#define APRICOTLB_CORE_TASK_QUEUE_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_TASK_QUEUE_HPP
+#define APRICOTLB_CORE_SCHEDULING_TASK_QUEUE_HPP
 
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/config.hpp>
 #include <apricotlb/time.hpp>
--- a/src/core/work_model.cpp
+++ b/src/core/scheduling/work_model.cpp
@@ -1,4 +1,4 @@
-#include "core/work_model.hpp"
+#include "core/scheduling/work_model.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/work_model.hpp
+++ b/src/core/scheduling/work_model.hpp
@@ -1,8 +1,8 @@
 /// Run times and sizes learned for each kind of work.
-#ifndef APRICOTLB_CORE_WORK_MODEL_HPP
-#define APRICOTLB_CORE_WORK_MODEL_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_WORK_MODEL_HPP
+#define APRICOTLB_CORE_SCHEDULING_WORK_MODEL_HPP
 
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/worker_commands.hpp
+++ b/src/core/scheduling/worker_commands.hpp
@@ -1,7 +1,7 @@
 /// Commands that the leader sends to a worker's own address. Each names one
 /// attempt and may be repeated; a worker ignores what it already carried out.
-#ifndef APRICOTLB_CORE_WORKER_COMMANDS_HPP
-#define APRICOTLB_CORE_WORKER_COMMANDS_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_WORKER_COMMANDS_HPP
+#define APRICOTLB_CORE_SCHEDULING_WORKER_COMMANDS_HPP
 
 #include <apricotlb/fields.hpp>
 #include <apricotlb/ids.hpp>
--- a/src/core/worker_health.cpp
+++ b/src/core/scheduling/worker_health.cpp
@@ -1,4 +1,4 @@
-#include "core/worker_health.hpp"
+#include "core/scheduling/worker_health.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/worker_health.hpp
+++ b/src/core/scheduling/worker_health.hpp
@@ -1,8 +1,8 @@
 /// Tells a worker that fails everything from a job that fails everywhere.
-#ifndef APRICOTLB_CORE_WORKER_HEALTH_HPP
-#define APRICOTLB_CORE_WORKER_HEALTH_HPP
+#ifndef APRICOTLB_CORE_SCHEDULING_WORKER_HEALTH_HPP
+#define APRICOTLB_CORE_SCHEDULING_WORKER_HEALTH_HPP
 
-#include "core/refs.hpp"
+#include "core/scheduling/refs.hpp"
 
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
--- a/src/core/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -1,6 +1,6 @@
 /// Commands of the replicated log and the results of applying them.
-#ifndef APRICOTLB_CORE_COMMANDS_HPP
-#define APRICOTLB_CORE_COMMANDS_HPP
+#ifndef APRICOTLB_CORE_STATE_COMMANDS_HPP
+#define APRICOTLB_CORE_STATE_COMMANDS_HPP
 
 #include <apricotlb/contract.hpp>
 #include <apricotlb/error.hpp>
--- a/src/core/contract_registry.cpp
+++ b/src/core/state/contract_registry.cpp
@@ -1,4 +1,4 @@
-#include "core/contract_registry.hpp"
+#include "core/state/contract_registry.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/contract_registry.hpp
+++ b/src/core/state/contract_registry.hpp
@@ -1,9 +1,9 @@
 /// Contracts by customer, with revisions and the memory of change ids.
-#ifndef APRICOTLB_CORE_CONTRACT_REGISTRY_HPP
-#define APRICOTLB_CORE_CONTRACT_REGISTRY_HPP
+#ifndef APRICOTLB_CORE_STATE_CONTRACT_REGISTRY_HPP
+#define APRICOTLB_CORE_STATE_CONTRACT_REGISTRY_HPP
 
-#include "core/commands.hpp"
 #include "core/messages.hpp"
+#include "core/state/commands.hpp"
 
 #include <cstddef>
 #include <deque>
--- a/src/core/job_table.cpp
+++ b/src/core/state/job_table.cpp
@@ -1,4 +1,4 @@
-#include "core/job_table.hpp"
+#include "core/state/job_table.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/job_table.hpp
+++ b/src/core/state/job_table.hpp
@@ -1,10 +1,10 @@
 /// Jobs, their tasks and the attempts of each task.
-#ifndef APRICOTLB_CORE_JOB_TABLE_HPP
-#define APRICOTLB_CORE_JOB_TABLE_HPP
+#ifndef APRICOTLB_CORE_STATE_JOB_TABLE_HPP
+#define APRICOTLB_CORE_STATE_JOB_TABLE_HPP
 
-#include "core/commands.hpp"
-#include "core/contract_registry.hpp"
-#include "core/worker_registry.hpp"
+#include "core/state/commands.hpp"
+#include "core/state/contract_registry.hpp"
+#include "core/state/worker_registry.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/core/key_registry.cpp
+++ b/src/core/state/key_registry.cpp
@@ -1,4 +1,4 @@
-#include "core/key_registry.hpp"
+#include "core/state/key_registry.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/src/core/key_registry.hpp
+++ b/src/core/state/key_registry.hpp
@@ -1,9 +1,9 @@
 /// Idempotency keys and their outcomes.
-#ifndef APRICOTLB_CORE_KEY_REGISTRY_HPP
-#define APRICOTLB_CORE_KEY_REGISTRY_HPP
+#ifndef APRICOTLB_CORE_STATE_KEY_REGISTRY_HPP
+#define APRICOTLB_CORE_STATE_KEY_REGISTRY_HPP
 
-#include "core/commands.hpp"
-#include "core/contract_registry.hpp"
+#include "core/state/commands.hpp"
+#include "core/state/contract_registry.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/core/state_machine.cpp
+++ b/src/core/state/state_machine.cpp
@@ -1,4 +1,4 @@
-#include "core/state_machine.hpp"
+#include "core/state/state_machine.hpp"
 
 #include <type_traits>
 #include <utility>
--- a/src/core/state_machine.hpp
+++ b/src/core/state/state_machine.hpp
@@ -1,12 +1,12 @@
 /// The replicated state: applies the commands of the log in order.
-#ifndef APRICOTLB_CORE_STATE_MACHINE_HPP
-#define APRICOTLB_CORE_STATE_MACHINE_HPP
+#ifndef APRICOTLB_CORE_STATE_STATE_MACHINE_HPP
+#define APRICOTLB_CORE_STATE_STATE_MACHINE_HPP
 
-#include "core/commands.hpp"
-#include "core/contract_registry.hpp"
-#include "core/job_table.hpp"
-#include "core/key_registry.hpp"
-#include "core/worker_registry.hpp"
+#include "core/state/commands.hpp"
+#include "core/state/contract_registry.hpp"
+#include "core/state/job_table.hpp"
+#include "core/state/key_registry.hpp"
+#include "core/state/worker_registry.hpp"
 
 #include <vector>
 
--- a/src/core/worker_registry.cpp
+++ b/src/core/state/worker_registry.cpp
@@ -1,4 +1,4 @@
-#include "core/worker_registry.hpp"
+#include "core/state/worker_registry.hpp"
 
 #include <algorithm>
 #include <string>
--- a/src/core/worker_registry.hpp
+++ b/src/core/state/worker_registry.hpp
@@ -1,8 +1,8 @@
 /// Registered workers with the attempts placed on each.
-#ifndef APRICOTLB_CORE_WORKER_REGISTRY_HPP
-#define APRICOTLB_CORE_WORKER_REGISTRY_HPP
+#ifndef APRICOTLB_CORE_STATE_WORKER_REGISTRY_HPP
+#define APRICOTLB_CORE_STATE_WORKER_REGISTRY_HPP
 
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 
 #include <map>
 #include <set>
--- a/src/ports/http.hpp
+++ b/src/ports/http.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_PORTS_HTTP_HPP
 #define APRICOTLB_PORTS_HTTP_HPP
 
-#include "core/http.hpp"
+#include "core/entry/http.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/src/ports/key_log.hpp
+++ b/src/ports/key_log.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_PORTS_KEY_LOG_HPP
 #define APRICOTLB_PORTS_KEY_LOG_HPP
 
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 
 #include <apricotlb/result.hpp>
 
--- a/src/ports/log_store.hpp
+++ b/src/ports/log_store.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_PORTS_LOG_STORE_HPP
 #define APRICOTLB_PORTS_LOG_STORE_HPP
 
-#include "core/raft_messages.hpp"
+#include "core/log/raft_messages.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/src/ports/worker_client.hpp
+++ b/src/ports/worker_client.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_PORTS_WORKER_CLIENT_HPP
 #define APRICOTLB_PORTS_WORKER_CLIENT_HPP
 
-#include "core/worker_commands.hpp"
+#include "core/scheduling/worker_commands.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -1,8 +1,8 @@
 #include "fake_entry.hpp"
 
-#include "core/admission.hpp"
-#include "core/retry_policy.hpp"
-#include "core/router.hpp"
+#include "core/entry/admission.hpp"
+#include "core/entry/retry_policy.hpp"
+#include "core/entry/router.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/backend_table_test.cpp
+++ b/tests/backend_table_test.cpp
@@ -1,4 +1,4 @@
-#include "core/backend_table.hpp"
+#include "core/leader/backend_table.hpp"
 #include "property.hpp"
 
 #include <apricotlb/config.hpp>
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -1,4 +1,4 @@
-#include "core/drain.hpp"
+#include "core/entry/drain.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/entry_leases_test.cpp
+++ b/tests/entry_leases_test.cpp
@@ -1,4 +1,4 @@
-#include "core/entry_leases.hpp"
+#include "core/leader/entry_leases.hpp"
 #include "property.hpp"
 
 #include <apricotlb/config.hpp>
--- a/tests/fake_cluster.hpp
+++ b/tests/fake_cluster.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_TESTS_FAKE_CLUSTER_HPP
 #define APRICOTLB_TESTS_FAKE_CLUSTER_HPP
 
-#include "core/scheduler.hpp"
+#include "core/scheduling/scheduler.hpp"
 #include "fake_worker.hpp"
 
 #include <apricotlb/config.hpp>
--- a/tests/fake_entry.hpp
+++ b/tests/fake_entry.hpp
@@ -3,8 +3,8 @@
 #define APRICOTLB_TESTS_FAKE_ENTRY_HPP
 
 #include "adapters/sha256.hpp"
-#include "core/commands.hpp"
-#include "core/entry_view.hpp"
+#include "core/entry/entry_view.hpp"
+#include "core/state/commands.hpp"
 #include "ports/key_log.hpp"
 #include "ports/metrics.hpp"
 
--- a/tests/fake_worker.hpp
+++ b/tests/fake_worker.hpp
@@ -3,7 +3,7 @@
 #define APRICOTLB_TESTS_FAKE_WORKER_HPP
 
 #include "core/messages.hpp"
-#include "core/scheduler_state.hpp"
+#include "core/scheduling/scheduler_state.hpp"
 
 #include <cstdint>
 #include <map>
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -1,5 +1,5 @@
 #include "adapters/metrics.hpp"
-#include "core/retry_policy.hpp"
+#include "core/entry/retry_policy.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -1,7 +1,7 @@
 #include "adapters/msgpack_codec.hpp"
 #include "adapters/nng_link.hpp"
 #include "app/peer_transport.hpp"
-#include "core/commands.hpp"
+#include "core/state/commands.hpp"
 #include "paused_clock.hpp"
 
 #include <gtest/gtest.h>
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -1,4 +1,4 @@
-#include "core/raft.hpp"
+#include "core/log/raft.hpp"
 
 #include <apricotlb/config.hpp>
 
--- a/tests/share_history.hpp
+++ b/tests/share_history.hpp
@@ -2,7 +2,7 @@
 #ifndef APRICOTLB_TESTS_SHARE_HISTORY_HPP
 #define APRICOTLB_TESTS_SHARE_HISTORY_HPP
 
-#include "core/share_ledger.hpp"
+#include "core/leader/share_ledger.hpp"
 #include "property.hpp"
 
 #include <apricotlb/config.hpp>
--- a/tests/state_fixture.hpp
+++ b/tests/state_fixture.hpp
@@ -3,7 +3,7 @@
 #define APRICOTLB_TESTS_STATE_FIXTURE_HPP
 
 #include "adapters/msgpack_codec.hpp"
-#include "core/state_machine.hpp"
+#include "core/state/state_machine.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/tests/types_test.cpp
+++ b/tests/types_test.cpp
@@ -1,6 +1,6 @@
 #include "adapters/msgpack_codec.hpp"
-#include "core/commands.hpp"
 #include "core/messages.hpp"
+#include "core/state/commands.hpp"
 #include "paused_clock.hpp"
 
 #include <apricotlb/contract.hpp>
