--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -38,7 +38,9 @@
 inline constexpr duration raft_heartbeat = 100ms;
 inline constexpr std::size_t max_append_bytes = 256 * kib;
 inline constexpr std::size_t snapshot_chunk_bytes = 256 * kib;
-inline constexpr std::size_t max_entry_bytes = 128 * kib;
+/// Holds the largest set of contracts, whose document has 256 KiB, beside its
+/// decoded form.
+inline constexpr std::size_t max_entry_bytes = 640 * kib;
 /// Shorter than election_timeout_min by the drift between the clocks of the
 /// leader and of the voters that wait for it.
 inline constexpr duration leader_lease =
@@ -142,6 +144,9 @@
 inline constexpr std::size_t max_name_length = 128;
 inline constexpr std::size_t max_payload_bytes = 16 * kib;
 inline constexpr std::size_t max_tokens = 16;
+inline constexpr std::size_t max_workflow_steps = 64;
+/// Tasks of a workflow over all its steps and occurrences.
+inline constexpr std::int64_t max_workflow_tasks = 100'000;
 inline constexpr task_count max_tasks_per_job{10'000};
 inline constexpr seconds default_key_retention = 24h;
 inline constexpr seconds max_key_retention = 24h * 7;
@@ -230,6 +235,59 @@
 inline constexpr std::size_t max_ended_tasks = 100'000;
 inline constexpr std::size_t max_ended_payload_bytes = 64 * mib;
 
+// Workers that take pushed orders. Their steady clock runs slow by at most
+// this (docs/platform.md, Clocks).
+inline constexpr permille worker_drift{20};
+/// Added to a lease's end before its runs count as over; covers the rounding
+/// of clocks to milliseconds and the end of the runs themselves.
+inline constexpr duration lease_margin = 200ms;
+/// A worker that was not heard of for this long gets no new runs. Workers
+/// announce themselves about once a second.
+inline constexpr duration fleet_silence = 3500ms;
+/// A worker without runs that stays silent is forgotten after this.
+inline constexpr duration fleet_forget = 60s;
+inline constexpr duration order_timeout = 1s;
+inline constexpr duration order_repeat = 300ms;
+inline constexpr duration poll_repeat = 200ms;
+/// How long a poll waits for an end. The lists of a worker with tasks that
+/// disturb each other are read more often than the lease needs.
+inline constexpr milliseconds poll_wait = 1800ms;
+inline constexpr milliseconds poll_wait_shared = 500ms;
+inline constexpr duration room_pause = 300ms;       ///< after no_room
+inline constexpr duration unhealthy_pause = 1500ms; ///< after unhealthy
+/// Ready tasks that are considered in one pass of the scheduler.
+inline constexpr std::size_t plan_visits = 2000;
+inline constexpr std::size_t runs_per_command = 256;
+/// Ends that a worker lists at once; a longer list is incomplete.
+inline constexpr std::size_t listed_ends = 500;
+/// The state of an ended workflow can be read for this long.
+inline constexpr seconds workflow_retention = 150s;
+/// Accepted workflows that have not ended; more are refused.
+inline constexpr std::size_t max_live_workflows = 20'000;
+
+// Pace of scavenging tasks beside tasks with a latency target: cut to a half
+// above the first share of the target, raised by a step below the second.
+inline constexpr permille pace_cut_above{850};
+inline constexpr permille pace_raise_below{600};
+inline constexpr permille pace_step{100};
+inline constexpr permille pace_least{50}; ///< below it a task stands still
+
+// Replicated control group that replaces its members by itself.
+/// A voter that was silent for this long is removed when a learner can take
+/// its place.
+inline constexpr duration member_dead_after = 2500ms;
+inline constexpr duration learner_dead_after = 10s;
+inline constexpr duration join_repeat = 500ms;
+/// How often a process asks whether the leader answers, and the silence after
+/// which it takes the leader for lost.
+inline constexpr duration leader_ping_interval = 400ms;
+inline constexpr duration leader_silence = 1500ms;
+/// How often a process looks whether its settings file has changed.
+inline constexpr duration settings_check_interval = 3s;
+/// Interval between looks for other control processes.
+inline constexpr duration discovery_interval = 300ms;
+inline constexpr duration discovery_interval_settled = 5s;
+
 } // namespace apricotlb::config
 
 #endif
--- a/include/apricotlb/error.hpp
+++ b/include/apricotlb/error.hpp
@@ -65,6 +65,9 @@
     version_unsupported,
     stale_attempt,
     worker_busy,
+    unknown_queue,
+    unknown_workflow,
+    no_contracts,
     internal,
 };
 
--- a/src/adapters/enum_names.hpp
+++ b/src/adapters/enum_names.hpp
@@ -48,6 +48,12 @@
 template <>
 inline constexpr std::array<std::string_view, 2> enum_names<guard_mode>{
     "enabled", "disabled"};
+template <>
+inline constexpr std::array<std::string_view, 2> enum_names<front_interface>{
+    "native", "platform"};
+template <>
+inline constexpr std::array<std::string_view, 2> enum_names<peer_trust>{
+    "key", "network"};
 
 /// Matches enums with names.
 template <class Enum>
--- a/src/adapters/glib_clock.cpp
+++ b/src/adapters/glib_clock.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <memory>
 #include <utility>
 
@@ -20,7 +21,13 @@
 
 auto glib_clock::now() const -> time_point
 {
-    return time_point{duration{g_get_monotonic_time()}};
+    // CLOCK_BOOTTIME counts the time that a machine was suspended. Leases that
+    // others count on must not last longer than that here.
+    timespec it{};
+    clock_gettime(CLOCK_BOOTTIME, &it);
+    return time_point{
+        seconds{it.tv_sec} +
+        std::chrono::floor<duration>(std::chrono::nanoseconds{it.tv_nsec})};
 }
 
 auto glib_clock::wall_now() const -> wall_time
--- /dev/null
+++ b/src/adapters/run_workers.hpp
@@ -0,0 +1,77 @@
+/// Run worker port over HTTP; Codec knows paths, headers and bodies.
+#ifndef APRICOTLB_ADAPTERS_RUN_WORKERS_HPP
+#define APRICOTLB_ADAPTERS_RUN_WORKERS_HPP
+
+#include "adapters/soup_requests.hpp"
+#include "core/fleet/worker_messages.hpp"
+#include "ports/run_worker.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/result.hpp>
+
+#include <functional>
+#include <utility>
+
+namespace apricotlb
+{
+
+/// Encodes orders as requests and decodes their answers.
+template <class T>
+concept run_codec = requires(start_order const& start, stop_order const& stop,
+                             pace_order const& pace, poll_order const& poll,
+                             http_answer const& answer) {
+    {
+        T::encode(start)
+    } -> std::same_as<outgoing_request>;
+    {
+        T::encode(stop)
+    } -> std::same_as<outgoing_request>;
+    {
+        T::encode(pace)
+    } -> std::same_as<outgoing_request>;
+    {
+        T::encode(poll)
+    } -> std::same_as<outgoing_request>;
+    {
+        T::decode_order(answer)
+    } -> std::same_as<order_answer>;
+    {
+        T::decode_poll(answer)
+    } -> std::same_as<poll_answer>;
+};
+
+template <run_codec Codec>
+class run_workers
+{
+public:
+    explicit run_workers(soup_requests& http) : http_(http) {}
+
+    template <class Order>
+    auto send(Order const& it, std::function<void(order_answer)> done) -> void
+    {
+        auto request = Codec::encode(it);
+        request.timeout = config::order_timeout;
+        request.repeatable = true;
+        http_.send(
+            request, [done = std::move(done)](result<http_answer> got)
+            { done(got ? Codec::decode_order(got.value()) : order_answer{}); });
+    }
+
+    auto send(poll_order const& it, std::function<void(poll_answer)> done)
+        -> void
+    {
+        auto request = Codec::encode(it);
+        request.timeout = config::order_timeout + it.wait;
+        request.repeatable = true;
+        http_.send(
+            request, [done = std::move(done)](result<http_answer> got)
+            { done(got ? Codec::decode_poll(got.value()) : poll_answer{}); });
+    }
+
+private:
+    soup_requests& http_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/adapters/soup_requests.hpp
@@ -0,0 +1,54 @@
+/// Whole HTTP requests and answers by libsoup's session.
+#ifndef APRICOTLB_ADAPTERS_SOUP_REQUESTS_HPP
+#define APRICOTLB_ADAPTERS_SOUP_REQUESTS_HPP
+
+#include "core/entry/http.hpp"
+
+#include <apricotlb/ids.hpp>
+#include <apricotlb/result.hpp>
+#include <apricotlb/time.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// A request with its body; sent at most once unless it may be repeated.
+struct outgoing_request
+{
+    std::string method{"POST"};
+    url to;
+    std::vector<header> headers;
+    std::string body; ///< JSON, or empty
+    duration timeout{};
+    /// Lets the request use an open connection. libsoup may then send it again
+    /// on a new one, so the receiver must recognise a repetition.
+    bool repeatable{false};
+};
+
+/// Keeps connections open between requests; nothing blocks.
+class soup_requests
+{
+public:
+    using callback = std::function<void(result<http_answer>)>;
+
+    soup_requests();
+    soup_requests(soup_requests const&) = delete;
+    auto operator=(soup_requests const&) -> soup_requests& = delete;
+    ~soup_requests();
+
+    /// done runs once, with the answer of any status or with backend_failed
+    /// or backend_timeout; not at all when this object is destroyed before.
+    auto send(outgoing_request const& it, callback done) -> void;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/adapters/unix_signals.cpp
+++ b/src/adapters/unix_signals.cpp
@@ -12,8 +12,9 @@
 struct unix_signals::state
 {
     GMainLoop* loop{nullptr};
-    guint sources[2]{};
+    guint sources[3]{};
     std::function<void()> on_stop;
+    std::function<void()> on_reload;
     std::optional<exit_code> code;
 };
 
@@ -31,6 +32,16 @@
     };
     state_->sources[0] = g_unix_signal_add(SIGTERM, stop, state_.get());
     state_->sources[1] = g_unix_signal_add(SIGINT, stop, state_.get());
+    auto const reload = [](gpointer data) -> gboolean
+    {
+        auto& it = *static_cast<state*>(data);
+        if (it.on_reload)
+        {
+            it.on_reload();
+        }
+        return G_SOURCE_CONTINUE;
+    };
+    state_->sources[2] = g_unix_signal_add(SIGHUP, reload, state_.get());
 }
 
 unix_signals::~unix_signals()
@@ -52,6 +63,11 @@
     return state_->code.value_or(exit_code::ok);
 }
 
+auto unix_signals::on_reload(std::function<void()> run) -> void
+{
+    state_->on_reload = std::move(run);
+}
+
 auto unix_signals::quit(exit_code code) -> void
 {
     if (!state_->code)
--- a/src/adapters/unix_signals.hpp
+++ b/src/adapters/unix_signals.hpp
@@ -23,6 +23,9 @@
     /// Runs the loop; on_stop is called once for each signal.
     [[nodiscard]] auto run(std::function<void()> on_stop) -> exit_code;
 
+    /// Called on the loop for each SIGHUP; without it the signal is ignored.
+    auto on_reload(std::function<void()> run) -> void;
+
     /// Ends the loop. The code of the first call counts; a call before run()
     /// lets it return at once.
     auto quit(exit_code code) -> void;
--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -59,6 +59,18 @@
     }
 };
 
+template <>
+struct yaml_fields<discovery_settings>
+{
+    static constexpr auto fields()
+    {
+        return field_list(
+            field("seeds", &discovery_settings::seeds),
+            field("found_group", &discovery_settings::found_group),
+            field("tolerated_losses", &discovery_settings::tolerated_losses));
+    }
+};
+
 template <>
 struct yaml_fields<settings>
 {
@@ -68,7 +80,13 @@
             field("node", &settings::node), field("region", &settings::region),
             field("zone", &settings::zone), field("data", &settings::data),
             field("peers_at", &settings::peers_at),
+            field("peer_ports", &settings::peer_ports),
             field("http_at", &settings::http_at),
+            field("health_at", &settings::health_at),
+            field("discovery", &settings::discovery),
+            field("interface", &settings::interface),
+            field("trust", &settings::trust),
+            field("run_lease", &settings::run_lease),
             field("control", &settings::control),
             field("joins", &settings::joins),
             field("key_file", &settings::key_file),
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -5,8 +5,9 @@
 #include "adapters/sha256.hpp"
 #include "adapters/yaml_settings.hpp"
 #include "app/roles.hpp"
-#include "app/settings_check.hpp"
+#include "app/settings_load.hpp"
 #include "app/version.hpp"
+#include "platform/roles.hpp"
 
 #include <unistd.h>
 
@@ -39,41 +40,27 @@
     return std::nullopt;
 }
 
-/// Settings of a file, checked for a role.
-auto settings_for(file_path const& path, process_role role) -> result<settings>
-{
-    BOOST_OUTCOME_TRY(it, read_settings(path));
-    if (auto const checked = check(it, role); checked.has_error())
-    {
-        return fail(error_kind::bad_settings,
-                    path.value() + ": " + checked.error().detail);
-    }
-    if (!it.key_file.value().empty())
-    {
-        BOOST_OUTCOME_TRYV(read_secret(it.key_file));
-    }
-    return it;
-}
-
 auto run_role(file_path const& path, process_role role, cli_output const& to)
     -> exit_code
 {
-    auto const it = settings_for(path, role);
+    auto const it = load_settings(path, role);
     if (it.has_error())
     {
         return to.refuse(it.error());
     }
     setup_log({it.value().level, it.value().format, nullptr, {}});
+    process_start const start{it.value(), path};
+    auto const native = it.value().interface == front_interface::native;
     switch (role)
     {
     case process_role::control:
-        return run_control(it.value());
+        return native ? run_control(start) : platform::run_control(start);
     case process_role::entry:
-        return run_entry(it.value());
+        return native ? run_entry(start) : platform::run_entry(start);
     case process_role::standalone:
         break;
     }
-    return run_standalone(it.value());
+    return run_standalone(start);
 }
 
 auto check_settings_file(cli_request const& it, cli_output const& to)
@@ -96,7 +83,7 @@
             return to.refuse({error_kind::bad_request,
                               "ROLE: must be control, entry or standalone"});
         }
-        auto const got = settings_for(path, *role);
+        auto const got = load_settings(path, *role);
         if (got.has_error())
         {
             return to.refuse(got.error());
--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -42,6 +42,12 @@
     auto start(body what, callback done,
                duration timeout = config::call_timeout) -> void
     {
+        if (!is_connected())
+        {
+            done(fail(error_kind::not_leader,
+                      "no control process is known yet"));
+            return;
+        }
         auto const first = table_.start(std::move(what), clock_.now(), timeout);
         callbacks_[first.message.id] = std::move(done);
         send_(first.to, first.message);
@@ -95,6 +101,14 @@
         return table_.leader();
     }
     auto set_leader(node_id const& id) -> void { table_.set_leader(id); }
+    auto set_control(std::vector<node_id> control) -> void
+    {
+        table_.set_control(std::move(control));
+    }
+    [[nodiscard]] auto is_connected() const -> bool
+    {
+        return table_.is_connected();
+    }
 
 private:
     static constexpr duration check_every = std::chrono::milliseconds{50};
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -7,9 +7,12 @@
 #include "app/log_machine.hpp"
 #include "app/peer_message.hpp"
 #include "app/replica.hpp"
+#include "app/workflow_driver.hpp"
+#include "core/group/membership.hpp"
 #include "core/leader/leader_state.hpp"
 #include "ports/clock.hpp"
 #include "ports/log_store.hpp"
+#include "ports/run_worker.hpp"
 #include "ports/worker_client.hpp"
 
 #include <apricotlb/config.hpp>
@@ -33,22 +36,28 @@
 {
     replica_options replica;
     scheduler_policy policy;
+    fleet_policy fleet;
+    /// Processes find each other, and the leader replaces lost members.
+    bool discovers{false};
 };
 
 /// Codec encodes commands, Snapshots the state, Json what people read.
 template <clock_port Clock, class Transport, log_store_port Store,
-          worker_client_port Workers, class Codec, class Snapshots, class Json,
-          class Metrics>
+          worker_client_port Workers, run_worker_port Runs, class Codec,
+          class Snapshots, class Json, class Metrics>
 class control_role
 {
 public:
     control_role(Clock& clock, Transport& transport, Store& store,
-                 Workers& workers, Metrics& metrics, control_options options)
+                 Workers& workers, Runs& runs, Metrics& metrics,
+                 control_options options)
         : clock_(clock), transport_(transport), raft_link_(transport),
           workers_(workers), metrics_(metrics), policy_(options.policy),
-          self_(options.replica.self), random_(options.replica.seed),
+          discovers_(options.discovers), self_(options.replica.self),
+          random_(options.replica.seed),
           replica_(clock, raft_link_, store, machine_,
-                   std::move(options.replica))
+                   std::move(options.replica)),
+          workflows_(clock, runs, metrics, propose_run{this}, options.fleet)
     {
         machine_.on_applied(
             [this](command const& it, apply_result const& result)
@@ -122,6 +131,10 @@
     {
         return replica_.status();
     }
+    [[nodiscard]] auto leader() const -> std::optional<node_id>
+    {
+        return replica_.leader();
+    }
     [[nodiscard]] auto state() const -> state_machine const&
     {
         return machine_.state();
@@ -130,6 +143,24 @@
 private:
     using machine_type = log_machine<Codec, Snapshots>;
 
+    /// Proposes what the scheduler of workflows decides.
+    struct propose_run
+    {
+        control_role* role;
+
+        auto operator()(command const& it,
+                        std::function<void(result<void>)> done) const -> void
+        {
+            role->replica_.propose(
+                Codec::encode(it),
+                [done = std::move(done)](result<log_index> got)
+                {
+                    done(got ? result<void>{outcome::success()}
+                             : result<void>{outcome::failure(got.error())});
+                });
+        }
+    };
+
     /// Who waits for the answer to a call.
     struct caller
     {
@@ -149,28 +180,60 @@
     auto tick() -> void
     {
         arm();
-        for (auto const& it : replica_.status().log.members)
+        auto const now = clock_.now();
+        if (now - members_checked_ >= config::heartbeat_interval)
         {
-            if (it.member.id != self_)
-            {
-                transport_.add_peer(it.member.id, it.member.address);
-            }
+            members_checked_ = now;
+            check_members(now);
         }
         if (!leads())
         {
             return;
         }
-        auto const now = clock_.now();
         leader_->tick(now, next_random());
         if (now - keys_expired_ >= config::key_expiry_interval)
         {
             keys_expired_ = now;
             propose_own(expire_keys{clock_.wall_now()});
+            propose_own(expire_workflows{clock_.wall_now() -
+                                         config::workflow_retention});
         }
         resolve_waiting();
         perform();
     }
 
+    /// Follows the members in force and, on the leader, replaces lost ones.
+    auto check_members(time_point now) -> void
+    {
+        auto const status = replica_.status().log;
+        if (!discovers_)
+        {
+            for (auto const& it : status.members)
+            {
+                if (it.member.id != self_)
+                {
+                    transport_.add_peer(it.member.id, it.member.address);
+                }
+            }
+            return;
+        }
+        if (!leads())
+        {
+            return;
+        }
+        if (auto const change = next_removal(status, self_, now))
+        {
+            replica_.change_member(
+                *change,
+                [this, id = change->id](result<log_index> done)
+                {
+                    metrics_.count(metric::member_changes,
+                                   done ? "removed"
+                                        : name_of(done.error().kind));
+                });
+        }
+    }
+
     /// A linear congruential step; placement needs only well spread bits.
     auto next_random() -> random_bits
     {
@@ -187,9 +250,11 @@
         if (leads)
         {
             leader_.emplace(machine_.state(), in_term, clock_.now(), policy_);
+            workflows_.lead(machine_.state(), in_term);
             return;
         }
         leader_.reset();
+        workflows_.resign();
         for (auto const& [who, at] : std::exchange(waiting_, {}))
         {
             refuse(who.node, who.id, error_kind::not_leader,
@@ -206,6 +271,7 @@
             return;
         }
         leader_->on_applied(it, result, clock_.now());
+        workflows_.on_applied(it);
         auto const contract_changed =
             !result.refused && (std::holds_alternative<apply_contract>(it) ||
                                 std::holds_alternative<remove_contract>(it));
@@ -280,17 +346,7 @@
         {
             key->at = clock_.wall_now();
         }
-        replica_.propose(Codec::encode(it),
-                         [this, who](result<log_index> done)
-                         {
-                             if (done.has_error())
-                             {
-                                 refuse(who.node, who.id, done.error().kind,
-                                        done.error().detail);
-                                 return;
-                             }
-                             answer(who, machine_.last_result());
-                         });
+        propose_for(who, it);
     }
 
     auto serve(caller who, announce it) -> void
@@ -310,6 +366,112 @@
         answer(who, std::move(got).value());
     }
 
+    auto serve(caller who, worker_announcement const& it) -> void
+    {
+        workflows_.on_announcement(it);
+        answer(who, apply_result{});
+    }
+
+    auto serve(caller who, leader_ping) -> void { answer(who, apply_result{}); }
+
+    auto serve(caller who, workflow_call it) -> void
+    {
+        auto const refuse_call = [&](error_kind kind, std::string detail)
+        { refuse(who.node, who.id, kind, std::move(detail)); };
+        auto const& contracts = machine_.state().contract_sets();
+        auto const& table = machine_.state().workflows();
+        if (!contracts.held())
+        {
+            refuse_call(error_kind::no_contracts, "no contracts are in force");
+            return;
+        }
+        auto const found = contracts.match(it.host, it.path);
+        if (!found)
+        {
+            refuse_call(error_kind::unknown_queue,
+                        "no queue at " + it.host.value() + it.path);
+            return;
+        }
+        if (it.action == workflow_action::submit)
+        {
+            submit(who, *found->queue, workflow_id{std::string{found->rest}},
+                   std::move(it.spec));
+            return;
+        }
+        if (found->rest.empty())
+        {
+            answer(who,
+                   workflow_answer{{},
+                                   true,
+                                   task_count{static_cast<std::int64_t>(
+                                       table.waiting(found->queue->name))}});
+            return;
+        }
+        workflow_id const id{std::string{found->rest}};
+        auto const state = table.state(id);
+        if (!state)
+        {
+            refuse_call(error_kind::unknown_workflow,
+                        "no workflow " + id.value());
+        }
+        else if (it.action == workflow_action::state)
+        {
+            answer(who, workflow_answer{*state, false, {}});
+        }
+        else
+        {
+            propose_for(who, cancel_workflow{id, clock_.wall_now()});
+        }
+    }
+
+    auto submit(caller const& who, queue_contract const& terms,
+                workflow_id const& id, std::optional<workflow_spec> spec)
+        -> void
+    {
+        auto const& table = machine_.state().workflows();
+        if (table.state(id))
+        {
+            answer(who, workflow_answer{*table.state(id), false, {}});
+            return;
+        }
+        if (spec)
+        {
+            spec->id = id;
+        }
+        auto const checked = spec ? check(*spec)
+                                  : result<void>{fail(error_kind::bad_request,
+                                                      "the body is missing")};
+        if (checked.has_error())
+        {
+            refuse(who.node, who.id, checked.error().kind,
+                   checked.error().detail);
+            return;
+        }
+        if (table.live().size() >= config::max_live_workflows)
+        {
+            refuse(who.node, who.id, error_kind::queue_full,
+                   "as many workflows as can be kept are waiting");
+            return;
+        }
+        propose_for(who, submit_workflow{std::move(*spec), terms});
+    }
+
+    /// Answers a caller once its command has been applied.
+    auto propose_for(caller const& who, command const& it) -> void
+    {
+        replica_.propose(Codec::encode(it),
+                         [this, who](result<log_index> done)
+                         {
+                             if (done.has_error())
+                             {
+                                 refuse(who.node, who.id, done.error().kind,
+                                        done.error().detail);
+                                 return;
+                             }
+                             answer(who, machine_.last_result());
+                         });
+    }
+
     auto serve(caller who, query it) -> void
     {
         auto text = read(it);
@@ -382,6 +544,10 @@
         {
             return check(worker->info);
         }
+        if (auto const* const set = std::get_if<apply_contract_set>(&it))
+        {
+            return check(set->value);
+        }
         return outcome::success();
     }
 
@@ -439,6 +605,12 @@
             return read_explanation(it);
         case query_kind::members:
             return Json::encode(make_members(replica_.status()));
+        case query_kind::contract_set:
+            if (auto const& held = state.contract_sets().held())
+            {
+                return held->document;
+            }
+            return fail(error_kind::no_contracts, "no contracts are in force");
         case query_kind::status:
         case query_kind::metrics:
             break;
@@ -475,13 +647,16 @@
     Workers& workers_;
     Metrics& metrics_;
     scheduler_policy policy_;
+    bool discovers_;
     node_id self_;
     std::uint64_t random_;
     machine_type machine_;
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
+    workflow_driver<Clock, Runs, propose_run, Metrics> workflows_;
     std::map<caller, revision> waiting_;
     time_point keys_expired_{};
+    time_point members_checked_{};
     std::optional<timer_id> timer_;
 };
 
--- /dev/null
+++ b/src/app/group_discovery.hpp
@@ -0,0 +1,174 @@
+/// Finds the control processes of a deployment from a few of their addresses.
+#ifndef APRICOTLB_APP_GROUP_DISCOVERY_HPP
+#define APRICOTLB_APP_GROUP_DISCOVERY_HPP
+
+#include "app/settings.hpp"
+#include "core/entry/http.hpp"
+#include "core/group/membership.hpp"
+#include "ports/clock.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/fields.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/result.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// What a control process tells those that look for its group.
+struct node_view
+{
+    node_id node;
+    url peers_at; ///< where it receives messages of other processes
+    std::vector<node_id> members;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("node", &node_view::node),
+                          field("peers_at", &node_view::peers_at),
+                          field("members", &node_view::members));
+    }
+};
+
+/// The path at which control processes answer with their node_view.
+inline constexpr std::string_view node_view_path = "/v1/node";
+
+/// Asks every known address for its node_view, often until the group is
+/// found and seldom afterwards. Fetch is callable with (url, callback of
+/// result<std::string>); Introduce with (node_id, url).
+template <clock_port Clock, class Fetch, class Introduce, class Json>
+class group_discovery
+{
+public:
+    group_discovery(Clock& clock, Fetch fetch, Introduce introduce,
+                    std::vector<endpoint> const& seeds)
+        : clock_(clock), fetch_(std::move(fetch)),
+          introduce_(std::move(introduce))
+    {
+        add_seeds(seeds);
+        look();
+    }
+    group_discovery(group_discovery const&) = delete;
+    auto operator=(group_discovery const&) -> group_discovery& = delete;
+    ~group_discovery() { clock_.cancel_timer(timer_); }
+
+    /// Adds addresses; those that are known already stay.
+    auto add_seeds(std::vector<endpoint> const& seeds) -> void
+    {
+        for (auto const& it : seeds)
+        {
+            known_.try_emplace(it.value()).first->second.is_seed = true;
+        }
+    }
+
+    /// True while a leader answers: looks become rare.
+    auto set_settled(bool settled) -> void { settled_ = settled; }
+
+    /// Runs after each answer, with the processes that have answered.
+    auto on_found(std::function<void(std::vector<node_id> const&)> run) -> void
+    {
+        found_ = std::move(run);
+    }
+
+private:
+    struct known_address
+    {
+        std::optional<node_id> node; ///< that answered last
+        time_point answered{};
+        time_point added{};
+        bool is_seed{false};
+        bool asking{false};
+    };
+
+    /// An address that is no seed and gave no answer for this long is dropped.
+    static constexpr duration forget_after = std::chrono::seconds{30};
+
+    auto look() -> void
+    {
+        timer_ =
+            clock_.start_timer(settled_ ? config::discovery_interval_settled
+                                        : config::discovery_interval,
+                               [this] { look(); });
+        auto const now = clock_.now();
+        std::erase_if(known_,
+                      [now](auto const& each)
+                      {
+                          auto const& it = each.second;
+                          return !it.is_seed && !it.asking &&
+                                 now - std::max(it.answered, it.added) >
+                                     forget_after;
+                      });
+        for (auto& [address, it] : known_)
+        {
+            if (!it.asking)
+            {
+                it.asking = true;
+                ask(address);
+            }
+        }
+    }
+
+    auto ask(std::string const& address) -> void
+    {
+        fetch_(url{"http://" + address + std::string{node_view_path}},
+               [this, address](result<std::string> got)
+               { take(address, std::move(got)); });
+    }
+
+    auto take(std::string const& address, result<std::string> got) -> void
+    {
+        auto& it = known_[address];
+        it.asking = false;
+        if (got.has_error())
+        {
+            return;
+        }
+        auto const view = Json::template decode<node_view>(got.value());
+        if (view.has_error())
+        {
+            return;
+        }
+        it.node = view.value().node;
+        it.answered = clock_.now();
+        introduce_(view.value().node, view.value().peers_at);
+        for (auto const& id : view.value().members)
+        {
+            auto const [other, added] = known_.try_emplace(served_address(id));
+            if (added)
+            {
+                other->second.added = it.answered;
+            }
+        }
+        std::vector<node_id> nodes;
+        for (auto const& [at, each] : known_)
+        {
+            if (each.node)
+            {
+                nodes.push_back(*each.node);
+            }
+        }
+        if (found_)
+        {
+            found_(nodes);
+        }
+    }
+
+    Clock& clock_;
+    Fetch fetch_;
+    Introduce introduce_;
+    std::map<std::string, known_address> known_;
+    std::function<void(std::vector<node_id> const&)> found_;
+    bool settled_{false};
+    timer_id timer_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/app/group_link.hpp
@@ -0,0 +1,107 @@
+/// A process's link to the leader of a group that it finds by itself.
+#ifndef APRICOTLB_APP_GROUP_LINK_HPP
+#define APRICOTLB_APP_GROUP_LINK_HPP
+
+#include "app/control_link.hpp"
+#include "app/group_discovery.hpp"
+#include "app/peer_message.hpp"
+#include "ports/clock.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/result.hpp>
+
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Finds the control processes, and asks the leader now and then whether it
+/// still answers. Fetch is callable with (url, callback of result<string>).
+template <clock_port Clock, class Transport, class Fetch, class Json>
+class group_link
+{
+public:
+    group_link(Clock& clock, Transport& transport, Fetch fetch,
+               std::vector<endpoint> const& seeds)
+        : clock_(clock), transport_(transport),
+          link_(clock, send_call{transport}, {}),
+          discovery_(clock, std::move(fetch), introduce{transport}, seeds)
+    {
+        discovery_.on_found([this](std::vector<node_id> const& nodes)
+                            { link_.set_control(nodes); });
+        ping();
+    }
+    group_link(group_link const&) = delete;
+    auto operator=(group_link const&) -> group_link& = delete;
+    ~group_link() { clock_.cancel_timer(timer_); }
+
+    auto take(node_id const& from, call_answer it) -> void
+    {
+        link_.take(from, std::move(it));
+    }
+
+    /// True while a leader answers.
+    [[nodiscard]] auto has_leader() const -> bool
+    {
+        return answered_ && clock_.now() - *answered_ < config::leader_silence;
+    }
+    [[nodiscard]] auto leader() const -> node_id const&
+    {
+        return link_.leader();
+    }
+    [[nodiscard]] auto calls() -> auto& { return link_; }
+    [[nodiscard]] auto discovery() -> auto& { return discovery_; }
+
+private:
+    struct send_call
+    {
+        Transport& transport;
+
+        auto operator()(node_id const& to, call const& it) const -> void
+        {
+            transport.send(to, peer_message{it});
+        }
+    };
+
+    struct introduce
+    {
+        Transport& transport;
+
+        auto operator()(node_id const& id, url const& at) const -> void
+        {
+            transport.introduce(id, at);
+        }
+    };
+
+    auto ping() -> void
+    {
+        timer_ = clock_.start_timer(config::leader_ping_interval,
+                                    [this] { ping(); });
+        discovery_.set_settled(has_leader());
+        link_.start(
+            leader_ping{},
+            [this, sent = clock_.now()](auto const& got)
+            {
+                if (!got.has_error())
+                {
+                    answered_ = sent;
+                }
+            },
+            config::leader_silence);
+    }
+
+    Clock& clock_;
+    Transport& transport_;
+    control_link<Clock, send_call> link_;
+    group_discovery<Clock, Fetch, introduce, Json> discovery_;
+    std::optional<time_point> answered_;
+    timer_id timer_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/app/member_identity.hpp
@@ -0,0 +1,103 @@
+/// The id of a control process that finds its group by itself, kept beside
+/// its log.
+#ifndef APRICOTLB_APP_MEMBER_IDENTITY_HPP
+#define APRICOTLB_APP_MEMBER_IDENTITY_HPP
+
+#include "app/settings.hpp"
+#include "core/group/membership.hpp"
+#include "core/random.hpp"
+#include "ports/file_system.hpp"
+
+#include <apricotlb/ids.hpp>
+#include <apricotlb/result.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Who this process is. The founders are the first voters of the group, for a
+/// process that is one of them.
+struct member_identity
+{
+    node_id id;
+    std::vector<node_id> founders;
+};
+
+/// The identity for an empty folder. Only a seed at the very first start of a
+/// deployment founds the group; everyone else joins it under a new id.
+[[nodiscard]] inline auto first_identity(settings const& own,
+                                         random_bits random) -> member_identity
+{
+    auto const& seeds = own.discovery.seeds;
+    auto const founds = own.discovery.found_group &&
+                        std::ranges::find(seeds, own.http_at) != seeds.end();
+    if (!founds)
+    {
+        std::array<char, 16> text{};
+        constexpr auto hexadecimal = 16;
+        auto const end = std::to_chars(text.data(), text.data() + text.size(),
+                                       random.value(), hexadecimal);
+        return {member_id(own.http_at.value(), {text.data(), end.ptr}), {}};
+    }
+    member_identity it{member_id(own.http_at.value(), {}), {}};
+    for (auto const& seed : seeds)
+    {
+        it.founders.push_back(member_id(seed.value(), {}));
+    }
+    return it;
+}
+
+/// Reads the identity from a folder, or stores a first one there durably. The
+/// file has one id a line: the process's own, then the founders'.
+template <file_system_port Files>
+[[nodiscard]] auto load_identity(Files& files, settings const& own,
+                                 random_bits random) -> result<member_identity>
+{
+    auto const folder = own.data.value();
+    file_path const path{folder + "/identity"};
+    BOOST_OUTCOME_TRYV(files.make_folder(own.data));
+    BOOST_OUTCOME_TRY(names, files.list(own.data));
+    if (std::ranges::find(names, "identity") != names.end())
+    {
+        BOOST_OUTCOME_TRY(text, files.read(path));
+        std::vector<node_id> ids;
+        for (std::size_t at = 0; at < text.size();)
+        {
+            auto const end = std::min(text.find('\n', at), text.size());
+            ids.emplace_back(text.substr(at, end - at));
+            at = end + 1;
+        }
+        if (ids.empty() || ids.front().value().empty())
+        {
+            return fail(error_kind::log_damaged,
+                        path.value() + ": names no process");
+        }
+        member_identity it{ids.front(), {}};
+        it.founders.assign(ids.begin() + 1, ids.end());
+        return it;
+    }
+    auto it = first_identity(own, random);
+    std::string text = it.id.value() + "\n";
+    for (auto const& each : it.founders)
+    {
+        text += each.value() + "\n";
+    }
+    file_path const fresh{folder + "/identity.new"};
+    BOOST_OUTCOME_TRY(file, files.create(fresh));
+    BOOST_OUTCOME_TRYV(files.write(file, text));
+    BOOST_OUTCOME_TRYV(files.sync(file));
+    files.close(file);
+    BOOST_OUTCOME_TRYV(files.rename(fresh, path));
+    BOOST_OUTCOME_TRYV(files.sync_folder(own.data));
+    return it;
+}
+
+} // namespace apricotlb
+
+#endif
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -93,13 +93,42 @@
         peers_[id].permanent = true;
     }
 
+    /// Tells where a peer receives now. It is forgotten like a peer that
+    /// called when it stays silent.
+    auto introduce(node_id const& id, url const& at) -> void
+    {
+        auto const it = peers_.find(id);
+        if (id == self_.node ||
+            (it != peers_.end() && it->second.address == at))
+        {
+            return;
+        }
+        dial(id, at);
+        peers_[id].heard = clock_.now();
+    }
+
     auto on_message(receiver run) -> void { run_ = std::move(run); }
 
+    /// A message to this process itself arrives in a later turn of the loop.
     auto send(node_id const& to, Message const& message) -> void
     {
+        if (to == self_.node)
+        {
+            clock_.start_timer(duration{0},
+                               [this, message]
+                               {
+                                   if (run_)
+                                   {
+                                       run_(self_.node, message);
+                                   }
+                               });
+            return;
+        }
         send_body(to, Codec::encode(message));
     }
 
+    [[nodiscard]] auto address() const -> url const& { return self_.address; }
+
 private:
     struct peer
     {
--- /dev/null
+++ b/src/app/process.cpp
@@ -0,0 +1,103 @@
+#include "app/process.hpp"
+
+#include "adapters/log.hpp"
+#include "adapters/yaml_settings.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+logger const process_log{"process"};
+
+/// The same address with a port that lies `n` higher.
+auto next_port(url const& at, std::uint32_t n) -> url
+{
+    auto const colon = at.value().rfind(':');
+    auto const port = std::stoul(at.value().substr(colon + 1)) + n;
+    return url{at.value().substr(0, colon + 1) + std::to_string(port)};
+}
+
+} // namespace
+
+auto new_incarnation() -> incarnation
+{
+    auto const since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    return incarnation{static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+            .count())};
+}
+
+auto report_end(error const& it) -> exit_code
+{
+    process_log.error("stopped",
+                      {{"kind", name_of(it.kind)}, {"detail", it.detail}});
+    return answer_of(it.kind).exit;
+}
+
+auto peer_key(settings const& it) -> result<shared_key>
+{
+    if (it.trust == peer_trust::network)
+    {
+        // The code still detects damaged messages and those of strangers that
+        // speak another protocol.
+        return shared_key{"apricotlb"};
+    }
+    BOOST_OUTCOME_TRY(text, read_secret(it.key_file));
+    return shared_key{std::move(text)};
+}
+
+auto log_reload(result<settings> const& it) -> void
+{
+    if (it.has_error())
+    {
+        process_log.warning("settings_refused",
+                            {{"detail", it.error().detail}});
+        return;
+    }
+    process_log.info("settings_reloaded",
+                     {{"seeds", it.value().discovery.seeds.size()}});
+}
+
+peer_node::peer_node(node_id self, shared_key key, glib_clock& clock,
+                     metrics& counts)
+    : self_(std::move(self)), auth_(std::move(key)), clock_(clock),
+      metrics_(counts)
+{
+}
+
+auto peer_node::listen(url const& at, std::uint32_t ports) -> result<url>
+{
+    auto bound = link_.listen(at);
+    // After a crash the system may hold the port for a minute.
+    for (std::uint32_t n = 1; n < ports && bound.has_error(); ++n)
+    {
+        bound = link_.listen(next_port(at, n));
+    }
+    return bound;
+}
+
+auto peer_node::start(settings const& it, url const& at, incarnation run)
+    -> result<void>
+{
+    BOOST_OUTCOME_TRY(bound, listen(at, it.peer_ports));
+    transport_.emplace(transport::identity{self_, run, std::move(bound)},
+                       clock_, link_, auth_, metrics_);
+    for (auto const& [id, address] : it.control)
+    {
+        if (id != self_)
+        {
+            transport_->add_peer(id, peer_url(address.value()));
+        }
+    }
+    return outcome::success();
+}
+
+} // namespace apricotlb
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -36,6 +36,10 @@
     /// id after the loss of its disk, has none.
     raft_members bootstrap;
     std::uint64_t seed{0}; ///< differs between replicas and between starts
+    /// Least number of voters that store an entry before it counts, so that
+    /// the loss of all but one of them loses nothing.
+    std::size_t copies{1};
+    std::size_t most_voters{config::max_members};
     std::size_t snapshot_entries{config::snapshot_entries};
     std::size_t snapshot_bytes{config::snapshot_entry_bytes};
 
@@ -61,6 +65,16 @@
         built_.seed = it.value();
         return *this;
     }
+    auto copies(std::size_t n) -> builder&
+    {
+        built_.copies = n;
+        return *this;
+    }
+    auto most_voters(std::size_t n) -> builder&
+    {
+        built_.most_voters = n;
+        return *this;
+    }
     auto snapshot_after(std::size_t entries, byte_count bytes) -> builder&
     {
         built_.snapshot_entries = entries;
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -43,6 +43,8 @@
     }
     raft::builder builder;
     builder.self(options_.self)
+        .copies(options_.copies)
+        .most_voters(options_.most_voters)
         .hard(loaded.hard)
         .log(loaded.base, std::move(loaded.entries))
         .started(clock_.now(), next_random());
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -1,28 +1,21 @@
 #include "app/roles.hpp"
 
 #include "adapters/disk_log.hpp"
-#include "adapters/glib_clock.hpp"
 #include "adapters/json_codec.hpp"
 #include "adapters/log.hpp"
-#include "adapters/message_auth.hpp"
-#include "adapters/metrics.hpp"
-#include "adapters/msgpack_codec.hpp"
-#include "adapters/nng_link.hpp"
 #include "adapters/posix_files.hpp"
 #include "adapters/sha256.hpp"
 #include "adapters/soup_client.hpp"
 #include "adapters/soup_server.hpp"
 #include "adapters/soup_workers.hpp"
-#include "adapters/unix_signals.hpp"
-#include "adapters/yaml_settings.hpp"
 #include "app/control_role.hpp"
 #include "app/entry_node.hpp"
-#include "app/peer_transport.hpp"
+#include "app/process.hpp"
 
 #include <apricotlb/result.hpp>
 
-#include <chrono>
-#include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -33,77 +26,40 @@
 namespace
 {
 
-using transport = peer_transport<peer_message, glib_clock, nng_link,
-                                 msgpack_codec, message_auth, metrics>;
-using control =
-    control_role<glib_clock, transport, disk_log<posix_files>, soup_workers,
-                 msgpack_codec, snapshot_codec, json_codec, metrics>;
-
 using entry = entry_node<glib_clock, transport, soup_server, soup_client,
                          json_codec, token_hasher, metrics>;
 
 logger const role_log{"role"};
 
-/// Grows from one start of a process to the next, as long as the wall clock
-/// does.
-auto new_incarnation() -> incarnation
-{
-    auto const since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return incarnation{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-            .count())};
-}
-
-auto report(error const& it) -> exit_code
-{
-    role_log.error("stopped",
-                   {{"kind", name_of(it.kind)}, {"detail", it.detail}});
-    return answer_of(it.kind).exit;
-}
-
-/// What every process has: a clock, metrics and links to its peers.
-class peer_node
+/// Run worker port of deployments whose workers fetch their orders.
+struct no_run_workers
 {
-public:
-    peer_node(node_id self, shared_key key, glib_clock& clock, metrics& counts)
-        : self_(std::move(self)), auth_(std::move(key)), clock_(clock),
-          metrics_(counts)
+    template <class Order>
+    auto send(Order const&, std::function<void(order_answer)> done) -> void
     {
+        done({});
     }
-
-    /// Listens and names the control processes.
-    auto start(settings const& it, url const& at, incarnation run)
-        -> result<void>
+    auto send(poll_order const&, std::function<void(poll_answer)> done) -> void
     {
-        BOOST_OUTCOME_TRY(bound, link_.listen(at));
-        transport_.emplace(transport::identity{self_, run, std::move(bound)},
-                           clock_, link_, auth_, metrics_);
-        for (auto const& [id, address] : it.control)
-        {
-            if (id != self_)
-            {
-                transport_->add_peer(id, peer_url(address.value()));
-            }
-        }
-        return outcome::success();
+        done({});
     }
+};
 
-    [[nodiscard]] auto use() -> transport& { return *transport_; }
+static_assert(run_worker_port<no_run_workers>);
 
-private:
-    node_id self_;
-    message_auth auth_;
-    glib_clock& clock_;
-    metrics& metrics_;
-    nng_link link_;
-    std::optional<transport> transport_;
-};
+using control = control_role<glib_clock, transport, disk_log<posix_files>,
+                             soup_workers, no_run_workers, msgpack_codec,
+                             snapshot_codec, json_codec, metrics>;
 
-auto read_key(settings const& it) -> result<shared_key>
+/// Reads the settings again on SIGHUP and when their file has changed.
+auto watch_settings(process_start const& it, process_role role,
+                    glib_clock& clock, unix_signals& loop)
+    -> std::unique_ptr<settings_watch<glib_clock>>
 {
-    BOOST_OUTCOME_TRY(text, read_secret(it.key_file));
-    return shared_key{std::move(text)};
+    auto watch = std::make_unique<settings_watch<glib_clock>>(clock, it.file,
+                                                              role, log_reload);
+    loop.on_reload([&at = *watch] { at.reload(); });
+    return watch;
 }
 
 /// The control role over its adapters.
@@ -130,9 +86,10 @@
                                        .build());
         scheduler_policy policy;
         policy.guard = own_.guards == guard_mode::enabled;
-        role_.emplace(clock_, node_.use(), store_, workers_, metrics_,
-                      control_options{std::move(options), policy});
-        role_->on_failure([this](error const& it) { loop_.quit(report(it)); });
+        role_.emplace(clock_, node_.use(), store_, workers_, runs_, metrics_,
+                      control_options{std::move(options), policy, {}, false});
+        role_->on_failure([this](error const& it)
+                          { loop_.quit(report_end(it)); });
         node_.use().on_message(
             [this](node_id const& from, peer_message it) {
                 std::visit([&](auto& body) { take(from, std::move(body)); },
@@ -184,6 +141,7 @@
     posix_files files_;
     disk_log<posix_files> store_;
     soup_workers workers_;
+    no_run_workers runs_;
     std::optional<control> role_;
 };
 
@@ -258,12 +216,13 @@
 
 } // namespace
 
-auto run_control(settings const& it) -> exit_code
+auto run_control(process_start const& start) -> exit_code
 {
-    auto key = read_key(it);
+    auto const& it = start.own;
+    auto key = peer_key(it);
     if (key.has_error())
     {
-        return report(key.error());
+        return report_end(key.error());
     }
     glib_clock clock;
     metrics counts;
@@ -271,18 +230,21 @@
     control_process process{it, std::move(key).value(), clock, counts, loop};
     if (auto const started = process.start(); started.has_error())
     {
-        return report(started.error());
+        return report_end(started.error());
     }
     role_log.info("started", {{"role", "control"}, {"node", it.node}});
+    auto const watch =
+        watch_settings(start, process_role::control, clock, loop);
     return loop.run([&loop] { loop.quit(exit_code::ok); });
 }
 
-auto run_entry(settings const& it) -> exit_code
+auto run_entry(process_start const& start) -> exit_code
 {
-    auto key = read_key(it);
+    auto const& it = start.own;
+    auto key = peer_key(it);
     if (key.has_error())
     {
-        return report(key.error());
+        return report_end(key.error());
     }
     glib_clock clock;
     metrics counts;
@@ -291,14 +253,16 @@
     if (auto const started = process.start(peer_url(it.peers_at.value()));
         started.has_error())
     {
-        return report(started.error());
+        return report_end(started.error());
     }
     role_log.info("started", {{"role", "entry"}, {"node", it.node}});
+    auto const watch = watch_settings(start, process_role::entry, clock, loop);
     return loop.run([&process] { process.stop(); });
 }
 
-auto run_standalone(settings const& it) -> exit_code
+auto run_standalone(process_start const& start) -> exit_code
 {
+    auto const& it = start.own;
     glib_clock clock;
     metrics counts;
     unix_signals loop;
@@ -314,14 +278,16 @@
     entry_process front{as_entry, key, clock, counts, loop};
     if (auto const started = state.start(); started.has_error())
     {
-        return report(started.error());
+        return report_end(started.error());
     }
     if (auto const started = front.start(url{"inproc://entry"});
         started.has_error())
     {
-        return report(started.error());
+        return report_end(started.error());
     }
     role_log.info("started", {{"role", "standalone"}, {"node", it.node}});
+    auto const watch =
+        watch_settings(start, process_role::standalone, clock, loop);
     return loop.run([&front] { front.stop(); });
 }
 
--- a/src/app/roles.hpp
+++ b/src/app/roles.hpp
@@ -9,9 +9,16 @@
 namespace apricotlb
 {
 
-[[nodiscard]] auto run_control(settings const& it) -> exit_code;
-[[nodiscard]] auto run_entry(settings const& it) -> exit_code;
-[[nodiscard]] auto run_standalone(settings const& it) -> exit_code;
+/// Settings of a process and the file that they were read from.
+struct process_start
+{
+    settings own;
+    file_path file;
+};
+
+[[nodiscard]] auto run_control(process_start const& start) -> exit_code;
+[[nodiscard]] auto run_entry(process_start const& start) -> exit_code;
+[[nodiscard]] auto run_standalone(process_start const& start) -> exit_code;
 
 } // namespace apricotlb
 
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -41,6 +41,31 @@
     disabled,
 };
 
+/// Whose protocol callers, workers and operators speak with this process.
+enum class front_interface : std::uint8_t
+{
+    native,
+    platform, ///< that of the users' platform (platform/)
+};
+
+/// How processes know that they belong to one deployment.
+enum class peer_trust : std::uint8_t
+{
+    key,     ///< messages are sealed with the key of key_file
+    network, ///< whoever reaches the peer address belongs to it
+};
+
+/// How processes that are told only a few addresses find each other.
+struct discovery_settings
+{
+    /// Addresses of some control processes; empty: `control` lists them all.
+    std::vector<endpoint> seeds;
+    /// True at the first start of a deployment: the seeds found the group.
+    bool found_group{false};
+    /// Control processes that may lose their disks at once.
+    std::uint32_t tolerated_losses{0};
+};
+
 /// An operator and the SHA-256 of the token that operator sends.
 struct operator_token
 {
@@ -55,7 +80,15 @@
     zone_id zone;
     file_path data;    ///< control only: folder of the log and snapshots
     endpoint peers_at; ///< where this process receives peer messages
-    endpoint http_at;  ///< entry only: where callers connect
+    std::uint32_t peer_ports{1}; ///< tried one after the other from peers_at
+    endpoint http_at;   ///< where callers connect; control: workers, operators
+    endpoint health_at; ///< entry only: a second address for health checks
+    discovery_settings discovery;
+    front_interface interface {
+        front_interface::native
+    };
+    peer_trust trust{peer_trust::key};
+    duration run_lease{std::chrono::seconds{10}}; ///< of pushed runs
 
     /// Control processes: id and address for peer messages.
     std::map<node_id, endpoint> control;
--- a/src/app/settings_check.cpp
+++ b/src/app/settings_check.cpp
@@ -70,6 +70,50 @@
     return outcome::success();
 }
 
+/// A process with seeds finds the others by itself.
+auto check_discovery(settings const& it, process_role role) -> result<void>
+{
+    if (it.discovery.seeds.size() > config::max_members)
+    {
+        return refuse("discovery.seeds", "at most 16 addresses",
+                      std::to_string(it.discovery.seeds.size()));
+    }
+    for (auto const& seed : it.discovery.seeds)
+    {
+        BOOST_OUTCOME_TRYV(check_endpoint("discovery.seeds", seed));
+    }
+    constexpr std::uint32_t most_losses = 3;
+    if (it.discovery.tolerated_losses > most_losses)
+    {
+        return refuse("discovery.tolerated_losses", "0 to 3",
+                      std::to_string(it.discovery.tolerated_losses));
+    }
+    if (!it.control.empty())
+    {
+        return refuse("control", "left out beside discovery.seeds",
+                      std::to_string(it.control.size()) + " processes");
+    }
+    return role == process_role::control ? check_endpoint("http_at", it.http_at)
+                                         : result<void>{outcome::success()};
+}
+
+auto check_platform(settings const& it, process_role role) -> result<void>
+{
+    if (it.discovery.seeds.empty())
+    {
+        return refuse("discovery.seeds",
+                      "a list of addresses for interface: platform", "");
+    }
+    if (it.run_lease < seconds{1} || it.run_lease > seconds{60})
+    {
+        return refuse("run_lease", "1s to 60s",
+                      std::to_string(it.run_lease.count()) + "us");
+    }
+    return role == process_role::entry
+               ? check_endpoint("health_at", it.health_at)
+               : result<void>{outcome::success()};
+}
+
 /// An even number of voters tolerates no more failures than one fewer.
 auto check_group(settings const& it, process_role role) -> result<void>
 {
@@ -148,9 +192,23 @@
     BOOST_OUTCOME_TRYV(check_name("zone", it.zone));
     if (role != process_role::standalone)
     {
-        BOOST_OUTCOME_TRYV(check_group(it, role));
+        BOOST_OUTCOME_TRYV(it.discovery.seeds.empty()
+                               ? check_group(it, role)
+                               : check_discovery(it, role));
         BOOST_OUTCOME_TRYV(check_endpoint("peers_at", it.peers_at));
-        BOOST_OUTCOME_TRYV(check_path("key_file", it.key_file));
+        if (it.trust == peer_trust::key)
+        {
+            BOOST_OUTCOME_TRYV(check_path("key_file", it.key_file));
+        }
+    }
+    if (it.interface == front_interface::platform)
+    {
+        BOOST_OUTCOME_TRYV(check_platform(it, role));
+    }
+    constexpr std::uint32_t most_ports = 64;
+    if (it.peer_ports < 1 || it.peer_ports > most_ports)
+    {
+        return refuse("peer_ports", "1 to 64", std::to_string(it.peer_ports));
     }
     if (role != process_role::entry)
     {
--- /dev/null
+++ b/src/app/workflow_driver.hpp
@@ -0,0 +1,205 @@
+/// Runs the scheduler of workflows while this process leads.
+#ifndef APRICOTLB_APP_WORKFLOW_DRIVER_HPP
+#define APRICOTLB_APP_WORKFLOW_DRIVER_HPP
+
+#include "core/fleet/run_scheduler.hpp"
+#include "core/state/state_machine.hpp"
+#include "ports/clock.hpp"
+#include "ports/metrics.hpp"
+#include "ports/run_worker.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/result.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace apricotlb
+{
+
+/// Propose is callable with (command, function<void(result<void>)>).
+template <clock_port Clock, run_worker_port Workers, class Propose,
+          metrics_port Metrics>
+class workflow_driver
+{
+public:
+    workflow_driver(Clock& clock, Workers& workers, Metrics& metrics,
+                    Propose propose, fleet_policy policy)
+        : clock_(clock), workers_(workers), metrics_(metrics),
+          propose_(std::move(propose)), policy_(policy)
+    {
+    }
+    workflow_driver(workflow_driver const&) = delete;
+    auto operator=(workflow_driver const&) -> workflow_driver& = delete;
+    ~workflow_driver() { resign(); }
+
+    /// Starts with what is on record.
+    auto lead(state_machine const& state, term in_term) -> void
+    {
+        resign();
+        scheduler_.emplace(state, fence_token{in_term.value()}, clock_.now(),
+                           policy_);
+        arm();
+    }
+
+    /// Forgets everything; answers that are still to come are dropped.
+    auto resign() -> void
+    {
+        ++epoch_;
+        scheduler_.reset();
+        for (auto* const timer : {&tick_, &soon_})
+        {
+            if (*timer)
+            {
+                clock_.cancel_timer(**timer);
+                timer->reset();
+            }
+        }
+    }
+
+    auto on_announcement(worker_announcement const& it) -> void
+    {
+        if (scheduler_)
+        {
+            scheduler_->on_announcement(it, clock_.now());
+            perform();
+        }
+    }
+
+    auto on_applied(command const& it) -> void
+    {
+        if (scheduler_)
+        {
+            scheduler_->on_applied(it, clock_.now());
+            perform();
+        }
+    }
+
+    [[nodiscard]] auto scheduler() const -> std::optional<run_scheduler> const&
+    {
+        return scheduler_;
+    }
+
+private:
+    /// Gathers what happens within a moment into one plan and one proposal.
+    static constexpr duration plan_delay = std::chrono::milliseconds{2};
+
+    auto arm() -> void
+    {
+        tick_ = clock_.start_timer(config::scheduler_tick,
+                                   [this]
+                                   {
+                                       arm();
+                                       scheduler_->tick(clock_.now());
+                                       plan();
+                                   });
+    }
+
+    auto plan() -> void
+    {
+        scheduler_->plan(clock_.now(), clock_.wall_now());
+        perform();
+    }
+
+    auto perform() -> void
+    {
+        for (auto& it : scheduler_->take_actions())
+        {
+            std::visit([this](auto& action) { carry_out(std::move(action)); },
+                       it);
+        }
+        if (scheduler_ && scheduler_->wants_plan() && !soon_)
+        {
+            soon_ = clock_.start_timer(plan_delay,
+                                       [this]
+                                       {
+                                           soon_.reset();
+                                           plan();
+                                       });
+        }
+    }
+
+    /// Runs f unless leadership has ended since it was made.
+    template <class F>
+    auto guarded(F f)
+    {
+        return [this, epoch = epoch_, f = std::move(f)](auto answer)
+        {
+            if (epoch == epoch_)
+            {
+                f(std::move(answer));
+                perform();
+            }
+        };
+    }
+
+    auto carry_out(propose_starts it) -> void
+    {
+        command const wanted{it.value};
+        propose_(wanted, guarded(
+                             [this, it = std::move(it)](result<void> done)
+                             {
+                                 if (done.has_error())
+                                 {
+                                     scheduler_->on_not_applied(it);
+                                 }
+                             }));
+    }
+
+    auto carry_out(propose_ends it) -> void
+    {
+        for (auto const& each : it.runs)
+        {
+            metrics_.count(metric::run_ends, name_of(each.how));
+        }
+        if (it.runs.empty())
+        {
+            scheduler_->on_recorded(it, clock_.now());
+            return;
+        }
+        command const wanted{end_runs{it.runs, clock_.wall_now()}};
+        propose_(wanted, guarded(
+                             [this, it = std::move(it)](result<void> done)
+                             {
+                                 if (done.has_error())
+                                 {
+                                     scheduler_->on_not_recorded(it);
+                                     return;
+                                 }
+                                 scheduler_->on_recorded(it, clock_.now());
+                             }));
+    }
+
+    template <class Order>
+    auto carry_out(Order it) -> void
+    {
+        using answer = std::conditional_t<std::is_same_v<Order, poll_order>,
+                                          poll_answer, order_answer>;
+        std::function<void(answer)> done = guarded(
+            [this, it](answer const& got)
+            {
+                metrics_.count(metric::orders, name_of(got.outcome));
+                scheduler_->on_answer(it, got, clock_.now());
+            });
+        workers_.send(it, std::move(done));
+    }
+
+    Clock& clock_;
+    Workers& workers_;
+    Metrics& metrics_;
+    Propose propose_;
+    fleet_policy policy_;
+    std::optional<run_scheduler> scheduler_;
+    std::uint64_t epoch_{0};
+    std::optional<timer_id> tick_;
+    std::optional<timer_id> soon_;
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/core/entry/call_table.cpp
+++ b/src/core/entry/call_table.cpp
@@ -81,6 +81,21 @@
     return out;
 }
 
+auto call_table::set_control(std::vector<node_id> control) -> void
+{
+    if (control.empty())
+    {
+        return;
+    }
+    auto const before = control_.empty() ? control.front() : leader();
+    control_ = std::move(control);
+    presumed_ = 0;
+    if (std::ranges::find(control_, before) != control_.end())
+    {
+        set_leader(before);
+    }
+}
+
 auto call_table::set_leader(node_id const& id) -> void
 {
     auto const it = std::ranges::find(control_, id);
--- a/src/core/entry/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -60,6 +60,14 @@
         return control_[presumed_];
     }
 
+    /// Replaces the control processes that calls may go to.
+    auto set_control(std::vector<node_id> control) -> void;
+    /// False while no control process is known; no call may be started then.
+    [[nodiscard]] auto is_connected() const -> bool
+    {
+        return !control_.empty();
+    }
+
     /// Learns the leader from a message that only the leader sends.
     auto set_leader(node_id const& id) -> void;
 
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -72,6 +72,9 @@
     row(version_unsupported,  "version_unsupported",  400, ex::failed,       re::never,     ran::no),
     row(stale_attempt,        "stale_attempt",        409, ex::conflict,     re::never,     ran::no),
     row(worker_busy,          "worker_busy",          409, ex::conflict,     re::later,     ran::no),
+    row(unknown_queue,        "unknown_queue",        404, ex::not_found,    re::never,     ran::no),
+    row(unknown_workflow,     "unknown_workflow",     410, ex::not_found,    re::never,     ran::no),
+    row(no_contracts,         "no_contracts",         503, ex::unavailable,  re::later,     ran::no),
     row(internal,             "internal",             500, ex::failed,       re::never,     ran::unknown),
     // clang-format on
 }};
--- /dev/null
+++ b/src/core/fleet/pace_control.hpp
@@ -0,0 +1,29 @@
+/// Pace of scavenging tasks by the latency of the tasks beside them.
+#ifndef APRICOTLB_CORE_FLEET_PACE_CONTROL_HPP
+#define APRICOTLB_CORE_FLEET_PACE_CONTROL_HPP
+
+#include "core/fleet/worker_entry.hpp"
+
+#include <apricotlb/units.hpp>
+
+#include <cstdint>
+
+namespace apricotlb
+{
+
+enum class pace_step : std::uint8_t
+{
+    keep,
+    cut,   ///< to a half; to a stop below config::pace_least
+    raise, ///< by config::pace_step
+};
+
+/// What the latencies on a worker ask for. The gap between the two thresholds
+/// keeps the pace steady while a latency is close to its target.
+[[nodiscard]] auto pace_change(worker_entry const& at) -> pace_step;
+
+[[nodiscard]] auto paced(permille now, pace_step change) -> permille;
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/core/fleet/run_plan.cpp
@@ -0,0 +1,239 @@
+#include "core/fleet/run_scheduler.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+/// Lower is better; compared from left to right.
+using preference = std::tuple<int, std::int64_t, std::int64_t>;
+
+auto has_label(worker_announcement const& it, worker_label const& label) -> bool
+{
+    return label.value().empty() ||
+           std::ranges::find(it.labels, label) != it.labels.end();
+}
+
+auto same_step(workflow_task const& a, workflow_task const& b) -> bool
+{
+    return a.workflow == b.workflow && a.occurrence == b.occurrence &&
+           a.step == b.step;
+}
+
+auto count_step(worker_entry const& at, workflow_task const& task)
+    -> std::int64_t
+{
+    return std::ranges::count_if(at.runs, [&task](auto const& each)
+                                 { return same_step(each.first.task, task); });
+}
+
+/// Processors that tasks on a worker are thought to use: half of what is
+/// reserved for tasks that serve, and all that scavenging tasks ask for.
+auto load_of(worker_entry const& at, state_machine const& state) -> std::int64_t
+{
+    auto load = at.held.cores.value() / 2;
+    for (auto const& [run, it] : at.runs)
+    {
+        auto const* const record = state.workflows().find(run.task.workflow);
+        if (it.scavenges && record != nullptr)
+        {
+            load += record->step(run.task).each.cores.value();
+        }
+    }
+    return load;
+}
+
+auto serves_beside(worker_entry const& at) -> bool
+{
+    return std::ranges::any_of(
+        at.runs, [](auto const& each)
+        { return each.second.latency_target > milliseconds{0}; });
+}
+
+} // namespace
+
+auto run_scheduler::may_take(entry_ref const& at, wanted_run const& want,
+                             time_point now) const -> bool
+{
+    auto const& entry = at.second;
+    auto const& step = want.record->step(want.task);
+    auto const* const queue =
+        state_.contract_sets().queue(want.record->terms.name);
+    auto const& pool = queue != nullptr ? queue->pool : want.record->terms.pool;
+    if (!entry.info || entry.gone || entry.info->pool != pool ||
+        entry.info->phase != worker_phase::ready ||
+        now - entry.heard >= config::fleet_silence ||
+        now < entry.paused_until || !entry.lease.is_sampled() ||
+        !has_label(*entry.info, step.requires_label))
+    {
+        return false;
+    }
+    auto room = step.each;
+    if (step.scavenges)
+    {
+        room.cores = millicores{0};
+        if (load_of(entry, state_) + step.each.cores.value() >
+            entry.info->capacity.cores.value())
+        {
+            return false;
+        }
+    }
+    return room.fits_into(entry.free()) &&
+           (step.most_per_worker == task_count{0} ||
+            count_step(entry, want.task) < step.most_per_worker.value());
+}
+
+auto run_scheduler::choose(wanted_run const& want, time_point now) -> entry_ref*
+{
+    auto const& step = want.record->step(want.task);
+    entry_ref* best{nullptr};
+    preference best_score{};
+    for (auto& at : workers_)
+    {
+        if (!may_take(at, want, now))
+        {
+            continue;
+        }
+        auto const& entry = at.second;
+        auto const is_near = step.data_rack.value().empty() ||
+                             step.data_rack == entry.info->rack;
+        auto const free = entry.free().cores.value();
+        preference score;
+        if (step.scavenges)
+        {
+            score = {serves_beside(entry) ? 1 : 0, load_of(entry, state_), 0};
+        }
+        else if (step.permanent)
+        {
+            // Spread, so that the loss of a worker takes few of a step.
+            score = {is_near ? 0 : 1, count_step(entry, want.task), -free};
+        }
+        else
+        {
+            // Best fit leaves the large gaps for large tasks.
+            score = {is_near ? 0 : 1, free, 0};
+        }
+        if (best == nullptr || score < best_score)
+        {
+            best = &at;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+auto run_scheduler::place_one(ready_task const& it, time_point now,
+                              std::vector<placed_run>& out) -> void
+{
+    auto const* const record = state_.workflows().find(it.task.workflow);
+    auto const last = record->find(it.task)->last;
+    wanted_run const want{record, it.task, last + run_number{1}};
+    if (auto* const at = choose(want, now); at != nullptr)
+    {
+        hold(*at, want);
+        out.push_back({{want.task, want.number}, {at->first, at->second.born}});
+    }
+}
+
+/// All members or none; they share the number of the run.
+auto run_scheduler::place_gang(ready_task const& it, time_point now,
+                               std::vector<placed_run>& out) -> void
+{
+    auto const* const record = state_.workflows().find(it.task.workflow);
+    auto const& tasks = record->occurrences[it.task.occurrence.value()]
+                            .steps[it.task.step.value()]
+                            .tasks;
+    run_number last;
+    for (auto const& each : tasks)
+    {
+        last = std::max(last, each.last);
+        if (!each.active.empty())
+        {
+            return;
+        }
+    }
+    std::vector<placed_run> placed;
+    for (std::uint32_t n = 0; n < tasks.size(); ++n)
+    {
+        auto task = it.task;
+        task.index = task_index{n};
+        wanted_run const want{record, task, last + run_number{1}};
+        auto* const at = choose(want, now);
+        if (at == nullptr)
+        {
+            for (auto const& each : placed)
+            {
+                proposed_.erase(each.run.task);
+                release(each.run);
+            }
+            return;
+        }
+        hold(*at, want);
+        placed.push_back({{task, want.number}, {at->first, at->second.born}});
+    }
+    out.insert(out.end(), placed.begin(), placed.end());
+}
+
+auto run_scheduler::plan(time_point now, wall_time wall) -> void
+{
+    wants_plan_ = false;
+    if (fenced_)
+    {
+        return;
+    }
+    using ranked = std::pair<queue_priority, ready_task const*>;
+    std::vector<ranked> order;
+    for (auto const& it : state_.workflows().ready())
+    {
+        if (order.size() >= config::plan_visits)
+        {
+            break;
+        }
+        auto const* const record = state_.workflows().find(it.task.workflow);
+        auto const& repeats = record->spec.repeats;
+        auto const due =
+            repeats.first + repeats.interval * it.task.occurrence.value();
+        if (proposed_.contains(it.task) ||
+            (repeats.times.value() > 0 && wall.time_since_epoch() < due))
+        {
+            continue;
+        }
+        auto const* const queue =
+            state_.contract_sets().queue(record->terms.name);
+        order.emplace_back(
+            queue != nullptr ? queue->priority : record->terms.priority, &it);
+    }
+    std::ranges::stable_sort(order, {}, &ranked::first);
+    std::vector<placed_run> placed;
+    for (auto const& [priority, it] : order)
+    {
+        if (proposed_.contains(it->task))
+        {
+            continue;
+        }
+        auto const* const record = state_.workflows().find(it->task.workflow);
+        if (record->step(it->task).gang)
+        {
+            place_gang(*it, now, placed);
+        }
+        else
+        {
+            place_one(*it, now, placed);
+        }
+        if (placed.size() >= config::runs_per_command)
+        {
+            actions_.emplace_back(propose_starts{{std::exchange(placed, {})}});
+        }
+    }
+    if (!placed.empty())
+    {
+        actions_.emplace_back(propose_starts{{std::move(placed)}});
+    }
+}
+
+} // namespace apricotlb
--- /dev/null
+++ b/src/core/fleet/run_scheduler.cpp
@@ -0,0 +1,377 @@
+#include "core/fleet/run_scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+auto room_of(step_spec const& step) -> resources
+{
+    auto room = step.each;
+    if (step.scavenges)
+    {
+        room.cores = millicores{0};
+    }
+    return room;
+}
+
+auto describe(step_spec const& step, run_phase phase) -> held_run
+{
+    held_run it;
+    it.phase = phase;
+    it.room = room_of(step);
+    it.latency_target = step.latency_target;
+    it.permanent = step.permanent;
+    it.scavenges = step.scavenges;
+    return it;
+}
+
+} // namespace
+
+run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
+                             time_point now, fleet_policy policy)
+    : state_(state), fence_(fence), policy_(policy)
+{
+    inherit(now);
+}
+
+auto run_scheduler::inherit(time_point now) -> void
+{
+    auto const latest =
+        now + policy_.lease * 1000 / (1000 - config::worker_drift.value()) +
+        config::lease_margin;
+    for (auto const& [id, record] : state_.workflows().live())
+    {
+        for (std::uint32_t k = 0; k < record.occurrences.size(); ++k)
+        {
+            auto const& steps = record.occurrences[k].steps;
+            for (std::uint32_t n = 0; n < steps.size(); ++n)
+            {
+                for (std::uint32_t i = 0; i < steps[n].tasks.size(); ++i)
+                {
+                    workflow_task const task{id, occurrence_index{k},
+                                             step_index{n}, task_index{i}};
+                    for (auto const& run : steps[n].tasks[i].active)
+                    {
+                        auto& at = workers_[run.where.id];
+                        at.born = std::max(at.born, run.where.born);
+                        at.heard = now;
+                        at.lease.assume_until(latest);
+                        run_id const name{task, run.number};
+                        at.add(name, describe(record.spec.steps[n],
+                                              run_phase::inherited));
+                        where_[name] = run.where.id;
+                    }
+                }
+            }
+        }
+    }
+}
+
+auto run_scheduler::find(run_id const& run) -> std::pair<entry_ref*, held_run*>
+{
+    auto const at = where_.find(run);
+    if (at == where_.end())
+    {
+        return {nullptr, nullptr};
+    }
+    auto const entry = workers_.find(at->second);
+    auto const it = entry->second.runs.find(run);
+    return {&*entry, &it->second};
+}
+
+auto run_scheduler::target(entry_ref const& at) const -> order_target
+{
+    return {{at.first, at.second.born}, at.second.info->address, fence_};
+}
+
+auto run_scheduler::send_start(entry_ref& at, run_id const& run, held_run& it,
+                               time_point now) -> void
+{
+    auto const* const record = state_.workflows().find(run.task.workflow);
+    if (fenced_ || !at.second.info || !at.second.lease.is_sampled() ||
+        record == nullptr)
+    {
+        return;
+    }
+    it.phase = run_phase::ordered;
+    it.awaiting = true;
+    it.sent = now;
+    actions_.emplace_back(
+        start_order{target(at), run, record->spec.payload,
+                    record->find(run.task)->checkpoint,
+                    at.second.lease.grant(now, policy_.lease)});
+}
+
+auto run_scheduler::send_stop(entry_ref& at, run_id const& run, held_run& it,
+                              time_point now) -> void
+{
+    it.phase = run_phase::stopping;
+    if (fenced_ || !at.second.info)
+    {
+        return;
+    }
+    it.awaiting = true;
+    it.sent = now;
+    actions_.emplace_back(stop_order{target(at), run});
+}
+
+auto run_scheduler::send_poll(entry_ref& at, time_point now) -> void
+{
+    auto& it = at.second;
+    auto const is_sent = [](auto const& each)
+    { return each.second.phase != run_phase::proposed; };
+    if (fenced_ || it.polling || it.recording || it.gone || !it.info ||
+        !it.lease.is_sampled() || now < it.poll_at ||
+        !std::ranges::any_of(it.runs, is_sent))
+    {
+        return;
+    }
+    auto urgent = false;
+    auto serves = false;
+    auto scavenges = false;
+    for (auto const& [run, held] : it.runs)
+    {
+        urgent = urgent || held.phase == run_phase::inherited ||
+                 held.phase == run_phase::closed;
+        serves = serves || held.latency_target > milliseconds{0};
+        scavenges = scavenges || held.scavenges;
+    }
+    auto const wait = urgent                ? milliseconds{0}
+                      : serves && scavenges ? config::poll_wait_shared
+                                            : config::poll_wait;
+    it.polling = true;
+    it.poll_sent = now;
+    actions_.emplace_back(poll_order{target(at), it.recorded,
+                                     it.lease.grant(now, policy_.lease), wait});
+}
+
+auto run_scheduler::repeat_orders(entry_ref& at, time_point now) -> void
+{
+    for (auto& [run, it] : at.second.runs)
+    {
+        if (it.awaiting || now - it.sent < config::order_repeat)
+        {
+            continue;
+        }
+        if (it.phase == run_phase::ordered)
+        {
+            send_start(at, run, it, now);
+        }
+        else if (it.phase == run_phase::stopping)
+        {
+            send_stop(at, run, it, now);
+        }
+    }
+}
+
+auto run_scheduler::tick(time_point now) -> void
+{
+    for (auto it = workers_.begin(); it != workers_.end();)
+    {
+        auto& entry = it->second;
+        auto const has_lapsed = now >= entry.lease.bound() &&
+                                now - entry.heard >= config::fleet_silence;
+        if (entry.gone || has_lapsed)
+        {
+            lose_runs(*it);
+        }
+        if (entry.runs.empty() &&
+            (entry.gone || now - entry.heard >= config::fleet_forget))
+        {
+            it = workers_.erase(it);
+            continue;
+        }
+        repeat_orders(*it, now);
+        send_poll(*it, now);
+        ++it;
+    }
+    std::erase_if(addresses_, [this](auto const& each)
+                  { return !workers_.contains(each.second); });
+    wants_plan_ = true;
+}
+
+auto run_scheduler::on_applied(command const& it, time_point now) -> void
+{
+    if (auto const* const starts = std::get_if<start_runs>(&it))
+    {
+        for (auto const& each : starts->runs)
+        {
+            proposed_.erase(each.run.task);
+            auto const [at, held] = find(each.run);
+            if (held == nullptr || held->phase != run_phase::proposed)
+            {
+                continue;
+            }
+            auto const* const record =
+                state_.workflows().find(each.run.task.workflow);
+            if (!state_.workflows().is_active(each.run))
+            {
+                release(each.run);
+            }
+            else if (at->second.gone || at->second.born != each.where.born ||
+                     !record->is_open())
+            {
+                propose_end(each.run, *held, run_end::not_started);
+            }
+            else
+            {
+                // Sent again by tick if the worker's clock is not known yet.
+                held->phase = run_phase::ordered;
+                send_start(*at, each.run, *held, now);
+            }
+        }
+    }
+    else if (auto const* const ends = std::get_if<end_runs>(&it))
+    {
+        for (auto const& each : ends->runs)
+        {
+            stop_excess(each.run.task.workflow, now);
+        }
+    }
+    else if (auto const* const cancel = std::get_if<cancel_workflow>(&it))
+    {
+        stop_excess(cancel->id, now);
+    }
+    wants_plan_ = true;
+}
+
+auto run_scheduler::on_not_applied(propose_starts const& it) -> void
+{
+    for (auto const& each : it.value.runs)
+    {
+        proposed_.erase(each.run.task);
+        release(each.run);
+    }
+    wants_plan_ = true;
+}
+
+auto run_scheduler::on_recorded(propose_ends const& it, time_point now) -> void
+{
+    for (auto const& each : it.runs)
+    {
+        release(each.run);
+    }
+    auto const at = workers_.find(it.from);
+    if (at != workers_.end())
+    {
+        at->second.recorded = std::max(at->second.recorded, it.upto);
+        at->second.recording = false;
+        send_poll(*at, now);
+    }
+}
+
+auto run_scheduler::on_not_recorded(propose_ends const& it) -> void
+{
+    for (auto const& each : it.runs)
+    {
+        // Closed: the next lists decide again.
+        if (auto const [at, held] = find(each.run); held != nullptr)
+        {
+            held->phase = run_phase::closed;
+            held->closed_as = each.how;
+        }
+    }
+    auto const at = workers_.find(it.from);
+    if (at != workers_.end())
+    {
+        at->second.recording = false;
+    }
+}
+
+auto run_scheduler::want_stop(run_id const& run, time_point now) -> void
+{
+    auto const [at, held] = find(run);
+    if (held == nullptr)
+    {
+        return;
+    }
+    if (held->phase == run_phase::inherited ||
+        held->phase == run_phase::ordered || held->phase == run_phase::running)
+    {
+        send_stop(*at, run, *held, now);
+    }
+}
+
+auto run_scheduler::stop_excess(workflow_id const& id, time_point now) -> void
+{
+    auto const* const record = state_.workflows().find(id);
+    if (record == nullptr)
+    {
+        return;
+    }
+    for (std::uint32_t k = 0; k < record->occurrences.size(); ++k)
+    {
+        auto const& steps = record->occurrences[k].steps;
+        for (std::uint32_t n = 0; n < steps.size(); ++n)
+        {
+            for (std::uint32_t i = 0; i < steps[n].tasks.size(); ++i)
+            {
+                auto const& task = steps[n].tasks[i];
+                if (record->is_open() && !task.finished)
+                {
+                    continue;
+                }
+                for (auto const& run : task.active)
+                {
+                    want_stop({{id, occurrence_index{k}, step_index{n},
+                                task_index{i}},
+                               run.number},
+                              now);
+                }
+            }
+        }
+    }
+}
+
+auto run_scheduler::propose_end(run_id const& run, held_run& it, run_end how)
+    -> void
+{
+    it.phase = run_phase::ending;
+    ends_.push_back({run, how, it.checkpoint});
+}
+
+auto run_scheduler::release(run_id const& run) -> void
+{
+    auto const at = where_.find(run);
+    if (at != where_.end())
+    {
+        workers_.at(at->second).remove(run);
+        where_.erase(at);
+    }
+}
+
+auto run_scheduler::lose_runs(entry_ref& at) -> void
+{
+    for (auto& [run, it] : at.second.runs)
+    {
+        if (it.phase != run_phase::ending && it.phase != run_phase::proposed)
+        {
+            propose_end(run, it, run_end::lost);
+        }
+    }
+}
+
+auto run_scheduler::hold(entry_ref& at, wanted_run const& want) -> void
+{
+    run_id const run{want.task, want.number};
+    at.second.add(run,
+                  describe(want.record->step(want.task), run_phase::proposed));
+    where_[run] = at.first;
+    proposed_.insert(want.task);
+}
+
+auto run_scheduler::take_actions() -> std::vector<fleet_action>
+{
+    if (!ends_.empty())
+    {
+        actions_.emplace_back(propose_ends{std::exchange(ends_, {}), {}, {}});
+    }
+    return std::exchange(actions_, {});
+}
+
+} // namespace apricotlb
--- /dev/null
+++ b/src/core/fleet/run_scheduler.hpp
@@ -0,0 +1,166 @@
+/// Places runs of workflow tasks on workers that take pushed orders, and
+/// follows each run to its recorded end.
+///
+/// A run is recorded before its start is sent and holds its room until its end
+/// is recorded. The worker's lists are the only proof of what runs there; an
+/// order without an answer may still be carried out. run_scheduler.cpp holds
+/// the log's events and time, run_reports.cpp what workers say, and
+/// run_plan.cpp the choice of tasks and workers.
+#ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
+#define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
+
+#include "core/fleet/worker_entry.hpp"
+#include "core/fleet/worker_messages.hpp"
+#include "core/state/state_machine.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/time.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Settings of the workers that take pushed orders.
+struct fleet_policy
+{
+    /// Longest lease that workers grant; they shorten longer ones.
+    duration lease{seconds{10}};
+};
+
+struct propose_starts
+{
+    start_runs value;
+};
+
+/// Ends to record. When they are on record, the worker may forget its ends up
+/// to a number.
+struct propose_ends
+{
+    std::vector<ended_run> runs;
+    worker_id from; ///< empty unless a worker listed them
+    end_number upto;
+};
+
+/// What the scheduler asks its driver to do.
+using fleet_action = std::variant<propose_starts, propose_ends, start_order,
+                                  stop_order, pace_order, poll_order>;
+
+class run_scheduler
+{
+public:
+    /// Takes over what is on record. Leases that an earlier leader granted may
+    /// last for one lease length from now.
+    run_scheduler(state_machine const& state, fence_token fence, time_point now,
+                  fleet_policy policy);
+
+    // What workers say (run_reports.cpp).
+    auto on_announcement(worker_announcement const& it, time_point now) -> void;
+    auto on_answer(start_order const& to, order_answer const& it,
+                   time_point now) -> void;
+    auto on_answer(stop_order const& to, order_answer const& it, time_point now)
+        -> void;
+    auto on_answer(pace_order const& to, order_answer const& it, time_point now)
+        -> void;
+    auto on_answer(poll_order const& to, poll_answer const& it, time_point now)
+        -> void;
+
+    // What became of proposals.
+    auto on_applied(command const& it, time_point now) -> void;
+    auto on_not_applied(propose_starts const& it) -> void;
+    auto on_recorded(propose_ends const& it, time_point now) -> void;
+    auto on_not_recorded(propose_ends const& it) -> void;
+
+    /// Repeats orders and polls that are due and ends runs whose leases are
+    /// over.
+    auto tick(time_point now) -> void;
+    /// Chooses workers for ready tasks (run_plan.cpp).
+    auto plan(time_point now, wall_time wall) -> void;
+
+    [[nodiscard]] auto take_actions() -> std::vector<fleet_action>;
+
+    /// A worker has seen a later leader: this one must give no more orders.
+    [[nodiscard]] auto is_fenced() const -> bool { return fenced_; }
+    [[nodiscard]] auto workers() const
+        -> std::map<worker_id, worker_entry> const&
+    {
+        return workers_;
+    }
+    /// True once something happened that may let a task start.
+    [[nodiscard]] auto wants_plan() const -> bool { return wants_plan_; }
+
+private:
+    using entry_ref = std::pair<worker_id const, worker_entry>;
+
+    // run_scheduler.cpp
+    auto inherit(time_point now) -> void;
+    auto find(run_id const& run) -> std::pair<entry_ref*, held_run*>;
+    auto target(entry_ref const& at) const -> order_target;
+    auto send_start(entry_ref& at, run_id const& run, held_run& it,
+                    time_point now) -> void;
+    auto send_stop(entry_ref& at, run_id const& run, held_run& it,
+                   time_point now) -> void;
+    auto send_poll(entry_ref& at, time_point now) -> void;
+    auto repeat_orders(entry_ref& at, time_point now) -> void;
+    auto want_stop(run_id const& run, time_point now) -> void;
+    /// Stops runs of a workflow that no longer count.
+    auto stop_excess(workflow_id const& id, time_point now) -> void;
+    auto propose_end(run_id const& run, held_run& it, run_end how) -> void;
+    auto release(run_id const& run) -> void;
+    auto lose_runs(entry_ref& at) -> void;
+
+    // run_reports.cpp
+    auto replace_life(entry_ref& at, worker_announcement const& it,
+                      time_point now) -> void;
+    auto take_life_end(entry_ref& at) -> void;
+    auto note_clock(entry_ref& at, std::optional<worker_clock> const& clock,
+                    time_point now) -> void;
+    auto take_rejection(entry_ref& at, run_id const& run, held_run& it,
+                        duration pause, time_point now) -> void;
+    auto take_lists(entry_ref& at, poll_order const& sent,
+                    worker_lists const& it, time_point now) -> void;
+    auto take_running(entry_ref& at, running_row const& row, time_point now)
+        -> void;
+    auto take_absent(entry_ref& at, std::set<run_id> const& listed,
+                     time_point sent, time_point now) -> void;
+    auto take_ended(entry_ref& at, std::vector<ended_row> const& rows) -> void;
+    auto adjust_pace(entry_ref& at, time_point now) -> void;
+
+    // run_plan.cpp
+    struct wanted_run
+    {
+        workflow_record const* record;
+        workflow_task task;
+        run_number number;
+    };
+    auto choose(wanted_run const& want, time_point now) -> entry_ref*;
+    auto hold(entry_ref& at, wanted_run const& want) -> void;
+    auto place_one(ready_task const& it, time_point now,
+                   std::vector<placed_run>& out) -> void;
+    auto place_gang(ready_task const& it, time_point now,
+                    std::vector<placed_run>& out) -> void;
+    [[nodiscard]] auto may_take(entry_ref const& at, wanted_run const& want,
+                                time_point now) const -> bool;
+
+    state_machine const& state_;
+    fence_token fence_;
+    fleet_policy policy_;
+    std::map<worker_id, worker_entry> workers_;
+    std::map<run_id, worker_id> where_; ///< of each held run
+    std::map<url, worker_id> addresses_;
+    std::set<workflow_task> proposed_; ///< tasks with a start not on record
+    std::vector<fleet_action> actions_;
+    std::vector<ended_run> ends_; ///< to be proposed together
+    bool fenced_{false};
+    bool wants_plan_{true};
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -28,6 +28,18 @@
     return *this;
 }
 
+auto raft::builder::copies(std::size_t n) -> builder&
+{
+    copies_ = n;
+    return *this;
+}
+
+auto raft::builder::most_voters(std::size_t n) -> builder&
+{
+    most_voters_ = n;
+    return *this;
+}
+
 auto raft::builder::hard(hard_state it) -> builder&
 {
     hard_ = std::move(it);
@@ -63,6 +75,8 @@
     }
     raft it;
     it.self_ = self_;
+    it.copies_ = copies_;
+    it.most_voters_ = most_voters_;
     it.hard_ = hard_;
     auto members = snapshot_ ? snapshot_->info.members : raft_members{};
     it.log_ = raft_log{base_, std::move(members)};
@@ -272,6 +286,7 @@
         else if (auto const it = peers_.find(member.id); it != peers_.end())
         {
             each.match = it->second.match;
+            each.heard = it->second.heard;
         }
         each.lag = out.last - std::min(out.last, each.match);
         out.members.push_back(each);
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -11,6 +11,7 @@
 #include "core/log/raft_messages.hpp"
 #include "core/random.hpp"
 
+#include <apricotlb/config.hpp>
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 #include <apricotlb/strong.hpp>
@@ -78,7 +79,8 @@
 {
     raft_member member;
     log_index match;
-    log_index lag; ///< number of entries behind the leader's log
+    log_index lag;      ///< number of entries behind the leader's log
+    time_point heard{}; ///< of a peer of the leader
 };
 
 struct raft_status
@@ -228,6 +230,8 @@
     auto take_actions() -> raft_actions;
 
     node_id self_;
+    std::size_t copies_{1};
+    std::size_t most_voters_{config::max_members};
     hard_state hard_;
     raft_log log_;
     std::shared_ptr<raft_snapshot const> snapshot_;
@@ -256,6 +260,11 @@
 {
 public:
     auto self(node_id it) -> builder&;
+    /// Least number of voters that must hold an entry before it is committed,
+    /// as far as there are that many. A majority is always needed.
+    auto copies(std::size_t n) -> builder&;
+    /// A learner that has caught up is promoted while there are fewer voters.
+    auto most_voters(std::size_t n) -> builder&;
     auto hard(hard_state it) -> builder&;
     /// A new group starts from a snapshot at entry 0 that names its members; a
     /// VM that joins a group starts without one.
@@ -270,6 +279,8 @@
 
 private:
     node_id self_;
+    std::size_t copies_{1};
+    std::size_t most_voters_{config::max_members};
     hard_state hard_;
     std::optional<raft_snapshot> snapshot_;
     log_position base_;
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -228,7 +228,8 @@
         }
     }
     std::ranges::sort(matches, std::greater{});
-    auto const it = std::min(matches[quorum() - 1], log_.last().index);
+    auto const needed = std::min(std::max(quorum(), copies_), matches.size());
+    auto const it = std::min(matches[needed - 1], log_.last().index);
     // Entries of earlier terms are committed only by one of the own term.
     if (it <= commit_ || log_.term_at(it) != hard_.current)
     {
@@ -244,7 +245,8 @@
 auto raft::promote_if_caught_up(time_point now, node_id const& id, peer& it)
     -> void
 {
-    if (is_voter(id) || it.match < it.round_end)
+    if (is_voter(id) || it.match < it.round_end ||
+        voter_count() >= most_voters_)
     {
         return;
     }
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_CORE_MESSAGES_HPP
 #define APRICOTLB_CORE_MESSAGES_HPP
 
+#include "core/fleet/worker_messages.hpp"
 #include "core/state/commands.hpp"
 
 #include <apricotlb/contract.hpp>
@@ -9,6 +10,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/job.hpp>
 #include <apricotlb/units.hpp>
+#include <apricotlb/workflow.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -277,10 +279,11 @@
     explain_task,
     members,
     metrics,
+    contract_set, ///< the document of the set in force
 };
 
 template <>
-inline constexpr auto last_enumerator<query_kind> = query_kind::metrics;
+inline constexpr auto last_enumerator<query_kind> = query_kind::contract_set;
 
 /// A read of the leader's state; the answer is text in JSON.
 struct query
@@ -333,12 +336,62 @@
     }
 };
 
+/// What a caller wants of a queue.
+enum class workflow_action : std::uint8_t
+{
+    submit,
+    cancel,
+    state,
+};
+
+template <>
+inline constexpr auto last_enumerator<workflow_action> = workflow_action::state;
+
+/// A request to a queue, which the leader finds by host and path. The rest of
+/// the path names the workflow; without one, the state is that of the queue.
+struct workflow_call
+{
+    workflow_action action{workflow_action::state};
+    host_name host;
+    std::string path;
+    std::optional<workflow_spec> spec; ///< to submit
+
+    static constexpr auto fields()
+    {
+        return field_list(field("action", &workflow_call::action),
+                          field("host", &workflow_call::host),
+                          field("path", &workflow_call::path),
+                          field("spec", &workflow_call::spec));
+    }
+};
+
+struct workflow_answer
+{
+    workflow_state state{workflow_state::queued};
+    bool counted{false}; ///< the answer is the number of waiting workflows
+    task_count waiting;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("state", &workflow_answer::state),
+                          field("counted", &workflow_answer::counted),
+                          field("waiting", &workflow_answer::waiting));
+    }
+};
+
+/// Answered by the leader only.
+struct leader_ping
+{
+    static constexpr auto fields() { return field_list(); }
+};
+
 /// Asks the leader to carry out one thing. A command goes through the log.
 struct call
 {
     call_id id;
     std::variant<command, announce, worker_report, query, change_member,
-                 await_in_force>
+                 await_in_force, worker_announcement, workflow_call,
+                 leader_ping>
         body;
 
     static constexpr auto fields()
@@ -388,7 +441,7 @@
 {
     call_id id;
     std::variant<call_failure, apply_result, worker_report_answer, query_answer,
-                 in_force>
+                 in_force, workflow_answer>
         body;
 
     static constexpr auto fields()
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -9,6 +9,7 @@
 #include <apricotlb/job.hpp>
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
+#include <apricotlb/workflow.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -314,12 +315,115 @@
     }
 };
 
+/// Replaces all queues and pools if the version is higher than the held one.
+struct apply_contract_set
+{
+    contract_set value;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("value", &apply_contract_set::value));
+    }
+};
+
+/// Accepts a workflow under the terms that its queue has at that moment.
+struct submit_workflow
+{
+    workflow_spec spec;
+    queue_contract terms;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("spec", &submit_workflow::spec),
+                          field("terms", &submit_workflow::terms));
+    }
+};
+
+struct cancel_workflow
+{
+    workflow_id id;
+    wall_time at;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("id", &cancel_workflow::id),
+                          field("at", &cancel_workflow::at));
+    }
+};
+
+/// One run and the life of the worker that is to execute it.
+struct placed_run
+{
+    run_id run;
+    worker_life where;
+
+    auto operator==(placed_run const&) const -> bool = default;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("run", &placed_run::run),
+                          field("where", &placed_run::where));
+    }
+};
+
+/// Records runs before their orders are sent.
+struct start_runs
+{
+    std::vector<placed_run> runs;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("runs", &start_runs::runs));
+    }
+};
+
+struct ended_run
+{
+    run_id run;
+    run_end how{run_end::finished};
+    checkpoint_id checkpoint; ///< empty: none
+
+    auto operator==(ended_run const&) const -> bool = default;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("run", &ended_run::run),
+                          field("how", &ended_run::how),
+                          field("checkpoint", &ended_run::checkpoint));
+    }
+};
+
+struct end_runs
+{
+    std::vector<ended_run> runs;
+    wall_time at;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("runs", &end_runs::runs),
+                          field("at", &end_runs::at));
+    }
+};
+
+/// Forgets workflows that ended before a time.
+struct expire_workflows
+{
+    wall_time before;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("before", &expire_workflows::before));
+    }
+};
+
 /// One entry of the log. The order of alternatives is part of the format:
 /// new ones go at the end.
-using command = std::variant<apply_contract, remove_contract, submit_job,
-                             cancel_job, place_task, end_attempt, begin_key,
-                             finish_key, release_key, end_session, expire_keys,
-                             register_worker, retire_worker, save_interference>;
+using command =
+    std::variant<apply_contract, remove_contract, submit_job, cancel_job,
+                 place_task, end_attempt, begin_key, finish_key, release_key,
+                 end_session, expire_keys, register_worker, retire_worker,
+                 save_interference, apply_contract_set, submit_workflow,
+                 cancel_workflow, start_runs, end_runs, expire_workflows>;
 
 /// What became of a key, as told to the entry that asked.
 struct key_status
--- a/src/core/state/state_machine.cpp
+++ b/src/core/state/state_machine.cpp
@@ -18,7 +18,9 @@
 state_machine::state_machine(state_snapshot from)
     : applied_(from.applied), contracts_(std::move(from.contracts)),
       workers_(from.workers), jobs_(std::move(from.jobs), workers_),
-      keys_(std::move(from.keys)), interference_(std::move(from.interference))
+      keys_(std::move(from.keys)), interference_(std::move(from.interference)),
+      contract_sets_(std::move(from.contract_sets)),
+      workflows_(std::move(from.workflows))
 {
 }
 
@@ -57,6 +59,19 @@
         {
             return workers_.apply(body, at);
         }
+        else if constexpr (one_of<T, apply_contract_set>)
+        {
+            return contract_sets_.apply(body, at);
+        }
+        else if constexpr (one_of<T, submit_workflow, cancel_workflow,
+                                  start_runs, expire_workflows>)
+        {
+            return workflows_.apply(body, at);
+        }
+        else if constexpr (one_of<T, end_runs>)
+        {
+            return workflows_.apply(body, at, contract_sets_);
+        }
         else
         {
             static_assert(one_of<T, save_interference>);
@@ -71,8 +86,14 @@
 
 auto state_machine::snapshot() const -> state_snapshot
 {
-    return {applied_,         contracts_.snapshot(), workers_.snapshot(),
-            jobs_.snapshot(), keys_.snapshot(),      interference_};
+    return {applied_,
+            contracts_.snapshot(),
+            workers_.snapshot(),
+            jobs_.snapshot(),
+            keys_.snapshot(),
+            interference_,
+            contract_sets_.held(),
+            workflows_.snapshot()};
 }
 
 } // namespace apricotlb
--- a/src/core/state/state_machine.hpp
+++ b/src/core/state/state_machine.hpp
@@ -4,10 +4,13 @@
 
 #include "core/state/commands.hpp"
 #include "core/state/contract_registry.hpp"
+#include "core/state/contract_set_registry.hpp"
 #include "core/state/job_table.hpp"
 #include "core/state/key_registry.hpp"
 #include "core/state/worker_registry.hpp"
+#include "core/state/workflow_table.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace apricotlb
@@ -23,15 +26,20 @@
     jobs_snapshot jobs;
     std::vector<key_record> keys;
     std::vector<interference_entry> interference;
+    std::optional<contract_set> contract_sets; ///< the one in force
+    workflows_snapshot workflows;
 
     static constexpr auto fields()
     {
-        return field_list(field("applied", &state_snapshot::applied),
-                          field("contracts", &state_snapshot::contracts),
-                          field("workers", &state_snapshot::workers),
-                          field("jobs", &state_snapshot::jobs),
-                          field("keys", &state_snapshot::keys),
-                          field("interference", &state_snapshot::interference));
+        return field_list(
+            field("applied", &state_snapshot::applied),
+            field("contracts", &state_snapshot::contracts),
+            field("workers", &state_snapshot::workers),
+            field("jobs", &state_snapshot::jobs),
+            field("keys", &state_snapshot::keys),
+            field("interference", &state_snapshot::interference),
+            field("contract_sets", &state_snapshot::contract_sets),
+            field("workflows", &state_snapshot::workflows));
     }
 };
 
@@ -62,6 +70,14 @@
     }
     [[nodiscard]] auto jobs() const -> job_table const& { return jobs_; }
     [[nodiscard]] auto keys() const -> key_registry const& { return keys_; }
+    [[nodiscard]] auto contract_sets() const -> contract_set_registry const&
+    {
+        return contract_sets_;
+    }
+    [[nodiscard]] auto workflows() const -> workflow_table const&
+    {
+        return workflows_;
+    }
     [[nodiscard]] auto interference() const
         -> std::vector<interference_entry> const&
     {
@@ -75,6 +91,8 @@
     job_table jobs_;
     key_registry keys_;
     std::vector<interference_entry> interference_;
+    contract_set_registry contract_sets_;
+    workflow_table workflows_;
 };
 
 } // namespace apricotlb
--- /dev/null
+++ b/src/core/state/workflow_table.cpp
@@ -0,0 +1,378 @@
+#include "core/state/workflow_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+auto done_at(revision at) -> apply_result
+{
+    apply_result it;
+    it.at = at;
+    return it;
+}
+
+auto progress_of(workflow_spec const& spec) -> std::vector<occurrence_progress>
+{
+    occurrence_progress one;
+    for (auto const& step : spec.steps)
+    {
+        one.steps.emplace_back().tasks.resize(
+            static_cast<std::size_t>(step.tasks.value()));
+    }
+    auto const times = std::max(spec.repeats.times.value(), 1U);
+    return {times, one};
+}
+
+auto has_active_run(workflow_record const& it) -> bool
+{
+    for (auto const& occurrence : it.occurrences)
+    {
+        for (auto const& step : occurrence.steps)
+        {
+            if (!std::ranges::all_of(step.tasks,
+                                     &std::vector<active_run>::empty,
+                                     &task_progress::active))
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+auto has_finished(workflow_record const& it) -> bool
+{
+    return std::ranges::all_of(it.occurrences,
+                               [](occurrence_progress const& each) {
+                                   return std::ranges::all_of(
+                                       each.steps, &step_progress::is_finished);
+                               });
+}
+
+/// Runs of one task that may be active at once.
+constexpr std::size_t most_copies = 2;
+
+auto may_start(workflow_record const& it, run_id const& run) -> bool
+{
+    auto const* const task = it.find(run.task);
+    auto const most = it.step(run.task).copies ? most_copies : 1;
+    return it.is_open() && !task->finished && run.number > task->last &&
+           task->active.size() < most;
+}
+
+} // namespace
+
+auto step_progress::is_finished() const -> bool
+{
+    return std::ranges::all_of(tasks, &task_progress::finished);
+}
+
+auto workflow_record::state() const -> workflow_state
+{
+    if (failed)
+    {
+        return workflow_state::failed;
+    }
+    if (cancelled)
+    {
+        return workflow_state::cancelled;
+    }
+    if (has_finished(*this))
+    {
+        return workflow_state::completed;
+    }
+    return started ? workflow_state::running : workflow_state::queued;
+}
+
+auto workflow_record::is_open() const -> bool
+{
+    return !failed && !cancelled;
+}
+
+auto workflow_record::find(workflow_task const& task) const
+    -> task_progress const*
+{
+    if (task.occurrence.value() >= occurrences.size())
+    {
+        return nullptr;
+    }
+    auto const& steps = occurrences[task.occurrence.value()].steps;
+    if (task.step.value() >= steps.size())
+    {
+        return nullptr;
+    }
+    auto const& tasks = steps[task.step.value()].tasks;
+    return task.index.value() < tasks.size() ? &tasks[task.index.value()]
+                                             : nullptr;
+}
+
+workflow_table::workflow_table(workflows_snapshot from)
+{
+    for (auto& it : from.live)
+    {
+        auto const& kept =
+            live_.emplace(it.spec.id, std::move(it)).first->second;
+        count_waiting(kept, 1);
+        for (std::uint32_t n = 0; n < kept.occurrences.size(); ++n)
+        {
+            add_ready(kept, occurrence_index{n});
+        }
+    }
+    for (auto& it : from.ended)
+    {
+        auto const id = it.id;
+        ended_.emplace(id, std::move(it));
+    }
+}
+
+auto workflow_table::apply(submit_workflow const& it, revision at)
+    -> apply_result
+{
+    if (state(it.spec.id))
+    {
+        return done_at(at);
+    }
+    workflow_record made;
+    made.spec = it.spec;
+    made.terms = it.terms;
+    made.accepted = at;
+    made.occurrences = progress_of(it.spec);
+    auto const& kept = live_.emplace(it.spec.id, std::move(made)).first->second;
+    count_waiting(kept, 1);
+    for (std::uint32_t n = 0; n < kept.occurrences.size(); ++n)
+    {
+        add_ready(kept, occurrence_index{n});
+    }
+    return done_at(at);
+}
+
+auto workflow_table::apply(cancel_workflow const& it, revision at)
+    -> apply_result
+{
+    auto const found = live_.find(it.id);
+    if (found != live_.end() && found->second.is_open())
+    {
+        count_waiting(found->second, -1);
+        remove_ready(found->second);
+        found->second.cancelled = true;
+        retire(found->second, it.at);
+    }
+    return done_at(at);
+}
+
+auto workflow_table::apply(start_runs const& it, revision at) -> apply_result
+{
+    for (auto const& each : it.runs)
+    {
+        auto const& task = each.run.task;
+        auto const found = live_.find(task.workflow);
+        if (found == live_.end() || found->second.find(task) == nullptr ||
+            !may_start(found->second, each.run))
+        {
+            continue;
+        }
+        auto& record = found->second;
+        if (!record.started)
+        {
+            count_waiting(record, -1);
+            record.started = true;
+        }
+        auto& progress = record.occurrences[task.occurrence.value()]
+                             .steps[task.step.value()]
+                             .tasks[task.index.value()];
+        progress.last = each.run.number;
+        progress.active.push_back({each.run.number, each.where});
+        ready_.erase({record.accepted, task});
+    }
+    return done_at(at);
+}
+
+auto workflow_table::apply(end_runs const& it, revision at,
+                           contract_set_registry const& contracts)
+    -> apply_result
+{
+    for (auto const& each : it.runs)
+    {
+        auto const found = live_.find(each.run.task.workflow);
+        if (found != live_.end() && is_active(each.run))
+        {
+            take_end(found->second, each, contracts);
+            retire(found->second, it.at);
+        }
+    }
+    return done_at(at);
+}
+
+auto workflow_table::apply(expire_workflows const& it, revision at)
+    -> apply_result
+{
+    std::erase_if(ended_, [&it](auto const& each)
+                  { return each.second.at < it.before; });
+    return done_at(at);
+}
+
+auto workflow_table::take_end(workflow_record& it, ended_run const& run,
+                              contract_set_registry const& contracts) -> void
+{
+    auto const& task = run.run.task;
+    auto const& step = it.step(task);
+    auto& tasks =
+        it.occurrences[task.occurrence.value()].steps[task.step.value()].tasks;
+    auto& progress = tasks[task.index.value()];
+    std::erase_if(progress.active, [&run](active_run const& each)
+                  { return each.number == run.run.number; });
+    if (!run.checkpoint.value().empty())
+    {
+        // The state of any member is valid for its whole gang.
+        for (auto& each : tasks)
+        {
+            if (step.gang || &each == &progress)
+            {
+                each.checkpoint = run.checkpoint;
+            }
+        }
+    }
+    if (run.how == run_end::finished && !step.permanent)
+    {
+        for (auto& each : tasks)
+        {
+            each.finished = each.finished || step.gang || &each == &progress;
+        }
+    }
+    if (run.how == run_end::failed && !step.permanent)
+    {
+        // A gang fails as a whole: one member reports the failure.
+        auto& counted = step.gang ? tasks.front() : progress;
+        ++counted.failures;
+        auto const* const queue = contracts.queue(it.terms.name);
+        auto const most =
+            queue != nullptr ? queue->max_failures : it.terms.max_failures;
+        if (!counted.finished && counted.failures >= most && it.is_open())
+        {
+            count_waiting(it, -1);
+            remove_ready(it);
+            it.failed = true;
+        }
+    }
+    if (it.is_open())
+    {
+        add_ready(it, task.occurrence);
+    }
+}
+
+/// Adds each task of an occurrence that may be started.
+auto workflow_table::add_ready(workflow_record const& it,
+                               occurrence_index occurrence) -> void
+{
+    if (!it.is_open())
+    {
+        return;
+    }
+    auto const& steps = it.occurrences[occurrence.value()].steps;
+    for (std::uint32_t n = 0; n < steps.size(); ++n)
+    {
+        auto const is_done = [&steps](step_index of)
+        { return steps[of.value()].is_finished(); };
+        if (steps[n].is_finished() ||
+            !std::ranges::all_of(it.spec.steps[n].after, is_done))
+        {
+            continue;
+        }
+        for (std::uint32_t k = 0; k < steps[n].tasks.size(); ++k)
+        {
+            auto const& task = steps[n].tasks[k];
+            if (!task.finished && task.active.empty())
+            {
+                ready_.insert(
+                    {it.accepted,
+                     {it.spec.id, occurrence, step_index{n}, task_index{k}}});
+            }
+        }
+    }
+}
+
+auto workflow_table::remove_ready(workflow_record const& it) -> void
+{
+    auto const first = ready_.lower_bound({it.accepted, {}});
+    auto last = first;
+    while (last != ready_.end() && last->accepted == it.accepted)
+    {
+        ++last;
+    }
+    ready_.erase(first, last);
+}
+
+auto workflow_table::count_waiting(workflow_record const& it, int sign) -> void
+{
+    if (!it.started && it.is_open())
+    {
+        waiting_[it.terms.name] += static_cast<std::size_t>(sign);
+    }
+}
+
+auto workflow_table::retire(workflow_record const& it, wall_time at) -> void
+{
+    auto const is_over = !it.is_open() || has_finished(it);
+    if (is_over && !has_active_run(it))
+    {
+        ended_[it.spec.id] = {it.spec.id, it.terms.name, it.state(), at};
+        live_.erase(live_.find(it.spec.id));
+    }
+}
+
+auto workflow_table::find(workflow_id const& id) const -> workflow_record const*
+{
+    auto const it = live_.find(id);
+    return it == live_.end() ? nullptr : &it->second;
+}
+
+auto workflow_table::state(workflow_id const& id) const
+    -> std::optional<workflow_state>
+{
+    if (auto const* const it = find(id); it != nullptr)
+    {
+        return it->state();
+    }
+    auto const it = ended_.find(id);
+    if (it == ended_.end())
+    {
+        return std::nullopt;
+    }
+    return it->second.state;
+}
+
+auto workflow_table::is_active(run_id const& run) const -> bool
+{
+    auto const* const it = find(run.task.workflow);
+    auto const* const task = it == nullptr ? nullptr : it->find(run.task);
+    return task != nullptr &&
+           std::ranges::find(task->active, run.number, &active_run::number) !=
+               task->active.end();
+}
+
+auto workflow_table::waiting(queue_name const& queue) const -> std::size_t
+{
+    auto const it = waiting_.find(queue);
+    return it == waiting_.end() ? 0 : it->second;
+}
+
+auto workflow_table::snapshot() const -> workflows_snapshot
+{
+    workflows_snapshot out;
+    for (auto const& [id, it] : live_)
+    {
+        out.live.push_back(it);
+    }
+    for (auto const& [id, it] : ended_)
+    {
+        out.ended.push_back(it);
+    }
+    return out;
+}
+
+} // namespace apricotlb
--- /dev/null
+++ b/src/core/state/workflow_table.hpp
@@ -0,0 +1,208 @@
+/// Workflows, their steps and the runs of each task, as recorded in the log.
+#ifndef APRICOTLB_CORE_STATE_WORKFLOW_TABLE_HPP
+#define APRICOTLB_CORE_STATE_WORKFLOW_TABLE_HPP
+
+#include "core/state/commands.hpp"
+#include "core/state/contract_set_registry.hpp"
+
+#include <apricotlb/workflow.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// A run on record that has not ended on record.
+struct active_run
+{
+    run_number number;
+    worker_life where;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("number", &active_run::number),
+                          field("where", &active_run::where));
+    }
+};
+
+struct task_progress
+{
+    run_number last;           ///< the newest one, 0 if none
+    std::uint32_t failures{0}; ///< runs that ended as failed
+    bool finished{false};
+    checkpoint_id checkpoint;
+    std::vector<active_run> active; ///< more than one for a step with copies
+
+    static constexpr auto fields()
+    {
+        return field_list(field("last", &task_progress::last),
+                          field("failures", &task_progress::failures),
+                          field("finished", &task_progress::finished),
+                          field("checkpoint", &task_progress::checkpoint),
+                          field("active", &task_progress::active));
+    }
+};
+
+struct step_progress
+{
+    std::vector<task_progress> tasks;
+
+    [[nodiscard]] auto is_finished() const -> bool;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("tasks", &step_progress::tasks));
+    }
+};
+
+struct occurrence_progress
+{
+    std::vector<step_progress> steps;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("steps", &occurrence_progress::steps));
+    }
+};
+
+/// A workflow with work left, or with runs that have not ended.
+struct workflow_record
+{
+    workflow_spec spec;
+    queue_contract terms; ///< of its queue when it was accepted
+    revision accepted;
+    bool started{false};
+    bool cancelled{false};
+    bool failed{false};
+    std::vector<occurrence_progress> occurrences;
+
+    [[nodiscard]] auto state() const -> workflow_state;
+    /// True while its tasks may be started.
+    [[nodiscard]] auto is_open() const -> bool;
+    [[nodiscard]] auto step(workflow_task const& task) const -> step_spec const&
+    {
+        return spec.steps[task.step.value()];
+    }
+    /// Null for a task that it does not have.
+    [[nodiscard]] auto find(workflow_task const& task) const
+        -> task_progress const*;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("spec", &workflow_record::spec),
+                          field("terms", &workflow_record::terms),
+                          field("accepted", &workflow_record::accepted),
+                          field("started", &workflow_record::started),
+                          field("cancelled", &workflow_record::cancelled),
+                          field("failed", &workflow_record::failed),
+                          field("occurrences", &workflow_record::occurrences));
+    }
+};
+
+/// What is kept of a workflow after its end.
+struct ended_workflow
+{
+    workflow_id id;
+    queue_name queue;
+    workflow_state state{workflow_state::completed};
+    wall_time at;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("id", &ended_workflow::id),
+                          field("queue", &ended_workflow::queue),
+                          field("state", &ended_workflow::state),
+                          field("at", &ended_workflow::at));
+    }
+};
+
+struct workflows_snapshot
+{
+    std::vector<workflow_record> live;
+    std::vector<ended_workflow> ended;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("live", &workflows_snapshot::live),
+                          field("ended", &workflows_snapshot::ended));
+    }
+};
+
+/// A task that may be started: its steps before have finished and no run of
+/// it is active. Ordered by the acceptance of its workflow.
+struct ready_task
+{
+    revision accepted;
+    workflow_task task;
+
+    auto operator<=>(ready_task const&) const = default;
+};
+
+/// Applies commands on workflows.
+class workflow_table
+{
+public:
+    workflow_table() = default;
+    explicit workflow_table(workflows_snapshot from);
+
+    /// A second submission under the same id is answered like the first.
+    auto apply(submit_workflow const& it, revision at) -> apply_result;
+    /// Succeeds for an unknown or ended workflow as well.
+    auto apply(cancel_workflow const& it, revision at) -> apply_result;
+    /// Records each run that may start and skips the others.
+    auto apply(start_runs const& it, revision at) -> apply_result;
+    /// Ends each run that is active and skips the others.
+    auto apply(end_runs const& it, revision at,
+               contract_set_registry const& contracts) -> apply_result;
+    auto apply(expire_workflows const& it, revision at) -> apply_result;
+
+    /// A workflow that has not ended; null for others.
+    [[nodiscard]] auto find(workflow_id const& id) const
+        -> workflow_record const*;
+    /// State of a live or ended workflow; none if the id is unknown.
+    [[nodiscard]] auto state(workflow_id const& id) const
+        -> std::optional<workflow_state>;
+    /// True if the run is on record and has not ended.
+    [[nodiscard]] auto is_active(run_id const& run) const -> bool;
+    [[nodiscard]] auto live() const
+        -> std::map<workflow_id, workflow_record> const&
+    {
+        return live_;
+    }
+    [[nodiscard]] auto ready() const -> std::set<ready_task> const&
+    {
+        return ready_;
+    }
+    /// Accepted workflows of a queue of which no task has started.
+    [[nodiscard]] auto waiting(queue_name const& queue) const -> std::size_t;
+    [[nodiscard]] auto ended_count() const -> std::size_t
+    {
+        return ended_.size();
+    }
+
+    [[nodiscard]] auto snapshot() const -> workflows_snapshot;
+
+private:
+    auto add_ready(workflow_record const& it, occurrence_index occurrence)
+        -> void;
+    auto remove_ready(workflow_record const& it) -> void;
+    auto take_end(workflow_record& it, ended_run const& run,
+                  contract_set_registry const& contracts) -> void;
+    auto count_waiting(workflow_record const& it, int sign) -> void;
+    /// Moves a workflow without work and runs to the ended ones.
+    auto retire(workflow_record const& it, wall_time at) -> void;
+
+    std::map<workflow_id, workflow_record> live_;
+    std::map<workflow_id, ended_workflow> ended_;
+    std::set<ready_task> ready_;
+    std::map<queue_name, std::size_t> waiting_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/core/workflow/check_workflow.cpp
@@ -0,0 +1,126 @@
+#include <apricotlb/config.hpp>
+#include <apricotlb/workflow.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+auto refuse_step(std::size_t step, std::string_view what)
+    -> outcome::failure_type<error>
+{
+    return fail(error_kind::bad_request,
+                "steps[" + std::to_string(step) + "]: " + std::string{what});
+}
+
+auto check_step(step_spec const& it, std::size_t n) -> result<void>
+{
+    if (it.tasks < task_count{1} || it.tasks > config::max_tasks_per_job)
+    {
+        return refuse_step(n, "a step has 1 to 10000 tasks");
+    }
+    if (it.each.cores < millicores{0} || it.each.memory < byte_count{0} ||
+        it.each.accels < accelerators{0} || it.estimate < milliseconds{0} ||
+        it.latency_target < milliseconds{0} ||
+        it.most_per_worker < task_count{0} || it.may_be_absent < task_count{0})
+    {
+        return refuse_step(n, "sizes and times must not be negative");
+    }
+    auto const is_earlier = [n](step_index of) { return of.value() < n; };
+    if (!std::ranges::all_of(it.after, is_earlier))
+    {
+        return refuse_step(n, "a step depends on earlier steps only");
+    }
+    return outcome::success();
+}
+
+auto refuse_set(std::string what) -> outcome::failure_type<error>
+{
+    return fail(error_kind::bad_contract, std::move(what));
+}
+
+} // namespace
+
+auto check(workflow_spec const& it) -> result<void>
+{
+    if (it.id.value().empty() || it.id.value().size() > config::max_name_length)
+    {
+        return fail(error_kind::bad_request,
+                    "id: must be 1 to 128 characters long");
+    }
+    if (it.payload.size() > config::max_payload_bytes)
+    {
+        return fail(error_kind::body_too_large,
+                    "payload: must be at most 16 KiB");
+    }
+    if (it.steps.empty() || it.steps.size() > config::max_workflow_steps)
+    {
+        return fail(error_kind::bad_request, "steps: must be 1 to 64 steps");
+    }
+    std::int64_t tasks{0};
+    for (std::size_t n = 0; n < it.steps.size(); ++n)
+    {
+        BOOST_OUTCOME_TRYV(check_step(it.steps[n], n));
+        tasks += it.steps[n].tasks.value();
+    }
+    auto const times = std::max<std::int64_t>(it.repeats.times.value(), 1);
+    if (tasks > config::max_workflow_tasks / times)
+    {
+        return fail(error_kind::job_too_large,
+                    "a workflow has at most 100000 tasks over all its times");
+    }
+    if (it.repeats.interval < milliseconds{0})
+    {
+        return fail(error_kind::bad_request,
+                    "repeats: the interval must not be negative");
+    }
+    return outcome::success();
+}
+
+auto check(contract_set const& it) -> result<void>
+{
+    std::set<pool_name> pools;
+    for (auto const& pool : it.pools)
+    {
+        if (pool.name.value().empty() || !pools.insert(pool.name).second)
+        {
+            return refuse_set("a pool has no name, or that of another one: " +
+                              pool.name.value());
+        }
+    }
+    std::set<std::pair<host_name, queue_path>> places;
+    for (auto const& queue : it.queues)
+    {
+        if (!pools.contains(queue.pool))
+        {
+            return refuse_set("queue " + queue.name.value() +
+                              " names an unknown pool: " + queue.pool.value());
+        }
+        if (!places.emplace(queue.host, queue.prefix).second)
+        {
+            return refuse_set("two queues have the host " + queue.host.value() +
+                              " and the prefix " + queue.prefix.value());
+        }
+        if (queue.timeout <= milliseconds{0})
+        {
+            return refuse_set("queue " + queue.name.value() +
+                              " needs a timeout above 0 ms");
+        }
+        if (queue.max_failures == 0 || queue.stretch < permille{0} ||
+            queue.target < milliseconds{0})
+        {
+            return refuse_set("queue " + queue.name.value() +
+                              " needs at least one attempt, and times that "
+                              "are not negative");
+        }
+    }
+    return outcome::success();
+}
+
+} // namespace apricotlb
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -17,6 +17,10 @@
 inline constexpr std::string_view retries = "apricotlb_retries_total";
 inline constexpr std::string_view requests = "apricotlb_requests_total";
 inline constexpr std::string_view cut_answers = "apricotlb_cut_answers_total";
+inline constexpr std::string_view member_changes =
+    "apricotlb_member_changes_total";
+inline constexpr std::string_view orders = "apricotlb_worker_orders_total";
+inline constexpr std::string_view run_ends = "apricotlb_run_ends_total";
 inline constexpr std::string_view backend_latency =
     "apricotlb_backend_latency_seconds";
 } // namespace metric
