Pack serving tasks and log the fleet's state

Change: tasks with a latency target share workers; scavenging tasks prefer workers without them and avoid those with little latency to spare; the leader logs a line a second about its fleet.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -246,6 +246,7 @@
 inline constexpr duration fleet_silence = 3500ms;
 /// A worker without runs that stays silent is forgotten after this.
 inline constexpr duration fleet_forget = 60s;
+inline constexpr duration fleet_report_interval = 1s;
 inline constexpr duration order_timeout = 1s;
 inline constexpr duration order_repeat = 300ms;
 inline constexpr duration poll_repeat = 200ms;
--- a/src/adapters/soup_requests.cpp
+++ b/src/adapters/soup_requests.cpp
@@ -95,8 +95,9 @@
 soup_requests::soup_requests() : state_(std::make_unique<state>())
 {
     state_->session = soup_session_new_with_options(
-        "max-conns", max_connections, "max-conns-per-host",
-        max_connections_per_host, "idle-timeout", idle_timeout_s, nullptr);
+        "proxy-resolver", nullptr, "max-conns", max_connections,
+        "max-conns-per-host", max_connections_per_host, "idle-timeout",
+        idle_timeout_s, nullptr);
     state_->closing = g_cancellable_new();
 }
 
--- a/src/adapters/soup_workers.cpp
+++ b/src/adapters/soup_workers.cpp
@@ -76,8 +76,9 @@
 soup_workers::soup_workers() : state_(std::make_unique<state>())
 {
     state_->session = soup_session_new_with_options(
-        "timeout", command_timeout_s, "max-conns", max_connections,
-        "max-conns-per-host", max_connections_per_worker, nullptr);
+        "proxy-resolver", nullptr, "timeout", command_timeout_s, "max-conns",
+        max_connections, "max-conns-per-host", max_connections_per_worker,
+        nullptr);
     state_->cancellable = g_cancellable_new();
 }
 
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -81,6 +81,12 @@
         replica_.on_failure(std::move(run));
     }
 
+    /// Called now and then on the leader with the state of the fleet.
+    auto on_fleet(std::function<void(fleet_summary const&)> run) -> void
+    {
+        workflows_.on_report(std::move(run));
+    }
+
     /// Loads the log and joins the group.
     auto start() -> result<void>
     {
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Called now and then with the state of the fleet.
+    auto on_report(std::function<void(fleet_summary const&)> run) -> void
+    {
+        on_report_ = std::move(run);
+    }
+
     [[nodiscard]] auto scheduler() const -> std::optional<run_scheduler> const&
     {
         return scheduler_;
@@ -97,9 +103,20 @@
                                        arm();
                                        scheduler_->tick(clock_.now());
                                        plan();
+                                       report();
                                    });
     }
 
+    auto report() -> void
+    {
+        auto const now = clock_.now();
+        if (now - reported_ >= config::fleet_report_interval && on_report_)
+        {
+            reported_ = now;
+            on_report_(scheduler_->summary(now));
+        }
+    }
+
     auto plan() -> void
     {
         scheduler_->plan(clock_.now(), clock_.wall_now());
@@ -195,6 +212,8 @@
     Propose propose_;
     fleet_policy policy_;
     std::optional<run_scheduler> scheduler_;
+    std::function<void(fleet_summary const&)> on_report_;
+    time_point reported_{};
     std::uint64_t epoch_{0};
     std::optional<timer_id> tick_;
     std::optional<timer_id> soon_;
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -48,6 +48,22 @@
     return load;
 }
 
+/// A worker whose serving tasks have little latency to spare, or whose
+/// scavenging tasks are slowed for them, gets no more to disturb them.
+auto is_strained(worker_entry const& at) -> bool
+{
+    return std::ranges::any_of(
+        at.runs,
+        [](auto const& each)
+        {
+            auto const& it = each.second;
+            return (it.scavenges && it.pace < permille{1000}) ||
+                   (it.latency_target > milliseconds{0} &&
+                    it.load * 1000 >= it.latency_target.count() *
+                                          config::pace_raise_below.value());
+        });
+}
+
 auto serves_beside(worker_entry const& at) -> bool
 {
     return std::ranges::any_of(
@@ -55,6 +71,14 @@
         { return each.second.latency_target > milliseconds{0}; });
 }
 
+/// May get new runs as far as its state goes.
+auto is_usable(worker_entry const& at, time_point now) -> bool
+{
+    return at.info && !at.gone && at.info->phase == worker_phase::ready &&
+           now - at.heard < config::fleet_silence && now >= at.paused_until &&
+           at.lease.is_sampled();
+}
+
 } // namespace
 
 auto run_scheduler::may_take(entry_ref const& at, wanted_run const& want,
@@ -65,10 +89,7 @@
     auto const* const queue =
         state_.contract_sets().queue(want.record->terms.name);
     auto const& pool = queue != nullptr ? queue->pool : want.record->terms.pool;
-    if (!entry.info || entry.gone || entry.info->pool != pool ||
-        entry.info->phase != worker_phase::ready ||
-        now - entry.heard >= config::fleet_silence ||
-        now < entry.paused_until || !entry.lease.is_sampled() ||
+    if (!is_usable(entry, now) || entry.info->pool != pool ||
         !has_label(*entry.info, step.requires_label))
     {
         return false;
@@ -77,8 +98,9 @@
     if (step.scavenges)
     {
         room.cores = millicores{0};
-        if (load_of(entry, state_) + step.each.cores.value() >
-            entry.info->capacity.cores.value())
+        if (is_strained(entry) ||
+            load_of(entry, state_) + step.each.cores.value() >
+                entry.info->capacity.cores.value())
         {
             return false;
         }
@@ -110,8 +132,9 @@
         }
         else if (step.permanent)
         {
-            // Spread, so that the loss of a worker takes few of a step.
-            score = {is_near ? 0 : 1, count_step(entry, want.task), -free};
+            // Together, so that other workers stay free for scavenging tasks,
+            // which would disturb them.
+            score = {is_near ? 0 : 1, serves_beside(entry) ? 0 : 1, free};
         }
         else
         {
@@ -179,6 +202,31 @@
     out.insert(out.end(), placed.begin(), placed.end());
 }
 
+auto run_scheduler::summary(time_point now) const -> fleet_summary
+{
+    fleet_summary out;
+    out.ready = static_cast<std::int64_t>(state_.workflows().ready().size());
+    for (auto const& [id, it] : workers_)
+    {
+        out.workers += is_usable(it, now) ? 1 : 0;
+        out.serving += serves_beside(it) ? 1 : 0;
+        out.strained += is_strained(it) ? 1 : 0;
+        out.free_cores += it.free().cores.value() / 1000;
+        for (auto const& [run, held] : it.runs)
+        {
+            if (held.phase == run_phase::running)
+            {
+                ++out.running;
+                out.permanent += held.permanent ? 1 : 0;
+                out.scavenging += held.scavenges ? 1 : 0;
+                out.slowed +=
+                    held.scavenges && held.pace < permille{1000} ? 1 : 0;
+            }
+        }
+    }
+    return out;
+}
+
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     wants_plan_ = false;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -17,6 +17,7 @@
 #include <apricotlb/time.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +49,20 @@
     end_number upto;
 };
 
+/// The fleet at one look, for logs and gauges.
+struct fleet_summary
+{
+    std::int64_t workers{0}; ///< that may get new runs
+    std::int64_t serving{0}; ///< workers with tasks that have a latency target
+    std::int64_t strained{0};
+    std::int64_t ready{0}; ///< tasks without a run
+    std::int64_t running{0};
+    std::int64_t permanent{0};  ///< of the running ones
+    std::int64_t scavenging{0}; ///< of the running ones
+    std::int64_t slowed{0};     ///< of the scavenging ones
+    std::int64_t free_cores{0}; ///< not reserved
+};
+
 /// What the scheduler asks its driver to do.
 using fleet_action = std::variant<propose_starts, propose_ends, start_order,
                                   stop_order, pace_order, poll_order>;
@@ -92,6 +107,7 @@
     {
         return workers_;
     }
+    [[nodiscard]] auto summary(time_point now) const -> fleet_summary;
     /// True once something happened that may let a task start.
     [[nodiscard]] auto wants_plan() const -> bool { return wants_plan_; }
 
