Learn which scavenging images disturb which serving images

Change: the interference model learns per pair of images; placement, pace and moves follow its estimates, and figures are smoothed.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -268,10 +268,19 @@
 
 // Pace of scavenging tasks beside tasks with a latency target: cut to a half
 // above the first share of the target, raised by a step below the second.
-inline constexpr permille pace_cut_above{850};
-inline constexpr permille pace_raise_below{600};
-inline constexpr permille pace_step{100};
-inline constexpr permille pace_least{50}; ///< below it a task stands still
+// The figures that workers report scatter by a half; the smoothed one counts.
+inline constexpr permille pace_cut_above{1000};
+inline constexpr permille pace_raise_below{850};
+inline constexpr permille pace_step{250};
+inline constexpr permille pace_least{200}; ///< below it a task stands still
+/// Weight of a new figure in the smoothed one.
+inline constexpr permille load_smoothing{500};
+/// Expected share of a latency target up to which a scavenging task is placed.
+inline constexpr permille disturbance_headroom{700};
+/// A slowdown below this is not told from the scatter of the figures.
+inline constexpr permille noticed_slowdown{300};
+/// A scavenging task that stands still for this long is moved.
+inline constexpr duration paced_limit = 1s;
 
 // Replicated control group that replaces its members by itself.
 /// A voter that was silent for this long is removed when a learner can take
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -163,7 +163,8 @@
                              {
                                  if (done.has_error())
                                  {
-                                     scheduler_->on_not_applied(it);
+                                     scheduler_->on_not_applied(it,
+                                                                clock_.now());
                                  }
                              }));
     }
--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -3,27 +3,30 @@
 #include <apricotlb/config.hpp>
 
 #include <algorithm>
+#include <cstdint>
 
 namespace apricotlb
 {
 
-auto pace_change(worker_entry const& at) -> pace_step
+auto pace_change(worker_entry const& at, held_run const& it,
+                 disturbance const& learned, time_point now) -> pace_step
 {
-    auto worst = std::int64_t{0};
-    for (auto const& [run, it] : at.runs)
+    permille worst;
+    for (auto const& [run, beside] : at.runs)
     {
-        if (it.latency_target > milliseconds{0} &&
-            it.phase == run_phase::running)
+        if (beside.latency_target > milliseconds{0} &&
+            beside.phase == run_phase::running &&
+            learned.may_disturb(it.image, beside.image, now))
         {
-            worst = std::max(worst, it.load * 1000 / it.latency_target.count());
+            worst = std::max(worst, beside.strain);
         }
     }
-    if (worst > config::pace_cut_above.value())
+    if (worst > config::pace_cut_above)
     {
         return pace_step::cut;
     }
-    return worst < config::pace_raise_below.value() ? pace_step::raise
-                                                    : pace_step::keep;
+    return worst < config::pace_raise_below ? pace_step::raise
+                                            : pace_step::keep;
 }
 
 auto paced(permille now, pace_step change) -> permille
--- a/src/core/fleet/pace_control.hpp
+++ b/src/core/fleet/pace_control.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_CORE_FLEET_PACE_CONTROL_HPP
 #define APRICOTLB_CORE_FLEET_PACE_CONTROL_HPP
 
+#include "core/fleet/disturbance.hpp"
 #include "core/fleet/worker_entry.hpp"
 
 #include <apricotlb/units.hpp>
@@ -18,9 +19,12 @@
     raise, ///< by config::pace_step
 };
 
-/// What the latencies on a worker ask for. The gap between the two thresholds
-/// keeps the pace steady while a latency is close to its target.
-[[nodiscard]] auto pace_change(worker_entry const& at) -> pace_step;
+/// What the latencies on a worker ask of one scavenging task. Latencies that
+/// its image is known not to disturb do not count. The gap between the two
+/// thresholds keeps the pace steady while a latency is close to its target.
+[[nodiscard]] auto pace_change(worker_entry const& at, held_run const& it,
+                               disturbance const& learned, time_point now)
+    -> pace_step;
 
 [[nodiscard]] auto paced(permille now, pace_step change) -> permille;
 
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet/run_scheduler.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -48,20 +49,12 @@
     return load;
 }
 
-/// A worker whose serving tasks have little latency to spare, or whose
-/// scavenging tasks are slowed for them, gets no more to disturb them.
+/// A serving task there is slower than its target allows.
 auto is_strained(worker_entry const& at) -> bool
 {
     return std::ranges::any_of(
-        at.runs,
-        [](auto const& each)
-        {
-            auto const& it = each.second;
-            return (it.scavenges && it.pace < permille{1000}) ||
-                   (it.latency_target > milliseconds{0} &&
-                    it.load * 1000 >= it.latency_target.count() *
-                                          config::pace_raise_below.value());
-        });
+        at.runs, [](auto const& each)
+        { return each.second.strain > config::pace_cut_above; });
 }
 
 auto serves_beside(worker_entry const& at) -> bool
@@ -71,6 +64,25 @@
         { return each.second.latency_target > milliseconds{0}; });
 }
 
+/// What decides whether a task finds a worker. Tasks that differ in none of it
+/// share the answer of one search. A limit on tasks of a step for each worker
+/// is that of its workflow.
+using refused_size = std::tuple<pool_name, worker_label, image_name, bool,
+                                std::int64_t, std::int64_t, workflow_id>;
+
+auto size_of(workflow_record const& record, step_spec const& step)
+    -> refused_size
+{
+    return {record.terms.pool,
+            step.requires_label,
+            step.scavenges ? step.image : image_name{},
+            step.scavenges,
+            step.each.cores.value(),
+            step.each.memory.value(),
+            step.most_per_worker > task_count{0} ? record.spec.id
+                                                 : workflow_id{}};
+}
+
 /// May get new runs as far as its state goes.
 auto is_usable(worker_entry const& at, time_point now) -> bool
 {
@@ -98,9 +110,7 @@
     if (step.scavenges)
     {
         room.cores = millicores{0};
-        if (is_strained(entry) ||
-            load_of(entry, state_) + step.each.cores.value() >
-                entry.info->capacity.cores.value())
+        if (!may_scavenge(at, step, now))
         {
             return false;
         }
@@ -110,6 +120,29 @@
             count_step(entry, want.task) < step.most_per_worker.value());
 }
 
+/// Leaves the serving tasks of a worker within their latency targets.
+auto run_scheduler::may_scavenge(entry_ref const& at, step_spec const& step,
+                                 time_point now) const -> bool
+{
+    auto const& entry = at.second;
+    if (load_of(entry, state_) + step.each.cores.value() >
+        entry.info->capacity.cores.value())
+    {
+        return false;
+    }
+    return std::ranges::all_of(
+        entry.runs,
+        [&](auto const& each)
+        {
+            auto const& it = each.second;
+            return it.latency_target <= milliseconds{0} ||
+                   (it.strain <= config::pace_cut_above &&
+                    disturbance_.expected(at.first, it.image, it.latency_target,
+                                          step.image,
+                                          now) <= config::disturbance_headroom);
+        });
+}
+
 auto run_scheduler::choose(wanted_run const& want, time_point now) -> entry_ref*
 {
     auto const& step = want.record->step(want.task);
@@ -192,7 +225,7 @@
             for (auto const& each : placed)
             {
                 proposed_.erase(each.run.task);
-                release(each.run);
+                release(each.run, now);
             }
             return;
         }
@@ -258,6 +291,7 @@
     }
     std::ranges::stable_sort(order, {}, &ranked::first);
     std::vector<placed_run> placed;
+    std::set<refused_size> refused;
     for (auto const& [priority, it] : order)
     {
         if (proposed_.contains(it->task))
@@ -269,9 +303,15 @@
         {
             place_gang(*it, now, placed);
         }
-        else
+        else if (auto const size = size_of(*record, record->step(it->task));
+                 !refused.contains(size))
         {
+            auto const before = placed.size();
             place_one(*it, now, placed);
+            if (placed.size() == before)
+            {
+                refused.insert(size);
+            }
         }
         if (placed.size() >= config::runs_per_command)
         {
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -130,8 +130,7 @@
     case order_outcome::done:
         if (held->phase == run_phase::ordered)
         {
-            held->phase = run_phase::running;
-            held->settled = now;
+            note_running(*at, to.run, *held, now);
             send_poll(*at, now);
         }
         break;
@@ -239,6 +238,8 @@
     {
         note_clock(*at, it.clock, now);
         held->pace = to.pace;
+        held->paced = now;
+        disturbance_.paced(at->first, to.run, to.pace, now);
     }
 }
 
@@ -315,7 +316,11 @@
         return;
     }
     auto& held = it->second;
-    held.load = row.load;
+    held.measure(row.load);
+    if (held.latency_target > milliseconds{0})
+    {
+        disturbance_.learn(at.first, held.image, milliseconds{row.load}, now);
+    }
     if (!row.checkpoint.value().empty())
     {
         held.checkpoint = row.checkpoint;
@@ -325,8 +330,7 @@
                            !record->find(row.run.task)->finished;
     if (held.phase == run_phase::inherited || held.phase == run_phase::ordered)
     {
-        held.phase = run_phase::running;
-        held.settled = now;
+        note_running(at, row.run, held, now);
     }
     auto const runs_on =
         held.phase == run_phase::running || held.phase == run_phase::closed;
@@ -385,14 +389,51 @@
     }
 }
 
+auto run_scheduler::note_running(entry_ref& at, run_id const& run, held_run& it,
+                                 time_point now) -> void
+{
+    it.phase = run_phase::running;
+    it.settled = now;
+    if (it.scavenges)
+    {
+        disturbance_.started(at.first, run, it.image, now);
+    }
+}
+
+/// A task that stands still beside one that it is known to harm goes on
+/// elsewhere from its checkpoint.
+auto run_scheduler::must_move(worker_entry const& at, held_run const& it,
+                              time_point now) const -> bool
+{
+    auto const is_harmed = [&](auto const& each)
+    {
+        auto const& beside = each.second;
+        return beside.latency_target > milliseconds{0} &&
+               disturbance_.is_harmful(it.image, beside.image,
+                                       beside.latency_target, now);
+    };
+    return it.pace == permille{0} && now - it.paced >= config::paced_limit &&
+           !it.checkpoint.value().empty() &&
+           std::ranges::any_of(at.runs, is_harmed);
+}
+
 auto run_scheduler::adjust_pace(entry_ref& at, time_point now) -> void
 {
-    auto const change = pace_change(at.second);
     for (auto& [run, it] : at.second.runs)
     {
-        auto const pace = paced(it.pace, change);
-        if (it.scavenges && it.phase == run_phase::running && !it.awaiting &&
-            pace != it.pace && !fenced_)
+        if (!it.scavenges || it.phase != run_phase::running || it.awaiting ||
+            fenced_)
+        {
+            continue;
+        }
+        if (must_move(at.second, it, now))
+        {
+            send_stop(at, run, it, now);
+            continue;
+        }
+        auto const pace =
+            paced(it.pace, pace_change(at.second, it, disturbance_, now));
+        if (pace != it.pace)
         {
             it.awaiting = true;
             it.sent = now;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -24,6 +24,7 @@
     held_run it;
     it.phase = phase;
     it.room = room_of(step);
+    it.image = step.image;
     it.latency_target = step.latency_target;
     it.permanent = step.permanent;
     it.scavenges = step.scavenges;
@@ -211,7 +212,7 @@
                 state_.workflows().find(each.run.task.workflow);
             if (!state_.workflows().is_active(each.run))
             {
-                release(each.run);
+                release(each.run, now);
             }
             else if (at->second.gone || at->second.born != each.where.born ||
                      !record->is_open())
@@ -240,12 +241,13 @@
     wants_plan_ = true;
 }
 
-auto run_scheduler::on_not_applied(propose_starts const& it) -> void
+auto run_scheduler::on_not_applied(propose_starts const& it, time_point now)
+    -> void
 {
     for (auto const& each : it.value.runs)
     {
         proposed_.erase(each.run.task);
-        release(each.run);
+        release(each.run, now);
     }
     wants_plan_ = true;
 }
@@ -254,7 +256,7 @@
 {
     for (auto const& each : it.runs)
     {
-        release(each.run);
+        release(each.run, now);
     }
     auto const at = workers_.find(it.from);
     if (at != workers_.end())
@@ -335,11 +337,12 @@
     ends_.push_back({run, how, it.checkpoint});
 }
 
-auto run_scheduler::release(run_id const& run) -> void
+auto run_scheduler::release(run_id const& run, time_point now) -> void
 {
     auto const at = where_.find(run);
     if (at != where_.end())
     {
+        disturbance_.ended(at->second, run, now);
         workers_.at(at->second).remove(run);
         where_.erase(at);
     }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -9,6 +9,7 @@
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
+#include "core/fleet/disturbance.hpp"
 #include "core/fleet/worker_entry.hpp"
 #include "core/fleet/worker_messages.hpp"
 #include "core/state/state_machine.hpp"
@@ -88,7 +89,7 @@
 
     // What became of proposals.
     auto on_applied(command const& it, time_point now) -> void;
-    auto on_not_applied(propose_starts const& it) -> void;
+    auto on_not_applied(propose_starts const& it, time_point now) -> void;
     auto on_recorded(propose_ends const& it, time_point now) -> void;
     auto on_not_recorded(propose_ends const& it) -> void;
 
@@ -128,7 +129,7 @@
     /// Stops runs of a workflow that no longer count.
     auto stop_excess(workflow_id const& id, time_point now) -> void;
     auto propose_end(run_id const& run, held_run& it, run_end how) -> void;
-    auto release(run_id const& run) -> void;
+    auto release(run_id const& run, time_point now) -> void;
     auto lose_runs(entry_ref& at) -> void;
 
     // run_reports.cpp
@@ -146,7 +147,11 @@
     auto take_absent(entry_ref& at, std::set<run_id> const& listed,
                      time_point sent, time_point now) -> void;
     auto take_ended(entry_ref& at, std::vector<ended_row> const& rows) -> void;
+    auto note_running(entry_ref& at, run_id const& run, held_run& it,
+                      time_point now) -> void;
     auto adjust_pace(entry_ref& at, time_point now) -> void;
+    [[nodiscard]] auto must_move(worker_entry const& at, held_run const& it,
+                                 time_point now) const -> bool;
 
     // run_plan.cpp
     struct wanted_run
@@ -163,6 +168,8 @@
                     std::vector<placed_run>& out) -> void;
     [[nodiscard]] auto may_take(entry_ref const& at, wanted_run const& want,
                                 time_point now) const -> bool;
+    [[nodiscard]] auto may_scavenge(entry_ref const& at, step_spec const& step,
+                                    time_point now) const -> bool;
 
     state_machine const& state_;
     fence_token fence_;
@@ -171,6 +178,7 @@
     std::map<run_id, worker_id> where_; ///< of each held run
     std::map<url, worker_id> addresses_;
     std::set<workflow_task> proposed_; ///< tasks with a start not on record
+    disturbance disturbance_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> ends_; ///< to be proposed together
     bool fenced_{false};
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -35,6 +35,7 @@
 {
     run_phase phase{run_phase::proposed};
     resources room; ///< what it counts against the capacity
+    image_name image;
     milliseconds latency_target{};
     bool permanent{false};
     bool scavenges{false};
@@ -45,7 +46,23 @@
     time_point settled{}; ///< when it was confirmed or closed
     checkpoint_id checkpoint;
     std::int64_t load{0};
+    permille strain{}; ///< smoothed latency tail, of the target
     permille pace{1000};
+    time_point paced{}; ///< when the pace was last changed
+
+    /// Takes a worker's figure for its tail or its use of processors.
+    auto measure(std::int64_t figure) -> void
+    {
+        load = figure;
+        if (latency_target > milliseconds{0})
+        {
+            auto const share = permille{static_cast<std::int32_t>(
+                figure * 1000 / latency_target.count())};
+            auto const change = (share - strain).value() *
+                                config::load_smoothing.value() / 1000;
+            strain += permille{change};
+        }
+    }
 };
 
 /// Converts between a worker's clock and the leader's, and bounds the end of
