Plan in one pass over the usable workers

Change: one pass builds the list of usable workers, sums are kept with the entries, and an image's verdict on a worker is computed once per pass.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -22,8 +22,8 @@
 
 auto same_step(workflow_task const& a, workflow_task const& b) -> bool
 {
-    return a.workflow == b.workflow && a.occurrence == b.occurrence &&
-           a.step == b.step;
+    return a.step == b.step && a.occurrence == b.occurrence &&
+           a.workflow == b.workflow;
 }
 
 auto count_step(worker_entry const& at, workflow_task const& task)
@@ -34,19 +34,11 @@
 }
 
 /// Processors that tasks on a worker are thought to use: half of what is
-/// reserved for tasks that serve, and all that scavenging tasks ask for.
-auto load_of(worker_entry const& at, state_machine const& state) -> std::int64_t
+/// reserved, as serving tasks are seldom busy, and all that scavenging tasks
+/// ask for.
+auto load_of(worker_entry const& at) -> millicores
 {
-    auto load = at.held.cores.value() / 2;
-    for (auto const& [run, it] : at.runs)
-    {
-        auto const* const record = state.workflows().find(run.task.workflow);
-        if (it.scavenges && record != nullptr)
-        {
-            load += record->step(run.task).each.cores.value();
-        }
-    }
-    return load;
+    return millicores{at.held.cores.value() / 2} + at.scavenged;
 }
 
 /// A serving task there is slower than its target allows.
@@ -57,13 +49,6 @@
         { return each.second.strain > config::pace_cut_above; });
 }
 
-auto serves_beside(worker_entry const& at) -> bool
-{
-    return std::ranges::any_of(
-        at.runs, [](auto const& each)
-        { return each.second.latency_target > milliseconds{0}; });
-}
-
 /// What decides whether a task finds a worker. Tasks that differ in none of it
 /// share the answer of one search. A limit on tasks of a step for each worker
 /// is that of its workflow.
@@ -93,115 +78,146 @@
 
 } // namespace
 
-auto run_scheduler::may_take(entry_ref const& at, wanted_run const& want,
-                             time_point now) const -> bool
+auto run_scheduler::pool_of(workflow_record const& it) const -> pool_name const&
 {
-    auto const& entry = at.second;
-    auto const& step = want.record->step(want.task);
-    auto const* const queue =
-        state_.contract_sets().queue(want.record->terms.name);
-    auto const& pool = queue != nullptr ? queue->pool : want.record->terms.pool;
-    if (!is_usable(entry, now) || entry.info->pool != pool ||
-        !has_label(*entry.info, step.requires_label))
-    {
-        return false;
-    }
-    auto room = step.each;
-    if (step.scavenges)
+    auto const* const queue = state_.contract_sets().queue(it.terms.name);
+    return queue != nullptr ? queue->pool : it.terms.pool;
+}
+
+auto run_scheduler::start_pass(time_point now) -> plan_pass
+{
+    plan_pass pass;
+    pass.now = now;
+    for (auto& at : workers_)
     {
-        room.cores = millicores{0};
-        if (!may_scavenge(at, step, now))
+        if (is_usable(at.second, now))
         {
-            return false;
+            pass.pools[at.second.info->pool].push_back(
+                {&at, is_strained(at.second)});
         }
     }
-    return room.fits_into(entry.free()) &&
-           (step.most_per_worker == task_count{0} ||
-            count_step(entry, want.task) < step.most_per_worker.value());
+    return pass;
 }
 
 /// Leaves the serving tasks of a worker within their latency targets.
-auto run_scheduler::may_scavenge(entry_ref const& at, step_spec const& step,
-                                 time_point now) const -> bool
+auto run_scheduler::may_scavenge(candidate const& it, step_spec const& step,
+                                 plan_pass& pass) const -> bool
 {
-    auto const& entry = at.second;
-    if (load_of(entry, state_) + step.each.cores.value() >
-        entry.info->capacity.cores.value())
+    auto const& entry = it.at->second;
+    if (load_of(entry) + step.each.cores > entry.info->capacity.cores)
     {
         return false;
     }
-    return std::ranges::all_of(
-        entry.runs,
-        [&](auto const& each)
-        {
-            auto const& it = each.second;
-            return it.latency_target <= milliseconds{0} ||
-                   (it.strain <= config::pace_cut_above &&
-                    disturbance_.expected(at.first, it.image, it.latency_target,
-                                          step.image,
-                                          now) <= config::disturbance_headroom);
-        });
+    if (entry.serving == 0)
+    {
+        return true;
+    }
+    if (it.strained)
+    {
+        return false;
+    }
+    auto const [known, added] =
+        pass.tolerated.try_emplace({it.at->first, step.image}, true);
+    if (added)
+    {
+        known->second = std::ranges::all_of(
+            entry.runs,
+            [&](auto const& each)
+            {
+                auto const& beside = each.second;
+                return beside.latency_target <= milliseconds{0} ||
+                       disturbance_.expected(it.at->first, beside.image,
+                                             beside.latency_target, step.image,
+                                             pass.now) <=
+                           config::disturbance_headroom;
+            });
+    }
+    return known->second;
 }
 
-auto run_scheduler::choose(wanted_run const& want, time_point now) -> entry_ref*
+auto run_scheduler::may_take(candidate const& it, wanted_run const& want,
+                             plan_pass& pass) const -> bool
 {
-    auto const& step = want.record->step(want.task);
+    auto const& entry = it.at->second;
+    auto const& step = *want.step;
+    auto room = step.each;
+    if (step.scavenges)
+    {
+        room.cores = millicores{0};
+    }
+    return room.fits_into(entry.free()) &&
+           has_label(*entry.info, step.requires_label) &&
+           (step.most_per_worker == task_count{0} ||
+            count_step(entry, want.task) < step.most_per_worker.value()) &&
+           (!step.scavenges || may_scavenge(it, step, pass));
+}
+
+auto run_scheduler::choose(wanted_run const& want, plan_pass& pass)
+    -> entry_ref*
+{
+    auto const& step = *want.step;
     entry_ref* best{nullptr};
     preference best_score{};
-    for (auto& at : workers_)
+    for (auto const& it : pass.pools[pool_of(*want.record)])
     {
-        if (!may_take(at, want, now))
-        {
-            continue;
-        }
-        auto const& entry = at.second;
+        auto const& entry = it.at->second;
         auto const is_near = step.data_rack.value().empty() ||
                              step.data_rack == entry.info->rack;
         auto const free = entry.free().cores.value();
         preference score;
         if (step.scavenges)
         {
-            score = {serves_beside(entry) ? 1 : 0, load_of(entry, state_), 0};
+            score = {entry.serving > 0 ? 1 : 0, load_of(entry).value(), 0};
         }
         else if (step.permanent)
         {
             // Together, so that other workers stay free for scavenging tasks,
             // which would disturb them.
-            score = {is_near ? 0 : 1, serves_beside(entry) ? 0 : 1, free};
+            score = {is_near ? 0 : 1, entry.serving > 0 ? 0 : 1, free};
         }
         else
         {
             // Best fit leaves the large gaps for large tasks.
             score = {is_near ? 0 : 1, free, 0};
         }
-        if (best == nullptr || score < best_score)
+        if ((best == nullptr || score < best_score) && may_take(it, want, pass))
         {
-            best = &at;
+            best = it.at;
             best_score = score;
         }
     }
     return best;
 }
 
-auto run_scheduler::place_one(ready_task const& it, time_point now,
-                              std::vector<placed_run>& out) -> void
+auto run_scheduler::place_one(ready_task const& it,
+                              workflow_record const& record, plan_pass& pass)
+    -> bool
 {
-    auto const* const record = state_.workflows().find(it.task.workflow);
-    auto const last = record->find(it.task)->last;
-    wanted_run const want{record, it.task, last + run_number{1}};
-    if (auto* const at = choose(want, now); at != nullptr)
+    auto const last = record.find(it.task)->last;
+    wanted_run const want{&record, &record.step(it.task), it.task,
+                          last + run_number{1}};
+    auto* const at = choose(want, pass);
+    if (at == nullptr)
     {
-        hold(*at, want);
-        out.push_back({{want.task, want.number}, {at->first, at->second.born}});
+        return false;
+    }
+    hold(*at, want);
+    if (want.step->scavenges)
+    {
+        std::erase_if(pass.tolerated, [at](auto const& each)
+                      { return each.first.first == at->first; });
     }
+    pass.placed.push_back(
+        {{want.task, want.number}, {at->first, at->second.born}});
+    return true;
 }
 
 /// All members or none; they share the number of the run.
-auto run_scheduler::place_gang(ready_task const& it, time_point now,
-                               std::vector<placed_run>& out) -> void
+auto run_scheduler::place_gang(ready_task const& it,
+                               workflow_record const& record, plan_pass& pass)
+    -> void
 {
-    auto const* const record = state_.workflows().find(it.task.workflow);
-    auto const& tasks = record->occurrences[it.task.occurrence.value()]
+    auto const& tasks = record.occurrences[it.task.occurrence.value()]
                             .steps[it.task.step.value()]
                             .tasks;
     run_number last;
@@ -218,21 +234,22 @@
     {
         auto task = it.task;
         task.index = task_index{n};
-        wanted_run const want{record, task, last + run_number{1}};
-        auto* const at = choose(want, now);
+        wanted_run const want{&record, &record.step(task), task,
+                              last + run_number{1}};
+        auto* const at = choose(want, pass);
         if (at == nullptr)
         {
             for (auto const& each : placed)
             {
                 proposed_.erase(each.run.task);
-                release(each.run, now);
+                release(each.run, pass.now);
             }
             return;
         }
         hold(*at, want);
         placed.push_back({{task, want.number}, {at->first, at->second.born}});
     }
-    out.insert(out.end(), placed.begin(), placed.end());
+    pass.placed.insert(pass.placed.end(), placed.begin(), placed.end());
 }
 
 auto run_scheduler::summary(time_point now) const -> fleet_summary
@@ -242,7 +259,7 @@
     for (auto const& [id, it] : workers_)
     {
         out.workers += is_usable(it, now) ? 1 : 0;
-        out.serving += serves_beside(it) ? 1 : 0;
+        out.serving += it.serving > 0 ? 1 : 0;
         out.strained += is_strained(it) ? 1 : 0;
         out.free_cores += it.free().cores.value() / 1000;
         for (auto const& [run, held] : it.runs)
@@ -263,64 +280,70 @@
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     wants_plan_ = false;
-    if (fenced_)
+    if (fenced_ || state_.workflows().ready().empty())
     {
         return;
     }
-    using ranked = std::pair<queue_priority, ready_task const*>;
+    struct ranked
+    {
+        queue_priority priority;
+        ready_task const* task;
+        workflow_record const* record;
+    };
     std::vector<ranked> order;
+    workflow_record const* record{nullptr};
+    queue_priority priority;
     for (auto const& it : state_.workflows().ready())
     {
         if (order.size() >= config::plan_visits)
         {
             break;
         }
-        auto const* const record = state_.workflows().find(it.task.workflow);
+        if (record == nullptr || record->accepted != it.accepted)
+        {
+            record = state_.workflows().find(it.task.workflow);
+            auto const* const queue =
+                state_.contract_sets().queue(record->terms.name);
+            priority =
+                queue != nullptr ? queue->priority : record->terms.priority;
+        }
         auto const& repeats = record->spec.repeats;
         auto const due =
             repeats.first + repeats.interval * it.task.occurrence.value();
-        if (proposed_.contains(it.task) ||
-            (repeats.times.value() > 0 && wall.time_since_epoch() < due))
+        if (!proposed_.contains(it.task) &&
+            (repeats.times.value() == 0 || wall.time_since_epoch() >= due))
         {
-            continue;
+            order.push_back({priority, &it, record});
         }
-        auto const* const queue =
-            state_.contract_sets().queue(record->terms.name);
-        order.emplace_back(
-            queue != nullptr ? queue->priority : record->terms.priority, &it);
     }
-    std::ranges::stable_sort(order, {}, &ranked::first);
-    std::vector<placed_run> placed;
+    std::ranges::stable_sort(order, {}, &ranked::priority);
+    auto pass = start_pass(now);
     std::set<refused_size> refused;
-    for (auto const& [priority, it] : order)
+    for (auto const& it : order)
     {
-        if (proposed_.contains(it->task))
-        {
-            continue;
-        }
-        auto const* const record = state_.workflows().find(it->task.workflow);
-        if (record->step(it->task).gang)
+        auto const& step = it.record->step(it.task->task);
+        if (step.gang)
         {
-            place_gang(*it, now, placed);
-        }
-        else if (auto const size = size_of(*record, record->step(it->task));
-                 !refused.contains(size))
-        {
-            auto const before = placed.size();
-            place_one(*it, now, placed);
-            if (placed.size() == before)
+            if (!proposed_.contains(it.task->task))
             {
-                refused.insert(size);
+                place_gang(*it.task, *it.record, pass);
             }
+            continue;
         }
-        if (placed.size() >= config::runs_per_command)
+        auto size = size_of(*it.record, step);
+        if (!refused.contains(size) && !place_one(*it.task, *it.record, pass))
         {
-            actions_.emplace_back(propose_starts{{std::exchange(placed, {})}});
+            refused.insert(std::move(size));
         }
     }
-    if (!placed.empty())
+    for (std::size_t n = 0; n < pass.placed.size();
+         n += config::runs_per_command)
     {
-        actions_.emplace_back(propose_starts{{std::move(placed)}});
+        auto const end =
+            std::min(n + config::runs_per_command, pass.placed.size());
+        actions_.emplace_back(propose_starts{
+            {{pass.placed.begin() + static_cast<std::ptrdiff_t>(n),
+              pass.placed.begin() + static_cast<std::ptrdiff_t>(end)}}});
     }
 }
 
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -24,6 +24,7 @@
     held_run it;
     it.phase = phase;
     it.room = room_of(step);
+    it.scavenged = step.each.cores - it.room.cores;
     it.image = step.image;
     it.latency_target = step.latency_target;
     it.permanent = step.permanent;
@@ -362,8 +363,7 @@
 auto run_scheduler::hold(entry_ref& at, wanted_run const& want) -> void
 {
     run_id const run{want.task, want.number};
-    at.second.add(run,
-                  describe(want.record->step(want.task), run_phase::proposed));
+    at.second.add(run, describe(*want.step, run_phase::proposed));
     where_[run] = at.first;
     proposed_.insert(want.task);
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -157,19 +157,37 @@
     struct wanted_run
     {
         workflow_record const* record;
+        step_spec const* step;
         workflow_task task;
         run_number number;
     };
-    auto choose(wanted_run const& want, time_point now) -> entry_ref*;
+    struct candidate
+    {
+        entry_ref* at;
+        bool strained;
+    };
+    /// What one pass of the plan knows of the workers that may get runs.
+    struct plan_pass
+    {
+        time_point now;
+        std::map<pool_name, std::vector<candidate>> pools;
+        std::vector<placed_run> placed;
+        /// Workers on which an image may scavenge, by worker and image.
+        std::map<std::pair<worker_id, image_name>, bool> tolerated;
+    };
+    auto start_pass(time_point now) -> plan_pass;
+    auto choose(wanted_run const& want, plan_pass& pass) -> entry_ref*;
     auto hold(entry_ref& at, wanted_run const& want) -> void;
-    auto place_one(ready_task const& it, time_point now,
-                   std::vector<placed_run>& out) -> void;
-    auto place_gang(ready_task const& it, time_point now,
-                    std::vector<placed_run>& out) -> void;
-    [[nodiscard]] auto may_take(entry_ref const& at, wanted_run const& want,
-                                time_point now) const -> bool;
-    [[nodiscard]] auto may_scavenge(entry_ref const& at, step_spec const& step,
-                                    time_point now) const -> bool;
+    auto place_one(ready_task const& it, workflow_record const& record,
+                   plan_pass& pass) -> bool;
+    auto place_gang(ready_task const& it, workflow_record const& record,
+                    plan_pass& pass) -> void;
+    auto may_take(candidate const& it, wanted_run const& want,
+                  plan_pass& pass) const -> bool;
+    auto may_scavenge(candidate const& it, step_spec const& step,
+                      plan_pass& pass) const -> bool;
+    [[nodiscard]] auto pool_of(workflow_record const& it) const
+        -> pool_name const&;
 
     state_machine const& state_;
     fence_token fence_;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -34,7 +34,8 @@
 struct held_run
 {
     run_phase phase{run_phase::proposed};
-    resources room; ///< what it counts against the capacity
+    resources room;       ///< what it counts against the capacity
+    millicores scavenged; ///< processors it would use beyond that
     image_name image;
     milliseconds latency_target{};
     bool permanent{false};
@@ -129,6 +130,8 @@
     worker_lease lease;
     std::map<run_id, held_run> runs;
     resources held; ///< room of all runs
+    millicores scavenged;
+    std::int64_t serving{0}; ///< runs with a latency target
     end_number recorded;
     time_point heard{};
     time_point paused_until{}; ///< it refused orders
@@ -141,6 +144,8 @@
     auto add(run_id const& run, held_run it) -> void
     {
         held += it.room;
+        scavenged += it.scavenged;
+        serving += it.latency_target > milliseconds{0} ? 1 : 0;
         runs.emplace(run, std::move(it));
     }
     auto remove(run_id const& run) -> void
@@ -149,6 +154,8 @@
         if (it != runs.end())
         {
             held -= it->second.room;
+            scavenged -= it->second.scavenged;
+            serving -= it->second.latency_target > milliseconds{0} ? 1 : 0;
             runs.erase(it);
         }
     }
