Keep one run of a task across restarts and lost answers

Also found: the lease of a silent worker was extended for ever by polls without an answer, and the last ends of an idle worker were never acknowledged. Change: runs on record are looked for in a new life's lists; no lease is extended after 2.5 s of silence; idle workers get one poll that acknowledges.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -247,6 +247,8 @@
 /// A worker that was not heard of for this long gets no new runs. Workers
 /// announce themselves about once a second.
 inline constexpr duration fleet_silence = 3500ms;
+/// The lease of a worker that was not heard of for this long is not extended.
+inline constexpr duration lease_silence = 2500ms;
 /// A worker without runs that stays silent is forgotten after this.
 inline constexpr duration fleet_forget = 60s;
 inline constexpr duration fleet_report_interval = 1s;
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -60,7 +60,8 @@
     wants_plan_ = true;
 }
 
-/// A worker was started again under its id. It runs nothing of before, but a
+/// A worker was started again under its id. It runs nothing of before, but it
+/// may run what it was sent before it announced itself; its lists show that. A
 /// start without an answer may still arrive there and has to be stopped.
 auto run_scheduler::replace_life(entry_ref& at, worker_announcement const& it,
                                  time_point now) -> void
@@ -70,6 +71,8 @@
     entry.info.reset();
     entry.gone = false;
     entry.recorded = {};
+    entry.acknowledged = {};
+    entry.recording = false;
     entry.polling = false;
     entry.lease = {};
     entry.info = it;
@@ -90,7 +93,9 @@
         }
         else
         {
-            propose_end(run, held, run_end::lost);
+            held.phase = run_phase::closed;
+            held.closed_as = run_end::lost;
+            held.settled = {};
         }
     }
 }
@@ -267,6 +272,7 @@
         entry.poll_at =
             to.wait > milliseconds{0} ? now + config::poll_gap : now;
         note_clock(at, it.lists.clock, now);
+        entry.acknowledged = std::max(entry.acknowledged, to.recorded);
         take_lists(at, to, it.lists, now);
         send_poll(at, now);
         break;
@@ -329,7 +335,10 @@
     auto const* const record = state_.workflows().find(row.run.task.workflow);
     auto const is_wanted = record != nullptr && record->is_open() &&
                            !record->find(row.run.task)->finished;
-    if (held.phase == run_phase::inherited || held.phase == run_phase::ordered)
+    auto const is_found =
+        held.phase == run_phase::closed && held.closed_as == run_end::lost;
+    if (held.phase == run_phase::inherited ||
+        held.phase == run_phase::ordered || is_found)
     {
         note_running(at, row.run, held, now);
     }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -127,13 +127,14 @@
     auto& it = at.second;
     auto const is_sent = [](auto const& each)
     { return each.second.phase != run_phase::proposed; };
+    auto const is_needed = std::ranges::any_of(it.runs, is_sent);
     if (fenced_ || it.polling || it.recording || it.gone || !it.info ||
         !it.lease.is_sampled() || now < it.poll_at ||
-        !std::ranges::any_of(it.runs, is_sent))
+        !(is_needed || it.acknowledged < it.recorded))
     {
         return;
     }
-    auto urgent = false;
+    auto urgent = !is_needed;
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : it.runs)
@@ -148,8 +149,14 @@
                                             : config::poll_wait;
     it.polling = true;
     it.poll_sent = now;
-    actions_.emplace_back(poll_order{target(at), it.recorded,
-                                     it.lease.grant(now, policy_.lease), wait});
+    poll_order order{target(at), it.recorded, {}, wait};
+    // A poll that arrives late would extend the lease of a worker that is
+    // taken for lost.
+    if (now - it.heard < config::lease_silence)
+    {
+        order.lease_end = it.lease.grant(now, policy_.lease);
+    }
+    actions_.emplace_back(std::move(order));
 }
 
 auto run_scheduler::repeat_orders(entry_ref& at, time_point now) -> void
@@ -160,7 +167,8 @@
         {
             continue;
         }
-        if (it.phase == run_phase::ordered)
+        if (it.phase == run_phase::ordered &&
+            now - at.second.heard < config::lease_silence)
         {
             send_start(at, run, it, now);
         }
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -132,7 +132,8 @@
     resources held; ///< room of all runs
     millicores scavenged;
     std::int64_t serving{0}; ///< runs with a latency target
-    end_number recorded;
+    end_number recorded;     ///< ends up to here are on record
+    end_number acknowledged; ///< the worker was told so and answered
     time_point heard{};
     time_point paused_until{}; ///< it refused orders
     time_point poll_sent{};
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -102,7 +102,7 @@
 {
     order_target to;
     end_number recorded; ///< ends up to here are on record for good
-    worker_clock lease_end;
+    std::optional<worker_clock> lease_end; ///< none: the lease stays as it is
     milliseconds wait{}; ///< the answer waits for an end up to this long
 };
 
--- /dev/null
+++ b/tests/fake_fleet.hpp
@@ -0,0 +1,275 @@
+/// A leader's scheduler, the state behind it and workers on one clock.
+#ifndef APRICOTLB_TESTS_FAKE_FLEET_HPP
+#define APRICOTLB_TESTS_FAKE_FLEET_HPP
+
+#include "core/fleet/run_scheduler.hpp"
+#include "core/random.hpp"
+#include "platform/run_codec.hpp"
+#include "platform_worker.hpp"
+
+#include <apricotlb/config.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Percentages of orders that go wrong.
+struct order_faults
+{
+    std::uint64_t unanswered{0}; ///< carried out, the answer is lost
+    std::uint64_t late{0};       ///< no answer, carried out 2 to 6 s later
+};
+
+/// Commits after 15 ms, delivers orders after 5 ms and checks in each step of
+/// 5 ms that no task runs twice.
+class fake_fleet
+{
+public:
+    explicit fake_fleet(std::uint64_t seed) : random_(seed)
+    {
+        contract_set set;
+        set.version = contract_set_version{1};
+        set.pools.push_back({pool_name{"pool"}, true, false});
+        queue_contract queue;
+        queue.name = queue_name{"q"};
+        queue.pool = pool_name{"pool"};
+        queue.timeout = milliseconds{3000};
+        queue.max_failures = 2;
+        set.queues.push_back(queue);
+        apply(apply_contract_set{set});
+        lead();
+    }
+
+    auto add_worker(std::string const& name, std::int64_t cpu) -> void
+    {
+        auto it = std::make_unique<platform_worker>(worker_id{name}, cpu, 1);
+        it->behaviour = [this](std::string const& task)
+        { return behaviour(task); };
+        workers[name] = std::move(it);
+    }
+
+    /// How runs of a task go: one second on one core.
+    std::function<platform_worker::run(std::string const&)> behaviour =
+        [](std::string const&)
+    {
+        return platform_worker::run{0, time_point{seconds{1}}, "done", 1000};
+    };
+
+    static auto step(std::int64_t tasks) -> step_spec
+    {
+        step_spec it;
+        it.tasks = task_count{tasks};
+        it.each.cores = millicores{1000};
+        return it;
+    }
+
+    auto submit(std::string const& id, std::vector<step_spec> steps) -> void
+    {
+        workflow_spec spec;
+        spec.id = workflow_id{id};
+        spec.steps = std::move(steps);
+        apply(submit_workflow{spec, state.contract_sets().held()->queues[0]});
+    }
+
+    auto apply(command const& it) -> void
+    {
+        state.apply(it, log_index{++index_});
+        if (leader)
+        {
+            leader->on_applied(it, now);
+        }
+    }
+
+    /// A new leader with a higher fence; proposals of the last one are lost.
+    auto lead() -> void
+    {
+        log_.clear();
+        ++epoch_;
+        leader = std::make_unique<run_scheduler>(state, fence_token{++fence_},
+                                                 now, fleet_policy{seconds{5}});
+    }
+
+    auto run(duration d) -> void
+    {
+        constexpr auto step_time = milliseconds{5};
+        for (auto const end = now + d; now < end;)
+        {
+            now += step_time;
+            while (!events_.empty() && events_.begin()->first <= now)
+            {
+                auto node = events_.extract(events_.begin());
+                node.mapped()();
+            }
+            while (!log_.empty() && log_.front().first <= now)
+            {
+                auto const f = std::move(log_.front().second);
+                log_.erase(log_.begin());
+                f();
+            }
+            heartbeat();
+            leader->tick(now);
+            leader->plan(now, wall_time{});
+            perform();
+            check();
+        }
+    }
+
+    [[nodiscard]] auto state_of(std::string const& id) const -> workflow_state
+    {
+        return state.workflows().state(workflow_id{id}).value();
+    }
+
+    time_point now{};
+    state_machine state;
+    std::unique_ptr<run_scheduler> leader;
+    std::map<std::string, std::unique_ptr<platform_worker>> workers;
+    std::set<std::string> cut; ///< workers that nothing reaches
+    std::set<std::string> draining;
+    order_faults faults;
+    std::vector<std::string> violations;
+    std::size_t starts{0};
+
+private:
+    auto happens(std::uint64_t percent) -> bool
+    {
+        return next_random(random_) % 100 < percent;
+    }
+
+    auto heartbeat() -> void
+    {
+        constexpr auto interval = milliseconds{1000};
+        if (now < next_beat_)
+        {
+            return;
+        }
+        next_beat_ = now + interval;
+        for (auto const& [name, it] : workers)
+        {
+            if (!cut.contains(name))
+            {
+                auto const text = it->heartbeat(
+                    now, draining.contains(name) ? "draining" : "ready");
+                leader->on_announcement(
+                    platform::decode_announcement(worker_id{name}, text)
+                        .value(),
+                    now);
+            }
+        }
+    }
+
+    auto perform() -> void
+    {
+        for (auto& it : leader->take_actions())
+        {
+            std::visit([this](auto& action) { carry_out(std::move(action)); },
+                       it);
+        }
+    }
+
+    auto carry_out(propose_starts it) -> void
+    {
+        log_.emplace_back(now + milliseconds{15},
+                          [this, it] { apply(start_runs{it.value}); });
+    }
+
+    auto carry_out(propose_ends const& it) -> void
+    {
+        log_.emplace_back(now + milliseconds{15},
+                          [this, it]
+                          {
+                              apply(end_runs{it.runs, {}});
+                              leader->on_recorded(it, now);
+                          });
+    }
+
+    template <class Order>
+    auto carry_out(Order it) -> void
+    {
+        constexpr auto is_start = std::is_same_v<Order, start_order>;
+        starts += is_start ? 1 : 0;
+        auto const name = it.to.life.id.value();
+        auto const deliver = [this, it, name]() -> http_answer
+        {
+            auto const at = workers.find(name);
+            return at == workers.end() || cut.contains(name)
+                       ? platform::json_answer(500, "")
+                       : at->second->serve(platform::run_codec::encode(it),
+                                           now);
+        };
+        auto const is_poll = std::is_same_v<Order, poll_order>;
+        auto const late = !is_poll && happens(faults.late);
+        auto const lost = late || cut.contains(name) ||
+                          (!is_poll && happens(faults.unanswered));
+        if (late)
+        {
+            auto const after = milliseconds{2000 + next_random(random_) % 4000};
+            events_.emplace(now + after, [deliver] { deliver(); });
+        }
+        // A poll waits; the fake answers at once and rests instead.
+        auto const delay = is_poll ? milliseconds{60} : milliseconds{5};
+        events_.emplace(
+            now + (lost ? duration{config::order_timeout} : duration{delay}),
+            [this, it, deliver, late, lost, epoch = epoch_]
+            {
+                auto const got =
+                    late ? platform::json_answer(500, "") : deliver();
+                if (epoch == epoch_)
+                {
+                    answer(it, lost ? platform::json_answer(500, "") : got);
+                }
+            });
+    }
+
+    template <class Order>
+    auto answer(Order const& to, http_answer const& it) -> void
+    {
+        if constexpr (std::is_same_v<Order, poll_order>)
+        {
+            leader->on_answer(to, platform::run_codec::decode_poll(it), now);
+        }
+        else
+        {
+            leader->on_answer(to, platform::run_codec::decode_order(it), now);
+        }
+    }
+
+    auto check() -> void
+    {
+        std::set<std::string> seen;
+        for (auto const& [name, it] : workers)
+        {
+            it->advance(now);
+            for (auto const& [task, run] : it->running())
+            {
+                auto const decoded = platform::decode_task(task).value();
+                auto const* const record =
+                    state.workflows().find(decoded.workflow);
+                auto const copies =
+                    record != nullptr && record->step(decoded).copies;
+                if (!seen.insert(task).second && !copies)
+                {
+                    violations.push_back(task + " runs twice");
+                }
+            }
+        }
+    }
+
+    std::uint64_t random_;
+    std::uint64_t index_{0};
+    std::uint64_t fence_{0};
+    std::uint64_t epoch_{0};
+    time_point next_beat_{};
+    std::multimap<time_point, std::function<void()>> events_;
+    std::vector<std::pair<time_point, std::function<void()>>> log_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/tests/platform_worker.hpp
@@ -0,0 +1,269 @@
+/// Stand-in for a worker that speaks the platform's protocol.
+#ifndef APRICOTLB_TESTS_PLATFORM_WORKER_HPP
+#define APRICOTLB_TESTS_PLATFORM_WORKER_HPP
+
+#include "adapters/curl_requests.hpp"
+#include "adapters/json_codec.hpp"
+#include "platform/answers.hpp"
+#include "platform/fields.hpp"
+#include "platform/wire.hpp"
+
+#include <apricotlb/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Runs tasks under one lease on its own clock, obeys fences, rejects what
+/// does not fit and lists ends until they are acknowledged.
+class platform_worker
+{
+public:
+    struct run
+    {
+        std::int64_t number{0};
+        time_point ends{};
+        std::string how{"done"};
+        std::int64_t cpu{0};
+    };
+    struct ended
+    {
+        std::int64_t number{0};
+        std::string task;
+        std::int64_t run{0};
+        std::string how;
+    };
+
+    platform_worker(worker_id id, std::int64_t cpu, std::int64_t born)
+        : id_(std::move(id)), cpu_(cpu), born_(born)
+    {
+    }
+
+    /// What tasks need and how their runs go; set by the test.
+    std::function<run(std::string const& task)> behaviour;
+
+    /// Lets time pass: runs end, and all end when the lease is over.
+    auto advance(time_point now) -> void
+    {
+        for (auto it = running_.begin(); it != running_.end();)
+        {
+            if (it->second.ends <= now)
+            {
+                end(it->first, it->second.number, it->second.how);
+                it = running_.erase(it);
+            }
+            else
+            {
+                ++it;
+            }
+        }
+        if (clock(now) > lease_)
+        {
+            for (auto const& [task, it] : running_)
+            {
+                end(task, it.number, "lapsed");
+            }
+            running_.clear();
+        }
+    }
+
+    /// Carries out one request.
+    auto serve(outgoing_request const& it, time_point now) -> http_answer
+    {
+        advance(now);
+        auto const tree = parse_json(it.body).value();
+        platform::fields in{tree};
+        for (auto const& [name, value] : it.headers)
+        {
+            if (name == "Target-Instance" && value != id_.value())
+            {
+                return platform::json_answer(421, "{}");
+            }
+        }
+        auto const fence = in.integer("fencing_token");
+        if (fence < fence_)
+        {
+            return reject(now, "fence");
+        }
+        fence_ = fence;
+        auto const& to = it.to.value();
+        if (to.ends_with("/run-start"))
+        {
+            return start(in, now);
+        }
+        if (to.ends_with("/run-stop"))
+        {
+            return stop(in, now);
+        }
+        if (to.ends_with("/hold"))
+        {
+            return hold(in, now);
+        }
+        return platform::json_answer(200, clock_body(now));
+    }
+
+    /// Forgets everything, as a crash does, and starts under the same id.
+    auto restart(std::int64_t born, time_point now) -> void
+    {
+        *this = platform_worker{id_, cpu_, born, std::move(behaviour)};
+        started_ = now;
+    }
+
+    [[nodiscard]] auto heartbeat(time_point now, std::string const& state) const
+        -> std::string
+    {
+        return print_json({json_value::object{
+            {"service", {std::string{"pool"}}},
+            {"address", {id_.value() + ":1"}},
+            {"zone", {std::string{"z1"}}},
+            {"state", {state}},
+            {"seq", {static_cast<std::int64_t>(clock(now) + 1)}},
+            {"born", {born_}},
+            {"clock_ms", {clock(now)}},
+            {"labels",
+             {json_value::array{{std::string{"a"}}, {std::string{"r1"}}}}},
+            {"capacity",
+             {json_value::object{{"cpu", {cpu_}},
+                                 {"mem_mb", {std::int64_t{64'000}}}}}}}});
+    }
+
+    [[nodiscard]] auto running() const -> std::map<std::string, run> const&
+    {
+        return running_;
+    }
+    [[nodiscard]] auto unacknowledged() const -> std::size_t
+    {
+        return ended_.size();
+    }
+    [[nodiscard]] auto most_used() const -> std::int64_t { return most_used_; }
+
+private:
+    platform_worker(worker_id id, std::int64_t cpu, std::int64_t born,
+                    std::function<run(std::string const&)> how)
+        : behaviour(std::move(how)), id_(std::move(id)), cpu_(cpu), born_(born)
+    {
+    }
+
+    [[nodiscard]] auto clock(time_point now) const -> std::int64_t
+    {
+        // 2 % slow, the worst that the platform allows.
+        return std::chrono::duration_cast<milliseconds>(now - started_)
+                   .count() *
+               98 / 100;
+    }
+    [[nodiscard]] auto clock_body(time_point now) const -> std::string
+    {
+        return print_json({json_value::object{{"clock_ms", {clock(now)}}}});
+    }
+    auto reject(time_point now, std::string reason) const -> http_answer
+    {
+        return platform::json_answer(
+            409, print_json({json_value::object{{"clock_ms", {clock(now)}},
+                                                {"reason", {reason}}}}));
+    }
+
+    auto start(platform::fields& in, time_point now) -> http_answer
+    {
+        auto const task = in.text("task");
+        auto const number = in.integer("run_id");
+        lease_ = std::max(lease_, in.integer("deadline_ms"));
+        if (in.integer("deadline_ms") <= clock(now))
+        {
+            return reject(now, "late");
+        }
+        if (auto const it = running_.find(task); it != running_.end())
+        {
+            return it->second.number == number
+                       ? platform::json_answer(200, clock_body(now))
+                       : reject(now, "old");
+        }
+        if (number <= closed_[task])
+        {
+            return reject(now, "old");
+        }
+        auto made = behaviour(task);
+        made.number = number;
+        made.ends += now.time_since_epoch();
+        auto used = made.cpu;
+        for (auto const& [name, it] : running_)
+        {
+            used += it.cpu;
+        }
+        if (used > cpu_)
+        {
+            return reject(now, "room");
+        }
+        most_used_ = std::max(most_used_, used);
+        running_[task] = made;
+        return platform::json_answer(200, clock_body(now));
+    }
+
+    auto stop(platform::fields& in, time_point now) -> http_answer
+    {
+        auto const task = in.text("task");
+        auto const number = in.integer("run_id");
+        closed_[task] = std::max(closed_[task], number);
+        auto const it = running_.find(task);
+        if (it != running_.end() && it->second.number <= number)
+        {
+            end(task, it->second.number, "stopped");
+            running_.erase(it);
+        }
+        return platform::json_answer(200, clock_body(now));
+    }
+
+    auto hold(platform::fields& in, time_point now) -> http_answer
+    {
+        lease_ = std::max(lease_, in.integer("deadline_ms"));
+        auto const seen = in.integer("ack_cursor");
+        std::erase_if(ended_,
+                      [seen](ended const& it) { return it.number <= seen; });
+        json_value::array rows;
+        for (auto const& [task, it] : running_)
+        {
+            rows.push_back({json_value::array{
+                {task}, {it.number}, {std::string{}}, {std::int64_t{100}}}});
+        }
+        json_value::array ends;
+        for (auto const& it : ended_)
+        {
+            ends.push_back({json_value::array{
+                {it.number}, {it.task}, {it.run}, {it.how}, {std::string{}}}});
+        }
+        return platform::json_answer(
+            200,
+            print_json({json_value::object{{"clock_ms", {clock(now)}},
+                                           {"born", {born_}},
+                                           {"running", {std::move(rows)}},
+                                           {"finished", {std::move(ends)}}}}));
+    }
+
+    auto end(std::string const& task, std::int64_t number, std::string how)
+        -> void
+    {
+        closed_[task] = std::max(closed_[task], number);
+        ended_.push_back({++last_end_, task, number, std::move(how)});
+    }
+
+    worker_id id_;
+    std::int64_t cpu_;
+    std::int64_t born_;
+    time_point started_{};
+    std::int64_t fence_{0};
+    std::int64_t lease_{0};
+    std::int64_t last_end_{0};
+    std::int64_t most_used_{0};
+    std::map<std::string, run> running_;
+    std::map<std::string, std::int64_t> closed_;
+    std::vector<ended> ended_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/tests/run_scheduler_test.cpp
@@ -0,0 +1,257 @@
+#include "fake_fleet.hpp"
+#include "property.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+// A task that starts before the steps it depends on would work on data that
+// is not there yet.
+TEST(run_scheduler, starts_a_step_when_the_steps_before_it_have_finished)
+{
+    fake_fleet it{1};
+    it.add_worker("w1", 8000);
+    auto second = fake_fleet::step(2);
+    second.after = {step_index{0}};
+    it.submit("a", {fake_fleet::step(3), second});
+    it.run(milliseconds{900});
+    EXPECT_EQ(it.workers["w1"]->running().size(), 3U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::running);
+    it.run(milliseconds{600});
+    EXPECT_EQ(it.workers["w1"]->running().count("a.0.1.0"), 1U);
+    it.run(seconds{2});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+    EXPECT_EQ(it.starts, 5U);
+    EXPECT_EQ(it.workers["w1"]->unacknowledged(), 0U);
+}
+
+// A worker must never be given more than it has, also while the ends of
+// earlier runs are not on record yet.
+TEST(run_scheduler, keeps_within_the_capacity_of_a_worker)
+{
+    fake_fleet it{2};
+    it.add_worker("w1", 4000);
+    it.submit("a", {fake_fleet::step(20)});
+    it.run(seconds{8});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+    EXPECT_EQ(it.workers["w1"]->most_used(), 4000);
+}
+
+// A task that fails for good ends its workflow after as many failed runs as
+// the contract allows, and not before.
+TEST(run_scheduler, fails_a_workflow_after_the_allowed_failures)
+{
+    fake_fleet it{3};
+    it.add_worker("w1", 4000);
+    it.behaviour = [](std::string const&)
+    {
+        return platform_worker::run{0, time_point{milliseconds{100}}, "failed",
+                                    1000};
+    };
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(seconds{3});
+    EXPECT_EQ(it.state_of("a"), workflow_state::failed);
+    EXPECT_EQ(it.starts, 2U);
+}
+
+// A lasting task has to come back however it ends.
+TEST(run_scheduler, restarts_a_permanent_task_until_it_is_cancelled)
+{
+    fake_fleet it{4};
+    it.add_worker("w1", 4000);
+    auto lasting = fake_fleet::step(1);
+    lasting.permanent = true;
+    it.submit("a", {lasting});
+    it.run(seconds{10});
+    EXPECT_EQ(it.state_of("a"), workflow_state::running);
+    EXPECT_GT(it.starts, 5U);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.run(milliseconds{300});
+    EXPECT_EQ(it.state_of("a"), workflow_state::cancelled);
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+}
+
+// A worker behind a cut runs on until its lease is over by its own clock;
+// starting its tasks elsewhere before would run them twice.
+TEST(run_scheduler, waits_for_the_lease_of_a_worker_that_is_cut_off)
+{
+    fake_fleet it{5};
+    it.add_worker("w1", 4000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{30}}, "done", 1000};
+    };
+    it.submit("a", {fake_fleet::step(2)});
+    it.run(seconds{1});
+    ASSERT_EQ(it.workers["w1"]->running().size(), 2U);
+    it.cut.insert("w1");
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_TRUE(it.workers["w2"]->running().empty());
+    it.run(seconds{5});
+    EXPECT_EQ(it.workers["w2"]->running().size(), 2U);
+    it.cut.clear();
+    it.run(seconds{3});
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+}
+
+// A new leader finds runs that the log names. Starting them again would run
+// them twice, losing them would throw their work away.
+TEST(run_scheduler, takes_over_runs_of_an_earlier_leader)
+{
+    fake_fleet it{6};
+    it.add_worker("w1", 8000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{6}}, "done", 1000};
+    };
+    it.submit("a", {fake_fleet::step(4)});
+    it.run(seconds{1});
+    auto const before = it.starts;
+    for (auto n = 0; n < 3; ++n)
+    {
+        it.lead();
+        it.run(seconds{1});
+    }
+    EXPECT_EQ(it.starts, before);
+    it.run(seconds{5});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+    EXPECT_TRUE(it.violations.empty());
+}
+
+// A start without an answer may arrive after the worker was restarted under
+// the same id. It must be stopped there before the task runs elsewhere.
+TEST(run_scheduler, closes_unanswered_starts_after_a_restart_of_the_worker)
+{
+    fake_fleet it{7};
+    it.add_worker("w1", 4000);
+    it.faults.late = 100;
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{1200});
+    it.faults.late = 0;
+    it.workers["w1"]->restart(2, it.now);
+    it.add_worker("w2", 4000);
+    it.run(seconds{12});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+}
+
+// A start that reaches the next life of a worker before its announcement is
+// answered like any other. Taking the run for lost would run it twice.
+TEST(run_scheduler, finds_runs_that_a_new_life_was_sent)
+{
+    fake_fleet it{11};
+    it.add_worker("w1", 4000);
+    it.add_worker("w2", 4000);
+    it.run(milliseconds{1100});
+    it.workers["w1"]->restart(2, it.now);
+    it.workers["w2"]->restart(2, it.now);
+    it.submit("a", {fake_fleet::step(4)});
+    it.run(seconds{8});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+    EXPECT_EQ(it.starts, 4U);
+}
+
+// Promised to the worker: nothing is started on it once it drains.
+TEST(run_scheduler, starts_nothing_on_a_draining_worker)
+{
+    fake_fleet it{8};
+    it.add_worker("w1", 4000);
+    it.draining.insert("w1");
+    it.run(seconds{2});
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 0U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::queued);
+}
+
+// The members of a gang work only together, so that a part of them would
+// hold room for nothing.
+TEST(run_scheduler, places_all_members_of_a_gang_or_none)
+{
+    fake_fleet it{9};
+    it.add_worker("w1", 3000);
+    auto gang = fake_fleet::step(4);
+    gang.gang = true;
+    it.submit("a", {gang});
+    it.run(seconds{3});
+    EXPECT_EQ(it.starts, 0U);
+    it.add_worker("w2", 3000);
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 4U);
+}
+
+// Two tasks of a step on one worker would be lost together.
+TEST(run_scheduler, keeps_the_limit_of_tasks_of_a_step_per_worker)
+{
+    fake_fleet it{10};
+    it.add_worker("w1", 8000);
+    it.add_worker("w2", 8000);
+    auto apart = fake_fleet::step(6);
+    apart.most_per_worker = task_count{1};
+    it.submit("a", {apart});
+    it.run(milliseconds{800});
+    EXPECT_EQ(it.workers["w1"]->running().size(), 1U);
+    EXPECT_EQ(it.workers["w2"]->running().size(), 1U);
+}
+
+// Orders that are lost or carried out late, workers that are cut off or
+// restarted and new leaders, all at random: no task may run twice, and all
+// work ends once the faults are over.
+TEST(run_scheduler, keeps_one_run_of_a_task_under_random_faults)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        fake_fleet it{seed};
+        it.faults = {10, 10};
+        for (auto n = 0; n < 4; ++n)
+        {
+            it.add_worker("w" + std::to_string(n), 4000);
+        }
+        auto second = fake_fleet::step(3);
+        second.after = {step_index{0}};
+        std::uint64_t random{seed};
+        std::int64_t born{1};
+        for (auto n = 0; n < 12; ++n)
+        {
+            it.submit("job" + std::to_string(n), {fake_fleet::step(4), second});
+            auto const name = "w" + std::to_string(next_random(random) % 4);
+            switch (next_random(random) % 5)
+            {
+            case 0:
+                it.cut.insert(name);
+                break;
+            case 1:
+                it.cut.clear();
+                break;
+            case 2:
+                it.lead();
+                break;
+            case 3:
+                it.workers[name]->restart(++born, it.now);
+                break;
+            default:
+                break;
+            }
+            it.run(milliseconds{700});
+        }
+        it.faults = {};
+        it.cut.clear();
+        it.run(seconds{30});
+        EXPECT_TRUE(it.violations.empty())
+            << "seed " << seed << ": " << it.violations.front();
+        for (auto n = 0; n < 12; ++n)
+        {
+            EXPECT_EQ(it.state_of("job" + std::to_string(n)),
+                      workflow_state::completed)
+                << "seed " << seed << " job " << n;
+        }
+    }
+}
+
+} // namespace
+} // namespace apricotlb
