--- a/src/adapters/curl_requests.cpp
+++ b/src/adapters/curl_requests.cpp
@@ -230,7 +230,9 @@
     add("Expect:");
     for (auto const& [name, value] : it.headers)
     {
-        add(name + ": " + value);
+        auto line = name;
+        line.append(": ").append(value);
+        add(line);
     }
     curl_easy_setopt(handle, CURLOPT_URL, it.to.value().c_str());
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -146,10 +146,10 @@
     {
         return [this, epoch = epoch_, f = std::move(f)](auto answer)
         {
-            if (epoch == epoch_)
+            if (epoch == this->epoch_)
             {
                 f(std::move(answer));
-                perform();
+                this->perform();
             }
         };
     }
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -216,7 +216,7 @@
         auto const delay = is_poll ? milliseconds{60} : milliseconds{5};
         events_.emplace(
             now + (lost ? duration{config::order_timeout} : duration{delay}),
-            [this, it, deliver, late, lost, epoch = epoch_]
+            [this, it, deliver, lost, late = bool{late}, epoch = epoch_]
             {
                 auto const got =
                     late ? platform::json_answer(500, "") : deliver();
--- /dev/null
+++ b/tests/platform_wire_test.cpp
@@ -0,0 +1,160 @@
+#include "platform/answers.hpp"
+#include "platform/run_codec.hpp"
+#include "platform/wire.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb::platform
+{
+namespace
+{
+
+auto const config_text = std::string{
+    R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+    R"("path_prefix":"/q/","kind":"non_idempotent","timeout_ms":3000,)"
+    R"("target_duration_ms":300,"priority":2,"service":"s",)"
+    R"("max_attempts":4,"stretch":1.5}],"services":[{"name":"s",)"
+    R"("rejects_overload":true,"standby":false,"max_conns":64}],"x":1})"};
+
+// A misread term would place, retry or judge every job of a queue wrongly.
+TEST(platform_wire, reads_a_configuration)
+{
+    auto const it = decode_contract_set(config_text);
+    ASSERT_TRUE(it) << it.error().detail;
+    auto const& queue = it.value().queues.at(0);
+    EXPECT_EQ(it.value().version, contract_set_version{7});
+    EXPECT_EQ(queue.prefix, queue_path{"/q/"});
+    EXPECT_EQ(queue.pool, pool_name{"s"});
+    EXPECT_EQ(queue.max_failures, 4U);
+    EXPECT_EQ(queue.stretch, permille{1500});
+    EXPECT_EQ(queue.target, milliseconds{300});
+    EXPECT_TRUE(it.value().pools.at(0).guarded);
+    EXPECT_EQ(it.value().document, config_text);
+}
+
+// Every cut and every wrong type is refused, and none ends the process.
+TEST(platform_wire, refuses_configurations_that_cannot_be_read)
+{
+    for (std::size_t n = 0; n < config_text.size(); ++n)
+    {
+        EXPECT_FALSE(decode_contract_set(config_text.substr(0, n)));
+    }
+    for (auto const* it :
+         {R"([])", R"({"version":"7","routes":[],"services":[]})",
+          R"({"version":7,"routes":{},"services":[]})",
+          R"({"version":7,"routes":[1],"services":[]})",
+          R"({"routes":[],"services":[]})",
+          R"({"version":-1,"routes":[],"services":[]})"})
+    {
+        EXPECT_FALSE(decode_contract_set(it)) << it;
+    }
+}
+
+// Fields that are left out mean 0, false or empty.
+TEST(platform_wire, reads_a_job)
+{
+    auto const it = decode_workflow(
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,)"
+        R"("data_rack":"r1"},{"count":2,"depends_on":[0],"gang":true,)"
+        R"("checkpointing":true,"anti_affinity":1}]})");
+    ASSERT_TRUE(it) << it.error().detail;
+    auto const& steps = it.value().steps;
+    EXPECT_EQ(steps.at(0).each.cores, millicores{500});
+    EXPECT_EQ(steps.at(0).each.memory, byte_count{256 << 20});
+    EXPECT_EQ(steps.at(0).data_rack, rack_id{"r1"});
+    EXPECT_FALSE(steps.at(0).gang);
+    EXPECT_EQ(steps.at(1).after.at(0), step_index{0});
+    EXPECT_TRUE(steps.at(1).gang);
+    EXPECT_TRUE(steps.at(1).checkpoints);
+    EXPECT_EQ(steps.at(1).most_per_worker, task_count{1});
+}
+
+// A heartbeat of another writer must name no worker to use.
+TEST(platform_wire, refuses_heartbeats_of_another_writer)
+{
+    auto const read = [](std::string const& text)
+    { return decode_announcement(worker_id{"i"}, text); };
+    auto const text = std::string{
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+        R"("state":"draining","seq":4,"born":99,"clock_ms":5,)"
+        R"("labels":["a","r1"],"capacity":{"cpu":16000,"mem_mb":1}})"};
+    auto const it = read(text);
+    ASSERT_TRUE(it) << it.error().detail;
+    EXPECT_EQ(it.value().phase, worker_phase::draining);
+    EXPECT_EQ(it.value().life.born, worker_birth{99});
+    EXPECT_EQ(it.value().rack, rack_id{"r1"});
+    EXPECT_EQ(it.value().capacity.cores, millicores{16000});
+    for (auto const* bad :
+         {"", "{}", "\xff\xfe",
+          R"({"service":1,"address":"a","state":"ready",)"
+          R"("seq":1,"capacity":{}})",
+          R"({"service":"s","address":"a","state":"gone","seq":1,)"
+          R"("capacity":{}})",
+          R"({"service":"s","address":"a","state":"ready","seq":1.5,)"
+          R"("capacity":{}})"})
+    {
+        EXPECT_FALSE(read(bad)) << bad;
+    }
+}
+
+// The name of a task has to come back as it was sent; a task that is not
+// recognised would be stopped as a stray.
+TEST(platform_wire, names_tasks_both_ways)
+{
+    workflow_task const task{workflow_id{"5c0e.7a"}, occurrence_index{1},
+                             step_index{2}, task_index{17}};
+    EXPECT_EQ(encode_task(task), "5c0e.7a.1.2.17");
+    EXPECT_EQ(decode_task("5c0e.7a.1.2.17").value(), task);
+    for (auto const* bad : {"", "a.1.2", "a.1.2.x", ".1.2.3", "a.1.2.-3"})
+    {
+        EXPECT_FALSE(decode_task(bad)) << bad;
+    }
+}
+
+// Lists that can be read in part only prove nothing: a run that seems absent
+// would be started again.
+TEST(platform_wire, takes_lists_whole_or_not_at_all)
+{
+    auto const whole = std::string{
+        R"({"clock_ms":7,"born":3,"running":[["a.0.0.1",2,"cp",41,9]],)"
+        R"("finished":[[58,"a.0.0.2",1,"done",""]]})"};
+    auto const it = run_codec::decode_poll(json_answer(200, whole));
+    ASSERT_EQ(it.outcome, order_outcome::done);
+    EXPECT_EQ(it.lists.running.at(0).load, 9);
+    EXPECT_EQ(it.lists.ended.at(0).number, end_number{58});
+    EXPECT_EQ(it.lists.ended.at(0).run.how, run_end::finished);
+    for (auto const* bad :
+         {R"({"clock_ms":7,"running":[["a.0.0.1"]],"finished":[]})",
+          R"({"clock_ms":7,"running":[]})",
+          R"({"clock_ms":7,"running":[],"finished":[[1,"a.0.0.1",1,"?",""]]})",
+          "{"})
+    {
+        EXPECT_EQ(run_codec::decode_poll(json_answer(200, bad)).outcome,
+                  order_outcome::no_answer)
+            << bad;
+    }
+}
+
+// An outcome that is unknown must not be told as a refusal: the work may run.
+TEST(platform_wire, tells_unknown_outcomes_from_refusals)
+{
+    auto const status = [](error_kind kind) {
+        return static_cast<int>(refusal_answer({kind, ""}).status);
+    };
+    EXPECT_EQ(status(error_kind::no_leader), 504);
+    EXPECT_EQ(status(error_kind::not_leader), 503);
+    EXPECT_EQ(status(error_kind::no_contracts), 503);
+    EXPECT_EQ(status(error_kind::unknown_queue), 404);
+    EXPECT_EQ(status(error_kind::unknown_workflow), 410);
+    auto const outcome = [](int code, std::string const& body)
+    { return run_codec::decode_order(json_answer(code, body)).outcome; };
+    EXPECT_EQ(outcome(409, R"({"reason":"fence"})"), order_outcome::fenced);
+    EXPECT_EQ(outcome(409, R"({"reason":"room"})"), order_outcome::no_room);
+    EXPECT_EQ(outcome(421, ""), order_outcome::other_life);
+    EXPECT_EQ(outcome(500, ""), order_outcome::no_answer);
+}
+
+} // namespace
+} // namespace apricotlb::platform
--- a/tests/replica_group.hpp
+++ b/tests/replica_group.hpp
@@ -134,8 +134,10 @@
         std::optional<error> failure{};
     };
 
-    replica_group(std::size_t voters, std::uint64_t seed)
-        : links{clock, std::mt19937_64{seed}, {}, {}, milliseconds{5}, {}, {}}
+    replica_group(std::size_t voters, std::uint64_t seed,
+                  std::size_t least_copies = 1)
+        : copies{least_copies},
+          links{clock, std::mt19937_64{seed}, {}, {}, milliseconds{5}, {}, {}}
     {
         raft_members members;
         for (std::size_t n = 0; n < voters; ++n)
@@ -169,6 +171,7 @@
                 .self(it.id)
                 .bootstrap(it.bootstrap)
                 .seed(random_bits{links.random()})
+                .copies(copies)
                 .snapshot_after(snapshot_entries, byte_count{1 << 20})
                 .build();
         it.it = std::make_unique<replica_type>(clock, *it.transport, *it.store,
@@ -302,6 +305,7 @@
         }
     }
 
+    std::size_t copies; ///< of an entry before it counts
     paused_clock clock;
     test_links links;
     std::vector<std::unique_ptr<node>> nodes;
--- /dev/null
+++ b/tests/workflow_table_test.cpp
@@ -0,0 +1,254 @@
+#include "core/state/state_machine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+auto terms() -> queue_contract
+{
+    queue_contract it;
+    it.name = queue_name{"q"};
+    it.pool = pool_name{"p"};
+    it.timeout = milliseconds{1000};
+    it.max_failures = 2;
+    return it;
+}
+
+auto step(std::int64_t tasks) -> step_spec
+{
+    step_spec it;
+    it.tasks = task_count{tasks};
+    return it;
+}
+
+/// A state with one workflow, and shortcuts for its commands.
+struct one_workflow
+{
+    explicit one_workflow(std::vector<step_spec> steps)
+    {
+        workflow_spec spec;
+        spec.id = workflow_id{"a"};
+        spec.steps = std::move(steps);
+        apply(submit_workflow{spec, terms()});
+    }
+
+    auto apply(command const& it) -> void
+    {
+        state.apply(it, log_index{++index});
+    }
+    static auto run(std::uint32_t of_step, std::uint32_t task,
+                    std::uint32_t number) -> run_id
+    {
+        return {{workflow_id{"a"}, {}, step_index{of_step}, task_index{task}},
+                run_number{number}};
+    }
+    auto start(run_id const& it) -> void
+    {
+        apply(start_runs{{{it, {worker_id{"w"}, worker_birth{1}}}}});
+    }
+    auto end(run_id const& it, run_end how) -> void
+    {
+        apply(end_runs{{{it, how, {}}}, {}});
+    }
+    [[nodiscard]] auto ready() const -> std::size_t
+    {
+        return state.workflows().ready().size();
+    }
+    [[nodiscard]] auto shown() const -> workflow_state
+    {
+        return state.workflows().state(workflow_id{"a"}).value();
+    }
+
+    state_machine state;
+    std::uint64_t index{0};
+};
+
+// A step that is offered too early would run before its input exists.
+TEST(workflow_table, offers_a_step_after_the_steps_it_depends_on)
+{
+    auto second = step(3);
+    second.after = {step_index{0}};
+    one_workflow it{{step(2), second}};
+    EXPECT_EQ(it.ready(), 2U);
+    it.start(one_workflow::run(0, 0, 1));
+    it.end(one_workflow::run(0, 0, 1), run_end::finished);
+    EXPECT_EQ(it.ready(), 1U);
+    it.start(one_workflow::run(0, 1, 1));
+    it.end(one_workflow::run(0, 1, 1), run_end::finished);
+    EXPECT_EQ(it.ready(), 3U);
+}
+
+// A resend of a submission must stay one workflow, whatever it has done since.
+TEST(workflow_table, takes_a_second_submission_for_the_first)
+{
+    one_workflow it{{step(1)}};
+    it.start(one_workflow::run(0, 0, 1));
+    workflow_spec again;
+    again.id = workflow_id{"a"};
+    again.steps = {step(5)};
+    it.apply(submit_workflow{again, terms()});
+    EXPECT_EQ(it.ready(), 0U);
+    it.end(one_workflow::run(0, 0, 1), run_end::finished);
+    EXPECT_EQ(it.shown(), workflow_state::completed);
+    it.apply(submit_workflow{again, terms()});
+    EXPECT_EQ(it.shown(), workflow_state::completed);
+    EXPECT_EQ(it.ready(), 0U);
+}
+
+// A number that was used before, or a second run of a task, would let one
+// task run twice.
+TEST(workflow_table, refuses_a_second_run_and_an_old_number)
+{
+    one_workflow it{{step(1)}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.start(one_workflow::run(0, 0, 2));
+    EXPECT_FALSE(it.state.workflows().is_active(one_workflow::run(0, 0, 2)));
+    it.end(one_workflow::run(0, 0, 1), run_end::lost);
+    it.start(one_workflow::run(0, 0, 1));
+    EXPECT_FALSE(it.state.workflows().is_active(one_workflow::run(0, 0, 1)));
+    it.start(one_workflow::run(0, 0, 2));
+    EXPECT_TRUE(it.state.workflows().is_active(one_workflow::run(0, 0, 2)));
+}
+
+// Only failures count towards the limit: a task that lost its worker many
+// times has not failed.
+TEST(workflow_table, counts_failed_runs_only)
+{
+    one_workflow it{{step(1)}};
+    std::uint32_t n{0};
+    for (auto const how : {run_end::lost, run_end::stopped, run_end::lapsed,
+                           run_end::not_started, run_end::failed})
+    {
+        it.start(one_workflow::run(0, 0, ++n));
+        it.end(one_workflow::run(0, 0, n), how);
+        EXPECT_EQ(it.shown(), workflow_state::running);
+    }
+    it.start(one_workflow::run(0, 0, ++n));
+    it.end(one_workflow::run(0, 0, n), run_end::failed);
+    EXPECT_EQ(it.shown(), workflow_state::failed);
+}
+
+// A cancelled workflow starts nothing more and is kept until its runs have
+// ended, so that they are stopped.
+TEST(workflow_table, keeps_a_cancelled_workflow_until_its_runs_end)
+{
+    one_workflow it{{step(2)}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    EXPECT_EQ(it.ready(), 0U);
+    EXPECT_NE(it.state.workflows().find(workflow_id{"a"}), nullptr);
+    it.start(one_workflow::run(0, 1, 1));
+    EXPECT_FALSE(it.state.workflows().is_active(one_workflow::run(0, 1, 1)));
+    it.end(one_workflow::run(0, 0, 1), run_end::stopped);
+    EXPECT_EQ(it.state.workflows().find(workflow_id{"a"}), nullptr);
+    EXPECT_EQ(it.shown(), workflow_state::cancelled);
+}
+
+// One end of a gang stands for all members.
+TEST(workflow_table, ends_a_gang_with_one_of_its_members)
+{
+    auto gang = step(3);
+    gang.gang = true;
+    one_workflow it{{gang}};
+    for (std::uint32_t n = 0; n < 3; ++n)
+    {
+        it.start(one_workflow::run(0, n, 1));
+    }
+    it.end(one_workflow::run(0, 1, 1), run_end::finished);
+    it.end(one_workflow::run(0, 0, 1), run_end::broken);
+    it.end(one_workflow::run(0, 2, 1), run_end::broken);
+    EXPECT_EQ(it.shown(), workflow_state::completed);
+}
+
+// A restart from a snapshot must offer the same work as before.
+TEST(workflow_table, is_the_same_after_a_snapshot)
+{
+    auto second = step(2);
+    second.after = {step_index{0}};
+    one_workflow it{{step(2), second}};
+    it.start(one_workflow::run(0, 0, 1));
+    state_machine const copy{it.state.snapshot()};
+    EXPECT_EQ(copy.workflows().ready(), it.state.workflows().ready());
+    EXPECT_TRUE(copy.workflows().is_active(one_workflow::run(0, 0, 1)));
+    EXPECT_EQ(copy.workflows().waiting(queue_name{"q"}), 0U);
+}
+
+// The number of waiting workflows is what callers see of a queue.
+TEST(workflow_table, counts_workflows_of_which_nothing_has_started)
+{
+    one_workflow it{{step(1)}};
+    auto const waiting = [&it]
+    { return it.state.workflows().waiting(queue_name{"q"}); };
+    EXPECT_EQ(waiting(), 1U);
+    it.start(one_workflow::run(0, 0, 1));
+    EXPECT_EQ(waiting(), 0U);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    EXPECT_EQ(waiting(), 0U);
+}
+
+auto set_of(std::uint64_t version, std::string const& prefix) -> contract_set
+{
+    contract_set it;
+    it.version = contract_set_version{version};
+    it.pools.push_back({pool_name{"p"}, true, false});
+    auto queue = terms();
+    queue.host = host_name{"h"};
+    queue.prefix = queue_path{prefix};
+    it.queues.push_back(queue);
+    return it;
+}
+
+// An older set that arrives late must not bring back dropped queues.
+TEST(contract_sets, keep_the_highest_version)
+{
+    contract_set_registry it;
+    it.apply(apply_contract_set{set_of(7, "/new/")}, {});
+    it.apply(apply_contract_set{set_of(5, "/old/")}, {});
+    it.apply(apply_contract_set{set_of(7, "/other/")}, {});
+    EXPECT_EQ(it.held()->version, contract_set_version{7});
+    EXPECT_TRUE(it.match(host_name{"h"}, "/new/x"));
+    EXPECT_FALSE(it.match(host_name{"h"}, "/old/x"));
+    EXPECT_FALSE(it.match(host_name{"h"}, "/other/x"));
+}
+
+// A shorter prefix must not take the requests of a longer one.
+TEST(contract_sets, match_the_longest_prefix)
+{
+    auto set = set_of(1, "/a/");
+    auto longer = set.queues[0];
+    longer.name = queue_name{"longer"};
+    longer.prefix = queue_path{"/a/b/"};
+    set.queues.push_back(longer);
+    contract_set_registry it;
+    it.apply(apply_contract_set{set}, {});
+    auto const found = it.match(host_name{"h"}, "/a/b/c");
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->queue->name, queue_name{"longer"});
+    EXPECT_EQ(found->rest, "c");
+    EXPECT_FALSE(it.match(host_name{"other"}, "/a/b/c"));
+}
+
+// A set with a mistake must never come into force.
+TEST(contract_sets, are_refused_with_a_reason)
+{
+    auto const kind_of = [](contract_set const& it)
+    { return check(it).has_error() ? check(it).error().detail : ""; };
+    EXPECT_EQ(kind_of(set_of(1, "/a/")), "");
+    auto unknown = set_of(1, "/a/");
+    unknown.queues[0].pool = pool_name{"none"};
+    EXPECT_NE(kind_of(unknown).find("unknown pool"), std::string::npos);
+    auto twice = set_of(1, "/a/");
+    twice.queues.push_back(twice.queues[0]);
+    EXPECT_NE(kind_of(twice).find("two queues"), std::string::npos);
+    auto timeless = set_of(1, "/a/");
+    timeless.queues[0].timeout = milliseconds{0};
+    EXPECT_NE(kind_of(timeless).find("timeout"), std::string::npos);
+}
+
+} // namespace
+} // namespace apricotlb
