--- a/include/apricotlb/workflow.hpp
+++ b/include/apricotlb/workflow.hpp
@@ -216,17 +216,17 @@
 };
 
 /// One run of a task.
-struct run_id
+struct task_run
 {
     workflow_task task;
     run_number number;
 
-    auto operator<=>(run_id const&) const = default;
+    auto operator<=>(task_run const&) const = default;
 
     static constexpr auto fields()
     {
-        return field_list(field("task", &run_id::task),
-                          field("number", &run_id::number));
+        return field_list(field("task", &task_run::task),
+                          field("number", &task_run::number));
     }
 };
 
--- a/src/core/fleet/disturbance.cpp
+++ b/src/core/fleet/disturbance.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-auto disturbance::started(worker_id const& at, run_id const& run,
+auto disturbance::started(worker_id const& at, task_run const& run,
                           image_name const& image, time_point now) -> void
 {
     auto const [it, added] = runs_.try_emplace(
@@ -30,7 +30,7 @@
     }
 }
 
-auto disturbance::paced(worker_id const& at, run_id const& run, permille to,
+auto disturbance::paced(worker_id const& at, task_run const& run, permille to,
                         time_point now) -> void
 {
     auto const it = runs_.find({at, run});
@@ -40,8 +40,8 @@
     }
 }
 
-auto disturbance::ended(worker_id const& at, run_id const& run, time_point now)
-    -> void
+auto disturbance::ended(worker_id const& at, task_run const& run,
+                        time_point now) -> void
 {
     auto const it = runs_.find({at, run});
     if (it != runs_.end())
@@ -71,20 +71,21 @@
     return model_.estimate(*kind, *service, now);
 }
 
-auto disturbance::expected(worker_id const& at, image_name const& serving,
-                           milliseconds target, image_name const& added,
+auto disturbance::expected(image_name const& serving, milliseconds target,
+                           std::vector<image_name> const& beside,
                            time_point now) const -> permille
 {
     auto const service = serving_.find(serving);
-    auto const place = workers_.find(at);
-    if (!service || !place || target <= milliseconds{0})
+    if (!service || target <= milliseconds{0})
     {
         return {};
     }
-    auto const slower = model_.expected(*place, *service, now, true) +
-                        slowdown(added, serving, now).slowdown;
-    auto const tail = model_.undisturbed(*service).count() *
-                      (1000 + std::int64_t{slower.value()});
+    std::int64_t slower{1000};
+    for (auto const& image : beside)
+    {
+        slower += slowdown(image, serving, now).slowdown.value();
+    }
+    auto const tail = model_.undisturbed(*service).count() * slower;
     return permille{static_cast<std::int32_t>(tail / target.count())};
 }
 
@@ -94,7 +95,7 @@
 {
     auto const it = slowdown(scavenging, serving, now);
     auto const service = serving_.find(serving);
-    return it.trusted && service &&
+    return it.slowdown > config::noticed_slowdown && service &&
            model_.undisturbed(*service).count() *
                    (1000 + std::int64_t{it.slowdown.value()}) >
                target.count() * 1000;
--- a/src/core/fleet/disturbance.hpp
+++ b/src/core/fleet/disturbance.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace apricotlb
 {
@@ -21,25 +22,26 @@
 class disturbance
 {
 public:
-    auto started(worker_id const& at, run_id const& run,
+    auto started(worker_id const& at, task_run const& run,
                  image_name const& image, time_point now) -> void;
-    auto paced(worker_id const& at, run_id const& run, permille to,
+    auto paced(worker_id const& at, task_run const& run, permille to,
                time_point now) -> void;
-    auto ended(worker_id const& at, run_id const& run, time_point now) -> void;
+    auto ended(worker_id const& at, task_run const& run, time_point now)
+        -> void;
 
     /// A worker's figure for the latency tail of one of its serving tasks.
     auto learn(worker_id const& at, image_name const& serving,
                milliseconds tail, time_point now) -> void;
 
-    /// Expected tail of a serving image, as a share of its target, when all
-    /// that scavenges on the worker and one task more of an image work at
-    /// full pace.
-    [[nodiscard]] auto expected(worker_id const& at, image_name const& serving,
-                                milliseconds target, image_name const& added,
+    /// Expected tail of a serving image, as a share of its target, beside one
+    /// task of each image that is listed.
+    [[nodiscard]] auto expected(image_name const& serving, milliseconds target,
+                                std::vector<image_name> const& beside,
                                 time_point now) const -> permille;
 
-    /// True when one task of an image alone is known to take a serving image
-    /// over its target.
+    /// True when one task of an image alone is thought to take a serving image
+    /// over its target. Large slowdowns count before they are trusted: their
+    /// figures scatter most, so trust comes late.
     [[nodiscard]] auto is_harmful(image_name const& scavenging,
                                   image_name const& serving,
                                   milliseconds target, time_point now) const
@@ -51,7 +53,7 @@
                                    time_point now) const -> bool;
 
 private:
-    using run_place = std::pair<worker_id, run_id>;
+    using run_place = std::pair<worker_id, task_run>;
 
     auto worker(worker_id const& it) -> worker_ref { return workers_.ref(it); }
     [[nodiscard]] auto slowdown(image_name const& scavenging,
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -120,15 +120,22 @@
         pass.tolerated.try_emplace({it.at->first, step.image}, true);
     if (added)
     {
+        std::vector<image_name> beside{step.image};
+        for (auto const& [run, held] : entry.runs)
+        {
+            if (held.scavenges)
+            {
+                beside.push_back(held.image);
+            }
+        }
         known->second = std::ranges::all_of(
             entry.runs,
             [&](auto const& each)
             {
-                auto const& beside = each.second;
-                return beside.latency_target <= milliseconds{0} ||
-                       disturbance_.expected(it.at->first, beside.image,
-                                             beside.latency_target, step.image,
-                                             pass.now) <=
+                auto const& held = each.second;
+                return held.latency_target <= milliseconds{0} ||
+                       disturbance_.expected(held.image, held.latency_target,
+                                             beside, pass.now) <=
                            config::disturbance_headroom;
             });
     }
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -171,7 +171,7 @@
     }
 }
 
-auto run_scheduler::take_rejection(entry_ref& at, run_id const& run,
+auto run_scheduler::take_rejection(entry_ref& at, task_run const& run,
                                    held_run& it, duration pause, time_point now)
     -> void
 {
@@ -291,7 +291,7 @@
                                worker_lists const& it, time_point now) -> void
 {
     auto const sent = at.second.poll_sent;
-    std::set<run_id> listed;
+    std::set<task_run> listed;
     for (auto const& row : it.running)
     {
         listed.insert(row.run);
@@ -351,7 +351,7 @@
 }
 
 /// Runs that a list sent after they were settled does not show.
-auto run_scheduler::take_absent(entry_ref& at, std::set<run_id> const& listed,
+auto run_scheduler::take_absent(entry_ref& at, std::set<task_run> const& listed,
                                 time_point sent, time_point now) -> void
 {
     for (auto& [run, it] : at.second.runs)
@@ -399,8 +399,8 @@
     }
 }
 
-auto run_scheduler::note_running(entry_ref& at, run_id const& run, held_run& it,
-                                 time_point now) -> void
+auto run_scheduler::note_running(entry_ref& at, task_run const& run,
+                                 held_run& it, time_point now) -> void
 {
     it.phase = run_phase::running;
     it.settled = now;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -63,7 +63,7 @@
                         at.born = std::max(at.born, run.where.born);
                         at.heard = now;
                         at.lease.assume_until(latest);
-                        run_id const name{task, run.number};
+                        task_run const name{task, run.number};
                         at.add(name, describe(record.spec.steps[n],
                                               run_phase::inherited));
                         where_[name] = run.where.id;
@@ -74,7 +74,8 @@
     }
 }
 
-auto run_scheduler::find(run_id const& run) -> std::pair<entry_ref*, held_run*>
+auto run_scheduler::find(task_run const& run)
+    -> std::pair<entry_ref*, held_run*>
 {
     auto const at = where_.find(run);
     if (at == where_.end())
@@ -91,7 +92,7 @@
     return {{at.first, at.second.born}, at.second.info->address, fence_};
 }
 
-auto run_scheduler::send_start(entry_ref& at, run_id const& run, held_run& it,
+auto run_scheduler::send_start(entry_ref& at, task_run const& run, held_run& it,
                                time_point now) -> void
 {
     auto const* const record = state_.workflows().find(run.task.workflow);
@@ -109,7 +110,7 @@
                     at.second.lease.grant(now, policy_.lease)});
 }
 
-auto run_scheduler::send_stop(entry_ref& at, run_id const& run, held_run& it,
+auto run_scheduler::send_stop(entry_ref& at, task_run const& run, held_run& it,
                               time_point now) -> void
 {
     it.phase = run_phase::stopping;
@@ -294,7 +295,7 @@
     }
 }
 
-auto run_scheduler::want_stop(run_id const& run, time_point now) -> void
+auto run_scheduler::want_stop(task_run const& run, time_point now) -> void
 {
     auto const [at, held] = find(run);
     if (held == nullptr)
@@ -339,14 +340,14 @@
     }
 }
 
-auto run_scheduler::propose_end(run_id const& run, held_run& it, run_end how)
+auto run_scheduler::propose_end(task_run const& run, held_run& it, run_end how)
     -> void
 {
     it.phase = run_phase::ending;
     ends_.push_back({run, how, it.checkpoint});
 }
 
-auto run_scheduler::release(run_id const& run, time_point now) -> void
+auto run_scheduler::release(task_run const& run, time_point now) -> void
 {
     auto const at = where_.find(run);
     if (at != where_.end())
@@ -370,7 +371,7 @@
 
 auto run_scheduler::hold(entry_ref& at, wanted_run const& want) -> void
 {
-    run_id const run{want.task, want.number};
+    task_run const run{want.task, want.number};
     at.second.add(run, describe(*want.step, run_phase::proposed));
     where_[run] = at.first;
     proposed_.insert(want.task);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -119,19 +119,19 @@
 
     // run_scheduler.cpp
     auto inherit(time_point now) -> void;
-    auto find(run_id const& run) -> std::pair<entry_ref*, held_run*>;
+    auto find(task_run const& run) -> std::pair<entry_ref*, held_run*>;
     auto target(entry_ref const& at) const -> order_target;
-    auto send_start(entry_ref& at, run_id const& run, held_run& it,
+    auto send_start(entry_ref& at, task_run const& run, held_run& it,
                     time_point now) -> void;
-    auto send_stop(entry_ref& at, run_id const& run, held_run& it,
+    auto send_stop(entry_ref& at, task_run const& run, held_run& it,
                    time_point now) -> void;
     auto send_poll(entry_ref& at, time_point now) -> void;
     auto repeat_orders(entry_ref& at, time_point now) -> void;
-    auto want_stop(run_id const& run, time_point now) -> void;
+    auto want_stop(task_run const& run, time_point now) -> void;
     /// Stops runs of a workflow that no longer count.
     auto stop_excess(workflow_id const& id, time_point now) -> void;
-    auto propose_end(run_id const& run, held_run& it, run_end how) -> void;
-    auto release(run_id const& run, time_point now) -> void;
+    auto propose_end(task_run const& run, held_run& it, run_end how) -> void;
+    auto release(task_run const& run, time_point now) -> void;
     auto lose_runs(entry_ref& at) -> void;
 
     // run_reports.cpp
@@ -140,16 +140,16 @@
     auto take_life_end(entry_ref& at) -> void;
     auto note_clock(entry_ref& at, std::optional<worker_clock> const& clock,
                     time_point now) -> void;
-    auto take_rejection(entry_ref& at, run_id const& run, held_run& it,
+    auto take_rejection(entry_ref& at, task_run const& run, held_run& it,
                         duration pause, time_point now) -> void;
     auto take_lists(entry_ref& at, poll_order const& sent,
                     worker_lists const& it, time_point now) -> void;
     auto take_running(entry_ref& at, running_row const& row, time_point now)
         -> void;
-    auto take_absent(entry_ref& at, std::set<run_id> const& listed,
+    auto take_absent(entry_ref& at, std::set<task_run> const& listed,
                      time_point sent, time_point now) -> void;
     auto take_ended(entry_ref& at, std::vector<ended_row> const& rows) -> void;
-    auto note_running(entry_ref& at, run_id const& run, held_run& it,
+    auto note_running(entry_ref& at, task_run const& run, held_run& it,
                       time_point now) -> void;
     auto adjust_pace(entry_ref& at, time_point now) -> void;
     [[nodiscard]] auto must_move(worker_entry const& at, held_run const& it,
@@ -195,7 +195,7 @@
     fence_token fence_;
     fleet_policy policy_;
     std::map<worker_id, worker_entry> workers_;
-    std::map<run_id, worker_id> where_; ///< of each held run
+    std::map<task_run, worker_id> where_; ///< of each held run
     std::map<url, worker_id> addresses_;
     std::set<workflow_task> proposed_; ///< tasks with a start not on record
     disturbance disturbance_;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -128,7 +128,7 @@
     std::optional<worker_announcement> info; ///< none before the first one
     worker_birth born;
     worker_lease lease;
-    std::map<run_id, held_run> runs;
+    std::map<task_run, held_run> runs;
     resources held; ///< room of all runs
     millicores scavenged;
     std::int64_t serving{0}; ///< runs with a latency target
@@ -142,14 +142,14 @@
     bool recording{false}; ///< ends that it listed are proposed
     bool gone{false};      ///< this life has ended for certain
 
-    auto add(run_id const& run, held_run it) -> void
+    auto add(task_run const& run, held_run it) -> void
     {
         held += it.room;
         scavenged += it.scavenged;
         serving += it.latency_target > milliseconds{0} ? 1 : 0;
         runs.emplace(run, std::move(it));
     }
-    auto remove(run_id const& run) -> void
+    auto remove(task_run const& run) -> void
     {
         auto const it = runs.find(run);
         if (it != runs.end())
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -77,7 +77,7 @@
 struct start_order
 {
     order_target to;
-    run_id run;
+    task_run run;
     std::string payload;
     checkpoint_id checkpoint; ///< empty: from the beginning
     worker_clock lease_end;
@@ -86,14 +86,14 @@
 struct stop_order
 {
     order_target to;
-    run_id run;
+    task_run run;
 };
 
 /// Limits the work of a run to a share of what it could use.
 struct pace_order
 {
     order_target to;
-    run_id run;
+    task_run run;
     permille pace;
 };
 
@@ -132,7 +132,7 @@
 
 struct running_row
 {
-    run_id run;
+    task_run run;
     checkpoint_id checkpoint;
     std::int32_t percent{0};
     /// Latency tail in ms for a task that serves, millicores for others.
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -354,7 +354,7 @@
 /// One run and the life of the worker that is to execute it.
 struct placed_run
 {
-    run_id run;
+    task_run run;
     worker_life where;
 
     auto operator==(placed_run const&) const -> bool = default;
@@ -379,7 +379,7 @@
 
 struct ended_run
 {
-    run_id run;
+    task_run run;
     run_end how{run_end::finished};
     checkpoint_id checkpoint; ///< empty: none
 
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -57,7 +57,7 @@
 /// Runs of one task that may be active at once.
 constexpr std::size_t most_copies = 2;
 
-auto may_start(workflow_record const& it, run_id const& run) -> bool
+auto may_start(workflow_record const& it, task_run const& run) -> bool
 {
     auto const* const task = it.find(run.task);
     auto const most = it.step(run.task).copies ? most_copies : 1;
@@ -346,7 +346,7 @@
     return it->second.state;
 }
 
-auto workflow_table::is_active(run_id const& run) const -> bool
+auto workflow_table::is_active(task_run const& run) const -> bool
 {
     auto const* const it = find(run.task.workflow);
     auto const* const task = it == nullptr ? nullptr : it->find(run.task);
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -168,7 +168,7 @@
     [[nodiscard]] auto state(workflow_id const& id) const
         -> std::optional<workflow_state>;
     /// True if the run is on record and has not ended.
-    [[nodiscard]] auto is_active(run_id const& run) const -> bool;
+    [[nodiscard]] auto is_active(task_run const& run) const -> bool;
     [[nodiscard]] auto live() const
         -> std::map<workflow_id, workflow_record> const&
     {
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -42,16 +42,16 @@
         state.apply(it, log_index{++index});
     }
     static auto run(std::uint32_t of_step, std::uint32_t task,
-                    std::uint32_t number) -> run_id
+                    std::uint32_t number) -> task_run
     {
         return {{workflow_id{"a"}, {}, step_index{of_step}, task_index{task}},
                 run_number{number}};
     }
-    auto start(run_id const& it) -> void
+    auto start(task_run const& it) -> void
     {
         apply(start_runs{{{it, {worker_id{"w"}, worker_birth{1}}}}});
     }
-    auto end(run_id const& it, run_end how) -> void
+    auto end(task_run const& it, run_end how) -> void
     {
         apply(end_runs{{{it, how, {}}}, {}});
     }
