--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -124,7 +124,8 @@
     {
         for (auto& it : scheduler_->take_actions())
         {
-            std::visit([this](auto& action) { carry_out(std::move(action)); },
+            std::visit([this](auto& action)
+                       { this->carry_out(std::move(action)); },
                        it);
         }
         if (scheduler_ && scheduler_->wants_plan() && !soon_)
