Place short and timely work first

Change: at one priority, short work comes before permanent tasks, then what can still be in time, then what is late, then what nobody waits for. Headroom for scavenging tasks is 0.6 and 0.8 of a target, and 0.1 more while tasks are left over.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -270,6 +270,9 @@
 /// left over that found no worker.
 inline constexpr duration plan_delay = 2ms;
 inline constexpr duration plan_delay_behind = 25ms;
+/// A workflow that takes more than this many times its allowed time is worth
+/// nothing to its caller any more (RULES, Credit).
+inline constexpr std::int64_t late_limit = 3;
 /// Ready tasks that are considered in one pass of the scheduler.
 inline constexpr std::size_t plan_visits = 2000;
 inline constexpr std::size_t runs_per_command = 256;
@@ -294,8 +297,10 @@
 inline constexpr permille load_smoothing{500};
 /// Expected share of a latency target up to which a scavenging task is placed,
 /// and up to which one is placed that is known not to disturb.
-inline constexpr permille disturbance_headroom{700};
-inline constexpr permille harmless_headroom{900};
+inline constexpr permille disturbance_headroom{600};
+inline constexpr permille harmless_headroom{800};
+/// Added to both while tasks are left over that found no worker.
+inline constexpr permille headroom_when_behind{100};
 /// An effect, as a logarithm, that is told from the scatter of the figures.
 inline constexpr permille noticed_effect{100};
 /// Tails at the crest of a serving task's own load, of its usual one: the 95%
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet/run_scheduler.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -123,6 +124,7 @@
                                    image_name const& image,
                                    time_point now) const -> bool
 {
+    auto const extra = was_behind_ ? config::headroom_when_behind : permille{};
     std::vector<image_name> more{image};
     for (auto const& [run, held] : at.runs)
     {
@@ -145,7 +147,8 @@
                                           : config::disturbance_headroom;
             return held.latency_target <= milliseconds{0} ||
                    disturbance_.expected(held.image, held.latency_target,
-                                         held.strain, more, now) <= most;
+                                         held.strain, more,
+                                         now) <= most + extra;
         });
 }
 
@@ -319,31 +322,28 @@
     return out;
 }
 
-auto run_scheduler::plan(time_point now, wall_time wall) -> void
+/// Tasks that may start now, best first: by priority; short work before tasks
+/// that stay for minutes and would take the room that it needs; then by what
+/// the caller still gains.
+auto run_scheduler::ranked_tasks(time_point now, wall_time wall)
+    -> std::vector<ranked_task>
 {
-    wants_plan_ = false;
-    is_behind_ = false;
-    if (fenced_ || state_.workflows().ready().empty())
-    {
-        return;
-    }
-    struct ranked
-    {
-        queue_priority priority;
-        ready_task const* task;
-        workflow_record const* record;
-    };
-    std::vector<ranked> order;
+    std::vector<ranked_task> order;
     workflow_record const* record{nullptr};
+    std::optional<occurrence_index> occurrence; ///< that `need` is of
     queue_priority priority;
+    urgency need;
     for (auto const& it : state_.workflows().ready())
     {
         if (order.size() >= config::plan_visits)
         {
             break;
         }
-        if (record == nullptr || record->accepted != it.accepted)
+        auto const is_other =
+            record == nullptr || record->accepted != it.accepted;
+        if (is_other)
         {
+            occurrence.reset();
             record = state_.workflows().find(it.task.workflow);
             auto const* const queue =
                 state_.contract_sets().queue(record->terms.name);
@@ -353,13 +353,40 @@
         auto const& repeats = record->spec.repeats;
         auto const due =
             repeats.first + repeats.interval * it.task.occurrence.value();
-        if (!proposed_.contains(it.task) &&
-            (repeats.times.value() == 0 || wall.time_since_epoch() >= due))
+        auto const is_due =
+            repeats.times.value() == 0 || wall.time_since_epoch() >= due;
+        if (!is_due || proposed_.contains(it.task))
+        {
+            continue;
+        }
+        if (occurrence != it.task.occurrence)
         {
-            order.push_back({priority, &it, record});
+            occurrence = it.task.occurrence;
+            auto const since =
+                since_.try_emplace({it.accepted, it.task.occurrence}, now)
+                    .first->second;
+            need = urgency_of(*record, it.task.occurrence, since, now);
         }
+        order.push_back(
+            {priority, record->step(it.task).permanent, need, &it, record});
+    }
+    std::ranges::stable_sort(
+        order, {},
+        [](ranked_task const& it) {
+            return std::tuple{it.priority, it.permanent, it.need};
+        });
+    return order;
+}
+
+auto run_scheduler::plan(time_point now, wall_time wall) -> void
+{
+    wants_plan_ = false;
+    was_behind_ = std::exchange(is_behind_, false);
+    if (fenced_ || state_.workflows().ready().empty())
+    {
+        return;
     }
-    std::ranges::stable_sort(order, {}, &ranked::priority);
+    auto const order = ranked_tasks(now, wall);
     auto pass = start_pass(now);
     std::set<refused_size> refused;
     for (auto const& it : order)
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -201,6 +201,17 @@
         send_poll(*it, now);
         ++it;
     }
+    if (now - since_cleared_ >= config::fleet_forget)
+    {
+        since_cleared_ = now;
+        std::set<revision> live;
+        for (auto const& [id, record] : state_.workflows().live())
+        {
+            live.insert(record.accepted);
+        }
+        std::erase_if(since_, [&live](auto const& each)
+                      { return !live.contains(each.first.first); });
+    }
     std::erase_if(addresses_, [this](auto const& each)
                   { return !workers_.contains(each.second); });
     wants_plan_ = true;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -10,6 +10,7 @@
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
 #include "core/fleet/disturbance.hpp"
+#include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
 #include "core/fleet/worker_messages.hpp"
 #include "core/state/state_machine.hpp"
@@ -172,6 +173,17 @@
         /// Workers on which an image may scavenge, by worker and image.
         std::map<std::pair<worker_id, image_name>, bool> tolerated;
     };
+    /// A task that may start, and what places it before others.
+    struct ranked_task
+    {
+        queue_priority priority;
+        bool permanent;
+        urgency need;
+        ready_task const* task;
+        workflow_record const* record;
+    };
+    auto ranked_tasks(time_point now, wall_time wall)
+        -> std::vector<ranked_task>;
     auto start_pass(time_point now) -> plan_pass;
     auto choose(wanted_run const& want, plan_pass& pass) -> entry_ref*;
     auto hold(entry_ref& at, wanted_run const& want) -> void;
@@ -196,12 +208,17 @@
     std::map<task_run, worker_id> where_; ///< of each held run
     std::map<url, worker_id> addresses_;
     std::set<workflow_task> proposed_; ///< tasks with a start not on record
+    /// When each occurrence was first seen with a task that may start. A new
+    /// leader counts from its election.
+    std::map<std::pair<revision, occurrence_index>, time_point> since_;
+    time_point since_cleared_{};
     disturbance disturbance_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> ends_; ///< to be proposed together
     bool fenced_{false};
     bool wants_plan_{true};
-    bool is_behind_{false};
+    bool is_behind_{false};  ///< the last plan left tasks over
+    bool was_behind_{false}; ///< the plan before it did
 };
 
 } // namespace apricotlb
