--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -185,8 +185,9 @@
 inline constexpr duration backend_silence = 10s;
 inline constexpr std::uint32_t trusted_samples = 8;
 inline constexpr permille unseen_slowdown{200};
-/// Logarithm of the factor that a task of an unseen image puts on a tail. Three
-/// to five pairs in ten of the sites' images exceed it (docs/MEASUREMENTS.md).
+/// Logarithm of the factor that a task of an unseen image is taken to put on a
+/// tail. About one pair in ten of the traced ones exceeds it
+/// (docs/MEASUREMENTS.md).
 inline constexpr permille unseen_effect{200};
 inline constexpr permille placement_headroom{800}; ///< of the latency
 inline constexpr permille short_headroom{1000};    ///< for work under 8 s
@@ -289,10 +290,10 @@
 inline constexpr permille pace_cut_above{1000};
 inline constexpr permille pace_raise_below{850};
 inline constexpr permille pace_step{250};
-/// A serving task may be over its target for 4 s (`impact_ms`); half of it is
-/// left for the figures, which lag by up to 1 s, and for the order.
-inline constexpr duration over_target_limit = 1500ms;
 inline constexpr permille pace_least{200}; ///< below it a task stands still
+/// A serving task may be over its target for 4 s (RULES, HARM). More than half
+/// of that is left for the figures, which lag by up to 1 s, and for the order.
+inline constexpr duration over_target_limit = 1500ms;
 /// Weight of a new figure in the smoothed one.
 inline constexpr permille load_smoothing{500};
 /// Expected share of a latency target up to which a scavenging task is placed,
--- a/src/core/scheduling/interference.hpp
+++ b/src/core/scheduling/interference.hpp
@@ -67,9 +67,10 @@
 {
     /// A new pair may be anything up to about three times.
     static constexpr float new_variance = 0.25F;
-    /// A figure scatters by 0.35. Those of one task within its swing of load
-    /// repeat each other, so that some of them count as one.
+    /// A figure scatters by about 0.3, a variance of 0.1. Those of one task
+    /// within its swing of load repeat each other, so three count as one.
     static constexpr float noise_variance = 0.3F;
+    /// Known to within 0.14.
     static constexpr float trusted_variance = 0.02F;
     static constexpr permille unseen{config::unseen_effect};
     /// Below 0, so that the scatter around 0 does not turn into an effect.
@@ -87,6 +88,7 @@
     [[nodiscard]] static auto scale(float /*sum*/) -> float { return 1; }
 
 private:
+    /// Figures are whole milliseconds and may be 0.
     static constexpr float least_ratio = 0.2F;
 };
 
