Walk active runs and state rules of a run in one place

The walk over a workflow's active runs stood in inherit and stop_excess, the room of a step in two files, the slowest clock rate in two places and the test for a serving task in seven. Each is one function now, and an unused parameter is gone.

No rule changes. The end assumed for a lease is no longer cut to whole milliseconds, so it may lie up to 1 ms later.

--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -13,8 +13,7 @@
     auto step = pace_step::raise;
     for (auto const& [run, beside] : at.runs)
     {
-        if (beside.latency_target <= milliseconds{0} ||
-            beside.phase != run_phase::running)
+        if (!beside.is_serving() || beside.phase != run_phase::running)
         {
             continue;
         }
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -145,7 +145,7 @@
                 suspicion::none;
             auto const most = is_harmless ? config::harmless_headroom
                                           : config::disturbance_headroom;
-            return held.latency_target <= milliseconds{0} ||
+            return !held.is_serving() ||
                    disturbance_.expected(held.image, held.latency_target,
                                          held.strain, more,
                                          now) <= most + extra;
@@ -178,12 +178,7 @@
 {
     auto const& entry = it.second;
     auto const& step = *want.step;
-    auto room = step.each;
-    if (step.scavenges)
-    {
-        room.cores = millicores{0};
-    }
-    return room.fits_into(entry.free()) &&
+    return room_of(step).fits_into(entry.free()) &&
            has_label(*entry.info, step.requires_label) &&
            (step.most_per_worker == task_count{0} ||
             count_step(entry, want.task) < step.most_per_worker.value()) &&
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -273,7 +273,7 @@
             to.wait > milliseconds{0} ? now + config::poll_gap : now;
         note_clock(at, it.lists.clock, now);
         entry.acknowledged = std::max(entry.acknowledged, to.recorded);
-        take_lists(at, to, it.lists, now);
+        take_lists(at, it.lists, now);
         send_poll(at, now);
         break;
     case order_outcome::fenced:
@@ -287,8 +287,8 @@
     }
 }
 
-auto run_scheduler::take_lists(entry_ref& at, poll_order const& /*sent*/,
-                               worker_lists const& it, time_point now) -> void
+auto run_scheduler::take_lists(entry_ref& at, worker_lists const& it,
+                               time_point now) -> void
 {
     auto const sent = at.second.poll_sent;
     std::set<task_run> listed;
@@ -324,7 +324,7 @@
     }
     auto& held = it->second;
     held.measure(row.load, now);
-    if (held.latency_target > milliseconds{0})
+    if (held.is_serving())
     {
         disturbance_.learn(at.first, held.image, milliseconds{row.load}, now);
     }
@@ -418,7 +418,7 @@
     auto const is_harmed = [&](auto const& each)
     {
         auto const& beside = each.second;
-        return beside.latency_target > milliseconds{0} &&
+        return beside.is_serving() &&
                disturbance_.is_harmful(it.image, beside.image,
                                        beside.latency_target, now);
     };
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -9,16 +9,6 @@
 namespace
 {
 
-auto room_of(step_spec const& step) -> resources
-{
-    auto room = step.each;
-    if (step.scavenges)
-    {
-        room.cores = millicores{0};
-    }
-    return room;
-}
-
 auto describe(step_spec const& step, run_phase phase) -> held_run
 {
     held_run it;
@@ -43,34 +33,23 @@
 
 auto run_scheduler::inherit(time_point now) -> void
 {
-    auto const latest =
-        now + policy_.lease * 1000 / (1000 - config::worker_drift.value()) +
-        config::lease_margin;
+    auto const latest = now + worker_lease::longest(policy_.lease);
     for (auto const& [id, record] : state_.workflows().live())
     {
-        for (std::uint32_t k = 0; k < record.occurrences.size(); ++k)
-        {
-            auto const& steps = record.occurrences[k].steps;
-            for (std::uint32_t n = 0; n < steps.size(); ++n)
+        record.for_each_active(
+            [&, &spec = record.spec](workflow_task const& task,
+                                     task_progress const& /*progress*/,
+                                     active_run const& run)
             {
-                for (std::uint32_t i = 0; i < steps[n].tasks.size(); ++i)
-                {
-                    workflow_task const task{id, occurrence_index{k},
-                                             step_index{n}, task_index{i}};
-                    for (auto const& run : steps[n].tasks[i].active)
-                    {
-                        auto& at = workers_[run.where.id];
-                        at.born = std::max(at.born, run.where.born);
-                        at.heard = now;
-                        at.lease.assume_until(latest);
-                        task_run const name{task, run.number};
-                        at.add(name, describe(record.spec.steps[n],
-                                              run_phase::inherited));
-                        where_[name] = run.where.id;
-                    }
-                }
-            }
-        }
+                auto& at = workers_[run.where.id];
+                at.born = std::max(at.born, run.where.born);
+                at.heard = now;
+                at.lease.assume_until(latest);
+                task_run const name{task, run.number};
+                at.add(name, describe(spec.steps[task.step.value()],
+                                      run_phase::inherited));
+                where_[name] = run.where.id;
+            });
     }
 }
 
@@ -142,7 +121,7 @@
     {
         urgent = urgent || held.phase == run_phase::inherited ||
                  held.phase == run_phase::closed;
-        serves = serves || held.latency_target > milliseconds{0};
+        serves = serves || held.is_serving();
         scavenges = scavenges || held.scavenges;
     }
     auto const wait = urgent                ? milliseconds{0}
@@ -327,28 +306,16 @@
     {
         return;
     }
-    for (std::uint32_t k = 0; k < record->occurrences.size(); ++k)
-    {
-        auto const& steps = record->occurrences[k].steps;
-        for (std::uint32_t n = 0; n < steps.size(); ++n)
+    auto const is_open = record->is_open();
+    record->for_each_active(
+        [&](workflow_task const& task, task_progress const& progress,
+            active_run const& run)
         {
-            for (std::uint32_t i = 0; i < steps[n].tasks.size(); ++i)
+            if (!is_open || progress.finished)
             {
-                auto const& task = steps[n].tasks[i];
-                if (record->is_open() && !task.finished)
-                {
-                    continue;
-                }
-                for (auto const& run : task.active)
-                {
-                    want_stop({{id, occurrence_index{k}, step_index{n},
-                                task_index{i}},
-                               run.number},
-                              now);
-                }
+                want_stop({task, run.number}, now);
             }
-        }
-    }
+        });
 }
 
 auto run_scheduler::propose_end(task_run const& run, held_run& it, run_end how)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -143,8 +143,8 @@
                     time_point now) -> void;
     auto take_rejection(entry_ref& at, task_run const& run, held_run& it,
                         duration pause, time_point now) -> void;
-    auto take_lists(entry_ref& at, poll_order const& sent,
-                    worker_lists const& it, time_point now) -> void;
+    auto take_lists(entry_ref& at, worker_lists const& it, time_point now)
+        -> void;
     auto take_running(entry_ref& at, running_row const& row, time_point now)
         -> void;
     auto take_absent(entry_ref& at, std::set<task_run> const& listed,
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -30,6 +30,17 @@
     ending,   ///< its end is proposed
 };
 
+/// What a task of a step counts against the capacity of a worker.
+[[nodiscard]] inline auto room_of(step_spec const& step) -> resources
+{
+    auto room = step.each;
+    if (step.scavenges)
+    {
+        room.cores = millicores{0};
+    }
+    return room;
+}
+
 /// A run and the room it holds, from the decision to its recorded end.
 struct held_run
 {
@@ -53,11 +64,17 @@
     /// Since when the strain has been over the target without a break.
     std::optional<time_point> over_since;
 
+    /// Serves users within a latency target.
+    [[nodiscard]] auto is_serving() const -> bool
+    {
+        return latency_target > milliseconds{0};
+    }
+
     /// Takes a worker's figure for its tail or its use of processors.
     auto measure(std::int64_t figure, time_point now) -> void
     {
         load = figure;
-        if (latency_target > milliseconds{0})
+        if (is_serving())
         {
             auto const share = permille{static_cast<std::int32_t>(
                 figure * 1000 / latency_target.count())};
@@ -81,6 +98,12 @@
 class worker_lease
 {
 public:
+    /// Longest time that a lease may last on the slowest clock.
+    [[nodiscard]] static auto longest(duration lease) -> duration
+    {
+        return lease * 1000 / slowest_rate + config::lease_margin;
+    }
+
     /// The lease may have been extended by others until this time.
     auto assume_until(time_point end) -> void
     {
@@ -104,8 +127,7 @@
     {
         auto const end = worker_now(now) + to_clock(length);
         auto const left = milliseconds{(end - clock_).value()};
-        assume_until(sampled_at_ + left * 1000 / slowest_rate +
-                     config::lease_margin);
+        assume_until(sampled_at_ + longest(left));
         return end;
     }
 
@@ -157,7 +179,7 @@
     {
         held += it.room;
         scavenged += it.scavenged;
-        if (it.latency_target > milliseconds{0})
+        if (it.is_serving())
         {
             ++serving[it.image];
         }
@@ -171,8 +193,7 @@
             held -= it->second.room;
             scavenged -= it->second.scavenged;
             auto const same = serving.find(it->second.image);
-            if (it->second.latency_target > milliseconds{0} &&
-                --same->second == 0)
+            if (it->second.is_serving() && --same->second == 0)
             {
                 serving.erase(same);
             }
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -88,6 +88,28 @@
     {
         return spec.steps[task.step.value()];
     }
+    /// Calls f(workflow_task, task_progress, active_run) for each run that has
+    /// not ended.
+    template <class F>
+    auto for_each_active(F f) const -> void
+    {
+        for (std::uint32_t k = 0; k < occurrences.size(); ++k)
+        {
+            auto const& of = occurrences[k].steps;
+            for (std::uint32_t n = 0; n < of.size(); ++n)
+            {
+                for (std::uint32_t i = 0; i < of[n].tasks.size(); ++i)
+                {
+                    for (auto const& run : of[n].tasks[i].active)
+                    {
+                        f(workflow_task{spec.id, occurrence_index{k},
+                                        step_index{n}, task_index{i}},
+                          of[n].tasks[i], run);
+                    }
+                }
+            }
+        }
+    }
     /// Null for a task that it does not have.
     [[nodiscard]] auto find(workflow_task const& task) const
         -> task_progress const*;
