Log elections and the load of control processes

The logs of an overloaded leader held fleet lines only: no election, no late heartbeat, no time in syncs, no failed order. Control processes now log each change of role with the silence of the leader, and once a second the use of the loop (turns, work, longest turn), the syncs, the largest delay of a heartbeat and the counters that have risen. The fleet line adds silent workers, inherited runs, unconfirmed starts and polls.

Processor time is left out: on the users' platform a process reads its processor clock as elapsed time (1,000 to 1,030 ms in each second).

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -95,6 +95,8 @@
 // Periodic work of the control leader.
 inline constexpr duration scheduler_tick = 50ms;
 inline constexpr duration key_expiry_interval = 60s;
+/// Interval of the log lines on the load of a control process.
+inline constexpr duration load_report_interval = 1s;
 
 // Calls to the control leader.
 inline constexpr duration call_retry_interval = 400ms;
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -99,6 +99,7 @@
     };
 
     families<std::uint64_t> counters;
+    families<std::uint64_t> reported; ///< counters at the last increments
     families<std::int64_t> gauges;
     families<latency> latencies;
     family<description> described;
@@ -228,6 +229,23 @@
     count(metric::retries, name_of(reason));
 }
 
+auto metrics::take_increments() -> std::vector<counter_increment>
+{
+    std::vector<counter_increment> out;
+    for (auto const& [name, values] : impl_->counters)
+    {
+        for (auto const& [label, n] : values)
+        {
+            auto& before = impl_->reported[name][label];
+            if (n > before)
+            {
+                out.push_back({name, label, n - std::exchange(before, n)});
+            }
+        }
+    }
+    return out;
+}
+
 auto metrics::text() const -> std::string
 {
     std::ostringstream out;
--- a/src/adapters/metrics.hpp
+++ b/src/adapters/metrics.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace apricotlb
 {
@@ -22,6 +23,14 @@
 inline constexpr std::size_t max_label_values = 1024;
 
 /// Metrics of one process.
+/// By how much a counter has risen.
+struct counter_increment
+{
+    std::string name;
+    std::string label;
+    std::uint64_t by{0};
+};
+
 class metrics
 {
 public:
@@ -50,6 +59,9 @@
     auto refused(error_kind reason) -> void;
     auto retried(error_kind reason) -> void;
 
+    /// Counters that have risen since the last call, with their increments.
+    [[nodiscard]] auto take_increments() -> std::vector<counter_increment>;
+
     /// All metrics as text.
     [[nodiscard]] auto text() const -> std::string;
 
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -90,6 +90,17 @@
         workflows_.on_report(std::move(callback));
     }
 
+    /// Called after each change of the role, the term or the known leader.
+    auto on_role(std::function<void(role_change const&)> callback) -> void
+    {
+        replica_.on_role(std::move(callback));
+    }
+    /// Returns the load of the replica since the last call.
+    [[nodiscard]] auto take_load() -> replica_load
+    {
+        return replica_.take_load();
+    }
+
     /// Loads the log and joins the group.
     auto start() -> result<void>
     {
--- /dev/null
+++ b/src/app/load_log.cpp
@@ -0,0 +1,86 @@
+#include "app/load_log.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+logger const load_logger{"load"};
+
+auto to_ms(duration d) -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+auto name_of(raft_role it) -> std::string_view
+{
+    switch (it)
+    {
+    case raft_role::follower:
+        return "follower";
+    case raft_role::pre_candidate:
+        return "pre_candidate";
+    case raft_role::candidate:
+        return "candidate";
+    case raft_role::leader:
+        break;
+    }
+    return "leader";
+}
+
+} // namespace
+
+auto log_role(role_change const& it) -> void
+{
+    load_logger.info("role", {{"role", name_of(it.role)},
+                              {"term", it.in_term},
+                              {"leader", it.leader ? it.leader->value() : ""},
+                              {"leader_silent_ms", to_ms(it.leader_silence)}});
+}
+
+auto log_load(loop_usage const& loop, replica_load const& replica) -> void
+{
+    load_logger.info("load",
+                     {{"turns", loop.turns},
+                      {"busy_ms", to_ms(loop.busy)},
+                      {"longest_turn_ms", to_ms(loop.longest_turn)},
+                      {"syncs", replica.syncs},
+                      {"sync_ms", to_ms(replica.sync_time)},
+                      {"longest_sync_ms", to_ms(replica.longest_sync)},
+                      {"longest_delay_ms", to_ms(replica.longest_delay)}});
+}
+
+auto log_increments(std::vector<counter_increment> const& all) -> void
+{
+    constexpr std::string_view prefix = "apricotlb_";
+    constexpr std::string_view suffix = "_total";
+    std::vector<std::string> names; // a log_field does not own its name
+    names.reserve(all.size());
+    std::vector<log_field> fields;
+    for (auto const& it : all)
+    {
+        std::string_view name{it.name};
+        if (name.starts_with(prefix))
+        {
+            name.remove_prefix(prefix.size());
+        }
+        if (name.ends_with(suffix))
+        {
+            name.remove_suffix(suffix.size());
+        }
+        names.emplace_back(name);
+        names.back().append(".").append(it.label);
+        fields.emplace_back(names.back(), it.by);
+    }
+    if (!fields.empty())
+    {
+        load_logger.info("counts", std::move(fields));
+    }
+}
+
+} // namespace apricotlb
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -182,7 +182,10 @@
         if (!link_.send(to, auth_.compute_mac(bytes) + bytes))
         {
             metrics_.count("apricotlb_peer_drops_total", "queue_full");
+            return;
         }
+        metrics_.count(metric::peer_messages,
+                       out.body.empty() ? "keepalive_sent" : "sent");
     }
 
     auto receive(std::string_view bytes) -> void
@@ -213,6 +216,8 @@
             return;
         }
         // An empty body is a keepalive.
+        metrics_.count(metric::peer_messages,
+                       it.body.empty() ? "keepalive_received" : "received");
         if (it.body.empty())
         {
             return;
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -96,6 +96,25 @@
     std::optional<error> failure;
 };
 
+/// Work of a replica since the last reading.
+struct replica_load
+{
+    std::int64_t syncs{0};
+    duration sync_time{}; ///< sum; the loop stands still meanwhile
+    duration longest_sync{};
+    /// Largest delay of a heartbeat or of an election timeout.
+    duration longest_delay{};
+};
+
+/// A change of the role, the term or the leader that this replica knows.
+struct role_change
+{
+    raft_role role{raft_role::follower};
+    term in_term;
+    std::optional<node_id> leader;
+    duration leader_silence{}; ///< time since the last message of a leader
+};
+
 /// One member of the group with its store and its state.
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
@@ -122,6 +141,11 @@
     {
         on_leadership_ = std::move(callback);
     }
+    /// Called after each change of the role, the term or the known leader.
+    auto on_role(std::function<void(role_change const&)> callback) -> void
+    {
+        on_role_ = std::move(callback);
+    }
     /// Called once when the store has failed. The process must then exit: the
     /// replica no longer processes messages or proposals.
     auto on_failure(std::function<void(error const&)> callback) -> void
@@ -154,6 +178,11 @@
         return core_ ? core_->leader() : std::nullopt;
     }
     [[nodiscard]] auto status() const -> replica_status;
+    /// Returns the load since the last call.
+    [[nodiscard]] auto take_load() -> replica_load
+    {
+        return std::exchange(load_, {});
+    }
 
 private:
     struct pending
@@ -176,6 +205,8 @@
     auto schedule_piece() -> void;
     auto save_piece() -> void;
     auto update_leadership() -> void;
+    auto report_role() -> void;
+    auto sync() -> result<void>;
     auto fail_pending(error const& it) -> void;
     auto arm_timer() -> void;
     auto stop(error const& it) -> void;
@@ -189,6 +220,9 @@
     replica_options options_;
     std::function<void(bool, term)> on_leadership_;
     std::function<void(error const&)> on_failure_;
+    std::function<void(role_change const&)> on_role_;
+    role_change reported_role_;
+    replica_load load_;
     std::optional<raft> core_;
     std::map<log_index, pending> pending_;
     std::size_t pending_bytes_{0};
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -212,6 +212,7 @@
         send_held();
     }
     update_leadership();
+    report_role();
     arm_timer();
 }
 
@@ -305,7 +306,7 @@
     perform(core_->flush(clock_.now()));
     if (unsynced_)
     {
-        if (auto const done = store_.sync(); !done)
+        if (auto const done = sync(); !done)
         {
             stop(done.error());
             return;
@@ -322,6 +323,37 @@
     take_snapshot_if_due();
 }
 
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::sync() -> result<void>
+{
+    auto const begin = clock_.now();
+    auto done = store_.sync();
+    auto const took = clock_.now() - begin;
+    ++load_.syncs;
+    load_.sync_time += took;
+    load_.longest_sync = std::max(load_.longest_sync, took);
+    return done;
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::report_role() -> void
+{
+    auto const is_same = reported_role_.role == core_->role() &&
+                         reported_role_.in_term == core_->current_term() &&
+                         reported_role_.leader == core_->leader();
+    if (is_same || !on_role_)
+    {
+        return;
+    }
+    reported_role_ = {core_->role(), core_->current_term(), core_->leader(),
+                      clock_.now() - core_->last_leader_contact()};
+    on_role_(reported_role_);
+}
+
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
@@ -465,6 +497,8 @@
         [this]
         {
             tick_timer_.reset();
+            load_.longest_delay =
+                std::max(load_.longest_delay, clock_.now() - next_tick_);
             perform(core_->tick(clock_.now(), next_random()));
         });
 }
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -69,6 +69,7 @@
     {
         if (scheduler_)
         {
+            metrics_.count(metric::announcements, "received");
             scheduler_->on_announcement(it, clock_.now());
             execute_actions();
         }
@@ -205,7 +206,10 @@
         std::function<void(answer)> done = in_current_epoch(
             [this, it](answer const& got)
             {
-                metrics_.count(metric::orders, name_of(got.outcome));
+                metrics_.count(std::is_same_v<Order, poll_order>
+                                   ? metric::polls
+                                   : metric::orders,
+                               name_of(got.outcome));
                 scheduler_->on_answer(it, got, clock_.now());
             });
         workers_.send(it, std::move(done));
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -315,8 +315,15 @@
         out.serving += worker.is_serving() ? 1 : 0;
         out.over_target += has_task_over_target(worker) ? 1 : 0;
         out.free_cores += worker.free().cores.value() / 1000;
+        out.polls += worker.poll_in_flight ? 1 : 0;
+        out.silent += !worker.runs.empty() && now - worker.last_contact >=
+                                                  config::worker_contact_timeout
+                          ? 1
+                          : 0;
         for (auto const& [run, held] : worker.runs)
         {
+            out.inherited += held.phase == run_phase::inherited ? 1 : 0;
+            out.unconfirmed += held.phase == run_phase::ordered ? 1 : 0;
             if (held.phase == run_phase::running)
             {
                 ++out.running;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -65,6 +65,11 @@
     std::int64_t scavenging{0}; ///< of the running ones
     std::int64_t slowed{0};     ///< of the scavenging ones
     std::int64_t free_cores{0}; ///< not reserved
+    /// Workers with runs whose last contact is too old for new runs.
+    std::int64_t silent{0};
+    std::int64_t inherited{0};   ///< runs not yet seen under this leader
+    std::int64_t unconfirmed{0}; ///< starts without an answer so far
+    std::int64_t polls{0};       ///< that wait for their answers
 };
 
 /// An action that the caller of run_scheduler executes.
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -136,6 +136,11 @@
     {
         return term_and_vote_.current;
     }
+    /// When the last message of a leader arrived, or when this member started.
+    [[nodiscard]] auto last_leader_contact() const -> time_point
+    {
+        return last_leader_contact_;
+    }
     [[nodiscard]] auto commit_index() const -> log_index { return commit_; }
     [[nodiscard]] auto log() const -> raft_log const& { return log_; }
     [[nodiscard]] auto status() const -> raft_status;
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -83,6 +83,23 @@
     EXPECT_LT(std::ranges::count(text, '\n'), 1200);
 }
 
+// Periodic log lines need what happened since the last line, not since the
+// start.
+TEST(metrics, reports_each_increment_of_a_counter_once)
+{
+    metrics it;
+    it.count("orders", "done");
+    it.count("orders", "done");
+    it.count("orders", "late");
+    EXPECT_EQ(it.take_increments().size(), 2U);
+    EXPECT_TRUE(it.take_increments().empty());
+    it.count("orders", "done");
+    auto const risen = it.take_increments();
+    ASSERT_EQ(risen.size(), 1U);
+    EXPECT_EQ(risen[0].label, "done");
+    EXPECT_EQ(risen[0].by, 1U);
+}
+
 TEST(metrics, prints_gauges_and_empty_labels)
 {
     metrics it;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -56,6 +56,34 @@
     group.run(seconds{1});
 }
 
+// An election without a log line could not be told from a slow leader.
+TEST(replica, reports_the_silence_of_the_leader_before_an_election)
+{
+    replica_group group{3, 5};
+    auto const n = group.elect();
+    std::vector<role_change> changes;
+    group.nodes[(n + 1) % 3]->it->on_role([&changes](role_change const& it)
+                                          { changes.push_back(it); });
+    group.crash(n);
+    group.run(seconds{3});
+    ASSERT_FALSE(changes.empty());
+    EXPECT_NE(changes.front().role, raft_role::leader);
+    EXPECT_GE(changes.front().leader_silence, config::raft_heartbeat);
+    EXPECT_NE(changes.back().leader, group.nodes[n]->id);
+}
+
+// Time that the disk takes stops the loop and must show apart from work.
+TEST(replica, counts_the_syncs_since_the_last_reading)
+{
+    replica_group group{1, 6};
+    auto const n = group.elect();
+    (void)group.nodes[n]->it->take_load();
+    group.propose(n);
+    group.run(milliseconds{1});
+    EXPECT_EQ(group.nodes[n]->it->take_load().syncs, 1);
+    EXPECT_EQ(group.nodes[n]->it->take_load().syncs, 0);
+}
+
 // A leader that is cut off with callers attached must stop answering before
 // another one acts, and must tell its callers that the fate is unknown.
 TEST(replica, a_leader_that_is_cut_off_stops_before_another_acts)
