--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -43,6 +43,9 @@
 /// Least time between two flushes of a leader. Each flush costs a message to
 /// and from each member and a sync, however many entries it carries.
 inline constexpr duration group_commit_interval = 15ms;
+/// Largest share of the time that the syncs of a replica may take: the loop
+/// stands still during a sync.
+inline constexpr permille max_sync_share{300};
 inline constexpr std::size_t max_append_bytes = 256 * kib;
 inline constexpr std::size_t snapshot_chunk_bytes = 256 * kib;
 /// Large enough for the largest set of contracts: its document of 256 KiB
@@ -91,10 +94,22 @@
 /// Time since last contact after which a peer counts as disconnected.
 inline constexpr duration peer_timeout = 1s;
 inline constexpr std::size_t peer_queue_messages = 1024;
+/// A peer that nothing else was sent to for this long gets a keepalive. Two of
+/// them may be lost before the peer counts as silent.
+inline constexpr duration keepalive_interval = 330ms;
+/// Sockets that are served, and messages that are taken, in one turn of the
+/// loop. The bounds keep a turn short, so that heartbeats are sent in time.
+inline constexpr int max_events_per_turn = 32;
+inline constexpr int max_messages_per_turn = 32;
 
 // Periodic work of the control leader.
 inline constexpr duration scheduler_tick = 50ms;
 inline constexpr duration key_expiry_interval = 60s;
+/// A leader whose periodic work is late by the first time refuses new
+/// workflows, until it has been on time, to within the second, for the third.
+inline constexpr duration overload_delay = 300ms;
+inline constexpr duration on_time_delay = 60ms;
+inline constexpr duration overload_recovery_time = 500ms;
 /// Interval of the log lines on the load of a control process.
 inline constexpr duration load_report_interval = 1s;
 
@@ -322,6 +337,28 @@
 inline constexpr duration worker_removal_delay = 60s;
 inline constexpr duration fleet_report_interval = 1s;
 inline constexpr duration order_timeout = 1s;
+/// Time since its last ping after which a relay gets no more orders.
+inline constexpr duration relay_timeout = 1300ms;
+/// How long a relay that left an order unanswered gets no more orders.
+inline constexpr duration relay_suspension = 3s;
+/// Added to the timeout of an order that goes through a relay, which waits for
+/// the worker as long as the leader would.
+inline constexpr duration relay_answer_margin = 300ms;
+inline constexpr duration relay_check_interval = 100ms;
+/// Workers of one relay before another one is used: each relay in use costs the
+/// leader messages of its own.
+inline constexpr std::size_t workers_per_relay = 16;
+inline constexpr std::size_t max_orders_per_batch = 64;
+/// Orders that a relay has under way; further ones are answered with not_sent.
+inline constexpr std::size_t max_relayed_orders = 1024;
+/// How long a relay collects answers into one message.
+inline constexpr duration answer_batch_delay = 5ms;
+/// Interval at which a control process passes on to the leader which workers
+/// are in contact.
+inline constexpr duration worker_renewal_interval = 200ms;
+/// Starts without an answer up to which further runs are placed. A leader that
+/// gives orders faster than their answers are handled falls behind for good.
+inline constexpr std::size_t max_unconfirmed_starts = 1024;
 inline constexpr duration order_retry_interval = 300ms;
 inline constexpr duration poll_retry_delay = 200ms; ///< after a failed poll
 /// Least time between two polls of a worker. Runs that end within it are
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -90,6 +90,11 @@
         workflows_.on_report(std::move(callback));
     }
 
+    /// Called when this process has become the leader.
+    auto on_leading(std::function<void(term)> callback) -> void
+    {
+        on_leading_ = std::move(callback);
+    }
     /// Called after each change of the role, the term or the known leader.
     auto on_role(std::function<void(role_change const&)> callback) -> void
     {
@@ -273,6 +278,10 @@
         {
             leader_.emplace(machine_.state(), in_term, clock_.now(), policy_);
             workflows_.start(machine_.state(), in_term);
+            if (on_leading_)
+            {
+                on_leading_(in_term);
+            }
             return;
         }
         leader_.reset();
@@ -685,6 +694,7 @@
     machine_type machine_;
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
+    std::function<void(term)> on_leading_;
     workflow_driver<Clock, Runs, propose_run, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
     time_point last_key_expiry_{};
--- a/src/app/group_link.hpp
+++ b/src/app/group_link.hpp
@@ -27,8 +27,10 @@
 {
 public:
     group_link(Clock& clock, Transport& transport, Fetch fetch,
-               std::vector<endpoint> const& seeds)
+               std::vector<endpoint> const& seeds,
+               std::optional<zone_id> relays_in = std::nullopt)
         : clock_(clock), transport_(transport),
+          relays_in_(std::move(relays_in)),
           link_(clock, send_call{transport}, {}),
           discovery_(clock, std::move(fetch), introduce{transport}, seeds)
     {
@@ -45,6 +47,13 @@
         link_.take(from, std::move(it));
     }
 
+    /// Pings a new leader at once.
+    auto take(node_id const& from, leader_notice const& /*it*/) -> void
+    {
+        link_.set_leader(from);
+        send_ping();
+    }
+
     /// True if a ping sent within config::leader_timeout was answered.
     [[nodiscard]] auto has_leader() const -> bool
     {
@@ -84,8 +93,13 @@
         timer_ = clock_.start_timer(config::leader_ping_interval,
                                     [this] { ping(); });
         discovery_.set_settled(has_leader());
+        send_ping();
+    }
+
+    auto send_ping() -> void
+    {
         link_.start(
-            leader_ping{},
+            leader_ping{relays_in_},
             [this, sent = clock_.now()](auto const& got)
             {
                 if (!got.has_error())
@@ -98,6 +112,7 @@
 
     Clock& clock_;
     Transport& transport_;
+    std::optional<zone_id> relays_in_;
     control_link<Clock, send_call> link_;
     group_discovery<Clock, Fetch, introduce, Json> discovery_;
     std::optional<time_point> last_answered_ping_;
--- a/src/app/peer_message.hpp
+++ b/src/app/peer_message.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_APP_PEER_MESSAGE_HPP
 #define APRICOTLB_APP_PEER_MESSAGE_HPP
 
+#include "core/fleet/relay_messages.hpp"
 #include "core/log/raft_messages.hpp"
 #include "core/messages.hpp"
 
@@ -15,8 +16,9 @@
 {
 
 /// The order of alternatives is part of the protocol; append new alternatives.
-using peer_message = std::variant<raft_message, entry_heartbeat,
-                                  entry_heartbeat_answer, call, call_answer>;
+using peer_message =
+    std::variant<raft_message, entry_heartbeat, entry_heartbeat_answer, call,
+                 call_answer, order_batch, answer_batch, leader_notice>;
 
 /// Transport port for Raft messages on top of the transport for all messages.
 template <class Transport>
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -131,6 +131,16 @@
         send_body(to, Codec::encode(message));
     }
 
+    /// Sends a message to every peer.
+    auto send_to_all(Message const& message) -> void
+    {
+        auto const body = Codec::encode(message);
+        for (auto const& [id, it] : peers_)
+        {
+            send_body(id, body);
+        }
+    }
+
     [[nodiscard]] auto address() const -> url const& { return self_.address; }
 
 private:
--- /dev/null
+++ b/src/app/relayed_workers.hpp
@@ -0,0 +1,232 @@
+/// Run worker port of the leader: passes orders through relays.
+#ifndef APRICOTLB_APP_RELAYED_WORKERS_HPP
+#define APRICOTLB_APP_RELAYED_WORKERS_HPP
+
+#include "app/peer_message.hpp"
+#include "core/fleet/relay_messages.hpp"
+#include "core/fleet/relay_table.hpp"
+#include "ports/clock.hpp"
+#include "ports/metrics.hpp"
+#include "ports/run_worker.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/time.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Sends the orders of one turn of the loop to each relay as one message.
+/// Without a live relay, orders go to the workers directly.
+template <clock_port Clock, class Transport, run_worker_port Direct,
+          metrics_port Metrics>
+class relayed_workers
+{
+public:
+    relayed_workers(Clock& clock, Transport& peers, Direct& direct,
+                    Metrics& metrics)
+        : clock_(clock), transport_(peers), direct_(direct),
+          metrics_(metrics)
+    {
+    }
+    relayed_workers(relayed_workers const&) = delete;
+    auto operator=(relayed_workers const&) -> relayed_workers& = delete;
+    ~relayed_workers()
+    {
+        for (auto const& timer : {flush_timer_, expiry_timer_})
+        {
+            if (timer)
+            {
+                clock_.cancel_timer(*timer);
+            }
+        }
+    }
+
+    template <class Order>
+    auto send(Order const& it, std::function<void(order_answer)> done) -> void
+    {
+        pass_on(it, std::move(done), config::order_timeout);
+    }
+    auto send(poll_order const& it, std::function<void(poll_answer)> done)
+        -> void
+    {
+        pass_on(it, std::move(done), config::order_timeout + it.wait);
+    }
+
+    /// Records a ping of a process that passes orders on.
+    auto on_contact(node_id const& relay, zone_id const& zone) -> void
+    {
+        relays_.on_contact(relay, zone, clock_.now());
+    }
+
+    auto take(node_id const& from, answer_batch it) -> void
+    {
+        for (auto& answer : it.answers)
+        {
+            auto const found = pending_.find(answer.number);
+            if (found == pending_.end() || found->second.relay != from ||
+                found->second.in_term != it.leader_term)
+            {
+                continue;
+            }
+            auto const node = pending_.extract(found);
+            std::visit(
+                [&answer](auto const& done)
+                {
+                    using expected = typename answer_of<
+                        std::remove_cvref_t<decltype(done)>>::type;
+                    if (auto* const got = std::get_if<expected>(&answer.value))
+                    {
+                        done(std::move(*got));
+                    }
+                    else
+                    {
+                        done(expected{});
+                    }
+                },
+                node.mapped().done);
+        }
+    }
+
+private:
+    using callback = std::variant<std::function<void(order_answer)>,
+                                  std::function<void(poll_answer)>>;
+
+    template <class Callback>
+    struct answer_of;
+    template <class Answer>
+    struct answer_of<std::function<void(Answer)>>
+    {
+        using type = Answer;
+    };
+
+    /// An order whose answer has not come back.
+    struct pending
+    {
+        node_id relay;
+        term in_term;
+        time_point deadline{};
+        callback done;
+    };
+
+    template <class Order, class Answer>
+    auto pass_on(Order const& it, std::function<void(Answer)> done,
+                 duration timeout) -> void
+    {
+        auto const now = clock_.now();
+        auto const relay =
+            relays_.relay_for(it.to.instance.id, it.to.zone, now);
+        if (!relay)
+        {
+            metrics_.count(metric::order_routes, "direct");
+            direct_.send(it, std::move(done));
+            return;
+        }
+        metrics_.count(metric::order_routes, "relay");
+        auto const number = ++last_number_;
+        term const in_term{it.to.fence.value()};
+        pending_.emplace(number,
+                         pending{*relay, in_term,
+                                 now + timeout + config::relay_answer_margin,
+                                 std::move(done)});
+        auto& batch = batches_[{*relay, in_term}];
+        batch.leader_term = in_term;
+        batch.orders.push_back({number, it});
+        if (batch.orders.size() >= config::max_orders_per_batch)
+        {
+            transport_.send(*relay, peer_message{std::exchange(batch, {})});
+        }
+        arm();
+    }
+
+    auto arm() -> void
+    {
+        if (!flush_timer_)
+        {
+            flush_timer_ = clock_.start_timer(duration{0},
+                                              [this]
+                                              {
+                                                  flush_timer_.reset();
+                                                  flush();
+                                              });
+        }
+        if (!expiry_timer_)
+        {
+            expiry_timer_ = clock_.start_timer(config::relay_check_interval,
+                                               [this]
+                                               {
+                                                   expiry_timer_.reset();
+                                                   expire();
+                                               });
+        }
+    }
+
+    auto flush() -> void
+    {
+        for (auto& [to, batch] : std::exchange(batches_, {}))
+        {
+            if (!batch.orders.empty())
+            {
+                transport_.send(to.first, peer_message{std::move(batch)});
+            }
+        }
+    }
+
+    /// Answers the orders whose relay did not return an answer in time. A relay
+    /// returns one for each order, also if the worker gave none.
+    auto expire() -> void
+    {
+        auto const now = clock_.now();
+        std::vector<callback> expired;
+        std::set<node_id> silent;
+        std::erase_if(pending_,
+                      [&](auto& each)
+                      {
+                          auto& it = each.second;
+                          if (now < it.deadline)
+                          {
+                              return false;
+                          }
+                          silent.insert(it.relay);
+                          expired.push_back(std::move(it.done));
+                          return true;
+                      });
+        for (auto const& relay : silent)
+        {
+            metrics_.count(metric::order_routes, "relay_silent");
+            relays_.suspend(relay, now);
+        }
+        for (auto const& it : expired)
+        {
+            std::visit([](auto const& done) { done({}); }, it);
+        }
+        if (!pending_.empty())
+        {
+            arm();
+        }
+    }
+
+    Clock& clock_;
+    Transport& transport_;
+    Direct& direct_;
+    Metrics& metrics_;
+    relay_table relays_;
+    sequence last_number_;
+    std::map<sequence, pending> pending_;
+    std::map<std::pair<node_id, term>, order_batch> batches_;
+    std::optional<timer_id> flush_timer_;
+    std::optional<timer_id> expiry_timer_;
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/core/fleet/relay_messages.hpp
@@ -0,0 +1,83 @@
+/// Messages between the leader and the entry processes that pass its orders on
+/// to workers.
+#ifndef APRICOTLB_CORE_FLEET_RELAY_MESSAGES_HPP
+#define APRICOTLB_CORE_FLEET_RELAY_MESSAGES_HPP
+
+#include "core/fleet/worker_messages.hpp"
+
+#include <apricotlb/fields.hpp>
+#include <apricotlb/ids.hpp>
+
+#include <variant>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// An order with the number under which its answer is returned. Numbers are
+/// unique within one leadership.
+struct relayed_order
+{
+    sequence number;
+    std::variant<start_order, stop_order, pace_order, poll_order> value;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("number", &relayed_order::number),
+                          field("value", &relayed_order::value));
+    }
+};
+
+/// Orders of one leader to workers of one relay.
+struct order_batch
+{
+    term leader_term;
+    std::vector<relayed_order> orders;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("leader_term", &order_batch::leader_term),
+                          field("orders", &order_batch::orders));
+    }
+};
+
+struct relayed_answer
+{
+    sequence number;
+    std::variant<order_answer, poll_answer> value;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("number", &relayed_answer::number),
+                          field("value", &relayed_answer::value));
+    }
+};
+
+/// Answers of workers to orders of the leader of `leader_term`.
+struct answer_batch
+{
+    term leader_term;
+    std::vector<relayed_answer> answers;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("leader_term", &answer_batch::leader_term),
+                          field("answers", &answer_batch::answers));
+    }
+};
+
+/// Sent by a new leader to the processes that it knows, so that they need not
+/// search for it.
+struct leader_notice
+{
+    term in_term;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("term", &leader_notice::in_term));
+    }
+};
+
+} // namespace apricotlb
+
+#endif
--- /dev/null
+++ b/src/core/fleet/relay_table.cpp
@@ -0,0 +1,88 @@
+#include "core/fleet/relay_table.hpp"
+
+#include <tuple>
+
+namespace apricotlb
+{
+
+auto relay_table::on_contact(node_id const& relay, zone_id const& zone,
+                             time_point now) -> void
+{
+    auto& it = relays_[relay];
+    it.zone = zone;
+    it.last_contact = now;
+}
+
+auto relay_table::suspend(node_id const& relay, time_point now) -> void
+{
+    auto const found = relays_.find(relay);
+    if (found != relays_.end())
+    {
+        found->second.suspended_until = now + config::relay_suspension;
+        release_workers(found->second);
+    }
+}
+
+auto relay_table::relay_for(worker_id const& worker, zone_id const& zone,
+                            time_point now) -> std::optional<node_id>
+{
+    if (auto const known = assigned_.find(worker); known != assigned_.end())
+    {
+        auto& current = relays_.at(known->second);
+        if (current.is_live(now))
+        {
+            return known->second;
+        }
+        release_workers(current);
+    }
+    auto chosen = choose(zone, now);
+    if (chosen)
+    {
+        relays_.at(*chosen).workers.insert(worker);
+        assigned_[worker] = *chosen;
+    }
+    return chosen;
+}
+
+auto relay_table::clear() -> void
+{
+    relays_.clear();
+    assigned_.clear();
+}
+
+auto relay_table::release_workers(relay_state& from) -> void
+{
+    for (auto const& worker : from.workers)
+    {
+        assigned_.erase(worker);
+    }
+    from.workers.clear();
+}
+
+/// Relays of the zone before others; then one that is in use and has room
+/// before an unused one, since each relay in use costs the leader messages of
+/// its own; then the one with the fewest workers.
+auto relay_table::choose(zone_id const& zone, time_point now) const
+    -> std::optional<node_id>
+{
+    std::optional<node_id> best;
+    std::tuple<bool, bool, bool, std::size_t> best_rank;
+    for (auto const& [id, it] : relays_)
+    {
+        if (!it.is_live(now))
+        {
+            continue;
+        }
+        auto const n = it.workers.size();
+        auto const is_full = n >= config::workers_per_relay;
+        std::tuple const rank{it.zone != zone, is_full, n == 0, n};
+        if (!best || rank < best_rank)
+        {
+            best = id;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace apricotlb
--- /dev/null
+++ b/src/core/fleet/relay_table.hpp
@@ -0,0 +1,59 @@
+/// Which process passes the leader's orders on to which worker.
+#ifndef APRICOTLB_CORE_FLEET_RELAY_TABLE_HPP
+#define APRICOTLB_CORE_FLEET_RELAY_TABLE_HPP
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/time.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace apricotlb
+{
+
+/// Assigns each worker to a live relay, in its own zone if there is one. A
+/// worker keeps its relay while that is live, so that its connections last.
+class relay_table
+{
+public:
+    /// Records that a process which passes orders on is in contact.
+    auto on_contact(node_id const& relay, zone_id const& zone, time_point now)
+        -> void;
+    /// Takes a relay out of use for config::relay_suspension: it answers pings,
+    /// but did not return the answer to an order in time.
+    auto suspend(node_id const& relay, time_point now) -> void;
+    /// The relay for a worker; none if no relay is live.
+    [[nodiscard]] auto relay_for(worker_id const& worker, zone_id const& zone,
+                                 time_point now) -> std::optional<node_id>;
+    /// Forgets all relays and assignments.
+    auto clear() -> void;
+
+private:
+    struct relay_state
+    {
+        zone_id zone;
+        time_point last_contact{};
+        time_point suspended_until{};
+        std::set<worker_id> workers;
+
+        [[nodiscard]] auto is_live(time_point now) const -> bool
+        {
+            return now >= suspended_until &&
+                   now - last_contact < config::relay_timeout;
+        }
+    };
+
+    auto release_workers(relay_state& from) -> void;
+    [[nodiscard]] auto choose(zone_id const& zone, time_point now) const
+        -> std::optional<node_id>;
+
+    std::map<node_id, relay_state> relays_;
+    std::map<worker_id, node_id> assigned_;
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -8,6 +8,17 @@
 namespace apricotlb
 {
 
+namespace
+{
+
+/// True if the worker itself has answered.
+auto is_from_worker(order_outcome it) -> bool
+{
+    return it != order_outcome::no_answer && it != order_outcome::not_sent;
+}
+
+} // namespace
+
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
                                     time_point now) -> void
 {
@@ -136,7 +147,7 @@
         return;
     }
     held->order_in_flight = false;
-    if (answer.outcome != order_outcome::no_answer)
+    if (is_from_worker(answer.outcome))
     {
         record_contact(*worker, answer.clock, now);
     }
@@ -176,6 +187,9 @@
     case order_outcome::other_incarnation:
         on_incarnation_end(*worker);
         break;
+    case order_outcome::not_sent:
+        held->sent = now;
+        break;
     case order_outcome::no_answer:
         held->start_unconfirmed = true;
         held->sent = now;
@@ -214,7 +228,7 @@
     }
     held->order_in_flight = false;
     held->sent = now;
-    if (answer.outcome != order_outcome::no_answer)
+    if (is_from_worker(answer.outcome))
     {
         record_contact(*worker, answer.clock, now);
     }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -73,6 +73,7 @@
 {
     return {{worker.first, worker.second.incarnation},
             worker.second.info->address,
+            worker.second.info->zone,
             fence_};
 }
 
--- a/src/core/fleet/worker_messages.cpp
+++ b/src/core/fleet/worker_messages.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 9> outcome_names{
+constexpr std::array<std::string_view, 10> outcome_names{
     "done",      "fenced",    "superseded", "late",      "no_room",
-    "unhealthy", "malformed", "other_life", "no_answer",
+    "unhealthy", "malformed", "other_life", "no_answer", "not_sent",
 };
 
 constexpr std::array<std::string_view, 8> end_names{
@@ -20,7 +20,7 @@
 };
 
 static_assert(outcome_names.size() ==
-              static_cast<std::size_t>(order_outcome::no_answer) + 1);
+              static_cast<std::size_t>(last_enumerator<order_outcome>) + 1);
 static_assert(end_names.size() ==
               static_cast<std::size_t>(run_end::not_started) + 1);
 
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -70,7 +70,16 @@
 {
     worker_instance instance;
     url address;
+    zone_id zone;
     fence_token fence;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("instance", &order_target::instance),
+                          field("address", &order_target::address),
+                          field("zone", &order_target::zone),
+                          field("fence", &order_target::fence));
+    }
 };
 
 /// Starts a run. `lease_end` is the new end of the worker's lease, which covers
@@ -82,12 +91,27 @@
     std::string payload;
     checkpoint_id checkpoint; ///< empty: start from the beginning
     worker_clock lease_end;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("to", &start_order::to),
+                          field("run", &start_order::run),
+                          field("payload", &start_order::payload),
+                          field("checkpoint", &start_order::checkpoint),
+                          field("lease_end", &start_order::lease_end));
+    }
 };
 
 struct stop_order
 {
     order_target to;
     task_run run;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("to", &stop_order::to),
+                          field("run", &stop_order::run));
+    }
 };
 
 /// Limits a run to a share of its full speed; 1000 permille is no limit.
@@ -96,6 +120,13 @@
     order_target to;
     task_run run;
     permille pace;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("to", &pace_order::to),
+                          field("run", &pace_order::run),
+                          field("pace", &pace_order::pace));
+    }
 };
 
 /// Requests the lists of runs, renews the lease and acknowledges recorded ends,
@@ -106,6 +137,14 @@
     end_number recorded; ///< ends up to this number are committed in the log
     std::optional<worker_clock> lease_end; ///< none: the lease is not renewed
     milliseconds wait{}; ///< how long the worker waits for an end to report
+
+    static constexpr auto fields()
+    {
+        return field_list(field("to", &poll_order::to),
+                          field("recorded", &poll_order::recorded),
+                          field("lease_end", &poll_order::lease_end),
+                          field("wait", &poll_order::wait));
+    }
 };
 
 /// A worker's answer to an order.
@@ -121,8 +160,12 @@
     malformed,             ///< rejected as not valid
     other_incarnation, ///< the address belongs to a different worker instance
     no_answer,         ///< unknown; the order may still be executed later
+    not_sent,          ///< the relay was busy; the worker received nothing
 };
 
+template <>
+inline constexpr auto last_enumerator<order_outcome> = order_outcome::not_sent;
+
 /// Names for logs and metrics; they stay when an enumerator is renamed.
 [[nodiscard]] auto name_of(order_outcome it) -> std::string_view;
 [[nodiscard]] auto name_of(run_end it) -> std::string_view;
@@ -131,6 +174,12 @@
 {
     order_outcome outcome{order_outcome::no_answer};
     std::optional<worker_clock> clock;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("outcome", &order_answer::outcome),
+                          field("clock", &order_answer::clock));
+    }
 };
 
 /// A run that a worker lists as running.
@@ -142,6 +191,14 @@
     /// Tail latency in ms of a serving task; processor use of other tasks in
     /// millicores.
     std::int64_t load{0};
+
+    static constexpr auto fields()
+    {
+        return field_list(field("run", &running_row::run),
+                          field("checkpoint", &running_row::checkpoint),
+                          field("percent", &running_row::percent),
+                          field("load", &running_row::load));
+    }
 };
 
 /// A run that a worker lists as ended.
@@ -149,6 +206,12 @@
 {
     end_number number;
     ended_run run;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("number", &ended_row::number),
+                          field("run", &ended_row::run));
+    }
 };
 
 /// A worker's lists of its running and its ended runs.
@@ -158,12 +221,26 @@
     worker_clock clock;
     std::vector<running_row> running;
     std::vector<ended_row> ended;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("incarnation", &worker_lists::incarnation),
+                          field("clock", &worker_lists::clock),
+                          field("running", &worker_lists::running),
+                          field("ended", &worker_lists::ended));
+    }
 };
 
 struct poll_answer
 {
     order_outcome outcome{order_outcome::no_answer};
     worker_lists lists; ///< valid only if the outcome is done
+
+    static constexpr auto fields()
+    {
+        return field_list(field("outcome", &poll_answer::outcome),
+                          field("lists", &poll_answer::lists));
+    }
 };
 
 } // namespace apricotlb
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -395,7 +395,13 @@
 /// Checks whether the receiver is the leader: only the leader answers.
 struct leader_ping
 {
-    static constexpr auto fields() { return field_list(); }
+    /// Zone of a process that passes orders on to workers; none for others.
+    std::optional<zone_id> relays_in;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("relays_in", &leader_ping::relays_in));
+    }
 };
 
 /// A request to the leader. A command is replicated through the log before it
