Ask before each start order whether the run may still start

Cause: a new leader took over every active run of the log as `inherited`, also runs of cancelled workflows and of tasks that another run had finished. When a worker did not list such a run, process_absent() sent its start order without asking whether it was still wanted. Runs that were recorded for an earlier incarnation of a worker were sent to the next one in the same way. Cancelled runs that did run were stopped only when a list showed them.

Every send of a start order (the first one, its repetition, also after `late`, and that of an inherited run) now passes start_or_withdraw(), which asks may_start(): recorded for this incarnation, not ended, workflow open, task unfinished. A workflow without attempts left is not open. A run that may not start is stopped if an order for it may still be executed, and its end is proposed otherwise. Inherited runs that are not wanted are stopped by the rule that holds at each commit; the order goes out at the first tick after the worker's announcement. No rule is particular to a new leader.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -206,14 +206,7 @@
     {
         return;
     }
-    if (held.start_unconfirmed)
-    {
-        // An earlier send of this start order may still be executed.
-        held.closed_as = run_end::not_started;
-        send_stop(worker, run, held, now);
-        return;
-    }
-    propose_end(run, held, run_end::not_started);
+    withdraw(worker, run, held, now);
 }
 
 auto run_scheduler::on_answer(stop_order const& order,
@@ -367,9 +360,6 @@
     {
         held.checkpoint = row.checkpoint;
     }
-    auto const* const record = state_.workflows().find(row.run.task.workflow);
-    auto const is_wanted = record != nullptr && record->is_open() &&
-                           !record->find(row.run.task)->finished;
     auto const is_running_after_all =
         held.phase == run_phase::closed && held.closed_as == run_end::lost;
     if (held.phase == run_phase::inherited ||
@@ -379,7 +369,7 @@
     }
     auto const may_run =
         held.phase == run_phase::running || held.phase == run_phase::closed;
-    if (!is_wanted && may_run &&
+    if (!is_wanted(row.run) && may_run &&
         now - held.sent >= config::order_retry_interval)
     {
         send_stop(worker, row.run, held, now);
@@ -404,7 +394,7 @@
         {
             // The worker has accepted this leader's fencing token with the
             // poll, so that no order of an earlier leader can start the run.
-            send_start(worker, run, held, now);
+            start_or_withdraw(worker, run, held, now);
         }
         else if (held.phase == run_phase::closed &&
                  held.settled_at < poll_sent_at)
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -22,6 +22,18 @@
     return run;
 }
 
+auto needs_runs(workflow_record const& record, task_progress const& task)
+    -> bool
+{
+    return record.is_open() && !task.finished;
+}
+
+auto find_active(task_progress const& task, run_number number)
+    -> std::vector<active_run>::const_iterator
+{
+    return std::ranges::find(task.active, number, &active_run::number);
+}
+
 } // namespace
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
@@ -53,6 +65,10 @@
                 worker_of_run_[name] = run.worker.id;
             });
     }
+    for (auto const& [id, record] : state_.workflows().live())
+    {
+        stop_unneeded_runs(id, now);
+    }
 }
 
 auto run_scheduler::find(task_run const& run)
@@ -77,6 +93,56 @@
             fence_};
 }
 
+auto run_scheduler::is_wanted(task_run const& run) const -> bool
+{
+    auto const* const record = state_.workflows().find(run.task.workflow);
+    auto const* const task =
+        record == nullptr ? nullptr : record->find(run.task);
+    return task != nullptr && needs_runs(*record, *task) &&
+           find_active(*task, run.number) != task->active.end();
+}
+
+auto run_scheduler::may_start(identified_worker const& worker,
+                              task_run const& run) const -> bool
+{
+    if (!is_wanted(run) || worker.second.incarnation_ended)
+    {
+        return false;
+    }
+    auto const& task =
+        *state_.workflows().find(run.task.workflow)->find(run.task);
+    return find_active(task, run.number)->worker.incarnation ==
+           worker.second.incarnation;
+}
+
+auto run_scheduler::start_or_withdraw(identified_worker& worker,
+                                      task_run const& run, held_run& held,
+                                      time_point now) -> void
+{
+    if (!may_start(worker, run))
+    {
+        withdraw(worker, run, held, now);
+        return;
+    }
+    // tick() repeats the order if there is no reading of the worker's clock
+    // yet.
+    held.phase = run_phase::ordered;
+    send_start(worker, run, held, now);
+}
+
+auto run_scheduler::withdraw(identified_worker& worker, task_run const& run,
+                             held_run& held, time_point now) -> void
+{
+    if (held.start_unconfirmed || held.order_in_flight)
+    {
+        // An earlier send of the start order may still be executed.
+        held.closed_as = run_end::not_started;
+        send_stop(worker, run, held, now);
+        return;
+    }
+    propose_end(run, held, run_end::not_started);
+}
+
 auto run_scheduler::send_start(identified_worker& worker, task_run const& run,
                                held_run& held, time_point now) -> void
 {
@@ -86,7 +152,6 @@
     {
         return;
     }
-    held.phase = run_phase::ordered;
     held.order_in_flight = true;
     held.sent = now;
     actions_.emplace_back(
@@ -159,7 +224,7 @@
         if (held.phase == run_phase::ordered &&
             now - worker.second.last_contact < config::lease_extension_timeout)
         {
-            send_start(worker, run, held, now);
+            start_or_withdraw(worker, run, held, now);
         }
         else if (held.phase == run_phase::stopping)
         {
@@ -219,24 +284,13 @@
             {
                 continue;
             }
-            auto const* const record =
-                state_.workflows().find(placed.run.task.workflow);
             if (!state_.workflows().is_active(placed.run))
             {
                 release(placed.run, now);
             }
-            else if (worker->second.incarnation_ended ||
-                     worker->second.incarnation != placed.worker.incarnation ||
-                     !record->is_open())
-            {
-                propose_end(placed.run, *held, run_end::not_started);
-            }
             else
             {
-                // tick() repeats the order if there is no reading of the
-                // worker's clock yet.
-                held->phase = run_phase::ordered;
-                send_start(*worker, placed.run, *held, now);
+                start_or_withdraw(*worker, placed.run, *held, now);
             }
         }
     }
@@ -307,8 +361,12 @@
     {
         return;
     }
-    if (held->phase == run_phase::inherited ||
-        held->phase == run_phase::ordered || held->phase == run_phase::running)
+    if (held->phase == run_phase::ordered)
+    {
+        withdraw(*worker, run, *held, now);
+    }
+    else if (held->phase == run_phase::inherited ||
+             held->phase == run_phase::running)
     {
         send_stop(*worker, run, *held, now);
     }
@@ -322,12 +380,11 @@
     {
         return;
     }
-    auto const is_open = record->is_open();
     record->for_each_active(
         [&](workflow_task const& task, task_progress const& progress,
             active_run const& run)
         {
-            if (!is_open || progress.finished)
+            if (!needs_runs(*record, progress))
             {
                 request_stop({task, run.number}, now);
             }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -134,6 +134,23 @@
     auto inherit_runs(time_point now) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
     auto target_of(identified_worker const& worker) const -> order_target;
+    /// True while the log asks for the run: its end is not recorded, its
+    /// workflow is open, and no other run has finished its task. A workflow
+    /// without attempts left is not open.
+    [[nodiscard]] auto is_wanted(task_run const& run) const -> bool;
+    /// Decides for every send of a start order whether the run may start on
+    /// the worker.
+    [[nodiscard]] auto may_start(identified_worker const& worker,
+                                 task_run const& run) const -> bool;
+    /// Sends the start order of a recorded run if it may start, and otherwise
+    /// withdraws the run.
+    auto start_or_withdraw(identified_worker& worker, task_run const& run,
+                           held_run& held, time_point now) -> void;
+    /// Ends a run of which no start order can be executed any more; stops it
+    /// if one can.
+    auto withdraw(identified_worker& worker, task_run const& run,
+                  held_run& held, time_point now) -> void;
+    /// Called by start_or_withdraw() only.
     auto send_start(identified_worker& worker, task_run const& run,
                     held_run& held, time_point now) -> void;
     auto send_stop(identified_worker& worker, task_run const& run,
@@ -141,7 +158,7 @@
     auto send_poll(identified_worker& worker, time_point now) -> void;
     auto repeat_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
-    /// Stops the runs of ended workflows and finished tasks.
+    /// Stops the runs of a workflow that are not wanted any more.
     auto stop_unneeded_runs(workflow_id const& id, time_point now) -> void;
     auto propose_end(task_run const& run, held_run& held, run_end outcome)
         -> void;
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -122,6 +122,28 @@
         }
     }
 
+    /// Runs until the leader has an announcement of a worker, for 2 s at most;
+    /// returns whether it has one.
+    auto run_until_known(std::string const& name) -> bool
+    {
+        auto const is_known = [&]
+        {
+            auto const it = leader->workers().find(worker_id{name});
+            return it != leader->workers().end() && it->second.info.has_value();
+        };
+        for (auto n = 0; n < 400 && !is_known(); ++n)
+        {
+            run(milliseconds{5});
+        }
+        return is_known();
+    }
+
+    /// Workflows with unfinished tasks or with runs whose end is not on record.
+    [[nodiscard]] auto live_workflows() const -> std::size_t
+    {
+        return state.workflows().live().size();
+    }
+
     [[nodiscard]] auto state_of(std::string const& id) const -> workflow_state
     {
         return state.workflows().state(workflow_id{id}).value();
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -122,6 +122,102 @@
     EXPECT_TRUE(it.violations.empty());
 }
 
+// A start on record whose order never arrived must not be sent by the next
+// leader once its workflow is cancelled.
+TEST(run_scheduler, starts_no_run_of_a_cancelled_workflow_after_a_leader_change)
+{
+    fake_fleet it{12};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{100});
+    ASSERT_EQ(it.starts, 1U);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.lead();
+    it.run(milliseconds{1200});
+    ASSERT_TRUE(it.workers["w1"]->running().empty());
+    it.cut.clear();
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 1U);
+    EXPECT_EQ(it.live_workflows(), 0U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::cancelled);
+}
+
+// A new leader that waits for lists lets cancelled work run on at each worker
+// that is slow to list it.
+TEST(run_scheduler, stops_cancelled_runs_once_a_new_leader_knows_the_worker)
+{
+    fake_fleet it{13};
+    it.add_worker("w1", 4000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{30}}, "done", 1000};
+    };
+    it.submit("a", {fake_fleet::step(2)});
+    it.run(milliseconds{500});
+    ASSERT_EQ(it.workers["w1"]->running().size(), 2U);
+    it.cut.insert("w1");
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.lead();
+    it.run(milliseconds{1200});
+    it.cut.clear();
+    ASSERT_TRUE(it.run_until_known("w1"));
+    ASSERT_EQ(it.workers["w1"]->running().size(), 2U);
+    it.run(milliseconds{20});
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+    it.run(seconds{1});
+    EXPECT_EQ(it.live_workflows(), 0U);
+}
+
+// A copy whose task another run has finished would be done twice.
+TEST(run_scheduler, starts_no_copy_of_a_finished_task_after_a_leader_change)
+{
+    fake_fleet it{14};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    auto copied = fake_fleet::step(1);
+    copied.allows_copies = true;
+    it.submit("a", {copied});
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    workflow_task const task{workflow_id{"a"}, {}, {}, {}};
+    task_run const first{task, run_number{1}};
+    task_run const second{task, run_number{2}};
+    it.apply(start_runs{{{first, w1}, {second, w1}}});
+    it.apply(end_runs{{{first, run_end::finished, {}}}, {}});
+    ASSERT_EQ(it.live_workflows(), 1U);
+    it.lead();
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 0U);
+    EXPECT_EQ(it.live_workflows(), 0U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
+// A run that is on record for an earlier life of a worker was lost with it. The
+// next life must not get its start order.
+TEST(run_scheduler, starts_no_run_of_an_earlier_life_after_a_leader_change)
+{
+    fake_fleet it{15};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.workers["w1"]->restart(2, it.now);
+    it.submit("a", {fake_fleet::step(2)});
+    worker_id const id{"w1"};
+    task_run const lost{{workflow_id{"a"}, {}, {}, task_index{0}},
+                        run_number{1}};
+    task_run const current{{workflow_id{"a"}, {}, {}, task_index{1}},
+                           run_number{1}};
+    it.apply(start_runs{{{lost, {id, worker_incarnation{1}}},
+                         {current, {id, worker_incarnation{2}}}}});
+    it.lead();
+    ASSERT_TRUE(it.run_until_known("w1"));
+    it.run(milliseconds{500});
+    auto const& running = it.workers["w1"]->running();
+    ASSERT_TRUE(running.contains("a.0.0.0"));
+    ASSERT_TRUE(running.contains("a.0.0.1"));
+    EXPECT_EQ(running.at("a.0.0.0").number, 2);
+    EXPECT_EQ(running.at("a.0.0.1").number, 1);
+}
+
 // A start without an answer may arrive after the worker was restarted under
 // the same id. It must be stopped there before the task runs elsewhere.
 TEST(run_scheduler, closes_unanswered_starts_after_a_restart_of_the_worker)
