Start nothing on a worker that drains

Workers whose `draining` had been acknowledged could still be sent a start.

Cause: only the choice of a worker asked for its phase. A start whose proposal was committed after the announcement, the repetition of an unanswered start, and an inherited run that the worker did not list were sent without asking again; the last one concerns a new leader as well, which hears of the drain from the first announcement.

may_start(), which every send passes, now includes the phase. The run is withdrawn and its task placed on another worker.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -105,14 +105,18 @@
 auto run_scheduler::may_start(identified_worker const& worker,
                               task_run const& run) const -> bool
 {
-    if (!is_wanted(run) || worker.second.incarnation_ended)
+    auto const& entry = worker.second;
+    // A worker that has not announced itself to this leader receives no orders.
+    auto const is_draining =
+        entry.info && entry.info->phase != worker_phase::ready;
+    if (!is_wanted(run) || entry.incarnation_ended || is_draining)
     {
         return false;
     }
     auto const& task =
         *state_.workflows().find(run.task.workflow)->find(run.task);
     return find_active(task, run.number)->worker.incarnation ==
-           worker.second.incarnation;
+           entry.incarnation;
 }
 
 auto run_scheduler::start_or_withdraw(identified_worker& worker,
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -122,6 +122,9 @@
         }
     }
 
+    /// Lets all workers announce themselves at the next step.
+    auto announce_now() -> void { next_beat_ = now; }
+
     /// Runs until the leader has an announcement of a worker, for 2 s at most;
     /// returns whether it has one.
     auto run_until_known(std::string const& name) -> bool
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -265,6 +265,68 @@
     EXPECT_EQ(it.state_of("a"), workflow_state::queued);
 }
 
+// Promised to a worker that drains between the choice and its commit.
+TEST(run_scheduler, starts_nothing_on_a_worker_that_drains_before_the_commit)
+{
+    fake_fleet it{16};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{900});
+    it.submit("a", {fake_fleet::step(1)});
+    // The announcement falls into the 15 ms until the start is committed.
+    it.announce_now();
+    it.run(milliseconds{5});
+    ASSERT_EQ(it.leader->workers().at(worker_id{"w1"}).runs.size(), 1U);
+    it.draining.insert("w1");
+    it.announce_now();
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.starts, 0U);
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
+// Repeating an unanswered start on a worker that drains would start the task
+// there if the first order was lost.
+TEST(run_scheduler, repeats_no_start_on_a_worker_that_drains)
+{
+    fake_fleet it{17};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{1150});
+    ASSERT_EQ(it.starts, 1U);
+    it.cut.clear();
+    it.draining.insert("w1");
+    it.announce_now();
+    it.run(seconds{1});
+    EXPECT_EQ(it.starts, 1U);
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
+// The promise to a draining worker binds the next leader too.
+TEST(run_scheduler, starts_no_inherited_run_on_a_draining_worker)
+{
+    fake_fleet it{18};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{100});
+    ASSERT_EQ(it.starts, 1U);
+    it.lead();
+    it.run(milliseconds{1200});
+    it.cut.clear();
+    it.draining.insert("w1");
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 1U);
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
 // The members of a gang work only together, so that a part of them would
 // hold room for nothing.
 TEST(run_scheduler, places_all_members_of_a_gang_or_none)
