Stop the rest of a gang when a member cannot start

When the worker of one member of a gang announced that it drains before the start was committed, the other members were started and held their room for as long as their workers let them wait; the gang did not get its next run.

Cause: the scheduler did nothing about the other members when a member ended without having run. By reading, a rejected start of one member has the same effect; that was not played.

Once the end of a member is recorded and the gang has not finished, the other members of that run are stopped, so that the whole gang is placed again.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -303,6 +303,7 @@
         for (auto const& ended : ends->runs)
         {
             stop_unneeded_runs(ended.run.task.workflow, now);
+            stop_incomplete_gang(ended, now);
         }
     }
     else if (auto const* const cancel = std::get_if<cancel_workflow>(&applied))
@@ -395,6 +396,33 @@
         });
 }
 
+/// Workers end the members of a gang together, but not those that wait for a
+/// member that never started.
+auto run_scheduler::stop_incomplete_gang(ended_run const& ended, time_point now)
+    -> void
+{
+    auto const& ended_task = ended.run.task;
+    auto const* const record = state_.workflows().find(ended_task.workflow);
+    if (record == nullptr || ended.outcome == run_end::finished ||
+        !record->step(ended_task).gang)
+    {
+        return;
+    }
+    auto const& step = record->occurrences[ended_task.occurrence.value()]
+                           .steps[ended_task.step.value()];
+    auto task = ended_task;
+    for (std::uint32_t n = 0; n < step.tasks.size(); ++n)
+    {
+        task.index = task_index{n};
+        // The members share the number of their run; a later one goes on.
+        if (find_active(step.tasks[n], ended.run.number) !=
+            step.tasks[n].active.end())
+        {
+            request_stop({task, ended.run.number}, now);
+        }
+    }
+}
+
 auto run_scheduler::propose_end(task_run const& run, held_run& held,
                                 run_end outcome) -> void
 {
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -160,6 +160,9 @@
     auto request_stop(task_run const& run, time_point now) -> void;
     /// Stops the runs of a workflow that are not wanted any more.
     auto stop_unneeded_runs(workflow_id const& id, time_point now) -> void;
+    /// After the end of a run, stops the other members of its gang unless the
+    /// gang has finished.
+    auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
     auto propose_end(task_run const& run, held_run& held, run_end outcome)
         -> void;
     auto release(task_run const& run, time_point now) -> void;
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -343,6 +343,36 @@
     EXPECT_EQ(it.starts, 4U);
 }
 
+// Members whose gang cannot become complete would hold room until their time
+// limit.
+TEST(run_scheduler, stops_a_gang_of_which_a_member_cannot_start)
+{
+    fake_fleet it{19};
+    it.add_worker("w1", 3000);
+    it.add_worker("w2", 3000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{30}}, "done", 1000};
+    };
+    it.run(milliseconds{100});
+    auto gang = fake_fleet::step(4);
+    gang.gang = true;
+    it.submit("a", {gang});
+    it.announce_now();
+    it.run(milliseconds{5});
+    auto const& known = it.leader->workers();
+    auto const w1_has_less = known.at(worker_id{"w1"}).runs.size() <
+                             known.at(worker_id{"w2"}).runs.size();
+    it.draining.insert(w1_has_less ? "w1" : "w2");
+    it.announce_now();
+    it.run(milliseconds{300});
+    EXPECT_EQ(it.starts, 3U);
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+    EXPECT_TRUE(it.workers["w2"]->running().empty());
+    it.add_worker("w3", 3000);
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 7U);
+}
+
 // Two tasks of a step on one worker would be lost together.
 TEST(run_scheduler, keeps_the_limit_of_tasks_of_a_step_per_worker)
 {
