Start no run that the log records for another worker

A deposed leader could send a start for a task that its successor had started on another worker under the same run number.

Cause: committed entries are applied before the change of leadership is acted on, so the deposed leader's scheduler sees the successor's starts. It found its own proposal by task and run number and compared the incarnation of the worker, not its id. Incarnations are start times in milliseconds, so workers of a fleet that starts together can share one.

The reservation is released unless the log names its worker. The end of the run is not proposed: that would end the successor's run.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -288,7 +288,9 @@
             {
                 continue;
             }
-            if (!state_.workflows().is_active(placed.run))
+            // A later leader may have recorded this number for another worker.
+            if (worker->first != placed.worker.id ||
+                !state_.workflows().is_active(placed.run))
             {
                 release(placed.run, now);
             }
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -218,6 +218,31 @@
     EXPECT_EQ(running.at("a.0.0.1").number, 1);
 }
 
+// A deposed leader applies the entries of its successor before it learns that
+// it was deposed. It must not take the successor's run for its own proposal.
+TEST(run_scheduler, starts_no_run_that_is_on_record_for_another_worker)
+{
+    fake_fleet it{20};
+    it.add_worker("w1", 4000);
+    it.add_worker("w2", 4000);
+    it.run(milliseconds{100});
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{5});
+    auto const& known = it.leader->workers();
+    auto const chose_w1 = !known.at(worker_id{"w1"}).runs.empty();
+    worker_instance const other{worker_id{chose_w1 ? "w2" : "w1"},
+                                worker_incarnation{1}};
+    task_run const run{{workflow_id{"a"}, {}, {}, {}}, run_number{1}};
+    it.apply(start_runs{{{run, other}}});
+    it.run(milliseconds{5});
+    EXPECT_EQ(it.starts, 0U);
+    EXPECT_TRUE(it.state.workflows().is_active(run));
+    it.lead();
+    it.run(seconds{3});
+    EXPECT_EQ(it.starts, 1U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
 // A start without an answer may arrive after the worker was restarted under
 // the same id. It must be stopped there before the task runs elsewhere.
 TEST(run_scheduler, closes_unanswered_starts_after_a_restart_of_the_worker)
