Send no start and no poll without the leader's lease

A leader whose timers run late (a freeze, a long turn of the loop) could start a run from a state that its successor had changed, and extend a worker's lease that its successor took for over.

Cause: calls of clients and workers ask whether this process still holds its lease, but the workflow scheduler's own timer and the answers of workers did not; it acted until the replica's timer had noticed the loss. A worker's fence stops such orders only once the successor has reached that worker.

The driver now asks the log at each start and each poll and answers `not_sent`, which the scheduler repeats. Stops and paces are sent as before: they neither start nor prolong work.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -59,7 +59,7 @@
           random_(options.replica.seed),
           replica_(clock, raft_link_, store, machine_,
                    std::move(options.replica)),
-          workflows_(clock, runs, metrics, propose_run{this}, options.fleet)
+          workflows_(clock, runs, metrics, leader_log{this}, options.fleet)
     {
         machine_.on_applied(
             [this](command const& it, apply_result const& result)
@@ -168,13 +168,17 @@
 private:
     using machine_type = log_machine<Codec, Snapshots>;
 
-    /// Appends commands of the workflow scheduler to the log.
-    struct propose_run
+    /// The log as the workflow scheduler uses it.
+    struct leader_log
     {
         control_role* role;
 
-        auto operator()(command const& it,
-                        std::function<void(result<void>)> done) const -> void
+        [[nodiscard]] auto is_current() const -> bool
+        {
+            return role->is_leader();
+        }
+        auto propose(command const& it,
+                     std::function<void(result<void>)> done) const -> void
         {
             role->replica_.propose(
                 Codec::encode(it),
@@ -695,7 +699,7 @@
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
     std::function<void(term)> on_leading_;
-    workflow_driver<Clock, Runs, propose_run, Metrics> workflows_;
+    workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
     time_point last_key_expiry_{};
     time_point last_member_check_{};
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -12,6 +12,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -22,17 +23,27 @@
 namespace apricotlb
 {
 
-/// Connects the run scheduler to the clock, the log and the workers. Propose is
-/// callable with (command, function<void(result<void>)>).
-template <clock_port Clock, run_worker_port Workers, class Propose,
+/// The replicated log of the leader, as its workflow scheduler needs it.
+template <class T>
+concept run_log = requires(T& it, command const& value,
+                           std::function<void(result<void>)> done) {
+    it.propose(value, std::move(done));
+    /// True while no later leader can have committed anything.
+    {
+        it.is_current()
+    } -> std::same_as<bool>;
+};
+
+/// Connects the run scheduler to the clock, the log and the workers.
+template <clock_port Clock, run_worker_port Workers, run_log Log,
           metrics_port Metrics>
 class workflow_driver
 {
 public:
-    workflow_driver(Clock& clock, Workers& workers, Metrics& metrics,
-                    Propose propose, fleet_policy policy)
+    workflow_driver(Clock& clock, Workers& workers, Metrics& metrics, Log log,
+                    fleet_policy policy)
         : clock_(clock), workers_(workers), metrics_(metrics),
-          propose_(std::move(propose)), policy_(policy)
+          log_(std::move(log)), policy_(policy)
     {
     }
     workflow_driver(workflow_driver const&) = delete;
@@ -163,15 +174,15 @@
     auto execute(propose_starts it) -> void
     {
         command const proposal{it.value};
-        propose_(proposal, in_current_epoch(
-                               [this, it = std::move(it)](result<void> done)
-                               {
-                                   if (done.has_error())
-                                   {
-                                       scheduler_->on_not_applied(it,
-                                                                  clock_.now());
-                                   }
-                               }));
+        log_.propose(proposal,
+                     in_current_epoch(
+                         [this, it = std::move(it)](result<void> done)
+                         {
+                             if (done.has_error())
+                             {
+                                 scheduler_->on_not_applied(it, clock_.now());
+                             }
+                         }));
     }
 
     auto execute(propose_ends it) -> void
@@ -186,16 +197,17 @@
             return;
         }
         command const proposal{end_runs{it.runs, clock_.wall_now()}};
-        propose_(proposal, in_current_epoch(
-                               [this, it = std::move(it)](result<void> done)
-                               {
-                                   if (done.has_error())
+        log_.propose(proposal, in_current_epoch(
+                                   [this, it = std::move(it)](result<void> done)
                                    {
-                                       scheduler_->on_not_recorded(it);
-                                       return;
-                                   }
-                                   scheduler_->on_recorded(it, clock_.now());
-                               }));
+                                       if (done.has_error())
+                                       {
+                                           scheduler_->on_not_recorded(it);
+                                           return;
+                                       }
+                                       scheduler_->on_recorded(it,
+                                                               clock_.now());
+                                   }));
     }
 
     template <class Order>
@@ -212,13 +224,24 @@
                                name_of(got.outcome));
                 scheduler_->on_answer(it, got, clock_.now());
             });
+        // A process without the leader's lease may have a successor, which may
+        // have cancelled the run or counted the worker's lease as over.
+        constexpr auto extends_work = std::is_same_v<Order, start_order> ||
+                                      std::is_same_v<Order, poll_order>;
+        if (extends_work && !log_.is_current())
+        {
+            answer refused;
+            refused.outcome = order_outcome::not_sent;
+            done(refused);
+            return;
+        }
         workers_.send(it, std::move(done));
     }
 
     Clock& clock_;
     Workers& workers_;
     Metrics& metrics_;
-    Propose propose_;
+    Log log_;
     fleet_policy policy_;
     std::optional<run_scheduler> scheduler_;
     std::function<void(fleet_summary const&)> on_report_;
--- /dev/null
+++ b/tests/workflow_driver_test.cpp
@@ -0,0 +1,139 @@
+#include "app/workflow_driver.hpp"
+#include "paused_clock.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+namespace
+{
+
+/// Counts orders and leaves them without an answer.
+struct counting_workers
+{
+    auto send(start_order const& /*order*/,
+              std::function<void(order_answer)> /*done*/) -> void
+    {
+        ++starts;
+    }
+    auto send(stop_order const& /*order*/,
+              std::function<void(order_answer)> /*done*/) -> void
+    {
+        ++stops;
+    }
+    auto send(pace_order const& /*order*/,
+              std::function<void(order_answer)> /*done*/) -> void
+    {
+    }
+    auto send(poll_order const& /*order*/,
+              std::function<void(poll_answer)> done) -> void
+    {
+        ++polls;
+        last_poll = std::move(done);
+    }
+
+    int starts{0};
+    int stops{0};
+    int polls{0};
+    std::function<void(poll_answer)> last_poll;
+};
+
+static_assert(run_worker_port<counting_workers>);
+
+struct no_metrics
+{
+    auto count(std::string_view /*name*/, std::string_view /*label*/) -> void {}
+    auto record(std::string_view /*name*/, std::string_view /*label*/,
+                duration /*d*/) -> void
+    {
+    }
+};
+
+/// A leader's lease that the test ends; commits nothing.
+struct test_lease
+{
+    bool* is_held;
+
+    auto propose(command const& /*it*/,
+                 std::function<void(result<void>)> /*done*/) const -> void
+    {
+    }
+    [[nodiscard]] auto is_current() const -> bool { return *is_held; }
+};
+
+/// A driver that leads a state with one recorded run on worker w1.
+class driver_fixture : public testing::Test
+{
+protected:
+    driver_fixture()
+    {
+        contract_set set;
+        set.version = contract_set_version{1};
+        set.pools.push_back({pool_name{"pool"}, true, false});
+        queue_contract queue;
+        queue.name = queue_name{"q"};
+        queue.pool = pool_name{"pool"};
+        queue.timeout = milliseconds{3000};
+        queue.max_failures = 2;
+        set.queues.push_back(queue);
+        workflow_spec spec;
+        spec.id = workflow_id{"a"};
+        spec.steps.emplace_back().tasks = task_count{1};
+        state.apply(apply_contract_set{set}, log_index{1});
+        state.apply(submit_workflow{spec, queue}, log_index{2});
+        state.apply(start_runs{{{run, w1}}}, log_index{3});
+        clock.advance(seconds{10});
+        driver.start(state, term{2});
+    }
+
+    auto announce() -> void
+    {
+        worker_announcement it;
+        it.instance = w1;
+        it.pool = pool_name{"pool"};
+        it.capacity.cores = millicores{1000};
+        it.number = sequence{++announcements};
+        driver.on_announcement(it);
+    }
+
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    task_run const run{{workflow_id{"a"}, {}, {}, {}}, run_number{1}};
+    std::uint64_t announcements{0};
+    bool holds_lease{true};
+    paused_clock clock;
+    counting_workers workers;
+    no_metrics metrics;
+    state_machine state;
+    workflow_driver<paused_clock, counting_workers, test_lease, no_metrics>
+        driver{clock, workers, metrics, test_lease{&holds_lease},
+               fleet_policy{seconds{5}}};
+};
+
+// A leader that was frozen must not start a run that its successor has
+// cancelled, nor extend a lease that its successor takes for over.
+TEST_F(driver_fixture, sends_no_start_and_no_poll_without_the_leader_lease)
+{
+    announce();
+    ASSERT_EQ(workers.polls, 1);
+    holds_lease = false;
+    poll_answer absent;
+    absent.outcome = order_outcome::done;
+    absent.lists.incarnation = w1.incarnation;
+    workers.last_poll(absent);
+    clock.advance(milliseconds{500});
+    EXPECT_EQ(workers.starts, 0);
+    EXPECT_EQ(workers.polls, 1);
+    holds_lease = true;
+    clock.advance(milliseconds{500});
+    EXPECT_EQ(workers.starts, 1);
+    EXPECT_EQ(workers.polls, 2);
+}
+
+} // namespace
+} // namespace apricotlb
