Stop a cancelled start in flight at the next life of its worker too

A task of a cancelled workflow could run on a worker that had just been restarted: its start order was in flight at the cancellation, the stop was lost, and the start reached the next life of the worker.

Cause: after a restart the scheduler stops the runs whose start has no answer. A stop replaced the note that a start was in flight, so the run counted as ended with the former life.

stops_a_cancelled_start_in_flight_at_the_next_life_too Value of: it.workers["w1"]->running().empty() Actual: false

send_stop() now records that such a start is unconfirmed, and the existing rule for unconfirmed starts stops it at the next life before its end is recorded.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -167,6 +167,11 @@
 auto run_scheduler::send_stop(identified_worker& worker, task_run const& run,
                               held_run& held, time_point now) -> void
 {
+    // The answer to the start order no longer counts, so that the order may
+    // still be executed by a later incarnation.
+    held.start_unconfirmed =
+        held.start_unconfirmed ||
+        (held.phase == run_phase::ordered && held.order_in_flight);
     held.phase = run_phase::stopping;
     if (fenced_ || !worker.second.info)
     {
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -260,6 +260,36 @@
     EXPECT_TRUE(it.violations.empty()) << it.violations.front();
 }
 
+// A start that is in flight when its workflow is cancelled may reach the next
+// life of the worker, which has not seen the stop.
+TEST(run_scheduler, stops_a_cancelled_start_in_flight_at_the_next_life_too)
+{
+    fake_fleet it{21};
+    it.add_worker("w1", 4000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 1000};
+    };
+    it.run(seconds{20});
+    it.faults.late = 100;
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{50});
+    ASSERT_EQ(it.starts, 1U);
+    it.faults.late = 0;
+    it.cut.insert("w1");
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.run(milliseconds{50});
+    it.cut.clear();
+    it.workers["w1"]->restart(2, it.now);
+    it.announce_now();
+    it.run(milliseconds{200});
+    it.cut.insert("w1"); // the stop for the former life stays lost
+    it.run(milliseconds{1200});
+    it.cut.clear();
+    it.run(seconds{7});
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+    EXPECT_EQ(it.live_workflows(), 0U);
+}
+
 // A start that reaches the next life of a worker before its announcement is
 // answered like any other. Taking the run for lost would run it twice.
 TEST(run_scheduler, finds_runs_that_a_new_life_was_sent)
