Check each start order under random faults

The random faults of the fleet held neither cancellations nor drains, and a start was judged only by whether a task ran twice. The stand-in for the fleet now checks each start order when it is sent: its run is on record for that worker, its workflow is open, its task unfinished, and the worker has not announced that it drains. The new test adds cancellations and drains to restarts, cuts and changes of leader.

--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -9,6 +9,7 @@
 
 #include <apricotlb/config.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -220,6 +221,10 @@
     {
         constexpr auto is_start = std::is_same_v<Order, start_order>;
         starts += is_start ? 1 : 0;
+        if constexpr (is_start)
+        {
+            check_start(it);
+        }
         auto const name = it.to.instance.id.value();
         auto const deliver = [this, it, name]() -> http_answer
         {
@@ -253,6 +258,36 @@
             });
     }
 
+    /// A start order is sent only for an active run of an open workflow, to the
+    /// worker of the record, and to none that has announced that it drains.
+    auto check_start(start_order const& it) -> void
+    {
+        auto const& task = it.run.task;
+        auto const* const record = state.workflows().find(task.workflow);
+        if (record == nullptr || !record->is_open() ||
+            record->find(task)->finished)
+        {
+            violations.push_back("start of an ended task of " +
+                                 task.workflow.value());
+            return;
+        }
+        auto const& active = record->find(task)->active;
+        if (std::ranges::find(active, it.run.number, &active_run::number) ==
+                active.end() ||
+            std::ranges::find(active, it.to.instance, &active_run::worker) ==
+                active.end())
+        {
+            violations.push_back("start of " + task.workflow.value() +
+                                 " that is not on record for the worker");
+        }
+        auto const& known = leader->workers().at(it.to.instance.id).info;
+        if (known->phase != worker_phase::ready)
+        {
+            violations.push_back("start on draining worker " +
+                                 it.to.instance.id.value());
+        }
+    }
+
     template <class Order>
     auto answer(Order const& to, http_answer const& it) -> void
     {
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -496,5 +496,64 @@
     }
 }
 
+// Cancellations, drains, restarts, cuts and new leaders at random: a start is
+// sent only for what is still wanted, and every run ends on record.
+TEST(run_scheduler, starts_only_what_is_wanted_under_random_faults)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        fake_fleet it{seed};
+        it.faults = {10, 10};
+        for (auto n = 0; n < 4; ++n)
+        {
+            it.add_worker("w" + std::to_string(n), 4000);
+        }
+        std::uint64_t random{seed};
+        std::int64_t incarnation_number{1};
+        for (auto n = 0; n < 16; ++n)
+        {
+            it.submit("job" + std::to_string(n), {fake_fleet::step(4)});
+            auto const name = "w" + std::to_string(next_random(random) % 4);
+            switch (next_random(random) % 6)
+            {
+            case 0:
+                it.cut.insert(name);
+                break;
+            case 1:
+                it.cut.clear();
+                break;
+            case 2:
+                it.draining.insert(name);
+                break;
+            case 3:
+                it.workers[name]->restart(++incarnation_number, it.now);
+                it.draining.erase(name);
+                break;
+            default:
+                break;
+            }
+            it.run(milliseconds{10 + next_random(random) % 300});
+            auto const cancelled = next_random(random) % 16;
+            if (cancelled <= static_cast<std::uint64_t>(n))
+            {
+                it.apply(cancel_workflow{
+                    workflow_id{"job" + std::to_string(cancelled)}, {}});
+            }
+            if (next_random(random) % 3 == 0)
+            {
+                it.lead();
+            }
+            it.run(milliseconds{next_random(random) % 600});
+        }
+        it.faults = {};
+        it.cut.clear();
+        it.draining.clear();
+        it.run(seconds{30});
+        EXPECT_TRUE(it.violations.empty())
+            << "seed " << seed << ": " << it.violations.front();
+        EXPECT_EQ(it.live_workflows(), 0U) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace apricotlb
