--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -347,12 +347,12 @@
 inline constexpr duration relay_check_interval = 100ms;
 /// Workers of one relay before another one is used: each relay in use costs the
 /// leader messages of its own.
-inline constexpr std::size_t workers_per_relay = 16;
+inline constexpr std::size_t workers_per_relay = 32;
 inline constexpr std::size_t max_orders_per_batch = 64;
 /// Orders that a relay has under way; further ones are answered with not_sent.
 inline constexpr std::size_t max_relayed_orders = 1024;
 /// How long a relay collects answers into one message.
-inline constexpr duration answer_batch_delay = 5ms;
+inline constexpr duration answer_batch_delay = 15ms;
 /// Interval at which a control process passes on to the leader which workers
 /// are in contact.
 inline constexpr duration worker_renewal_interval = 200ms;
--- a/src/app/group_link.hpp
+++ b/src/app/group_link.hpp
@@ -54,6 +54,13 @@
         send_ping();
     }
 
+    /// Tells the leader to send no more orders through this process.
+    auto stop_relaying() -> void
+    {
+        relays_in_.reset();
+        send_ping();
+    }
+
     /// True if a ping sent within config::leader_timeout was answered.
     [[nodiscard]] auto has_leader() const -> bool
     {
--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -34,8 +34,7 @@
 public:
     relayed_workers(Clock& clock, Transport& peers, Direct& direct,
                     Metrics& metrics)
-        : clock_(clock), transport_(peers), direct_(direct),
-          metrics_(metrics)
+        : clock_(clock), transport_(peers), direct_(direct), metrics_(metrics)
     {
     }
     relayed_workers(relayed_workers const&) = delete;
@@ -62,10 +61,18 @@
         pass_on(it, std::move(done), config::order_timeout + it.wait);
     }
 
-    /// Records a ping of a process that passes orders on.
-    auto on_contact(node_id const& relay, zone_id const& zone) -> void
+    /// Records that a process passes orders on, or does so no longer. Orders
+    /// that it has already are still answered.
+    auto on_ping(node_id const& from, leader_ping const& it) -> void
     {
-        relays_.on_contact(relay, zone, clock_.now());
+        if (it.relays_in)
+        {
+            relays_.on_contact(from, *it.relays_in, clock_.now());
+        }
+        else
+        {
+            relays_.remove(from);
+        }
     }
 
     auto take(node_id const& from, answer_batch it) -> void
--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -13,6 +13,16 @@
     it.last_contact = now;
 }
 
+auto relay_table::remove(node_id const& relay) -> void
+{
+    auto const found = relays_.find(relay);
+    if (found != relays_.end())
+    {
+        release_workers(found->second);
+        relays_.erase(found);
+    }
+}
+
 auto relay_table::suspend(node_id const& relay, time_point now) -> void
 {
     auto const found = relays_.find(relay);
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -22,6 +22,8 @@
     /// Records that a process which passes orders on is in contact.
     auto on_contact(node_id const& relay, zone_id const& zone, time_point now)
         -> void;
+    /// Takes a relay out of use, until it is in contact again.
+    auto remove(node_id const& relay) -> void;
     /// Takes a relay out of use for config::relay_suspension: it answers pings,
     /// but did not return the answer to an order in time.
     auto suspend(node_id const& relay, time_point now) -> void;
