--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -122,6 +122,127 @@
     EXPECT_TRUE(it.violations.empty());
 }
 
+// A start on record whose order never arrived must not be sent by the next
+// leader once its workflow is cancelled.
+TEST(run_scheduler, starts_no_run_of_a_cancelled_workflow_after_a_leader_change)
+{
+    fake_fleet it{12};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{100});
+    ASSERT_EQ(it.starts, 1U);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.lead();
+    it.run(milliseconds{1200});
+    ASSERT_TRUE(it.workers["w1"]->running().empty());
+    it.cut.clear();
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 1U);
+    EXPECT_EQ(it.live_workflows(), 0U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::cancelled);
+}
+
+// A new leader that waits for lists lets cancelled work run on at each worker
+// that is slow to list it.
+TEST(run_scheduler, stops_cancelled_runs_once_a_new_leader_knows_the_worker)
+{
+    fake_fleet it{13};
+    it.add_worker("w1", 4000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{30}}, "done", 1000};
+    };
+    it.submit("a", {fake_fleet::step(2)});
+    it.run(milliseconds{500});
+    ASSERT_EQ(it.workers["w1"]->running().size(), 2U);
+    it.cut.insert("w1");
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.lead();
+    it.run(milliseconds{1200});
+    it.cut.clear();
+    ASSERT_TRUE(it.run_until_known("w1"));
+    ASSERT_EQ(it.workers["w1"]->running().size(), 2U);
+    it.run(milliseconds{20});
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+    it.run(seconds{1});
+    EXPECT_EQ(it.live_workflows(), 0U);
+}
+
+// A copy whose task another run has finished would be done twice.
+TEST(run_scheduler, starts_no_copy_of_a_finished_task_after_a_leader_change)
+{
+    fake_fleet it{14};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    auto copied = fake_fleet::step(1);
+    copied.allows_copies = true;
+    it.submit("a", {copied});
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    workflow_task const task{workflow_id{"a"}, {}, {}, {}};
+    task_run const first{task, run_number{1}};
+    task_run const second{task, run_number{2}};
+    it.apply(start_runs{{{first, w1}, {second, w1}}});
+    it.apply(end_runs{{{first, run_end::finished, {}}}, {}});
+    ASSERT_EQ(it.live_workflows(), 1U);
+    it.lead();
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 0U);
+    EXPECT_EQ(it.live_workflows(), 0U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
+// A run that is on record for an earlier life of a worker was lost with it. The
+// next life must not get its start order.
+TEST(run_scheduler, starts_no_run_of_an_earlier_life_after_a_leader_change)
+{
+    fake_fleet it{15};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.workers["w1"]->restart(2, it.now);
+    it.submit("a", {fake_fleet::step(2)});
+    worker_id const id{"w1"};
+    task_run const lost{{workflow_id{"a"}, {}, {}, task_index{0}},
+                        run_number{1}};
+    task_run const current{{workflow_id{"a"}, {}, {}, task_index{1}},
+                           run_number{1}};
+    it.apply(start_runs{{{lost, {id, worker_incarnation{1}}},
+                         {current, {id, worker_incarnation{2}}}}});
+    it.lead();
+    ASSERT_TRUE(it.run_until_known("w1"));
+    it.run(milliseconds{500});
+    auto const& running = it.workers["w1"]->running();
+    ASSERT_TRUE(running.contains("a.0.0.0"));
+    ASSERT_TRUE(running.contains("a.0.0.1"));
+    EXPECT_EQ(running.at("a.0.0.0").number, 2);
+    EXPECT_EQ(running.at("a.0.0.1").number, 1);
+}
+
+// A deposed leader applies the entries of its successor before it learns that
+// it was deposed. It must not take the successor's run for its own proposal.
+TEST(run_scheduler, starts_no_run_that_is_on_record_for_another_worker)
+{
+    fake_fleet it{20};
+    it.add_worker("w1", 4000);
+    it.add_worker("w2", 4000);
+    it.run(milliseconds{100});
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{5});
+    auto const& known = it.leader->workers();
+    auto const chose_w1 = !known.at(worker_id{"w1"}).runs.empty();
+    worker_instance const other{worker_id{chose_w1 ? "w2" : "w1"},
+                                worker_incarnation{1}};
+    task_run const run{{workflow_id{"a"}, {}, {}, {}}, run_number{1}};
+    it.apply(start_runs{{{run, other}}});
+    it.run(milliseconds{5});
+    EXPECT_EQ(it.starts, 0U);
+    EXPECT_TRUE(it.state.workflows().is_active(run));
+    it.lead();
+    it.run(seconds{3});
+    EXPECT_EQ(it.starts, 1U);
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
 // A start without an answer may arrive after the worker was restarted under
 // the same id. It must be stopped there before the task runs elsewhere.
 TEST(run_scheduler, closes_unanswered_starts_after_a_restart_of_the_worker)
@@ -169,6 +290,68 @@
     EXPECT_EQ(it.state_of("a"), workflow_state::queued);
 }
 
+// Promised to a worker that drains between the choice and its commit.
+TEST(run_scheduler, starts_nothing_on_a_worker_that_drains_before_the_commit)
+{
+    fake_fleet it{16};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{900});
+    it.submit("a", {fake_fleet::step(1)});
+    // The announcement falls into the 15 ms until the start is committed.
+    it.announce_now();
+    it.run(milliseconds{5});
+    ASSERT_EQ(it.leader->workers().at(worker_id{"w1"}).runs.size(), 1U);
+    it.draining.insert("w1");
+    it.announce_now();
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.starts, 0U);
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
+// Repeating an unanswered start on a worker that drains would start the task
+// there if the first order was lost.
+TEST(run_scheduler, repeats_no_start_on_a_worker_that_drains)
+{
+    fake_fleet it{17};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{1150});
+    ASSERT_EQ(it.starts, 1U);
+    it.cut.clear();
+    it.draining.insert("w1");
+    it.announce_now();
+    it.run(seconds{1});
+    EXPECT_EQ(it.starts, 1U);
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
+// The promise to a draining worker binds the next leader too.
+TEST(run_scheduler, starts_no_inherited_run_on_a_draining_worker)
+{
+    fake_fleet it{18};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{100});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{100});
+    ASSERT_EQ(it.starts, 1U);
+    it.lead();
+    it.run(milliseconds{1200});
+    it.cut.clear();
+    it.draining.insert("w1");
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 1U);
+    it.add_worker("w2", 4000);
+    it.run(seconds{4});
+    EXPECT_EQ(it.state_of("a"), workflow_state::completed);
+}
+
 // The members of a gang work only together, so that a part of them would
 // hold room for nothing.
 TEST(run_scheduler, places_all_members_of_a_gang_or_none)
@@ -185,6 +368,36 @@
     EXPECT_EQ(it.starts, 4U);
 }
 
+// Members whose gang cannot become complete would hold room until their time
+// limit.
+TEST(run_scheduler, stops_a_gang_of_which_a_member_cannot_start)
+{
+    fake_fleet it{19};
+    it.add_worker("w1", 3000);
+    it.add_worker("w2", 3000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{30}}, "done", 1000};
+    };
+    it.run(milliseconds{100});
+    auto gang = fake_fleet::step(4);
+    gang.gang = true;
+    it.submit("a", {gang});
+    it.announce_now();
+    it.run(milliseconds{5});
+    auto const& known = it.leader->workers();
+    auto const w1_has_less = known.at(worker_id{"w1"}).runs.size() <
+                             known.at(worker_id{"w2"}).runs.size();
+    it.draining.insert(w1_has_less ? "w1" : "w2");
+    it.announce_now();
+    it.run(milliseconds{300});
+    EXPECT_EQ(it.starts, 3U);
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+    EXPECT_TRUE(it.workers["w2"]->running().empty());
+    it.add_worker("w3", 3000);
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 7U);
+}
+
 // Two tasks of a step on one worker would be lost together.
 TEST(run_scheduler, keeps_the_limit_of_tasks_of_a_step_per_worker)
 {
