Send what one turn has for a peer in one envelope

A leader of 350 workers was deposed although its heartbeats were sent in time: its loop made 58 to 184 turns a second and took about one message of each peer per turn, while its followers sent 50 to 70 messages a second each. Their answers queued up until check-quorum ended the leadership.

Cause on the sending side: each message had its own envelope, MAC and system call, so a process that falls behind sends as many frames as before. Now messages to a peer wait for the end of the turn (a timer of zero) and leave in one envelope, in order, in batches of up to 64 KiB. A process that falls behind sends larger frames, not more of them.

Rolling upgrade: a message alone and a keepalive keep version 1 and their form. A batch has version 2; an earlier program drops it and counts `version`. So batches go only to a peer whose last envelope shows that it reads them: the numbers of this program begin above 2^62. An earlier program only compares numbers, from the first one that it sees of an incarnation, so it accepts them. If a peer is replaced by an earlier program, batches to it are dropped until its first envelope, one keepalive interval at most.

Tests of the transport now end the turn before they look at the link.

--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -53,8 +53,17 @@
 /// Length of the message authentication code in front of every message.
 inline constexpr std::size_t message_code_bytes = 32;
 
+/// Version of an envelope whose body is a list of message bodies.
+inline constexpr std::uint32_t batch_version = config::protocol_version + 1;
+/// Envelopes of a process that reads batches have numbers above this one.
+/// Earlier programs number from 1, drop batches and accept any number.
+inline constexpr sequence batch_numbers_begin{std::uint64_t{1} << 62U};
+/// Bytes of message bodies in one batch; a larger body is sent by itself.
+inline constexpr std::size_t max_batch_bytes = 64 * config::kib;
+
 /// Sends Message to peers by node id. Senders are added as peers from their
-/// envelopes; the connection to a silent peer is opened again.
+/// envelopes; the connection to a silent peer is opened again. What is sent to
+/// a peer within one turn of the loop leaves in one envelope.
 template <class Message, clock_port Clock, peer_link_port Link, class Codec,
           message_auth_port Auth, metrics_port Metrics>
 class peer_transport
@@ -80,7 +89,12 @@
     }
     peer_transport(peer_transport const&) = delete;
     auto operator=(peer_transport const&) -> peer_transport& = delete;
-    ~peer_transport() { clock_.cancel_timer(timer_); }
+    ~peer_transport()
+    {
+        flush_all();
+        clock_.cancel_timer(timer_);
+        clock_.cancel_timer(flush_timer_);
+    }
 
     /// Adds a permanent peer, which is not removed when it is silent.
     auto add_peer(node_id const& id, url const& at) -> void
@@ -128,7 +142,7 @@
                                });
             return;
         }
-        send_body(to, Codec::encode(message));
+        add_body(to, Codec::encode(message));
     }
 
     /// Sends a message to every peer.
@@ -137,7 +151,7 @@
         auto const body = Codec::encode(message);
         for (auto const& [id, it] : peers_)
         {
-            send_body(id, body);
+            add_body(id, body);
         }
     }
 
@@ -152,6 +166,9 @@
         time_point opened{};
         time_point last_contact{};
         time_point last_sent{};
+        std::vector<std::string> waiting; ///< bodies that this turn sends
+        std::size_t waiting_bytes{0};
+        bool reads_batches{false};
         bool permanent{false};
     };
 
@@ -172,7 +189,7 @@
         link_.open(id, at);
     }
 
-    auto send_body(node_id const& to, std::string body) -> void
+    auto add_body(node_id const& to, std::string body) -> void
     {
         auto const it = peers_.find(to);
         if (it == peers_.end())
@@ -180,7 +197,58 @@
             metrics_.count("apricotlb_peer_drops_total", "unknown_peer");
             return;
         }
+        auto& target = it->second;
+        if (target.waiting_bytes + body.size() > max_batch_bytes)
+        {
+            flush(to, target);
+        }
+        if (target.waiting.empty())
+        {
+            to_flush_.push_back(to);
+        }
+        target.waiting_bytes += body.size();
+        target.waiting.push_back(std::move(body));
+        if (!is_flush_due_)
+        {
+            is_flush_due_ = true;
+            flush_timer_ =
+                clock_.start_timer(duration{0}, [this] { flush_all(); });
+        }
+    }
+
+    auto flush_all() -> void
+    {
+        is_flush_due_ = false;
+        for (auto const& id : std::exchange(to_flush_, {}))
+        {
+            if (auto const it = peers_.find(id); it != peers_.end())
+            {
+                flush(id, it->second);
+            }
+        }
+    }
+
+    auto flush(node_id const& to, peer& it) -> void
+    {
+        auto bodies = std::exchange(it.waiting, {});
+        it.waiting_bytes = 0;
+        if (bodies.size() > 1 && it.reads_batches)
+        {
+            send_envelope(to, it, batch_version, Codec::encode(bodies),
+                          bodies.size());
+            return;
+        }
+        for (auto& body : bodies)
+        {
+            send_envelope(to, it, config::protocol_version, std::move(body), 1);
+        }
+    }
+
+    auto send_envelope(node_id const& to, peer& it, std::uint32_t version,
+                       std::string body, std::size_t messages) -> void
+    {
         envelope out;
+        out.version = version;
         out.from = self_.node;
         out.to = to;
         out.run = self_.run;
@@ -188,14 +256,18 @@
         out.reply_to = self_.address;
         out.body = std::move(body);
         auto const bytes = Codec::encode(out);
-        it->second.last_sent = clock_.now();
-        if (!link_.send(to, auth_.compute_mac(bytes) + bytes))
+        it.last_sent = clock_.now();
+        auto const is_sent = link_.send(to, auth_.compute_mac(bytes) + bytes);
+        for (std::size_t n = 0; n < messages; ++n)
         {
-            metrics_.count("apricotlb_peer_drops_total", "queue_full");
-            return;
+            if (!is_sent)
+            {
+                metrics_.count("apricotlb_peer_drops_total", "queue_full");
+                continue;
+            }
+            metrics_.count(metric::peer_messages,
+                           out.body.empty() ? "keepalive_sent" : "sent");
         }
-        metrics_.count(metric::peer_messages,
-                       out.body.empty() ? "keepalive_sent" : "sent");
     }
 
     auto receive(std::string_view bytes) -> void
@@ -215,7 +287,8 @@
             return;
         }
         auto it = std::move(got).value();
-        if (it.version != config::protocol_version)
+        if (it.version != config::protocol_version &&
+            it.version != batch_version)
         {
             metrics_.count("apricotlb_peer_drops_total", "version");
             return;
@@ -225,14 +298,34 @@
             metrics_.count("apricotlb_peer_drops_total", "duplicate");
             return;
         }
+        if (it.version != batch_version)
+        {
+            take_body(it.from, it.body);
+            return;
+        }
+        auto const bodies =
+            Codec::template decode<std::vector<std::string>>(it.body);
+        if (bodies.has_error())
+        {
+            metrics_.count("apricotlb_peer_drops_total", "malformed");
+            return;
+        }
+        for (auto const& body : bodies.value())
+        {
+            take_body(it.from, body);
+        }
+    }
+
+    auto take_body(node_id const& from, std::string const& body) -> void
+    {
         // An empty body is a keepalive.
         metrics_.count(metric::peer_messages,
-                       it.body.empty() ? "keepalive_received" : "received");
-        if (it.body.empty())
+                       body.empty() ? "keepalive_received" : "received");
+        if (body.empty())
         {
             return;
         }
-        auto message = Codec::template decode<Message>(it.body);
+        auto message = Codec::template decode<Message>(body);
         if (message.has_error())
         {
             metrics_.count("apricotlb_peer_drops_total", "malformed");
@@ -240,7 +333,7 @@
         }
         if (receiver_)
         {
-            receiver_(it.from, std::move(message).value());
+            receiver_(from, std::move(message).value());
         }
     }
 
@@ -262,6 +355,7 @@
         {
             return false;
         }
+        from.reads_batches = it.number > batch_numbers_begin;
         from.last_contact = clock_.now();
         if (from.address != it.reply_to)
         {
@@ -300,7 +394,12 @@
         }
         for (auto const& id : idle)
         {
-            send_body(id, {});
+            auto& it = peers_[id];
+            // With a message waiting for this turn's end it is not idle.
+            if (it.waiting.empty())
+            {
+                send_envelope(id, it, config::protocol_version, {}, 1);
+            }
         }
         for (auto const& id : expired)
         {
@@ -317,10 +416,14 @@
     Metrics& metrics_;
     receiver receiver_;
     std::unordered_map<node_id, peer> peers_;
+    /// Peers for which messages wait.
+    std::vector<node_id> to_flush_;
+    bool is_flush_due_{false};
     /// Shared by all peers, so that numbers stay unique for a peer that is
     /// removed and added again.
-    sequence last_number_{};
+    sequence last_number_{batch_numbers_begin};
     timer_id timer_;
+    timer_id flush_timer_;
 };
 
 } // namespace apricotlb
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -74,12 +74,38 @@
 protected:
     auto receive_all() -> void
     {
+        end_turn();
         for (auto const& bytes : a_link.sent)
         {
             b_link.receive(bytes);
         }
     }
 
+    /// Messages leave at the end of the turn of the loop that sent them.
+    auto end_turn() -> void { clock.advance(duration{}); }
+
+    /// Makes both processes know what the other one reads.
+    auto exchange_keepalives() -> void
+    {
+        a.add_peer(node_id{"b"}, url{"tcp://b"});
+        b.add_peer(node_id{"a"}, url{"tcp://a"});
+        clock.advance(config::peer_timeout / 2);
+        for (auto const& bytes : std::exchange(a_link.sent, {}))
+        {
+            b_link.receive(bytes);
+        }
+        for (auto const& bytes : std::exchange(b_link.sent, {}))
+        {
+            a_link.receive(bytes);
+        }
+    }
+
+    static auto open_envelope(std::string_view bytes) -> envelope
+    {
+        return msgpack_codec::decode<envelope>(bytes.substr(message_code_bytes))
+            .value();
+    }
+
     paused_clock clock;
     fake_link a_link;
     fake_link b_link;
@@ -131,9 +157,11 @@
                     metrics};
     later.add_peer(node_id{"b"}, url{"tcp://b"});
     later.send(node_id{"b"}, message);
+    end_turn();
     b_link.receive(later_link.sent.front());
     EXPECT_EQ(n, 2);
     a.send(node_id{"b"}, message);
+    end_turn();
     b_link.receive(a_link.sent.back());
     EXPECT_EQ(n, 2);
     EXPECT_EQ(metrics.counts["duplicate"], 2);
@@ -150,6 +178,7 @@
     b_link.receive(auth.compute_mac("") + "not msgpack");
     a.add_peer(node_id{"b"}, url{"tcp://b"});
     a.send(node_id{"b"}, message);
+    end_turn();
     auto const& bytes = a_link.sent.front();
     for (std::size_t size = message_code_bytes; size < bytes.size(); ++size)
     {
@@ -190,6 +219,99 @@
     EXPECT_EQ(b_link.opened.size(), 1U);
 }
 
+// A loop that gets one frame of each peer per turn must not fall behind by the
+// messages that a peer sends in a turn.
+TEST_F(peer_transport_test,
+       answers_of_a_peer_do_not_queue_when_the_loop_takes_few_turns)
+{
+    exchange_keepalives();
+    auto n = 0;
+    b.on_message([&](node_id const&, command const&) { ++n; });
+    constexpr auto turns = 50;
+    constexpr auto messages_per_turn = 5;
+    std::size_t taken = 0;
+    for (auto turn = 1; turn <= turns; ++turn)
+    {
+        for (auto k = 0; k < messages_per_turn; ++k)
+        {
+            a.send(node_id{"b"}, message);
+        }
+        clock.advance(milliseconds{1});
+        ASSERT_LT(taken, a_link.sent.size());
+        b_link.receive(a_link.sent[taken++]);
+        EXPECT_EQ(n, turn * messages_per_turn);
+    }
+    EXPECT_EQ(metrics.counts["received"], turns * messages_per_turn);
+}
+
+// A vote after an append, or an end after a start, must not overtake it; a
+// batch without bound would exceed what a link takes.
+TEST_F(peer_transport_test, keeps_the_order_of_messages_across_batches)
+{
+    exchange_keepalives();
+    std::vector<std::string> got;
+    b.on_message([&](node_id const&, command const& it)
+                 { got.push_back(std::get<retire_worker>(it).id.value()); });
+    std::vector<std::string> expected;
+    for (auto n = 0; n < 40; ++n)
+    {
+        // Small ones, some of half a batch, some larger than a batch.
+        auto const size = n % 5 == 0    ? max_batch_bytes / 2
+                          : n % 13 == 0 ? max_batch_bytes * 2
+                                        : std::size_t{1};
+        expected.push_back(std::to_string(n) + std::string(size, 'x'));
+        a.send(node_id{"b"}, retire_worker{worker_id{expected.back()}});
+    }
+    end_turn();
+    for (auto const& bytes : a_link.sent)
+    {
+        EXPECT_LT(bytes.size(), 2 * max_batch_bytes + config::kib);
+        b_link.receive(bytes);
+    }
+    EXPECT_EQ(got, expected);
+    EXPECT_LT(a_link.sent.size(), expected.size());
+}
+
+// During a rolling upgrade, a process of an earlier program drops batches and
+// what it does not know in an envelope.
+TEST_F(peer_transport_test, sends_no_batch_to_an_earlier_program)
+{
+    exchange_keepalives();
+    envelope earlier;
+    earlier.from = node_id{"b"};
+    earlier.to = node_id{"a"};
+    earlier.run = incarnation{2};
+    earlier.number = sequence{1};
+    earlier.reply_to = url{"tcp://b"};
+    auto const bytes = msgpack_codec::encode(earlier);
+    a_link.receive(auth.compute_mac(bytes) + bytes);
+    for (auto n = 0; n < 3; ++n)
+    {
+        a.send(node_id{"b"}, message);
+    }
+    end_turn();
+    ASSERT_EQ(a_link.sent.size(), 3U);
+    for (auto const& sent : a_link.sent)
+    {
+        auto const it = open_envelope(sent);
+        EXPECT_EQ(it.version, config::protocol_version);
+        EXPECT_EQ(it.body, msgpack_codec::encode(message));
+    }
+}
+
+// A message alone must stay readable to earlier programs, also once the peer
+// is known to read batches.
+TEST_F(peer_transport_test, sends_a_message_alone_as_earlier_programs_do)
+{
+    exchange_keepalives();
+    a.send(node_id{"b"}, message);
+    end_turn();
+    ASSERT_EQ(a_link.sent.size(), 1U);
+    auto const it = open_envelope(a_link.sent.front());
+    EXPECT_EQ(it.version, config::protocol_version);
+    EXPECT_EQ(it.body, msgpack_codec::encode(message));
+}
+
 // Bytes must cross a real connection unchanged, also after it was replaced.
 TEST(nng_link, carries_bytes_over_a_replaced_connection)
 {
