Test that orders reach workers through relays

The other tests guard the choice of a relay, one answer per order, the bounds of a batch and the removal of timers, on both sides.

--- /dev/null
+++ b/tests/order_relay_test.cpp
@@ -0,0 +1,136 @@
+#include "app/order_relay.hpp"
+#include "paused_clock.hpp"
+#include "relay_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace apricotlb
+{
+namespace
+{
+
+using entry_side =
+    order_relay<paused_clock, recording_transport, recording_workers>;
+
+class order_relay_test : public testing::Test
+{
+protected:
+    auto take(std::vector<relayed_order> orders, std::uint64_t in_term = 7)
+        -> void
+    {
+        it->take(leader, {term{in_term}, std::move(orders)});
+    }
+    auto flush() -> void { clock.advance(config::answer_batch_delay); }
+
+    node_id leader{"leader"};
+    paused_clock clock;
+    recording_transport peers;
+    recording_workers workers;
+    std::optional<entry_side> it{std::in_place, clock, peers, workers};
+};
+
+auto numbered(std::uint64_t n, std::string const& worker = "w0")
+    -> relayed_order
+{
+    return {sequence{n}, start_at(target(worker))};
+}
+
+// An order that a relay changed or left out would be lost to the leader.
+TEST_F(order_relay_test, sends_each_order_once_and_returns_its_answer)
+{
+    take({numbered(1),
+          {sequence{2}, stop_order{target("w1"), run_of("a")}},
+          {sequence{3}, pace_order{target("w2"), run_of("a"), permille{250}}},
+          {sequence{4}, poll_of(target("w3"))}});
+    EXPECT_EQ(workers.to, (std::vector{worker_id{"w0"}, worker_id{"w1"},
+                                       worker_id{"w2"}, worker_id{"w3"}}));
+    workers.answers[2]({order_outcome::late, worker_clock{9}});
+    workers.answers[0]({order_outcome::done, worker_clock{8}});
+    poll_answer lists;
+    lists.outcome = order_outcome::done;
+    lists.lists.clock = worker_clock{7};
+    workers.polls[0](lists);
+    EXPECT_TRUE(peers.sent.empty());
+    flush();
+    workers.answers[1]({order_outcome::no_answer, {}});
+    flush();
+    auto const sent = peers.all<answer_batch>();
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_EQ(sent[0].first, leader);
+    EXPECT_EQ(sent[0].second.leader_term, term{7});
+    auto const& answers = sent[0].second.answers;
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_EQ(answers[0].number, sequence{3});
+    EXPECT_EQ(std::get<order_answer>(answers[0].value).outcome,
+              order_outcome::late);
+    EXPECT_EQ(answers[1].number, sequence{1});
+    EXPECT_EQ(std::get<order_answer>(answers[1].value).clock, worker_clock{8});
+    EXPECT_EQ(answers[2].number, sequence{4});
+    EXPECT_EQ(std::get<poll_answer>(answers[2].value).lists.clock,
+              worker_clock{7});
+    ASSERT_EQ(sent[1].second.answers.size(), 1U);
+    EXPECT_EQ(sent[1].second.answers[0].number, sequence{2});
+    clock.advance(seconds{10});
+    EXPECT_EQ(peers.sent.size(), 2U);
+}
+
+// Answers for one leadership must not be taken for those of another.
+TEST_F(order_relay_test, returns_answers_to_the_leader_and_term_of_the_order)
+{
+    take({numbered(1)}, 7);
+    take({numbered(1)}, 9);
+    it->take(node_id{"other"}, {term{8}, {numbered(1)}});
+    for (auto const& done : workers.answers)
+    {
+        done({order_outcome::done, {}});
+    }
+    flush();
+    auto const sent = peers.all<answer_batch>();
+    ASSERT_EQ(sent.size(), 3U);
+    for (auto const& [to, batch] : sent)
+    {
+        EXPECT_EQ(batch.answers.size(), 1U);
+        EXPECT_EQ(to == leader, batch.leader_term != term{8});
+    }
+}
+
+// A relay that takes more than it can send would answer everything too late.
+TEST_F(order_relay_test, answers_not_sent_without_sending_while_busy)
+{
+    for (std::size_t n = 0; n < config::max_relayed_orders; ++n)
+    {
+        take({numbered(n)});
+    }
+    ASSERT_EQ(workers.to.size(), config::max_relayed_orders);
+    take({numbered(5000), {sequence{5001}, poll_of(target("w0"))}});
+    EXPECT_EQ(workers.to.size(), config::max_relayed_orders);
+    flush();
+    auto const sent = peers.all<answer_batch>();
+    ASSERT_EQ(sent.size(), 1U);
+    auto const& answers = sent[0].second.answers;
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(std::get<order_answer>(answers[0].value).outcome,
+              order_outcome::not_sent);
+    EXPECT_EQ(std::get<poll_answer>(answers[1].value).outcome,
+              order_outcome::not_sent);
+    workers.answers[0]({order_outcome::done, {}});
+    take({numbered(5002)});
+    EXPECT_EQ(workers.to.size(), config::max_relayed_orders + 1);
+}
+
+// A timer that outlives its object would use freed memory.
+TEST_F(order_relay_test, leaves_no_timer_behind)
+{
+    take({numbered(1)});
+    workers.answers[0]({order_outcome::done, {}});
+    it.reset();
+    clock.advance(seconds{1});
+    EXPECT_TRUE(peers.sent.empty());
+}
+
+} // namespace
+} // namespace apricotlb
--- /dev/null
+++ b/tests/relay_table_test.cpp
@@ -0,0 +1,154 @@
+#include "core/fleet/relay_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+constexpr time_point start{seconds{100}};
+
+auto relay(int n) -> node_id
+{
+    return node_id{"r" + std::to_string(n)};
+}
+auto worker(std::size_t n) -> worker_id
+{
+    return worker_id{"w" + std::to_string(n)};
+}
+zone_id const near{"near"};
+zone_id const far{"far"};
+
+// Orders between zones cost bytes and time.
+TEST(relay_table, prefers_a_relay_in_the_zone_of_the_worker)
+{
+    relay_table it;
+    it.on_contact(relay(0), far, start);
+    it.on_contact(relay(1), near, start);
+    for (std::size_t n = 0; n < 3 * config::workers_per_relay; ++n)
+    {
+        EXPECT_EQ(it.relay_for(worker(n), near, start), relay(1));
+    }
+    EXPECT_EQ(it.relay_for(worker(100), far, start), relay(0));
+}
+
+// A zone without entry processes would fall back to the leader's own requests.
+TEST(relay_table, uses_relays_of_other_zones_for_a_zone_without_one)
+{
+    relay_table it;
+    it.on_contact(relay(0), far, start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+}
+
+// Each change of the relay opens new connections to the worker.
+TEST(relay_table, keeps_the_relay_of_a_worker_while_it_is_live)
+{
+    relay_table it;
+    it.on_contact(relay(0), far, start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    it.on_contact(relay(1), near, start);
+    auto now = start;
+    for (auto n = 0; n < 10; ++n)
+    {
+        now += config::relay_timeout - milliseconds{1};
+        it.on_contact(relay(0), far, now);
+        EXPECT_EQ(it.relay_for(worker(0), near, now), relay(0));
+    }
+}
+
+// Workers of a process that is gone would wait for a timeout each.
+TEST(relay_table, releases_all_workers_of_a_silent_relay_at_once)
+{
+    relay_table it;
+    it.on_contact(relay(0), near, start);
+    for (std::size_t n = 0; n < 10; ++n)
+    {
+        EXPECT_EQ(it.relay_for(worker(n), near, start), relay(0));
+    }
+    auto const now = start + config::relay_timeout;
+    it.on_contact(relay(1), near, now);
+    EXPECT_EQ(it.relay_for(worker(0), near, now), relay(1));
+    // Back in contact, it gets none of its former workers.
+    it.on_contact(relay(0), near, now);
+    for (std::size_t n = 0; n < 10; ++n)
+    {
+        EXPECT_EQ(it.relay_for(worker(n), near, now), relay(1)) << n;
+    }
+}
+
+// A relay that answers pings and no orders would get its workers back at once.
+TEST(relay_table, gives_a_suspended_relay_no_worker_until_its_time_is_over)
+{
+    relay_table it;
+    it.on_contact(relay(0), near, start);
+    it.on_contact(relay(1), far, start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    it.suspend(relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(1));
+    auto const end = start + config::relay_suspension;
+    auto const before = end - milliseconds{1};
+    it.on_contact(relay(0), near, before);
+    it.on_contact(relay(1), far, before);
+    EXPECT_EQ(it.relay_for(worker(1), near, before), relay(1));
+    EXPECT_EQ(it.relay_for(worker(2), near, end), relay(0));
+    it.suspend(relay(7), end);
+}
+
+// Each relay in use costs the leader messages of its own.
+TEST(relay_table, uses_few_relays_while_they_have_room)
+{
+    relay_table it;
+    for (auto n = 0; n < 10; ++n)
+    {
+        it.on_contact(relay(n), near, start);
+    }
+    std::set<node_id> used;
+    for (std::size_t n = 0; n < config::workers_per_relay; ++n)
+    {
+        used.insert(*it.relay_for(worker(n), near, start));
+    }
+    EXPECT_EQ(used.size(), 1U);
+    for (auto n = config::workers_per_relay; n < 3 * config::workers_per_relay;
+         ++n)
+    {
+        used.insert(*it.relay_for(worker(n), near, start));
+    }
+    EXPECT_EQ(used.size(), 3U);
+}
+
+// Beyond their room the relays of a zone share its workers evenly.
+TEST(relay_table, spreads_workers_over_full_relays)
+{
+    relay_table it;
+    it.on_contact(relay(0), near, start);
+    it.on_contact(relay(1), near, start);
+    std::map<node_id, std::size_t> counts;
+    for (std::size_t n = 0; n < 6 * config::workers_per_relay; ++n)
+    {
+        ++counts[*it.relay_for(worker(n), near, start)];
+    }
+    EXPECT_EQ(counts[relay(0)], 3 * config::workers_per_relay);
+    EXPECT_EQ(counts[relay(1)], 3 * config::workers_per_relay);
+}
+
+// The leader then sends to workers itself.
+TEST(relay_table, has_no_relay_for_a_worker_without_a_live_one)
+{
+    relay_table it;
+    EXPECT_EQ(it.relay_for(worker(0), near, start), std::nullopt);
+    it.on_contact(relay(0), near, start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    EXPECT_EQ(it.relay_for(worker(0), near, start + config::relay_timeout),
+              std::nullopt);
+    it.on_contact(relay(0), near, start + config::relay_timeout);
+    it.clear();
+    EXPECT_EQ(it.relay_for(worker(0), near, start + config::relay_timeout),
+              std::nullopt);
+}
+
+} // namespace
+} // namespace apricotlb
