Test histories in which relays freeze and go on

No task runs twice, and none after its end or its cancellation is recorded. The fake fleet routes orders by the relay table of the leader.

--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_TESTS_FAKE_FLEET_HPP
 #define APRICOTLB_TESTS_FAKE_FLEET_HPP
 
+#include "core/fleet/relay_table.hpp"
 #include "core/fleet/run_scheduler.hpp"
 #include "core/random.hpp"
 #include "platform/run_codec.hpp"
@@ -25,10 +26,11 @@
 {
     std::uint64_t unanswered{0}; ///< carried out, the answer is lost
     std::uint64_t late{0};       ///< no answer, carried out 2 to 6 s later
+    std::uint64_t repeated{0};   ///< answered, and carried out again as late
 };
 
 /// Commits after 15 ms, delivers orders after 5 ms and checks in each step of
-/// 5 ms that no task runs twice.
+/// 5 ms that no task runs twice, and which runs go on after their recorded end.
 class fake_fleet
 {
 public:
@@ -97,6 +99,19 @@
                                                  now, fleet_policy{seconds{5}});
     }
 
+    /// Orders pass through relays once there are some.
+    auto add_relay(std::string const& name) -> void
+    {
+        relays_[node_id{name}] = now;
+    }
+
+    /// A frozen relay keeps the orders that it is sent, and carries them out
+    /// once it goes on.
+    auto freeze_relay(std::string const& name, duration time) -> void
+    {
+        relays_[node_id{name}] = now + time;
+    }
+
     auto run(duration d) -> void
     {
         constexpr auto step_time = milliseconds{5};
@@ -115,6 +130,7 @@
                 f();
             }
             heartbeat();
+            ping();
             leader->tick(now);
             leader->plan(now, wall_time{});
             perform();
@@ -135,7 +151,9 @@
     std::set<std::string> draining;
     order_faults faults;
     std::vector<std::string> violations;
+    std::vector<std::string> stale_runs; ///< runs that the log has no more
     std::size_t starts{0};
+    std::size_t held_back{0}; ///< orders that met a frozen relay
 
 private:
     auto happens(std::uint64_t percent) -> bool
@@ -165,6 +183,22 @@
         }
     }
 
+    auto ping() -> void
+    {
+        if (now < next_ping_)
+        {
+            return;
+        }
+        next_ping_ = now + config::leader_ping_interval;
+        for (auto const& [id, frozen_until] : relays_)
+        {
+            if (frozen_until <= now)
+            {
+                relay_table_.on_contact(id, zone_id{"z1"}, now);
+            }
+        }
+    }
+
     auto perform() -> void
     {
         for (auto& it : leader->take_actions())
@@ -205,6 +239,13 @@
                                            now);
         };
         auto const is_poll = std::is_same_v<Order, poll_order>;
+        auto const relay =
+            relay_table_.relay_for(it.to.instance.id, it.to.zone, now);
+        if (relay && relays_.at(*relay) > now)
+        {
+            hold_back(it, *relay, deliver);
+            return;
+        }
         auto const late = !is_poll && happens(faults.late);
         auto const lost = late || cut.contains(name) ||
                           (!is_poll && happens(faults.unanswered));
@@ -213,6 +254,11 @@
             auto const after = milliseconds{2000 + next_random(random_) % 4000};
             events_.emplace(now + after, [deliver] { deliver(); });
         }
+        if (faults.repeated > 0 && happens(faults.repeated))
+        {
+            auto const after = milliseconds{2000 + next_random(random_) % 4000};
+            events_.emplace(now + after, [deliver] { deliver(); });
+        }
         // A poll waits; the fake answers at once and rests instead.
         auto const delay = is_poll ? milliseconds{60} : milliseconds{5};
         events_.emplace(
@@ -228,6 +274,31 @@
             });
     }
 
+    /// An order to a frozen relay: carried out when the relay goes on, while
+    /// the leader has no answer and uses another relay.
+    template <class Order>
+    auto hold_back(Order const& it, node_id const& relay,
+                   std::function<http_answer()> const& deliver) -> void
+    {
+        ++held_back;
+        auto const after = milliseconds{next_random(random_) % 50};
+        events_.emplace(relays_.at(relay) + after, [deliver] { deliver(); });
+        duration timeout = config::order_timeout + config::relay_answer_margin;
+        if constexpr (std::is_same_v<Order, poll_order>)
+        {
+            timeout += it.wait;
+        }
+        events_.emplace(now + timeout,
+                        [this, it, relay, epoch = epoch_]
+                        {
+                            if (epoch == epoch_)
+                            {
+                                relay_table_.suspend(relay, now);
+                                answer(it, platform::json_answer(500, ""));
+                            }
+                        });
+    }
+
     template <class Order>
     auto answer(Order const& to, http_answer const& it) -> void
     {
@@ -258,6 +329,12 @@
                 {
                     violations.push_back(task + " runs twice");
                 }
+                auto const number =
+                    run_number{static_cast<std::uint32_t>(run.number)};
+                if (!state.workflows().is_active({decoded, number}))
+                {
+                    stale_runs.push_back(task + " runs after its end");
+                }
             }
         }
     }
@@ -267,6 +344,9 @@
     std::uint64_t fence_{0};
     std::uint64_t epoch_{0};
     time_point next_beat_{};
+    time_point next_ping_{};
+    relay_table relay_table_;
+    std::map<node_id, time_point> relays_; ///< until when each one is frozen
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::pair<time_point, std::function<void()>>> log_;
 };
