--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -37,7 +37,7 @@
         {
             if (!silent.contains(name))
             {
-                it->on_contact(node_id{name}, zone_id{zone});
+                it->on_ping(node_id{name}, leader_ping{zone_id{zone}});
             }
         }
     }
