Bound the share of the time that syncs take on a replica

Callers saw a leader of 350 workers lose its office again and again.

Cause: a leader started a flush up to every 15 ms and a follower without any delay, however long the sync took, and the loop stands still during a sync.

The starts of two flushes are now at least the last sync divided by config::max_sync_share apart, and a flush that is due starts within 100 ms of the end of a slow sync. Entries that wait are covered by the next sync, so that a slow disk costs some latency under load, not the throughput. The first entry after a quiet time, votes and new terms are flushed at once. Answers to heartbeats and refused votes would have waited for the delayed sync and cost the leader its lease. They now depend on the durable term alone, and an answer to a heartbeat names only durable entries.

Tests: the paused clock can pass time during a sync. Without the share replica.leaves_most_of_the_time_to_other_work_when_syncs_are_slow fails; without the bound and the rule for votes the two tests for them fail.

--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -27,6 +27,10 @@
 namespace apricotlb
 {
 
+/// Longest time from the end of a sync to the next flush that is due. It
+/// bounds the delay after a sync that took seconds.
+inline constexpr duration max_flush_delay = milliseconds{100};
+
 /// Settings of a replica.
 struct replica_options
 {
@@ -199,6 +203,7 @@
     auto add_pending(result<log_index> index, std::size_t bytes,
                      completion callback) -> void;
     auto schedule_flush() -> void;
+    [[nodiscard]] auto next_flush() const -> time_point;
     auto flush() -> void;
     auto send_held() -> void;
     auto take_snapshot_if_due() -> void;
@@ -228,11 +233,14 @@
     std::size_t pending_bytes_{0};
     std::vector<addressed_message> held_messages_; ///< sent after the next sync
     bool unsynced_{false};
+    bool term_unsynced_{false};
     std::optional<timer_id> flush_timer_;
+    time_point flush_due_{}; ///< of flush_timer_
     std::optional<timer_id> piece_timer_;
     std::optional<timer_id> tick_timer_;
     time_point next_tick_{};
     time_point last_flush_{}; ///< start of the last flush
+    duration last_sync_time_{};
     log_index applied_;
     log_index snapshot_;
     std::optional<raft_snapshot> saving_;
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -177,6 +177,7 @@
     {
         store_.save(*actions.term_and_vote);
         unsynced_ = true;
+        term_unsynced_ = true;
     }
     if (!actions.entries_to_persist.empty())
     {
@@ -233,6 +234,7 @@
         return;
     }
     unsynced_ = false;
+    term_unsynced_ = false;
     saving_.reset();
     applied_ = it.info.last.index;
     snapshot_ = applied_;
@@ -270,16 +272,16 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::schedule_flush() -> void
 {
-    if (flush_timer_)
+    auto const next = next_flush();
+    if (flush_timer_ && flush_due_ <= next)
     {
         return;
     }
-    // Followers flush without delay. A leader under load collects the proposals
-    // of config::group_commit_interval into one message to each follower and
-    // one sync.
-    auto const is_leader = core_->role() == raft_role::leader;
-    auto const next =
-        last_flush_ + (is_leader ? config::group_commit_interval : duration{});
+    if (flush_timer_)
+    {
+        clock_.cancel_timer(*flush_timer_);
+    }
+    flush_due_ = next;
     flush_timer_ =
         clock_.start_timer(std::max(duration{0}, next - clock_.now()),
                            [this]
@@ -289,6 +291,29 @@
                            });
 }
 
+/// A leader under load collects the proposals of config::group_commit_interval
+/// into one message to each follower and one sync. The loop stands still during
+/// a sync, so every replica leaves the rest of the time to other work. Votes
+/// and new terms are not delayed: an election waits for them.
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::next_flush() const
+    -> time_point
+{
+    if (term_unsynced_)
+    {
+        return last_flush_;
+    }
+    auto const least = core_->role() == raft_role::leader
+                           ? config::group_commit_interval
+                           : duration{};
+    auto const share = config::max_sync_share.value();
+    auto const paced = std::min(last_sync_time_ * 1000 / share,
+                                last_sync_time_ + max_flush_delay);
+    return last_flush_ + std::max(least, paced);
+}
+
 /// Sends pending entries, makes all writes since the last flush durable with
 /// one sync, and then sends the messages that depend on the sync.
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -312,6 +337,7 @@
             return;
         }
         unsynced_ = false;
+        term_unsynced_ = false;
     }
     if (flush_timer_)
     {
@@ -331,6 +357,7 @@
     auto const begin = clock_.now();
     auto done = store_.sync();
     auto const took = clock_.now() - begin;
+    last_sync_time_ = took;
     ++load_.syncs;
     load_.sync_time += took;
     load_.longest_sync = std::max(load_.longest_sync, took);
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -79,6 +79,7 @@
     built.copies_ = copies_;
     built.max_voters_ = max_voters_;
     built.term_and_vote_ = term_and_vote_;
+    built.durable_term_ = term_and_vote_.current;
     auto members = snapshot_ ? snapshot_->info.members : raft_members{};
     built.log_ = raft_log{base_, std::move(members)};
     for (auto& entry : entries_)
@@ -249,6 +250,7 @@
 auto raft::persisted(time_point now) -> raft_actions
 {
     durable_index_ = log_.last().index;
+    durable_term_ = term_and_vote_.current;
     if (role_ == raft_role::leader)
     {
         advance_commit(now);
@@ -343,6 +345,18 @@
     actions_.messages_after_sync.push_back({to, std::move(message)});
 }
 
+auto raft::send_in_durable_term(node_id const& to, raft_message message) -> void
+{
+    if (durable_term_ == term_and_vote_.current)
+    {
+        send(to, std::move(message));
+    }
+    else
+    {
+        send_after_sync(to, std::move(message));
+    }
+}
+
 auto raft::take_actions() -> raft_actions
 {
     return std::exchange(actions_, {});
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -245,12 +245,16 @@
     [[nodiscard]] auto quorum() const -> std::size_t;
     auto send(node_id const& to, raft_message message) -> void;
     auto send_after_sync(node_id const& to, raft_message message) -> void;
+    /// Sends a message that promises nothing but the current term: at once if
+    /// the term is durable.
+    auto send_in_durable_term(node_id const& to, raft_message message) -> void;
     auto take_actions() -> raft_actions;
 
     node_id self_;
     std::size_t copies_{1};
     std::size_t max_voters_{config::max_members};
     hard_state term_and_vote_;
+    term durable_term_; ///< the last one that is durable on this member
     raft_log log_;
     std::shared_ptr<raft_snapshot const> snapshot_;
     log_index commit_;
--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -115,8 +115,15 @@
         auto const in_term = request.is_pre_vote && granted
                                  ? request.in_term
                                  : term_and_vote_.current;
-        send_after_sync(from,
-                        vote_answer{in_term, request.is_pre_vote, granted});
+        vote_answer const message{in_term, request.is_pre_vote, granted};
+        if (granted && !request.is_pre_vote)
+        {
+            send_after_sync(from, message);
+        }
+        else
+        {
+            send_in_durable_term(from, message);
+        }
     };
     // Refused without adopting the higher term: a member that was partitioned
     // off must not depose a leader that is in contact with the others.
--- a/src/core/log/raft_follower.cpp
+++ b/src/core/log/raft_follower.cpp
@@ -14,11 +14,11 @@
 {
     if (request.in_term < term_and_vote_.current)
     {
-        send_after_sync(from, append_entries_answer{term_and_vote_.current,
-                                                    false,
-                                                    request.prev.index,
-                                                    {},
-                                                    request.sent_at});
+        send_in_durable_term(from, append_entries_answer{term_and_vote_.current,
+                                                         false,
+                                                         request.prev.index,
+                                                         {},
+                                                         request.sent_at});
         return;
     }
     if (request.in_term > term_and_vote_.current ||
@@ -41,10 +41,10 @@
                        : log_index{};
         auto const hint =
             known_term ? first_index - log_index{1} : log_.last().index;
-        send_after_sync(from, append_entries_answer{term_and_vote_.current,
-                                                    false, request.prev.index,
-                                                    std::max(hint, commit_),
-                                                    request.sent_at});
+        send_in_durable_term(
+            from, append_entries_answer{
+                      term_and_vote_.current, false, request.prev.index,
+                      std::max(hint, commit_), request.sent_at});
         return;
     }
     auto const count = log_index{request.entries.size()};
@@ -52,6 +52,16 @@
     // Entries up to the base are committed and therefore equal to the leader's.
     auto const match = std::max(log_.base().index, request.prev.index + count);
     commit_to(std::min(request.commit_index, match));
+    if (count == log_index{})
+    {
+        // The lease of the leader depends on the answers to its heartbeats, so
+        // they don't wait for a sync. They promise only what is durable.
+        send_in_durable_term(
+            from, append_entries_answer{
+                      term_and_vote_.current, true, request.prev.index,
+                      std::min(match, durable_index_), request.sent_at});
+        return;
+    }
     send_after_sync(from, append_entries_answer{term_and_vote_.current, true,
                                                 request.prev.index, match,
                                                 request.sent_at});
--- a/tests/memory_log.hpp
+++ b/tests/memory_log.hpp
@@ -5,6 +5,7 @@
 #include "ports/log_store.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -19,6 +20,8 @@
     std::int64_t free_space{std::int64_t{1} << 40};
     std::size_t syncs{0};
     bool fail_sync{false};
+    /// Called during each sync, e.g. to let it take time.
+    std::function<void()> during_sync{};
 };
 
 class memory_log
@@ -40,6 +43,10 @@
             return fail(error_kind::disk_failed, "sync");
         }
         ++disk_.syncs;
+        if (disk_.during_sync)
+        {
+            disk_.during_sync();
+        }
         disk_.stored.term_and_vote = hard_.value_or(disk_.stored.term_and_vote);
         auto& stored = disk_.stored.entries;
         for (auto const& it : entries_)
--- a/tests/paused_clock.hpp
+++ b/tests/paused_clock.hpp
@@ -4,6 +4,7 @@
 
 #include "ports/clock.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -46,9 +47,13 @@
             now_ = std::max(now_, node.key().first);
             node.mapped()();
         }
-        now_ = end;
+        now_ = std::max(now_, end);
     }
 
+    /// Lets time pass within a callback, as a call that blocks the loop does:
+    /// no timer runs meanwhile, and those that fall due run late.
+    auto block(duration d) -> void { now_ += d; }
+
 private:
     time_point now_{};
     std::uint64_t last_timer_{0};
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -116,6 +116,38 @@
     EXPECT_EQ(actions.term_and_vote, (hard_state{term{5}, node_id{"b"}}));
 }
 
+// An answer to a heartbeat that waits for a sync makes the leader lose its
+// lease; one that promises entries before the sync loses them in a crash.
+TEST(raft, a_follower_answers_heartbeats_before_its_entries_are_durable)
+{
+    auto it = make({"a", "b", "c"}, {}, {term{1}, {}});
+    auto const appended = answer(
+        it, start, "b",
+        append_entries{term{1}, {}, {command(1, 1), command(2, 1)}, {}, {}});
+    EXPECT_TRUE(appended.messages.empty());
+    append_entries const heartbeat{
+        term{1}, {log_index{2}, term{1}}, {}, {}, start};
+    auto const match_of = [](raft_actions const& actions)
+    {
+        EXPECT_TRUE(actions.messages_after_sync.empty());
+        auto const answers = sent<append_entries_answer>(actions);
+        EXPECT_EQ(answers.size(), 1);
+        EXPECT_TRUE(answers.at(0).second.accepted);
+        return answers.at(0).second.match;
+    };
+    EXPECT_EQ(match_of(answer(it, start, "b", heartbeat)), log_index{});
+    it.persisted(start);
+    EXPECT_EQ(match_of(answer(it, start, "b", heartbeat)), log_index{2});
+
+    // A term that is not durable is not told either.
+    auto newer = heartbeat;
+    newer.in_term = term{2};
+    EXPECT_TRUE(answer(it, start, "c", newer).messages.empty());
+    EXPECT_TRUE(answer(it, start, "c", newer).messages.empty());
+    it.persisted(start);
+    EXPECT_EQ(answer(it, start, "c", newer).messages.size(), 1);
+}
+
 // Two votes in one term would elect two leaders.
 TEST(raft, a_voter_votes_once_per_term_also_after_a_restart)
 {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -88,6 +88,100 @@
     EXPECT_EQ(group.nodes[n]->it->take_load().syncs, 0);
 }
 
+/// Proposes a command per millisecond for three seconds and returns the share
+/// of the time that the syncs of one replica took.
+auto measure_sync_share(replica_group& group, std::size_t of) -> permille
+{
+    auto const leader = group.elect();
+    auto& disk = group.nodes[of]->disk;
+    static constexpr duration sync_time = milliseconds{9};
+    disk.during_sync = [&clock = group.clock] { clock.block(sync_time); };
+    auto const begin = group.clock.now();
+    (void)group.nodes[of]->it->take_load();
+    while (group.clock.now() - begin < seconds{3})
+    {
+        group.propose(leader);
+        group.run(milliseconds{1});
+    }
+    // Of n syncs, n - 1 are followed by a whole interval.
+    auto const took = group.nodes[of]->it->take_load().sync_time - sync_time;
+    auto const elapsed = group.clock.now() - begin;
+    disk.during_sync = {};
+    group.run(milliseconds{100});
+    EXPECT_EQ(group.acknowledged.size(), group.proposed);
+    return permille{static_cast<std::int32_t>(took * 1000 / elapsed)};
+}
+
+// A leader whose loop stands in syncs most of the time sends its heartbeats
+// late and is deposed.
+TEST(replica, leaves_most_of_the_time_to_other_work_when_syncs_are_slow)
+{
+    replica_group alone{1, 7};
+    EXPECT_LE(measure_sync_share(alone, 0), config::max_sync_share);
+
+    replica_group group{3, 8};
+    auto const n = group.elect();
+    EXPECT_LE(measure_sync_share(group, n), config::max_sync_share)
+        << "of the leader";
+    EXPECT_LE(measure_sync_share(group, (n + 1) % 3), config::max_sync_share)
+        << "of a follower";
+    EXPECT_EQ(group.leader(), n);
+}
+
+// The share of the disk must cost a caller nothing while there is no load.
+TEST(replica, commits_at_once_after_a_quiet_time_when_syncs_are_slow)
+{
+    replica_group group{1, 9};
+    auto const n = group.elect();
+    group.nodes[n]->disk.during_sync = [&clock = group.clock]
+    { clock.block(milliseconds{9}); };
+    for (auto it = 0; it < 5; ++it)
+    {
+        group.run(milliseconds{40});
+        group.propose(n);
+        group.run(milliseconds{1});
+        EXPECT_EQ(group.acknowledged.size(), group.proposed);
+    }
+}
+
+// One sync that takes seconds must not hold the next entries back for as long.
+TEST(replica, commits_soon_after_a_sync_that_took_seconds)
+{
+    replica_group group{1, 10};
+    auto const n = group.elect();
+    auto& disk = group.nodes[n]->disk;
+    disk.during_sync = [&clock = group.clock] { clock.block(seconds{5}); };
+    group.propose(n);
+    group.run(milliseconds{1});
+    disk.during_sync = {};
+    group.propose(n);
+    group.run(max_flush_delay + milliseconds{1});
+    EXPECT_EQ(group.acknowledged.size(), 2);
+}
+
+// A vote that waits for the share of the disk would lengthen the time without a
+// leader.
+TEST(replica, makes_a_vote_durable_at_once_after_a_slow_sync)
+{
+    replica_group group{3, 11};
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        group.isolate(n);
+    }
+    auto& voter = *group.nodes[0];
+    voter.disk.during_sync = [&clock = group.clock]
+    { clock.block(milliseconds{9}); };
+    group.run(config::election_timeout_min);
+    auto& receive = group.links.handlers[voter.id];
+    receive(group.nodes[1]->id, request_vote{term{5}, false, {}});
+    group.run(milliseconds{1});
+    EXPECT_EQ(voter.disk.stored.term_and_vote.current, term{5});
+    receive(group.nodes[2]->id, request_vote{term{6}, false, {}});
+    group.run(milliseconds{1});
+    EXPECT_EQ(voter.disk.stored.term_and_vote.current, term{6});
+    EXPECT_EQ(voter.disk.stored.term_and_vote.vote, group.nodes[2]->id);
+}
+
 // A leader that is cut off with callers attached must stop answering before
 // another one acts, and must tell its callers that the fate is unknown.
 TEST(replica, a_leader_that_is_cut_off_stops_before_another_acts)
