Place no more runs than workers have time to confirm

Placing now pauses while config::max_unconfirmed_starts runs are proposed, ordered without an answer or inherited and not yet seen. Only runs of workers in contact count, so that workers that are gone hold nothing back for longer than config::worker_contact_timeout. The count is taken once per tick, which visits the runs anyway, and raised by what is placed in between. Stops, ends and renewals do not pass through plan().

Tests, both of which fail without the limit: run_scheduler.holds_back_starts_until_earlier_ones_are_confirmed, run_scheduler.learns_of_the_inherited_runs_before_it_places_more.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -399,7 +399,8 @@
 {
     needs_plan_ = false;
     was_behind_ = std::exchange(is_behind_, false);
-    if (fenced_ || state_.workflows().ready().empty())
+    if (fenced_ || state_.workflows().ready().empty() ||
+        unconfirmed_ >= config::max_unconfirmed_starts)
     {
         return;
     }
@@ -408,6 +409,11 @@
     std::set<placement_key> unplaceable;
     for (auto const& ranked : order)
     {
+        // A gang may exceed the limit, which may be less than its size.
+        if (unconfirmed_ + pass.placed.size() >= config::max_unconfirmed_starts)
+        {
+            break;
+        }
         auto const& step = ranked.record->step(ranked.task->task);
         if (step.gang)
         {
@@ -425,6 +431,7 @@
         }
     }
     is_behind_ = !unplaceable.empty();
+    unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
          begin += config::max_runs_per_command)
     {
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -29,6 +29,7 @@
     : state_(state), fence_(fence), policy_(policy)
 {
     inherit_runs(now);
+    unconfirmed_ = count_unconfirmed(now);
 }
 
 auto run_scheduler::inherit_runs(time_point now) -> void
@@ -168,6 +169,23 @@
     }
 }
 
+/// Runs that the workers in contact have yet to confirm. Those on other workers
+/// don't count: they may stay unconfirmed until their leases have ended.
+auto run_scheduler::count_unconfirmed(time_point now) const -> std::size_t
+{
+    std::size_t n{0};
+    for (auto const& [id, worker] : workers_)
+    {
+        if (now - worker.last_contact < config::worker_contact_timeout)
+        {
+            n += static_cast<std::size_t>(std::ranges::count_if(
+                worker.runs, [](auto const& each)
+                { return is_unconfirmed(each.second.phase); }));
+        }
+    }
+    return n;
+}
+
 auto run_scheduler::tick(time_point now) -> void
 {
     for (auto worker = workers_.begin(); worker != workers_.end();)
@@ -204,6 +222,7 @@
     }
     std::erase_if(addresses_, [this](auto const& each)
                   { return !workers_.contains(each.second); });
+    unconfirmed_ = count_unconfirmed(now);
     needs_plan_ = true;
 }
 
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -107,7 +107,8 @@
     /// Repeats orders and polls that are due, and proposes as lost the runs of
     /// workers whose leases have ended.
     auto tick(time_point now) -> void;
-    /// Places ready tasks on workers (run_plan.cpp).
+    /// Places ready tasks on workers (run_plan.cpp), while fewer than
+    /// config::max_unconfirmed_starts runs wait for a sign of their workers.
     auto plan(time_point now, wall_time wall) -> void;
 
     [[nodiscard]] auto take_actions() -> std::vector<fleet_action>;
@@ -147,6 +148,7 @@
         -> void;
     auto release(task_run const& run, time_point now) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
+    [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
 
     // run_reports.cpp
     auto replace_incarnation(identified_worker& worker,
@@ -239,6 +241,9 @@
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
+    /// Runs without a sign of their workers at the last tick, and those placed
+    /// since.
+    std::size_t unconfirmed_{0};
     bool fenced_{false};
     bool needs_plan_{true};
     bool is_behind_{false};
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -32,6 +32,14 @@
     ending,   ///< its end is proposed
 };
 
+/// True if the worker may not have got the start order yet, or if this leader
+/// does not know yet whether the run is there.
+[[nodiscard]] constexpr auto is_unconfirmed(run_phase it) -> bool
+{
+    return it == run_phase::proposed || it == run_phase::inherited ||
+           it == run_phase::ordered;
+}
+
 /// Resources that a task of a step reserves on a worker. Scavenging tasks
 /// reserve no processors.
 [[nodiscard]] inline auto reservation_of(step_spec const& step) -> resources
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -122,6 +122,68 @@
     EXPECT_TRUE(it.violations.empty());
 }
 
+// A leader that orders starts faster than their answers are handled falls
+// behind for good and loses its office.
+TEST(run_scheduler, holds_back_starts_until_earlier_ones_are_confirmed)
+{
+    auto const limit =
+        static_cast<std::int64_t>(config::max_unconfirmed_starts);
+    fake_fleet it{10};
+    it.add_worker("w1", 2 * limit * 1000);
+    it.run(milliseconds{20});
+    it.cut.insert("w1");
+    it.submit("a", {fake_fleet::step(limit + 100)});
+    for (auto n = 0; n < 60; ++n)
+    {
+        it.run(milliseconds{5});
+        EXPECT_LE(it.leader->summary(it.now).unconfirmed, limit);
+    }
+    EXPECT_EQ(it.leader->summary(it.now).unconfirmed, limit);
+    EXPECT_EQ(it.leader->summary(it.now).ready, 100);
+    // Stops are not held back.
+    it.cut.clear();
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.run(milliseconds{20});
+    EXPECT_EQ(it.leader->summary(it.now).unconfirmed, 0);
+    it.submit("b", {fake_fleet::step(100)});
+    it.run(milliseconds{200});
+    EXPECT_EQ(it.leader->summary(it.now).running, 100);
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+}
+
+// A new leader that places tasks before it knows what runs has no time left
+// for the runs that it took over.
+TEST(run_scheduler, learns_of_the_inherited_runs_before_it_places_more)
+{
+    auto const limit =
+        static_cast<std::int64_t>(config::max_unconfirmed_starts);
+    fake_fleet it{11};
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 1000};
+    };
+    it.add_worker("w1", 2 * limit * 1000);
+    it.submit("a", {fake_fleet::step(limit)});
+    it.run(milliseconds{200});
+    ASSERT_EQ(it.leader->summary(it.now).running, limit);
+    it.add_worker("w2", 4000);
+    it.submit("b", {fake_fleet::step(1)});
+    it.lead();
+    it.cut.insert("w1");
+    it.run(config::worker_contact_timeout - milliseconds{20});
+    EXPECT_EQ(it.leader->summary(it.now).inherited, limit);
+    EXPECT_TRUE(it.workers["w2"]->running().empty());
+    // A worker that is gone does not hold the others back.
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.workers["w2"]->running().size(), 1);
+
+    it.submit("c", {fake_fleet::step(1)});
+    it.lead();
+    it.cut.clear();
+    it.run(seconds{2});
+    EXPECT_EQ(it.leader->summary(it.now).running, limit + 2);
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+}
+
 // A start without an answer may arrive after the worker was restarted under
 // the same id. It must be stopped there before the task runs elsewhere.
 TEST(run_scheduler, closes_unanswered_starts_after_a_restart_of_the_worker)
