--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -94,7 +94,7 @@
 {
     auto const leader = group.elect();
     auto& disk = group.nodes[of]->disk;
-    constexpr duration sync_time = milliseconds{9};
+    static constexpr duration sync_time = milliseconds{9};
     disk.during_sync = [&clock = group.clock] { clock.block(sync_time); };
     auto const begin = group.clock.now();
     (void)group.nodes[of]->it->take_load();
