Bound the size of a message of answers

A relay collected all answers of 5 ms into one message. The receiver drops such a message, so all its orders would stay unanswered, the relay would be suspended, and the next polls would bring the same lists.

A batch is now sent as soon as it is larger than an eighth of the limit.

--- a/src/app/order_relay.hpp
+++ b/src/app/order_relay.hpp
@@ -81,11 +81,30 @@
         workers_.send(order, std::move(done));
     }
 
+    /// Answers to return, and about how large they are.
+    struct collected_answers
+    {
+        answer_batch batch;
+        std::size_t bytes{0};
+    };
+
+    /// An eighth of the largest message leaves room for one more answer, since
+    /// a batch is sent once it is larger, and for the envelope.
+    static constexpr std::size_t max_batch_bytes =
+        config::max_message_bytes / 8;
+
     auto add(origin const& to, relayed_answer it) -> void
     {
-        auto& batch = batches_[to];
-        batch.leader_term = to.second;
-        batch.answers.push_back(std::move(it));
+        auto& collected = batches_[to];
+        collected.batch.leader_term = to.second;
+        collected.bytes += approximate_size(it);
+        collected.batch.answers.push_back(std::move(it));
+        if (collected.bytes >= max_batch_bytes)
+        {
+            auto const full = batches_.extract(to);
+            transport_.send(to.first, peer_message{full.mapped().batch});
+            return;
+        }
         if (!timer_)
         {
             timer_ = clock_.start_timer(config::answer_batch_delay,
@@ -99,9 +118,9 @@
 
     auto flush() -> void
     {
-        for (auto& [to, batch] : std::exchange(batches_, {}))
+        for (auto& [to, collected] : std::exchange(batches_, {}))
         {
-            transport_.send(to.first, peer_message{std::move(batch)});
+            transport_.send(to.first, peer_message{std::move(collected.batch)});
         }
     }
 
@@ -109,7 +128,7 @@
     Transport& transport_;
     Workers& workers_;
     std::size_t in_flight_{0};
-    std::map<origin, answer_batch> batches_;
+    std::map<origin, collected_answers> batches_;
     std::optional<timer_id> timer_;
 };
 
--- a/src/core/fleet/relay_messages.hpp
+++ b/src/core/fleet/relay_messages.hpp
@@ -8,6 +8,7 @@
 #include <apricotlb/fields.hpp>
 #include <apricotlb/ids.hpp>
 
+#include <cstddef>
 #include <variant>
 #include <vector>
 
@@ -53,6 +54,32 @@
     }
 };
 
+/// Size of an answer in bytes, as far as it depends on lists and texts.
+[[nodiscard]] inline auto approximate_size(relayed_answer const& it)
+    -> std::size_t
+{
+    constexpr std::size_t row_bytes = 64;
+    auto bytes = row_bytes;
+    if (auto const* const poll = std::get_if<poll_answer>(&it.value))
+    {
+        auto const add =
+            [&bytes](task_run const& run, checkpoint_id const& checkpoint)
+        {
+            bytes += row_bytes + run.task.workflow.value().size() +
+                     checkpoint.value().size();
+        };
+        for (auto const& row : poll->lists.running)
+        {
+            add(row.run, row.checkpoint);
+        }
+        for (auto const& row : poll->lists.ended)
+        {
+            add(row.run.run, row.run.checkpoint);
+        }
+    }
+    return bytes;
+}
+
 /// Answers of workers to orders of the leader of `leader_term`.
 struct answer_batch
 {
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -1,3 +1,4 @@
+#include "adapters/msgpack_codec.hpp"
 #include "app/order_relay.hpp"
 #include "paused_clock.hpp"
 #include "relay_fixture.hpp"
@@ -122,6 +123,38 @@
     EXPECT_EQ(workers.to.size(), config::max_relayed_orders + 1);
 }
 
+// Workers that had no leader for a while list many ends. The receiver drops a
+// message beyond the limit, and with it the answers of all workers.
+TEST_F(order_relay_test, keeps_messages_below_the_limit_with_long_lists)
+{
+    constexpr std::uint64_t polls = 200;
+    for (std::uint64_t n = 0; n < polls; ++n)
+    {
+        take({{sequence{n}, poll_of(target("w" + std::to_string(n)))}});
+    }
+    poll_answer lists;
+    lists.outcome = order_outcome::done;
+    ended_row row;
+    row.run.run = run_of(std::string(config::max_name_length, 'a'));
+    row.run.checkpoint =
+        checkpoint_id{std::string(config::max_name_length, 'c')};
+    lists.lists.ended.assign(config::max_listed_ends, row);
+    for (auto const& done : workers.polls)
+    {
+        done(lists);
+    }
+    flush();
+    std::size_t answers{0};
+    for (auto const& sent : peers.sent)
+    {
+        answers += std::get<answer_batch>(sent.body).answers.size();
+        // Half of the limit leaves room for the envelope.
+        EXPECT_LT(msgpack_codec::encode(sent.body).size(),
+                  config::max_message_bytes / 2);
+    }
+    EXPECT_EQ(answers, polls);
+}
+
 // A timer that outlives its object would use freed memory.
 TEST_F(order_relay_test, leaves_no_timer_behind)
 {
