Forget workers and relays that are gone

relay_table kept the assignment of each worker and each relay that it had ever seen, for the life of the process. Workers that had been replaced under new ids also filled the room of the relays (config::workers_per_relay), so that more relays came into use than were needed. Entries that were not used for config::worker_removal_delay are now removed, at most once in that time. The test fails without the call of prune().

--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -28,18 +28,20 @@
 {
     if (auto const known = assigned_.find(worker); known != assigned_.end())
     {
-        auto& current = relays_.at(known->second);
+        auto& current = relays_.at(known->second.relay);
         if (current.is_live(now))
         {
-            return known->second;
+            known->second.last_used = now;
+            return known->second.relay;
         }
         release_workers(current);
     }
+    prune(now);
     auto chosen = choose(zone, now);
     if (chosen)
     {
         relays_.at(*chosen).workers.insert(worker);
-        assigned_[worker] = *chosen;
+        assigned_[worker] = {*chosen, now};
     }
     return chosen;
 }
@@ -59,6 +61,38 @@
     from.workers.clear();
 }
 
+auto relay_table::prune(time_point now) -> void
+{
+    if (now - pruned_at_ < config::worker_removal_delay)
+    {
+        return;
+    }
+    pruned_at_ = now;
+    auto const is_old = [now](time_point last)
+    { return now - last >= config::worker_removal_delay; };
+    std::erase_if(assigned_,
+                  [&](auto const& each)
+                  {
+                      auto const& [worker, it] = each;
+                      if (!is_old(it.last_used))
+                      {
+                          return false;
+                      }
+                      relays_.at(it.relay).workers.erase(worker);
+                      return true;
+                  });
+    for (auto it = relays_.begin(); it != relays_.end();)
+    {
+        if (!is_old(it->second.last_contact))
+        {
+            ++it;
+            continue;
+        }
+        release_workers(it->second);
+        it = relays_.erase(it);
+    }
+}
+
 /// Relays of the zone before others; then one that is in use and has room
 /// before an unused one, since each relay in use costs the leader messages of
 /// its own; then the one with the fewest workers.
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -31,6 +31,15 @@
     /// Forgets all relays and assignments.
     auto clear() -> void;
 
+    [[nodiscard]] auto worker_count() const -> std::size_t
+    {
+        return assigned_.size();
+    }
+    [[nodiscard]] auto relay_count() const -> std::size_t
+    {
+        return relays_.size();
+    }
+
 private:
     struct relay_state
     {
@@ -46,12 +55,22 @@
         }
     };
 
+    struct assignment
+    {
+        node_id relay;
+        time_point last_used{};
+    };
+
     auto release_workers(relay_state& from) -> void;
+    /// Forgets workers and relays that have not been seen for
+    /// config::worker_removal_delay.
+    auto prune(time_point now) -> void;
     [[nodiscard]] auto choose(zone_id const& zone, time_point now) const
         -> std::optional<node_id>;
 
     std::map<node_id, relay_state> relays_;
-    std::map<worker_id, node_id> assigned_;
+    std::map<worker_id, assignment> assigned_;
+    time_point pruned_at_{};
 };
 
 } // namespace apricotlb
--- a/tests/relay_table_test.cpp
+++ b/tests/relay_table_test.cpp
@@ -135,6 +135,23 @@
     EXPECT_EQ(counts[relay(1)], 3 * config::workers_per_relay);
 }
 
+// Workers that were replaced would fill the table and the room of the relays.
+TEST(relay_table, forgets_workers_and_relays_that_are_gone)
+{
+    relay_table it;
+    auto now = start;
+    for (std::size_t n = 0; n < 100; ++n)
+    {
+        now += config::worker_removal_delay / 4;
+        it.on_contact(relay(0), near, now);
+        it.on_contact(node_id{"x" + std::to_string(n)}, far, now);
+        EXPECT_EQ(it.relay_for(worker(0), near, now), relay(0));
+        EXPECT_EQ(it.relay_for(worker(n + 1), near, now), relay(0));
+        EXPECT_LE(it.worker_count(), 12U);
+        EXPECT_LE(it.relay_count(), 12U);
+    }
+}
+
 // The leader then sends to workers itself.
 TEST(relay_table, has_no_relay_for_a_worker_without_a_live_one)
 {
