Give a worker that a relay does not reach another relay

A worker kept its relay while that relay answered. A relay that is cut off from a worker answers each order with no_answer, so the worker stayed out of reach, its lease ended and its runs were lost, while other relays reached it. A worker that gave no answer through its relay now gets another live one, if there is one. The test fails without the call of on_no_answer().

--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -34,8 +34,7 @@
 public:
     relayed_workers(Clock& clock, Transport& peers, Direct& direct,
                     Metrics& metrics)
-        : clock_(clock), transport_(peers), direct_(direct),
-          metrics_(metrics)
+        : clock_(clock), transport_(peers), direct_(direct), metrics_(metrics)
     {
     }
     relayed_workers(relayed_workers const&) = delete;
@@ -79,6 +78,12 @@
                 continue;
             }
             auto const node = pending_.extract(found);
+            auto const& order = node.mapped();
+            if (outcome_of(answer) == order_outcome::no_answer)
+            {
+                relays_.on_no_answer(order.worker, order.zone, from,
+                                     clock_.now());
+            }
             std::visit(
                 [&answer](auto const& done)
                 {
@@ -93,7 +98,7 @@
                         done(expected{});
                     }
                 },
-                node.mapped().done);
+                order.done);
         }
     }
 
@@ -112,12 +117,21 @@
     /// An order whose answer has not come back.
     struct pending
     {
+        worker_id worker;
+        zone_id zone;
         node_id relay;
         term in_term;
         time_point deadline{};
         callback done;
     };
 
+    [[nodiscard]] static auto outcome_of(relayed_answer const& it)
+        -> order_outcome
+    {
+        return std::visit([](auto const& got) { return got.outcome; },
+                          it.value);
+    }
+
     template <class Order, class Answer>
     auto pass_on(Order const& it, std::function<void(Answer)> done,
                  duration timeout) -> void
@@ -135,7 +149,7 @@
         auto const number = ++last_number_;
         term const in_term{it.to.fence.value()};
         pending_.emplace(number,
-                         pending{*relay, in_term,
+                         pending{it.to.instance.id, it.to.zone, *relay, in_term,
                                  now + timeout + config::relay_answer_margin,
                                  std::move(done)});
         auto& batch = batches_[{*relay, in_term}];
--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -23,6 +23,21 @@
     }
 }
 
+auto relay_table::on_no_answer(worker_id const& worker, zone_id const& zone,
+                               node_id const& relay, time_point now) -> void
+{
+    auto const known = assigned_.find(worker);
+    if (known == assigned_.end() || known->second.relay != relay)
+    {
+        return;
+    }
+    if (auto const other = choose(zone, now, relay))
+    {
+        relays_.at(relay).workers.erase(worker);
+        assign(worker, *other, now);
+    }
+}
+
 auto relay_table::relay_for(worker_id const& worker, zone_id const& zone,
                             time_point now) -> std::optional<node_id>
 {
@@ -40,12 +55,18 @@
     auto chosen = choose(zone, now);
     if (chosen)
     {
-        relays_.at(*chosen).workers.insert(worker);
-        assigned_[worker] = {*chosen, now};
+        assign(worker, *chosen, now);
     }
     return chosen;
 }
 
+auto relay_table::assign(worker_id const& worker, node_id const& relay,
+                         time_point now) -> void
+{
+    relays_.at(relay).workers.insert(worker);
+    assigned_[worker] = {relay, now};
+}
+
 auto relay_table::clear() -> void
 {
     relays_.clear();
@@ -96,14 +117,15 @@
 /// Relays of the zone before others; then one that is in use and has room
 /// before an unused one, since each relay in use costs the leader messages of
 /// its own; then the one with the fewest workers.
-auto relay_table::choose(zone_id const& zone, time_point now) const
+auto relay_table::choose(zone_id const& zone, time_point now,
+                         std::optional<node_id> const& except) const
     -> std::optional<node_id>
 {
     std::optional<node_id> best;
     std::tuple<bool, bool, bool, std::size_t> best_rank;
     for (auto const& [id, it] : relays_)
     {
-        if (!it.is_live(now))
+        if (!it.is_live(now) || id == except)
         {
             continue;
         }
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -25,6 +25,10 @@
     /// Takes a relay out of use for config::relay_suspension: it answers pings,
     /// but did not return the answer to an order in time.
     auto suspend(node_id const& relay, time_point now) -> void;
+    /// Gives a worker that did not answer through a relay another one, if there
+    /// is one: the network between the two may be cut.
+    auto on_no_answer(worker_id const& worker, zone_id const& zone,
+                      node_id const& relay, time_point now) -> void;
     /// The relay for a worker; none if no relay is live.
     [[nodiscard]] auto relay_for(worker_id const& worker, zone_id const& zone,
                                  time_point now) -> std::optional<node_id>;
@@ -65,7 +69,11 @@
     /// Forgets workers and relays that have not been seen for
     /// config::worker_removal_delay.
     auto prune(time_point now) -> void;
-    [[nodiscard]] auto choose(zone_id const& zone, time_point now) const
+    auto assign(worker_id const& worker, node_id const& relay, time_point now)
+        -> void;
+    [[nodiscard]] auto
+    choose(zone_id const& zone, time_point now,
+           std::optional<node_id> const& except = std::nullopt) const
         -> std::optional<node_id>;
 
     std::map<node_id, relay_state> relays_;
--- a/tests/relay_table_test.cpp
+++ b/tests/relay_table_test.cpp
@@ -135,6 +135,26 @@
     EXPECT_EQ(counts[relay(1)], 3 * config::workers_per_relay);
 }
 
+// A relay that is cut off from a worker answers the leader, so that the worker
+// would stay out of reach until its lease is over.
+TEST(relay_table, gives_a_worker_that_does_not_answer_another_relay)
+{
+    relay_table it;
+    it.on_contact(relay(0), near, start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    it.on_no_answer(worker(0), near, relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    it.on_contact(relay(1), far, start);
+    EXPECT_EQ(it.relay_for(worker(1), near, start), relay(0));
+    it.on_no_answer(worker(0), near, relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(1));
+    // An answer of a former relay says nothing about this one.
+    it.on_no_answer(worker(0), near, relay(0), start);
+    it.on_no_answer(worker(9), near, relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(1));
+    EXPECT_EQ(it.relay_for(worker(1), near, start), relay(0));
+}
+
 // Workers that were replaced would fill the table and the room of the relays.
 TEST(relay_table, forgets_workers_and_relays_that_are_gone)
 {
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -284,6 +284,29 @@
     EXPECT_TRUE(direct.to.empty());
 }
 
+// A relay that is cut off from a worker answers the leader, so that the worker
+// would stay out of reach until its lease is over.
+TEST_F(relayed_workers_test, uses_another_relay_for_a_worker_without_an_answer)
+{
+    relays["r1"] = "z0";
+    ping_all();
+    send_start(target("w0"));
+    send_start(target("w1"));
+    clock.advance(duration{0});
+    auto const [first, second_order] = last_sent();
+    auto const first_order =
+        std::get<order_batch>(peers.sent.back().body).orders.front();
+    answer(first, first_order.number, order_outcome::no_answer);
+    answer(first, second_order.number, order_outcome::insufficient_capacity);
+    send_start(target("w0"));
+    clock.advance(duration{0});
+    EXPECT_NE(last_sent().first, first);
+    send_start(target("w1"));
+    clock.advance(duration{0});
+    EXPECT_EQ(last_sent().first, first);
+    EXPECT_EQ(metrics.routes("relay_silent"), 0);
+}
+
 // The scheduler gives the next order from within the answer to the last one,
 // also while several orders expire or several answers are taken.
 TEST_F(relayed_workers_test, takes_orders_that_are_given_during_an_answer)
