--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -86,6 +86,12 @@
                 continue;
             }
             auto const node = pending_.extract(found);
+            auto const& order = node.mapped();
+            if (outcome_of(answer) == order_outcome::no_answer)
+            {
+                relays_.on_no_answer(order.worker, order.zone, from,
+                                     clock_.now());
+            }
             std::visit(
                 [&answer](auto const& done)
                 {
@@ -100,7 +106,7 @@
                         done(expected{});
                     }
                 },
-                node.mapped().done);
+                order.done);
         }
     }
 
@@ -119,12 +125,21 @@
     /// An order whose answer has not come back.
     struct pending
     {
+        worker_id worker;
+        zone_id zone;
         node_id relay;
         term in_term;
         time_point deadline{};
         callback done;
     };
 
+    [[nodiscard]] static auto outcome_of(relayed_answer const& it)
+        -> order_outcome
+    {
+        return std::visit([](auto const& got) { return got.outcome; },
+                          it.value);
+    }
+
     template <class Order, class Answer>
     auto pass_on(Order const& it, std::function<void(Answer)> done,
                  duration timeout) -> void
@@ -142,7 +157,7 @@
         auto const number = ++last_number_;
         term const in_term{it.to.fence.value()};
         pending_.emplace(number,
-                         pending{*relay, in_term,
+                         pending{it.to.instance.id, it.to.zone, *relay, in_term,
                                  now + timeout + config::relay_answer_margin,
                                  std::move(done)});
         auto& batch = batches_[{*relay, in_term}];
--- a/tests/relay_table_test.cpp
+++ b/tests/relay_table_test.cpp
@@ -135,6 +135,43 @@
     EXPECT_EQ(counts[relay(1)], 3 * config::workers_per_relay);
 }
 
+// A relay that is cut off from a worker answers the leader, so that the worker
+// would stay out of reach until its lease is over.
+TEST(relay_table, gives_a_worker_that_does_not_answer_another_relay)
+{
+    relay_table it;
+    it.on_contact(relay(0), near, start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    it.on_no_answer(worker(0), near, relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(0));
+    it.on_contact(relay(1), far, start);
+    EXPECT_EQ(it.relay_for(worker(1), near, start), relay(0));
+    it.on_no_answer(worker(0), near, relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(1));
+    // An answer of a former relay says nothing about this one.
+    it.on_no_answer(worker(0), near, relay(0), start);
+    it.on_no_answer(worker(9), near, relay(0), start);
+    EXPECT_EQ(it.relay_for(worker(0), near, start), relay(1));
+    EXPECT_EQ(it.relay_for(worker(1), near, start), relay(0));
+}
+
+// Workers that were replaced would fill the table and the room of the relays.
+TEST(relay_table, forgets_workers_and_relays_that_are_gone)
+{
+    relay_table it;
+    auto now = start;
+    for (std::size_t n = 0; n < 100; ++n)
+    {
+        now += config::worker_removal_delay / 4;
+        it.on_contact(relay(0), near, now);
+        it.on_contact(node_id{"x" + std::to_string(n)}, far, now);
+        EXPECT_EQ(it.relay_for(worker(0), near, now), relay(0));
+        EXPECT_EQ(it.relay_for(worker(n + 1), near, now), relay(0));
+        EXPECT_LE(it.worker_count(), 12U);
+        EXPECT_LE(it.relay_count(), 12U);
+    }
+}
+
 // The leader then sends to workers itself.
 TEST(relay_table, has_no_relay_for_a_worker_without_a_live_one)
 {
