--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -322,6 +322,36 @@
     EXPECT_TRUE(it.violations.empty()) << it.violations.front();
 }
 
+// A start that is in flight when its workflow is cancelled may reach the next
+// life of the worker, which has not seen the stop.
+TEST(run_scheduler, stops_a_cancelled_start_in_flight_at_the_next_life_too)
+{
+    fake_fleet it{21};
+    it.add_worker("w1", 4000);
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 1000};
+    };
+    it.run(seconds{20});
+    it.faults.late = 100;
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{50});
+    ASSERT_EQ(it.starts, 1U);
+    it.faults.late = 0;
+    it.cut.insert("w1");
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.run(milliseconds{50});
+    it.cut.clear();
+    it.workers["w1"]->restart(2, it.now);
+    it.announce_now();
+    it.run(milliseconds{200});
+    it.cut.insert("w1"); // the stop for the former life stays lost
+    it.run(milliseconds{1200});
+    it.cut.clear();
+    it.run(seconds{7});
+    EXPECT_TRUE(it.workers["w1"]->running().empty());
+    EXPECT_EQ(it.live_workflows(), 0U);
+}
+
 // A start that reaches the next life of a worker before its announcement is
 // answered like any other. Taking the run for lost would run it twice.
 TEST(run_scheduler, finds_runs_that_a_new_life_was_sent)
@@ -528,5 +558,64 @@
     }
 }
 
+// Cancellations, drains, restarts, cuts and new leaders at random: a start is
+// sent only for what is still wanted, and every run ends on record.
+TEST(run_scheduler, starts_only_what_is_wanted_under_random_faults)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        fake_fleet it{seed};
+        it.faults = {10, 10};
+        for (auto n = 0; n < 4; ++n)
+        {
+            it.add_worker("w" + std::to_string(n), 4000);
+        }
+        std::uint64_t random{seed};
+        std::int64_t incarnation_number{1};
+        for (auto n = 0; n < 16; ++n)
+        {
+            it.submit("job" + std::to_string(n), {fake_fleet::step(4)});
+            auto const name = "w" + std::to_string(next_random(random) % 4);
+            switch (next_random(random) % 6)
+            {
+            case 0:
+                it.cut.insert(name);
+                break;
+            case 1:
+                it.cut.clear();
+                break;
+            case 2:
+                it.draining.insert(name);
+                break;
+            case 3:
+                it.workers[name]->restart(++incarnation_number, it.now);
+                it.draining.erase(name);
+                break;
+            default:
+                break;
+            }
+            it.run(milliseconds{10 + next_random(random) % 300});
+            auto const cancelled = next_random(random) % 16;
+            if (cancelled <= static_cast<std::uint64_t>(n))
+            {
+                it.apply(cancel_workflow{
+                    workflow_id{"job" + std::to_string(cancelled)}, {}});
+            }
+            if (next_random(random) % 3 == 0)
+            {
+                it.lead();
+            }
+            it.run(milliseconds{next_random(random) % 600});
+        }
+        it.faults = {};
+        it.cut.clear();
+        it.draining.clear();
+        it.run(seconds{30});
+        EXPECT_TRUE(it.violations.empty())
+            << "seed " << seed << ": " << it.violations.front();
+        EXPECT_EQ(it.live_workflows(), 0U) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace apricotlb
