Decide which announcements of workers the leader has to see

The leader gets an HTTP request of each worker every 1.1 s, since the answer to an announcement names its own address for the later ones, and a new leader knows a worker only when that has announced itself again. So the work of a leader grows with the number of workers, and most of all right after its election.

This adds the decisions, with no caller yet:

- announcement_intake keeps the newest announcement of each worker.
A renewal of what the leader has taken is acknowledged at once while the leader is in contact; everything else waits for the leader.
All of it goes in one round of bounded calls.
Leaders are told apart by their terms, which each answer carries; a new one gets everything.
- run_scheduler::on_contact takes a renewal by worker, number, clock and age.
A late sample of the clock is a lower bound, as the lease needs it.
An announcement that is older than the last contact with another worker at the same address does not end that worker: a new leader receives announcements in any order.

Not measured.

--- /dev/null
+++ b/src/core/fleet/announcement_intake.cpp
@@ -0,0 +1,266 @@
+#include "core/fleet/announcement_intake.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace apricotlb
+{
+
+namespace
+{
+
+auto age_of(time_point received, time_point now) -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(now - received);
+}
+
+/// True if the two differ in nothing but the clock and the number.
+auto is_same_description(worker_announcement const& a,
+                         worker_announcement const& b) -> bool
+{
+    return a.instance == b.instance && a.phase == b.phase &&
+           a.address == b.address && a.pool == b.pool && a.zone == b.zone &&
+           a.rack == b.rack && a.labels == b.labels && a.capacity == b.capacity;
+}
+
+/// True if `it` was sent before `newest`.
+auto is_late(worker_announcement const& it, worker_announcement const& newest)
+    -> bool
+{
+    auto const& life = it.instance.incarnation;
+    auto const& newest_life = newest.instance.incarnation;
+    return life < newest_life ||
+           (life == newest_life && it.number <= newest.number);
+}
+
+} // namespace
+
+auto name_of(intake_reason it) -> std::string_view
+{
+    constexpr std::array<std::string_view, 4> names{"renewed", "late",
+                                                    "waiting", "forwarded"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+auto announcement_intake::is_in_contact(time_point now) const -> bool
+{
+    return last_answered_ && now - *last_answered_ < config::leader_timeout;
+}
+
+auto announcement_intake::wait(kept_worker& kept, intake_reason reason)
+    -> intake_decision
+{
+    kept.last_ticket = ++last_ticket_;
+    return {reason,
+            intake_ticket{{kept.value.instance.id, false}, last_ticket_}};
+}
+
+auto announcement_intake::take_departure(worker_id const& worker,
+                                         time_point now) -> intake_decision
+{
+    kept_.erase(worker);
+    leaving_[worker] = {now, ++last_ticket_};
+    return {intake_reason::forwarded,
+            intake_ticket{{worker, true}, last_ticket_}};
+}
+
+auto announcement_intake::take(worker_announcement it, time_point now)
+    -> intake_decision
+{
+    if (it.phase == worker_phase::left)
+    {
+        return take_departure(it.instance.id, now);
+    }
+    auto const [found, is_new] = kept_.try_emplace(it.instance.id);
+    auto& kept = found->second;
+    auto const is_ready = it.phase == worker_phase::ready;
+    if (!is_new && is_late(it, kept.value))
+    {
+        if (is_ready && is_accepted(kept) && is_in_contact(now))
+        {
+            return {intake_reason::late, std::nullopt};
+        }
+        // The newest one is sent again, and its answer acknowledges this one.
+        kept.accepted_in = {};
+        return wait(kept, intake_reason::late);
+    }
+    if (!is_new && is_ready && is_same_description(it, kept.value))
+    {
+        kept.value.number = it.number;
+        kept.value.clock = it.clock;
+        kept.received = now;
+        kept.contact_due = true;
+        if (is_accepted(kept) && is_in_contact(now))
+        {
+            return {intake_reason::renewed, std::nullopt};
+        }
+        return wait(kept, intake_reason::waiting);
+    }
+    kept.value = std::move(it);
+    kept.received = now;
+    kept.accepted_in = {};
+    kept.contact_due = false;
+    ++kept.change;
+    return wait(kept, intake_reason::forwarded);
+}
+
+auto announcement_intake::drop_old(time_point now) -> void
+{
+    std::erase_if(
+        kept_, [now](auto const& each)
+        { return now - each.second.received >= config::worker_removal_delay; });
+    // A departure that were sent later could end the next life of the worker.
+    std::erase_if(leaving_,
+                  [now](auto const& each) {
+                      return now - each.second.since >= acknowledgement_timeout;
+                  });
+}
+
+auto announcement_intake::next_calls(time_point now) -> std::vector<intake_call>
+{
+    drop_old(now);
+    std::vector<intake_call> calls;
+    if (kept_.empty() && leaving_.empty())
+    {
+        return calls;
+    }
+    calls.emplace_back();
+    auto const add_announcement =
+        [&](worker_announcement const& it, time_point received)
+    {
+        if (calls.back().batch.announcements.size() ==
+            max_announcements_per_call)
+        {
+            if (calls.size() == max_calls_per_round)
+            {
+                return false;
+            }
+            calls.emplace_back();
+        }
+        calls.back().batch.announcements.push_back({it, age_of(received, now)});
+        return true;
+    };
+    for (auto const& [worker, it] : leaving_)
+    {
+        worker_announcement message;
+        message.instance.id = worker;
+        message.phase = worker_phase::left;
+        if (add_announcement(message, it.since))
+        {
+            calls.back().entries.push_back(
+                {{{worker, true}, it.last_ticket}, {}, 0, true});
+        }
+    }
+    for (auto& [worker, it] : kept_)
+    {
+        intake_call::entry entry{{{worker, false}, it.last_ticket},
+                                 it.value.number,
+                                 it.change,
+                                 !is_accepted(it)};
+        if (entry.is_full)
+        {
+            if (add_announcement(it.value, it.received))
+            {
+                it.contact_due = false;
+                calls.back().entries.push_back(std::move(entry));
+            }
+        }
+        else if (it.contact_due &&
+                 calls.front().batch.contacts.size() < max_contacts_per_call)
+        {
+            it.contact_due = false;
+            calls.front().batch.contacts.push_back(
+                {it.value.instance, it.value.number, it.described,
+                 it.value.clock, age_of(it.received, now)});
+            calls.front().entries.push_back(std::move(entry));
+        }
+    }
+    for (auto& call : calls)
+    {
+        call.sent_at = now;
+    }
+    return calls;
+}
+
+auto announcement_intake::on_answer(intake_call const& to,
+                                    contact_answer const& answer)
+    -> std::vector<intake_ticket>
+{
+    if (answer.leader_term < leader_term_)
+    {
+        on_no_answer(to);
+        return {};
+    }
+    leader_term_ = answer.leader_term;
+    last_answered_ = std::max(last_answered_.value_or(to.sent_at), to.sent_at);
+    std::set<worker_id> const unknown{answer.unknown.begin(),
+                                      answer.unknown.end()};
+    std::vector<intake_ticket> acknowledged;
+    for (auto const& entry : to.entries)
+    {
+        auto const& worker = entry.up_to.subject.worker;
+        if (entry.up_to.subject.leaves)
+        {
+            acknowledged.push_back(entry.up_to);
+            auto const left = leaving_.find(worker);
+            if (left != leaving_.end() &&
+                left->second.last_ticket == entry.up_to.number)
+            {
+                leaving_.erase(left);
+            }
+            continue;
+        }
+        auto const found = kept_.find(worker);
+        if (found == kept_.end())
+        {
+            continue;
+        }
+        auto& kept = found->second;
+        auto const is_unchanged = kept.change == entry.change;
+        if (!entry.is_full && unknown.contains(worker))
+        {
+            if (is_unchanged)
+            {
+                kept.accepted_in = {};
+            }
+            continue;
+        }
+        acknowledged.push_back(entry.up_to);
+        if (is_unchanged)
+        {
+            kept.accepted_in = answer.leader_term;
+            if (entry.is_full)
+            {
+                kept.described = entry.number;
+            }
+        }
+    }
+    return acknowledged;
+}
+
+auto announcement_intake::on_no_answer(intake_call const& to) -> void
+{
+    for (auto const& entry : to.entries)
+    {
+        auto const found = kept_.find(entry.up_to.subject.worker);
+        if (!entry.up_to.subject.leaves && found != kept_.end() &&
+            found->second.change == entry.change)
+        {
+            found->second.contact_due = true;
+        }
+    }
+}
+
+auto announcement_intake::on_leader(term in_term) -> void
+{
+    if (in_term > leader_term_)
+    {
+        leader_term_ = in_term;
+        last_answered_.reset();
+    }
+}
+
+} // namespace apricotlb
--- /dev/null
+++ b/src/core/fleet/announcement_intake.hpp
@@ -0,0 +1,151 @@
+/// Decides which announcements of workers are acknowledged at once and what the
+/// leader is told about them.
+#ifndef APRICOTLB_CORE_FLEET_ANNOUNCEMENT_INTAKE_HPP
+#define APRICOTLB_CORE_FLEET_ANNOUNCEMENT_INTAKE_HPP
+
+#include "core/fleet/contact_messages.hpp"
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/time.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace apricotlb
+{
+
+/// Why an announcement was acknowledged at once or has to wait for the leader.
+enum class intake_reason : std::uint8_t
+{
+    renewed,   ///< nothing new, the leader is in contact: acknowledged at once
+    late,      ///< sent before one that has been taken
+    waiting,   ///< nothing new, but the leader is not in contact
+    forwarded, ///< new, changed, draining or leaving
+};
+
+[[nodiscard]] auto name_of(intake_reason it) -> std::string_view;
+
+/// Whose acknowledgement waits. A departure is acknowledged apart from the
+/// announcements of the same worker.
+struct intake_subject
+{
+    worker_id worker;
+    bool leaves{false};
+
+    auto operator<=>(intake_subject const&) const = default;
+};
+
+/// An acknowledgement that waits for the leader.
+struct intake_ticket
+{
+    intake_subject subject;
+    sequence number;
+
+    auto operator<=>(intake_ticket const&) const = default;
+};
+
+struct intake_decision
+{
+    intake_reason reason{intake_reason::forwarded};
+    std::optional<intake_ticket> ticket; ///< none: acknowledged at once
+};
+
+/// A call to the leader, with what its answer means for which worker.
+struct intake_call
+{
+    /// One entry of the batch.
+    struct entry
+    {
+        intake_ticket up_to;  ///< newest ticket that the answer covers
+        sequence number;      ///< of the announcement
+        std::uint64_t change; ///< see announcement_intake::kept_worker
+        bool is_full{false};
+    };
+
+    contact_batch batch;
+    std::vector<entry> entries;
+    time_point sent_at{};
+};
+
+/// Keeps the newest announcement of each worker that announces itself to this
+/// process. Leaders are told apart by their terms; they hold none of it at
+/// first.
+class announcement_intake
+{
+public:
+    /// An acknowledgement that waits longer is given up; workers call another
+    /// process after 1 s.
+    static constexpr duration acknowledgement_timeout = milliseconds{800};
+    /// Limits the size of a message to a new leader, and the number of
+    /// messages that it receives at once.
+    static constexpr std::size_t max_announcements_per_call = 64;
+    static constexpr std::size_t max_contacts_per_call = 1024;
+    static constexpr std::size_t max_calls_per_round = 4;
+
+    auto take(worker_announcement it, time_point now) -> intake_decision;
+
+    /// Returns the calls that tell the leader what is new. There is one, if
+    /// need be empty, while workers are kept, since its answer shows that the
+    /// leader is in contact.
+    [[nodiscard]] auto next_calls(time_point now) -> std::vector<intake_call>;
+
+    /// Returns the newest ticket of each subject that the answer acknowledges.
+    [[nodiscard]] auto on_answer(intake_call const& to,
+                                 contact_answer const& answer)
+        -> std::vector<intake_ticket>;
+    auto on_no_answer(intake_call const& to) -> void;
+
+    /// Called with the term of each leader that makes itself known.
+    auto on_leader(term in_term) -> void;
+    [[nodiscard]] auto leader_term() const -> term { return leader_term_; }
+    /// True if the leader has answered a call sent within
+    /// config::leader_timeout.
+    [[nodiscard]] auto is_in_contact(time_point now) const -> bool;
+
+    [[nodiscard]] auto size() const -> std::size_t { return kept_.size(); }
+
+private:
+    struct kept_worker
+    {
+        worker_announcement value; ///< newest
+        time_point received{};
+        /// Number of the announcement that the leader has taken in full.
+        sequence described;
+        term accepted_in; ///< term of the leader that holds it; 0: none
+        /// Counts the announcements with something new, so that the answer to
+        /// an earlier one does not count for a later one.
+        std::uint64_t change{0};
+        bool contact_due{false};
+        sequence last_ticket;
+    };
+    struct departure
+    {
+        time_point since{};
+        sequence last_ticket;
+    };
+
+    auto take_departure(worker_id const& worker, time_point now)
+        -> intake_decision;
+    auto wait(kept_worker& kept, intake_reason reason) -> intake_decision;
+    auto drop_old(time_point now) -> void;
+    [[nodiscard]] auto is_accepted(kept_worker const& it) const -> bool
+    {
+        return it.accepted_in != term{} && it.accepted_in == leader_term_;
+    }
+
+    std::map<worker_id, kept_worker> kept_;
+    std::map<worker_id, departure> leaving_;
+    sequence last_ticket_;
+    term leader_term_;                        ///< highest seen
+    std::optional<time_point> last_answered_; ///< when that call was sent
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
-                                    time_point now) -> void
+                                    time_point now, duration age) -> void
 {
     if (announcement.phase == worker_phase::left)
     {
@@ -29,11 +29,16 @@
         if (auto const found = workers_.find(announcement.instance.id);
             found != workers_.end())
         {
+            record_departure({found->first, found->second.incarnation}, now);
             on_incarnation_end(*found);
             needs_plan_ = true;
         }
         return;
     }
+    if (has_departed(announcement.instance))
+    {
+        return;
+    }
     auto& worker = *workers_.try_emplace(announcement.instance.id).first;
     auto& entry = worker.second;
     if (announcement.instance.incarnation < entry.incarnation)
@@ -53,14 +58,16 @@
         replace_incarnation(worker, announcement, now);
     }
     // A worker that started later at an address proves that the earlier one
-    // there has ended.
+    // there has ended. Without incarnations, the one heard from last counts: a
+    // new leader may receive the other's last announcement after it.
     auto const known_address = addresses_.find(announcement.address);
     if (known_address != addresses_.end() &&
         known_address->second != announcement.instance.id)
     {
         auto const former = workers_.find(known_address->second);
         if (former != workers_.end() &&
-            former->second.incarnation > announcement.instance.incarnation)
+            (former->second.incarnation > announcement.instance.incarnation ||
+             former->second.last_contact > now - age))
         {
             return;
         }
@@ -71,7 +78,8 @@
     }
     addresses_[announcement.address] = announcement.instance.id;
     entry.info = announcement;
-    entry.last_contact = now;
+    entry.described = announcement.number;
+    entry.last_contact = std::max(entry.last_contact, now - age);
     entry.lease.sample(announcement.clock, now);
     send_poll(worker, now);
     needs_plan_ = true;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -5,10 +5,12 @@
 /// reservation until its end is recorded. Only the lists of a worker prove what
 /// runs there; an order without an answer may still be executed.
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
-/// messages of workers, and run_plan.cpp the choice of tasks and workers.
+/// messages of workers, run_contacts.cpp their repeated announcements, and
+/// run_plan.cpp the choice of tasks and workers.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
+#include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
@@ -87,8 +89,12 @@
                   fleet_policy policy);
 
     // Messages of workers (run_reports.cpp).
+    /// `age` is the time since the announcement was received.
     auto on_announcement(worker_announcement const& announcement,
-                         time_point now) -> void;
+                         time_point now, duration age = {}) -> void;
+    /// Returns false if the full announcement of the worker is needed
+    /// (run_contacts.cpp).
+    auto on_contact(worker_contact const& contact, time_point now) -> bool;
     auto on_answer(start_order const& order, order_answer const& answer,
                    time_point now) -> void;
     auto on_answer(stop_order const& order, order_answer const& answer,
@@ -148,6 +154,18 @@
     auto release(task_run const& run, time_point now) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
 
+    // run_contacts.cpp
+    struct departure
+    {
+        worker_incarnation incarnation;
+        time_point since{};
+    };
+    auto record_departure(worker_instance const& worker, time_point now)
+        -> void;
+    /// True if a late announcement would bring back a worker that has left.
+    [[nodiscard]] auto has_departed(worker_instance const& worker) const
+        -> bool;
+
     // run_reports.cpp
     auto replace_incarnation(identified_worker& worker,
                              worker_announcement const& announcement,
@@ -231,6 +249,8 @@
     std::map<worker_id, worker_entry> workers_;
     std::map<task_run, worker_id> worker_of_run_; ///< runs with a reservation
     std::map<url, worker_id> addresses_;
+    /// Workers that have left within config::worker_removal_delay.
+    std::map<worker_id, departure> departed_;
     std::set<workflow_task> proposed_; ///< tasks with a proposed start
     /// When each occurrence first had a ready task, by the revision at which
     /// its workflow was accepted. A new leader counts from its election.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -171,6 +171,7 @@
 {
     std::optional<worker_announcement> info; ///< none before the first one
     worker_incarnation incarnation;
+    sequence described; ///< number of the announcement in `info`
     worker_lease lease;
     std::map<task_run, held_run> runs;
     resources reserved;         ///< by all runs
--- /dev/null
+++ b/tests/announcement_intake_test.cpp
@@ -0,0 +1,333 @@
+#include "core/fleet/announcement_intake.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace apricotlb
+{
+namespace
+{
+
+class announcement_intake_test : public testing::Test
+{
+protected:
+    static auto announcement(std::string const& id, std::uint64_t number)
+        -> worker_announcement
+    {
+        worker_announcement it;
+        it.instance = {worker_id{id}, worker_incarnation{1}};
+        it.address = url{"http://" + id};
+        it.capacity.cores = millicores{8000};
+        it.clock = worker_clock{static_cast<std::int64_t>(number) * 1000};
+        it.number = sequence{number};
+        return it;
+    }
+
+    /// Sends a round to the leader of `in_term`, which answers at once.
+    auto round(term in_term, std::vector<worker_id> const& unknown = {})
+        -> std::vector<intake_ticket>
+    {
+        std::vector<intake_ticket> acknowledged;
+        calls = intake.next_calls(now);
+        for (auto const& it : calls)
+        {
+            auto const more = intake.on_answer(it, {in_term, unknown});
+            acknowledged.insert(acknowledged.end(), more.begin(), more.end());
+        }
+        return acknowledged;
+    }
+
+    /// Makes the leader of term 1 take the first announcement of a worker.
+    auto accept(std::string const& id) -> void
+    {
+        intake.take(announcement(id, 1), now);
+        round(first);
+    }
+
+    static constexpr term first{1};
+    static constexpr term second{2};
+    time_point now{seconds{100}};
+    announcement_intake intake;
+    std::vector<intake_call> calls;
+};
+
+// A renewal that waited for the leader would cost it one call per worker and
+// second.
+TEST_F(announcement_intake_test, acknowledges_a_renewal_at_once)
+{
+    auto const taken = intake.take(announcement("w", 1), now);
+    EXPECT_EQ(taken.reason, intake_reason::forwarded);
+    ASSERT_TRUE(taken.ticket);
+    EXPECT_EQ(round(first), std::vector{*taken.ticket});
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements.size(), 1U);
+
+    now += milliseconds{1100};
+    auto const renewed = intake.take(announcement("w", 2), now);
+    EXPECT_EQ(renewed.reason, intake_reason::renewed);
+    EXPECT_FALSE(renewed.ticket);
+    now += milliseconds{150};
+    round(first);
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_TRUE(calls[0].batch.announcements.empty());
+    ASSERT_EQ(calls[0].batch.contacts.size(), 1U);
+    auto const& contact = calls[0].batch.contacts[0];
+    EXPECT_EQ(contact.number, sequence{2});
+    EXPECT_EQ(contact.described, sequence{1});
+    EXPECT_EQ(contact.clock, worker_clock{2000});
+    EXPECT_EQ(contact.age, milliseconds{150});
+    round(first);
+    EXPECT_TRUE(calls[0].batch.contacts.empty());
+}
+
+// The acknowledgement of a draining worker promises that the leader sends it
+// no more tasks.
+TEST_F(announcement_intake_test, acknowledges_draining_only_after_the_leader)
+{
+    accept("w");
+    for (auto number : {2U, 3U})
+    {
+        auto draining = announcement("w", number);
+        draining.phase = worker_phase::draining;
+        auto const taken = intake.take(draining, now);
+        EXPECT_EQ(taken.reason, intake_reason::forwarded);
+        ASSERT_TRUE(taken.ticket);
+        auto const lost = intake.next_calls(now);
+        intake.on_no_answer(lost[0]);
+        EXPECT_EQ(round(first), std::vector{*taken.ticket});
+        ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+        EXPECT_EQ(calls[0].batch.announcements[0].value.phase,
+                  worker_phase::draining);
+    }
+}
+
+// An answer to an announcement from before the worker drained must not
+// acknowledge its draining.
+TEST_F(announcement_intake_test, an_earlier_answer_does_not_cover_draining)
+{
+    intake.take(announcement("w", 1), now);
+    auto const earlier = intake.next_calls(now);
+    auto draining = announcement("w", 2);
+    draining.phase = worker_phase::draining;
+    auto const taken = intake.take(draining, now);
+    ASSERT_TRUE(taken.ticket);
+    auto const answered = intake.on_answer(earlier[0], {first, {}});
+    EXPECT_TRUE(std::ranges::all_of(answered, [&](intake_ticket const& it)
+                                    { return it < *taken.ticket; }));
+    EXPECT_EQ(round(first), std::vector{*taken.ticket});
+    EXPECT_EQ(calls[0].batch.announcements.size(), 1U);
+}
+
+// A worker that leaves may end once it is acknowledged. Its earlier
+// announcements must not reach a new leader.
+TEST_F(announcement_intake_test, acknowledges_a_departure_only_after_the_leader)
+{
+    accept("w");
+    auto leaving = announcement("w", 0);
+    leaving.phase = worker_phase::left;
+    auto const taken = intake.take(leaving, now);
+    ASSERT_TRUE(taken.ticket);
+    EXPECT_EQ(round(first), std::vector{*taken.ticket});
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.phase, worker_phase::left);
+    intake.on_leader(second);
+    EXPECT_TRUE(intake.next_calls(now).empty());
+}
+
+// A departure that is sent much later could end the next life of the worker.
+TEST_F(announcement_intake_test, gives_up_a_departure_with_its_acknowledgement)
+{
+    auto leaving = announcement("w", 0);
+    leaving.phase = worker_phase::left;
+    intake.take(leaving, now);
+    now += announcement_intake::acknowledgement_timeout;
+    EXPECT_TRUE(intake.next_calls(now).empty());
+}
+
+// Behind a cut nobody else hears from the worker, which has to call a process
+// that reaches the leader.
+TEST_F(announcement_intake_test, acknowledges_nothing_at_once_without_a_leader)
+{
+    accept("w");
+    now += config::leader_timeout;
+    auto const taken = intake.take(announcement("w", 2), now);
+    EXPECT_EQ(taken.reason, intake_reason::waiting);
+    ASSERT_TRUE(taken.ticket);
+    intake.on_no_answer(intake.next_calls(now)[0]);
+    now += milliseconds{300};
+    EXPECT_EQ(round(first), std::vector{*taken.ticket});
+    ASSERT_EQ(calls[0].batch.contacts.size(), 1U);
+    EXPECT_EQ(calls[0].batch.contacts[0].age, milliseconds{300});
+    EXPECT_EQ(intake.take(announcement("w", 3), now).reason,
+              intake_reason::renewed);
+}
+
+// An answer counts from when its call was sent: one that took long shows
+// nothing about the leader now.
+TEST_F(announcement_intake_test, a_slow_answer_does_not_renew_the_contact)
+{
+    accept("w");
+    auto const slow = intake.next_calls(now);
+    now += config::leader_timeout;
+    (void)intake.on_answer(slow[0], {first, {}});
+    EXPECT_FALSE(intake.is_in_contact(now));
+}
+
+// A new leader that waited for each worker would know none for a second.
+TEST_F(announcement_intake_test, gives_all_announcements_to_a_new_leader)
+{
+    constexpr auto workers = 150U;
+    for (auto n = 0U; n < workers; ++n)
+    {
+        intake.take(announcement("w" + std::to_string(n), 1), now);
+    }
+    round(first);
+    now += milliseconds{500};
+    for (auto n = 0U; n < workers; ++n)
+    {
+        intake.take(announcement("w" + std::to_string(n), 2), now);
+    }
+    intake.on_leader(second);
+    EXPECT_FALSE(intake.is_in_contact(now));
+    now += milliseconds{40};
+    round(second);
+    std::size_t known{0};
+    for (auto const& call : calls)
+    {
+        auto const& batch = call.batch;
+        EXPECT_LE(batch.announcements.size(),
+                  announcement_intake::max_announcements_per_call);
+        EXPECT_TRUE(batch.contacts.empty());
+        known += batch.announcements.size();
+        for (auto const& it : batch.announcements)
+        {
+            EXPECT_EQ(it.value.number, sequence{2});
+            EXPECT_EQ(it.age, milliseconds{40});
+        }
+    }
+    EXPECT_EQ(known, workers);
+    EXPECT_EQ(calls.size(), 3U);
+}
+
+// A large fleet must not reach a new leader as one burst of messages.
+TEST_F(announcement_intake_test, bounds_the_calls_of_one_round)
+{
+    constexpr auto bound = announcement_intake::max_announcements_per_call *
+                           announcement_intake::max_calls_per_round;
+    for (auto n = 0U; n < bound + 10; ++n)
+    {
+        intake.take(announcement("w" + std::to_string(n), 1), now);
+    }
+    EXPECT_EQ(round(first).size(), bound);
+    EXPECT_EQ(calls.size(), announcement_intake::max_calls_per_round);
+    EXPECT_EQ(round(first).size(), 10U);
+}
+
+// The notice of a new leader may be lost; its first answer shows its term.
+TEST_F(announcement_intake_test, learns_of_a_new_leader_from_its_answer)
+{
+    accept("a");
+    accept("b");
+    intake.take(announcement("a", 2), now);
+    round(second, {worker_id{"a"}});
+    EXPECT_EQ(intake.leader_term(), second);
+    round(second);
+    EXPECT_EQ(calls[0].batch.announcements.size(), 2U);
+}
+
+// A late answer of the former leader shows nothing about the new one.
+TEST_F(announcement_intake_test, ignores_the_answer_of_a_former_leader)
+{
+    intake.take(announcement("w", 1), now);
+    auto const former = intake.next_calls(now);
+    intake.on_leader(second);
+    EXPECT_TRUE(intake.on_answer(former[0], {first, {}}).empty());
+    EXPECT_FALSE(intake.is_in_contact(now));
+    EXPECT_EQ(intake.next_calls(now)[0].batch.announcements.size(), 1U);
+}
+
+// A worker that the leader does not know gets no tasks.
+TEST_F(announcement_intake_test, sends_in_full_what_the_leader_does_not_know)
+{
+    accept("w");
+    intake.take(announcement("w", 2), now);
+    EXPECT_TRUE(round(first, {worker_id{"w"}}).empty());
+    EXPECT_EQ(calls[0].batch.contacts.size(), 1U);
+    round(first);
+    EXPECT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_TRUE(calls[0].batch.contacts.empty());
+}
+
+// A change that is taken for a renewal never reaches the leader.
+TEST_F(announcement_intake_test, forwards_what_has_changed)
+{
+    accept("w");
+    auto moved = announcement("w", 2);
+    moved.address = url{"http://elsewhere"};
+    EXPECT_EQ(intake.take(moved, now).reason, intake_reason::forwarded);
+    auto larger = announcement("w", 3);
+    larger.capacity.cores = millicores{9000};
+    EXPECT_EQ(intake.take(larger, now).reason, intake_reason::forwarded);
+    auto restarted = announcement("w", 1);
+    restarted.instance.incarnation = worker_incarnation{2};
+    EXPECT_EQ(intake.take(restarted, now).reason, intake_reason::forwarded);
+    round(first);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.instance,
+              restarted.instance);
+}
+
+// A delayed announcement must not bring back an earlier state, or an earlier
+// life, of the worker.
+TEST_F(announcement_intake_test, a_late_announcement_changes_nothing)
+{
+    accept("w");
+    auto draining = announcement("w", 3);
+    draining.phase = worker_phase::draining;
+    intake.take(draining, now);
+    round(first);
+    EXPECT_EQ(intake.take(announcement("w", 2), now).reason,
+              intake_reason::late);
+    intake.on_leader(second);
+    round(second);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.phase,
+              worker_phase::draining);
+
+    auto restarted = announcement("w", 1);
+    restarted.instance.incarnation = worker_incarnation{2};
+    intake.take(restarted, now);
+    EXPECT_EQ(intake.take(announcement("w", 9), now).reason,
+              intake_reason::late);
+    round(second);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.instance,
+              restarted.instance);
+}
+
+// A renewal was acknowledged, so a lost call must not lose it.
+TEST_F(announcement_intake_test, repeats_contacts_that_got_no_answer)
+{
+    accept("w");
+    intake.take(announcement("w", 2), now);
+    intake.on_no_answer(intake.next_calls(now)[0]);
+    now += milliseconds{400};
+    round(first);
+    ASSERT_EQ(calls[0].batch.contacts.size(), 1U);
+    EXPECT_EQ(calls[0].batch.contacts[0].age, milliseconds{400});
+}
+
+// Memory must not grow with workers that went elsewhere.
+TEST_F(announcement_intake_test, forgets_silent_workers)
+{
+    accept("w");
+    now += config::worker_removal_delay;
+    EXPECT_TRUE(intake.next_calls(now).empty());
+    EXPECT_EQ(intake.size(), 0U);
+}
+
+} // namespace
+} // namespace apricotlb
--- /dev/null
+++ b/tests/run_contacts_test.cpp
@@ -0,0 +1,170 @@
+#include "fake_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+class run_contacts : public testing::Test
+{
+protected:
+    static auto announcement(std::string const& id, std::uint64_t number)
+        -> worker_announcement
+    {
+        worker_announcement it;
+        it.instance = {worker_id{id}, worker_incarnation{1}};
+        it.address = url{"http://" + id};
+        it.pool = pool_name{"pool"};
+        it.capacity.cores = millicores{4000};
+        it.clock = worker_clock{static_cast<std::int64_t>(number) * 1000};
+        it.number = sequence{number};
+        return it;
+    }
+    static auto contact(std::string const& id, std::uint64_t number,
+                        milliseconds age = {}) -> worker_contact
+    {
+        auto const it = announcement(id, number);
+        return {it.instance, it.number, sequence{1}, it.clock, age};
+    }
+    [[nodiscard]] auto entry(std::string const& id) const -> worker_entry const&
+    {
+        return scheduler.workers().at(worker_id{id});
+    }
+    auto tick() -> void
+    {
+        scheduler.tick(now);
+        (void)scheduler.take_actions();
+    }
+
+    time_point now{seconds{100}};
+    state_machine state;
+    run_scheduler scheduler{state, fence_token{1}, now,
+                            fleet_policy{seconds{10}}};
+};
+
+// Without contacts a worker counts as silent and gets no tasks.
+TEST_F(run_contacts, keep_a_worker_in_contact)
+{
+    scheduler.on_announcement(announcement("w", 1), now);
+    now += milliseconds{1100};
+    EXPECT_TRUE(scheduler.on_contact(contact("w", 2, milliseconds{200}), now));
+    EXPECT_EQ(entry("w").last_contact, now - milliseconds{200});
+    EXPECT_EQ(entry("w").info->number, sequence{2});
+    EXPECT_EQ(entry("w").info->clock, worker_clock{2000});
+    now += config::worker_removal_delay - milliseconds{201};
+    tick();
+    EXPECT_EQ(scheduler.workers().size(), 1U);
+}
+
+// Contacts arrive through several processes and in any order.
+TEST_F(run_contacts, never_move_the_last_contact_back)
+{
+    scheduler.on_announcement(announcement("w", 1), now);
+    now += milliseconds{100};
+    EXPECT_TRUE(scheduler.on_contact(contact("w", 3, seconds{2}), now));
+    EXPECT_EQ(entry("w").last_contact, now - milliseconds{100});
+    EXPECT_TRUE(scheduler.on_contact(contact("w", 2), now));
+    EXPECT_EQ(entry("w").info->number, sequence{3});
+    EXPECT_EQ(entry("w").last_contact, now - milliseconds{100});
+    scheduler.on_announcement(announcement("w", 4), now, seconds{3});
+    EXPECT_EQ(entry("w").last_contact, now - milliseconds{100});
+}
+
+// The lease counts on a lower bound of the worker's clock. A sample that took
+// long is one, since that clock has only run on; it must neither lower the
+// bound nor let the leader take the lease for over while it lasts.
+TEST_F(run_contacts, late_samples_keep_the_bound_of_the_lease)
+{
+    scheduler.on_announcement(announcement("w", 1), now);
+    // The worker's clock shows 2000 now, and 2300 when the contact arrives.
+    now += seconds{1};
+    auto const read_at = now;
+    now += milliseconds{300};
+    EXPECT_TRUE(scheduler.on_contact(contact("w", 2, milliseconds{300}), now));
+    auto lease = entry("w").lease;
+    auto const end = lease.grant(now, seconds{10});
+    EXPECT_LE(end, worker_clock{2300 + 10'000});
+    EXPECT_GE(end, worker_clock{1000 + 1274 + 10'000});
+    auto const ends_there =
+        read_at + milliseconds{(end - worker_clock{2000}).value()};
+    EXPECT_GE(lease.latest_end(), ends_there);
+}
+
+// The sender then gives the full announcement.
+TEST_F(run_contacts, of_unknown_workers_change_nothing)
+{
+    EXPECT_FALSE(scheduler.on_contact(contact("w", 2), now));
+    EXPECT_TRUE(scheduler.workers().empty());
+    scheduler.on_announcement(announcement("w", 1), now);
+    auto other = contact("w", 2);
+    other.instance.incarnation = worker_incarnation{2};
+    EXPECT_FALSE(scheduler.on_contact(other, now));
+    EXPECT_EQ(entry("w").info->number, sequence{1});
+    EXPECT_EQ(entry("w").incarnation, worker_incarnation{1});
+}
+
+// Two processes may hold different descriptions of a worker; a contact that
+// repeats the older one must not pass for the newer.
+TEST_F(run_contacts, of_another_description_need_the_full_announcement)
+{
+    scheduler.on_announcement(announcement("w", 1), now);
+    scheduler.on_announcement(announcement("w", 5), now);
+    EXPECT_FALSE(scheduler.on_contact(contact("w", 6), now));
+    scheduler.on_announcement(announcement("w", 6), now);
+    auto next = contact("w", 7);
+    next.described = sequence{6};
+    EXPECT_TRUE(scheduler.on_contact(next, now));
+}
+
+// A worker that has left runs nothing more; orders to it stay unanswered.
+TEST_F(run_contacts, do_not_bring_back_a_worker_that_left)
+{
+    scheduler.on_announcement(announcement("w", 1), now);
+    auto leaving = announcement("w", 0);
+    leaving.phase = worker_phase::left;
+    scheduler.on_announcement(leaving, now);
+    scheduler.on_contact(contact("w", 2), now);
+    EXPECT_TRUE(entry("w").incarnation_ended);
+    tick();
+    EXPECT_TRUE(scheduler.workers().empty());
+    EXPECT_FALSE(scheduler.on_contact(contact("w", 3), now));
+    scheduler.on_announcement(announcement("w", 3), now);
+    EXPECT_TRUE(scheduler.workers().empty());
+
+    auto restarted = announcement("w", 1);
+    restarted.instance.incarnation = worker_incarnation{2};
+    scheduler.on_announcement(restarted, now);
+    EXPECT_EQ(scheduler.workers().size(), 1U);
+}
+
+// An incarnation that another address has proved over stays over.
+TEST_F(run_contacts, do_not_bring_back_an_ended_incarnation)
+{
+    scheduler.on_announcement(announcement("w", 1), now);
+    auto successor = announcement("v", 1);
+    successor.instance.incarnation = worker_incarnation{2};
+    successor.address = url{"http://w"};
+    scheduler.on_announcement(successor, now);
+    ASSERT_TRUE(entry("w").incarnation_ended);
+    scheduler.on_contact(contact("w", 2), now);
+    EXPECT_TRUE(entry("w").incarnation_ended);
+    EXPECT_EQ(entry("w").info->number, sequence{1});
+}
+
+// A new leader may receive the last announcement of a worker that crashed
+// after the one of its successor at the same address.
+TEST_F(run_contacts, an_old_announcement_does_not_end_the_successor)
+{
+    auto successor = announcement("v", 1);
+    successor.address = url{"http://w"};
+    scheduler.on_announcement(successor, now, milliseconds{300});
+    scheduler.on_announcement(announcement("w", 9), now, seconds{20});
+    EXPECT_FALSE(entry("v").incarnation_ended);
+}
+
+} // namespace
+} // namespace apricotlb
