--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -13,6 +13,16 @@
     it.last_contact = now;
 }
 
+auto relay_table::remove(node_id const& relay) -> void
+{
+    auto const found = relays_.find(relay);
+    if (found != relays_.end())
+    {
+        release_workers(found->second);
+        relays_.erase(found);
+    }
+}
+
 auto relay_table::suspend(node_id const& relay, time_point now) -> void
 {
     auto const found = relays_.find(relay);
@@ -23,27 +33,50 @@
     }
 }
 
+auto relay_table::on_no_answer(worker_id const& worker, zone_id const& zone,
+                               node_id const& relay, time_point now) -> void
+{
+    auto const known = assigned_.find(worker);
+    if (known == assigned_.end() || known->second.relay != relay)
+    {
+        return;
+    }
+    if (auto const other = choose(zone, now, relay))
+    {
+        relays_.at(relay).workers.erase(worker);
+        assign(worker, *other, now);
+    }
+}
+
 auto relay_table::relay_for(worker_id const& worker, zone_id const& zone,
                             time_point now) -> std::optional<node_id>
 {
     if (auto const known = assigned_.find(worker); known != assigned_.end())
     {
-        auto& current = relays_.at(known->second);
+        auto& current = relays_.at(known->second.relay);
         if (current.is_live(now))
         {
-            return known->second;
+            known->second.last_used = now;
+            return known->second.relay;
         }
         release_workers(current);
     }
+    prune(now);
     auto chosen = choose(zone, now);
     if (chosen)
     {
-        relays_.at(*chosen).workers.insert(worker);
-        assigned_[worker] = *chosen;
+        assign(worker, *chosen, now);
     }
     return chosen;
 }
 
+auto relay_table::assign(worker_id const& worker, node_id const& relay,
+                         time_point now) -> void
+{
+    relays_.at(relay).workers.insert(worker);
+    assigned_[worker] = {relay, now};
+}
+
 auto relay_table::clear() -> void
 {
     relays_.clear();
@@ -59,17 +92,50 @@
     from.workers.clear();
 }
 
+auto relay_table::prune(time_point now) -> void
+{
+    if (now - pruned_at_ < config::worker_removal_delay)
+    {
+        return;
+    }
+    pruned_at_ = now;
+    auto const is_old = [now](time_point last)
+    { return now - last >= config::worker_removal_delay; };
+    std::erase_if(assigned_,
+                  [&](auto const& each)
+                  {
+                      auto const& [worker, it] = each;
+                      if (!is_old(it.last_used))
+                      {
+                          return false;
+                      }
+                      relays_.at(it.relay).workers.erase(worker);
+                      return true;
+                  });
+    for (auto it = relays_.begin(); it != relays_.end();)
+    {
+        if (!is_old(it->second.last_contact))
+        {
+            ++it;
+            continue;
+        }
+        release_workers(it->second);
+        it = relays_.erase(it);
+    }
+}
+
 /// Relays of the zone before others; then one that is in use and has room
 /// before an unused one, since each relay in use costs the leader messages of
 /// its own; then the one with the fewest workers.
-auto relay_table::choose(zone_id const& zone, time_point now) const
+auto relay_table::choose(zone_id const& zone, time_point now,
+                         std::optional<node_id> const& except) const
     -> std::optional<node_id>
 {
     std::optional<node_id> best;
     std::tuple<bool, bool, bool, std::size_t> best_rank;
     for (auto const& [id, it] : relays_)
     {
-        if (!it.is_live(now))
+        if (!it.is_live(now) || id == except)
         {
             continue;
         }
