Start nothing on an old announcement after a change of leader

A worker whose `draining` the former leader had acknowledged could be sent a start by the next one.

Cause: processes keep the announcements of workers for 60 s and pass them to a new leader. If a worker has changed to another process since, the first one still passes on `ready`, and the new leader used it until the newer announcement arrived; the leader's contact with the worker by other orders made the old announcement look recent. That a worker drains is not in the log.

A new leader places and starts runs on a worker only once it has an announcement that was received after its election, or one younger than 1.5 s: nothing may start 2 s after the acknowledgement of a drain, and workers announce themselves about once a second.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -116,7 +116,8 @@
     pass.now = now;
     for (auto& worker : workers_)
     {
-        if (is_usable(worker.second, now))
+        if (is_usable(worker.second, now) &&
+            has_current_phase(worker.second, now))
         {
             pass.pools[worker.second.info->pool].push_back(&worker);
         }
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -79,7 +79,8 @@
     addresses_[announcement.address] = announcement.instance.id;
     entry.info = announcement;
     entry.described = announcement.number;
-    entry.last_contact = std::max(entry.last_contact, now - age);
+    entry.announced_at = now - age;
+    entry.last_contact = std::max(entry.last_contact, entry.announced_at);
     entry.lease.sample(announcement.clock, now);
     send_poll(worker, now);
     needs_plan_ = true;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -38,7 +38,7 @@
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
                              time_point now, fleet_policy policy)
-    : state_(state), fence_(fence), policy_(policy)
+    : state_(state), fence_(fence), leading_since_(now), policy_(policy)
 {
     inherit_runs(now);
     unconfirmed_ = count_unconfirmed(now);
@@ -120,6 +120,13 @@
            entry.incarnation;
 }
 
+auto run_scheduler::has_current_phase(worker_entry const& worker,
+                                      time_point now) const -> bool
+{
+    return worker.announced_at >= leading_since_ ||
+           now - worker.announced_at < announcement_validity;
+}
+
 auto run_scheduler::start_or_withdraw(identified_worker& worker,
                                       task_run const& run, held_run& held,
                                       time_point now) -> void
@@ -129,8 +136,8 @@
         withdraw(worker, run, held, now);
         return;
     }
-    // tick() repeats the order if there is no reading of the worker's clock
-    // yet.
+    // tick() repeats the order if there is no reading of the worker's clock or
+    // no current phase yet.
     held.phase = run_phase::ordered;
     send_start(worker, run, held, now);
 }
@@ -153,7 +160,7 @@
 {
     auto const* const record = state_.workflows().find(run.task.workflow);
     if (fenced_ || !worker.second.info || !worker.second.lease.is_sampled() ||
-        record == nullptr)
+        !has_current_phase(worker.second, now) || record == nullptr)
     {
         return;
     }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -149,6 +149,14 @@
     /// the worker.
     [[nodiscard]] auto may_start(identified_worker const& worker,
                                  task_run const& run) const -> bool;
+    /// Age up to which a new leader relies on an announcement from before its
+    /// election. Workers announce themselves about once a second, and nothing
+    /// may start 2 s after the acknowledgement that a worker drains.
+    static constexpr duration announcement_validity = milliseconds{1500};
+    /// False while an earlier leader may have acknowledged that the worker
+    /// drains.
+    [[nodiscard]] auto has_current_phase(worker_entry const& worker,
+                                         time_point now) const -> bool;
     /// Sends the start order of a recorded run if it may start, and otherwise
     /// withdraws the run.
     auto start_or_withdraw(identified_worker& worker, task_run const& run,
@@ -267,6 +275,7 @@
 
     state_machine const& state_;
     fence_token fence_;
+    time_point leading_since_;
     fleet_policy policy_;
     std::map<worker_id, worker_entry> workers_;
     std::map<task_run, worker_id> worker_of_run_; ///< runs with a reservation
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -189,6 +189,7 @@
     end_number recorded;     ///< ends up to this number are recorded in the log
     end_number acknowledged; ///< `recorded` of the last poll that was answered
     time_point last_contact{};
+    time_point announced_at{}; ///< when its newest announcement was received
     time_point paused_until{}; ///< no new runs until then, after a rejection
     time_point poll_sent_at{};
     time_point next_poll_at{}; ///< earliest time of the next poll
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -139,6 +139,16 @@
         }
     }
 
+    /// What a worker would announce now.
+    [[nodiscard]] auto announcement_of(std::string const& name) const
+        -> worker_announcement
+    {
+        auto const phase = draining.contains(name) ? "draining" : "ready";
+        return platform::decode_announcement(
+                   worker_id{name}, workers.at(name)->heartbeat(now, phase))
+            .value();
+    }
+
     /// Lets all workers announce themselves at the next step.
     auto announce_now() -> void { next_beat_ = now; }
 
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -444,6 +444,39 @@
     EXPECT_EQ(it.state_of("a"), workflow_state::completed);
 }
 
+// A process may pass on an old announcement to a new leader, while the drain
+// was acknowledged by the former one through another process.
+TEST(run_scheduler, starts_nothing_on_an_old_announcement_after_a_leader_change)
+{
+    fake_fleet it{22};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{1100});
+    auto const ready = it.announcement_of("w1");
+    it.draining.insert("w1");
+    it.run(seconds{2});
+    it.submit("a", {fake_fleet::step(1)});
+    it.lead();
+    it.leader->on_announcement(ready, it.now, seconds{2});
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.starts, 0U);
+    it.run(seconds{2});
+    EXPECT_EQ(it.starts, 0U);
+}
+
+// A new leader that waits for the next announcement of each worker would place
+// nothing for a second.
+TEST(run_scheduler, starts_on_a_recent_announcement_after_a_leader_change)
+{
+    fake_fleet it{23};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{1100});
+    it.lead();
+    it.leader->on_announcement(it.announcement_of("w1"), it.now, seconds{1});
+    it.submit("a", {fake_fleet::step(1)});
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.starts, 1U);
+}
+
 // The members of a gang work only together, so that a part of them would
 // hold room for nothing.
 TEST(run_scheduler, places_all_members_of_a_gang_or_none)
