Blame no relay for a long turn of the leader itself

A leader whose loop stood still for longer than the deadlines of its orders ran the check of them before it took the answers that waited in its sockets. It then suspended every relay with an order under way for 3 s and sent the orders of all workers itself, at the moment at which it had the least time.

The check is left out once if it runs late by its interval or more, so that answers and pings are taken first; the next one runs in any case. The test fails without it.

--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -175,6 +175,7 @@
         }
         if (!expiry_timer_)
         {
+            expiry_due_ = clock_.now() + config::relay_check_interval;
             expiry_timer_ = clock_.start_timer(config::relay_check_interval,
                                                [this]
                                                {
@@ -200,6 +201,15 @@
     auto expire() -> void
     {
         auto const now = clock_.now();
+        // After a long turn of the loop, answers and pings wait in the sockets.
+        // One check is left out, so that they are taken first.
+        auto const is_late = now - expiry_due_ >= config::relay_check_interval;
+        skipped_check_ = is_late && !skipped_check_;
+        if (skipped_check_)
+        {
+            arm();
+            return;
+        }
         std::vector<callback> expired;
         std::set<node_id> silent;
         std::erase_if(pending_,
@@ -239,6 +249,8 @@
     std::map<std::pair<node_id, term>, order_batch> batches_;
     std::optional<timer_id> flush_timer_;
     std::optional<timer_id> expiry_timer_;
+    time_point expiry_due_{};
+    bool skipped_check_{false};
 };
 
 } // namespace apricotlb
--- a/tests/paused_clock.hpp
+++ b/tests/paused_clock.hpp
@@ -49,6 +49,10 @@
         now_ = end;
     }
 
+    /// Lets time pass in which no timer runs, as in a turn of the loop that
+    /// takes long.
+    auto stall(duration d) -> void { now_ += d; }
+
 private:
     time_point now_{};
     std::uint64_t last_timer_{0};
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -256,6 +256,33 @@
     EXPECT_EQ(starts.size(), 1U);
 }
 
+// A leader that stood still finds all deadlines over, while the answers and the
+// pings wait in its sockets. Taking every relay for silent would make it send
+// everything itself, with less time than ever.
+TEST_F(relayed_workers_test,
+       blames_no_relay_for_a_turn_of_its_own_that_was_long)
+{
+    ping_all();
+    send_start(target("w0"));
+    clock.advance(duration{0});
+    auto const [relay, order] = last_sent();
+    clock.stall(seconds{2});
+    clock.advance(duration{0});
+    EXPECT_TRUE(starts.empty());
+    ping_all();
+    answer(relay, order.number, order_outcome::done);
+    EXPECT_EQ(starts, (std::vector{order_outcome::done}));
+    EXPECT_EQ(metrics.routes("relay_silent"), 0);
+    send_start(target("w0"));
+    EXPECT_TRUE(direct.to.empty());
+    // Turns that stay long must not keep an order without an answer.
+    clock.stall(seconds{2});
+    clock.advance(duration{0});
+    clock.stall(seconds{2});
+    clock.advance(duration{0});
+    EXPECT_EQ(starts.size(), 2U);
+}
+
 // A poll that waits for an end would make its relay look silent.
 TEST_F(relayed_workers_test, adds_the_wait_of_a_poll_to_its_deadline)
 {
