Answer the orders of a relay that lost contact at once

The workers of a silent relay got another one, but orders that it held kept their deadline: up to 3.1 s for a poll that waits 1.8 s, while the worker gets no further poll and its lease runs on. They now count as not answered at the next check after config::relay_timeout. The relay is not suspended for that, so that it is used again at its next ping. The test fails without this: the poll had no answer after 1.4 s.

--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -196,8 +196,9 @@
         }
     }
 
-    /// Answers the orders whose relay did not return an answer in time. A relay
-    /// returns one for each order, also if the worker gave none.
+    /// Answers the orders whose relay did not return an answer in time, or is
+    /// not in contact any more. A relay returns one for each order, also if the
+    /// worker gave none.
     auto expire() -> void
     {
         auto const now = clock_.now();
@@ -212,21 +213,30 @@
         }
         std::vector<callback> expired;
         std::set<node_id> silent;
-        std::erase_if(pending_,
-                      [&](auto& each)
-                      {
-                          auto& it = each.second;
-                          if (now < it.deadline)
-                          {
-                              return false;
-                          }
-                          silent.insert(it.relay);
-                          expired.push_back(std::move(it.done));
-                          return true;
-                      });
-        for (auto const& relay : silent)
+        std::set<node_id> overdue;
+        for (auto it = pending_.begin(); it != pending_.end();)
+        {
+            auto& order = it->second;
+            auto const is_over = now >= order.deadline;
+            if (!is_over && relays_.is_in_contact(order.relay, now))
+            {
+                ++it;
+                continue;
+            }
+            silent.insert(order.relay);
+            if (is_over)
+            {
+                overdue.insert(order.relay);
+            }
+            expired.push_back(std::move(order.done));
+            it = pending_.erase(it);
+        }
+        for (auto n = silent.size(); n > 0; --n)
         {
             metrics_.count(metric::order_routes, "relay_silent");
+        }
+        for (auto const& relay : overdue)
+        {
             relays_.suspend(relay, now);
         }
         for (auto const& it : expired)
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -32,6 +32,9 @@
     /// The relay for a worker; none if no relay is live.
     [[nodiscard]] auto relay_for(worker_id const& worker, zone_id const& zone,
                                  time_point now) -> std::optional<node_id>;
+    /// True if a relay was in contact within config::relay_timeout.
+    [[nodiscard]] auto is_in_contact(node_id const& relay, time_point now) const
+        -> bool;
     /// Forgets all relays and assignments.
     auto clear() -> void;
 
@@ -52,10 +55,13 @@
         time_point suspended_until{};
         std::set<worker_id> workers;
 
+        [[nodiscard]] auto is_in_contact(time_point now) const -> bool
+        {
+            return now - last_contact < config::relay_timeout;
+        }
         [[nodiscard]] auto is_live(time_point now) const -> bool
         {
-            return now >= suspended_until &&
-                   now - last_contact < config::relay_timeout;
+            return now >= suspended_until && is_in_contact(now);
         }
     };
 
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -256,6 +256,27 @@
     EXPECT_EQ(starts.size(), 1U);
 }
 
+// Orders to a process that has ended would wait as long as their worker may,
+// and its lease with them.
+TEST_F(relayed_workers_test, answers_orders_of_a_relay_that_lost_contact_early)
+{
+    relays["r1"] = "z0";
+    ping_all();
+    constexpr auto wait = milliseconds{1800};
+    send_poll(target("w0"), wait);
+    send_start(target("w0"));
+    clock.advance(duration{0});
+    auto const first = last_sent().first;
+    advance(config::relay_timeout, {first.value()});
+    advance(config::relay_check_interval, {first.value()});
+    EXPECT_EQ(starts, (std::vector{order_outcome::no_answer}));
+    EXPECT_EQ(polls, (std::vector{order_outcome::no_answer}));
+    send_start(target("w0"));
+    EXPECT_TRUE(direct.to.empty());
+    clock.advance(duration{0});
+    EXPECT_NE(last_sent().first, first);
+}
+
 // A leader that stood still finds all deadlines over, while the answers and the
 // pings wait in its sockets. Taking every relay for silent would make it send
 // everything itself, with less time than ever.
