Keep the orders of a relay that left in good order

A relay that drains is removed from relay_table and still answers what it has. Its orders would have counted as unanswered at the next check, because an unknown relay is not in contact. Only a known relay without contact is silent.

--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -218,7 +218,7 @@
         {
             auto& order = it->second;
             auto const is_over = now >= order.deadline;
-            if (!is_over && relays_.is_in_contact(order.relay, now))
+            if (!is_over && !relays_.is_silent(order.relay, now))
             {
                 ++it;
                 continue;
--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -60,11 +60,10 @@
     return chosen;
 }
 
-auto relay_table::is_in_contact(node_id const& relay, time_point now) const
-    -> bool
+auto relay_table::is_silent(node_id const& relay, time_point now) const -> bool
 {
     auto const found = relays_.find(relay);
-    return found != relays_.end() && found->second.is_in_contact(now);
+    return found != relays_.end() && !found->second.is_in_contact(now);
 }
 
 auto relay_table::assign(worker_id const& worker, node_id const& relay,
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -32,8 +32,9 @@
     /// The relay for a worker; none if no relay is live.
     [[nodiscard]] auto relay_for(worker_id const& worker, zone_id const& zone,
                                  time_point now) -> std::optional<node_id>;
-    /// True if a relay was in contact within config::relay_timeout.
-    [[nodiscard]] auto is_in_contact(node_id const& relay, time_point now) const
+    /// True for a relay without contact for config::relay_timeout. One that
+    /// is not known has left in good order.
+    [[nodiscard]] auto is_silent(node_id const& relay, time_point now) const
         -> bool;
     /// Forgets all relays and assignments.
     auto clear() -> void;
--- a/tests/paused_clock.hpp
+++ b/tests/paused_clock.hpp
@@ -4,6 +4,7 @@
 
 #include "ports/clock.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -46,12 +47,12 @@
             now_ = std::max(now_, node.key().first);
             node.mapped()();
         }
-        now_ = end;
+        now_ = std::max(now_, end);
     }
 
-    /// Lets time pass in which no timer runs, as in a turn of the loop that
-    /// takes long.
-    auto stall(duration d) -> void { now_ += d; }
+    /// Lets time pass within a callback, as a call that blocks the loop does:
+    /// no timer runs meanwhile, and those that fall due run late.
+    auto block(duration d) -> void { now_ += d; }
 
 private:
     time_point now_{};
--- a/tests/relay_table_test.cpp
+++ b/tests/relay_table_test.cpp
@@ -172,6 +172,17 @@
     }
 }
 
+// Orders of a relay that was taken out of use in good order are still answered.
+TEST(relay_table, takes_only_a_known_relay_without_contact_for_silent)
+{
+    relay_table it;
+    EXPECT_FALSE(it.is_silent(relay(0), start));
+    it.on_contact(relay(0), near, start);
+    EXPECT_FALSE(it.is_silent(relay(0),
+                              start + config::relay_timeout - milliseconds{1}));
+    EXPECT_TRUE(it.is_silent(relay(0), start + config::relay_timeout));
+}
+
 // The leader then sends to workers itself.
 TEST(relay_table, has_no_relay_for_a_worker_without_a_live_one)
 {
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -287,7 +287,7 @@
     send_start(target("w0"));
     clock.advance(duration{0});
     auto const [relay, order] = last_sent();
-    clock.stall(seconds{2});
+    clock.block(seconds{2});
     clock.advance(duration{0});
     EXPECT_TRUE(starts.empty());
     ping_all();
@@ -297,9 +297,9 @@
     send_start(target("w0"));
     EXPECT_TRUE(direct.to.empty());
     // Turns that stay long must not keep an order without an answer.
-    clock.stall(seconds{2});
+    clock.block(seconds{2});
     clock.advance(duration{0});
-    clock.stall(seconds{2});
+    clock.block(seconds{2});
     clock.advance(duration{0});
     EXPECT_EQ(starts.size(), 2U);
 }
