--- a/tests/relay_fixture.hpp
+++ b/tests/relay_fixture.hpp
@@ -36,6 +36,7 @@
     [[nodiscard]] auto all() const -> std::vector<std::pair<node_id, Body>>
     {
         std::vector<std::pair<node_id, Body>> found;
+        found.reserve(sent.size());
         for (auto const& it : sent)
         {
             found.emplace_back(it.to, std::get<Body>(it.body));
