--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTLB_APP_CONTROL_ROLE_HPP
 #define APRICOTLB_APP_CONTROL_ROLE_HPP
 
+#include "app/command_check.hpp"
 #include "app/control_views.hpp"
 #include "app/log_machine.hpp"
 #include "app/peer_message.hpp"
@@ -59,7 +60,7 @@
           random_(options.replica.seed),
           replica_(clock, raft_link_, store, machine_,
                    std::move(options.replica)),
-          workflows_(clock, runs, metrics, propose_run{this}, options.fleet)
+          workflows_(clock, runs, metrics, leader_log{this}, options.fleet)
     {
         machine_.on_applied(
             [this](command const& it, apply_result const& result)
@@ -168,13 +169,17 @@
 private:
     using machine_type = log_machine<Codec, Snapshots>;
 
-    /// Appends commands of the workflow scheduler to the log.
-    struct propose_run
+    /// The log as the workflow scheduler uses it.
+    struct leader_log
     {
         control_role* role;
 
-        auto operator()(command const& it,
-                        std::function<void(result<void>)> done) const -> void
+        [[nodiscard]] auto is_current() const -> bool
+        {
+            return role->is_leader();
+        }
+        auto propose(command const& it,
+                     std::function<void(result<void>)> done) const -> void
         {
             role->replica_.propose(
                 Codec::encode(it),
@@ -406,6 +411,11 @@
         answer(caller, apply_result{});
     }
 
+    auto serve(call_origin caller, contact_batch const& it) -> void
+    {
+        answer(caller, workflows_.on_contacts(it));
+    }
+
     auto serve(call_origin caller, leader_ping) -> void
     {
         answer(caller, apply_result{});
@@ -568,29 +578,6 @@
         }
     }
 
-    /// Validates a command again, since the entry that sent it may run another
-    /// version.
-    static auto check_command(command const& it) -> result<void>
-    {
-        if (auto const* const change = std::get_if<apply_contract>(&it))
-        {
-            return check(change->value);
-        }
-        if (auto const* const job = std::get_if<submit_job>(&it))
-        {
-            return check(job->spec);
-        }
-        if (auto const* const worker = std::get_if<register_worker>(&it))
-        {
-            return check(worker->info);
-        }
-        if (auto const* const set = std::get_if<apply_contract_set>(&it))
-        {
-            return check(set->value);
-        }
-        return outcome::success();
-    }
-
     /// True for a registration that repeats the recorded one. Workers register
     /// after every restart; only a changed registration is written to the log.
     [[nodiscard]] auto is_registered(command const& it) const -> bool
@@ -695,7 +682,7 @@
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
     std::function<void(term)> on_leading_;
-    workflow_driver<Clock, Runs, propose_run, Metrics> workflows_;
+    workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
     time_point last_key_expiry_{};
     time_point last_member_check_{};
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -22,6 +22,18 @@
     return run;
 }
 
+auto needs_runs(workflow_record const& record, task_progress const& task)
+    -> bool
+{
+    return record.is_open() && !task.finished;
+}
+
+auto find_active(task_progress const& task, run_number number)
+    -> std::vector<active_run>::const_iterator
+{
+    return std::ranges::find(task.active, number, &active_run::number);
+}
+
 } // namespace
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
@@ -29,6 +41,7 @@
     : state_(state), fence_(fence), policy_(policy)
 {
     inherit_runs(now);
+    unconfirmed_ = count_unconfirmed(now);
 }
 
 auto run_scheduler::inherit_runs(time_point now) -> void
@@ -53,6 +66,10 @@
                 worker_of_run_[name] = run.worker.id;
             });
     }
+    for (auto const& [id, record] : state_.workflows().live())
+    {
+        stop_unneeded_runs(id, now);
+    }
 }
 
 auto run_scheduler::find(task_run const& run)
@@ -77,6 +94,60 @@
             fence_};
 }
 
+auto run_scheduler::is_wanted(task_run const& run) const -> bool
+{
+    auto const* const record = state_.workflows().find(run.task.workflow);
+    auto const* const task =
+        record == nullptr ? nullptr : record->find(run.task);
+    return task != nullptr && needs_runs(*record, *task) &&
+           find_active(*task, run.number) != task->active.end();
+}
+
+auto run_scheduler::may_start(identified_worker const& worker,
+                              task_run const& run) const -> bool
+{
+    auto const& entry = worker.second;
+    // A worker that has not announced itself to this leader receives no orders.
+    auto const is_draining =
+        entry.info && entry.info->phase != worker_phase::ready;
+    if (!is_wanted(run) || entry.incarnation_ended || is_draining)
+    {
+        return false;
+    }
+    auto const& task =
+        *state_.workflows().find(run.task.workflow)->find(run.task);
+    return find_active(task, run.number)->worker.incarnation ==
+           entry.incarnation;
+}
+
+auto run_scheduler::start_or_withdraw(identified_worker& worker,
+                                      task_run const& run, held_run& held,
+                                      time_point now) -> void
+{
+    if (!may_start(worker, run))
+    {
+        withdraw(worker, run, held, now);
+        return;
+    }
+    // tick() repeats the order if there is no reading of the worker's clock
+    // yet.
+    held.phase = run_phase::ordered;
+    send_start(worker, run, held, now);
+}
+
+auto run_scheduler::withdraw(identified_worker& worker, task_run const& run,
+                             held_run& held, time_point now) -> void
+{
+    if (held.start_unconfirmed || held.order_in_flight)
+    {
+        // An earlier send of the start order may still be executed.
+        held.closed_as = run_end::not_started;
+        send_stop(worker, run, held, now);
+        return;
+    }
+    propose_end(run, held, run_end::not_started);
+}
+
 auto run_scheduler::send_start(identified_worker& worker, task_run const& run,
                                held_run& held, time_point now) -> void
 {
@@ -86,7 +157,6 @@
     {
         return;
     }
-    held.phase = run_phase::ordered;
     held.order_in_flight = true;
     held.sent = now;
     actions_.emplace_back(
@@ -98,6 +168,11 @@
 auto run_scheduler::send_stop(identified_worker& worker, task_run const& run,
                               held_run& held, time_point now) -> void
 {
+    // The answer to the start order no longer counts, so that the order may
+    // still be executed by a later incarnation.
+    held.start_unconfirmed =
+        held.start_unconfirmed ||
+        (held.phase == run_phase::ordered && held.order_in_flight);
     held.phase = run_phase::stopping;
     if (fenced_ || !worker.second.info)
     {
@@ -159,7 +234,7 @@
         if (held.phase == run_phase::ordered &&
             now - worker.second.last_contact < config::lease_extension_timeout)
         {
-            send_start(worker, run, held, now);
+            start_or_withdraw(worker, run, held, now);
         }
         else if (held.phase == run_phase::stopping)
         {
@@ -168,6 +243,23 @@
     }
 }
 
+/// Runs that the workers in contact have yet to confirm. Those on other workers
+/// don't count: they may stay unconfirmed until their leases have ended.
+auto run_scheduler::count_unconfirmed(time_point now) const -> std::size_t
+{
+    std::size_t n{0};
+    for (auto const& [id, worker] : workers_)
+    {
+        if (now - worker.last_contact < config::worker_contact_timeout)
+        {
+            n += static_cast<std::size_t>(std::ranges::count_if(
+                worker.runs, [](auto const& each)
+                { return is_unconfirmed(each.second.phase); }));
+        }
+    }
+    return n;
+}
+
 auto run_scheduler::tick(time_point now) -> void
 {
     for (auto worker = workers_.begin(); worker != workers_.end();)
@@ -204,6 +296,7 @@
     }
     std::erase_if(addresses_, [this](auto const& each)
                   { return !workers_.contains(each.second); });
+    unconfirmed_ = count_unconfirmed(now);
     needs_plan_ = true;
 }
 
@@ -219,24 +312,15 @@
             {
                 continue;
             }
-            auto const* const record =
-                state_.workflows().find(placed.run.task.workflow);
-            if (!state_.workflows().is_active(placed.run))
+            // A later leader may have recorded this number for another worker.
+            if (worker->first != placed.worker.id ||
+                !state_.workflows().is_active(placed.run))
             {
                 release(placed.run, now);
             }
-            else if (worker->second.incarnation_ended ||
-                     worker->second.incarnation != placed.worker.incarnation ||
-                     !record->is_open())
-            {
-                propose_end(placed.run, *held, run_end::not_started);
-            }
             else
             {
-                // tick() repeats the order if there is no reading of the
-                // worker's clock yet.
-                held->phase = run_phase::ordered;
-                send_start(*worker, placed.run, *held, now);
+                start_or_withdraw(*worker, placed.run, *held, now);
             }
         }
     }
@@ -245,6 +329,7 @@
         for (auto const& ended : ends->runs)
         {
             stop_unneeded_runs(ended.run.task.workflow, now);
+            stop_incomplete_gang(ended, now);
         }
     }
     else if (auto const* const cancel = std::get_if<cancel_workflow>(&applied))
@@ -307,8 +392,12 @@
     {
         return;
     }
-    if (held->phase == run_phase::inherited ||
-        held->phase == run_phase::ordered || held->phase == run_phase::running)
+    if (held->phase == run_phase::ordered)
+    {
+        withdraw(*worker, run, *held, now);
+    }
+    else if (held->phase == run_phase::inherited ||
+             held->phase == run_phase::running)
     {
         send_stop(*worker, run, *held, now);
     }
@@ -322,18 +411,44 @@
     {
         return;
     }
-    auto const is_open = record->is_open();
     record->for_each_active(
         [&](workflow_task const& task, task_progress const& progress,
             active_run const& run)
         {
-            if (!is_open || progress.finished)
+            if (!needs_runs(*record, progress))
             {
                 request_stop({task, run.number}, now);
             }
         });
 }
 
+/// Workers end the members of a gang together, but not those that wait for a
+/// member that never started.
+auto run_scheduler::stop_incomplete_gang(ended_run const& ended, time_point now)
+    -> void
+{
+    auto const& ended_task = ended.run.task;
+    auto const* const record = state_.workflows().find(ended_task.workflow);
+    if (record == nullptr || ended.outcome == run_end::finished ||
+        !record->step(ended_task).gang)
+    {
+        return;
+    }
+    auto const& step = record->occurrences[ended_task.occurrence.value()]
+                           .steps[ended_task.step.value()];
+    auto task = ended_task;
+    for (std::uint32_t n = 0; n < step.tasks.size(); ++n)
+    {
+        task.index = task_index{n};
+        // The members share the number of their run; a later one goes on.
+        if (find_active(step.tasks[n], ended.run.number) !=
+            step.tasks[n].active.end())
+        {
+            request_stop({task, ended.run.number}, now);
+        }
+    }
+}
+
 auto run_scheduler::propose_end(task_run const& run, held_run& held,
                                 run_end outcome) -> void
 {
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -5,10 +5,12 @@
 /// reservation until its end is recorded. Only the lists of a worker prove what
 /// runs there; an order without an answer may still be executed.
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
-/// messages of workers, and run_plan.cpp the choice of tasks and workers.
+/// messages of workers, run_contacts.cpp their repeated announcements, and
+/// run_plan.cpp the choice of tasks and workers.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
+#include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
@@ -87,8 +89,12 @@
                   fleet_policy policy);
 
     // Messages of workers (run_reports.cpp).
+    /// `age` is the time since the announcement was received.
     auto on_announcement(worker_announcement const& announcement,
-                         time_point now) -> void;
+                         time_point now, duration age = {}) -> void;
+    /// Returns false if the full announcement of the worker is needed
+    /// (run_contacts.cpp).
+    auto on_contact(worker_contact const& contact, time_point now) -> bool;
     auto on_answer(start_order const& order, order_answer const& answer,
                    time_point now) -> void;
     auto on_answer(stop_order const& order, order_answer const& answer,
@@ -107,7 +113,8 @@
     /// Repeats orders and polls that are due, and proposes as lost the runs of
     /// workers whose leases have ended.
     auto tick(time_point now) -> void;
-    /// Places ready tasks on workers (run_plan.cpp).
+    /// Places ready tasks on workers (run_plan.cpp), while fewer than
+    /// config::max_unconfirmed_starts runs wait for a sign of their workers.
     auto plan(time_point now, wall_time wall) -> void;
 
     [[nodiscard]] auto take_actions() -> std::vector<fleet_action>;
@@ -134,6 +141,23 @@
     auto inherit_runs(time_point now) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
     auto target_of(identified_worker const& worker) const -> order_target;
+    /// True while the log asks for the run: its end is not recorded, its
+    /// workflow is open, and no other run has finished its task. A workflow
+    /// without attempts left is not open.
+    [[nodiscard]] auto is_wanted(task_run const& run) const -> bool;
+    /// Decides for every send of a start order whether the run may start on
+    /// the worker.
+    [[nodiscard]] auto may_start(identified_worker const& worker,
+                                 task_run const& run) const -> bool;
+    /// Sends the start order of a recorded run if it may start, and otherwise
+    /// withdraws the run.
+    auto start_or_withdraw(identified_worker& worker, task_run const& run,
+                           held_run& held, time_point now) -> void;
+    /// Ends a run of which no start order can be executed any more; stops it
+    /// if one can.
+    auto withdraw(identified_worker& worker, task_run const& run,
+                  held_run& held, time_point now) -> void;
+    /// Called by start_or_withdraw() only.
     auto send_start(identified_worker& worker, task_run const& run,
                     held_run& held, time_point now) -> void;
     auto send_stop(identified_worker& worker, task_run const& run,
@@ -141,12 +165,28 @@
     auto send_poll(identified_worker& worker, time_point now) -> void;
     auto repeat_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
-    /// Stops the runs of ended workflows and finished tasks.
+    /// Stops the runs of a workflow that are not wanted any more.
     auto stop_unneeded_runs(workflow_id const& id, time_point now) -> void;
+    /// After the end of a run, stops the other members of its gang unless the
+    /// gang has finished.
+    auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
     auto propose_end(task_run const& run, held_run& held, run_end outcome)
         -> void;
     auto release(task_run const& run, time_point now) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
+    [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
+
+    // run_contacts.cpp
+    struct departure
+    {
+        worker_incarnation incarnation;
+        time_point since{};
+    };
+    auto record_departure(worker_instance const& worker, time_point now)
+        -> void;
+    /// True if a late announcement would bring back a worker that has left.
+    [[nodiscard]] auto has_departed(worker_instance const& worker) const
+        -> bool;
 
     // run_reports.cpp
     auto replace_incarnation(identified_worker& worker,
@@ -231,6 +271,8 @@
     std::map<worker_id, worker_entry> workers_;
     std::map<task_run, worker_id> worker_of_run_; ///< runs with a reservation
     std::map<url, worker_id> addresses_;
+    /// Workers that have left within config::worker_removal_delay.
+    std::map<worker_id, departure> departed_;
     std::set<workflow_task> proposed_; ///< tasks with a proposed start
     /// When each occurrence first had a ready task, by the revision at which
     /// its workflow was accepted. A new leader counts from its election.
@@ -239,6 +281,9 @@
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
+    /// Runs without a sign of their workers at the last tick, and those placed
+    /// since.
+    std::size_t unconfirmed_{0};
     bool fenced_{false};
     bool needs_plan_{true};
     bool is_behind_{false};
