--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -183,6 +183,7 @@
         }
         if (!expiry_timer_)
         {
+            expiry_due_ = clock_.now() + config::relay_check_interval;
             expiry_timer_ = clock_.start_timer(config::relay_check_interval,
                                                [this]
                                                {
@@ -203,28 +204,47 @@
         }
     }
 
-    /// Answers the orders whose relay did not return an answer in time. A relay
-    /// returns one for each order, also if the worker gave none.
+    /// Answers the orders whose relay did not return an answer in time, or is
+    /// not in contact any more. A relay returns one for each order, also if the
+    /// worker gave none.
     auto expire() -> void
     {
         auto const now = clock_.now();
+        // After a long turn of the loop, answers and pings wait in the sockets.
+        // One check is left out, so that they are taken first.
+        auto const is_late = now - expiry_due_ >= config::relay_check_interval;
+        skipped_check_ = is_late && !skipped_check_;
+        if (skipped_check_)
+        {
+            arm();
+            return;
+        }
         std::vector<callback> expired;
         std::set<node_id> silent;
-        std::erase_if(pending_,
-                      [&](auto& each)
-                      {
-                          auto& it = each.second;
-                          if (now < it.deadline)
-                          {
-                              return false;
-                          }
-                          silent.insert(it.relay);
-                          expired.push_back(std::move(it.done));
-                          return true;
-                      });
-        for (auto const& relay : silent)
+        std::set<node_id> overdue;
+        for (auto it = pending_.begin(); it != pending_.end();)
+        {
+            auto& order = it->second;
+            auto const is_over = now >= order.deadline;
+            if (!is_over && !relays_.is_silent(order.relay, now))
+            {
+                ++it;
+                continue;
+            }
+            silent.insert(order.relay);
+            if (is_over)
+            {
+                overdue.insert(order.relay);
+            }
+            expired.push_back(std::move(order.done));
+            it = pending_.erase(it);
+        }
+        for (auto n = silent.size(); n > 0; --n)
         {
             metrics_.count(metric::order_routes, "relay_silent");
+        }
+        for (auto const& relay : overdue)
+        {
             relays_.suspend(relay, now);
         }
         for (auto const& it : expired)
@@ -247,6 +267,8 @@
     std::map<std::pair<node_id, term>, order_batch> batches_;
     std::optional<timer_id> flush_timer_;
     std::optional<timer_id> expiry_timer_;
+    time_point expiry_due_{};
+    bool skipped_check_{false};
 };
 
 } // namespace apricotlb
