Refuse new workflows while the leader is behind

The control role knows when its periodic timer was due. A delay of config::overload_delay begins an overload; it ends after config::overload_recovery_time without a delay above config::on_time_delay. While it lasts, a new workflow is refused at once with the new kind overloaded: 503, Retry-After, did not run, counted in apricotlb_call_refusals_total. Reads, cancellations, announcements, ends and renewals go on.

Entries repeat a call without an answer after 400 ms, so a refusal must hold for all copies of a submission. A copy handled after the overload would start a workflow that its caller was told is refused, and a refused copy of a submission that waits for its commit would deny a workflow that runs. Refusals are kept for config::call_timeout, and copies of a pending submission share its answer. The limit on unfinished workflows had the same fault.

Tests: control_role.* on a control process that leads alone, on the paused clock; overload_guard.ends_an_overload_only_after_a_time_without_delays.

--- a/include/apricotlb/error.hpp
+++ b/include/apricotlb/error.hpp
@@ -68,6 +68,7 @@
     unknown_queue,
     unknown_workflow,
     no_contracts,
+    overloaded,
     internal,
 };
 
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -10,6 +10,7 @@
 #include "app/workflow_driver.hpp"
 #include "core/group/membership.hpp"
 #include "core/leader/leader_state.hpp"
+#include "core/leader/overload_guard.hpp"
 #include "ports/clock.hpp"
 #include "ports/log_store.hpp"
 #include "ports/run_worker.hpp"
@@ -22,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -195,17 +197,27 @@
         auto operator<=>(call_origin const&) const = default;
     };
 
+    struct refused_submission
+    {
+        error reason;
+        time_point forgotten_at{};
+    };
+
     // Timers.
 
     auto arm() -> void
     {
+        tick_due_ = clock_.now() + config::scheduler_tick;
         timer_ = clock_.start_timer(config::scheduler_tick, [this] { tick(); });
     }
 
     auto tick() -> void
     {
-        arm();
         auto const now = clock_.now();
+        overload_.record(now - tick_due_, now);
+        arm();
+        std::erase_if(refused_submissions_, [now](auto const& each)
+                      { return now >= each.second.forgotten_at; });
         if (now - last_member_check_ >= config::heartbeat_interval)
         {
             last_member_check_ = now;
@@ -471,6 +483,28 @@
             answer(caller, workflow_answer{*table.state(id), false, {}});
             return;
         }
+        if (auto const known = refused_submissions_.find(caller);
+            known != refused_submissions_.end())
+        {
+            refuse(caller.node, caller.id, known->second.reason.kind,
+                   known->second.reason.detail);
+            return;
+        }
+        // A refusal of another copy would say that the workflow is not
+        // accepted.
+        if (auto const pending = pending_submissions_.find(id);
+            pending != pending_submissions_.end())
+        {
+            pending->second.insert(caller);
+            return;
+        }
+        if (overload_.is_overloaded())
+        {
+            refuse_submission(
+                caller, {error_kind::overloaded,
+                         "the leader is behind with the work that it has"});
+            return;
+        }
         if (spec)
         {
             spec->id = id;
@@ -487,27 +521,53 @@
         }
         if (table.live().size() >= config::max_live_workflows)
         {
-            refuse(caller.node, caller.id, error_kind::queue_full,
-                   "the limit on unfinished workflows is reached");
+            refuse_submission(caller,
+                              {error_kind::queue_full,
+                               "the limit on unfinished workflows is reached"});
             return;
         }
-        propose_for(caller, submit_workflow{std::move(*spec), terms});
+        pending_submissions_[id].insert(caller);
+        command const request{submit_workflow{std::move(*spec), terms}};
+        replica_.propose(Codec::encode(request),
+                         [this, id](result<log_index> const& done)
+                         {
+                             auto const callers =
+                                 pending_submissions_.extract(id);
+                             for (auto const& each : callers.mapped())
+                             {
+                                 answer_proposal(each, done);
+                             }
+                         });
+    }
+
+    /// Refuses a submission and all copies of it: the caller has given up once
+    /// it has the answer, and a copy that is still under way would be accepted
+    /// after the overload.
+    auto refuse_submission(call_origin const& caller, error reason) -> void
+    {
+        refuse(caller.node, caller.id, reason.kind, reason.detail);
+        refused_submissions_[caller] = {std::move(reason),
+                                        clock_.now() + config::call_timeout};
     }
 
     /// Proposes a command and answers its caller once it has been applied.
     auto propose_for(call_origin const& caller, command const& it) -> void
     {
         replica_.propose(Codec::encode(it),
-                         [this, caller](result<log_index> done)
-                         {
-                             if (done.has_error())
-                             {
-                                 refuse(caller.node, caller.id,
-                                        done.error().kind, done.error().detail);
-                                 return;
-                             }
-                             answer(caller, machine_.last_result());
-                         });
+                         [this, caller](result<log_index> const& done)
+                         { answer_proposal(caller, done); });
+    }
+
+    auto answer_proposal(call_origin const& caller,
+                         result<log_index> const& done) -> void
+    {
+        if (done.has_error())
+        {
+            refuse(caller.node, caller.id, done.error().kind,
+                   done.error().detail);
+            return;
+        }
+        answer(caller, machine_.last_result());
     }
 
     auto serve(call_origin caller, query it) -> void
@@ -697,6 +757,11 @@
     std::function<void(term)> on_leading_;
     workflow_driver<Clock, Runs, propose_run, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
+    overload_guard overload_;
+    time_point tick_due_{};
+    /// Callers to answer once a proposed workflow has been committed.
+    std::map<workflow_id, std::set<call_origin>> pending_submissions_;
+    std::map<call_origin, refused_submission> refused_submissions_;
     time_point last_key_expiry_{};
     time_point last_member_check_{};
     std::optional<timer_id> timer_;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -75,6 +75,7 @@
     row(unknown_queue,        "unknown_queue",        404, ex::not_found,    re::never,     ran::no),
     row(unknown_workflow,     "unknown_workflow",     410, ex::not_found,    re::never,     ran::no),
     row(no_contracts,         "no_contracts",         503, ex::unavailable,  re::later,     ran::no),
+    row(overloaded,           "overloaded",           503, ex::unavailable,  re::later,     ran::no),
     row(internal,             "internal",             500, ex::failed,       re::never,     ran::unknown),
     // clang-format on
 }};
--- /dev/null
+++ b/tests/control_role_test.cpp
@@ -0,0 +1,265 @@
+#include "adapters/json_codec.hpp"
+#include "adapters/msgpack_codec.hpp"
+#include "app/control_role.hpp"
+#include "fake_entry.hpp"
+#include "memory_log.hpp"
+#include "paused_clock.hpp"
+
+#include <apricotlb/config.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace apricotlb
+{
+namespace
+{
+
+/// Keeps the last answer to each call.
+struct answer_list
+{
+    std::map<call_id, call_answer> answers;
+
+    auto send(node_id const& /*to*/, peer_message const& it) -> void
+    {
+        if (auto const* const found = std::get_if<call_answer>(&it))
+        {
+            answers[found->id] = *found;
+        }
+    }
+    auto add_peer(node_id const& /*id*/, url const& /*address*/) -> void {}
+};
+
+struct silent_workers
+{
+    auto send(url const& /*to*/, worker_command const& /*command*/,
+              std::function<void(result<void>)> const& /*done*/) -> void
+    {
+    }
+};
+
+struct silent_run_workers
+{
+    template <class Order, class Callback>
+    auto send(Order const& /*order*/, Callback const& /*done*/) -> void
+    {
+    }
+};
+
+/// A control process that is its own group and leads it.
+class lone_leader
+{
+public:
+    lone_leader()
+    {
+        clock_.advance(seconds{100});
+        EXPECT_TRUE(role_.start());
+        clock_.advance(seconds{1});
+        EXPECT_TRUE(role_.is_leader());
+        contract_set set;
+        set.version = contract_set_version{1};
+        set.pools.push_back({pool_name{"pool"}, true, false});
+        queue_contract queue;
+        queue.name = queue_name{"q"};
+        queue.host = host_name{"h"};
+        queue.prefix = queue_path{"/"};
+        queue.pool = pool_name{"pool"};
+        queue.timeout = milliseconds{3000};
+        set.queues.push_back(queue);
+        call(command{apply_contract_set{set}});
+        clock_.advance(milliseconds{100});
+    }
+
+    /// Sends a call and returns its id.
+    template <class Body>
+    auto call(Body body) -> call_id
+    {
+        ++last_id_;
+        send(call_id{last_id_}, std::move(body));
+        return call_id{last_id_};
+    }
+    template <class Body>
+    auto send(call_id id, Body body) -> void
+    {
+        role_.take(node_id{"entry"}, apricotlb::call{id, std::move(body)});
+    }
+
+    static auto submission(std::string const& id) -> workflow_call
+    {
+        workflow_spec spec;
+        spec.steps.resize(1);
+        return {workflow_action::submit, host_name{"h"}, "/" + id, spec};
+    }
+
+    /// The loop stands still, so that its timers are late.
+    auto stall(duration d) -> void
+    {
+        clock_.block(d);
+        clock_.advance({});
+    }
+    auto set_sync_time(duration d) -> void
+    {
+        disk_.during_sync = [this, d] { clock_.block(d); };
+    }
+    auto run(duration d) -> void { clock_.advance(d); }
+
+    [[nodiscard]] auto is_answered(call_id id) const -> bool
+    {
+        return transport_.answers.contains(id);
+    }
+    /// The kind of a refusal, if the call was refused.
+    [[nodiscard]] auto refusal(call_id id) const -> std::optional<error_kind>
+    {
+        auto const* const failure =
+            std::get_if<call_failure>(&transport_.answers.at(id).body);
+        return failure != nullptr ? std::optional{failure->kind} : std::nullopt;
+    }
+    [[nodiscard]] auto accepted() const -> std::size_t
+    {
+        return role_.state().workflows().live().size();
+    }
+    [[nodiscard]] auto metrics() const -> fake_metrics const&
+    {
+        return metrics_;
+    }
+
+private:
+    paused_clock clock_;
+    answer_list transport_;
+    memory_disk disk_;
+    memory_log store_{disk_};
+    silent_workers workers_;
+    silent_run_workers runs_;
+    fake_metrics metrics_;
+    std::uint64_t last_id_{0};
+    control_role<paused_clock, answer_list, memory_log, silent_workers,
+                 silent_run_workers, msgpack_codec, snapshot_codec, json_codec,
+                 fake_metrics>
+        role_{clock_,
+              transport_,
+              store_,
+              workers_,
+              runs_,
+              metrics_,
+              {replica_options::builder{}
+                   .self(node_id{"a"})
+                   .bootstrap({{node_id{"a"}, {}, {}}})
+                   .build()
+                   .value(),
+               {},
+               {},
+               false}};
+};
+
+// A leader that goes on accepting work while it is late grows its backlog until
+// it loses its office.
+TEST(control_role, refuses_new_workflows_while_it_is_behind)
+{
+    lone_leader it;
+    auto const before = it.call(lone_leader::submission("before"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(before), std::nullopt);
+
+    it.stall(config::scheduler_tick + config::overload_delay);
+    auto const during = it.call(lone_leader::submission("during"));
+    EXPECT_EQ(it.refusal(during), error_kind::overloaded);
+    EXPECT_EQ(it.metrics().of("apricotlb_call_refusals_total", "overloaded"),
+              1);
+
+    // What was accepted stays acknowledged, and can be read and cancelled.
+    auto const again = it.call(lone_leader::submission("before"));
+    EXPECT_EQ(it.refusal(again), std::nullopt);
+    auto const read = it.call(workflow_call{
+        workflow_action::state, host_name{"h"}, "/before", std::nullopt});
+    EXPECT_EQ(it.refusal(read), std::nullopt);
+    auto const cancel = it.call(workflow_call{
+        workflow_action::cancel, host_name{"h"}, "/before", std::nullopt});
+    auto const announced = it.call(worker_announcement{});
+    EXPECT_EQ(it.refusal(announced), std::nullopt);
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(cancel), std::nullopt);
+
+    it.run(config::overload_recovery_time + config::scheduler_tick);
+    auto const after = it.call(lone_leader::submission("after"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(after), std::nullopt);
+}
+
+// A caller that has been refused does not expect the workflow to run: a copy of
+// its call that is handled after the overload must not start it.
+TEST(control_role, refuses_all_copies_of_a_refused_submission)
+{
+    lone_leader it;
+    it.stall(config::scheduler_tick + config::overload_delay);
+    auto const call = it.call(lone_leader::submission("a"));
+    EXPECT_EQ(it.refusal(call), error_kind::overloaded);
+    it.run(config::overload_recovery_time + milliseconds{200});
+    it.send(call, lone_leader::submission("a"));
+    EXPECT_EQ(it.refusal(call), error_kind::overloaded);
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.accepted(), 0);
+    // A new call is not a copy.
+    auto const next = it.call(lone_leader::submission("a"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(next), std::nullopt);
+    EXPECT_EQ(it.accepted(), 1);
+}
+
+// A copy of a submission whose first copy waits for its commit must not be
+// answered as refused: the workflow runs.
+TEST(control_role,
+     acknowledges_copies_of_a_submission_that_is_not_committed_yet)
+{
+    lone_leader it;
+    // After a slow sync the next commit waits, while the late tick runs.
+    it.set_sync_time(config::scheduler_tick + config::overload_delay);
+    it.call(lone_leader::submission("x"));
+    it.run(milliseconds{1});
+    it.set_sync_time({});
+    auto const first = it.call(lone_leader::submission("a"));
+    it.run({});
+    auto const other = it.call(lone_leader::submission("b"));
+    EXPECT_EQ(it.refusal(other), error_kind::overloaded);
+    it.send(first, lone_leader::submission("a"));
+    auto const copy = it.call(lone_leader::submission("a"));
+    EXPECT_FALSE(it.is_answered(first));
+    EXPECT_FALSE(it.is_answered(copy));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(first), std::nullopt);
+    EXPECT_EQ(it.refusal(copy), std::nullopt);
+    EXPECT_EQ(it.accepted(), 2);
+}
+
+// One short turn of the loop does not mean that the overload is over.
+TEST(overload_guard, ends_an_overload_only_after_a_time_without_delays)
+{
+    overload_guard it;
+    auto now = time_point{seconds{100}};
+    it.record(config::overload_delay - duration{1}, now);
+    EXPECT_FALSE(it.is_overloaded());
+    it.record(config::overload_delay, now);
+    EXPECT_TRUE(it.is_overloaded());
+    for (auto n = 0; n < 20; ++n)
+    {
+        now += config::overload_recovery_time / 2;
+        auto const is_late = n % 2 == 1;
+        it.record(is_late ? config::on_time_delay + duration{1} : duration{},
+                  now);
+        EXPECT_TRUE(it.is_overloaded());
+    }
+    now += config::overload_recovery_time - duration{1};
+    it.record({}, now);
+    EXPECT_TRUE(it.is_overloaded());
+    now += duration{1};
+    it.record(config::on_time_delay, now);
+    EXPECT_FALSE(it.is_overloaded());
+}
+
+} // namespace
+} // namespace apricotlb
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -146,6 +146,9 @@
     EXPECT_EQ(status(error_kind::no_leader), 504);
     EXPECT_EQ(status(error_kind::not_leader), 503);
     EXPECT_EQ(status(error_kind::no_contracts), 503);
+    EXPECT_EQ(status(error_kind::overloaded), 503);
+    EXPECT_EQ(refusal_answer({error_kind::overloaded, ""}).headers.back().name,
+              "Retry-After");
     EXPECT_EQ(status(error_kind::unknown_queue), 404);
     EXPECT_EQ(status(error_kind::unknown_workflow), 410);
     auto const outcome = [](int code, std::string const& body)
