Watch libcurl's sockets through one epoll descriptor

A leader with 350 workers spent 35 to 50 % of its processor time in libglib and made 58 to 184 turns a second, so its turns were long and peer messages and timers waited for them.

Cause: one GLib source per socket. Each turn of the loop prepares, polls and checks every source, so one event cost more with each connection that only waited; each change of libcurl's interest removed a source and made a new one, and so did each change of its timer.

Now all sockets are in one epoll descriptor, which is one source, and the timer is one source whose time is set. A turn serves at most config::max_events_per_turn sockets. epoll puts served sockets behind the others, so all get their turn. An event of a socket that was closed meanwhile is recognised by the number of its registration.

--- a/src/adapters/curl_requests.cpp
+++ b/src/adapters/curl_requests.cpp
@@ -4,9 +4,13 @@
 
 #include <curl/curl.h>
 #include <glib-unix.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <unordered_map>
 #include <utility>
 
@@ -61,12 +65,22 @@
 struct curl_requests::state
 {
     CURLM* multi{curl_multi_init()};
-    guint timer{0};
-    std::unordered_map<curl_socket_t, guint> sources;
+    /// All sockets of libcurl. The loop visits each of its sources in every
+    /// turn, so a source per socket would make each event cost more by the
+    /// number of connections.
+    int epoll_fd{epoll_create1(EPOLL_CLOEXEC)};
+    guint ready{0};
+    GSource* timer{nullptr};
+    /// Which registration of a descriptor an event belongs to: a socket that is
+    /// closed while events are served may have its number taken by the next.
+    std::unordered_map<curl_socket_t, std::uint32_t> watched;
+    std::uint32_t last_watch{0};
     std::unordered_map<CURL*, std::unique_ptr<transfer>> running;
     std::vector<CURL*> idle;
 
+    auto start() -> void;
     auto act(curl_socket_t fd, int events) -> void;
+    auto serve() -> void;
     auto finish(CURL* handle, CURLcode how) -> void;
     auto take_handle() -> CURL*;
     auto watch(curl_socket_t fd, int what) -> void;
@@ -78,56 +92,98 @@
         return 0;
     }
 
-    static auto on_timer(CURLM* /*multi*/, long ms, void* data) -> int
+    static auto on_timer(CURLM* /*multi*/, long ms, void* self) -> int
     {
-        auto& self = *static_cast<state*>(data);
-        if (self.timer != 0)
-        {
-            g_source_remove(self.timer);
-            self.timer = 0;
-        }
-        if (ms >= 0)
-        {
-            auto const fire = [](gpointer at) -> gboolean
-            {
-                auto& it = *static_cast<state*>(at);
-                it.timer = 0;
-                it.act(CURL_SOCKET_TIMEOUT, 0);
-                return G_SOURCE_REMOVE;
-            };
-            self.timer = g_timeout_add(static_cast<guint>(ms), fire, &self);
-        }
+        g_source_set_ready_time(
+            static_cast<state*>(self)->timer,
+            ms < 0 ? -1 : g_get_monotonic_time() + gint64{ms} * 1000);
         return 0;
     }
 
-    static auto on_ready(gint fd, GIOCondition condition, gpointer data)
+    static auto on_time(gpointer self) -> gboolean
+    {
+        auto& it = *static_cast<state*>(self);
+        g_source_set_ready_time(it.timer, -1);
+        it.act(CURL_SOCKET_TIMEOUT, 0);
+        return G_SOURCE_CONTINUE;
+    }
+
+    static auto on_ready(gint /*fd*/, GIOCondition /*condition*/, gpointer self)
         -> gboolean
     {
-        auto events = 0;
-        events |= (condition & G_IO_IN) != 0 ? CURL_CSELECT_IN : 0;
-        events |= (condition & G_IO_OUT) != 0 ? CURL_CSELECT_OUT : 0;
-        events |=
-            (condition & (G_IO_ERR | G_IO_HUP)) != 0 ? CURL_CSELECT_ERR : 0;
-        static_cast<state*>(data)->act(fd, events);
+        static_cast<state*>(self)->serve();
         return G_SOURCE_CONTINUE;
     }
 };
 
-/// Follows libcurl's wishes for one socket; each change needs a new source.
+auto curl_requests::state::start() -> void
+{
+    ready = g_unix_fd_add(epoll_fd, G_IO_IN, on_ready, this);
+    static GSourceFuncs functions{
+        nullptr,
+        nullptr,
+        [](GSource*, GSourceFunc call, gpointer data) -> gboolean
+        { return call(data); },
+        nullptr,
+        nullptr,
+        nullptr};
+    timer = g_source_new(&functions, sizeof(GSource));
+    g_source_set_callback(timer, on_time, this, nullptr);
+    g_source_attach(timer, nullptr);
+}
+
+/// Follows libcurl's wishes for one socket.
 auto curl_requests::state::watch(curl_socket_t fd, int what) -> void
 {
-    if (auto const it = sources.find(fd); it != sources.end())
+    auto events = std::uint32_t{0};
+    events |= (what & CURL_POLL_IN) != 0 ? std::uint32_t{EPOLLIN} : 0U;
+    events |= (what & CURL_POLL_OUT) != 0 ? std::uint32_t{EPOLLOUT} : 0U;
+    if (what == CURL_POLL_REMOVE || events == 0)
     {
-        g_source_remove(it->second);
-        sources.erase(it);
+        // The kernel has removed a socket that is closed already.
+        epoll_ctl(epoll_fd, EPOLL_CTL_DEL, fd, nullptr);
+        watched.erase(fd);
+        return;
     }
-    auto events = 0;
-    events |= (what & CURL_POLL_IN) != 0 ? G_IO_IN : 0;
-    events |= (what & CURL_POLL_OUT) != 0 ? G_IO_OUT : 0;
-    if (what != CURL_POLL_REMOVE && events != 0)
+    auto const [it, added] = watched.try_emplace(fd);
+    if (added)
     {
-        sources[fd] = g_unix_fd_add(fd, static_cast<GIOCondition>(events),
-                                    on_ready, this);
+        it->second = ++last_watch;
+    }
+    epoll_event wish{};
+    wish.events = events;
+    wish.data.u64 =
+        std::uint64_t{it->second} << 32U | static_cast<std::uint32_t>(fd);
+    if (epoll_ctl(epoll_fd, added ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd, &wish) !=
+        0)
+    {
+        epoll_ctl(epoll_fd, added ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &wish);
+    }
+}
+
+/// Serves a bounded number of sockets. The others stay ready for the next turn
+/// and come first then.
+auto curl_requests::state::serve() -> void
+{
+    std::array<epoll_event, config::max_events_per_turn> got{};
+    auto const n =
+        epoll_wait(epoll_fd, got.data(), static_cast<int>(got.size()), 0);
+    for (auto k = 0; k < n; ++k)
+    {
+        auto const& each = got[static_cast<std::size_t>(k)];
+        auto const fd = static_cast<curl_socket_t>(
+            static_cast<std::uint32_t>(each.data.u64));
+        auto const it = watched.find(fd);
+        if (it == watched.end() || it->second != each.data.u64 >> 32U)
+        {
+            continue;
+        }
+        auto events = 0;
+        events |= (each.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+        events |= (each.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+        events |=
+            (each.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+        act(fd, events);
     }
 }
 
@@ -186,6 +242,7 @@
 
 curl_requests::curl_requests() : state_(std::make_unique<state>())
 {
+    state_->start();
     auto* const multi = state_->multi;
     curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, state::on_socket);
     curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, state_.get());
@@ -208,14 +265,10 @@
         curl_easy_cleanup(handle);
     }
     curl_multi_cleanup(state_->multi);
-    for (auto const& [fd, source] : state_->sources)
-    {
-        g_source_remove(source);
-    }
-    if (state_->timer != 0)
-    {
-        g_source_remove(state_->timer);
-    }
+    g_source_remove(state_->ready);
+    g_source_destroy(state_->timer);
+    g_source_unref(state_->timer);
+    ::close(state_->epoll_fd);
 }
 
 auto curl_requests::send(outgoing_request const& it, callback done) -> void
--- /dev/null
+++ b/tests/curl_requests_test.cpp
@@ -0,0 +1,158 @@
+#include "adapters/curl_requests.hpp"
+#include "loopback.hpp"
+
+#include <apricotlb/config.hpp>
+
+#include <gtest/gtest.h>
+
+#include <glib.h>
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotlb
+{
+namespace
+{
+
+constexpr std::size_t per_host = 4; ///< connections that libcurl opens
+constexpr std::size_t hosts = 32;
+
+/// Servers on loopback, each with open requests whose answers wait.
+class curl_requests_test : public testing::Test
+{
+protected:
+    auto request(raw_listener const& to) -> void
+    {
+        outgoing_request it;
+        it.to = url{"http://" + to.at() + "/wait"};
+        it.timeout = seconds{60}; // only ends a broken test
+        it.repeatable = true;
+        http.send(it,
+                  [this](result<http_answer> const& got)
+                  {
+                      EXPECT_TRUE(got.has_value());
+                      ++answered;
+                  });
+    }
+
+    auto open_all() -> bool
+    {
+        for (auto const& to : servers)
+        {
+            for (std::size_t n = 0; n < per_host; ++n)
+            {
+                request(to);
+            }
+        }
+        return run_until(
+            [&]
+            {
+                for (auto& from : servers)
+                {
+                    if (auto it = from.accept(); it.is_open())
+                    {
+                        connections.push_back(std::move(it));
+                    }
+                }
+                auto n = std::size_t{0};
+                for (auto& it : connections)
+                {
+                    n += it.text().ends_with("\r\n\r\n") ? 1U : 0U;
+                }
+                return n == hosts * per_host;
+            });
+    }
+
+    /// Descriptors that a turn of the loop polls.
+    static auto polled() -> int
+    {
+        auto* const loop = g_main_context_default();
+        auto priority = 0;
+        auto timeout = 0;
+        std::array<GPollFD, 1024> fds{};
+        g_main_context_acquire(loop);
+        g_main_context_prepare(loop, &priority);
+        auto const n = g_main_context_query(
+            loop, G_MAXINT, &timeout, fds.data(), static_cast<int>(fds.size()));
+        g_main_context_release(loop);
+        return n;
+    }
+
+    std::array<raw_listener, hosts> servers;
+    std::vector<raw_socket> connections;
+    std::size_t answered{0};
+    curl_requests http;
+};
+
+// A source per connection made each event of a leader with 350 workers cost
+// several times its own work.
+TEST_F(curl_requests_test, a_turn_of_the_loop_does_not_visit_each_connection)
+{
+    auto const before = polled();
+    ASSERT_TRUE(open_all());
+    EXPECT_EQ(polled(), before);
+}
+
+// When all workers answer at once, timers and messages of peers must not wait
+// until all answers are handled.
+TEST_F(curl_requests_test, serves_a_bounded_number_of_answers_per_turn)
+{
+    ASSERT_TRUE(open_all());
+    for (auto& it : connections)
+    {
+        ASSERT_TRUE(
+            it.send_at_once("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    }
+    std::size_t before = 0;
+    EXPECT_TRUE(run_until(
+        [&]
+        {
+            EXPECT_LE(answered - before,
+                      std::size_t{config::max_events_per_turn});
+            before = answered;
+            return answered == hosts * per_host;
+        }));
+}
+
+// A number of a closed socket that the next one takes must not make that one
+// fail or be left out.
+TEST_F(curl_requests_test, survives_connections_that_close_while_others_open)
+{
+    for (auto round = 0; round < 5; ++round)
+    {
+        answered = 0;
+        ASSERT_TRUE(open_all());
+        for (auto& it : connections)
+        {
+            ASSERT_TRUE(
+                it.send_at_once("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                "Connection: close\r\n\r\nok"));
+        }
+        ASSERT_TRUE(run_until([&] { return answered == hosts * per_host; }));
+        connections.clear();
+    }
+}
+
+// A server that never answers must not hold its request beyond the time limit.
+TEST_F(curl_requests_test, ends_a_request_at_its_time_limit)
+{
+    outgoing_request it;
+    it.to = url{"http://" + servers.front().at() + "/wait"};
+    it.timeout = milliseconds{1};
+    auto ended = false;
+    http.send(it,
+              [&](result<http_answer> const& got)
+              {
+                  ended = true;
+                  ASSERT_TRUE(got.has_error());
+                  EXPECT_EQ(got.error().kind, error_kind::backend_timeout);
+              });
+    EXPECT_TRUE(run_until([&] { return ended; }));
+}
+
+} // namespace
+} // namespace apricotlb
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -109,6 +109,13 @@
         return true;
     }
 
+    /// Sends without a turn of the loop. False if not everything was taken.
+    auto send_at_once(std::string_view bytes) -> bool
+    {
+        return ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(bytes.size());
+    }
+
     /// Everything received so far.
     auto text() -> std::string const&
     {
