List late orders of a frozen relay to a restarted worker as known red

With relays that freeze and workers that restart under their ids, 4 of 60 seeded histories (113, 118, 140, 141 of 101 to 160, no other fault) show a run on a worker after its end is recorded.

--- a/tests/relay_history_test.cpp
+++ b/tests/relay_history_test.cpp
@@ -12,12 +12,18 @@
 namespace
 {
 
+struct history_options
+{
+    order_faults faults;
+    bool restarts_workers{false};
+};
+
 /// Returns how many orders met a frozen relay.
-auto play(std::uint64_t seed) -> std::size_t
+auto play(std::uint64_t seed, history_options const& options) -> std::size_t
 {
     SCOPED_TRACE("seed " + std::to_string(seed));
     fake_fleet it{seed};
-    it.faults = {10, 10, 20};
+    it.faults = options.faults;
     for (auto n = 0; n < 4; ++n)
     {
         it.add_worker("w" + std::to_string(n), 4000);
@@ -35,7 +41,7 @@
     {
         it.submit("job" + std::to_string(n), {fake_fleet::step(4), second});
         auto const some = next_random(random);
-        switch (next_random(random) % 5)
+        switch (next_random(random) % (options.restarts_workers ? 6 : 5))
         {
         case 0:
         case 1:
@@ -46,6 +52,13 @@
         case 3:
             it.lead();
             break;
+        case 4:
+            if (options.restarts_workers)
+            {
+                it.workers["w" + std::to_string(some % 4)]->restart(n + 2,
+                                                                    it.now);
+            }
+            break;
         default:
             break;
         }
@@ -88,10 +101,20 @@
     std::size_t held_back{0};
     for (std::uint64_t seed = 1; seed <= 60; ++seed)
     {
-        held_back += play(seed);
+        held_back += play(seed, {{10, 10, 20}, false});
     }
     EXPECT_GT(held_back, 600U);
 }
 
+// A worker that was restarted under its id knows no closed run and carries out
+// what a relay sends it late. Red: see KNOWN-RED.txt.
+TEST(relay_history, DISABLED_ends_every_run_while_workers_restart_as_well)
+{
+    for (std::uint64_t seed = 101; seed <= 160; ++seed)
+    {
+        play(seed, {{}, true});
+    }
+}
+
 } // namespace
 } // namespace apricotlb
