Send keepalives at their own interval

Each process sent a keepalive to each idle peer at every check of its peers, 250 ms: with 45 entries and 5 control processes that is 180 a second in and out of each control process, beside some 500 other messages a second.

Now a peer gets a keepalive once nothing was sent to it for config::keepalive_interval (330 ms). The peers are checked six times in that period, so a keepalive is late by a sixth at most; silent peers (peer_timeout, 1 s) are found as before, or sooner. In the test an idle peer gets at most 30 in 10 s, and one that gets a message every 300 ms gets none; the previous code fails both.

Nothing but the transport reads keepalives: membership counts answers to the leader, not envelopes. All peers still get them: a peer that gets none dials anew after peer_timeout, so none could be shown to need none.

--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -174,7 +174,8 @@
 
     /// Silent period after which a peer that is not permanent is removed.
     static constexpr duration removal_delay = std::chrono::seconds{30};
-    static constexpr duration check_interval = config::heartbeat_interval;
+    /// Keepalives are late by this at most.
+    static constexpr duration check_interval = config::keepalive_interval / 6;
 
     auto schedule() -> void
     {
@@ -382,7 +383,7 @@
             {
                 silent.push_back(id);
             }
-            if (now - it.last_sent >= check_interval)
+            if (now - it.last_sent >= config::keepalive_interval)
             {
                 idle.push_back(id);
             }
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -11,6 +11,7 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -222,6 +223,43 @@
     EXPECT_EQ(b_link.opened.size(), 1U);
 }
 
+// With 50 processes, keepalives at each check were 180 messages a second in and
+// out of each control process.
+TEST_F(peer_transport_test, sends_keepalives_no_more_often_than_needed)
+{
+    a.add_peer(node_id{"b"}, url{"tcp://b"});
+    auto const start = clock.now();
+    auto last = start;
+    auto longest = duration{};
+    std::size_t before = 0;
+    while (clock.now() - start < seconds{10})
+    {
+        clock.advance(milliseconds{1});
+        if (a_link.sent.size() != std::exchange(before, a_link.sent.size()))
+        {
+            longest = std::max(longest,
+                               clock.now() - std::exchange(last, clock.now()));
+        }
+    }
+    EXPECT_LE(
+        a_link.sent.size(),
+        static_cast<std::size_t>(seconds{10} / config::keepalive_interval));
+    EXPECT_LT(longest, config::peer_timeout / 2);
+}
+
+// A peer that gets messages anyway needs no keepalives beside them.
+TEST_F(peer_transport_test, sends_no_keepalive_beside_messages)
+{
+    a.add_peer(node_id{"b"}, url{"tcp://b"});
+    for (auto n = 0; n < 30; ++n)
+    {
+        a.send(node_id{"b"}, message);
+        clock.advance(milliseconds{300});
+    }
+    EXPECT_EQ(metrics.counts["sent"], 30);
+    EXPECT_EQ(metrics.counts["keepalive_sent"], 0);
+}
+
 // A loop that gets one frame of each peer per turn must not fall behind by the
 // messages that a peer sends in a turn.
 TEST_F(peer_transport_test,
