Poll less often while control processes answer but none leads

Each process polled every known address each 0.3 s while no leader answered: with 50 processes that is 166 HTTP requests a second to each of five control processes exactly while they elect, and each request takes time from the loop that has to answer votes and heartbeats.

Now, once a leader was known and lost, the interval between polls of all addresses doubles from 300 ms to 2.4 s with each poll that some process answered. In between one process that answered is polled each 300 ms; if it fails, all are polled at once and the interval starts again, so the loss of all known addresses is noticed as soon as before. An address that a response names for the first time is polled at once. A process that has not known a leader yet polls as before, since a group that is founded waits for processes that start.

--- a/src/app/group_discovery.hpp
+++ b/src/app/group_discovery.hpp
@@ -12,6 +12,8 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -42,7 +44,9 @@
 
 /// Polls every known address for its node_view: every
 /// config::discovery_interval until a leader answers, and every
-/// config::discovery_interval_settled afterwards. Fetch is callable with (url,
+/// config::discovery_interval_settled while one does. When no leader answers
+/// any more, the interval doubles with each poll that some process answers, and
+/// one process at a time is polled in between. Fetch is callable with (url,
 /// callback of result<std::string>); Introduce with (node_id, url).
 template <clock_port Clock, class Fetch, class Introduce, class Json>
 class group_discovery
@@ -70,7 +74,11 @@
     }
 
     /// While settled (a leader answers), polls are less frequent.
-    auto set_settled(bool settled) -> void { settled_ = settled; }
+    auto set_settled(bool settled) -> void
+    {
+        settled_ = settled;
+        was_settled_ = was_settled_ || settled;
+    }
 
     /// Called after each valid response with all processes that have responded.
     auto on_found(std::function<void(std::vector<node_id> const&)> callback)
@@ -87,11 +95,15 @@
         time_point added{};
         bool is_seed{false};
         bool is_pending{false};
+        bool is_responding{false}; ///< to its last poll
     };
 
     /// An address that is not a seed and has not responded for this long is
     /// removed.
     static constexpr duration removal_delay = std::chrono::seconds{30};
+    /// All processes search at once while the group elects a leader. Polls
+    /// every 300 ms by 50 processes take the time of the ones that elect.
+    static constexpr duration max_interval = 8 * config::discovery_interval;
 
     auto poll() -> void
     {
@@ -108,18 +120,49 @@
                                  now - std::max(it.last_response, it.added) >
                                      removal_delay;
                       });
+        if (!settled_ && now < next_full_poll_ && poll_one())
+        {
+            return;
+        }
+        // A start is not slowed down: processes that found a group wait for
+        // others that are not up yet.
+        full_interval_ = !settled_ && was_settled_ && got_response_
+                             ? std::min(full_interval_ * 2, max_interval)
+                             : config::discovery_interval;
+        next_full_poll_ = now + full_interval_;
+        got_response_ = false;
         for (auto& [address, it] : addresses_)
         {
-            if (!it.is_pending)
+            request_view(address, it);
+        }
+    }
+
+    /// Polls the next process that responded last time. False if there is none.
+    auto poll_one() -> bool
+    {
+        auto it = addresses_.upper_bound(last_polled_);
+        for (std::size_t n = 0; n < addresses_.size(); ++n, ++it)
+        {
+            if (it == addresses_.end())
             {
-                it.is_pending = true;
-                request_view(address);
+                it = addresses_.begin();
+            }
+            if (it->second.is_responding)
+            {
+                last_polled_ = it->first;
+                request_view(it->first, it->second);
+                return true;
             }
         }
+        return false;
     }
 
-    auto request_view(std::string const& address) -> void
+    auto request_view(std::string const& address, known_address& it) -> void
     {
+        if (std::exchange(it.is_pending, true))
+        {
+            return;
+        }
         fetch_(url{"http://" + address + std::string{node_view_path}},
                [this, address](result<std::string> got)
                { on_response(address, std::move(got)); });
@@ -130,15 +173,20 @@
     {
         auto& source = addresses_[address];
         source.is_pending = false;
-        if (got.has_error())
-        {
-            return;
-        }
-        auto const view = Json::template decode<node_view>(got.value());
+        auto const view = got.has_error()
+                              ? result<node_view>{got.error()}
+                              : Json::template decode<node_view>(got.value());
         if (view.has_error())
         {
+            if (std::exchange(source.is_responding, false))
+            {
+                next_full_poll_ = clock_.now();
+                got_response_ = false;
+            }
             return;
         }
+        source.is_responding = true;
+        got_response_ = true;
         source.node = view.value().node;
         source.last_response = clock_.now();
         introduce_(view.value().node, view.value().peers_at);
@@ -149,6 +197,7 @@
             if (added)
             {
                 other->second.added = source.last_response;
+                request_view(other->first, other->second);
             }
         }
         std::vector<node_id> nodes;
@@ -171,6 +220,12 @@
     std::map<std::string, known_address> addresses_;
     std::function<void(std::vector<node_id> const&)> on_found_;
     bool settled_{false};
+    bool was_settled_{false};
+    /// Whether any process has responded since the last poll of all.
+    bool got_response_{false};
+    duration full_interval_{config::discovery_interval};
+    time_point next_full_poll_{};
+    std::string last_polled_;
     timer_id timer_;
 };
 
