Bound the length of a pass of the run scheduler

A pass now ends after 500,000 looks at workers and serving images, and the next one follows after plan_delay. What found no worker is skipped until a pass has come to the end, so that tasks without room don't keep later ones from being considered. A gang is tried once a round instead of once for each of its members.

Tests: run_scheduler.divides_the_placing_of_many_tasks_into_short_passes, run_scheduler.considers_tasks_behind_many_that_find_no_room.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -73,24 +73,11 @@
         { return each.second.latency_ratio > config::pace_cut_above; });
 }
 
-/// Properties that decide whether some worker can take a task. Once no worker
-/// was found for a task, others with the same key are skipped in that pass. The
-/// workflow is part of the key only if its step limits the tasks per worker.
-using placement_key = std::tuple<pool_name, worker_label, image_name, bool,
-                                 std::int64_t, std::int64_t, workflow_id>;
-
-auto placement_key_of(workflow_record const& record, step_spec const& step)
-    -> placement_key
-{
-    return {record.terms.pool,
-            step.requires_label,
-            step.scavenges ? step.image : image_name{},
-            step.scavenges,
-            step.each.cores.value(),
-            step.each.memory.value(),
-            step.max_per_worker > task_count{0} ? record.spec.id
-                                                : workflow_id{}};
-}
+/// Workers and serving images that one pass looks at, after which the next pass
+/// goes on. The loop has to send heartbeats in between.
+constexpr std::size_t max_visits_per_pass = 500'000;
+/// Visits by which one effect of a scavenging image on a serving one counts.
+constexpr std::size_t effect_visits = 2;
 
 /// True if the state of a worker allows new runs.
 auto is_usable(worker_entry const& worker, time_point now) -> bool
@@ -103,6 +90,19 @@
 
 } // namespace
 
+auto run_scheduler::placement_key_of(workflow_record const& record,
+                                     step_spec const& step) -> placement_key
+{
+    return {record.terms.pool,
+            step.requires_label,
+            step.scavenges ? step.image : image_name{},
+            step.scavenges,
+            step.each.cores.value(),
+            step.each.memory.value(),
+            step.max_per_worker > task_count{0} ? record.spec.id
+                                                : workflow_id{}};
+}
+
 auto run_scheduler::pool_of(workflow_record const& record) const
     -> pool_name const&
 {
@@ -209,8 +209,10 @@
                              step.data_rack == entry.info->rack;
         auto const free = entry.free().cores.value();
         preference score;
+        ++pass.visits;
         if (step.scavenges)
         {
+            pass.visits += effect_visits * entry.serving.size();
             // Workers without serving tasks first, then those with the smallest
             // effect. Differences below config::min_significant_effect are not
             // significant and do not count.
@@ -399,6 +401,7 @@
 {
     needs_plan_ = false;
     was_behind_ = std::exchange(is_behind_, false);
+    auto tried = std::exchange(tried_, {});
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
     {
@@ -406,7 +409,7 @@
     }
     auto const order = ranked_tasks(now, wall);
     auto pass = make_pass(now);
-    std::set<placement_key> unplaceable;
+    auto is_cut = false;
     for (auto const& ranked : order)
     {
         // A gang may exceed the limit, which may be less than its size.
@@ -414,23 +417,36 @@
         {
             break;
         }
+        is_cut = pass.visits >= max_visits_per_pass;
+        if (is_cut)
+        {
+            break;
+        }
         auto const& step = ranked.record->step(ranked.task->task);
         if (step.gang)
         {
-            if (!proposed_.contains(ranked.task->task))
+            auto gang = ranked.task->task;
+            gang.index = {};
+            if (!proposed_.contains(ranked.task->task) &&
+                tried.gangs.insert(gang).second)
             {
                 place_gang(*ranked.task, *ranked.record, pass);
             }
             continue;
         }
         auto key = placement_key_of(*ranked.record, step);
-        if (!unplaceable.contains(key) &&
+        if (!tried.unplaceable.contains(key) &&
             !place_single(*ranked.task, *ranked.record, pass))
         {
-            unplaceable.insert(std::move(key));
+            tried.unplaceable.insert(std::move(key));
         }
     }
-    is_behind_ = !unplaceable.empty();
+    is_behind_ = !tried.unplaceable.empty() || (is_cut && was_behind_);
+    if (is_cut)
+    {
+        needs_plan_ = true;
+        tried_ = std::move(tried);
+    }
     unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
          begin += config::max_runs_per_command)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -23,6 +23,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -186,6 +187,22 @@
         workflow_task task;
         run_number number;
     };
+    /// Properties that decide whether some worker can take a task. Once no
+    /// worker was found for a task, others with the same key are skipped. The
+    /// workflow is part of the key only if its step limits the tasks per
+    /// worker.
+    using placement_key = std::tuple<pool_name, worker_label, image_name, bool,
+                                     std::int64_t, std::int64_t, workflow_id>;
+    static auto placement_key_of(workflow_record const& record,
+                                 step_spec const& step) -> placement_key;
+    /// What a pass that was cut short leaves to the next one, which goes on
+    /// with other tasks. Otherwise tasks that find no room would keep all
+    /// later ones from being considered.
+    struct tried_tasks
+    {
+        std::set<placement_key> unplaceable;
+        std::set<workflow_task> gangs; ///< by their first task
+    };
     /// State of one pass of plan().
     struct plan_pass
     {
@@ -193,6 +210,7 @@
         /// Workers that may get new runs.
         std::map<pool_name, std::vector<identified_worker*>> pools;
         std::vector<placed_run> placed;
+        std::size_t visits{0}; ///< of workers and of their serving images
         /// Cached results of keeps_latency_targets().
         std::map<std::pair<worker_id, image_name>, bool> scavenging_allowed;
     };
@@ -241,6 +259,7 @@
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
+    tried_tasks tried_;
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <variant>
 
 namespace apricotlb
 {
@@ -151,6 +152,66 @@
     EXPECT_TRUE(it.violations.empty()) << it.violations.front();
 }
 
+auto count_placed(run_scheduler& it) -> std::size_t
+{
+    std::size_t placed{0};
+    for (auto const& action : it.take_actions())
+    {
+        auto const* const starts = std::get_if<propose_starts>(&action);
+        placed += starts != nullptr ? starts->value.runs.size() : 0;
+    }
+    return placed;
+}
+
+// A pass over all ready tasks and all workers holds up the heartbeats of the
+// leader.
+TEST(run_scheduler, divides_the_placing_of_many_tasks_into_short_passes)
+{
+    fake_fleet it{12};
+    for (auto n = 0; n < 1000; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.run(milliseconds{5});
+    it.submit("a", {fake_fleet::step(900)});
+    it.leader->plan(it.now, wall_time{});
+    auto placed = count_placed(*it.leader);
+    EXPECT_GT(placed, 0);
+    EXPECT_LE(placed, 500);
+    for (auto n = 0; n < 3 && it.leader->needs_plan(); ++n)
+    {
+        it.leader->plan(it.now, wall_time{});
+        placed += count_placed(*it.leader);
+    }
+    EXPECT_EQ(placed, 900);
+    EXPECT_FALSE(it.leader->needs_plan());
+}
+
+// Tasks without room must not use up every pass before later tasks are
+// considered.
+TEST(run_scheduler, considers_tasks_behind_many_that_find_no_room)
+{
+    fake_fleet it{13};
+    for (auto n = 0; n < 1000; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.run(milliseconds{5});
+    for (auto n = 0; n < 600; ++n)
+    {
+        auto large = fake_fleet::step(1);
+        large.each.cores = millicores{8000 + n};
+        it.submit("a" + std::to_string(n), {large});
+    }
+    it.submit("b", {fake_fleet::step(1)});
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 0);
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+    EXPECT_FALSE(it.leader->needs_plan());
+    EXPECT_TRUE(it.leader->is_behind());
+}
+
 // A new leader that places tasks before it knows what runs has no time left
 // for the runs that it took over.
 TEST(run_scheduler, learns_of_the_inherited_runs_before_it_places_more)
