Keep the replies to workers apart in time

Cause: a round answered all waiting workers in one moment, so that their next calls came in one moment, too, and the listening socket's backlog of 10 dropped connections.

A reply that waited for the leader now goes out 250 ms after its announcement, so that the spacing of the workers stays as it was.

The backlog belongs to src/adapters and is left as it is here.

--- a/src/app/announcement_relay.hpp
+++ b/src/app/announcement_relay.hpp
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,6 +33,13 @@
 public:
     using reply = std::function<void(result<void>)>;
 
+    /// Time from an announcement that waited for the leader to its reply: one
+    /// interval, and the answer of the leader. Workers that were answered
+    /// together, as soon as the leader has answered, would also make their next
+    /// calls together, more than the backlog of a listening socket takes.
+    static constexpr duration reply_delay =
+        config::worker_renewal_interval + milliseconds{50};
+
     announcement_relay(Clock& clock, Group& group, Metrics& metrics)
         : clock_(clock), group_(group), metrics_(metrics)
     {
@@ -39,7 +47,14 @@
     }
     announcement_relay(announcement_relay const&) = delete;
     auto operator=(announcement_relay const&) -> announcement_relay& = delete;
-    ~announcement_relay() { clock_.cancel_timer(timer_); }
+    ~announcement_relay()
+    {
+        clock_.cancel_timer(timer_);
+        if (reply_timer_)
+        {
+            clock_.cancel_timer(*reply_timer_);
+        }
+    }
 
     /// Calls done once, with success if the worker may take the announcement
     /// for acknowledged.
@@ -53,10 +68,7 @@
             done(outcome::success());
             return;
         }
-        waiting_.emplace(
-            *decision.ticket,
-            pending{now + announcement_intake::acknowledgement_timeout,
-                    std::move(done)});
+        waiting_.emplace(*decision.ticket, pending{now, std::move(done)});
     }
 
     /// A process has become the leader.
@@ -76,7 +88,7 @@
 
     struct pending
     {
-        time_point deadline{};
+        time_point received{};
         reply done;
     };
 
@@ -140,27 +152,44 @@
     {
         auto const first = waiting_.lower_bound({up_to.subject, {}});
         auto const last = waiting_.upper_bound(up_to);
-        std::vector<reply> done;
         for (auto it = first; it != last; ++it)
         {
-            done.push_back(std::move(it->second.done));
+            replies_.emplace(it->second.received + reply_delay,
+                             std::move(it->second.done));
         }
         waiting_.erase(first, last);
-        for (auto const& it : done)
+        reply_due();
+    }
+
+    auto reply_due() -> void
+    {
+        auto const now = clock_.now();
+        while (!replies_.empty() && replies_.begin()->first <= now)
+        {
+            auto const node = replies_.extract(replies_.begin());
+            node.mapped()(outcome::success());
+        }
+        if (!replies_.empty() && !reply_timer_)
         {
-            it(outcome::success());
+            reply_timer_ = clock_.start_timer(replies_.begin()->first - now,
+                                              [this]
+                                              {
+                                                  reply_timer_.reset();
+                                                  reply_due();
+                                              });
         }
     }
 
-    /// Refuses what would wait past its deadline until the next check.
+    /// Refuses what would wait for too long until the next check.
     auto expire() -> void
     {
-        auto const end = clock_.now() + config::worker_renewal_interval;
+        auto const end = clock_.now() + config::worker_renewal_interval -
+                         announcement_intake::acknowledgement_timeout;
         std::vector<reply> expired;
         std::erase_if(waiting_,
                       [&](auto& each)
                       {
-                          if (each.second.deadline >= end)
+                          if (each.second.received >= end)
                           {
                               return false;
                           }
@@ -180,8 +209,10 @@
     Metrics& metrics_;
     announcement_intake intake_;
     std::map<intake_ticket, pending> waiting_;
+    std::multimap<time_point, reply> replies_; ///< acknowledged, by due time
     std::size_t calls_in_flight_{0};
     timer_id timer_;
+    std::optional<timer_id> reply_timer_;
 };
 
 } // namespace apricotlb
--- a/tests/announcement_relay_test.cpp
+++ b/tests/announcement_relay_test.cpp
@@ -289,9 +289,37 @@
                                                    worker_id{"w"});
                                    });
     EXPECT_FALSE(known);
-    it.clock.advance(config::worker_renewal_interval + milliseconds{5});
+    it.clock.advance(announcement_relay<paused_clock, fake_group,
+                                        label_counts>::reply_delay);
     EXPECT_TRUE(known);
 }
 
+// Workers that were answered in one moment called again in one moment, and the
+// backlog of the listening socket dropped some of the connections.
+TEST(announcement_relay, does_not_line_up_the_workers)
+{
+    relay_group it{1};
+    constexpr auto spacing = milliseconds{30};
+    std::vector<time_point> sent;
+    std::vector<time_point> answered;
+    for (auto n = 0; n < 6; ++n)
+    {
+        worker_announcement announcement;
+        announcement.instance.id = worker_id{"w" + std::to_string(n)};
+        announcement.number = sequence{1};
+        sent.push_back(it.clock.now());
+        it.members[0]->relay->announce(announcement,
+                                       [&](result<void> const& /*taken*/)
+                                       { answered.push_back(it.clock.now()); });
+        it.clock.advance(spacing);
+    }
+    it.clock.advance(seconds{1});
+    ASSERT_EQ(answered.size(), sent.size());
+    for (std::size_t n = 1; n < sent.size(); ++n)
+    {
+        EXPECT_EQ(answered[n] - answered[n - 1], spacing);
+    }
+}
+
 } // namespace
 } // namespace apricotlb
