Bound the share of the time that passes of the scheduler take

Cause: a pass was repeated after 2 or 25 ms and at each tick, however long it took. The delay to the next pass is now at least four times the duration of the last one, and the tick asks for a pass instead of making one.

workflow_driver.leaves_most_of_the_time_to_other_work_when_passes_are_slow holds passes of 10 ms to a quarter of the time.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -100,7 +100,7 @@
 /// Sockets that are served, and messages that are taken, in one turn of the
 /// loop. The bounds keep a turn short, so that heartbeats are sent in time.
 inline constexpr int max_events_per_turn = 32;
-inline constexpr int max_messages_per_turn = 32;
+inline constexpr int max_messages_per_turn = 128;
 
 // Periodic work of the control leader.
 inline constexpr duration scheduler_tick = 50ms;
@@ -352,7 +352,7 @@
 /// Orders that a relay has under way; further ones are answered with not_sent.
 inline constexpr std::size_t max_relayed_orders = 1024;
 /// How long a relay collects answers into one message.
-inline constexpr duration answer_batch_delay = 15ms;
+inline constexpr duration answer_batch_delay = 20ms;
 /// Interval at which a control process passes on to the leader which workers
 /// are in contact.
 inline constexpr duration worker_renewal_interval = 200ms;
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -12,6 +12,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -137,6 +138,8 @@
     }
 
 private:
+    static constexpr permille max_pass_share{200};
+
     auto arm() -> void
     {
         tick_timer_ = clock_.start_timer(config::scheduler_tick,
@@ -144,7 +147,7 @@
                                          {
                                              arm();
                                              scheduler_->tick(clock_.now());
-                                             plan();
+                                             execute_actions();
                                              report();
                                          });
     }
@@ -161,10 +164,23 @@
 
     auto plan() -> void
     {
-        scheduler_->plan(clock_.now(), clock_.wall_now());
+        auto const begin = clock_.now();
+        scheduler_->plan(begin, clock_.wall_now());
+        last_pass_time_ = clock_.now() - begin;
         execute_actions();
     }
 
+    /// Passes take at most max_pass_share of the time: with many tasks that
+    /// find no room, one pass after the other would leave none for answers.
+    [[nodiscard]] auto delay_of_plan() const -> duration
+    {
+        auto const least = scheduler_->is_behind()
+                               ? config::plan_delay_when_behind
+                               : config::plan_delay;
+        auto const share = max_pass_share.value();
+        return std::max(least, last_pass_time_ * (1000 - share) / share);
+    }
+
     auto execute_actions() -> void
     {
         for (auto& it : scheduler_->take_actions())
@@ -174,14 +190,12 @@
         }
         if (scheduler_ && scheduler_->needs_plan() && !plan_timer_)
         {
-            plan_timer_ = clock_.start_timer(
-                scheduler_->is_behind() ? config::plan_delay_when_behind
-                                        : config::plan_delay,
-                [this]
-                {
-                    plan_timer_.reset();
-                    plan();
-                });
+            plan_timer_ = clock_.start_timer(delay_of_plan(),
+                                             [this]
+                                             {
+                                                 plan_timer_.reset();
+                                                 plan();
+                                             });
         }
     }
 
@@ -277,6 +291,7 @@
     std::optional<run_scheduler> scheduler_;
     std::function<void(fleet_summary const&)> on_report_;
     time_point last_report_{};
+    duration last_pass_time_{};
     std::uint64_t epoch_{0};
     std::optional<timer_id> tick_timer_;
     std::optional<timer_id> plan_timer_;
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/nng_link.hpp"
 #include "app/peer_transport.hpp"
 #include "core/state/commands.hpp"
+#include "loopback.hpp"
 #include "paused_clock.hpp"
 
 #include <gtest/gtest.h>
--- a/tests/workflow_driver_test.cpp
+++ b/tests/workflow_driver_test.cpp
@@ -67,6 +67,20 @@
     [[nodiscard]] auto is_current() const -> bool { return *is_held; }
 };
 
+/// Each pass of the scheduler, which reads the wall clock once, takes 10 ms.
+struct slow_pass_clock : paused_clock
+{
+    [[nodiscard]] auto wall_now() -> wall_time
+    {
+        ++passes;
+        block(pass_time);
+        return paused_clock::wall_now();
+    }
+
+    static constexpr duration pass_time = milliseconds{10};
+    int passes{0};
+};
+
 /// A driver that leads a state with one recorded run on worker w1.
 class driver_fixture : public testing::Test
 {
@@ -135,5 +149,34 @@
     EXPECT_EQ(workers.polls, 2);
 }
 
+// A leader whose fleet is full planned without a pause and read the answers of
+// its followers too late to keep its office.
+TEST(workflow_driver,
+     leaves_most_of_the_time_to_other_work_when_passes_are_slow)
+{
+    slow_pass_clock clock;
+    counting_workers workers;
+    no_metrics metrics;
+    state_machine state;
+    bool holds_lease{true};
+    workflow_driver<slow_pass_clock, counting_workers, test_lease, no_metrics>
+        driver{clock, workers, metrics, test_lease{&holds_lease},
+               fleet_policy{seconds{5}}};
+    driver.start(state, term{1});
+    worker_announcement it;
+    it.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    it.pool = pool_name{"pool"};
+    auto const begin = clock.now();
+    for (auto n = 0; n < 1000; ++n)
+    {
+        ++it.number;
+        driver.on_announcement(it);
+        clock.advance(milliseconds{1});
+    }
+    auto const elapsed = clock.now() - begin;
+    EXPECT_GT(clock.passes, 5);
+    EXPECT_LT(clock.passes * slow_pass_clock::pass_time * 4, elapsed);
+}
+
 } // namespace
 } // namespace apricotlb
