--- a/src/adapters/soup_server.cpp
+++ b/src/adapters/soup_server.cpp
@@ -23,6 +23,19 @@
     bool reading_head{true};
 };
 
+/// GLib listens with a backlog of 10. When all callers of a process that has
+/// ended connect to this one, further ones would wait a second or more for the
+/// repetition of their first packet.
+auto raise_backlog(SoupServer* server) -> void
+{
+    auto* const sockets = soup_server_get_listeners(server);
+    for (auto const* it = sockets; it != nullptr; it = it->next)
+    {
+        ::listen(g_socket_get_fd(static_cast<GSocket*>(it->data)), SOMAXCONN);
+    }
+    g_slist_free(sockets);
+}
+
 auto refuse(soup_exchange& to, error const& why) -> void
 {
     http_answer it;
@@ -429,6 +442,7 @@
         g_clear_error(&ec);
         return fail(error_kind::bad_settings, "listen " + at + ": " + text);
     }
+    raise_backlog(state_->server);
     auto* const uris = soup_server_get_uris(state_->server);
     auto* const uri = static_cast<GUri*>(uris->data);
     auto const bound = std::string{g_uri_get_host(uri)} + ":" +
--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -83,6 +84,19 @@
     std::string entry_at;
 };
 
+// All workers of a process that has ended turn to another one at once; those
+// over the backlog would get no answer in time.
+TEST_F(http_path, accepts_many_connections_between_two_turns_of_the_loop)
+{
+    std::vector<raw_socket> callers;
+    constexpr auto count = 100;
+    for (auto n = 0; n < count; ++n)
+    {
+        callers.push_back(raw_socket::start_connect(entry_at));
+    }
+    EXPECT_EQ(std::ranges::count_if(callers, &raw_socket::is_connected), count);
+}
+
 // A body that is altered or cut between the caller and the backend server
 // would reach the archive as a wrong report.
 TEST_F(http_path, carries_bodies_unchanged_both_ways)
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -88,6 +89,23 @@
         return it;
     }
 
+    /// Starts to connect without waiting.
+    static auto start_connect(std::string const& at) -> raw_socket
+    {
+        auto const to = address(at);
+        raw_socket it{socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)};
+        (void)::connect(it.fd_, reinterpret_cast<sockaddr const*>(&to),
+                        sizeof to);
+        return it;
+    }
+    /// True if the connection is established now.
+    [[nodiscard]] auto is_connected() const -> bool
+    {
+        pollfd it{fd_, POLLOUT, 0};
+        return ::poll(&it, 1, 0) == 1 && (it.revents & POLLOUT) != 0 &&
+               (it.revents & (POLLERR | POLLHUP)) == 0;
+    }
+
     [[nodiscard]] auto is_open() const -> bool { return fd_ >= 0; }
 
     auto send(std::string_view bytes) -> bool
