Send what waits before a sync stops the loop

Since messages of one turn share an envelope, they waited for the end of the turn, and a flush that fell due in the same turn synced first: entries reached the followers after the leader's sync instead of before it, and answers to heartbeats waited for the follower's. Found by review; on a disk with syncs of 300 ms the answers would miss the leader's lease.

A replica now flushes its transport before each sync. The transport port gains flush(). replica.keeps_no_message_back_during_a_sync guards it.

--- a/bench/state_bench.cpp
+++ b/bench/state_bench.cpp
@@ -94,6 +94,7 @@
     {
         links.send(self, to, it);
     }
+    auto flush() -> void {}
     auto on_message(std::function<void(node_id const&, raft_message)> f) -> void
     {
         links.handlers[self] = std::move(f);
--- a/src/app/peer_message.hpp
+++ b/src/app/peer_message.hpp
@@ -32,6 +32,9 @@
         transport_.send(to, peer_message{message});
     }
 
+    /// Sends now what waits for the end of the turn.
+    auto flush() -> void { transport_.flush(); }
+
     auto on_message(std::function<void(node_id const&, raft_message)> callback)
         -> void
     {
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -145,6 +145,17 @@
         add_body(to, Codec::encode(message));
     }
 
+    /// Sends now what this turn has for peers. To be called before the loop
+    /// blocks, so that messages do not wait meanwhile.
+    auto flush() -> void
+    {
+        if (is_flush_due_)
+        {
+            clock_.cancel_timer(flush_timer_);
+            flush_all();
+        }
+    }
+
     /// Sends a message to every peer.
     auto send_to_all(Message const& message) -> void
     {
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -354,6 +354,9 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::sync() -> result<void>
 {
+    // The loop stands still during a sync. Answers to heartbeats, on which the
+    // lease of the leader depends, must not wait for it.
+    transport_.flush();
     auto const begin = clock_.now();
     auto done = store_.sync();
     auto const took = clock_.now() - begin;
--- a/src/ports/transport.hpp
+++ b/src/ports/transport.hpp
@@ -23,6 +23,10 @@
         {
             it.on_message(std::move(handler))
         } -> std::same_as<void>;
+        // Sends now what waits, before the loop blocks.
+        {
+            it.flush()
+        } -> std::same_as<void>;
     };
 
 } // namespace apricotlb
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -26,6 +26,7 @@
 {
     std::map<call_id, call_answer> answers;
 
+    auto flush() -> void {}
     auto send(node_id const& /*to*/, peer_message const& it) -> void
     {
         if (auto const* const found = std::get_if<call_answer>(&it))
--- a/tests/replica_group.hpp
+++ b/tests/replica_group.hpp
@@ -67,10 +67,14 @@
     test_links& links;
     node_id self;
 
+    std::size_t unsent{0}; ///< messages since the last flush
+
     auto send(node_id const& to, raft_message const& it) -> void
     {
+        ++unsent;
         links.send(self, to, it);
     }
+    auto flush() -> void { unsent = 0; }
     auto on_message(std::function<void(node_id const&, raft_message)> f) -> void
     {
         links.handlers[self] = std::move(f);
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -182,6 +182,23 @@
     EXPECT_EQ(voter.disk.stored.term_and_vote.vote, group.nodes[2]->id);
 }
 
+// Answers to heartbeats that wait for a slow sync arrive after the leader has
+// lost its lease.
+TEST(replica, keeps_no_message_back_during_a_sync)
+{
+    replica_group group{3, 7};
+    auto const leader = group.elect();
+    for (std::size_t n = 0; n < group.nodes.size(); ++n)
+    {
+        auto& it = *group.nodes[n];
+        it.disk.during_sync = [&it]
+        { EXPECT_EQ(it.transport->unsent, 0U) << it.id.value(); };
+    }
+    auto const before = group.nodes[leader]->disk.syncs;
+    group.load(50);
+    EXPECT_GT(group.nodes[leader]->disk.syncs, before);
+}
+
 // A leader that is cut off with callers attached must stop answering before
 // another one acts, and must tell its callers that the fate is unknown.
 TEST(replica, a_leader_that_is_cut_off_stops_before_another_acts)
