--- a/src/adapters/nng_link.cpp
+++ b/src/adapters/nng_link.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-/// Messages taken in one turn of the loop, so that timers are not starved.
-constexpr auto max_received_at_once = 128;
 constexpr nng_duration reconnect_min_ms = 50;
 constexpr nng_duration reconnect_max_ms = 500;
 
@@ -32,7 +30,7 @@
 
     auto receive() -> void
     {
-        for (auto n = 0; n < max_received_at_once; ++n)
+        for (auto n = 0; n < config::max_messages_per_turn; ++n)
         {
             nng_msg* message{nullptr};
             if (nng_recvmsg(receiver, &message, NNG_FLAG_NONBLOCK) != 0)
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTLB_APP_CONTROL_ROLE_HPP
 #define APRICOTLB_APP_CONTROL_ROLE_HPP
 
+#include "app/command_check.hpp"
 #include "app/control_views.hpp"
 #include "app/log_machine.hpp"
 #include "app/peer_message.hpp"
@@ -10,6 +11,7 @@
 #include "app/workflow_driver.hpp"
 #include "core/group/membership.hpp"
 #include "core/leader/leader_state.hpp"
+#include "core/leader/overload_guard.hpp"
 #include "ports/clock.hpp"
 #include "ports/log_store.hpp"
 #include "ports/run_worker.hpp"
@@ -22,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -59,7 +62,7 @@
           random_(options.replica.seed),
           replica_(clock, raft_link_, store, machine_,
                    std::move(options.replica)),
-          workflows_(clock, runs, metrics, propose_run{this}, options.fleet)
+          workflows_(clock, runs, metrics, leader_log{this}, options.fleet)
     {
         machine_.on_applied(
             [this](command const& it, apply_result const& result)
@@ -90,6 +93,11 @@
         workflows_.on_report(std::move(callback));
     }
 
+    /// Called when this process has become the leader.
+    auto on_leading(std::function<void(term)> callback) -> void
+    {
+        on_leading_ = std::move(callback);
+    }
     /// Called after each change of the role, the term or the known leader.
     auto on_role(std::function<void(role_change const&)> callback) -> void
     {
@@ -163,13 +171,17 @@
 private:
     using machine_type = log_machine<Codec, Snapshots>;
 
-    /// Appends commands of the workflow scheduler to the log.
-    struct propose_run
+    /// The log as the workflow scheduler uses it.
+    struct leader_log
     {
         control_role* role;
 
-        auto operator()(command const& it,
-                        std::function<void(result<void>)> done) const -> void
+        [[nodiscard]] auto is_current() const -> bool
+        {
+            return role->is_leader();
+        }
+        auto propose(command const& it,
+                     std::function<void(result<void>)> done) const -> void
         {
             role->replica_.propose(
                 Codec::encode(it),
@@ -190,17 +202,27 @@
         auto operator<=>(call_origin const&) const = default;
     };
 
+    struct refused_submission
+    {
+        error reason;
+        time_point forgotten_at{};
+    };
+
     // Timers.
 
     auto arm() -> void
     {
+        tick_due_ = clock_.now() + config::scheduler_tick;
         timer_ = clock_.start_timer(config::scheduler_tick, [this] { tick(); });
     }
 
     auto tick() -> void
     {
-        arm();
         auto const now = clock_.now();
+        overload_.record(now - tick_due_, now);
+        arm();
+        std::erase_if(refused_submissions_, [now](auto const& each)
+                      { return now >= each.second.forgotten_at; });
         if (now - last_member_check_ >= config::heartbeat_interval)
         {
             last_member_check_ = now;
@@ -273,6 +295,10 @@
         {
             leader_.emplace(machine_.state(), in_term, clock_.now(), policy_);
             workflows_.start(machine_.state(), in_term);
+            if (on_leading_)
+            {
+                on_leading_(in_term);
+            }
             return;
         }
         leader_.reset();
@@ -397,6 +423,11 @@
         answer(caller, apply_result{});
     }
 
+    auto serve(call_origin caller, contact_batch const& it) -> void
+    {
+        answer(caller, workflows_.on_contacts(it));
+    }
+
     auto serve(call_origin caller, leader_ping) -> void
     {
         answer(caller, apply_result{});
@@ -462,6 +493,28 @@
             answer(caller, workflow_answer{*table.state(id), false, {}});
             return;
         }
+        if (auto const known = refused_submissions_.find(caller);
+            known != refused_submissions_.end())
+        {
+            refuse(caller.node, caller.id, known->second.reason.kind,
+                   known->second.reason.detail);
+            return;
+        }
+        // A refusal of another copy would say that the workflow is not
+        // accepted.
+        if (auto const pending = pending_submissions_.find(id);
+            pending != pending_submissions_.end())
+        {
+            pending->second.insert(caller);
+            return;
+        }
+        if (overload_.is_overloaded())
+        {
+            refuse_submission(
+                caller, {error_kind::overloaded,
+                         "the leader is behind with the work that it has"});
+            return;
+        }
         if (spec)
         {
             spec->id = id;
@@ -478,27 +531,53 @@
         }
         if (table.live().size() >= config::max_live_workflows)
         {
-            refuse(caller.node, caller.id, error_kind::queue_full,
-                   "the limit on unfinished workflows is reached");
+            refuse_submission(caller,
+                              {error_kind::queue_full,
+                               "the limit on unfinished workflows is reached"});
             return;
         }
-        propose_for(caller, submit_workflow{std::move(*spec), terms});
+        pending_submissions_[id].insert(caller);
+        command const request{submit_workflow{std::move(*spec), terms}};
+        replica_.propose(Codec::encode(request),
+                         [this, id](result<log_index> const& done)
+                         {
+                             auto const callers =
+                                 pending_submissions_.extract(id);
+                             for (auto const& each : callers.mapped())
+                             {
+                                 answer_proposal(each, done);
+                             }
+                         });
+    }
+
+    /// Refuses a submission and all copies of it: the caller has given up once
+    /// it has the answer, and a copy that is still under way would be accepted
+    /// after the overload.
+    auto refuse_submission(call_origin const& caller, error reason) -> void
+    {
+        refuse(caller.node, caller.id, reason.kind, reason.detail);
+        refused_submissions_[caller] = {std::move(reason),
+                                        clock_.now() + config::call_timeout};
     }
 
     /// Proposes a command and answers its caller once it has been applied.
     auto propose_for(call_origin const& caller, command const& it) -> void
     {
         replica_.propose(Codec::encode(it),
-                         [this, caller](result<log_index> done)
-                         {
-                             if (done.has_error())
-                             {
-                                 refuse(caller.node, caller.id,
-                                        done.error().kind, done.error().detail);
-                                 return;
-                             }
-                             answer(caller, machine_.last_result());
-                         });
+                         [this, caller](result<log_index> const& done)
+                         { answer_proposal(caller, done); });
+    }
+
+    auto answer_proposal(call_origin const& caller,
+                         result<log_index> const& done) -> void
+    {
+        if (done.has_error())
+        {
+            refuse(caller.node, caller.id, done.error().kind,
+                   done.error().detail);
+            return;
+        }
+        answer(caller, machine_.last_result());
     }
 
     auto serve(call_origin caller, query it) -> void
@@ -559,29 +638,6 @@
         }
     }
 
-    /// Validates a command again, since the entry that sent it may run another
-    /// version.
-    static auto check_command(command const& it) -> result<void>
-    {
-        if (auto const* const change = std::get_if<apply_contract>(&it))
-        {
-            return check(change->value);
-        }
-        if (auto const* const job = std::get_if<submit_job>(&it))
-        {
-            return check(job->spec);
-        }
-        if (auto const* const worker = std::get_if<register_worker>(&it))
-        {
-            return check(worker->info);
-        }
-        if (auto const* const set = std::get_if<apply_contract_set>(&it))
-        {
-            return check(set->value);
-        }
-        return outcome::success();
-    }
-
     /// True for a registration that repeats the recorded one. Workers register
     /// after every restart; only a changed registration is written to the log.
     [[nodiscard]] auto is_registered(command const& it) const -> bool
@@ -685,8 +741,14 @@
     machine_type machine_;
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
-    workflow_driver<Clock, Runs, propose_run, Metrics> workflows_;
+    std::function<void(term)> on_leading_;
+    workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
+    overload_guard overload_;
+    time_point tick_due_{};
+    /// Callers to answer once a proposed workflow has been committed.
+    std::map<workflow_id, std::set<call_origin>> pending_submissions_;
+    std::map<call_origin, refused_submission> refused_submissions_;
     time_point last_key_expiry_{};
     time_point last_member_check_{};
     std::optional<timer_id> timer_;
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -12,6 +12,8 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 
+#include <algorithm>
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -22,17 +24,27 @@
 namespace apricotlb
 {
 
-/// Connects the run scheduler to the clock, the log and the workers. Propose is
-/// callable with (command, function<void(result<void>)>).
-template <clock_port Clock, run_worker_port Workers, class Propose,
+/// The replicated log of the leader, as its workflow scheduler needs it.
+template <class T>
+concept run_log = requires(T& it, command const& value,
+                           std::function<void(result<void>)> done) {
+    it.propose(value, std::move(done));
+    /// True while no later leader can have committed anything.
+    {
+        it.is_current()
+    } -> std::same_as<bool>;
+};
+
+/// Connects the run scheduler to the clock, the log and the workers.
+template <clock_port Clock, run_worker_port Workers, run_log Log,
           metrics_port Metrics>
 class workflow_driver
 {
 public:
-    workflow_driver(Clock& clock, Workers& workers, Metrics& metrics,
-                    Propose propose, fleet_policy policy)
+    workflow_driver(Clock& clock, Workers& workers, Metrics& metrics, Log log,
+                    fleet_policy policy)
         : clock_(clock), workers_(workers), metrics_(metrics),
-          propose_(std::move(propose)), policy_(policy)
+          log_(std::move(log)), policy_(policy)
     {
     }
     workflow_driver(workflow_driver const&) = delete;
@@ -44,6 +56,7 @@
     auto start(state_machine const& state, term in_term) -> void
     {
         stop();
+        leader_term_ = in_term;
         scheduler_.emplace(state, fence_token{in_term.value()}, clock_.now(),
                            policy_);
         arm();
@@ -75,6 +88,35 @@
         }
     }
 
+    /// Handles what a process has received from workers.
+    auto on_contacts(contact_batch const& batch) -> contact_answer
+    {
+        contact_answer out;
+        if (!scheduler_)
+        {
+            return out;
+        }
+        out.leader_term = leader_term_;
+        auto const now = clock_.now();
+        for (auto const& it : batch.announcements)
+        {
+            metrics_.count(metric::announcements, "received");
+            scheduler_->on_announcement(it.value, now, it.age);
+        }
+        for (auto const& it : batch.contacts)
+        {
+            auto const is_known = scheduler_->on_contact(it, now);
+            metrics_.count(metric::announcements,
+                           is_known ? "contact" : "unknown");
+            if (!is_known)
+            {
+                out.unknown.push_back(it.instance.id);
+            }
+        }
+        execute_actions();
+        return out;
+    }
+
     auto on_applied(command const& it) -> void
     {
         if (scheduler_)
@@ -96,6 +138,8 @@
     }
 
 private:
+    static constexpr permille max_pass_share{200};
+
     auto arm() -> void
     {
         tick_timer_ = clock_.start_timer(config::scheduler_tick,
@@ -103,7 +147,7 @@
                                          {
                                              arm();
                                              scheduler_->tick(clock_.now());
-                                             plan();
+                                             execute_actions();
                                              report();
                                          });
     }
@@ -120,10 +164,23 @@
 
     auto plan() -> void
     {
-        scheduler_->plan(clock_.now(), clock_.wall_now());
+        auto const begin = clock_.now();
+        scheduler_->plan(begin, clock_.wall_now());
+        last_pass_time_ = clock_.now() - begin;
         execute_actions();
     }
 
+    /// Passes take at most max_pass_share of the time: with many tasks that
+    /// find no room, one pass after the other would leave none for answers.
+    [[nodiscard]] auto delay_of_plan() const -> duration
+    {
+        auto const least = scheduler_->is_behind()
+                               ? config::plan_delay_when_behind
+                               : config::plan_delay;
+        auto const share = max_pass_share.value();
+        return std::max(least, last_pass_time_ * (1000 - share) / share);
+    }
+
     auto execute_actions() -> void
     {
         for (auto& it : scheduler_->take_actions())
@@ -133,14 +190,12 @@
         }
         if (scheduler_ && scheduler_->needs_plan() && !plan_timer_)
         {
-            plan_timer_ = clock_.start_timer(
-                scheduler_->is_behind() ? config::plan_delay_when_behind
-                                        : config::plan_delay,
-                [this]
-                {
-                    plan_timer_.reset();
-                    plan();
-                });
+            plan_timer_ = clock_.start_timer(delay_of_plan(),
+                                             [this]
+                                             {
+                                                 plan_timer_.reset();
+                                                 plan();
+                                             });
         }
     }
 
@@ -163,15 +218,15 @@
     auto execute(propose_starts it) -> void
     {
         command const proposal{it.value};
-        propose_(proposal, in_current_epoch(
-                               [this, it = std::move(it)](result<void> done)
-                               {
-                                   if (done.has_error())
-                                   {
-                                       scheduler_->on_not_applied(it,
-                                                                  clock_.now());
-                                   }
-                               }));
+        log_.propose(proposal,
+                     in_current_epoch(
+                         [this, it = std::move(it)](result<void> done)
+                         {
+                             if (done.has_error())
+                             {
+                                 scheduler_->on_not_applied(it, clock_.now());
+                             }
+                         }));
     }
 
     auto execute(propose_ends it) -> void
@@ -186,16 +241,17 @@
             return;
         }
         command const proposal{end_runs{it.runs, clock_.wall_now()}};
-        propose_(proposal, in_current_epoch(
-                               [this, it = std::move(it)](result<void> done)
-                               {
-                                   if (done.has_error())
+        log_.propose(proposal, in_current_epoch(
+                                   [this, it = std::move(it)](result<void> done)
                                    {
-                                       scheduler_->on_not_recorded(it);
-                                       return;
-                                   }
-                                   scheduler_->on_recorded(it, clock_.now());
-                               }));
+                                       if (done.has_error())
+                                       {
+                                           scheduler_->on_not_recorded(it);
+                                           return;
+                                       }
+                                       scheduler_->on_recorded(it,
+                                                               clock_.now());
+                                   }));
     }
 
     template <class Order>
@@ -212,17 +268,30 @@
                                name_of(got.outcome));
                 scheduler_->on_answer(it, got, clock_.now());
             });
+        // A process without the leader's lease may have a successor, which may
+        // have cancelled the run or counted the worker's lease as over.
+        constexpr auto extends_work = std::is_same_v<Order, start_order> ||
+                                      std::is_same_v<Order, poll_order>;
+        if (extends_work && !log_.is_current())
+        {
+            answer refused;
+            refused.outcome = order_outcome::not_sent;
+            done(refused);
+            return;
+        }
         workers_.send(it, std::move(done));
     }
 
     Clock& clock_;
     Workers& workers_;
     Metrics& metrics_;
-    Propose propose_;
+    Log log_;
     fleet_policy policy_;
+    term leader_term_;
     std::optional<run_scheduler> scheduler_;
     std::function<void(fleet_summary const&)> on_report_;
     time_point last_report_{};
+    duration last_pass_time_{};
     std::uint64_t epoch_{0};
     std::optional<timer_id> tick_timer_;
     std::optional<timer_id> plan_timer_;
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -8,8 +8,19 @@
 namespace apricotlb
 {
 
+namespace
+{
+
+/// True if the worker itself has answered.
+auto is_from_worker(order_outcome it) -> bool
+{
+    return it != order_outcome::no_answer && it != order_outcome::not_sent;
+}
+
+} // namespace
+
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
-                                    time_point now) -> void
+                                    time_point now, duration age) -> void
 {
     if (announcement.phase == worker_phase::left)
     {
@@ -18,11 +29,16 @@
         if (auto const found = workers_.find(announcement.instance.id);
             found != workers_.end())
         {
+            record_departure({found->first, found->second.incarnation}, now);
             on_incarnation_end(*found);
             needs_plan_ = true;
         }
         return;
     }
+    if (has_departed(announcement.instance))
+    {
+        return;
+    }
     auto& worker = *workers_.try_emplace(announcement.instance.id).first;
     auto& entry = worker.second;
     if (announcement.instance.incarnation < entry.incarnation)
@@ -42,14 +58,16 @@
         replace_incarnation(worker, announcement, now);
     }
     // A worker that started later at an address proves that the earlier one
-    // there has ended.
+    // there has ended. Without incarnations, the one heard from last counts: a
+    // new leader may receive the other's last announcement after it.
     auto const known_address = addresses_.find(announcement.address);
     if (known_address != addresses_.end() &&
         known_address->second != announcement.instance.id)
     {
         auto const former = workers_.find(known_address->second);
         if (former != workers_.end() &&
-            former->second.incarnation > announcement.instance.incarnation)
+            (former->second.incarnation > announcement.instance.incarnation ||
+             former->second.last_contact > now - age))
         {
             return;
         }
@@ -60,7 +78,9 @@
     }
     addresses_[announcement.address] = announcement.instance.id;
     entry.info = announcement;
-    entry.last_contact = now;
+    entry.described = announcement.number;
+    entry.announced_at = now - age;
+    entry.last_contact = std::max(entry.last_contact, entry.announced_at);
     entry.lease.sample(announcement.clock, now);
     send_poll(worker, now);
     needs_plan_ = true;
@@ -136,7 +156,7 @@
         return;
     }
     held->order_in_flight = false;
-    if (answer.outcome != order_outcome::no_answer)
+    if (is_from_worker(answer.outcome))
     {
         record_contact(*worker, answer.clock, now);
     }
@@ -176,6 +196,9 @@
     case order_outcome::other_incarnation:
         on_incarnation_end(*worker);
         break;
+    case order_outcome::not_sent:
+        held->sent = now;
+        break;
     case order_outcome::no_answer:
         held->start_unconfirmed = true;
         held->sent = now;
@@ -192,14 +215,7 @@
     {
         return;
     }
-    if (held.start_unconfirmed)
-    {
-        // An earlier send of this start order may still be executed.
-        held.closed_as = run_end::not_started;
-        send_stop(worker, run, held, now);
-        return;
-    }
-    propose_end(run, held, run_end::not_started);
+    withdraw(worker, run, held, now);
 }
 
 auto run_scheduler::on_answer(stop_order const& order,
@@ -214,7 +230,7 @@
     }
     held->order_in_flight = false;
     held->sent = now;
-    if (answer.outcome != order_outcome::no_answer)
+    if (is_from_worker(answer.outcome))
     {
         record_contact(*worker, answer.clock, now);
     }
@@ -353,9 +369,6 @@
     {
         held.checkpoint = row.checkpoint;
     }
-    auto const* const record = state_.workflows().find(row.run.task.workflow);
-    auto const is_wanted = record != nullptr && record->is_open() &&
-                           !record->find(row.run.task)->finished;
     auto const is_running_after_all =
         held.phase == run_phase::closed && held.closed_as == run_end::lost;
     if (held.phase == run_phase::inherited ||
@@ -365,7 +378,7 @@
     }
     auto const may_run =
         held.phase == run_phase::running || held.phase == run_phase::closed;
-    if (!is_wanted && may_run &&
+    if (!is_wanted(row.run) && may_run &&
         now - held.sent >= config::order_retry_interval)
     {
         send_stop(worker, row.run, held, now);
@@ -390,7 +403,7 @@
         {
             // The worker has accepted this leader's fencing token with the
             // poll, so that no order of an earlier leader can start the run.
-            send_start(worker, run, held, now);
+            start_or_withdraw(worker, run, held, now);
         }
         else if (held.phase == run_phase::closed &&
                  held.settled_at < poll_sent_at)
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -32,6 +32,14 @@
     ending,   ///< its end is proposed
 };
 
+/// True if the worker may not have got the start order yet, or if this leader
+/// does not know yet whether the run is there.
+[[nodiscard]] constexpr auto is_unconfirmed(run_phase it) -> bool
+{
+    return it == run_phase::proposed || it == run_phase::inherited ||
+           it == run_phase::ordered;
+}
+
 /// Resources that a task of a step reserves on a worker. Scavenging tasks
 /// reserve no processors.
 [[nodiscard]] inline auto reservation_of(step_spec const& step) -> resources
@@ -171,6 +179,7 @@
 {
     std::optional<worker_announcement> info; ///< none before the first one
     worker_incarnation incarnation;
+    sequence described; ///< number of the announcement in `info`
     worker_lease lease;
     std::map<task_run, held_run> runs;
     resources reserved;         ///< by all runs
@@ -180,6 +189,7 @@
     end_number recorded;     ///< ends up to this number are recorded in the log
     end_number acknowledged; ///< `recorded` of the last poll that was answered
     time_point last_contact{};
+    time_point announced_at{}; ///< when its newest announcement was received
     time_point paused_until{}; ///< no new runs until then, after a rejection
     time_point poll_sent_at{};
     time_point next_poll_at{}; ///< earliest time of the next poll
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_CORE_MESSAGES_HPP
 #define APRICOTLB_CORE_MESSAGES_HPP
 
+#include "core/fleet/contact_messages.hpp"
 #include "core/fleet/worker_messages.hpp"
 #include "core/state/commands.hpp"
 
@@ -395,7 +396,13 @@
 /// Checks whether the receiver is the leader: only the leader answers.
 struct leader_ping
 {
-    static constexpr auto fields() { return field_list(); }
+    /// Zone of a process that passes orders on to workers; none for others.
+    std::optional<zone_id> relays_in;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("relays_in", &leader_ping::relays_in));
+    }
 };
 
 /// A request to the leader. A command is replicated through the log before it
@@ -405,7 +412,7 @@
     call_id id;
     std::variant<command, backend_announcement, worker_report, query,
                  change_member, await_in_force, worker_announcement,
-                 workflow_call, leader_ping>
+                 workflow_call, leader_ping, contact_batch>
         body;
 
     static constexpr auto fields()
@@ -455,7 +462,7 @@
 {
     call_id id;
     std::variant<call_failure, apply_result, worker_report_answer, query_answer,
-                 in_force, workflow_answer>
+                 in_force, workflow_answer, contact_answer>
         body;
 
     static constexpr auto fields()
