--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -89,12 +89,13 @@
 TEST_F(http_path, accepts_many_connections_between_two_turns_of_the_loop)
 {
     std::vector<raw_socket> callers;
-    constexpr auto count = 100;
-    for (auto n = 0; n < count; ++n)
+    constexpr std::size_t count = 100;
+    callers.reserve(count);
+    for (std::size_t n = 0; n < count; ++n)
     {
         callers.push_back(raw_socket::start_connect(entry_at));
     }
-    EXPECT_EQ(std::ranges::count_if(callers, &raw_socket::is_connected), count);
+    EXPECT_TRUE(std::ranges::all_of(callers, &raw_socket::is_connected));
 }
 
 // A body that is altered or cut between the caller and the backend server
