Refuse all copies of a submission that was refused for good

A submission that was answered with 503 or 404 must never run, but an entry repeats a call after 400 ms, and a copy that was handled once the reason had passed (a full disk, a full queue, no contracts yet, an unknown queue) was accepted. The leader now remembers these refusals as it does those of an overload.

control_role.refuses_all_copies_of_a_submission_refused_for_a_full_disk passes with the change; it was not run without it.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -436,7 +436,14 @@
     auto serve(call_origin caller, workflow_call request) -> void
     {
         auto const refuse_call = [&](error_kind kind, std::string detail)
-        { refuse(caller.node, caller.id, kind, std::move(detail)); };
+        {
+            if (request.action == workflow_action::submit)
+            {
+                refuse_submission(caller, {kind, std::move(detail)});
+                return;
+            }
+            refuse(caller.node, caller.id, kind, std::move(detail));
+        };
         auto const& contracts = machine_.state().contract_sets();
         auto const& table = machine_.state().workflows();
         if (!contracts.current())
@@ -545,14 +552,28 @@
                                  pending_submissions_.extract(id);
                              for (auto const& each : callers.mapped())
                              {
-                                 answer_proposal(each, done);
+                                 answer_submission(each, done);
                              }
                          });
     }
 
+    auto answer_submission(call_origin const& caller,
+                           result<log_index> const& done) -> void
+    {
+        auto const is_final =
+            done.has_error() && (done.error().kind == error_kind::queue_full ||
+                                 done.error().kind == error_kind::disk_full);
+        if (is_final)
+        {
+            refuse_submission(caller, done.error());
+            return;
+        }
+        answer_proposal(caller, done);
+    }
+
     /// Refuses a submission and all copies of it: the caller has given up once
     /// it has the answer, and a copy that is still under way would be accepted
-    /// after the overload.
+    /// once the reason has passed.
     auto refuse_submission(call_origin const& caller, error reason) -> void
     {
         refuse(caller.node, caller.id, reason.kind, reason.detail);
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -108,6 +108,10 @@
     {
         disk_.during_sync = [this, d] { clock_.block(d); };
     }
+    auto set_free_space(std::int64_t bytes) -> void
+    {
+        disk_.free_space = bytes;
+    }
     auto run(duration d) -> void { clock_.advance(d); }
 
     [[nodiscard]] auto is_answered(call_id id) const -> bool
@@ -159,7 +163,7 @@
 };
 
 // A leader that goes on accepting work while it is late grows its backlog until
-// it loses its office.
+// it loses its leadership.
 TEST(control_role, refuses_new_workflows_while_it_is_behind)
 {
     lone_leader it;
@@ -212,6 +216,20 @@
     EXPECT_EQ(it.accepted(), 1);
 }
 
+// The same holds for any refusal that says that the workflow never runs.
+TEST(control_role, refuses_all_copies_of_a_submission_refused_for_a_full_disk)
+{
+    lone_leader it;
+    it.set_free_space(0);
+    auto const call = it.call(lone_leader::submission("a"));
+    EXPECT_EQ(it.refusal(call), error_kind::disk_full);
+    it.set_free_space(std::int64_t{1} << 40);
+    it.send(call, lone_leader::submission("a"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(call), error_kind::disk_full);
+    EXPECT_EQ(it.accepted(), 0);
+}
+
 // A copy of a submission whose first copy waits for its commit must not be
 // answered as refused: the workflow runs.
 TEST(control_role,
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -245,7 +245,7 @@
 }
 
 // A leader that orders starts faster than their answers are handled falls
-// behind for good and loses its office.
+// behind for good and loses its leadership.
 TEST(run_scheduler, holds_back_starts_until_earlier_ones_are_confirmed)
 {
     auto const limit =
--- a/tests/workflow_driver_test.cpp
+++ b/tests/workflow_driver_test.cpp
@@ -150,7 +150,7 @@
 }
 
 // A leader whose fleet is full planned without a pause and read the answers of
-// its followers too late to keep its office.
+// its followers too late to keep its leadership.
 TEST(workflow_driver,
      leaves_most_of_the_time_to_other_work_when_passes_are_slow)
 {
