Restart permanent tasks before new work is placed

Cause: tasks that end are placed before permanent ones, and a restart counted as a new permanent task, so that it waited for the whole backlog. A permanent task that has run before is now placed first.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -340,9 +340,10 @@
     return out;
 }
 
-/// Tasks that may start now, the first to be placed first: by priority; then
-/// tasks that end before permanent ones, which would keep the resources for
-/// minutes; then by the value that completion still has for the caller.
+/// Tasks that may start now, the first to be placed first: permanent tasks that
+/// have run before, whose users wait for them; by priority; then tasks that end
+/// before new permanent ones, which would keep the resources for minutes; then
+/// by the value that completion still has for the caller.
 auto run_scheduler::ranked_tasks(time_point now, wall_time wall)
     -> std::vector<ranked_task>
 {
@@ -387,14 +388,18 @@
             urgency_rank =
                 urgency_of(*record, ready.task.occurrence, since, now);
         }
-        order.push_back({priority, record->step(ready.task).permanent,
+        auto const permanent = record->step(ready.task).permanent;
+        auto const has_run = record->find(ready.task)->last > run_number{};
+        order.push_back({!(permanent && has_run), priority, permanent,
                          urgency_rank, &ready, record});
     }
-    std::ranges::stable_sort(
-        order, {},
-        [](ranked_task const& task) {
-            return std::tuple{task.priority, task.permanent, task.urgency_rank};
-        });
+    std::ranges::stable_sort(order, {},
+                             [](ranked_task const& task)
+                             {
+                                 return std::tuple{task.is_new, task.priority,
+                                                   task.permanent,
+                                                   task.urgency_rank};
+                             });
     return order;
 }
 
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -263,6 +263,7 @@
     /// A task that may start, with its sort keys.
     struct ranked_task
     {
+        bool is_new; ///< false for a permanent task that has run before
         queue_priority priority;
         bool permanent;
         urgency urgency_rank;
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -244,6 +244,31 @@
     EXPECT_EQ(it.state_of("a"), workflow_state::completed);
 }
 
+// A permanent task that waited behind a backlog of new work stayed away for as
+// long as the backlog lasted.
+TEST(run_scheduler, restarts_a_permanent_task_before_it_starts_waiting_work)
+{
+    fake_fleet it{30};
+    it.add_worker("w1", 2000);
+    it.run(milliseconds{20});
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{2}}, "failed", 1000};
+    };
+    auto lasting = fake_fleet::step(1);
+    lasting.permanent = true;
+    it.submit("a", {lasting});
+    it.run(milliseconds{200});
+    ASSERT_EQ(it.starts, 1U);
+    it.behaviour = [](std::string const& task)
+    {
+        auto const takes = seconds{task.starts_with("a") ? 60 : 1};
+        return platform_worker::run{0, time_point{takes}, "done", 1000};
+    };
+    it.submit("b", {fake_fleet::step(200)});
+    it.run(seconds{4});
+    EXPECT_TRUE(it.workers["w1"]->running().contains("a.0.0.0"));
+}
+
 // A leader that orders starts faster than their answers are handled falls
 // behind for good and loses its leadership.
 TEST(run_scheduler, holds_back_starts_until_earlier_ones_are_confirmed)
