Search again for a task once room has fallen free

What callers saw: on a full fleet, permanent tasks that had ended were not restarted for up to 30 s, beside free room; 51 of them came back within one second.

Cause: a pass that was cut at its limit of visits handed the kinds of tasks for which it had found no worker to the next pass, which left them out. Nothing made such a finding void but a pass that ended uncut, and on a full fleet every pass is cut. The same held for gangs, and a step that had reached its limit per worker stopped other steps of its workflow with the same key.

Change: a failed search is kept with the number of the last change at which some worker gained room (a run that ended, a worker that joined, grew or became usable again). The next search for the same kind of task looks at the workers that have gained room since, and only at these, so that waiting tasks cost little and none is left out. The key names the step if the step limits its tasks per worker, and the pool to which the queue is mapped now.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -73,9 +73,12 @@
         { return each.second.latency_ratio > config::pace_cut_above; });
 }
 
-/// Workers and serving images that one pass looks at, after which the next pass
-/// goes on. The loop has to send heartbeats in between.
+/// Workers and serving images that one pass looks at. The loop has to send
+/// heartbeats before the next pass.
 constexpr std::size_t max_visits_per_pass = 500'000;
+/// Visits by which failed searches are repeated, so that the other half is left
+/// for tasks that follow.
+constexpr std::size_t max_repeat_visits = max_visits_per_pass / 2;
 /// Visits by which one effect of a scavenging image on a serving one counts.
 constexpr std::size_t effect_visits = 2;
 
@@ -91,16 +94,23 @@
 } // namespace
 
 auto run_scheduler::placement_key_of(workflow_record const& record,
-                                     step_spec const& step) -> placement_key
+                                     workflow_task const& task) const
+    -> placement_key
 {
-    return {record.terms.pool,
+    auto const& step = record.step(task);
+    std::optional<workflow_task> limited;
+    if (step.max_per_worker > task_count{0})
+    {
+        limited = task;
+        limited->index = {};
+    }
+    return {pool_of(record),
             step.requires_label,
             step.scavenges ? step.image : image_name{},
             step.scavenges,
             step.each.cores.value(),
             step.each.memory.value(),
-            step.max_per_worker > task_count{0} ? record.spec.id
-                                                : workflow_id{}};
+            std::move(limited)};
 }
 
 auto run_scheduler::pool_of(workflow_record const& record) const
@@ -116,11 +126,24 @@
     pass.now = now;
     for (auto& worker : workers_)
     {
-        if (is_usable(worker.second, now) &&
-            has_current_phase(worker.second, now))
+        auto& entry = worker.second;
+        auto const usable =
+            is_usable(entry, now) && has_current_phase(entry, now);
+        if (usable)
         {
-            pass.pools[worker.second.info->pool].push_back(&worker);
+            if (!entry.was_usable)
+            {
+                gain_room(entry);
+            }
+            pass.pools[entry.info->pool].push_back(&worker);
         }
+        entry.was_usable = usable;
+    }
+    for (auto& [name, pool] : pass.pools)
+    {
+        std::ranges::stable_sort(pool, std::ranges::greater{},
+                                 [](identified_worker const* worker)
+                                 { return worker->second.gained_room; });
     }
     return pass;
 }
@@ -198,7 +221,8 @@
 }
 
 auto run_scheduler::choose_worker(candidate_run const& candidate,
-                                  plan_pass& pass) -> identified_worker*
+                                  room_change since, plan_pass& pass)
+    -> identified_worker*
 {
     auto const& step = *candidate.step;
     identified_worker* best{nullptr};
@@ -206,6 +230,10 @@
     for (auto* const worker : pass.pools[pool_of(*candidate.record)])
     {
         auto const& entry = worker->second;
+        if (entry.gained_room <= since)
+        {
+            break;
+        }
         auto const is_near = step.data_rack.value().empty() ||
                              step.data_rack == entry.info->rack;
         auto const free = entry.free().cores.value();
@@ -234,8 +262,10 @@
             // Best fit leaves the large gaps for large tasks.
             score = {is_near ? 0 : 1, free, 0};
         }
-        if ((best == nullptr || score < best_score) &&
-            can_place(*worker, candidate, pass))
+        auto const is_better =
+            best == nullptr || score < best_score ||
+            (score == best_score && worker->first < best->first);
+        if (is_better && can_place(*worker, candidate, pass))
         {
             best = worker;
             best_score = score;
@@ -244,6 +274,47 @@
     return best;
 }
 
+auto run_scheduler::may_repeat_search(time_point searched_at,
+                                      plan_pass const& pass) const -> bool
+{
+    // A pass that was cut leaves the tasks behind it to the next ones.
+    return pass.repeat_visits < max_repeat_visits &&
+           (!was_cut_ ||
+            pass.now - searched_at >= config::failed_search_validity);
+}
+
+auto run_scheduler::find_worker(candidate_run const& candidate, plan_pass& pass)
+    -> identified_worker*
+{
+    auto key = placement_key_of(*candidate.record, candidate.task);
+    auto const [known, added] = failed_searches_.try_emplace(std::move(key));
+    auto& search = known->second;
+    // Whether a scavenging task may be placed depends on measurements also.
+    auto const repeats = !added && candidate.step->scavenges &&
+                         search.used_at != pass.now &&
+                         may_repeat_search(search.searched_at, pass);
+    auto const visits_before = pass.visits;
+    auto const since = repeats ? room_change{} : search.seen;
+    auto* const worker = choose_worker(candidate, since, pass);
+    if (repeats)
+    {
+        pass.repeat_visits += pass.visits - visits_before;
+    }
+    if (worker != nullptr)
+    {
+        if (added)
+        {
+            failed_searches_.erase(known);
+        }
+        return worker;
+    }
+    search.searched_at = added || repeats ? pass.now : search.searched_at;
+    search.used_at = pass.now;
+    search.seen = last_room_change_;
+    pass.is_behind = true;
+    return nullptr;
+}
+
 auto run_scheduler::place_single(ready_task const& ready,
                                  workflow_record const& record, plan_pass& pass)
     -> bool
@@ -251,7 +322,7 @@
     auto const last = record.find(ready.task)->last;
     candidate_run const candidate{&record, &record.step(ready.task), ready.task,
                                   last + run_number{1}};
-    auto* const worker = choose_worker(candidate, pass);
+    auto* const worker = find_worker(candidate, pass);
     if (worker == nullptr)
     {
         return false;
@@ -270,7 +341,7 @@
 /// Places all members of a gang or none; they share one run number.
 auto run_scheduler::place_gang(ready_task const& ready,
                                workflow_record const& record, plan_pass& pass)
-    -> void
+    -> bool
 {
     auto const& tasks = record.occurrences[ready.task.occurrence.value()]
                             .steps[ready.task.step.value()]
@@ -281,7 +352,7 @@
         last = std::max(last, each.last);
         if (!each.active.empty())
         {
-            return;
+            return true;
         }
     }
     std::vector<placed_run> placed;
@@ -291,21 +362,51 @@
         task.index = task_index{n};
         candidate_run const candidate{&record, &record.step(task), task,
                                       last + run_number{1}};
-        auto* const worker = choose_worker(candidate, pass);
+        auto* const worker = choose_worker(candidate, {}, pass);
         if (worker == nullptr)
         {
             for (auto const& each : placed)
             {
-                proposed_.erase(each.run.task);
-                release(each.run, pass.now);
+                cancel_reservation(each.run);
             }
-            return;
+            return false;
         }
         reserve(*worker, candidate);
         placed.push_back({{task, candidate.number},
                           {worker->first, worker->second.incarnation}});
     }
     pass.placed.insert(pass.placed.end(), placed.begin(), placed.end());
+    return true;
+}
+
+/// Places a gang unless it has found no workers a short time ago.
+auto run_scheduler::try_gang(ready_task const& ready,
+                             workflow_record const& record, plan_pass& pass)
+    -> void
+{
+    auto gang = ready.task;
+    gang.index = {};
+    auto const known = failed_gangs_.find(gang);
+    auto const was_tried = known != failed_gangs_.end();
+    if (was_tried &&
+        (known->second == pass.now || !may_repeat_search(known->second, pass)))
+    {
+        return;
+    }
+    auto const visits_before = pass.visits;
+    auto const done = place_gang(ready, record, pass);
+    if (was_tried)
+    {
+        pass.repeat_visits += pass.visits - visits_before;
+    }
+    if (done)
+    {
+        failed_gangs_.erase(gang);
+    }
+    else
+    {
+        failed_gangs_[gang] = pass.now;
+    }
 }
 
 auto run_scheduler::summary(time_point now) const -> fleet_summary
@@ -407,7 +508,6 @@
 {
     needs_plan_ = false;
     was_behind_ = std::exchange(is_behind_, false);
-    auto tried = std::exchange(tried_, {});
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
     {
@@ -431,27 +531,23 @@
         auto const& step = ranked.record->step(ranked.task->task);
         if (step.gang)
         {
-            auto gang = ranked.task->task;
-            gang.index = {};
-            if (!proposed_.contains(ranked.task->task) &&
-                tried.gangs.insert(gang).second)
+            if (!proposed_.contains(ranked.task->task))
             {
-                place_gang(*ranked.task, *ranked.record, pass);
+                try_gang(*ranked.task, *ranked.record, pass);
             }
             continue;
         }
-        auto key = placement_key_of(*ranked.record, step);
-        if (!tried.unplaceable.contains(key) &&
-            !place_single(*ranked.task, *ranked.record, pass))
-        {
-            tried.unplaceable.insert(std::move(key));
-        }
+        place_single(*ranked.task, *ranked.record, pass);
     }
-    is_behind_ = !tried.unplaceable.empty() || (is_cut && was_behind_);
-    if (is_cut)
+    is_behind_ = pass.is_behind || (is_cut && was_behind_);
+    was_cut_ = is_cut;
+    needs_plan_ = is_cut;
+    if (!is_cut)
     {
-        needs_plan_ = true;
-        tried_ = std::move(tried);
+        std::erase_if(failed_searches_, [now](auto const& each)
+                      { return each.second.used_at < now; });
+        std::erase_if(failed_gangs_,
+                      [now](auto const& each) { return each.second < now; });
     }
     unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -17,6 +17,14 @@
     return it != order_outcome::no_answer && it != order_outcome::not_sent;
 }
 
+/// True if both announcements let the same tasks be placed on a worker.
+auto has_same_offer(worker_announcement const& a, worker_announcement const& b)
+    -> bool
+{
+    return a.pool == b.pool && a.capacity == b.capacity &&
+           a.labels == b.labels && a.phase == b.phase;
+}
+
 } // namespace
 
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
@@ -77,6 +85,10 @@
         }
     }
     addresses_[announcement.address] = announcement.instance.id;
+    if (!entry.info || !has_same_offer(*entry.info, announcement))
+    {
+        gain_room(entry);
+    }
     entry.info = announcement;
     entry.described = announcement.number;
     entry.announced_at = now - age;
@@ -104,6 +116,7 @@
     entry.poll_in_flight = false;
     entry.lease = {};
     entry.info = announcement;
+    gain_room(entry);
     entry.lease.sample(announcement.clock, now);
     for (auto& [run, held] : entry.runs)
     {
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -468,12 +468,19 @@
     auto const found = worker_of_run_.find(run);
     if (found != worker_of_run_.end())
     {
+        auto& worker = workers_.at(found->second);
         interference_.ended(found->second, run, now);
-        workers_.at(found->second).remove(run);
+        worker.remove(run);
         worker_of_run_.erase(found);
+        gain_room(worker);
     }
 }
 
+auto run_scheduler::gain_room(worker_entry& worker) -> void
+{
+    worker.gained_room = ++last_room_change_;
+}
+
 auto run_scheduler::end_runs_as_lost(identified_worker& worker) -> void
 {
     for (auto& [run, held] : worker.second.runs)
@@ -495,6 +502,14 @@
     proposed_.insert(candidate.task);
 }
 
+auto run_scheduler::cancel_reservation(task_run const& run) -> void
+{
+    auto const found = worker_of_run_.find(run);
+    workers_.at(found->second).remove(run);
+    worker_of_run_.erase(found);
+    proposed_.erase(run.task);
+}
+
 auto run_scheduler::take_actions() -> std::vector<fleet_action>
 {
     if (!pending_ends_.empty())
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -182,6 +182,11 @@
     auto propose_end(task_run const& run, held_run& held, run_end outcome)
         -> void;
     auto release(task_run const& run, time_point now) -> void;
+    /// Records that the worker may take runs that it could not take before, so
+    /// that failed searches do not hold for it any more.
+    auto gain_room(worker_entry& worker) -> void;
+    /// Takes back a reservation that is not proposed yet.
+    auto cancel_reservation(task_run const& run) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
     [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
 
@@ -233,30 +238,31 @@
         workflow_task task;
         run_number number;
     };
-    /// Properties that decide whether some worker can take a task. Once no
-    /// worker was found for a task, others with the same key are skipped. The
-    /// workflow is part of the key only if its step limits the tasks per
-    /// worker.
-    using placement_key = std::tuple<pool_name, worker_label, image_name, bool,
-                                     std::int64_t, std::int64_t, workflow_id>;
-    static auto placement_key_of(workflow_record const& record,
-                                 step_spec const& step) -> placement_key;
-    /// What a pass that was cut short leaves to the next one, which goes on
-    /// with other tasks. Otherwise tasks that find no room would keep all
-    /// later ones from being considered.
-    struct tried_tasks
+    /// Properties that decide whether some worker can take a task. The step is
+    /// part of the key only if it limits its tasks per worker.
+    using placement_key =
+        std::tuple<pool_name, worker_label, image_name, bool, std::int64_t,
+                   std::int64_t, std::optional<workflow_task>>;
+    auto placement_key_of(workflow_record const& record,
+                          workflow_task const& task) const -> placement_key;
+    /// A search that found no worker. Until it is repeated, only workers that
+    /// have gained room since are searched for tasks with the same key.
+    struct failed_search
     {
-        std::set<placement_key> unplaceable;
-        std::set<workflow_task> gangs; ///< by their first task
+        room_change seen;         ///< the last one when the search was made
+        time_point searched_at{}; ///< when all workers were searched last
+        time_point used_at{};
     };
     /// State of one pass of plan().
     struct plan_pass
     {
         time_point now;
-        /// Workers that may get new runs.
+        /// Workers that may get new runs, the last one that gained room first.
         std::map<pool_name, std::vector<identified_worker*>> pools;
         std::vector<placed_run> placed;
         std::size_t visits{0}; ///< of workers and of their serving images
+        std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
+        bool is_behind{false};        ///< some task found no worker
         /// Cached results of keeps_latency_targets().
         std::map<std::pair<worker_id, image_name>, bool> scavenging_allowed;
     };
@@ -273,14 +279,24 @@
     auto ranked_tasks(time_point now, wall_time wall)
         -> std::vector<ranked_task>;
     auto make_pass(time_point now) -> plan_pass;
-    auto choose_worker(candidate_run const& candidate, plan_pass& pass)
+    /// Searches the workers that have gained room after `since`.
+    auto choose_worker(candidate_run const& candidate, room_change since,
+                       plan_pass& pass) -> identified_worker*;
+    /// True if the pass may search all workers again for a task that found
+    /// none at `searched_at`.
+    [[nodiscard]] auto may_repeat_search(time_point searched_at,
+                                         plan_pass const& pass) const -> bool;
+    auto find_worker(candidate_run const& candidate, plan_pass& pass)
         -> identified_worker*;
     auto reserve(identified_worker& worker, candidate_run const& candidate)
         -> void;
     auto place_single(ready_task const& ready, workflow_record const& record,
                       plan_pass& pass) -> bool;
+    /// Returns false if some member found no worker.
     auto place_gang(ready_task const& ready, workflow_record const& record,
-                    plan_pass& pass) -> void;
+                    plan_pass& pass) -> bool;
+    auto try_gang(ready_task const& ready, workflow_record const& record,
+                  plan_pass& pass) -> void;
     auto can_place(identified_worker const& worker,
                    candidate_run const& candidate, plan_pass& pass) const
         -> bool;
@@ -309,7 +325,10 @@
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
-    tried_tasks tried_;
+    room_change last_room_change_;
+    std::map<placement_key, failed_search> failed_searches_;
+    /// When gangs that found no workers were tried, by their first task.
+    std::map<workflow_task, time_point> failed_gangs_;
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
@@ -317,6 +336,7 @@
     bool needs_plan_{true};
     bool is_behind_{false};
     bool was_behind_{false}; ///< is_behind() before the current plan
+    bool was_cut_{false};    ///< the last pass ended at its limit of visits
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -18,6 +18,10 @@
 namespace apricotlb
 {
 
+/// Numbers the events after which a worker may take runs that it could not take
+/// before.
+using room_change = quantity<struct room_change_tag, std::uint64_t>;
+
 /// State of a run that reserves resources on a worker, as far as the leader has
 /// recorded it.
 enum class run_phase : std::uint8_t
@@ -183,6 +187,7 @@
     worker_lease lease;
     std::map<task_run, held_run> runs;
     resources reserved;         ///< by all runs
+    resources finite_reserved;  ///< by runs that end by themselves
     millicores scavenged_cores; ///< by all scavenging runs
     /// Runs with a latency target, by image.
     std::map<image_name, std::int64_t> serving;
@@ -197,10 +202,17 @@
     bool recording_ends{false}; ///< the ends that it listed are proposed
     /// Nothing of this incarnation runs any more.
     bool incarnation_ended{false};
+    room_change gained_room; ///< the last one of this worker
+    bool was_usable{false};  ///< for new runs, in the last pass of plan()
+    bool held{false};        ///< for a restart, since the last pass of plan()
 
     auto add(task_run const& name, held_run run) -> void
     {
         reserved += run.reservation;
+        if (!run.permanent)
+        {
+            finite_reserved += run.reservation;
+        }
         scavenged_cores += run.scavenged_cores;
         if (run.is_serving())
         {
@@ -214,6 +226,10 @@
         if (it != runs.end())
         {
             reserved -= it->second.reservation;
+            if (!it->second.permanent)
+            {
+                finite_reserved -= it->second.reservation;
+            }
             scavenged_cores -= it->second.scavenged_cores;
             auto const same = serving.find(it->second.image);
             if (it->second.is_serving() && --same->second == 0)
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -358,6 +358,114 @@
     EXPECT_TRUE(it.leader->is_behind());
 }
 
+/// Submits a workflow with one permanent task whose last run ended elsewhere.
+auto submit_interrupted(fake_fleet& it, std::string const& id,
+                        std::int64_t cores) -> void
+{
+    auto lasting = fake_fleet::step(1);
+    lasting.permanent = true;
+    lasting.each.cores = millicores{cores};
+    it.submit(id, {lasting});
+    task_run const first{{workflow_id{id}, {}, {}, {}}, run_number{1}};
+    it.apply(start_runs{{{first, {worker_id{"gone"}, {}}}}});
+    it.apply(end_runs{{{first, run_end::lost, {}}}, {}});
+}
+
+/// Workers of which each has one core free beside a run of three cores.
+auto add_busy_workers(fake_fleet& it, std::int64_t count) -> void
+{
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 3000};
+    };
+    for (auto n = 0; n < count; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.run(milliseconds{5});
+    auto busy = fake_fleet::step(count);
+    busy.each.cores = millicores{3000};
+    it.submit("busy", {busy});
+    it.run(milliseconds{100});
+}
+
+auto end_first_run(fake_fleet& it, std::string const& id) -> void
+{
+    ended_run const ended{
+        {{workflow_id{id}, {}, {}, {}}, run_number{1}}, run_end::finished, {}};
+    it.apply(end_runs{{ended}, {}});
+    it.leader->on_recorded(propose_ends{{ended}, {}, {}}, it.now);
+}
+
+/// Submits 600 tasks that fit on no worker, of different sizes.
+auto submit_unplaceable(fake_fleet& it, std::int64_t smallest) -> void
+{
+    for (auto cores = smallest; cores < smallest + 600; ++cores)
+    {
+        auto large = fake_fleet::step(1);
+        large.each.cores = millicores{cores};
+        large.estimate = seconds{60};
+        it.submit("large" + std::to_string(cores), {large});
+    }
+}
+
+// A task that found no room was left out while passes were cut, although room
+// had fallen free meanwhile.
+TEST(run_scheduler, places_a_task_on_room_that_falls_free_while_passes_are_cut)
+{
+    fake_fleet it{14};
+    add_busy_workers(it, 1000);
+    ASSERT_EQ(it.leader->summary(it.now).running, 1000);
+    submit_interrupted(it, "a", 4000);
+    submit_unplaceable(it, 8000);
+    it.leader->plan(it.now, wall_time{});
+    ASSERT_EQ(count_placed(*it.leader), 0);
+    ASSERT_TRUE(it.leader->needs_plan());
+    end_first_run(it, "busy");
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+}
+
+// A gang that found no room was left out for as long as passes were cut.
+TEST(run_scheduler, places_a_gang_although_every_pass_is_cut)
+{
+    fake_fleet it{15};
+    add_busy_workers(it, 1000);
+    auto gang = fake_fleet::step(1);
+    gang.gang = true;
+    gang.each.cores = millicores{4000};
+    gang.estimate = seconds{10};
+    it.submit("gang", {gang});
+    submit_unplaceable(it, 8000);
+    it.leader->plan(it.now, wall_time{});
+    ASSERT_EQ(count_placed(*it.leader), 0);
+    end_first_run(it, "busy");
+    std::size_t placed{0};
+    for (auto n = 1; n <= 10 && placed == 0; ++n)
+    {
+        // New kinds of tasks keep every pass cut.
+        submit_unplaceable(it, 8000 + 600 * n);
+        it.now += milliseconds{100};
+        it.leader->plan(it.now, wall_time{});
+        placed = count_placed(*it.leader);
+        EXPECT_TRUE(placed > 0 || it.leader->needs_plan());
+    }
+    EXPECT_EQ(placed, 1);
+}
+
+// Steps of one workflow with the same size and limit per worker shared one
+// failed search, so that the step with room left was skipped.
+TEST(run_scheduler, places_a_step_beside_one_that_has_reached_its_limit)
+{
+    fake_fleet it{16};
+    it.add_worker("w1", 16'000);
+    it.run(milliseconds{5});
+    auto limited = fake_fleet::step(3);
+    limited.max_per_worker = task_count{1};
+    it.submit("a", {limited, limited});
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 2);
+}
+
 // A new leader that places tasks before it knows what runs has no time left
 // for the runs that it took over.
 TEST(run_scheduler, learns_of_the_inherited_runs_before_it_places_more)
