Rank the whole backlog before a pass takes a part of it

What callers saw: with more than 2,000 ready tasks, work that was accepted behind these was not considered, however urgent, and neither was the restart of a permanent task.

Cause: a pass took the first 2,000 ready tasks in the order of acceptance and ranked only these.

Change: the steps of all ready tasks are ranked, and the pass takes them in this order until it has used up its visits. Each search counts for some visits of its own, so that the bound covers long backlogs as well. The first task of a step that finds no worker ends the search for the others.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -379,8 +379,6 @@
 /// A workflow that takes longer than this multiple of its allowed time has no
 /// value to its caller any more.
 inline constexpr std::int64_t max_lateness_factor = 3;
-/// Ready tasks considered in one pass of the scheduler.
-inline constexpr std::size_t max_tasks_per_pass = 2000;
 /// How long a failed search for a worker that rests on measurements or on more
 /// than one worker is not repeated, while passes are cut. The latencies that
 /// decide on scavenging tasks are read twice a second.
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -49,6 +49,19 @@
            a.workflow == b.workflow;
 }
 
+/// The order of ready tasks keeps those of a step together.
+auto is_same_step(ready_task const& a, ready_task const& b) -> bool
+{
+    return a.accepted == b.accepted && a.task.step == b.task.step &&
+           a.task.occurrence == b.task.occurrence;
+}
+
+/// True for a task that has run before.
+auto is_restart(workflow_record const& record, ready_task const& ready) -> bool
+{
+    return record.find(ready.task)->last > run_number{};
+}
+
 auto count_step_runs(worker_entry const& worker, workflow_task const& task)
     -> std::int64_t
 {
@@ -81,6 +94,8 @@
 constexpr std::size_t max_repeat_visits = max_visits_per_pass / 2;
 /// Visits by which one effect of a scavenging image on a serving one counts.
 constexpr std::size_t effect_visits = 2;
+/// Visits by which one search counts, however few workers it looks at.
+constexpr std::size_t search_visits = 20;
 
 /// True if the state of a worker allows new runs.
 auto is_usable(worker_entry const& worker, time_point now) -> bool
@@ -441,69 +456,114 @@
     return out;
 }
 
-/// Tasks that may start now, the first to be placed first: permanent tasks that
-/// have run before, whose users wait for them; by priority; then tasks that end
-/// before new permanent ones, which would keep the resources for minutes; then
-/// by the value that completion still has for the caller.
-auto run_scheduler::ranked_tasks(time_point now, wall_time wall)
-    -> std::vector<ranked_task>
+/// Steps with tasks that may start now, the first to be placed first: permanent
+/// tasks that have run before, whose users wait for them; by priority; then
+/// tasks that end before new permanent ones, which would keep the resources for
+/// minutes; then by the value that completion still has for the caller.
+auto run_scheduler::ranked_steps(time_point now, wall_time wall)
+    -> std::vector<ranked_step>
 {
-    std::vector<ranked_task> order;
+    std::vector<ranked_step> order;
+    auto const& ready = state_.workflows().ready();
     workflow_record const* record{nullptr};
-    std::optional<occurrence_index> occurrence; ///< of urgency_rank
     queue_priority priority;
     urgency urgency_rank;
-    for (auto const& ready : state_.workflows().ready())
+    auto is_due = false;
+    for (auto it = ready.begin(); it != ready.end();)
     {
-        if (order.size() >= config::max_tasks_per_pass)
-        {
-            break;
-        }
+        auto const first = it;
         auto const is_next_workflow =
-            record == nullptr || record->accepted != ready.accepted;
+            record == nullptr || record->accepted != first->accepted;
         if (is_next_workflow)
         {
-            occurrence.reset();
-            record = state_.workflows().find(ready.task.workflow);
+            record = state_.workflows().find(first->task.workflow);
             auto const* const queue =
                 state_.contract_sets().queue(record->terms.name);
             priority =
                 queue != nullptr ? queue->priority : record->terms.priority;
         }
-        auto const& repeats = record->spec.repeats;
-        auto const due =
-            repeats.first + repeats.interval * ready.task.occurrence.value();
-        auto const is_due =
-            repeats.times.value() == 0 || wall.time_since_epoch() >= due;
-        if (!is_due || proposed_.contains(ready.task))
+        auto const occurrence = first->task.occurrence;
+        if (is_next_workflow || occurrence != std::prev(first)->task.occurrence)
         {
-            continue;
+            auto const& repeats = record->spec.repeats;
+            is_due = repeats.times.value() == 0 ||
+                     wall.time_since_epoch() >=
+                         repeats.first + repeats.interval * occurrence.value();
+            if (is_due)
+            {
+                auto const since =
+                    ready_since_.try_emplace({first->accepted, occurrence}, now)
+                        .first->second;
+                urgency_rank = urgency_of(*record, occurrence, since, now);
+            }
         }
-        if (occurrence != ready.task.occurrence)
+        auto const permanent = record->step(first->task).permanent;
+        auto has_new = false;
+        auto has_restart = false;
+        for (; it != ready.end() && is_same_step(*it, *first); ++it)
         {
-            occurrence = ready.task.occurrence;
-            auto const since =
-                ready_since_
-                    .try_emplace({ready.accepted, ready.task.occurrence}, now)
-                    .first->second;
-            urgency_rank =
-                urgency_of(*record, ready.task.occurrence, since, now);
+            auto const restarts = permanent && is_restart(*record, *it);
+            has_restart = has_restart || restarts;
+            has_new = has_new || !restarts;
+        }
+        if (is_due && has_restart)
+        {
+            order.push_back(
+                {false, priority, permanent, urgency_rank, first, record});
+        }
+        if (is_due && has_new)
+        {
+            order.push_back(
+                {true, priority, permanent, urgency_rank, first, record});
         }
-        auto const permanent = record->step(ready.task).permanent;
-        auto const has_run = record->find(ready.task)->last > run_number{};
-        order.push_back({!(permanent && has_run), priority, permanent,
-                         urgency_rank, &ready, record});
     }
     std::ranges::stable_sort(order, {},
-                             [](ranked_task const& task)
+                             [](ranked_step const& step)
                              {
-                                 return std::tuple{task.is_new, task.priority,
-                                                   task.permanent,
-                                                   task.urgency_rank};
+                                 return std::tuple{step.is_new, step.priority,
+                                                   step.permanent,
+                                                   step.urgency_rank};
                              });
     return order;
 }
 
+auto run_scheduler::place_step(ranked_step const& step, plan_pass& pass) -> bool
+{
+    auto const& record = *step.record;
+    auto const& ready = state_.workflows().ready();
+    auto const& spec = record.step(step.first->task);
+    for (auto it = step.first;
+         it != ready.end() && is_same_step(*it, *step.first); ++it)
+    {
+        auto const restarts = spec.permanent && is_restart(record, *it);
+        if (restarts == step.is_new || proposed_.contains(it->task))
+        {
+            continue;
+        }
+        // A gang may exceed the limit, which may be less than its size.
+        if (unconfirmed_ + pass.placed.size() >= config::max_unconfirmed_starts)
+        {
+            return false;
+        }
+        pass.is_cut = pass.visits >= max_visits_per_pass;
+        if (pass.is_cut)
+        {
+            return false;
+        }
+        pass.visits += search_visits;
+        if (spec.gang)
+        {
+            try_gang(*it, record, pass);
+            return true;
+        }
+        if (!place_single(*it, record, pass))
+        {
+            return true;
+        }
+    }
+    return true;
+}
+
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     needs_plan_ = false;
@@ -513,36 +573,18 @@
     {
         return;
     }
-    auto const order = ranked_tasks(now, wall);
     auto pass = make_pass(now);
-    auto is_cut = false;
-    for (auto const& ranked : order)
+    for (auto const& step : ranked_steps(now, wall))
     {
-        // A gang may exceed the limit, which may be less than its size.
-        if (unconfirmed_ + pass.placed.size() >= config::max_unconfirmed_starts)
-        {
-            break;
-        }
-        is_cut = pass.visits >= max_visits_per_pass;
-        if (is_cut)
+        if (!place_step(step, pass))
         {
             break;
         }
-        auto const& step = ranked.record->step(ranked.task->task);
-        if (step.gang)
-        {
-            if (!proposed_.contains(ranked.task->task))
-            {
-                try_gang(*ranked.task, *ranked.record, pass);
-            }
-            continue;
-        }
-        place_single(*ranked.task, *ranked.record, pass);
     }
-    is_behind_ = pass.is_behind || (is_cut && was_behind_);
-    was_cut_ = is_cut;
-    needs_plan_ = is_cut;
-    if (!is_cut)
+    is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
+    was_cut_ = pass.is_cut;
+    needs_plan_ = pass.is_cut;
+    if (!pass.is_cut)
     {
         std::erase_if(failed_searches_, [now](auto const& each)
                       { return each.second.used_at < now; });
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -263,21 +263,24 @@
         std::size_t visits{0}; ///< of workers and of their serving images
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
         bool is_behind{false};        ///< some task found no worker
+        bool is_cut{false};           ///< ended at its limit of visits
         /// Cached results of keeps_latency_targets().
         std::map<std::pair<worker_id, image_name>, bool> scavenging_allowed;
     };
-    /// A task that may start, with its sort keys.
-    struct ranked_task
+    /// Ready tasks of one step, with their sort keys.
+    struct ranked_step
     {
-        bool is_new; ///< false for a permanent task that has run before
+        bool is_new; ///< false for permanent tasks that have run before
         queue_priority priority;
         bool permanent;
         urgency urgency_rank;
-        ready_task const* task;
+        std::set<ready_task>::const_iterator first;
         workflow_record const* record;
     };
-    auto ranked_tasks(time_point now, wall_time wall)
-        -> std::vector<ranked_task>;
+    [[nodiscard]] auto ranked_steps(time_point now, wall_time wall)
+        -> std::vector<ranked_step>;
+    /// Places tasks of a step; returns false at a limit of the pass.
+    auto place_step(ranked_step const& step, plan_pass& pass) -> bool;
     auto make_pass(time_point now) -> plan_pass;
     /// Searches the workers that have gained room after `since`.
     auto choose_worker(candidate_run const& candidate, room_change since,
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -425,6 +425,21 @@
     EXPECT_EQ(count_placed(*it.leader), 1);
 }
 
+// A pass ranked only the first 2,000 ready tasks in the order of acceptance, so
+// that nothing accepted behind them was considered.
+TEST(run_scheduler, restarts_a_task_behind_a_backlog_of_earlier_work)
+{
+    fake_fleet it{17};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{5});
+    auto large = fake_fleet::step(3000);
+    large.each.cores = millicores{8000};
+    it.submit("large", {large});
+    submit_interrupted(it, "a", 4000);
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+}
+
 // A gang that found no room was left out for as long as passes were cut.
 TEST(run_scheduler, places_a_gang_although_every_pass_is_cut)
 {
