Hold a worker for a permanent task that finds no room

What callers saw: on a full fleet a permanent task that had ended stayed away while smaller tasks took each piece of room that fell free.

Cause: a worker was chosen only if the task fitted at that moment; no room was kept for a task that has to come back.

Change: a restart that fits on no worker holds the one with most free room among those on which it will fit once runs that end by themselves have ended. Only restarts are placed there. Holds are made anew in each pass, so there is nothing to give back when the worker drains or leaves, the task is cancelled or the leader changes. At most a quarter of a pool is held. The fleet log line shows how many workers are held.

restarts_a_large_task_on_workers_full_of_small_ones, uses_a_held_worker_again_when_the_restart_is_cancelled and holds_a_bounded_share_of_the_workers fail when hold_worker() holds nothing and pass here.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -383,6 +383,10 @@
 /// than one worker is not repeated, while passes are cut. The latencies that
 /// decide on scavenging tasks are read twice a second.
 inline constexpr duration failed_search_validity = 500ms;
+/// Share of the workers of a pool that may be held at once for restarts of
+/// permanent tasks. A held worker leaves room unused until enough runs there
+/// have ended, so most of the pool stays open to other work.
+inline constexpr permille max_workers_held_for_restarts{250};
 inline constexpr std::size_t max_runs_per_command = 256;
 /// Ended runs in one answer of a worker; a list of this length may be
 /// incomplete.
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -71,6 +71,15 @@
                                  });
 }
 
+/// True if label and limit per worker of a step allow one more of its tasks.
+auto is_allowed(worker_entry const& worker, step_spec const& step,
+                workflow_task const& task) -> bool
+{
+    return has_label(*worker.info, step.requires_label) &&
+           (step.max_per_worker == task_count{0} ||
+            count_step_runs(worker, task) < step.max_per_worker.value());
+}
+
 /// Estimated processor use on a worker: half of what is reserved, as serving
 /// tasks are seldom busy, and all that scavenging tasks request.
 auto estimated_load(worker_entry const& worker) -> millicores
@@ -108,21 +117,21 @@
 
 } // namespace
 
-auto run_scheduler::placement_key_of(workflow_record const& record,
-                                     workflow_task const& task) const
+auto run_scheduler::placement_key_of(candidate_run const& candidate) const
     -> placement_key
 {
-    auto const& step = record.step(task);
+    auto const& step = *candidate.step;
     std::optional<workflow_task> limited;
     if (step.max_per_worker > task_count{0})
     {
-        limited = task;
+        limited = candidate.task;
         limited->index = {};
     }
-    return {pool_of(record),
+    return {pool_of(*candidate.record),
             step.requires_label,
             step.scavenges ? step.image : image_name{},
             step.scavenges,
+            candidate.is_restart,
             step.each.cores.value(),
             step.each.memory.value(),
             std::move(limited)};
@@ -153,6 +162,7 @@
             pass.pools[entry.info->pool].push_back(&worker);
         }
         entry.was_usable = usable;
+        entry.held = false;
     }
     for (auto& [name, pool] : pass.pools)
     {
@@ -227,11 +237,9 @@
 {
     auto const& entry = worker.second;
     auto const& step = *candidate.step;
-    return reservation_of(step).fits_into(entry.free()) &&
-           has_label(*entry.info, step.requires_label) &&
-           (step.max_per_worker == task_count{0} ||
-            count_step_runs(entry, candidate.task) <
-                step.max_per_worker.value()) &&
+    return (candidate.is_restart || !entry.held) &&
+           reservation_of(step).fits_into(entry.free()) &&
+           is_allowed(entry, step, candidate.task) &&
            (!step.scavenges || may_scavenge(worker, step, pass));
 }
 
@@ -301,8 +309,8 @@
 auto run_scheduler::find_worker(candidate_run const& candidate, plan_pass& pass)
     -> identified_worker*
 {
-    auto key = placement_key_of(*candidate.record, candidate.task);
-    auto const [known, added] = failed_searches_.try_emplace(std::move(key));
+    auto const [known, added] =
+        failed_searches_.try_emplace(placement_key_of(candidate));
     auto& search = known->second;
     // Whether a scavenging task may be placed depends on measurements also.
     auto const repeats = !added && candidate.step->scavenges &&
@@ -330,13 +338,64 @@
     return nullptr;
 }
 
-auto run_scheduler::place_single(ready_task const& ready,
-                                 workflow_record const& record, plan_pass& pass)
-    -> bool
+auto run_scheduler::hold_worker(candidate_run const& candidate, plan_pass& pass)
+    -> void
+{
+    auto const& step = *candidate.step;
+    auto const& pool = pass.pools[pool_of(*candidate.record)];
+    auto const share =
+        static_cast<std::size_t>(config::max_workers_held_for_restarts.value());
+    auto const max_held = std::max<std::size_t>(1, pool.size() * share / 1000);
+    if (step.scavenges || pass.held.size() >= max_held)
+    {
+        return;
+    }
+    identified_worker* best{nullptr};
+    for (auto* const worker : pool)
+    {
+        auto& entry = worker->second;
+        auto expected = entry.free();
+        expected += entry.finite_reserved;
+        ++pass.visits;
+        // The one with most room is the first on which the task will fit.
+        if (!entry.held && reservation_of(step).fits_into(expected) &&
+            is_allowed(entry, step, candidate.task) &&
+            (best == nullptr || entry.free().cores > best->second.free().cores))
+        {
+            best = worker;
+        }
+    }
+    if (best != nullptr)
+    {
+        best->second.held = true;
+        pass.held.insert(best->first);
+    }
+}
+
+auto run_scheduler::end_holds(plan_pass& pass) -> void
+{
+    for (auto const& id : std::exchange(held_, std::move(pass.held)))
+    {
+        auto const found = workers_.find(id);
+        if (found != workers_.end() && !held_.contains(id))
+        {
+            gain_room(found->second);
+        }
+    }
+}
+
+auto run_scheduler::make_candidate(workflow_record const& record,
+                                   workflow_task const& task, run_number number)
+    -> candidate_run
+{
+    auto const& step = record.step(task);
+    auto const has_run = record.find(task)->last > run_number{};
+    return {&record, &step, task, number, step.permanent && has_run};
+}
+
+auto run_scheduler::place_single(candidate_run const& candidate,
+                                 plan_pass& pass) -> bool
 {
-    auto const last = record.find(ready.task)->last;
-    candidate_run const candidate{&record, &record.step(ready.task), ready.task,
-                                  last + run_number{1}};
     auto* const worker = find_worker(candidate, pass);
     if (worker == nullptr)
     {
@@ -375,8 +434,8 @@
     {
         auto task = ready.task;
         task.index = task_index{n};
-        candidate_run const candidate{&record, &record.step(task), task,
-                                      last + run_number{1}};
+        auto const candidate =
+            make_candidate(record, task, last + run_number{1});
         auto* const worker = choose_worker(candidate, {}, pass);
         if (worker == nullptr)
         {
@@ -428,6 +487,7 @@
 {
     fleet_summary out;
     out.ready = static_cast<std::int64_t>(state_.workflows().ready().size());
+    out.held = static_cast<std::int64_t>(held_.size());
     for (auto const& [id, worker] : workers_)
     {
         out.workers += is_usable(worker, now) ? 1 : 0;
@@ -556,10 +616,17 @@
             try_gang(*it, record, pass);
             return true;
         }
-        if (!place_single(*it, record, pass))
+        auto const candidate = make_candidate(
+            record, it->task, record.find(it->task)->last + run_number{1});
+        if (place_single(candidate, pass))
+        {
+            continue;
+        }
+        if (!candidate.is_restart)
         {
             return true;
         }
+        hold_worker(candidate, pass);
     }
     return true;
 }
@@ -568,6 +635,11 @@
 {
     needs_plan_ = false;
     was_behind_ = std::exchange(is_behind_, false);
+    if (state_.workflows().ready().empty())
+    {
+        held_.clear();
+        failed_searches_.clear();
+    }
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
     {
@@ -581,6 +653,7 @@
             break;
         }
     }
+    end_holds(pass);
     is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
     was_cut_ = pass.is_cut;
     needs_plan_ = pass.is_cut;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -68,6 +68,7 @@
     std::int64_t scavenging{0}; ///< of the running ones
     std::int64_t slowed{0};     ///< of the scavenging ones
     std::int64_t free_cores{0}; ///< not reserved
+    std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
     std::int64_t silent{0};
     std::int64_t inherited{0};   ///< runs not yet seen under this leader
@@ -237,14 +238,16 @@
         step_spec const* step;
         workflow_task task;
         run_number number;
+        bool is_restart; ///< of a permanent task
     };
     /// Properties that decide whether some worker can take a task. The step is
-    /// part of the key only if it limits its tasks per worker.
+    /// part of the key only if it limits its tasks per worker. Restarts have
+    /// keys of their own, since held workers are open to them.
     using placement_key =
-        std::tuple<pool_name, worker_label, image_name, bool, std::int64_t,
-                   std::int64_t, std::optional<workflow_task>>;
-    auto placement_key_of(workflow_record const& record,
-                          workflow_task const& task) const -> placement_key;
+        std::tuple<pool_name, worker_label, image_name, bool, bool,
+                   std::int64_t, std::int64_t, std::optional<workflow_task>>;
+    auto placement_key_of(candidate_run const& candidate) const
+        -> placement_key;
     /// A search that found no worker. Until it is repeated, only workers that
     /// have gained room since are searched for tasks with the same key.
     struct failed_search
@@ -260,7 +263,8 @@
         /// Workers that may get new runs, the last one that gained room first.
         std::map<pool_name, std::vector<identified_worker*>> pools;
         std::vector<placed_run> placed;
-        std::size_t visits{0}; ///< of workers and of their serving images
+        std::set<worker_id> held; ///< for restarts
+        std::size_t visits{0};    ///< of workers and of their serving images
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
         bool is_behind{false};        ///< some task found no worker
         bool is_cut{false};           ///< ended at its limit of visits
@@ -291,10 +295,18 @@
                                          plan_pass const& pass) const -> bool;
     auto find_worker(candidate_run const& candidate, plan_pass& pass)
         -> identified_worker*;
+    /// Holds a worker on which a restart that found no room will fit once runs
+    /// there have ended; only restarts are placed there in this pass.
+    auto hold_worker(candidate_run const& candidate, plan_pass& pass) -> void;
+    /// Opens the workers that this pass has not held again to other tasks.
+    auto end_holds(plan_pass& pass) -> void;
     auto reserve(identified_worker& worker, candidate_run const& candidate)
         -> void;
-    auto place_single(ready_task const& ready, workflow_record const& record,
-                      plan_pass& pass) -> bool;
+    [[nodiscard]] static auto make_candidate(workflow_record const& record,
+                                             workflow_task const& task,
+                                             run_number number)
+        -> candidate_run;
+    auto place_single(candidate_run const& candidate, plan_pass& pass) -> bool;
     /// Returns false if some member found no worker.
     auto place_gang(ready_task const& ready, workflow_record const& record,
                     plan_pass& pass) -> bool;
@@ -328,6 +340,7 @@
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
+    std::set<worker_id> held_;            ///< by the last pass
     room_change last_room_change_;
     std::map<placement_key, failed_search> failed_searches_;
     /// When gangs that found no workers were tried, by their first task.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -204,7 +204,7 @@
     bool incarnation_ended{false};
     room_change gained_room; ///< the last one of this worker
     bool was_usable{false};  ///< for new runs, in the last pass of plan()
-    bool held{false};        ///< for a restart, since the last pass of plan()
+    bool held{false};        ///< for a restart, in the current pass
 
     auto add(task_run const& name, held_run run) -> void
     {
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -440,6 +440,77 @@
     EXPECT_EQ(count_placed(*it.leader), 1);
 }
 
+/// Runs of tasks whose names begin with `a` last, the others end after 0.7 to
+/// 1.3 s, at different times.
+auto staggered_run(std::string const& task) -> platform_worker::run
+{
+    auto const spread = std::hash<std::string>{}(task) % 600;
+    auto const takes = task.starts_with("a") ? milliseconds{60'000}
+                                             : milliseconds{700 + spread};
+    return {0, time_point{takes}, "done", task.starts_with("a") ? 3000 : 1000};
+}
+
+// On full workers every piece of room that fell free was taken by smaller
+// tasks, and a permanent task that had ended was not restarted.
+TEST(run_scheduler, restarts_a_large_task_on_workers_full_of_small_ones)
+{
+    fake_fleet it{18};
+    it.behaviour = staggered_run;
+    for (auto n = 0; n < 4; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.submit("small", {fake_fleet::step(400)});
+    it.run(seconds{2});
+    ASSERT_EQ(it.leader->summary(it.now).running, 16);
+    for (auto n = 0; n < 2; ++n)
+    {
+        submit_interrupted(it, "a" + std::to_string(n), 3000);
+    }
+    it.run(seconds{3});
+    EXPECT_EQ(it.leader->summary(it.now).permanent, 2);
+    EXPECT_EQ(it.leader->summary(it.now).held, 0);
+}
+
+// A worker held for a task that does not need it any more stayed empty.
+TEST(run_scheduler, uses_a_held_worker_again_when_the_restart_is_cancelled)
+{
+    fake_fleet it{19};
+    it.behaviour = staggered_run;
+    it.add_worker("w1", 4000);
+    it.submit("small", {fake_fleet::step(400)});
+    it.run(seconds{2});
+    submit_interrupted(it, "a", 4000);
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.leader->summary(it.now).held, 1);
+    EXPECT_LT(it.workers["w1"]->running().size(), 4U);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.leader->summary(it.now).held, 0);
+    EXPECT_EQ(it.workers["w1"]->running().size(), 4U);
+}
+
+// Restarts of many tasks at once must not take the fleet from all other work.
+TEST(run_scheduler, holds_a_bounded_share_of_the_workers)
+{
+    fake_fleet it{20};
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 1000};
+    };
+    for (auto n = 0; n < 20; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.submit("small", {fake_fleet::step(80)});
+    it.run(milliseconds{100});
+    for (auto n = 0; n < 20; ++n)
+    {
+        submit_interrupted(it, "a" + std::to_string(n), 3000);
+    }
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.leader->summary(it.now).held, 5);
+}
+
 // A gang that found no room was left out for as long as passes were cut.
 TEST(run_scheduler, places_a_gang_although_every_pass_is_cut)
 {
