--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -49,6 +49,19 @@
            a.workflow == b.workflow;
 }
 
+/// The order of ready tasks keeps those of a step together.
+auto is_same_step(ready_task const& a, ready_task const& b) -> bool
+{
+    return a.accepted == b.accepted && a.task.step == b.task.step &&
+           a.task.occurrence == b.task.occurrence;
+}
+
+/// True for a task that has run before.
+auto is_restart(workflow_record const& record, ready_task const& ready) -> bool
+{
+    return record.find(ready.task)->last > run_number{};
+}
+
 auto count_step_runs(worker_entry const& worker, workflow_task const& task)
     -> std::int64_t
 {
@@ -58,6 +71,15 @@
                                  });
 }
 
+/// True if label and limit per worker of a step allow one more of its tasks.
+auto is_allowed(worker_entry const& worker, step_spec const& step,
+                workflow_task const& task) -> bool
+{
+    return has_label(*worker.info, step.requires_label) &&
+           (step.max_per_worker == task_count{0} ||
+            count_step_runs(worker, task) < step.max_per_worker.value());
+}
+
 /// Estimated processor use on a worker: half of what is reserved, as serving
 /// tasks are seldom busy, and all that scavenging tasks request.
 auto estimated_load(worker_entry const& worker) -> millicores
@@ -73,11 +95,16 @@
         { return each.second.latency_ratio > config::pace_cut_above; });
 }
 
-/// Workers and serving images that one pass looks at, after which the next pass
-/// goes on. The loop has to send heartbeats in between.
+/// Workers and serving images that one pass looks at. The loop has to send
+/// heartbeats before the next pass.
 constexpr std::size_t max_visits_per_pass = 500'000;
+/// Visits by which failed searches are repeated, so that the other half is left
+/// for tasks that follow.
+constexpr std::size_t max_repeat_visits = max_visits_per_pass / 2;
 /// Visits by which one effect of a scavenging image on a serving one counts.
 constexpr std::size_t effect_visits = 2;
+/// Visits by which one search counts, however few workers it looks at.
+constexpr std::size_t search_visits = 20;
 
 /// True if the state of a worker allows new runs.
 auto is_usable(worker_entry const& worker, time_point now) -> bool
@@ -90,17 +117,24 @@
 
 } // namespace
 
-auto run_scheduler::placement_key_of(workflow_record const& record,
-                                     step_spec const& step) -> placement_key
+auto run_scheduler::placement_key_of(candidate_run const& candidate) const
+    -> placement_key
 {
-    return {record.terms.pool,
+    auto const& step = *candidate.step;
+    std::optional<workflow_task> limited;
+    if (step.max_per_worker > task_count{0})
+    {
+        limited = candidate.task;
+        limited->index = {};
+    }
+    return {pool_of(*candidate.record),
             step.requires_label,
             step.scavenges ? step.image : image_name{},
             step.scavenges,
+            candidate.is_restart,
             step.each.cores.value(),
             step.each.memory.value(),
-            step.max_per_worker > task_count{0} ? record.spec.id
-                                                : workflow_id{}};
+            std::move(limited)};
 }
 
 auto run_scheduler::pool_of(workflow_record const& record) const
@@ -116,11 +150,25 @@
     pass.now = now;
     for (auto& worker : workers_)
     {
-        if (is_usable(worker.second, now) &&
-            has_current_phase(worker.second, now))
+        auto& entry = worker.second;
+        auto const usable =
+            is_usable(entry, now) && has_current_phase(entry, now);
+        if (usable)
         {
-            pass.pools[worker.second.info->pool].push_back(&worker);
+            if (!entry.was_usable)
+            {
+                gain_room(entry);
+            }
+            pass.pools[entry.info->pool].push_back(&worker);
         }
+        entry.was_usable = usable;
+        entry.held = false;
+    }
+    for (auto& [name, pool] : pass.pools)
+    {
+        std::ranges::stable_sort(pool, std::ranges::greater{},
+                                 [](identified_worker const* worker)
+                                 { return worker->second.gained_room; });
     }
     return pass;
 }
@@ -189,16 +237,15 @@
 {
     auto const& entry = worker.second;
     auto const& step = *candidate.step;
-    return reservation_of(step).fits_into(entry.free()) &&
-           has_label(*entry.info, step.requires_label) &&
-           (step.max_per_worker == task_count{0} ||
-            count_step_runs(entry, candidate.task) <
-                step.max_per_worker.value()) &&
+    return (candidate.is_restart || !entry.held) &&
+           reservation_of(step).fits_into(entry.free()) &&
+           is_allowed(entry, step, candidate.task) &&
            (!step.scavenges || may_scavenge(worker, step, pass));
 }
 
 auto run_scheduler::choose_worker(candidate_run const& candidate,
-                                  plan_pass& pass) -> identified_worker*
+                                  room_change since, plan_pass& pass)
+    -> identified_worker*
 {
     auto const& step = *candidate.step;
     identified_worker* best{nullptr};
@@ -206,6 +253,10 @@
     for (auto* const worker : pass.pools[pool_of(*candidate.record)])
     {
         auto const& entry = worker->second;
+        if (entry.gained_room <= since)
+        {
+            break;
+        }
         auto const is_near = step.data_rack.value().empty() ||
                              step.data_rack == entry.info->rack;
         auto const free = entry.free().cores.value();
@@ -234,8 +285,10 @@
             // Best fit leaves the large gaps for large tasks.
             score = {is_near ? 0 : 1, free, 0};
         }
-        if ((best == nullptr || score < best_score) &&
-            can_place(*worker, candidate, pass))
+        auto const is_better =
+            best == nullptr || score < best_score ||
+            (score == best_score && worker->first < best->first);
+        if (is_better && can_place(*worker, candidate, pass))
         {
             best = worker;
             best_score = score;
@@ -244,14 +297,106 @@
     return best;
 }
 
-auto run_scheduler::place_single(ready_task const& ready,
-                                 workflow_record const& record, plan_pass& pass)
-    -> bool
+auto run_scheduler::may_repeat_search(time_point searched_at,
+                                      plan_pass const& pass) const -> bool
+{
+    // A pass that was cut leaves the tasks behind it to the next ones.
+    return pass.repeat_visits < max_repeat_visits &&
+           (!was_cut_ ||
+            pass.now - searched_at >= config::failed_search_validity);
+}
+
+auto run_scheduler::find_worker(candidate_run const& candidate, plan_pass& pass)
+    -> identified_worker*
+{
+    auto const [known, added] =
+        failed_searches_.try_emplace(placement_key_of(candidate));
+    auto& search = known->second;
+    // Whether a scavenging task may be placed depends on measurements also.
+    auto const repeats = !added && candidate.step->scavenges &&
+                         search.used_at != pass.now &&
+                         may_repeat_search(search.searched_at, pass);
+    auto const visits_before = pass.visits;
+    auto const since = repeats ? room_change{} : search.seen;
+    auto* const worker = choose_worker(candidate, since, pass);
+    if (repeats)
+    {
+        pass.repeat_visits += pass.visits - visits_before;
+    }
+    if (worker != nullptr)
+    {
+        if (added)
+        {
+            failed_searches_.erase(known);
+        }
+        return worker;
+    }
+    search.searched_at = added || repeats ? pass.now : search.searched_at;
+    search.used_at = pass.now;
+    search.seen = last_room_change_;
+    pass.is_behind = true;
+    return nullptr;
+}
+
+auto run_scheduler::hold_worker(candidate_run const& candidate, plan_pass& pass)
+    -> void
 {
-    auto const last = record.find(ready.task)->last;
-    candidate_run const candidate{&record, &record.step(ready.task), ready.task,
-                                  last + run_number{1}};
-    auto* const worker = choose_worker(candidate, pass);
+    auto const& step = *candidate.step;
+    auto const& pool = pass.pools[pool_of(*candidate.record)];
+    auto const share =
+        static_cast<std::size_t>(config::max_workers_held_for_restarts.value());
+    auto const max_held = std::max<std::size_t>(1, pool.size() * share / 1000);
+    if (step.scavenges || pass.held.size() >= max_held)
+    {
+        return;
+    }
+    identified_worker* best{nullptr};
+    for (auto* const worker : pool)
+    {
+        auto& entry = worker->second;
+        auto expected = entry.free();
+        expected += entry.finite_reserved;
+        ++pass.visits;
+        // The one with most room is the first on which the task will fit.
+        if (!entry.held && reservation_of(step).fits_into(expected) &&
+            is_allowed(entry, step, candidate.task) &&
+            (best == nullptr || entry.free().cores > best->second.free().cores))
+        {
+            best = worker;
+        }
+    }
+    if (best != nullptr)
+    {
+        best->second.held = true;
+        pass.held.insert(best->first);
+    }
+}
+
+auto run_scheduler::end_holds(plan_pass& pass) -> void
+{
+    for (auto const& id : std::exchange(held_, std::move(pass.held)))
+    {
+        auto const found = workers_.find(id);
+        if (found != workers_.end() && !held_.contains(id))
+        {
+            gain_room(found->second);
+        }
+    }
+}
+
+auto run_scheduler::make_candidate(workflow_record const& record,
+                                   workflow_task const& task, run_number number)
+    -> candidate_run
+{
+    auto const& step = record.step(task);
+    auto const has_run = record.find(task)->last > run_number{};
+    return {&record, &step, task, number, step.permanent && has_run};
+}
+
+auto run_scheduler::place_single(candidate_run const& candidate,
+                                 plan_pass& pass) -> bool
+{
+    auto* const worker = find_worker(candidate, pass);
     if (worker == nullptr)
     {
         return false;
@@ -270,7 +415,7 @@
 /// Places all members of a gang or none; they share one run number.
 auto run_scheduler::place_gang(ready_task const& ready,
                                workflow_record const& record, plan_pass& pass)
-    -> void
+    -> bool
 {
     auto const& tasks = record.occurrences[ready.task.occurrence.value()]
                             .steps[ready.task.step.value()]
@@ -281,7 +426,7 @@
         last = std::max(last, each.last);
         if (!each.active.empty())
         {
-            return;
+            return true;
         }
     }
     std::vector<placed_run> placed;
@@ -289,29 +434,60 @@
     {
         auto task = ready.task;
         task.index = task_index{n};
-        candidate_run const candidate{&record, &record.step(task), task,
-                                      last + run_number{1}};
-        auto* const worker = choose_worker(candidate, pass);
+        auto const candidate =
+            make_candidate(record, task, last + run_number{1});
+        auto* const worker = choose_worker(candidate, {}, pass);
         if (worker == nullptr)
         {
             for (auto const& each : placed)
             {
-                proposed_.erase(each.run.task);
-                release(each.run, pass.now);
+                cancel_reservation(each.run);
             }
-            return;
+            return false;
         }
         reserve(*worker, candidate);
         placed.push_back({{task, candidate.number},
                           {worker->first, worker->second.incarnation}});
     }
     pass.placed.insert(pass.placed.end(), placed.begin(), placed.end());
+    return true;
+}
+
+/// Places a gang unless it has found no workers a short time ago.
+auto run_scheduler::try_gang(ready_task const& ready,
+                             workflow_record const& record, plan_pass& pass)
+    -> void
+{
+    auto gang = ready.task;
+    gang.index = {};
+    auto const known = failed_gangs_.find(gang);
+    auto const was_tried = known != failed_gangs_.end();
+    if (was_tried &&
+        (known->second == pass.now || !may_repeat_search(known->second, pass)))
+    {
+        return;
+    }
+    auto const visits_before = pass.visits;
+    auto const done = place_gang(ready, record, pass);
+    if (was_tried)
+    {
+        pass.repeat_visits += pass.visits - visits_before;
+    }
+    if (done)
+    {
+        failed_gangs_.erase(gang);
+    }
+    else
+    {
+        failed_gangs_[gang] = pass.now;
+    }
 }
 
 auto run_scheduler::summary(time_point now) const -> fleet_summary
 {
     fleet_summary out;
     out.ready = static_cast<std::int64_t>(state_.workflows().ready().size());
+    out.held = static_cast<std::int64_t>(held_.size());
     for (auto const& [id, worker] : workers_)
     {
         out.workers += is_usable(worker, now) ? 1 : 0;
@@ -340,118 +516,153 @@
     return out;
 }
 
-/// Tasks that may start now, the first to be placed first: permanent tasks that
-/// have run before, whose users wait for them; by priority; then tasks that end
-/// before new permanent ones, which would keep the resources for minutes; then
-/// by the value that completion still has for the caller.
-auto run_scheduler::ranked_tasks(time_point now, wall_time wall)
-    -> std::vector<ranked_task>
+/// Steps with tasks that may start now, the first to be placed first: permanent
+/// tasks that have run before, whose users wait for them; by priority; then
+/// tasks that end before new permanent ones, which would keep the resources for
+/// minutes; then by the value that completion still has for the caller.
+auto run_scheduler::ranked_steps(time_point now, wall_time wall)
+    -> std::vector<ranked_step>
 {
-    std::vector<ranked_task> order;
+    std::vector<ranked_step> order;
+    auto const& ready = state_.workflows().ready();
     workflow_record const* record{nullptr};
-    std::optional<occurrence_index> occurrence; ///< of urgency_rank
     queue_priority priority;
     urgency urgency_rank;
-    for (auto const& ready : state_.workflows().ready())
+    auto is_due = false;
+    for (auto it = ready.begin(); it != ready.end();)
     {
-        if (order.size() >= config::max_tasks_per_pass)
-        {
-            break;
-        }
+        auto const first = it;
         auto const is_next_workflow =
-            record == nullptr || record->accepted != ready.accepted;
+            record == nullptr || record->accepted != first->accepted;
         if (is_next_workflow)
         {
-            occurrence.reset();
-            record = state_.workflows().find(ready.task.workflow);
+            record = state_.workflows().find(first->task.workflow);
             auto const* const queue =
                 state_.contract_sets().queue(record->terms.name);
             priority =
                 queue != nullptr ? queue->priority : record->terms.priority;
         }
-        auto const& repeats = record->spec.repeats;
-        auto const due =
-            repeats.first + repeats.interval * ready.task.occurrence.value();
-        auto const is_due =
-            repeats.times.value() == 0 || wall.time_since_epoch() >= due;
-        if (!is_due || proposed_.contains(ready.task))
+        auto const occurrence = first->task.occurrence;
+        if (is_next_workflow || occurrence != std::prev(first)->task.occurrence)
         {
-            continue;
+            auto const& repeats = record->spec.repeats;
+            is_due = repeats.times.value() == 0 ||
+                     wall.time_since_epoch() >=
+                         repeats.first + repeats.interval * occurrence.value();
+            if (is_due)
+            {
+                auto const since =
+                    ready_since_.try_emplace({first->accepted, occurrence}, now)
+                        .first->second;
+                urgency_rank = urgency_of(*record, occurrence, since, now);
+            }
+        }
+        auto const permanent = record->step(first->task).permanent;
+        auto has_new = false;
+        auto has_restart = false;
+        for (; it != ready.end() && is_same_step(*it, *first); ++it)
+        {
+            auto const restarts = permanent && is_restart(*record, *it);
+            has_restart = has_restart || restarts;
+            has_new = has_new || !restarts;
         }
-        if (occurrence != ready.task.occurrence)
+        if (is_due && has_restart)
         {
-            occurrence = ready.task.occurrence;
-            auto const since =
-                ready_since_
-                    .try_emplace({ready.accepted, ready.task.occurrence}, now)
-                    .first->second;
-            urgency_rank =
-                urgency_of(*record, ready.task.occurrence, since, now);
+            order.push_back(
+                {false, priority, permanent, urgency_rank, first, record});
+        }
+        if (is_due && has_new)
+        {
+            order.push_back(
+                {true, priority, permanent, urgency_rank, first, record});
         }
-        auto const permanent = record->step(ready.task).permanent;
-        auto const has_run = record->find(ready.task)->last > run_number{};
-        order.push_back({!(permanent && has_run), priority, permanent,
-                         urgency_rank, &ready, record});
     }
     std::ranges::stable_sort(order, {},
-                             [](ranked_task const& task)
+                             [](ranked_step const& step)
                              {
-                                 return std::tuple{task.is_new, task.priority,
-                                                   task.permanent,
-                                                   task.urgency_rank};
+                                 return std::tuple{step.is_new, step.priority,
+                                                   step.permanent,
+                                                   step.urgency_rank};
                              });
     return order;
 }
 
+auto run_scheduler::place_step(ranked_step const& step, plan_pass& pass) -> bool
+{
+    auto const& record = *step.record;
+    auto const& ready = state_.workflows().ready();
+    auto const& spec = record.step(step.first->task);
+    for (auto it = step.first;
+         it != ready.end() && is_same_step(*it, *step.first); ++it)
+    {
+        auto const restarts = spec.permanent && is_restart(record, *it);
+        if (restarts == step.is_new || proposed_.contains(it->task))
+        {
+            continue;
+        }
+        // A gang may exceed the limit, which may be less than its size.
+        if (unconfirmed_ + pass.placed.size() >= config::max_unconfirmed_starts)
+        {
+            return false;
+        }
+        pass.is_cut = pass.visits >= max_visits_per_pass;
+        if (pass.is_cut)
+        {
+            return false;
+        }
+        pass.visits += search_visits;
+        if (spec.gang)
+        {
+            try_gang(*it, record, pass);
+            return true;
+        }
+        auto const candidate = make_candidate(
+            record, it->task, record.find(it->task)->last + run_number{1});
+        if (place_single(candidate, pass))
+        {
+            continue;
+        }
+        if (!candidate.is_restart)
+        {
+            return true;
+        }
+        hold_worker(candidate, pass);
+    }
+    return true;
+}
+
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     needs_plan_ = false;
     was_behind_ = std::exchange(is_behind_, false);
-    auto tried = std::exchange(tried_, {});
+    if (state_.workflows().ready().empty())
+    {
+        held_.clear();
+        failed_searches_.clear();
+    }
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
     {
         return;
     }
-    auto const order = ranked_tasks(now, wall);
     auto pass = make_pass(now);
-    auto is_cut = false;
-    for (auto const& ranked : order)
+    for (auto const& step : ranked_steps(now, wall))
     {
-        // A gang may exceed the limit, which may be less than its size.
-        if (unconfirmed_ + pass.placed.size() >= config::max_unconfirmed_starts)
-        {
-            break;
-        }
-        is_cut = pass.visits >= max_visits_per_pass;
-        if (is_cut)
+        if (!place_step(step, pass))
         {
             break;
         }
-        auto const& step = ranked.record->step(ranked.task->task);
-        if (step.gang)
-        {
-            auto gang = ranked.task->task;
-            gang.index = {};
-            if (!proposed_.contains(ranked.task->task) &&
-                tried.gangs.insert(gang).second)
-            {
-                place_gang(*ranked.task, *ranked.record, pass);
-            }
-            continue;
-        }
-        auto key = placement_key_of(*ranked.record, step);
-        if (!tried.unplaceable.contains(key) &&
-            !place_single(*ranked.task, *ranked.record, pass))
-        {
-            tried.unplaceable.insert(std::move(key));
-        }
     }
-    is_behind_ = !tried.unplaceable.empty() || (is_cut && was_behind_);
-    if (is_cut)
+    end_holds(pass);
+    is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
+    was_cut_ = pass.is_cut;
+    needs_plan_ = pass.is_cut;
+    if (!pass.is_cut)
     {
-        needs_plan_ = true;
-        tried_ = std::move(tried);
+        std::erase_if(failed_searches_, [now](auto const& each)
+                      { return each.second.used_at < now; });
+        std::erase_if(failed_gangs_,
+                      [now](auto const& each) { return each.second < now; });
     }
     unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -68,6 +68,7 @@
     std::int64_t scavenging{0}; ///< of the running ones
     std::int64_t slowed{0};     ///< of the scavenging ones
     std::int64_t free_cores{0}; ///< not reserved
+    std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
     std::int64_t silent{0};
     std::int64_t inherited{0};   ///< runs not yet seen under this leader
@@ -182,6 +183,11 @@
     auto propose_end(task_run const& run, held_run& held, run_end outcome)
         -> void;
     auto release(task_run const& run, time_point now) -> void;
+    /// Records that the worker may take runs that it could not take before, so
+    /// that failed searches do not hold for it any more.
+    auto gain_room(worker_entry& worker) -> void;
+    /// Takes back a reservation that is not proposed yet.
+    auto cancel_reservation(task_run const& run) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
     [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
 
@@ -232,55 +238,80 @@
         step_spec const* step;
         workflow_task task;
         run_number number;
+        bool is_restart; ///< of a permanent task
     };
-    /// Properties that decide whether some worker can take a task. Once no
-    /// worker was found for a task, others with the same key are skipped. The
-    /// workflow is part of the key only if its step limits the tasks per
-    /// worker.
-    using placement_key = std::tuple<pool_name, worker_label, image_name, bool,
-                                     std::int64_t, std::int64_t, workflow_id>;
-    static auto placement_key_of(workflow_record const& record,
-                                 step_spec const& step) -> placement_key;
-    /// What a pass that was cut short leaves to the next one, which goes on
-    /// with other tasks. Otherwise tasks that find no room would keep all
-    /// later ones from being considered.
-    struct tried_tasks
+    /// Properties that decide whether some worker can take a task. The step is
+    /// part of the key only if it limits its tasks per worker. Restarts have
+    /// keys of their own, since held workers are open to them.
+    using placement_key =
+        std::tuple<pool_name, worker_label, image_name, bool, bool,
+                   std::int64_t, std::int64_t, std::optional<workflow_task>>;
+    auto placement_key_of(candidate_run const& candidate) const
+        -> placement_key;
+    /// A search that found no worker. Until it is repeated, only workers that
+    /// have gained room since are searched for tasks with the same key.
+    struct failed_search
     {
-        std::set<placement_key> unplaceable;
-        std::set<workflow_task> gangs; ///< by their first task
+        room_change seen;         ///< the last one when the search was made
+        time_point searched_at{}; ///< when all workers were searched last
+        time_point used_at{};
     };
     /// State of one pass of plan().
     struct plan_pass
     {
         time_point now;
-        /// Workers that may get new runs.
+        /// Workers that may get new runs, the last one that gained room first.
         std::map<pool_name, std::vector<identified_worker*>> pools;
         std::vector<placed_run> placed;
-        std::size_t visits{0}; ///< of workers and of their serving images
+        std::set<worker_id> held; ///< for restarts
+        std::size_t visits{0};    ///< of workers and of their serving images
+        std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
+        bool is_behind{false};        ///< some task found no worker
+        bool is_cut{false};           ///< ended at its limit of visits
         /// Cached results of keeps_latency_targets().
         std::map<std::pair<worker_id, image_name>, bool> scavenging_allowed;
     };
-    /// A task that may start, with its sort keys.
-    struct ranked_task
+    /// Ready tasks of one step, with their sort keys.
+    struct ranked_step
     {
-        bool is_new; ///< false for a permanent task that has run before
+        bool is_new; ///< false for permanent tasks that have run before
         queue_priority priority;
         bool permanent;
         urgency urgency_rank;
-        ready_task const* task;
+        std::set<ready_task>::const_iterator first;
         workflow_record const* record;
     };
-    auto ranked_tasks(time_point now, wall_time wall)
-        -> std::vector<ranked_task>;
+    [[nodiscard]] auto ranked_steps(time_point now, wall_time wall)
+        -> std::vector<ranked_step>;
+    /// Places tasks of a step; returns false at a limit of the pass.
+    auto place_step(ranked_step const& step, plan_pass& pass) -> bool;
     auto make_pass(time_point now) -> plan_pass;
-    auto choose_worker(candidate_run const& candidate, plan_pass& pass)
+    /// Searches the workers that have gained room after `since`.
+    auto choose_worker(candidate_run const& candidate, room_change since,
+                       plan_pass& pass) -> identified_worker*;
+    /// True if the pass may search all workers again for a task that found
+    /// none at `searched_at`.
+    [[nodiscard]] auto may_repeat_search(time_point searched_at,
+                                         plan_pass const& pass) const -> bool;
+    auto find_worker(candidate_run const& candidate, plan_pass& pass)
         -> identified_worker*;
+    /// Holds a worker on which a restart that found no room will fit once runs
+    /// there have ended; only restarts are placed there in this pass.
+    auto hold_worker(candidate_run const& candidate, plan_pass& pass) -> void;
+    /// Opens the workers that this pass has not held again to other tasks.
+    auto end_holds(plan_pass& pass) -> void;
     auto reserve(identified_worker& worker, candidate_run const& candidate)
         -> void;
-    auto place_single(ready_task const& ready, workflow_record const& record,
-                      plan_pass& pass) -> bool;
+    [[nodiscard]] static auto make_candidate(workflow_record const& record,
+                                             workflow_task const& task,
+                                             run_number number)
+        -> candidate_run;
+    auto place_single(candidate_run const& candidate, plan_pass& pass) -> bool;
+    /// Returns false if some member found no worker.
     auto place_gang(ready_task const& ready, workflow_record const& record,
-                    plan_pass& pass) -> void;
+                    plan_pass& pass) -> bool;
+    auto try_gang(ready_task const& ready, workflow_record const& record,
+                  plan_pass& pass) -> void;
     auto can_place(identified_worker const& worker,
                    candidate_run const& candidate, plan_pass& pass) const
         -> bool;
@@ -309,7 +340,11 @@
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
-    tried_tasks tried_;
+    std::set<worker_id> held_;            ///< by the last pass
+    room_change last_room_change_;
+    std::map<placement_key, failed_search> failed_searches_;
+    /// When gangs that found no workers were tried, by their first task.
+    std::map<workflow_task, time_point> failed_gangs_;
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
@@ -317,6 +352,7 @@
     bool needs_plan_{true};
     bool is_behind_{false};
     bool was_behind_{false}; ///< is_behind() before the current plan
+    bool was_cut_{false};    ///< the last pass ended at its limit of visits
 };
 
 } // namespace apricotlb
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -358,6 +358,200 @@
     EXPECT_TRUE(it.leader->is_behind());
 }
 
+/// Submits a workflow with one permanent task whose last run ended elsewhere.
+auto submit_interrupted(fake_fleet& it, std::string const& id,
+                        std::int64_t cores) -> void
+{
+    auto lasting = fake_fleet::step(1);
+    lasting.permanent = true;
+    lasting.each.cores = millicores{cores};
+    it.submit(id, {lasting});
+    task_run const first{{workflow_id{id}, {}, {}, {}}, run_number{1}};
+    it.apply(start_runs{{{first, {worker_id{"gone"}, {}}}}});
+    it.apply(end_runs{{{first, run_end::lost, {}}}, {}});
+}
+
+/// Workers of which each has one core free beside a run of three cores.
+auto add_busy_workers(fake_fleet& it, std::int64_t count) -> void
+{
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 3000};
+    };
+    for (auto n = 0; n < count; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.run(milliseconds{5});
+    auto busy = fake_fleet::step(count);
+    busy.each.cores = millicores{3000};
+    it.submit("busy", {busy});
+    it.run(milliseconds{100});
+}
+
+auto end_first_run(fake_fleet& it, std::string const& id) -> void
+{
+    ended_run const ended{
+        {{workflow_id{id}, {}, {}, {}}, run_number{1}}, run_end::finished, {}};
+    it.apply(end_runs{{ended}, {}});
+    it.leader->on_recorded(propose_ends{{ended}, {}, {}}, it.now);
+}
+
+/// Submits 600 tasks that fit on no worker, of different sizes.
+auto submit_unplaceable(fake_fleet& it, std::int64_t smallest) -> void
+{
+    for (auto cores = smallest; cores < smallest + 600; ++cores)
+    {
+        auto large = fake_fleet::step(1);
+        large.each.cores = millicores{cores};
+        large.estimate = seconds{60};
+        it.submit("large" + std::to_string(cores), {large});
+    }
+}
+
+// A task that found no room was left out while passes were cut, although room
+// had fallen free meanwhile.
+TEST(run_scheduler, places_a_task_on_room_that_falls_free_while_passes_are_cut)
+{
+    fake_fleet it{14};
+    add_busy_workers(it, 1000);
+    ASSERT_EQ(it.leader->summary(it.now).running, 1000);
+    submit_interrupted(it, "a", 4000);
+    submit_unplaceable(it, 8000);
+    it.leader->plan(it.now, wall_time{});
+    ASSERT_EQ(count_placed(*it.leader), 0);
+    ASSERT_TRUE(it.leader->needs_plan());
+    end_first_run(it, "busy");
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+}
+
+// A pass ranked only the first 2,000 ready tasks in the order of acceptance, so
+// that nothing accepted behind them was considered.
+TEST(run_scheduler, restarts_a_task_behind_a_backlog_of_earlier_work)
+{
+    fake_fleet it{17};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{5});
+    auto large = fake_fleet::step(3000);
+    large.each.cores = millicores{8000};
+    it.submit("large", {large});
+    submit_interrupted(it, "a", 4000);
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+}
+
+/// Runs of tasks whose names begin with `a` last, the others end after 0.7 to
+/// 1.3 s, at different times.
+auto staggered_run(std::string const& task) -> platform_worker::run
+{
+    auto const spread = std::hash<std::string>{}(task) % 600;
+    auto const takes = task.starts_with("a") ? milliseconds{60'000}
+                                             : milliseconds{700 + spread};
+    return {0, time_point{takes}, "done", task.starts_with("a") ? 3000 : 1000};
+}
+
+// On full workers every piece of room that fell free was taken by smaller
+// tasks, and a permanent task that had ended was not restarted.
+TEST(run_scheduler, restarts_a_large_task_on_workers_full_of_small_ones)
+{
+    fake_fleet it{18};
+    it.behaviour = staggered_run;
+    for (auto n = 0; n < 4; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.submit("small", {fake_fleet::step(400)});
+    it.run(seconds{2});
+    ASSERT_EQ(it.leader->summary(it.now).running, 16);
+    for (auto n = 0; n < 2; ++n)
+    {
+        submit_interrupted(it, "a" + std::to_string(n), 3000);
+    }
+    it.run(seconds{3});
+    EXPECT_EQ(it.leader->summary(it.now).permanent, 2);
+    EXPECT_EQ(it.leader->summary(it.now).held, 0);
+}
+
+// A worker held for a task that does not need it any more stayed empty.
+TEST(run_scheduler, uses_a_held_worker_again_when_the_restart_is_cancelled)
+{
+    fake_fleet it{19};
+    it.behaviour = staggered_run;
+    it.add_worker("w1", 4000);
+    it.submit("small", {fake_fleet::step(400)});
+    it.run(seconds{2});
+    submit_interrupted(it, "a", 4000);
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.leader->summary(it.now).held, 1);
+    EXPECT_LT(it.workers["w1"]->running().size(), 4U);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.leader->summary(it.now).held, 0);
+    EXPECT_EQ(it.workers["w1"]->running().size(), 4U);
+}
+
+// Restarts of many tasks at once must not take the fleet from all other work.
+TEST(run_scheduler, holds_a_bounded_share_of_the_workers)
+{
+    fake_fleet it{20};
+    it.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{60}}, "done", 1000};
+    };
+    for (auto n = 0; n < 20; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.submit("small", {fake_fleet::step(80)});
+    it.run(milliseconds{100});
+    for (auto n = 0; n < 20; ++n)
+    {
+        submit_interrupted(it, "a" + std::to_string(n), 3000);
+    }
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.leader->summary(it.now).held, 5);
+}
+
+// A gang that found no room was left out for as long as passes were cut.
+TEST(run_scheduler, places_a_gang_although_every_pass_is_cut)
+{
+    fake_fleet it{15};
+    add_busy_workers(it, 1000);
+    auto gang = fake_fleet::step(1);
+    gang.gang = true;
+    gang.each.cores = millicores{4000};
+    gang.estimate = seconds{10};
+    it.submit("gang", {gang});
+    submit_unplaceable(it, 8000);
+    it.leader->plan(it.now, wall_time{});
+    ASSERT_EQ(count_placed(*it.leader), 0);
+    end_first_run(it, "busy");
+    std::size_t placed{0};
+    for (auto n = 1; n <= 10 && placed == 0; ++n)
+    {
+        // New kinds of tasks keep every pass cut.
+        submit_unplaceable(it, 8000 + 600 * n);
+        it.now += milliseconds{100};
+        it.leader->plan(it.now, wall_time{});
+        placed = count_placed(*it.leader);
+        EXPECT_TRUE(placed > 0 || it.leader->needs_plan());
+    }
+    EXPECT_EQ(placed, 1);
+}
+
+// Steps of one workflow with the same size and limit per worker shared one
+// failed search, so that the step with room left was skipped.
+TEST(run_scheduler, places_a_step_beside_one_that_has_reached_its_limit)
+{
+    fake_fleet it{16};
+    it.add_worker("w1", 16'000);
+    it.run(milliseconds{5});
+    auto limited = fake_fleet::step(3);
+    limited.max_per_worker = task_count{1};
+    it.submit("a", {limited, limited});
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 2);
+}
+
 // A new leader that places tasks before it knows what runs has no time left
 // for the runs that it took over.
 TEST(run_scheduler, learns_of_the_inherited_runs_before_it_places_more)
