Log why a permanent task waits for another run

The fleet line shows that permanent tasks are missing, and not why: a fleet without room in one piece, a planner that leaves a task out and starts that nobody confirms look the same.

Once a second the leader logs up to four lines `waiting`, for the permanent tasks that have waited longest for another run (more than 1 s): the wait, what the last pass of the planner did with the task, how many passes sought a worker for it, and the workers of its pool by the first reason why they cannot take it. The reasons are those of the planner: can_place() asks obstacle_to(), which names the first one. The wait lasts until a start is confirmed, so that a run that was recorded and never started does not begin it anew.

No decision changes.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -20,6 +20,7 @@
 #include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace apricotlb
 {
@@ -126,8 +127,12 @@
         }
     }
 
-    /// Called every config::fleet_report_interval with the state of the fleet.
-    auto on_report(std::function<void(fleet_summary const&)> callback) -> void
+    using report_callback = std::function<void(
+        fleet_summary const&, std::vector<wait_report> const&)>;
+
+    /// Called every config::fleet_report_interval with the state of the fleet
+    /// and the longest waits.
+    auto on_report(report_callback callback) -> void
     {
         on_report_ = std::move(callback);
     }
@@ -158,7 +163,8 @@
         if (now - last_report_ >= config::fleet_report_interval && on_report_)
         {
             last_report_ = now;
-            on_report_(scheduler_->summary(now));
+            on_report_(scheduler_->summary(now),
+                       scheduler_->longest_waits(now));
         }
     }
 
@@ -289,7 +295,7 @@
     fleet_policy policy_;
     term leader_term_;
     std::optional<run_scheduler> scheduler_;
-    std::function<void(fleet_summary const&)> on_report_;
+    report_callback on_report_;
     time_point last_report_{};
     duration last_pass_time_{};
     std::uint64_t epoch_{0};
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -58,6 +58,18 @@
                                  });
 }
 
+/// The first resource of which less is free than needed.
+auto missing_resource(resources const& needed, resources const& free)
+    -> placement_obstacle
+{
+    if (needed.cores > free.cores)
+    {
+        return placement_obstacle::cores;
+    }
+    return needed.memory > free.memory ? placement_obstacle::memory
+                                       : placement_obstacle::accels;
+}
+
 /// Estimated processor use on a worker: half of what is reserved, as serving
 /// tasks are seldom busy, and all that scavenging tasks request.
 auto estimated_load(worker_entry const& worker) -> millicores
@@ -183,18 +195,35 @@
     return cached->second;
 }
 
+auto run_scheduler::obstacle_to(identified_worker const& worker,
+                                candidate_run const& candidate,
+                                plan_pass& pass) const -> placement_obstacle
+{
+    auto const& entry = worker.second;
+    auto const& step = *candidate.step;
+    if (!reservation_of(step).fits_into(entry.free()))
+    {
+        return missing_resource(reservation_of(step), entry.free());
+    }
+    if (!has_label(*entry.info, step.requires_label))
+    {
+        return placement_obstacle::label;
+    }
+    if (step.max_per_worker > task_count{0} &&
+        count_step_runs(entry, candidate.task) >= step.max_per_worker.value())
+    {
+        return placement_obstacle::worker_limit;
+    }
+    return step.scavenges && !may_scavenge(worker, step, pass)
+               ? placement_obstacle::latency
+               : placement_obstacle::none;
+}
+
 auto run_scheduler::can_place(identified_worker const& worker,
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
 {
-    auto const& entry = worker.second;
-    auto const& step = *candidate.step;
-    return reservation_of(step).fits_into(entry.free()) &&
-           has_label(*entry.info, step.requires_label) &&
-           (step.max_per_worker == task_count{0} ||
-            count_step_runs(entry, candidate.task) <
-                step.max_per_worker.value()) &&
-           (!step.scavenges || may_scavenge(worker, step, pass));
+    return obstacle_to(worker, candidate, pass) == placement_obstacle::none;
 }
 
 auto run_scheduler::choose_worker(candidate_run const& candidate,
@@ -411,9 +440,15 @@
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
     {
+        waits_.begin_pass(pass_result::paused);
         return;
     }
     auto const order = ranked_tasks(now, wall);
+    waits_.begin_pass(pass_result::unranked);
+    for (auto const& ranked : order)
+    {
+        record_result(ranked, pass_result::unreached);
+    }
     auto pass = make_pass(now);
     auto is_cut = false;
     for (auto const& ranked : order)
@@ -433,19 +468,30 @@
         {
             auto gang = ranked.task->task;
             gang.index = {};
+            auto result = pass_result::skipped;
             if (!proposed_.contains(ranked.task->task) &&
                 tried.gangs.insert(gang).second)
             {
                 place_gang(*ranked.task, *ranked.record, pass);
+                result = pass_result::no_worker;
             }
+            record_result(ranked, proposed_.contains(ranked.task->task)
+                                      ? pass_result::placed
+                                      : result);
             continue;
         }
         auto key = placement_key_of(*ranked.record, step);
-        if (!tried.unplaceable.contains(key) &&
-            !place_single(*ranked.task, *ranked.record, pass))
+        auto result = pass_result::skipped;
+        if (!tried.unplaceable.contains(key))
         {
-            tried.unplaceable.insert(std::move(key));
+            result = pass_result::placed;
+            if (!place_single(*ranked.task, *ranked.record, pass))
+            {
+                result = pass_result::no_worker;
+                tried.unplaceable.insert(std::move(key));
+            }
         }
+        record_result(ranked, result);
     }
     is_behind_ = !tried.unplaceable.empty() || (is_cut && was_behind_);
     if (is_cut)
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -446,6 +446,7 @@
 {
     held.phase = run_phase::running;
     held.settled_at = now;
+    waits_.remove(run.task);
     if (held.scavenges)
     {
         interference_.started(worker.first, run, held.image, now);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -41,6 +41,7 @@
     : state_(state), fence_(fence), leading_since_(now), policy_(policy)
 {
     inherit_runs(now);
+    inherit_waits(now);
     unconfirmed_ = count_unconfirmed(now);
 }
 
@@ -337,6 +338,7 @@
         {
             stop_unneeded_runs(ended.run.task.workflow, now);
             stop_incomplete_gang(ended, now);
+            begin_wait(ended.run.task, now);
         }
     }
     else if (auto const* const cancel = std::get_if<cancel_workflow>(&applied))
@@ -352,6 +354,7 @@
     for (auto const& placed : proposal.value.runs)
     {
         proposed_.erase(placed.run.task);
+        waits_.record(placed.run.task, pass_result::none);
         release(placed.run, now);
     }
     needs_plan_ = true;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -6,12 +6,14 @@
 /// runs there; an order without an answer may still be executed.
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
 /// messages of workers, run_contacts.cpp their repeated announcements, and
-/// run_plan.cpp the choice of tasks and workers.
+/// run_plan.cpp the choice of tasks and workers, and run_waits.cpp says why a
+/// task is not placed.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
+#include "core/fleet/run_waits.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
 #include "core/fleet/worker_messages.hpp"
@@ -129,6 +131,11 @@
         return workers_;
     }
     [[nodiscard]] auto summary(time_point now) const -> fleet_summary;
+    /// Permanent tasks that have waited for another run for longer than
+    /// config::reported_wait, the longest waits first, and
+    /// config::max_reported_waits of them at most (run_waits.cpp).
+    [[nodiscard]] auto longest_waits(time_point now)
+        -> std::vector<wait_report>;
     /// True if an event since the last plan may allow a task to start.
     [[nodiscard]] auto needs_plan() const -> bool { return needs_plan_; }
     /// True if the last plan found no worker for some ready task, members of
@@ -281,6 +288,9 @@
                       plan_pass& pass) -> bool;
     auto place_gang(ready_task const& ready, workflow_record const& record,
                     plan_pass& pass) -> void;
+    auto obstacle_to(identified_worker const& worker,
+                     candidate_run const& candidate, plan_pass& pass) const
+        -> placement_obstacle;
     auto can_place(identified_worker const& worker,
                    candidate_run const& candidate, plan_pass& pass) const
         -> bool;
@@ -292,6 +302,13 @@
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
+    // run_waits.cpp
+    auto begin_wait(workflow_task const& task, time_point now) -> void;
+    auto inherit_waits(time_point now) -> void;
+    auto record_result(ranked_task const& ranked, pass_result result) -> void;
+    auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
+                         wait_report& out) const -> void;
+
     state_machine const& state_;
     fence_token fence_;
     time_point leading_since_;
@@ -310,6 +327,7 @@
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
     tried_tasks tried_;
+    restart_waits waits_;
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
--- /dev/null
+++ b/src/core/fleet/run_waits.hpp
@@ -0,0 +1,131 @@
+/// Permanent tasks that have run before and wait for their next run.
+#ifndef APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
+#define APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
+
+#include <apricotlb/time.hpp>
+#include <apricotlb/units.hpp>
+#include <apricotlb/workflow.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+namespace apricotlb::config
+{
+
+/// Wait of a permanent task for another run above which it is reported, and
+/// the waits in one report.
+inline constexpr duration reported_wait = seconds{1};
+inline constexpr std::size_t max_reported_waits = 4;
+
+} // namespace apricotlb::config
+
+namespace apricotlb
+{
+
+/// The first reason, in this order, for which a worker cannot take a task.
+enum class placement_obstacle : std::uint8_t
+{
+    none,
+    unusable, ///< silent, draining, paused after a rejection or without lease
+    cores,
+    memory,
+    accels,
+    label,
+    worker_limit, ///< step_spec::max_per_worker is reached
+    /// A scavenging task: latency of the serving tasks, or processor use.
+    latency,
+};
+
+/// Numbers of workers by placement_obstacle.
+class obstacle_counts
+{
+public:
+    auto add(placement_obstacle it, std::int64_t n = 1) -> void
+    {
+        counts_[static_cast<std::size_t>(it)] += n;
+    }
+    [[nodiscard]] auto operator[](placement_obstacle it) const -> std::int64_t
+    {
+        return counts_[static_cast<std::size_t>(it)];
+    }
+
+private:
+    std::array<std::int64_t,
+               static_cast<std::size_t>(placement_obstacle::latency) + 1>
+        counts_{};
+};
+
+/// What the last pass of the planner did with a waiting task.
+enum class pass_result : std::uint8_t
+{
+    none,      ///< there was no pass yet
+    paused,    ///< the pass placed nothing, as too many starts are unconfirmed
+    unranked,  ///< the pass did not rank the task
+    unreached, ///< the pass ended before the task
+    /// No worker was sought, since none was found for a task of the same kind
+    /// or for another member of the gang.
+    skipped,
+    no_worker, ///< a worker was sought and not found
+    placed,    ///< a start is proposed, or ordered and not confirmed
+};
+
+[[nodiscard]] auto name_of(pass_result it) -> std::string_view;
+
+/// A wait for the next run of a task.
+struct restart_wait
+{
+    time_point since{}; ///< when the end of the last run was recorded
+    pass_result last_pass{pass_result::none};
+    std::int64_t passes{0};   ///< of the planner, since then
+    std::int64_t searches{0}; ///< for a worker, since then
+};
+
+/// Follows the waits from the recorded end of a run to the confirmed start of
+/// the next one.
+class restart_waits
+{
+public:
+    /// Keeps the time of a task that waits already: a run that did not start
+    /// ends no wait.
+    auto add(workflow_task const& task, time_point now) -> void;
+    auto remove(workflow_task const& task) -> void { waits_.erase(task); }
+    /// Sets the result of a new pass for all tasks that are not placed.
+    auto begin_pass(pass_result initial) -> void;
+    /// Has no effect for a task that does not wait.
+    auto record(workflow_task const& task, pass_result result) -> void;
+    /// Removes the waits for which is_over(task) holds.
+    template <class Predicate>
+    auto prune(Predicate is_over) -> void
+    {
+        std::erase_if(waits_, [&is_over](auto const& each)
+                      { return is_over(each.first); });
+    }
+
+    [[nodiscard]] auto all() const
+        -> std::map<workflow_task, restart_wait> const&
+    {
+        return waits_;
+    }
+
+private:
+    std::map<workflow_task, restart_wait> waits_;
+};
+
+/// A long wait, with the workers of the task's pool by the reason for which
+/// they cannot take it.
+struct wait_report
+{
+    workflow_task task;
+    restart_wait wait;
+    duration waited{};
+    millicores required_cores;
+    millicores largest_free_cores; ///< on a worker that may get new runs
+    obstacle_counts workers;
+};
+
+} // namespace apricotlb
+
+#endif
