--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -80,6 +80,18 @@
             count_step_runs(worker, task) < step.max_per_worker.value());
 }
 
+/// The first resource of which less is free than needed.
+auto missing_resource(resources const& needed, resources const& free)
+    -> placement_obstacle
+{
+    if (needed.cores > free.cores)
+    {
+        return placement_obstacle::cores;
+    }
+    return needed.memory > free.memory ? placement_obstacle::memory
+                                       : placement_obstacle::accels;
+}
+
 /// Estimated processor use on a worker: half of what is reserved, as serving
 /// tasks are seldom busy, and all that scavenging tasks request.
 auto estimated_load(worker_entry const& worker) -> millicores
@@ -231,16 +243,36 @@
     return cached->second;
 }
 
+auto run_scheduler::obstacle_to(identified_worker const& worker,
+                                candidate_run const& candidate,
+                                plan_pass& pass) const -> placement_obstacle
+{
+    auto const& entry = worker.second;
+    auto const& step = *candidate.step;
+    if (!reservation_of(step).fits_into(entry.free()))
+    {
+        return missing_resource(reservation_of(step), entry.free());
+    }
+    if (!has_label(*entry.info, step.requires_label))
+    {
+        return placement_obstacle::label;
+    }
+    if (step.max_per_worker > task_count{0} &&
+        count_step_runs(entry, candidate.task) >= step.max_per_worker.value())
+    {
+        return placement_obstacle::worker_limit;
+    }
+    return step.scavenges && !may_scavenge(worker, step, pass)
+               ? placement_obstacle::latency
+               : placement_obstacle::none;
+}
+
 auto run_scheduler::can_place(identified_worker const& worker,
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
 {
-    auto const& entry = worker.second;
-    auto const& step = *candidate.step;
-    return (candidate.is_restart || !entry.held) &&
-           reservation_of(step).fits_into(entry.free()) &&
-           is_allowed(entry, step, candidate.task) &&
-           (!step.scavenges || may_scavenge(worker, step, pass));
+    return (candidate.is_restart || !worker.second.held) &&
+           obstacle_to(worker, candidate, pass) == placement_obstacle::none;
 }
 
 auto run_scheduler::choose_worker(candidate_run const& candidate,
@@ -618,15 +650,20 @@
         }
         auto const candidate = make_candidate(
             record, it->task, record.find(it->task)->last + run_number{1});
-        if (place_single(candidate, pass))
+        auto const placed = place_single(candidate, pass);
+        if (candidate.is_restart)
         {
-            continue;
+            waits_.record(it->task, placed ? pass_result::placed
+                                           : pass_result::no_worker);
         }
-        if (!candidate.is_restart)
+        if (!placed && !candidate.is_restart)
         {
             return true;
         }
-        hold_worker(candidate, pass);
+        if (!placed)
+        {
+            hold_worker(candidate, pass);
+        }
     }
     return true;
 }
@@ -643,8 +680,10 @@
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
     {
+        waits_.begin_pass(pass_result::paused);
         return;
     }
+    waits_.begin_pass(pass_result::unreached);
     auto pass = make_pass(now);
     for (auto const& step : ranked_steps(now, wall))
     {
