Send no start order that a worker has no room for any more

A worker that does not guard its capacity was brought over it: a run that was proposed or ordered before the capacity shrank was sent or repeated after it, and a new leader started inherited runs on it.

Cause: the capacity was compared at placement only; each later send of the start order (at commit, at a repeat, after the first lists under a new leader) checked the phase and the incarnation of the worker, but not its capacity.

may_start() now compares the run with the capacity announced last, beside all other runs that may be on the worker: confirmed ones, those being stopped, and those whose order may still be carried out. A run that does not fit is withdrawn and placed again; it counts no failure. The other members of its gang are stopped by the existing rule and placed again together. Confirmed runs go on: a stop would throw their work away, while a worker over its capacity only slows down and gets nothing new until it has room.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -110,7 +110,9 @@
     // A worker that has not announced itself to this leader receives no orders.
     auto const is_draining =
         entry.info && entry.info->phase != worker_phase::ready;
-    if (!is_wanted(run) || entry.incarnation_ended || is_draining)
+    // The capacity may have shrunk since the run was placed.
+    auto const has_room = !entry.info || entry.has_room_for(run);
+    if (!is_wanted(run) || entry.incarnation_ended || is_draining || !has_room)
     {
         return false;
     }
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -106,6 +106,22 @@
     }
 };
 
+/// True if the run uses its reservation on the worker, or if a start order that
+/// was sent may still be carried out.
+[[nodiscard]] inline auto may_be_on_worker(held_run const& it) -> bool
+{
+    switch (it.phase)
+    {
+    case run_phase::proposed:
+    case run_phase::ending:
+        return false;
+    case run_phase::ordered:
+        return it.order_in_flight || it.start_unconfirmed;
+    default:
+        return true;
+    }
+}
+
 /// Converts between a worker's clock and the leader's, and gives an upper bound
 /// for the end of the worker's lease on the leader's clock. The worker's clock
 /// may run slow by config::worker_clock_drift.
@@ -232,6 +248,20 @@
         left -= reserved;
         return left;
     }
+    /// True if a run that holds a reservation fits beside all others that may
+    /// be on the worker, with the capacity that it announced last.
+    [[nodiscard]] auto has_room_for(task_run const& name) const -> bool
+    {
+        auto left = info ? info->capacity : resources{};
+        for (auto const& [other, held] : runs)
+        {
+            if (other != name && may_be_on_worker(held))
+            {
+                left -= held.reservation;
+            }
+        }
+        return runs.at(name).reservation.fits_into(left);
+    }
 };
 
 } // namespace apricotlb
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -28,6 +28,7 @@
     std::uint64_t unanswered{0}; ///< carried out, the answer is lost
     std::uint64_t late{0};       ///< no answer, carried out 2 to 6 s later
     std::uint64_t repeated{0};   ///< answered, and carried out again as late
+    std::uint64_t lost{0};       ///< no answer, never carried out
 };
 
 /// Commits after 15 ms, delivers orders after 5 ms and checks in each step of
@@ -211,6 +212,7 @@
             {
                 auto const text = it->heartbeat(
                     now, draining.contains(name) ? "draining" : "ready");
+                it->note_announced();
                 leader->on_announcement(
                     platform::decode_announcement(worker_id{name}, text)
                         .value(),
@@ -286,6 +288,18 @@
             hold_back(it, *relay, deliver);
             return;
         }
+        if (!is_poll && faults.lost > 0 && happens(faults.lost))
+        {
+            events_.emplace(now + config::order_timeout,
+                            [this, it, epoch = epoch_]
+                            {
+                                if (epoch == epoch_)
+                                {
+                                    answer(it, platform::json_answer(500, ""));
+                                }
+                            });
+            return;
+        }
         auto const late = !is_poll && happens(faults.late);
         auto const lost = late || cut.contains(name) ||
                           (!is_poll && happens(faults.unanswered));
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -21,7 +21,8 @@
 {
 
 /// Runs tasks under one lease on its own clock, obeys fences, rejects what
-/// does not fit and lists ends until they are acknowledged.
+/// does not fit, unless it accepts everything, and lists ends until they are
+/// acknowledged.
 class platform_worker
 {
 public:
@@ -49,6 +50,18 @@
     /// What tasks need and how their runs go; set by the test.
     std::function<run(std::string const& task)> behaviour;
 
+    /// Starts also what exceeds the capacity.
+    bool accepts_everything{false};
+
+    /// Changes the capacity that the next heartbeat announces.
+    auto resize(std::int64_t cpu) -> void { cpu_ = cpu; }
+    auto note_announced() -> void { announced_cpu_ = cpu_; }
+    /// Starts that brought the worker over the capacity that it had announced.
+    [[nodiscard]] auto starts_over_capacity() const -> std::size_t
+    {
+        return starts_over_capacity_;
+    }
+
     /// Lets time pass: runs end, and all end when the lease is over.
     auto advance(time_point now) -> void
     {
@@ -112,8 +125,10 @@
     /// Forgets everything, as a crash does, and starts under the same id.
     auto restart(std::int64_t incarnation_number, time_point now) -> void
     {
+        auto const accepts = accepts_everything;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
+        accepts_everything = accepts;
         started_ = now;
     }
 
@@ -199,10 +214,11 @@
         {
             used += it.cpu;
         }
-        if (used > cpu_)
+        if (used > cpu_ && !accepts_everything)
         {
             return reject(now, "room");
         }
+        starts_over_capacity_ += used > announced_cpu_ ? 1 : 0;
         most_used_ = std::max(most_used_, used);
         running_[task] = made;
         return platform::json_answer(200, clock_body(now));
@@ -257,12 +273,14 @@
 
     worker_id id_;
     std::int64_t cpu_;
+    std::int64_t announced_cpu_{cpu_};
     std::int64_t born_;
     time_point started_{};
     std::int64_t fence_{0};
     std::int64_t lease_{0};
     std::int64_t last_end_{0};
     std::int64_t most_used_{0};
+    std::size_t starts_over_capacity_{0};
     std::map<std::string, run> running_;
     std::map<std::string, std::int64_t> closed_;
     std::vector<ended> ended_;
