Test how many backend servers one request can reach

A request that ends the process of each server that runs it must not be passed on through the whole service. Nothing is changed: the tests pass. An idempotent request without a key whose body is still buffered reaches config::max_attempts servers, attempts that were refused unrun included; all others (POST, any request with an idempotency key, a body that is no longer buffered) reach one. Over many requests of a customer, the repeats stay within its retry budget.

--- a/tests/request_flow_test.cpp
+++ b/tests/request_flow_test.cpp
@@ -306,5 +306,90 @@
     EXPECT_EQ(find<act::start_answer>(), nullptr);
 }
 
+/// Every kind of request, as far as it decides about retries.
+struct request_kind
+{
+    std::string method;
+    bool keyed;
+    bool replayable;
+};
+constexpr auto all_failures = {error_kind::backend_failed,
+                               error_kind::backend_timeout,
+                               error_kind::backend_cut_answer};
+
+// A request that ends the process of each server that runs it must not be
+// passed on through the whole service.
+TEST_F(flow_test, reaches_few_servers_when_each_ends_without_an_answer)
+{
+    for (auto const& kind :
+         {request_kind{"GET", false, true}, request_kind{"PUT", false, true},
+          request_kind{"PUT", false, false}, request_kind{"POST", false, true},
+          request_kind{"GET", true, true}, request_kind{"POST", true, true}})
+    {
+        for (auto const failure : all_failures)
+        {
+            budget = {};
+            replayable = kind.replayable;
+            make(kind.method, kind.keyed);
+            step(ev::start{});
+            if (kind.keyed)
+            {
+                step(ev::key_begun{begun()});
+            }
+            auto servers = 0;
+            while (flow->phase() == flow_phase::queued && servers < 100)
+            {
+                ++servers;
+                step(ev::dispatched{backend_id{"b" + std::to_string(servers)}});
+                step(ev::call_ended{flow->attempt(), broken(failure)});
+            }
+            auto const may_repeat =
+                kind.method != "POST" && !kind.keyed && kind.replayable;
+            EXPECT_EQ(servers, may_repeat ? config::max_attempts : 1)
+                << kind.method << kind.keyed << kind.replayable;
+            EXPECT_EQ(find<act::finish_key>() != nullptr, kind.keyed);
+        }
+    }
+}
+
+// Servers that refuse a request unrun must not add to those that it may end.
+TEST_F(flow_test, counts_refused_attempts_with_those_that_broke)
+{
+    send("GET");
+    step(ev::head{first, {http_status{503}, {{"apricotlb-ran", "no"}}, {}}});
+    auto servers = 1;
+    while (flow->phase() == flow_phase::queued && servers < 100)
+    {
+        ++servers;
+        step(ev::dispatched{backend_id{"b" + std::to_string(servers)}});
+        step(ev::call_ended{flow->attempt(),
+                            broken(error_kind::backend_failed)});
+    }
+    EXPECT_EQ(servers, config::max_attempts);
+}
+
+// Many such requests of one customer would otherwise each end several servers.
+TEST_F(flow_test, bounds_the_repeats_of_a_customer_by_its_budget)
+{
+    constexpr auto requests = 100;
+    auto servers = 0;
+    for (auto n = 0; n < requests; ++n)
+    {
+        make("GET", false);
+        budget.add_credit(flow->facts().customer, now);
+        step(ev::start{});
+        while (flow->phase() == flow_phase::queued)
+        {
+            ++servers;
+            step(ev::dispatched{backend_id{"b" + std::to_string(servers)}});
+            step(ev::call_ended{flow->attempt(),
+                                broken(error_kind::backend_failed)});
+        }
+    }
+    auto const repeats = config::min_retry_credit +
+                         requests * config::retry_ratio.value() / 1000;
+    EXPECT_LE(servers, requests + repeats);
+}
+
 } // namespace
 } // namespace apricotlb
