Let each round of announcements begin where the last one ended

A process that keeps more workers than one round to the leader holds (256 announcements in full, 1,024 contacts) began each round at the same worker. Workers whose announcements are always given in full (those that drain, or that change) or that renew their contact each second filled every round while the leader was slow, and those behind them were neither acknowledged nor in contact: the leader counts such a worker as silent and its runs as lost once the lease is over.

A round now begins with the first worker that the last one left out.

Evidence: both new tests failed before (a worker behind 266 draining ones was not named in the second round; 1,024 of 1,034 contacts were sent, always the same).

--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -154,30 +154,44 @@
                 {{{worker, true}, it.last_ticket}, {}, 0, true});
         }
     }
-    for (auto& [worker, it] : kept_)
+    std::optional<worker_id> left_out;
+    auto next = kept_.lower_bound(resume_at_);
+    for (auto n = kept_.size(); n > 0; --n, ++next)
     {
+        next = next == kept_.end() ? kept_.begin() : next;
+        auto& [worker, it] = *next;
         intake_call::entry entry{{{worker, false}, it.last_ticket},
                                  it.value.number,
                                  it.change,
                                  !is_accepted(it)};
+        if (!entry.is_full && !it.contact_due)
+        {
+            continue;
+        }
         if (entry.is_full)
         {
-            if (add_announcement(it.value, it.received))
+            if (!add_announcement(it.value, it.received))
             {
-                it.contact_due = false;
-                calls.back().entries.push_back(std::move(entry));
+                left_out = left_out.value_or(worker);
+                continue;
             }
+            calls.back().entries.push_back(std::move(entry));
         }
-        else if (it.contact_due &&
-                 calls.front().batch.contacts.size() < max_contacts_per_call)
+        else
         {
-            it.contact_due = false;
+            if (calls.front().batch.contacts.size() == max_contacts_per_call)
+            {
+                left_out = left_out.value_or(worker);
+                continue;
+            }
             calls.front().batch.contacts.push_back(
                 {it.value.instance, it.value.number, it.described,
                  it.value.clock, age_of(it.received, now)});
             calls.front().entries.push_back(std::move(entry));
         }
+        it.contact_due = false;
     }
+    resume_at_ = left_out.value_or(worker_id{});
     for (auto& call : calls)
     {
         call.sent_at = now;
--- a/src/core/fleet/announcement_intake.hpp
+++ b/src/core/fleet/announcement_intake.hpp
@@ -140,6 +140,9 @@
     }
 
     std::map<worker_id, kept_worker> kept_;
+    /// The first worker that the last round left out; the next one begins
+    /// there.
+    worker_id resume_at_;
     std::map<worker_id, departure> leaving_;
     sequence last_ticket_;
     term leader_term_;                        ///< highest seen
--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -226,6 +227,70 @@
     EXPECT_EQ(round(first).size(), 10U);
 }
 
+// Workers that drain are given in full with each announcement; a worker behind
+// more of them than fit into a round would never be heard of.
+TEST_F(announcement_intake_test, leaves_no_worker_out_for_good)
+{
+    constexpr auto bound = announcement_intake::max_announcements_per_call *
+                           announcement_intake::max_calls_per_round;
+    auto const drain_all = [&](std::uint64_t number)
+    {
+        for (auto n = 0U; n < bound + 10; ++n)
+        {
+            auto it = announcement("d" + std::to_string(n), number);
+            it.phase = worker_phase::draining;
+            intake.take(it, now);
+        }
+    };
+    auto const is_named = [&](std::string const& id)
+    {
+        return std::ranges::any_of(
+            calls,
+            [&](intake_call const& call)
+            {
+                return std::ranges::any_of(
+                    call.batch.announcements, [&](auto const& it)
+                    { return it.value.instance.id == worker_id{id}; });
+            });
+    };
+    intake.take(announcement("w", 1), now);
+    drain_all(1);
+    round(first);
+    ASSERT_FALSE(is_named("w"));
+    drain_all(2);
+    round(first);
+    EXPECT_TRUE(is_named("w"));
+}
+
+// The tail of a large fleet would count as silent.
+TEST_F(announcement_intake_test, leaves_no_contact_out_for_good)
+{
+    constexpr auto workers = announcement_intake::max_contacts_per_call + 10;
+    auto const announce_all = [&](std::uint64_t number)
+    {
+        for (auto n = 0U; n < workers; ++n)
+        {
+            intake.take(announcement("w" + std::to_string(n), number), now);
+        }
+    };
+    announce_all(1);
+    for (auto n = 0U; n < 6; ++n)
+    {
+        round(first);
+    }
+    std::set<worker_id> known;
+    for (std::uint64_t number = 2; number < 4; ++number)
+    {
+        announce_all(number);
+        round(first);
+        for (auto const& it : calls.front().batch.contacts)
+        {
+            known.insert(it.instance.id);
+        }
+    }
+    EXPECT_EQ(known.size(), workers);
+}
+
 // The notice of a new leader may be lost; its first answer shows its term.
 TEST_F(announcement_intake_test, learns_of_a_new_leader_from_its_answer)
 {
