Return a failed task to its worker when no other one is large enough

A task that failed once stayed waiting for good, with the reason "no capacity", if no worker but the one on which it had failed was large enough, or if the others left: it was not given up either, since that takes failures on several workers.

Cause: the workers on which a task failed were excluded from its placement for as long as the task lived, whatever became of the others.

They are now excluded only while another registered worker could hold the task, also a full one.

--- a/src/core/scheduling/placement.cpp
+++ b/src/core/scheduling/placement.cpp
@@ -128,11 +128,22 @@
     update_index(it);
 }
 
-auto placement::fits_any(resources const& need, permille share) const -> bool
+auto placement::fits_any(resources const& need, permille share,
+                         std::span<worker_ref const> excluded) const -> bool
 {
-    return std::ranges::any_of(
-        classes_, [&](size_class const& it)
-        { return need.fits_into(share_of(it.capacity, share)); });
+    std::size_t fitting{0};
+    for (auto const& it : classes_)
+    {
+        fitting +=
+            need.fits_into(share_of(it.capacity, share)) ? it.workers : 0;
+    }
+    auto const is_fitting = [&](worker_ref worker)
+    {
+        auto const& it = workers_[pos(worker)];
+        return it.is_registered && need.fits_into(share_of(it.capacity, share));
+    };
+    return fitting > static_cast<std::size_t>(
+                         std::ranges::count_if(excluded, is_fitting));
 }
 
 auto placement::is_allowed(placement_request const& request,
--- a/src/core/scheduling/placement.hpp
+++ b/src/core/scheduling/placement.hpp
@@ -105,8 +105,9 @@
     }
 
     /// Whether the need fits into the given share of the capacity of any
-    /// registered worker, also a full one.
-    [[nodiscard]] auto fits_any(resources const& need, permille share) const
+    /// registered worker that is not excluded, also a full one.
+    [[nodiscard]] auto fits_any(resources const& need, permille share,
+                                std::span<worker_ref const> excluded = {}) const
         -> bool;
 
     /// Chooses a worker. cost(worker) returns an interference_cost.
--- a/src/core/scheduling/scheduler_dispatch.cpp
+++ b/src/core/scheduling/scheduler_dispatch.cpp
@@ -209,7 +209,13 @@
     request.need = need;
     request.vm_share = terms->vm_share;
     request.is_straggler = policy_.demotion && pick.item.demoted;
-    request.excluded = health_.failed_on(task);
+    // The task returns to a worker on which it failed if no other one is large
+    // enough.
+    auto const failed_on = health_.failed_on(task);
+    if (placement_.fits_any(need, terms->vm_share, failed_on))
+    {
+        request.excluded = failed_on;
+    }
     request.sibling_racks = job.racks;
     if (hold != holds_.end())
     {
--- /dev/null
+++ b/tests/scheduler_waiting_test.cpp
@@ -0,0 +1,70 @@
+#include "fake_cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+auto declared_sizes() -> scheduler_policy
+{
+    scheduler_policy policy;
+    policy.learned_sizes = false;
+    return policy;
+}
+
+auto run_until_failed(fake_cluster& it, std::string const& job) -> void
+{
+    auto const moved = [&]
+    {
+        return it.leader.explain(customer_id{"a"}, {job_id{job}, task_index{0}})
+            .value()
+            .moved;
+    };
+    for (auto n = 0; n < 100 && moved() != move_reason::failed; ++n)
+    {
+        it.run(milliseconds{200});
+    }
+    ASSERT_EQ(moved(), move_reason::failed);
+}
+
+// A task that failed once on the only worker that is large enough.
+TEST(scheduler_waiting, returns_to_the_only_worker_that_fits)
+{
+    fake_cluster it{21, declared_sizes()};
+    it.add_contract("a", 1000);
+    auto const large = it.add_worker(0, 0);
+    it.add_worker(1, 0, 2);
+    it.add_worker(2, 1, 2);
+    it.workers.at(large).fails_all = true;
+    it.run(seconds{2});
+    it.submit("a", "j", "k", 1, 4);
+    run_until_failed(it, "j");
+    it.workers.at(large).fails_all = false;
+    it.run(seconds{20});
+    EXPECT_EQ(it.count("j", task_state::finished), 1);
+}
+
+// The worker that was to take the task instead has left.
+TEST(scheduler_waiting, returns_to_the_only_worker_that_is_left)
+{
+    fake_cluster it{22, declared_sizes()};
+    it.add_contract("a", 1000);
+    auto const first = it.add_worker(0, 0);
+    it.workers.at(first).fails_all = true;
+    it.run(seconds{2});
+    it.submit("a", "j", "k", 1, 4);
+    auto const second = it.add_worker(1, 0);
+    it.workers.at(second).up = false;
+    run_until_failed(it, "j");
+    it.workers.at(first).fails_all = false;
+    it.leader.worker_retired(second, it.now());
+    it.run(seconds{20});
+    EXPECT_EQ(it.count("j", task_state::finished), 1);
+}
+
+} // namespace
+} // namespace apricotlb
