Offer every waiting item before a round of the queue begins again

While a customer with a small share had more waiting jobs that could not be placed than a round has tries, no job of the customers behind it was considered: a task of 1 core waited for the whole test with 80 cores free, behind 1,500 jobs that were too large for every worker.

Cause: a tick ends after config::max_failed_tries_per_tick tries that fail and goes on with the next item in the following tick, but as soon as resources are freed (at most every 100 ms) all deferred items were offered again, so that each round tried the same first 1,000 items.

A round that a tick cut for its failed tries now goes on until each waiting item was offered once; only then are the deferred items resumed. Placements don't prolong a round.

Evidence: the new test failed before and passes now.

--- a/src/core/scheduling/scheduler.hpp
+++ b/src/core/scheduling/scheduler.hpp
@@ -225,6 +225,7 @@
     std::vector<resources> failed_needs_; ///< that found no worker in this tick
     bool capacity_freed_{false};          ///< since the last resume_deferred()
     bool is_capacity_short_{false};       ///< batch work found no capacity
+    bool is_round_cut_{false};            ///< by max_failed_tries_per_tick
     time_point last_resume_;
     time_point last_check_;
     time_point last_save_;
--- a/src/core/scheduling/scheduler_dispatch.cpp
+++ b/src/core/scheduling/scheduler_dispatch.cpp
@@ -54,8 +54,11 @@
 
 auto scheduler::dispatch(time_point now, random_bits random) -> void
 {
-    if (now - last_resume_ >= config::max_wake_interval ||
-        (capacity_freed_ && now - last_resume_ >= config::min_wake_interval))
+    // While items that fail take up the tries, the round has not reached those
+    // behind them.
+    auto const wake_interval =
+        capacity_freed_ ? config::min_wake_interval : config::max_wake_interval;
+    if (!is_round_cut_ && now - last_resume_ >= wake_interval)
     {
         last_resume_ = now;
         capacity_freed_ = false;
@@ -82,9 +85,11 @@
     std::size_t failures = 0;
     for (std::size_t decision = 0; decision < config::max_placements_per_tick;
          ++decision)
+    is_round_cut_ = false;
     {
         auto const pick = queue_.next(held_share);
-        if (!pick || failures >= config::max_failed_tries_per_tick)
+        is_round_cut_ = pick && failures >= config::max_failed_tries_per_tick;
+        if (!pick || is_round_cut_)
         {
             return;
         }
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -66,5 +66,32 @@
     EXPECT_EQ(it.count("j", task_state::finished), 1);
 }
 
+// The customer with the smallest share is offered first, and none of its jobs
+// can run.
+TEST(scheduler_waiting, many_jobs_that_cannot_run_hold_up_nobody)
+{
+    fake_cluster it{24, declared_sizes()};
+    it.add_contract("a", 1000);
+    it.add_contract("b", 1000);
+    it.add_contract("c", 1000, 80);
+    it.behaviour["busy"].run_time = milliseconds{200};
+    // Their reports free capacity in every tick.
+    for (auto n = 0; n < 20; ++n)
+    {
+        it.add_worker(n, n);
+    }
+    it.run(seconds{2});
+    it.submit("c", "busy", "busy", 4000);
+    it.run(seconds{2});
+    for (auto n = 0; n < 1500; ++n)
+    {
+        it.submit("a", "huge" + std::to_string(n), "huge", 1, 9);
+    }
+    it.submit("b", "small", "k", 1);
+    it.run(seconds{10});
+    EXPECT_EQ(it.count("small", task_state::finished), 1);
+    EXPECT_GT(it.count("busy", task_state::waiting), 0);
+}
+
 } // namespace
 } // namespace apricotlb
