Send no start order to a pool that the queue has left

A run that was placed before its queue moved to another pool was started on a worker of the former pool: at its commit, at a repeat of the order, and under a new leader, at any time after the change was acknowledged.

Cause: the pool was compared at placement only. may_start() now compares it with the queue's contract in force for every send of a start order, and the run is withdrawn and placed in the new pool. Runs that were confirmed go on.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -116,10 +116,11 @@
     {
         return false;
     }
-    auto const& task =
-        *state_.workflows().find(run.task.workflow)->find(run.task);
-    return find_active(task, run.number)->worker.incarnation ==
-           entry.incarnation;
+    auto const& record = *state_.workflows().find(run.task.workflow);
+    // The queue may have moved to another pool since then.
+    auto const is_in_pool = !entry.info || entry.info->pool == pool_of(record);
+    return is_in_pool && find_active(*record.find(run.task), run.number)
+                                 ->worker.incarnation == entry.incarnation;
 }
 
 auto run_scheduler::has_current_phase(worker_entry const& worker,
