Hold a worker also for a task whose size has failed in the same tick

A task that needs a whole worker got no hold after config::hold_delay while smaller tasks that found no room were tried before it in each tick: their failed search was taken as the answer for the larger one too, and the search is what led to a hold.

The result of the search is still reused, but a task that has waited long enough now gets its hold.

--- a/src/core/scheduling/scheduler_dispatch.cpp
+++ b/src/core/scheduling/scheduler_dispatch.cpp
@@ -201,13 +201,17 @@
     auto const hold = holds_.find(pick.item);
     auto const is_dominated = std::ranges::any_of(
         failed_needs_, [&](resources const& it) { return it.fits_into(need); });
+    auto const has_waited = now - pick.since >= config::hold_delay;
     if (is_dominated && hold == holds_.end())
     {
         return task_reason::no_capacity;
     }
+        if (has_waited)
+        {
+            hold_worker(pick, need, terms->vm_share, now, random);
+        }
     auto& waiting = job.waiting[pick.item.demoted ? 1 : 0];
     task_ref const task{pick.item.job, waiting.back()};
-    auto const has_waited = now - pick.since >= config::hold_delay;
     auto const forced = is_service || (pick.is_oldest && has_waited);
     placement_request request;
     request.customer = pick.customer;
