Give up a hold on a worker that takes no tasks

A task for which a worker was held waited up to config::max_hold_time (10 minutes) for a worker that had fallen silent, was quarantined or had been retired, and no other worker was held for it meanwhile; the dead hold also counted against the limit of held workers. A retired worker that was held still counted as open, so that the task could be proposed for it.

A hold now ends as soon as its worker takes no new tasks, and a retired worker takes none.

--- a/src/core/scheduling/scheduler.cpp
+++ b/src/core/scheduling/scheduler.cpp
@@ -106,6 +106,7 @@
     }
     auto& entry = workers_[pos(*worker)];
     entry.registered = false;
+    placement_.set_open(*worker, false);
     placement_.remove(*worker);
     commitments_.set_capacity(*worker, {});
     health_.remove(*worker);
--- a/src/core/scheduling/scheduler_dispatch.cpp
+++ b/src/core/scheduling/scheduler_dispatch.cpp
@@ -68,12 +68,14 @@
     std::erase_if(holds_,
                   [&](auto const& it)
                   {
-                      auto const has_expired = now >= it.second.until;
-                      if (has_expired)
+                      auto const is_over =
+                          now >= it.second.until ||
+                          !placement_.is_open(it.second.worker);
+                      if (is_over)
                       {
                           placement_.set_held(it.second.worker, false);
                       }
-                      return has_expired;
+                      return is_over;
                   });
     failed_needs_.clear();
     auto state = random.value();
@@ -83,9 +85,9 @@
                               commitments_.total_capacity());
     };
     std::size_t failures = 0;
+    is_round_cut_ = false;
     for (std::size_t decision = 0; decision < config::max_placements_per_tick;
          ++decision)
-    is_round_cut_ = false;
     {
         auto const pick = queue_.next(held_share);
         is_round_cut_ = pick && failures >= config::max_failed_tries_per_tick;
@@ -199,17 +201,17 @@
         return task_reason::failing_job;
     }
     auto const hold = holds_.find(pick.item);
+    auto const has_waited = now - pick.since >= config::hold_delay;
     auto const is_dominated = std::ranges::any_of(
         failed_needs_, [&](resources const& it) { return it.fits_into(need); });
-    auto const has_waited = now - pick.since >= config::hold_delay;
     if (is_dominated && hold == holds_.end())
     {
-        return task_reason::no_capacity;
-    }
         if (has_waited)
         {
             hold_worker(pick, need, terms->vm_share, now, random);
         }
+        return task_reason::no_capacity;
+    }
     auto& waiting = job.waiting[pick.item.demoted ? 1 : 0];
     task_ref const task{pick.item.job, waiting.back()};
     auto const forced = is_service || (pick.is_oldest && has_waited);
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -1,7 +1,10 @@
 #include "fake_cluster.hpp"
 
+#include <apricotlb/config.hpp>
+
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace apricotlb
@@ -66,6 +69,39 @@
     EXPECT_EQ(it.count("j", task_state::finished), 1);
 }
 
+// The worker that is held for a task falls silent.
+TEST(scheduler_waiting, holds_another_worker_for_one_that_falls_silent)
+{
+    fake_cluster it{23, declared_sizes()};
+    it.add_contract("a", 1000);
+    it.add_worker(0, 0);
+    it.add_worker(1, 0);
+    it.run(seconds{2});
+    for (auto n = 0; n < 16; ++n)
+    {
+        it.submit("a", "first" + std::to_string(n), "k", 1);
+        it.run(milliseconds{300});
+    }
+    it.submit("a", "flow", "k", 1000);
+    it.run(seconds{6});
+    it.submit("a", "large", "other", 1, 8);
+    it.run(config::hold_delay - seconds{2});
+    auto const held = [&]
+    {
+        return std::ranges::find_if(it.workers, [](auto const& each)
+                                    { return each.second.running.size() < 5; });
+    };
+    for (auto n = 0; n < 100 && held() == it.workers.end(); ++n)
+    {
+        it.run(milliseconds{100});
+    }
+    ASSERT_NE(held(), it.workers.end());
+    it.crash(held()->first);
+    it.run(seconds{60});
+    EXPECT_EQ(it.count("large", task_state::finished), 1);
+    EXPECT_GT(it.count("flow", task_state::waiting), 0);
+}
+
 // The customer with the smallest share is offered first, and none of its jobs
 // can run.
 TEST(scheduler_waiting, many_jobs_that_cannot_run_hold_up_nobody)
