--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -111,14 +111,17 @@
     // A worker that has not announced itself to this leader receives no orders.
     auto const is_draining =
         entry.info && entry.info->phase != worker_phase::ready;
-    if (!is_wanted(run) || entry.incarnation_ended || is_draining)
+    // The capacity may have shrunk since the run was placed.
+    auto const has_room = !entry.info || entry.has_room_for(run);
+    if (!is_wanted(run) || entry.incarnation_ended || is_draining || !has_room)
     {
         return false;
     }
-    auto const& task =
-        *state_.workflows().find(run.task.workflow)->find(run.task);
-    return find_active(task, run.number)->worker.incarnation ==
-           entry.incarnation;
+    auto const& record = *state_.workflows().find(run.task.workflow);
+    // The queue may have moved to another pool since then.
+    auto const is_in_pool = !entry.info || entry.info->pool == pool_of(record);
+    return is_in_pool && find_active(*record.find(run.task), run.number)
+                                 ->worker.incarnation == entry.incarnation;
 }
 
 auto run_scheduler::has_current_phase(worker_entry const& worker,
--- a/src/core/scheduling/scheduler_dispatch.cpp
+++ b/src/core/scheduling/scheduler_dispatch.cpp
@@ -54,8 +54,11 @@
 
 auto scheduler::dispatch(time_point now, random_bits random) -> void
 {
-    if (now - last_resume_ >= config::max_wake_interval ||
-        (capacity_freed_ && now - last_resume_ >= config::min_wake_interval))
+    // While items that fail take up the tries, the round has not reached those
+    // behind them.
+    auto const wake_interval =
+        capacity_freed_ ? config::min_wake_interval : config::max_wake_interval;
+    if (!is_round_cut_ && now - last_resume_ >= wake_interval)
     {
         last_resume_ = now;
         capacity_freed_ = false;
@@ -65,12 +68,14 @@
     std::erase_if(holds_,
                   [&](auto const& it)
                   {
-                      auto const has_expired = now >= it.second.until;
-                      if (has_expired)
+                      auto const is_over =
+                          now >= it.second.until ||
+                          !placement_.is_open(it.second.worker);
+                      if (is_over)
                       {
                           placement_.set_held(it.second.worker, false);
                       }
-                      return has_expired;
+                      return is_over;
                   });
     failed_needs_.clear();
     auto state = random.value();
@@ -80,11 +85,13 @@
                               commitments_.total_capacity());
     };
     std::size_t failures = 0;
+    is_round_cut_ = false;
     for (std::size_t decision = 0; decision < config::max_placements_per_tick;
          ++decision)
     {
         auto const pick = queue_.next(held_share);
-        if (!pick || failures >= config::max_failed_tries_per_tick)
+        is_round_cut_ = pick && failures >= config::max_failed_tries_per_tick;
+        if (!pick || is_round_cut_)
         {
             return;
         }
@@ -194,22 +201,32 @@
         return task_reason::failing_job;
     }
     auto const hold = holds_.find(pick.item);
+    auto const has_waited = now - pick.since >= config::hold_delay;
     auto const is_dominated = std::ranges::any_of(
         failed_needs_, [&](resources const& it) { return it.fits_into(need); });
     if (is_dominated && hold == holds_.end())
     {
+        if (has_waited)
+        {
+            hold_worker(pick, need, terms->vm_share, now, random);
+        }
         return task_reason::no_capacity;
     }
     auto& waiting = job.waiting[pick.item.demoted ? 1 : 0];
     task_ref const task{pick.item.job, waiting.back()};
-    auto const has_waited = now - pick.since >= config::hold_delay;
     auto const forced = is_service || (pick.is_oldest && has_waited);
     placement_request request;
     request.customer = pick.customer;
     request.need = need;
     request.vm_share = terms->vm_share;
     request.is_straggler = policy_.demotion && pick.item.demoted;
-    request.excluded = health_.failed_on(task);
+    // The task returns to a worker on which it failed if no other one is large
+    // enough.
+    auto const failed_on = health_.failed_on(task);
+    if (placement_.fits_any(need, terms->vm_share, failed_on))
+    {
+        request.excluded = failed_on;
+    }
     request.sibling_racks = job.racks;
     if (hold != holds_.end())
     {
