Add a fuzz test of the decoders

Mutates a worker's announcement, its lists of runs, a configuration, a job, a node view and a message between processes, with fixed seeds, and adds deep nesting. No decoder may fault, and the scheduler has to place work on the other workers afterwards.

--- /dev/null
+++ b/tests/decoder_fuzz_test.cpp
@@ -0,0 +1,238 @@
+#include "adapters/json_codec.hpp"
+#include "adapters/msgpack_codec.hpp"
+#include "app/group_discovery.hpp"
+#include "core/fleet/contact_messages.hpp"
+#include "core/random.hpp"
+#include "fake_fleet.hpp"
+#include "platform/answers.hpp"
+#include "platform/run_codec.hpp"
+#include "platform/wire.hpp"
+
+#include <apricotlb/config.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricotlb
+{
+namespace
+{
+
+auto const heartbeat_text = std::string{
+    R"({"service":"pool","address":"10.0.0.9:80","zone":"z1",)"
+    R"("state":"ready","seq":4,"born":1,"clock_ms":5,)"
+    R"("labels":["a","r1"],"capacity":{"cpu":16000,"mem_mb":64000,"gpu":0}})"};
+
+auto const lists_text = std::string{
+    R"({"clock_ms":7,"born":1,"running":[["j.0.0.0",1,"cp",41,9],)"
+    R"(["j.0.0.1",1,"",41,9]],"finished":[[1,"j.0.0.2",1,"done",""],)"
+    R"([2,"j.0.0.3",1,"failed","c"]]})"};
+
+auto const config_text = std::string{
+    R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+    R"("path_prefix":"/q/","timeout_ms":3000,"target_duration_ms":300,)"
+    R"("priority":2,"service":"s","max_attempts":4,"stretch":1.5}],)"
+    R"("services":[{"name":"s","rejects_overload":true}]})"};
+
+auto const job_text = std::string{
+    R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,"gpu":1,)"
+    R"("estimate_ms":900,"target_ms":70},{"count":2,"depends_on":[0],)"
+    R"("anti_affinity":1}],"repeat_count":2,"first_run_ms":5,)"
+    R"("interval_ms":9})"};
+
+auto replaced(std::string text, std::string_view from, std::string_view to)
+    -> std::string
+{
+    auto const at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+auto nested(std::size_t depth) -> std::string
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Changes some bytes or numbers of a text, or inserts an odd value.
+class mutator
+{
+public:
+    explicit mutator(std::uint64_t seed) : random_(seed) {}
+
+    auto below(std::size_t n) -> std::size_t
+    {
+        return next_random(random_) % n;
+    }
+
+    auto mutate(std::string text) -> std::string
+    {
+        for (auto n = 1 + below(3); n > 0 && !text.empty(); --n)
+        {
+            change(text);
+        }
+        return text;
+    }
+
+private:
+    auto change(std::string& text) -> void
+    {
+        static std::array<std::string, 16> const odd_values{
+            "-1",
+            "0",
+            "4294967296",
+            "4294967297",
+            "9007199254740993",
+            "9223372036854775807",
+            "-9223372036854775808",
+            "18446744073709551615",
+            "18446744073709551616",
+            "1e999",
+            "1e300",
+            "null",
+            "\"10.0.0.1:99999\"",
+            "\"\\u0000\"",
+            nested(12),
+            nested(1000)};
+        auto const at = below(text.size());
+        switch (below(5))
+        {
+        case 0:
+            text[at] = static_cast<char>(below(256));
+            return;
+        case 1:
+            text.erase(at, 1 + below(4));
+            return;
+        case 2:
+            text.insert(at, text.substr(at, 1 + below(20)));
+            return;
+        default:
+            replace_value(text, at, odd_values.at(below(odd_values.size())));
+        }
+    }
+
+    /// Replaces the first number or string after `at`.
+    static auto replace_value(std::string& text, std::size_t at,
+                              std::string const& value) -> void
+    {
+        auto const begin = text.find_first_of("0123456789\"", at);
+        if (begin == std::string::npos)
+        {
+            return;
+        }
+        auto const end = text[begin] == '"'
+                             ? text.find('"', begin + 1)
+                             : text.find_first_not_of("0123456789.", begin);
+        auto const length =
+            end == std::string::npos ? text.size() - begin : end - begin;
+        text.replace(begin, length + (text[begin] == '"' ? 1 : 0), value);
+    }
+
+    std::uint64_t random_;
+};
+
+auto decode_heartbeat(std::string const& text) -> result<worker_announcement>
+{
+    return platform::decode_announcement(worker_id{"i"}, text);
+}
+
+/// Submits work; true if it is done within the time.
+auto completes_work(fake_fleet& fleet, seconds time) -> bool
+{
+    fleet.submit("later", {fake_fleet::step(8)});
+    for (auto n = seconds{0}; n < time && fleet.live_workflows() > 0; ++n)
+    {
+        fleet.run(seconds{1});
+    }
+    return fleet.state_of("later") == workflow_state::completed;
+}
+
+// Whatever another writer announces, the work is done by the other workers.
+TEST(decoder_fuzz, places_work_beside_odd_announcements)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    {
+        mutator odd{seed};
+        fake_fleet fleet{seed};
+        fleet.add_worker("w1", 4000);
+        fleet.add_worker("w2", 4000);
+        ASSERT_TRUE(fleet.run_until_known("w2"));
+        auto accepted = 0;
+        for (auto n = 0; n < 300; ++n)
+        {
+            worker_id const id{"odd" + std::to_string(odd.below(40))};
+            auto const got =
+                platform::decode_announcement(id, odd.mutate(heartbeat_text));
+            if (got)
+            {
+                ++accepted;
+                fleet.leader->on_announcement(got.value(), fleet.now);
+            }
+        }
+        EXPECT_GT(accepted, 0);
+        EXPECT_TRUE(completes_work(fleet, seconds{30})) << seed;
+        EXPECT_GE(fleet.leader->summary(fleet.now).free_cores, 0) << seed;
+        EXPECT_TRUE(fleet.violations.empty()) << seed;
+    }
+}
+
+// Bytes of another writer must end no process, whichever decoder gets them.
+TEST(decoder_fuzz, decodes_any_bytes_without_a_fault)
+{
+    mutator odd{25};
+    auto view_text = std::string{
+        R"({"node":"c1:80","peers_at":"tcp://c1:81","members":["c1:80"]})"};
+    contact_batch batch;
+    batch.announcements.push_back(
+        {decode_heartbeat(heartbeat_text).value(), milliseconds{1}});
+    batch.contacts.resize(3);
+    auto const batch_bytes = msgpack_codec::encode(batch);
+    std::size_t read{0};
+    for (auto n = 0; n < 1000; ++n)
+    {
+        read += decode_heartbeat(odd.mutate(heartbeat_text)) ? 1U : 0U;
+        auto const contracts =
+            platform::decode_contract_set(odd.mutate(config_text));
+        read += contracts && check(contracts.value()) ? 1U : 0U;
+        auto const job = platform::decode_workflow(odd.mutate(job_text));
+        read += job && check(job.value()) ? 1U : 0U;
+        read += json_codec::decode<node_view>(odd.mutate(view_text)) ? 1U : 0U;
+        read += msgpack_codec::decode<contact_batch>(odd.mutate(batch_bytes))
+                    ? 1U
+                    : 0U;
+        auto const answer = platform::json_answer(200, odd.mutate(lists_text));
+        read += platform::run_codec::decode_order(answer).clock ? 1U : 0U;
+        auto const lists = platform::run_codec::decode_poll(answer);
+        read += lists.outcome == order_outcome::done ? 1U : 0U;
+    }
+    EXPECT_GT(read, 0U);
+}
+
+// A recursive decoder would use up its stack.
+TEST(decoder_fuzz, refuses_deep_nesting)
+{
+    constexpr std::size_t depth = 1'000'000;
+    auto const odd = nested(depth);
+    EXPECT_FALSE(
+        decode_heartbeat(replaced(heartbeat_text, "{", "{\"x\":" + odd + ",")));
+    EXPECT_FALSE(platform::decode_contract_set(
+        replaced(config_text, "{", "{\"x\":" + odd + ",")));
+    EXPECT_FALSE(platform::decode_workflow(
+        replaced(job_text, "{", "{\"x\":" + odd + ",")));
+    EXPECT_FALSE(json_codec::decode<node_view>(odd));
+    EXPECT_EQ(platform::run_codec::decode_poll(
+                  platform::json_answer(
+                      200, replaced(lists_text, "[[", "[" + odd + ",[")))
+                  .outcome,
+              order_outcome::no_answer);
+    EXPECT_FALSE(
+        msgpack_codec::decode<contact_batch>(std::string(depth, '\x91')));
+}
+
+} // namespace
+} // namespace apricotlb
