Do not cut numbers of contracts and jobs

A max_attempts of 2^32 + 1 was read as 1, a priority of 2^32 as 0, a gpu of 2^32 as 0, and a mem_mb near 2^63 overflowed (undefined behaviour, shown by -fsanitize=undefined at platform/wire.cpp:39). A stretch of 1e300 was cast from beyond the range of its type, and the sums of urgency_of() overflow with times near 2^63. Resources out of range are refused; limits, priorities and declared times are cut to the nearest value in range, since those are hints or have no practical bound there.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -390,6 +390,25 @@
 /// Accepted workflows that have not ended; further ones are refused.
 inline constexpr std::size_t max_live_workflows = 20'000;
 
+// Values that workers and clients report. The bounds keep sums and products of
+// them within 64 bits.
+inline constexpr millicores max_reported_cores{1'000'000'000};
+inline constexpr byte_count max_reported_memory{std::int64_t{1} << 50};
+inline constexpr accelerators max_reported_accelerators{1'000'000};
+/// Of a worker's clock and of a Unix time: the year 2286.
+inline constexpr milliseconds max_reported_time{10'000'000'000'000};
+/// Of a sequence number; the largest integer that a double holds exactly.
+inline constexpr std::int64_t max_reported_number = std::int64_t{1} << 53;
+/// Of a tail latency in ms or of processor use in millicores.
+inline constexpr std::int64_t max_reported_load = 1'000'000'000;
+inline constexpr std::size_t max_worker_labels = 16;
+/// The ends of one list of a worker fit into a log entry. A longer checkpoint
+/// is not kept.
+inline constexpr std::size_t max_checkpoint_bytes = 1024;
+/// Of declared run times and of times in contracts.
+inline constexpr milliseconds max_declared_time{1'000'000'000};
+inline constexpr permille max_stretch{100'000};
+
 // Pace of scavenging tasks beside serving tasks, which have a latency target.
 // The pace is halved while a tail latency is above the first share of its
 // target, and raised by a step while all are below the second. The latencies
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -181,6 +181,45 @@
     }
 }
 
+// Counts that are cut to fewer bits would turn a limit into another one.
+TEST(decoder_fuzz, does_not_cut_numbers_of_contracts_and_jobs)
+{
+    auto const queue = [](std::string_view from, std::string_view to)
+    {
+        return platform::decode_contract_set(replaced(config_text, from, to))
+            .value()
+            .queues.at(0);
+    };
+    EXPECT_EQ(queue(R"("max_attempts":4)", R"("max_attempts":4294967297)")
+                  .max_failures,
+              4'294'967'295U);
+    EXPECT_EQ(queue(R"("priority":2)", R"("priority":4294967296)").priority,
+              queue_priority{2'147'483'647});
+    EXPECT_EQ(queue(R"("stretch":1.5)", R"("stretch":1e300)").stretch,
+              config::max_stretch);
+    EXPECT_EQ(
+        queue(R"("timeout_ms":3000)", R"("timeout_ms":9223372036854775807)")
+            .timeout,
+        config::max_declared_time);
+    auto const job = [](std::string_view from, std::string_view to)
+    { return platform::decode_workflow(replaced(job_text, from, to)); };
+    for (auto const* name : {"\"cpu\":500", "\"mem_mb\":256", "\"gpu\":1"})
+    {
+        std::string const member{name};
+        EXPECT_FALSE(job(member, member.substr(0, member.find(':') + 1) +
+                                     "9223372036854775807"))
+            << name;
+    }
+    EXPECT_EQ(job(R"("repeat_count":2)", R"("repeat_count":4294967297)")
+                  .value()
+                  .repeats.times,
+              occurrence_index{4'294'967'295U});
+    EXPECT_EQ(job(R"("interval_ms":9)", R"("interval_ms":9223372036854775807)")
+                  .value()
+                  .repeats.interval,
+              config::max_reported_time);
+}
+
 // Bytes of another writer must end no process, whichever decoder gets them.
 TEST(decoder_fuzz, decodes_any_bytes_without_a_fault)
 {
