Refuse announcements whose address is none

The text of `address` went unchecked into the URL of each order: a port such as 99999, a path, spaces or control characters. Such an entry was a worker to place runs on, and its runs waited for their leases to end. An announcement now needs a host and a port from 1 to 65535. The entries of an existing test get a valid address, so that they are still refused for the member that the test is about.

decoder_fuzz.refuses_addresses_that_are_none failed before.

--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/msgpack_codec.hpp"
 #include "app/group_discovery.hpp"
 #include "core/fleet/contact_messages.hpp"
+#include "core/group/socket_address.hpp"
 #include "core/random.hpp"
 #include "fake_fleet.hpp"
 #include "platform/answers.hpp"
@@ -152,6 +153,57 @@
     return fleet.state_of("later") == workflow_state::completed;
 }
 
+// An order to an address that is none would end in the client library, or go to
+// another host.
+TEST(decoder_fuzz, refuses_addresses_that_are_none)
+{
+    for (auto const* good : {"10.0.0.1:80", "10.0.0.1:65535", "[::1]:80",
+                             "[fe80::1.2.3.4]:1", "w1:1", "a-b.example:8080"})
+    {
+        EXPECT_TRUE(is_socket_address(good)) << good;
+        EXPECT_TRUE(
+            decode_heartbeat(replaced(heartbeat_text, "10.0.0.9:80", good)))
+            << good;
+    }
+    for (auto const* bad : {"10.0.0.1:99999",
+                            "10.0.0.1:65536",
+                            "10.0.0.1:0",
+                            "10.0.0.1:-1",
+                            "10.0.0.1:",
+                            "10.0.0.1:8x",
+                            "10.0.0.1",
+                            "host",
+                            ":0",
+                            ":80",
+                            "[::1",
+                            "[::1]",
+                            "[]:80",
+                            "[1]:80",
+                            "256.0.0.1:80",
+                            "1.2.3:80",
+                            "1:80",
+                            "a b:80",
+                            " a:80",
+                            "a:80/x",
+                            "a/x:80",
+                            "u@a:80",
+                            "a?b:80",
+                            "a..b:80",
+                            "a\\n:80",
+                            "a\\u0000:80",
+                            "",
+                            "::1:80",
+                            "tcp://a:80",
+                            "a:+80",
+                            "a:18446744073709551697"})
+    {
+        EXPECT_FALSE(
+            decode_heartbeat(replaced(heartbeat_text, "10.0.0.9:80", bad)))
+            << bad;
+        EXPECT_FALSE(is_socket_address(bad)) << bad;
+    }
+}
+
 // Whatever another writer announces, the work is done by the other workers.
 TEST(decoder_fuzz, places_work_beside_odd_announcements)
 {
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -88,11 +88,11 @@
     EXPECT_EQ(it.value().capacity.cores, millicores{16000});
     for (auto const* bad :
          {"", "{}", "\xff\xfe",
-          R"({"service":1,"address":"a","state":"ready",)"
+          R"({"service":1,"address":"a:1","state":"ready",)"
           R"("seq":1,"capacity":{}})",
-          R"({"service":"s","address":"a","state":"gone","seq":1,)"
+          R"({"service":"s","address":"a:1","state":"gone","seq":1,)"
           R"("capacity":{}})",
-          R"({"service":"s","address":"a","state":"ready","seq":1.5,)"
+          R"({"service":"s","address":"a:1","state":"ready","seq":1.5,)"
           R"("capacity":{}})"})
     {
         EXPECT_FALSE(read(bad)) << bad;
