--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -204,6 +204,58 @@
     }
 }
 
+// Numbers beyond their range overflow the sums over the fleet, or make all
+// later announcements of the worker count as late.
+TEST(decoder_fuzz, refuses_announcements_with_numbers_out_of_range)
+{
+    for (auto const* member :
+         {R"("seq":4)", R"("born":1)", R"("clock_ms":5)", R"("cpu":16000)",
+          R"("mem_mb":64000)", R"("gpu":0)"})
+    {
+        std::string const text{member};
+        auto const name = text.substr(0, text.find(':') + 1);
+        for (auto const* value :
+             {"-1", "9223372036854775807", "-9223372036854775808",
+              "18446744073709551615", "18446744073709551616", "1e999", "1.5",
+              "\"1\"", "[]"})
+        {
+            EXPECT_FALSE(decode_heartbeat(
+                replaced(heartbeat_text, member, name + value)))
+                << name << value;
+        }
+    }
+}
+
+// One announcement of another writer under the id of a worker must not keep the
+// scheduler from following that worker.
+TEST(decoder_fuzz, follows_a_worker_after_odd_announcements_under_its_id)
+{
+    for (auto const* change :
+         {R"("seq":9223372036854775807)", R"("seq":-1)",
+          R"("born":9223372036854775807)", R"("clock_ms":9223372036854775807)"})
+    {
+        fake_fleet fleet{7};
+        fleet.add_worker("w1", 4000);
+        ASSERT_TRUE(fleet.run_until_known("w1"));
+        std::string const text{change};
+        auto const name = text.substr(0, text.find(':') + 1);
+        auto const member = name == R"("seq":)"    ? R"("seq":9000)"
+                            : name == R"("born":)" ? R"("born":1)"
+                                                   : R"("clock_ms":5)";
+        auto const newer =
+            replaced(heartbeat_text, R"("seq":4)", R"("seq":9000)");
+        auto const odd = platform::decode_announcement(
+            worker_id{"w1"},
+            replaced(replaced(newer, member, change), "10.0.0.9:80", "w1:1"));
+        if (odd)
+        {
+            fleet.leader->on_announcement(odd.value(), fleet.now);
+        }
+        fleet.run(seconds{5});
+        EXPECT_TRUE(completes_work(fleet, seconds{10})) << change;
+    }
+}
+
 // Whatever another writer announces, the work is done by the other workers.
 TEST(decoder_fuzz, places_work_beside_odd_announcements)
 {
