--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -226,6 +226,29 @@
     }
 }
 
+// A long announcement would make the message to the leader too large for those
+// of the other workers in it.
+TEST(decoder_fuzz, refuses_announcements_with_long_texts)
+{
+    std::string const text(2'000'000, 'x');
+    for (auto const* value : {R"("pool")", R"("z1")", R"("r1")"})
+    {
+        EXPECT_FALSE(decode_heartbeat(
+            replaced(heartbeat_text, value, '"' + text + '"')));
+    }
+    std::string labels{"[\"a\""};
+    for (auto n = 0; n < 100'000; ++n)
+    {
+        labels += ",\"a\"";
+    }
+    EXPECT_FALSE(decode_heartbeat(
+        replaced(heartbeat_text, R"(["a","r1"])", labels + "]")));
+    EXPECT_FALSE(platform::decode_worker_id(""));
+    EXPECT_FALSE(platform::decode_worker_id("a\r\nb"));
+    EXPECT_FALSE(platform::decode_worker_id(text));
+    EXPECT_TRUE(platform::decode_worker_id("i-7f3a91c2"));
+}
+
 // One announcement of another writer under the id of a worker must not keep the
 // scheduler from following that worker.
 TEST(decoder_fuzz, follows_a_worker_after_odd_announcements_under_its_id)
