--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -308,6 +308,28 @@
     }
 }
 
+// A number that is cut to fewer bits names another run; one far above the
+// others would acknowledge ends that have not been listed yet.
+TEST(decoder_fuzz, does_not_cut_numbers_of_runs_and_ends)
+{
+    auto const outcome = [](std::string_view from, std::string_view to)
+    {
+        return platform::run_codec::decode_poll(
+                   platform::json_answer(200, replaced(lists_text, from, to)))
+            .outcome;
+    };
+    EXPECT_EQ(outcome("cp", "cp"), order_outcome::done);
+    EXPECT_EQ(outcome(R"("j.0.0.0",1)", R"("j.0.0.0",4294967297)"),
+              order_outcome::no_answer);
+    EXPECT_EQ(outcome(R"("j.0.0.2",1)", R"("j.0.0.2",4294967297)"),
+              order_outcome::no_answer);
+    EXPECT_EQ(outcome("[2,", "[9223372036854775807,"),
+              order_outcome::no_answer);
+    EXPECT_EQ(outcome(R"("clock_ms":7)", R"("clock_ms":9223372036854775807)"),
+              order_outcome::no_answer);
+    EXPECT_EQ(outcome(R"("born":1)", R"("born":-1)"), order_outcome::no_answer);
+}
+
 // Counts that are cut to fewer bits would turn a limit into another one.
 TEST(decoder_fuzz, does_not_cut_numbers_of_contracts_and_jobs)
 {
