Bound the measurements of runs

A load near 2^63 overflowed in held_run::record_measurement (undefined behaviour, shown by -fsanitize=undefined at worker_entry.hpp:93), and the ratio to the target was cut to 32 bits.

decoder_fuzz.bounds_the_measurements_of_runs failed before.

--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -89,8 +89,11 @@
         load = reported_load;
         if (is_serving())
         {
-            auto const ratio = permille{static_cast<std::int32_t>(
-                reported_load * 1000 / latency_target.count())};
+            constexpr std::int64_t max_ratio = 1'000'000;
+            auto const ratio =
+                permille{static_cast<std::int32_t>(std::clamp<std::int64_t>(
+                    reported_load * 1000 / latency_target.count(), 0,
+                    max_ratio))};
             auto const change = (ratio - latency_ratio).value() *
                                 config::latency_smoothing.value() / 1000;
             latency_ratio += permille{change};
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -330,6 +330,30 @@
     EXPECT_EQ(outcome(R"("born":1)", R"("born":-1)"), order_outcome::no_answer);
 }
 
+// Percentages, loads and checkpoints are hints: odd ones are cut or left out.
+TEST(decoder_fuzz, bounds_the_measurements_of_runs)
+{
+    for (auto const* load :
+         {"9223372036854775807", "-9223372036854775808", "\"x\"", "1e300"})
+    {
+        auto const got = platform::run_codec::decode_poll(platform::json_answer(
+            200, replaced(lists_text, R"("cp",41,9)",
+                          '"' + std::string(5000, 'c') + "\"," + load + "," +
+                              load)));
+        ASSERT_EQ(got.outcome, order_outcome::done) << load;
+        auto const& row = got.lists.running.at(0);
+        EXPECT_GE(row.percent, 0);
+        EXPECT_LE(row.percent, 100);
+        EXPECT_GE(row.load, 0);
+        EXPECT_LE(row.load, config::max_reported_load);
+        EXPECT_TRUE(row.checkpoint.value().empty());
+        held_run held;
+        held.latency_target = milliseconds{1};
+        held.record_measurement(row.load, time_point{});
+        EXPECT_GE(held.latency_ratio, permille{0});
+    }
+}
+
 // Counts that are cut to fewer bits would turn a limit into another one.
 TEST(decoder_fuzz, does_not_cut_numbers_of_contracts_and_jobs)
 {
