--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -308,6 +308,27 @@
     }
 }
 
+// A row that names no run of this system must not hide the others.
+TEST(decoder_fuzz, reads_the_rows_beside_one_of_another_writer)
+{
+    for (auto const* odd :
+         {"1", "null", "{}", "[]", "[1]", "[[[[[[[[]]]]]]]]",
+          R"(["x",1,"",1,1])", R"([1,"x",1,"done",""])", R"(["",1,"",1,1])",
+          R"(["j.0.0.4294967296",1,"",1,1])", R"([true,true,true,true,true])"})
+    {
+        for (auto const* list : {R"("running":[)", R"("finished":[)"})
+        {
+            auto const got =
+                platform::run_codec::decode_poll(platform::json_answer(
+                    200,
+                    replaced(lists_text, list, std::string{list} + odd + ",")));
+            EXPECT_EQ(got.outcome, order_outcome::done) << list << odd;
+            EXPECT_EQ(got.lists.running.size(), 2U) << list << odd;
+            EXPECT_EQ(got.lists.ended.size(), 2U) << list << odd;
+        }
+    }
+}
+
 // A number that is cut to fewer bits names another run; one far above the
 // others would acknowledge ends that have not been listed yet.
 TEST(decoder_fuzz, does_not_cut_numbers_of_runs_and_ends)
