Poll only members with an address, and a bounded number of them

A node view's members, and the URL for messages, went unchecked into requests and dials: "10.0.0.1:99999", a text with a path, or a URL of another kind. A view of another program with 10,000 members was polled at 10,000 addresses every 300 ms. A view without a valid address for messages now counts as no answer; of the members, those without an address are left out and at most config::max_members are polled.

group_discovery_test.finds_the_members_beside_odd_ones, polls_a_bounded_number_of_members and introduces_no_process_with_an_odd_url failed before.

--- a/src/app/group_discovery.hpp
+++ b/src/app/group_discovery.hpp
@@ -5,6 +5,7 @@
 #include "app/settings.hpp"
 #include "core/entry/http.hpp"
 #include "core/group/membership.hpp"
+#include "core/group/socket_address.hpp"
 #include "ports/clock.hpp"
 
 #include <apricotlb/config.hpp>
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -176,7 +178,9 @@
         auto const view = got.has_error()
                               ? result<node_view>{got.error()}
                               : Json::template decode<node_view>(got.value());
-        if (view.has_error())
+        if (view.has_error() ||
+            !is_socket_address(served_address(view.value().node)) ||
+            !is_tcp_url(view.value().peers_at.value()))
         {
             if (std::exchange(source.is_responding, false))
             {
@@ -190,7 +194,11 @@
         source.node = view.value().node;
         source.last_response = clock_.now();
         introduce_(view.value().node, view.value().peers_at);
-        for (auto const& id : view.value().members)
+        auto const has_address = [](node_id const& id)
+        { return is_socket_address(served_address(id)); };
+        for (auto const& id : view.value().members |
+                                  std::views::filter(has_address) |
+                                  std::views::take(config::max_members))
         {
             auto const [other, added] =
                 addresses_.try_emplace(served_address(id));
--- a/tests/group_discovery_test.cpp
+++ b/tests/group_discovery_test.cpp
@@ -42,7 +42,13 @@
                     }
                     node_view view;
                     view.node = node_id{name};
-                    view.peers_at = url{"tcp://" + name};
+                    view.peers_at = url{this_test->odd_urls.contains(name)
+                                            ? this_test->odd_urls.at(name)
+                                            : "tcp://" + name};
+                    for (auto const& id : this_test->odd_members)
+                    {
+                        view.members.emplace_back(id);
+                    }
                     for (auto const& id : this_test->members)
                     {
                         view.members.emplace_back(id);
@@ -54,8 +60,11 @@
 
     struct introduce
     {
-        auto operator()(node_id const& /*id*/, url const& /*at*/) const -> void
+        group_discovery_test& test;
+
+        auto operator()(node_id const& id, url const& at) const -> void
         {
+            test.introduced[id.value()] = at.value();
         }
     };
 
@@ -83,12 +92,15 @@
     std::set<std::string> const members{"c1:80", "c2:80", "c3:80", "c4:80",
                                         "c5:80"};
     std::set<std::string> up{members};
+    std::vector<std::string> odd_members;
+    std::map<std::string, std::string> odd_urls; ///< by the answering process
+    std::map<std::string, std::string> introduced;
     std::map<std::string, int> polls;
     paused_clock clock;
     group_discovery<paused_clock, fetch, introduce, json_codec> it{
         clock,
         fetch{*this},
-        introduce{},
+        introduce{*this},
         {endpoint{"c1:80"}, endpoint{"c2:80"}}};
 };
 
@@ -143,5 +155,40 @@
     EXPECT_LE(polls_in(seconds{24}), 80 + 50);
 }
 
+// A member whose address is none must neither be polled nor hide the others.
+TEST_F(group_discovery_test, finds_the_members_beside_odd_ones)
+{
+    odd_members = {"10.0.0.1:99999", "host",   ":0", "[::1",
+                   "a b:80",         "a:80/x", ""};
+    clock.advance(seconds{3});
+    std::set<std::string> polled;
+    for (auto const& [name, count] : polls)
+    {
+        polled.insert(name);
+    }
+    EXPECT_EQ(polled, members);
+}
+
+// A view of another program must not make this process poll without bound.
+TEST_F(group_discovery_test, polls_a_bounded_number_of_members)
+{
+    for (auto n = 0; n < 10'000; ++n)
+    {
+        odd_members.push_back("m" + std::to_string(n) + ":80");
+    }
+    clock.advance(seconds{3});
+    EXPECT_LE(polls.size(), members.size() + config::max_members);
+}
+
+// An address of another kind is not dialled.
+TEST_F(group_discovery_test, introduces_no_process_with_an_odd_url)
+{
+    odd_urls = {{"c1:80", "ipc:///tmp/x"}, {"c3:80", "tcp://c3:99999"}};
+    clock.advance(seconds{3});
+    EXPECT_FALSE(introduced.contains("c1:80"));
+    EXPECT_FALSE(introduced.contains("c3:80"));
+    EXPECT_EQ(introduced.at("c2:80"), "tcp://c2:80");
+}
+
 } // namespace
 } // namespace apricotlb
