Bound the memory that a message can announce

msgpack-cxx allocates the items that a header announces before it reads them: 150 bytes of nested headers took 988 MB of address space (VmPeak of a program that decodes them; 5 MB now). A message now cannot announce more items than it has bytes, a vector grows by the elements that were read, and a failed allocation refuses the message.

decoder_fuzz.refuses_messages_that_announce_more_items_than_bytes failed before.

--- a/src/adapters/msgpack_codec.hpp
+++ b/src/adapters/msgpack_codec.hpp
@@ -11,11 +11,13 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstddef>
 #include <limits>
 #include <map>
+#include <new>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -231,10 +233,11 @@
         {
             return false;
         }
-        to.resize(from.via.array.size);
-        for (std::size_t n = 0; n < to.size(); ++n)
+        // Grown step by step, so that elements of the wrong type cost no memory
+        // for those after them.
+        for (std::size_t n = 0; n < from.via.array.size; ++n)
         {
-            if (!unpack(from.via.array.ptr[n], to[n]))
+            if (!unpack(from.via.array.ptr[n], to.emplace_back()))
             {
                 return false;
             }
@@ -320,7 +323,10 @@
         // msgpack-cxx reports bad input by exceptions; they end here.
         try
         {
-            msgpack::unpack_limit const limits{max_items, max_items, max_bytes,
+            // The library allocates the items that a header announces before
+            // it reads them; each takes at least one byte.
+            auto const items = std::min(bytes.size(), max_items);
+            msgpack::unpack_limit const limits{items,     items,     max_bytes,
                                                max_bytes, max_bytes, max_depth};
             std::size_t end{0};
             auto const handle = msgpack::unpack(bytes.data(), bytes.size(), end,
@@ -334,6 +340,10 @@
             }
             return value;
         }
+        catch (std::bad_alloc const&)
+        {
+            return fail(error_kind::message_malformed, "out of memory");
+        }
         catch (msgpack::unpack_error const& it)
         {
             return fail(error_kind::message_malformed, it.what());
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -467,5 +467,20 @@
         msgpack_codec::decode<contact_batch>(std::string(depth, '\x91')));
 }
 
+// A header that announces many items must not allocate memory for them.
+TEST(decoder_fuzz, refuses_messages_that_announce_more_items_than_bytes)
+{
+    std::string bytes;
+    constexpr auto depth = 30;
+    for (auto n = 0; n < depth; ++n)
+    {
+        bytes += std::string{"\xdd\x00\x0f\xff\xff", 5};
+    }
+    auto const got = msgpack_codec::decode<contact_batch>(bytes);
+    ASSERT_TRUE(got.has_error());
+    EXPECT_NE(got.error().detail.find("overflow"), std::string::npos)
+        << got.error().detail;
+}
+
 } // namespace
 } // namespace apricotlb
