Try no port past the last one

With peers_at near the last port, peer_ports above 1 tried ports above 65535, which a resolver cuts to other ones.

--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.hpp"
 #include "adapters/yaml_settings.hpp"
+#include "core/group/socket_address.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -16,14 +17,6 @@
 
 logger const process_log{"process"};
 
-/// The address with `offset` added to its port.
-auto with_port_offset(url const& address, std::uint32_t offset) -> url
-{
-    auto const colon = address.value().rfind(':');
-    auto const port = std::stoul(address.value().substr(colon + 1)) + offset;
-    return url{address.value().substr(0, colon + 1) + std::to_string(port)};
-}
-
 } // namespace
 
 auto new_incarnation() -> incarnation
@@ -81,7 +74,12 @@
     for (std::uint32_t offset = 1; offset < ports && bound.has_error();
          ++offset)
     {
-        bound = link_.listen(with_port_offset(at, offset));
+        auto const next = with_port_offset(at.value(), offset);
+        if (!next)
+        {
+            break;
+        }
+        bound = link_.listen(url{*next});
     }
     return bound;
 }
--- a/src/core/group/socket_address.cpp
+++ b/src/core/group/socket_address.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <system_error>
 
 namespace apricotlb
@@ -110,4 +111,19 @@
            is_socket_address(text.substr(scheme.size()));
 }
 
+auto with_port_offset(std::string_view address, std::uint32_t offset)
+    -> std::optional<std::string>
+{
+    auto const colon = address.rfind(':');
+    auto const port = colon == std::string_view::npos
+                          ? std::nullopt
+                          : to_number(address.substr(colon + 1), max_port);
+    if (!port || offset > max_port - *port)
+    {
+        return std::nullopt;
+    }
+    return std::string{address.substr(0, colon + 1)} +
+           std::to_string(*port + offset);
+}
+
 } // namespace apricotlb
--- a/src/core/group/socket_address.hpp
+++ b/src/core/group/socket_address.hpp
@@ -2,6 +2,9 @@
 #ifndef APRICOTLB_CORE_GROUP_SOCKET_ADDRESS_HPP
 #define APRICOTLB_CORE_GROUP_SOCKET_ADDRESS_HPP
 
+#include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace apricotlb
@@ -15,6 +18,12 @@
 /// True for tcp://HOST:PORT.
 [[nodiscard]] auto is_tcp_url(std::string_view text) -> bool;
 
+/// An address or URL that ends in a port, with `offset` added to the port; none
+/// if there is no such port.
+[[nodiscard]] auto with_port_offset(std::string_view address,
+                                    std::uint32_t offset)
+    -> std::optional<std::string>;
+
 } // namespace apricotlb
 
 #endif
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -204,6 +204,16 @@
     }
 }
 
+// A port past the last one would be cut to another one.
+TEST(decoder_fuzz, counts_no_further_than_the_last_port)
+{
+    EXPECT_EQ(with_port_offset("tcp://10.0.0.1:65534", 1),
+              "tcp://10.0.0.1:65535");
+    EXPECT_FALSE(with_port_offset("tcp://10.0.0.1:65534", 2));
+    EXPECT_FALSE(with_port_offset("tcp://10.0.0.1:1", 4'294'967'295U));
+    EXPECT_FALSE(with_port_offset("tcp://10.0.0.1:x", 1));
+}
+
 // Numbers beyond their range overflow the sums over the fleet, or make all
 // later announcements of the worker count as late.
 TEST(decoder_fuzz, refuses_announcements_with_numbers_out_of_range)
