Give up tasks that crash their workers

What callers saw: a task that crashes each worker that starts it was started for ever, every 3 to 4 s, and took the runs beside it away each time. Its workflow stayed `running`.

Cause: a run ended as `lost` for any end of its worker's incarnation, and `lost` counts towards no limit. It held three things that differ: the worker crashed, it left, or nobody reached it.

A run now ends as `crashed` if a later incarnation or a later worker at the address shows that its worker went down without draining or leaving, and the run had started for less than 5 s. The count is in the log, also for a crash that is known only after the run has ended as lost. Three of them in a row make the workflow fail. Tasks with such an end share no worker until they have run for 5 s, so that the next crash blames the right one; without this, neighbours of guilty tasks would be given up with them.

Three and not two: a neighbour that meets a second guilty task, not yet known, would be given up. Runs that a leader took over are not blamed: it doesn't know when they started.

A struct may declare optional fields at its end, which the codec lets older data lack.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -382,6 +382,13 @@
 /// Ready tasks considered in one pass of the scheduler.
 inline constexpr std::size_t max_tasks_per_pass = 2000;
 inline constexpr std::size_t max_runs_per_command = 256;
+/// A worker that crashes within this time of the start of a run counts as
+/// crashed by it. A task that has run for longer did not cause the crash.
+inline constexpr duration crash_blame_time = 5s;
+/// Workers that crash under a task before it is given up. Two could be chance:
+/// a neighbour of the task that causes the crashes may meet another one on its
+/// next worker.
+inline constexpr std::uint32_t max_task_crashes = 3;
 /// Ended runs in one answer of a worker; a list of this length may be
 /// incomplete.
 inline constexpr std::size_t max_listed_ends = 500;
--- a/include/apricotlb/fields.hpp
+++ b/include/apricotlb/fields.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTLB_FIELDS_HPP
 #define APRICOTLB_FIELDS_HPP
 
+#include <cstddef>
 #include <string_view>
 #include <tuple>
 #include <type_traits>
@@ -35,6 +36,11 @@
 template <class T>
 concept reflected = requires { T::fields(); };
 
+/// Members at the end of fields() that data written by an earlier version may
+/// lack. They then keep their default values.
+template <class T>
+inline constexpr std::size_t optional_fields = 0;
+
 /// The last enumerator of an enum that is sent or stored. A codec refuses any
 /// value above it. It is specialised next to each such enum.
 template <class Enum>
--- a/include/apricotlb/workflow.hpp
+++ b/include/apricotlb/workflow.hpp
@@ -254,7 +254,9 @@
     }
 };
 
-/// How a run ended. Only `failed` counts towards max_failures.
+/// How a run ended. Only `failed` counts towards max_failures, and only
+/// `crashed` towards config::max_task_crashes. Stored in the log: new values go
+/// to the end.
 enum class run_end : std::uint8_t
 {
     finished,
@@ -265,10 +267,11 @@
     alone,       ///< the other tasks of its gang did not start
     lost,        ///< its worker left or is unreachable
     not_started, ///< the worker rejected it and ran nothing
+    crashed,     ///< its worker crashed soon after the run had started
 };
 
 template <>
-inline constexpr auto last_enumerator<run_end> = run_end::not_started;
+inline constexpr auto last_enumerator<run_end> = run_end::crashed;
 
 /// State of a workflow as reported to callers.
 enum class workflow_state : std::uint8_t
--- a/src/adapters/msgpack_codec.hpp
+++ b/src/adapters/msgpack_codec.hpp
@@ -280,15 +280,22 @@
     else
     {
         static_assert(reflected<T>, "type has no fields()");
-        if (from.type != ARRAY ||
-            from.via.array.size != std::tuple_size_v<decltype(T::fields())>)
+        constexpr auto count = std::tuple_size_v<decltype(T::fields())>;
+        static_assert(optional_fields<T> < count);
+        if (from.type != ARRAY || from.via.array.size > count ||
+            from.via.array.size < count - optional_fields<T>)
         {
             return false;
         }
         std::size_t n{0};
         auto ok = true;
-        for_each_field(to, [&](auto, auto& it)
-                       { ok = ok && unpack(from.via.array.ptr[n++], it); });
+        for_each_field(to,
+                       [&](auto, auto& it)
+                       {
+                           ok = ok && (n >= from.via.array.size ||
+                                       unpack(from.via.array.ptr[n], it));
+                           ++n;
+                       });
         return ok;
     }
 }
--- a/src/core/fleet/run_contacts.cpp
+++ b/src/core/fleet/run_contacts.cpp
@@ -28,7 +28,7 @@
     entry.info->number = contact.number;
     entry.info->clock = contact.clock;
     entry.announced_at = now - contact.age;
-    entry.last_contact = std::max(entry.last_contact, entry.announced_at);
+    entry.record_life_sign(entry.announced_at);
     // The worker's clock has only run on since it was read.
     entry.lease.sample(contact.clock, now);
     return true;
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -91,12 +91,14 @@
 } // namespace
 
 auto run_scheduler::placement_key_of(workflow_record const& record,
-                                     step_spec const& step) -> placement_key
+                                     step_spec const& step, bool is_suspect)
+    -> placement_key
 {
     return {record.terms.pool,
             step.requires_label,
             step.scavenges ? step.image : image_name{},
             step.scavenges,
+            is_suspect,
             step.each.cores.value(),
             step.each.memory.value(),
             step.max_per_worker > task_count{0} ? record.spec.id
@@ -183,6 +185,23 @@
     return cached->second;
 }
 
+auto run_scheduler::has_other_suspect(worker_entry const& worker,
+                                      candidate_run const& candidate,
+                                      time_point now) -> bool
+{
+    return candidate.record->is_suspect(candidate.task) &&
+           std::ranges::any_of(
+               worker.runs,
+               [&](auto const& each)
+               {
+                   // The members of a gang are one suspect.
+                   auto const is_same =
+                       candidate.step->gang &&
+                       is_same_step(each.first.task, candidate.task);
+                   return !is_same && each.second.is_unproven_suspect(now);
+               });
+}
+
 auto run_scheduler::can_place(identified_worker const& worker,
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
@@ -194,6 +213,7 @@
            (step.max_per_worker == task_count{0} ||
             count_step_runs(entry, candidate.task) <
                 step.max_per_worker.value()) &&
+           !has_other_suspect(entry, candidate, pass.now) &&
            (!step.scavenges || may_scavenge(worker, step, pass));
 }
 
@@ -440,7 +460,8 @@
             }
             continue;
         }
-        auto key = placement_key_of(*ranked.record, step);
+        auto key = placement_key_of(
+            *ranked.record, step, ranked.record->is_suspect(ranked.task->task));
         if (!tried.unplaceable.contains(key) &&
             !place_single(*ranked.task, *ranked.record, pass))
         {
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -30,7 +30,7 @@
             found != workers_.end())
         {
             record_departure({found->first, found->second.incarnation}, now);
-            on_incarnation_end(*found);
+            on_leave(*found);
             needs_plan_ = true;
         }
         return;
@@ -80,7 +80,7 @@
     entry.info = announcement;
     entry.described = announcement.number;
     entry.announced_at = now - age;
-    entry.last_contact = std::max(entry.last_contact, entry.announced_at);
+    entry.record_life_sign(entry.announced_at);
     entry.lease.sample(announcement.clock, now);
     send_poll(worker, now);
     needs_plan_ = true;
@@ -89,12 +89,18 @@
 /// A worker was restarted under its id. Runs of the former incarnation have
 /// ended there. The new one may run starts that it received before its
 /// announcement; its lists show them. A start order without an answer may still
-/// arrive there, so that its run has to be stopped.
+/// arrive there, so that its run has to be stopped. The former incarnation has
+/// crashed unless it had announced that it drains.
 auto run_scheduler::replace_incarnation(identified_worker& worker,
                                         worker_announcement const& announcement,
                                         time_point now) -> void
 {
     auto& entry = worker.second;
+    auto const has_crashed = !entry.is_leaving();
+    if (has_crashed)
+    {
+        report_late_crashes(entry);
+    }
     entry.incarnation = announcement.instance.incarnation;
     entry.info.reset();
     entry.incarnation_ended = false;
@@ -113,32 +119,58 @@
             continue;
         }
         held.order_in_flight = false;
+        held.closed_as = has_crashed && entry.may_blame(held) ? run_end::crashed
+                                                              : run_end::lost;
         if (held.start_unconfirmed || held.phase == run_phase::ordered ||
             held.phase == run_phase::inherited)
         {
-            held.closed_as = run_end::lost;
             send_stop(worker, run, held, now);
         }
         else
         {
             held.phase = run_phase::closed;
-            held.closed_as = run_end::lost;
             held.settled_at = {};
         }
     }
 }
 
-auto run_scheduler::on_incarnation_end(identified_worker& worker) -> void
+auto run_scheduler::on_leave(identified_worker& worker) -> void
 {
     worker.second.incarnation_ended = true;
+    worker.second.possible_crashes.clear();
     end_runs_as_lost(worker);
 }
 
+auto run_scheduler::on_incarnation_end(identified_worker& worker) -> void
+{
+    auto& entry = worker.second;
+    if (!entry.incarnation_ended && !entry.is_leaving())
+    {
+        report_late_crashes(entry);
+        for (auto& [run, held] : entry.runs)
+        {
+            if (entry.may_blame(held))
+            {
+                propose_end(run, held, run_end::crashed);
+            }
+        }
+    }
+    on_leave(worker);
+}
+
+auto run_scheduler::report_late_crashes(worker_entry& worker) -> void
+{
+    for (auto const& run : std::exchange(worker.possible_crashes, {}))
+    {
+        pending_ends_.push_back({run, run_end::crashed, {}});
+    }
+}
+
 auto run_scheduler::record_contact(identified_worker& worker,
                                    std::optional<worker_clock> const& clock,
                                    time_point now) -> void
 {
-    worker.second.last_contact = now;
+    worker.second.record_life_sign(now);
     if (clock)
     {
         worker.second.lease.sample(*clock, now);
@@ -370,7 +402,8 @@
         held.checkpoint = row.checkpoint;
     }
     auto const is_running_after_all =
-        held.phase == run_phase::closed && held.closed_as == run_end::lost;
+        held.phase == run_phase::closed &&
+        (held.closed_as == run_end::lost || held.closed_as == run_end::crashed);
     if (held.phase == run_phase::inherited ||
         held.phase == run_phase::ordered || is_running_after_all)
     {
@@ -444,6 +477,10 @@
 auto run_scheduler::set_running(identified_worker& worker, task_run const& run,
                                 held_run& held, time_point now) -> void
 {
+    if (held.ordered_at)
+    {
+        held.started_at = now;
+    }
     held.phase = run_phase::running;
     held.settled_at = now;
     if (held.scavenges)
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -51,9 +51,9 @@
     for (auto const& [id, record] : state_.workflows().live())
     {
         record.for_each_active(
-            [&, &spec = record.spec](workflow_task const& task,
-                                     task_progress const& /*progress*/,
-                                     active_run const& run)
+            [&, &record = record, &spec = record.spec](
+                workflow_task const& task, task_progress const& /*progress*/,
+                active_run const& run)
             {
                 auto& worker = workers_[run.worker.id];
                 worker.incarnation =
@@ -61,8 +61,10 @@
                 worker.last_contact = now;
                 worker.lease.assume_until(latest_lease_end);
                 task_run const name{task, run.number};
-                worker.add(name, make_held_run(spec.steps[task.step.value()],
-                                               run_phase::inherited));
+                auto held = make_held_run(spec.steps[task.step.value()],
+                                          run_phase::inherited);
+                held.suspect = record.is_suspect(task);
+                worker.add(name, std::move(held));
                 worker_of_run_[name] = run.worker.id;
             });
     }
@@ -136,6 +138,10 @@
         withdraw(worker, run, held, now);
         return;
     }
+    if (held.phase != run_phase::ordered)
+    {
+        held.ordered_at = now;
+    }
     // tick() repeats the order if there is no reading of the worker's clock or
     // no current phase yet.
     held.phase = run_phase::ordered;
@@ -275,10 +281,14 @@
         auto const has_lapsed =
             now >= entry.lease.latest_end() &&
             now - entry.last_contact >= config::worker_contact_timeout;
-        if (entry.incarnation_ended || has_lapsed)
+        if (entry.incarnation_ended)
         {
             end_runs_as_lost(*worker);
         }
+        else if (has_lapsed)
+        {
+            end_runs_of_silent(*worker);
+        }
         if (entry.runs.empty() &&
             (entry.incarnation_ended ||
              now - entry.last_contact >= config::worker_removal_delay))
@@ -486,11 +496,25 @@
     }
 }
 
+auto run_scheduler::end_runs_of_silent(identified_worker& worker) -> void
+{
+    for (auto const& [run, held] : worker.second.runs)
+    {
+        if (worker.second.may_blame(held))
+        {
+            worker.second.possible_crashes.push_back(run);
+        }
+    }
+    end_runs_as_lost(worker);
+}
+
 auto run_scheduler::reserve(identified_worker& worker,
                             candidate_run const& candidate) -> void
 {
     task_run const run{candidate.task, candidate.number};
-    worker.second.add(run, make_held_run(*candidate.step, run_phase::proposed));
+    auto held = make_held_run(*candidate.step, run_phase::proposed);
+    held.suspect = candidate.record->is_suspect(candidate.task);
+    worker.second.add(run, std::move(held));
     worker_of_run_[run] = worker.first;
     proposed_.insert(candidate.task);
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -183,6 +183,9 @@
         -> void;
     auto release(task_run const& run, time_point now) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
+    /// Ends the runs of a silent worker as lost, and keeps which of them are to
+    /// blame if it has crashed.
+    auto end_runs_of_silent(identified_worker& worker) -> void;
     [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
 
     // run_contacts.cpp
@@ -201,7 +204,13 @@
     auto replace_incarnation(identified_worker& worker,
                              worker_announcement const& announcement,
                              time_point now) -> void;
+    /// The worker has left in order.
+    auto on_leave(identified_worker& worker) -> void;
+    /// Another worker or incarnation took the place of this one.
     auto on_incarnation_end(identified_worker& worker) -> void;
+    /// Records the crashes of runs that ended as lost before the crash of
+    /// their worker was known.
+    auto report_late_crashes(worker_entry& worker) -> void;
     auto record_contact(identified_worker& worker,
                         std::optional<worker_clock> const& clock,
                         time_point now) -> void;
@@ -237,10 +246,12 @@
     /// worker was found for a task, others with the same key are skipped. The
     /// workflow is part of the key only if its step limits the tasks per
     /// worker.
-    using placement_key = std::tuple<pool_name, worker_label, image_name, bool,
-                                     std::int64_t, std::int64_t, workflow_id>;
+    using placement_key =
+        std::tuple<pool_name, worker_label, image_name, bool, bool,
+                   std::int64_t, std::int64_t, workflow_id>;
     static auto placement_key_of(workflow_record const& record,
-                                 step_spec const& step) -> placement_key;
+                                 step_spec const& step, bool is_suspect)
+        -> placement_key;
     /// What a pass that was cut short leaves to the next one, which goes on
     /// with other tasks. Otherwise tasks that find no room would keep all
     /// later ones from being considered.
@@ -289,6 +300,11 @@
     [[nodiscard]] auto keeps_latency_targets(worker_entry const& worker,
                                              image_name const& image,
                                              time_point now) const -> bool;
+    /// True if two suspects would share the worker: its next crash could not be
+    /// assigned to one of them.
+    static auto has_other_suspect(worker_entry const& worker,
+                                  candidate_run const& candidate,
+                                  time_point now) -> bool;
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace apricotlb
 {
@@ -65,6 +66,13 @@
     /// A start order got no answer, so that it may still be executed later.
     bool start_unconfirmed{false};
     bool order_in_flight{false};
+    /// A worker has crashed soon after the start of a run of its task.
+    bool suspect{false};
+    /// First start order of this leader; none for a run of an earlier leader.
+    std::optional<time_point> ordered_at;
+    /// When it was first confirmed as running; none for a run of an earlier
+    /// leader, which may have started at any time before.
+    std::optional<time_point> started_at;
     run_end closed_as{run_end::not_started}; ///< end to record once closed
     time_point sent{};                       ///< when the last order was sent
     time_point settled_at{}; ///< when it was confirmed as running, or closed
@@ -83,6 +91,14 @@
         return latency_target > milliseconds{0};
     }
 
+    /// True while a crash of its worker would count as caused by it and another
+    /// worker has crashed under its task before.
+    [[nodiscard]] auto is_unproven_suspect(time_point now) const -> bool
+    {
+        return suspect && (phase != run_phase::running ||
+                           now - settled_at < config::crash_blame_time);
+    }
+
     /// Records the load that the worker reported, as in running_row::load.
     auto record_measurement(std::int64_t reported_load, time_point now) -> void
     {
@@ -177,6 +193,9 @@
 /// A worker with its current incarnation, lease and runs.
 struct worker_entry
 {
+    /// Longest usual time between two contacts of a worker that is up.
+    static constexpr duration usual_contact_interval = milliseconds{1500};
+
     std::optional<worker_announcement> info; ///< none before the first one
     worker_incarnation incarnation;
     sequence described; ///< number of the announcement in `info`
@@ -191,6 +210,9 @@
     time_point last_contact{};
     time_point announced_at{}; ///< when its newest announcement was received
     time_point paused_until{}; ///< no new runs until then, after a rejection
+    /// Runs that ended as lost because the worker was silent, and that are to
+    /// blame if it turns out to have crashed.
+    std::vector<task_run> possible_crashes;
     time_point poll_sent_at{};
     time_point next_poll_at{}; ///< earliest time of the next poll
     bool poll_in_flight{false};
@@ -198,6 +220,32 @@
     /// Nothing of this incarnation runs any more.
     bool incarnation_ended{false};
 
+    /// True if its last announcement said that it drains.
+    [[nodiscard]] auto is_leaving() const -> bool
+    {
+        return info && info->phase != worker_phase::ready;
+    }
+    /// Records that this incarnation was alive at a time.
+    auto record_life_sign(time_point at) -> void
+    {
+        last_contact = std::max(last_contact, at);
+        possible_crashes.clear();
+    }
+    /// True if the run may have caused a crash of the worker that ended its
+    /// contact: it had started for config::crash_blame_time at most. An order
+    /// that was sent to a worker after a long silence found it down already.
+    [[nodiscard]] auto may_blame(held_run const& run) const -> bool
+    {
+        if (run.phase == run_phase::proposed ||
+            run.phase == run_phase::ending || !run.ordered_at)
+        {
+            return false;
+        }
+        auto const since = run.started_at.value_or(*run.ordered_at);
+        return last_contact - since < config::crash_blame_time &&
+               since - last_contact < usual_contact_interval;
+    }
+
     auto add(task_run const& name, held_run run) -> void
     {
         reserved += run.reservation;
--- a/src/core/fleet/worker_messages.cpp
+++ b/src/core/fleet/worker_messages.cpp
@@ -14,15 +14,15 @@
     "unhealthy", "malformed", "other_life", "no_answer", "not_sent",
 };
 
-constexpr std::array<std::string_view, 8> end_names{
-    "finished", "failed", "stopped", "lapsed",
-    "broken",   "alone",  "lost",    "not_started",
+constexpr std::array<std::string_view, 9> end_names{
+    "finished", "failed", "stopped",     "lapsed",  "broken",
+    "alone",    "lost",   "not_started", "crashed",
 };
 
 static_assert(outcome_names.size() ==
               static_cast<std::size_t>(last_enumerator<order_outcome>) + 1);
 static_assert(end_names.size() ==
-              static_cast<std::size_t>(run_end::not_started) + 1);
+              static_cast<std::size_t>(last_enumerator<run_end>) + 1);
 
 } // namespace
 
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -1,5 +1,7 @@
 #include "core/state/workflow_table.hpp"
 
+#include <apricotlb/config.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -95,6 +97,15 @@
     return !failed && !cancelled;
 }
 
+auto workflow_record::is_suspect(workflow_task const& task) const -> bool
+{
+    auto const& tasks =
+        occurrences[task.occurrence.value()].steps[task.step.value()].tasks;
+    auto const& counted =
+        step(task).gang ? tasks.front() : tasks[task.index.value()];
+    return counted.crashes > 0;
+}
+
 auto workflow_record::find(workflow_task const& task) const
     -> task_progress const*
 {
@@ -201,11 +212,21 @@
     for (auto const& ended : it.runs)
     {
         auto const found = live_.find(ended.run.task.workflow);
-        if (found != live_.end() && is_active(ended.run))
+        if (found == live_.end() ||
+            found->second.find(ended.run.task) == nullptr)
+        {
+            continue;
+        }
+        if (is_active(ended.run))
         {
             record_end(found->second, ended, contracts);
             retire_if_ended(found->second, it.at);
         }
+        else if (ended.outcome == run_end::crashed)
+        {
+            record_crash(found->second, ended.run);
+            retire_if_ended(found->second, it.at);
+        }
     }
     return answer_at(at);
 }
@@ -247,21 +268,26 @@
             each.finished = each.finished || step.gang || &each == &progress;
         }
     }
+    // All tasks of a gang fail together, and one of them reports the failure.
+    auto& counted = step.gang ? tasks.front() : progress;
+    if (ended.outcome == run_end::finished || ended.outcome == run_end::failed)
+    {
+        // The run has ended by itself, so that the task crashes no workers.
+        counted.crashes = 0;
+    }
+    if (ended.outcome == run_end::crashed)
+    {
+        record_crash(record, ended.run);
+    }
     if (ended.outcome == run_end::failed && !step.permanent)
     {
-        // All tasks of a gang fail together, and one of them reports the
-        // failure.
-        auto& counted = step.gang ? tasks.front() : progress;
         ++counted.failures;
         auto const* const queue = contracts.queue(record.terms.name);
         auto const max_failures =
             queue != nullptr ? queue->max_failures : record.terms.max_failures;
-        if (!counted.finished && counted.failures >= max_failures &&
-            record.is_open())
+        if (!counted.finished && counted.failures >= max_failures)
         {
-            count_waiting(record, -1);
-            remove_ready(record);
-            record.failed = true;
+            set_failed(record);
         }
     }
     if (record.is_open())
@@ -270,6 +296,37 @@
     }
 }
 
+/// Counts a crash once for a gang: its members share the number of their run.
+auto workflow_table::record_crash(workflow_record& record, task_run const& run)
+    -> void
+{
+    auto& tasks = record.occurrences[run.task.occurrence.value()]
+                      .steps[run.task.step.value()]
+                      .tasks;
+    auto& counted = record.step(run.task).gang ? tasks.front()
+                                               : tasks[run.task.index.value()];
+    if (run.number <= counted.last_crashed || run.number > counted.last)
+    {
+        return;
+    }
+    counted.last_crashed = run.number;
+    ++counted.crashes;
+    if (!counted.finished && counted.crashes >= config::max_task_crashes)
+    {
+        set_failed(record);
+    }
+}
+
+auto workflow_table::set_failed(workflow_record& record) -> void
+{
+    if (record.is_open())
+    {
+        count_waiting(record, -1);
+        remove_ready(record);
+        record.failed = true;
+    }
+}
+
 /// Adds each task of an occurrence that may be started.
 auto workflow_table::add_ready(workflow_record const& it,
                                occurrence_index occurrence) -> void
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -38,6 +38,9 @@
     checkpoint_id checkpoint;
     std::vector<active_run>
         active; ///< more than one with step_spec::allows_copies
+    /// Runs that ended as crashed; those of a gang count for its first task.
+    std::uint32_t crashes{0};
+    run_number last_crashed; ///< highest number of such a run
 
     static constexpr auto fields()
     {
@@ -45,10 +48,15 @@
                           field("failures", &task_progress::failures),
                           field("finished", &task_progress::finished),
                           field("checkpoint", &task_progress::checkpoint),
-                          field("active", &task_progress::active));
+                          field("active", &task_progress::active),
+                          field("crashes", &task_progress::crashes),
+                          field("last_crashed", &task_progress::last_crashed));
     }
 };
 
+template <>
+inline constexpr std::size_t optional_fields<task_progress> = 2;
+
 struct step_progress
 {
     std::vector<task_progress> tasks;
@@ -89,6 +97,8 @@
     {
         return spec.steps[task.step.value()];
     }
+    /// True if a worker has crashed under a run of the task, or of its gang.
+    [[nodiscard]] auto is_suspect(workflow_task const& task) const -> bool;
     /// Calls f(workflow_task, task_progress, active_run) for each active run.
     template <class F>
     auto for_each_active(F f) const -> void
@@ -178,7 +188,8 @@
     auto apply(cancel_workflow const& it, revision at) -> apply_result;
     /// Records each run that may start and ignores the others.
     auto apply(start_runs const& it, revision at) -> apply_result;
-    /// Ends each run that is active and ignores the others.
+    /// Ends each run that is active. An end as crashed also counts for a run
+    /// that has ended as lost before; other ends are ignored.
     auto apply(end_runs const& it, revision at,
                contract_set_registry const& contracts) -> apply_result;
     auto apply(expire_workflows const& it, revision at) -> apply_result;
@@ -216,6 +227,8 @@
     auto remove_ready(workflow_record const& it) -> void;
     auto record_end(workflow_record& record, ended_run const& ended,
                     contract_set_registry const& contracts) -> void;
+    auto record_crash(workflow_record& record, task_run const& run) -> void;
+    auto set_failed(workflow_record& record) -> void;
     auto count_waiting(workflow_record const& it, int sign) -> void;
     /// Moves a workflow to the ended ones if it has no tasks left to run and no
     /// active runs.
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -1,8 +1,14 @@
+#include "adapters/msgpack_codec.hpp"
 #include "core/state/state_machine.hpp"
 
+#include <apricotlb/config.hpp>
+
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace apricotlb
 {
@@ -133,6 +139,124 @@
     EXPECT_EQ(it.shown(), workflow_state::failed);
 }
 
+// Each run that is counted is one worker that crashed; a task that has ended by
+// itself since then crashes no workers.
+TEST(workflow_table, fails_after_crashes_without_another_end_in_between)
+{
+    one_workflow it{{step(1)}};
+    std::uint32_t n{0};
+    auto const crash = [&]
+    {
+        it.start(one_workflow::run(0, 0, ++n));
+        it.end(one_workflow::run(0, 0, n), run_end::crashed);
+    };
+    for (std::uint32_t k = 1; k < config::max_task_crashes; ++k)
+    {
+        crash();
+    }
+    it.start(one_workflow::run(0, 0, ++n));
+    it.end(one_workflow::run(0, 0, n), run_end::failed);
+    for (std::uint32_t k = 1; k < config::max_task_crashes; ++k)
+    {
+        crash();
+        EXPECT_EQ(it.shown(), workflow_state::running);
+    }
+    crash();
+    EXPECT_EQ(it.shown(), workflow_state::failed);
+}
+
+// The members of a gang end together; their crash is one.
+TEST(workflow_table, counts_a_crash_once_for_a_gang)
+{
+    auto together = step(3);
+    together.gang = true;
+    one_workflow it{{together}};
+    for (std::uint32_t n = 1; n <= config::max_task_crashes; ++n)
+    {
+        EXPECT_NE(it.shown(), workflow_state::failed);
+        for (std::uint32_t k = 0; k < 3; ++k)
+        {
+            it.start(one_workflow::run(0, k, n));
+        }
+        for (std::uint32_t k = 0; k < 3; ++k)
+        {
+            it.end(one_workflow::run(0, k, n), run_end::crashed);
+        }
+    }
+    EXPECT_EQ(it.shown(), workflow_state::failed);
+}
+
+// A crash may become known after the run has ended as lost, and be proposed
+// again by a leader that has not seen its record.
+TEST(workflow_table, counts_a_crash_once_after_the_run_has_ended_as_lost)
+{
+    one_workflow it{{step(1)}};
+    for (std::uint32_t n = 1; n <= config::max_task_crashes; ++n)
+    {
+        EXPECT_NE(it.shown(), workflow_state::failed);
+        it.start(one_workflow::run(0, 0, n));
+        it.end(one_workflow::run(0, 0, n), run_end::lost);
+        it.end(one_workflow::run(0, 0, n), run_end::crashed);
+        it.end(one_workflow::run(0, 0, n), run_end::crashed);
+        it.end(one_workflow::run(0, 0, n + 1), run_end::crashed);
+    }
+    EXPECT_EQ(it.shown(), workflow_state::failed);
+}
+
+// A replica that takes over from a snapshot must not count anew.
+TEST(workflow_table, keeps_crashes_in_a_snapshot)
+{
+    one_workflow it{{step(1)}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.end(one_workflow::run(0, 0, 1), run_end::crashed);
+    auto const bytes = msgpack_codec::encode(it.state.workflows().snapshot());
+    auto const loaded = msgpack_codec::decode<workflows_snapshot>(bytes);
+    ASSERT_FALSE(loaded.has_error());
+    workflow_table const table{loaded.value()};
+    EXPECT_TRUE(table.find(workflow_id{"a"})
+                    ->is_suspect(one_workflow::run(0, 0, 1).task));
+}
+
+/// task_progress of a version that did not count crashes.
+struct former_task_progress
+{
+    run_number last;
+    std::uint32_t failures{0};
+    bool finished{false};
+    checkpoint_id checkpoint;
+    std::vector<active_run> active;
+
+    static constexpr auto fields()
+    {
+        return field_list(
+            field("last", &former_task_progress::last),
+            field("failures", &former_task_progress::failures),
+            field("finished", &former_task_progress::finished),
+            field("checkpoint", &former_task_progress::checkpoint),
+            field("active", &former_task_progress::active));
+    }
+};
+
+// A snapshot without these counts has to load after an update.
+TEST(workflow_table, loads_progress_of_a_version_that_counted_no_crashes)
+{
+    former_task_progress before;
+    before.last = run_number{7};
+    before.failures = 1;
+    before.active.push_back(
+        {run_number{7}, {worker_id{"w"}, worker_incarnation{1}}});
+    auto const bytes = msgpack_codec::encode(before);
+    auto const loaded = msgpack_codec::decode<task_progress>(bytes);
+    ASSERT_FALSE(loaded.has_error());
+    EXPECT_EQ(loaded.value().last, run_number{7});
+    EXPECT_EQ(loaded.value().failures, 1U);
+    EXPECT_EQ(loaded.value().active.size(), 1U);
+    EXPECT_EQ(loaded.value().crashes, 0U);
+    EXPECT_TRUE(
+        msgpack_codec::decode<active_run>(std::string_view{"\x91\x01", 2})
+            .has_error());
+}
+
 // A cancelled workflow starts nothing more and is kept until its runs have
 // ended, so that they are stopped.
 TEST(workflow_table, keeps_a_cancelled_workflow_until_its_runs_end)
