--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -144,6 +144,7 @@
             step.scavenges ? step.image : image_name{},
             step.scavenges,
             candidate.is_restart,
+            candidate.is_suspect,
             step.each.cores.value(),
             step.each.memory.value(),
             std::move(limited)};
@@ -262,11 +263,32 @@
     {
         return placement_obstacle::worker_limit;
     }
+    if (has_other_suspect(entry, candidate, pass.now))
+    {
+        return placement_obstacle::suspect;
+    }
     return step.scavenges && !may_scavenge(worker, step, pass)
                ? placement_obstacle::latency
                : placement_obstacle::none;
 }
 
+auto run_scheduler::has_other_suspect(worker_entry const& worker,
+                                      candidate_run const& candidate,
+                                      time_point now) -> bool
+{
+    return candidate.is_suspect &&
+           std::ranges::any_of(
+               worker.runs,
+               [&](auto const& each)
+               {
+                   // The members of a gang are one suspect.
+                   auto const is_same =
+                       candidate.step->gang &&
+                       is_same_step(each.first.task, candidate.task);
+                   return !is_same && each.second.is_unproven_suspect(now);
+               });
+}
+
 auto run_scheduler::can_place(identified_worker const& worker,
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
@@ -344,9 +366,9 @@
     auto const [known, added] =
         failed_searches_.try_emplace(placement_key_of(candidate));
     auto& search = known->second;
-    // Whether a scavenging task may be placed depends on measurements also.
-    auto const repeats = !added && candidate.step->scavenges &&
-                         search.used_at != pass.now &&
+    // Measurements decide on scavenging tasks, and time clears suspects.
+    auto const changes = candidate.step->scavenges || candidate.is_suspect;
+    auto const repeats = !added && changes && search.used_at != pass.now &&
                          may_repeat_search(search.searched_at, pass);
     auto const visits_before = pass.visits;
     auto const since = repeats ? room_change{} : search.seen;
@@ -392,6 +414,7 @@
         // The one with most room is the first on which the task will fit.
         if (!entry.held && reservation_of(step).fits_into(expected) &&
             is_allowed(entry, step, candidate.task) &&
+            !has_other_suspect(entry, candidate, pass.now) &&
             (best == nullptr || entry.free().cores > best->second.free().cores))
         {
             best = worker;
@@ -422,7 +445,12 @@
 {
     auto const& step = record.step(task);
     auto const has_run = record.find(task)->last > run_number{};
-    return {&record, &step, task, number, step.permanent && has_run};
+    return {&record,
+            &step,
+            task,
+            number,
+            step.permanent && has_run,
+            record.is_suspect(task)};
 }
 
 auto run_scheduler::place_single(candidate_run const& candidate,
@@ -656,11 +684,12 @@
             waits_.record(it->task, placed ? pass_result::placed
                                            : pass_result::no_worker);
         }
-        if (!placed && !candidate.is_restart)
+        // No worker takes the other tasks of the step either.
+        if (!placed && !candidate.is_restart && !candidate.is_suspect)
         {
             return true;
         }
-        if (!placed)
+        if (!placed && candidate.is_restart)
         {
             hold_worker(candidate, pass);
         }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -196,6 +196,9 @@
     /// Takes back a reservation that is not proposed yet.
     auto cancel_reservation(task_run const& run) -> void;
     auto end_runs_as_lost(identified_worker& worker) -> void;
+    /// Ends the runs of a silent worker as lost, and keeps which of them are to
+    /// blame if it has crashed.
+    auto end_runs_of_silent(identified_worker& worker) -> void;
     [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
 
     // run_contacts.cpp
@@ -214,7 +217,13 @@
     auto replace_incarnation(identified_worker& worker,
                              worker_announcement const& announcement,
                              time_point now) -> void;
+    /// The worker has left in order.
+    auto on_leave(identified_worker& worker) -> void;
+    /// Another worker or incarnation took the place of this one.
     auto on_incarnation_end(identified_worker& worker) -> void;
+    /// Records the crashes of runs that ended as lost before the crash of
+    /// their worker was known.
+    auto report_late_crashes(worker_entry& worker) -> void;
     auto record_contact(identified_worker& worker,
                         std::optional<worker_clock> const& clock,
                         time_point now) -> void;
@@ -246,12 +255,13 @@
         workflow_task task;
         run_number number;
         bool is_restart; ///< of a permanent task
+        bool is_suspect; ///< workers have crashed under earlier runs
     };
     /// Properties that decide whether some worker can take a task. The step is
     /// part of the key only if it limits its tasks per worker. Restarts have
     /// keys of their own, since held workers are open to them.
     using placement_key =
-        std::tuple<pool_name, worker_label, image_name, bool, bool,
+        std::tuple<pool_name, worker_label, image_name, bool, bool, bool,
                    std::int64_t, std::int64_t, std::optional<workflow_task>>;
     auto placement_key_of(candidate_run const& candidate) const
         -> placement_key;
@@ -330,6 +340,11 @@
     [[nodiscard]] auto keeps_latency_targets(worker_entry const& worker,
                                              image_name const& image,
                                              time_point now) const -> bool;
+    /// True if two suspects would share the worker: its next crash could not be
+    /// assigned to one of them.
+    static auto has_other_suspect(worker_entry const& worker,
+                                  candidate_run const& candidate,
+                                  time_point now) -> bool;
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
