Keep the log usable after a write that found no space

A failed sync may have lost data; a write without space has not: what was durable stays as it was. The frame is now kept in memory, its partial copy is cut off and a half-made segment removed, durably, before anything else is written, and the same call may be repeated. So a torn record is never followed by others, and a segment that is appended to has no successor. A load without space may be repeated. Any other failure stays final.

A sync that reports a lack of space is treated in the same way: the frame is not synced again but cut off and written anew.

--- a/src/adapters/disk_log.hpp
+++ b/src/adapters/disk_log.hpp
@@ -84,12 +84,17 @@
         -> result<bool>;
     auto take(stored_log& out, disk_format::record it) -> result<void>;
     auto add_segment(log_position base, bool reset) -> result<void>;
+    auto fill_segment(file_handle file, std::string_view frame) -> result<void>;
     auto open_snapshot(raft_snapshot const& it) -> result<void>;
     auto write_piece() -> result<bool>;
     auto drop_unfinished() -> void;
     auto write_frame() -> result<void>;
+    /// Removes what a write without space has left behind.
+    auto repair() -> result<void>;
+    auto forget() -> void;
     auto remove_segments(std::size_t count) -> result<void>;
-    /// Keeps the first failure; every later call returns it.
+    /// Keeps the first failure other than disk_full; every later call returns
+    /// it.
     auto guard(result<void> done) -> result<void>;
 
     Files& files_;
@@ -99,6 +104,9 @@
     std::vector<segment> segments_;
     byte_count snapshot_size_;
     std::optional<unfinished> unfinished_;
+    /// Bytes may follow the last durable record.
+    bool is_torn_{false};
+    std::optional<file_path> unfinished_segment_;
     std::string pending_;
     hard_state hard_;
     log_position last_;
--- a/src/adapters/disk_log_impl.hpp
+++ b/src/adapters/disk_log_impl.hpp
@@ -13,7 +13,10 @@
 template <file_system_port Files>
 disk_log<Files>::~disk_log()
 {
-    drop_unfinished();
+    if (unfinished_)
+    {
+        files_.close(unfinished_->file);
+    }
     if (file_)
     {
         files_.close(*file_);
@@ -41,7 +44,7 @@
 template <file_system_port Files>
 auto disk_log<Files>::guard(result<void> done) -> result<void>
 {
-    if (!done && !failed_)
+    if (!done && !failed_ && done.error().kind != error_kind::disk_full)
     {
         failed_ = done.error();
     }
@@ -62,15 +65,19 @@
     disk_format::add_record(payload, header);
     auto const frame = disk_format::make_frame(disk_format::frame_kind::records,
                                                header.number, 0, payload);
-    BOOST_OUTCOME_TRY(file, files_.create(path_of(name_of(header.number))));
+    unfinished_segment_ = path_of(name_of(header.number));
+    BOOST_OUTCOME_TRY(file, files_.create(*unfinished_segment_));
+    if (auto done = fill_segment(file, frame); !done)
+    {
+        files_.close(file);
+        return done;
+    }
+    unfinished_segment_.reset();
     if (file_)
     {
         files_.close(*file_);
     }
     file_ = file;
-    BOOST_OUTCOME_TRYV(files_.write(file, frame));
-    BOOST_OUTCOME_TRYV(files_.sync(file));
-    BOOST_OUTCOME_TRYV(files_.sync_folder(options_.folder));
     segments_.push_back({header.number, base.index,
                          byte_count{static_cast<std::int64_t>(frame.size())}});
     if (reset)
@@ -81,6 +88,35 @@
     return outcome::success();
 }
 
+template <file_system_port Files>
+auto disk_log<Files>::fill_segment(file_handle file, std::string_view frame)
+    -> result<void>
+{
+    BOOST_OUTCOME_TRYV(files_.write(file, frame));
+    BOOST_OUTCOME_TRYV(files_.sync(file));
+    return files_.sync_folder(options_.folder);
+}
+
+/// Nothing may follow a torn record, and a segment must not have a successor
+/// while it is appended to.
+template <file_system_port Files>
+auto disk_log<Files>::repair() -> result<void>
+{
+    if (unfinished_segment_)
+    {
+        BOOST_OUTCOME_TRYV(files_.remove(*unfinished_segment_));
+        BOOST_OUTCOME_TRYV(files_.sync_folder(options_.folder));
+        unfinished_segment_.reset();
+    }
+    if (is_torn_)
+    {
+        BOOST_OUTCOME_TRYV(files_.truncate(*file_, segments_.back().size));
+        BOOST_OUTCOME_TRYV(files_.sync(*file_));
+        is_torn_ = false;
+    }
+    return outcome::success();
+}
+
 template <file_system_port Files>
 auto disk_log<Files>::save(hard_state const& it) -> void
 {
@@ -118,6 +154,7 @@
                     "the log has reached its bound of " +
                         std::to_string(options_.max_disk.value()) + " bytes");
     }
+    BOOST_OUTCOME_TRYV(repair());
     if (segments_.back().size >= options_.segment)
     {
         BOOST_OUTCOME_TRYV(add_segment(written_, false));
@@ -126,8 +163,10 @@
     auto const frame = disk_format::make_frame(
         disk_format::frame_kind::records, it.number,
         static_cast<std::size_t>(it.size.value()), pending_);
+    is_torn_ = true;
     BOOST_OUTCOME_TRYV(files_.write(*file_, frame));
     BOOST_OUTCOME_TRYV(files_.sync(*file_));
+    is_torn_ = false;
     it.size += byte_count{static_cast<std::int64_t>(frame.size())};
     pending_.clear();
     written_hard_ = hard_;
@@ -141,6 +180,8 @@
     if (unfinished_)
     {
         files_.close(unfinished_->file);
+        // A failure is ignored: load and the next snapshot remove the file.
+        (void)files_.remove(path_of("snapshot.tmp"));
         unfinished_.reset();
     }
 }
@@ -171,16 +212,22 @@
     }
     BOOST_OUTCOME_TRYV(
         files_.rename(path_of("snapshot.tmp"), path_of("snapshot")));
-    BOOST_OUTCOME_TRYV(files_.sync_folder(options_.folder));
     snapshot_size_ = byte_count{static_cast<std::int64_t>(it.bytes.size())};
-    drop_unfinished();
+    files_.close(it.file);
+    unfinished_.reset();
+    BOOST_OUTCOME_TRYV(files_.sync_folder(options_.folder));
     return true;
 }
 
 template <file_system_port Files>
 auto disk_log<Files>::begin_snapshot(raft_snapshot const& it) -> result<void>
 {
-    BOOST_OUTCOME_TRYV(sync());
+    // A snapshot needs no entry that is only buffered, and may free the space
+    // for it.
+    if (auto done = sync(); !done && done.error().kind != error_kind::disk_full)
+    {
+        return done;
+    }
     return guard(open_snapshot(it));
 }
 
@@ -198,7 +245,11 @@
     auto done = write_piece();
     if (!done)
     {
-        failed_ = done.error();
+        (void)guard(outcome::failure(done.error()));
+    }
+    if (!done && !failed_)
+    {
+        drop_unfinished();
     }
     return done;
 }
@@ -218,6 +269,7 @@
 template <file_system_port Files>
 auto disk_log<Files>::install(raft_snapshot const& it) -> result<void>
 {
+    BOOST_OUTCOME_TRYV(sync());
     BOOST_OUTCOME_TRYV(save_snapshot(it));
     BOOST_OUTCOME_TRYV(guard(add_segment(it.info.last, true)));
     return guard(remove_segments(segments_.size() - 1));
--- a/src/adapters/disk_log_load.hpp
+++ b/src/adapters/disk_log_load.hpp
@@ -15,20 +15,42 @@
 template <file_system_port Files>
 auto disk_log<Files>::load() -> result<stored_log>
 {
+    forget();
     auto out = load_all();
     if (!out)
     {
-        failed_ = out.error();
+        (void)guard(outcome::failure(out.error()));
     }
     return out;
 }
 
+/// Undoes a load that found no space, except for the lock.
+template <file_system_port Files>
+auto disk_log<Files>::forget() -> void
+{
+    drop_unfinished();
+    if (auto const file = std::exchange(file_, std::nullopt))
+    {
+        files_.close(*file);
+    }
+    segments_.clear();
+    snapshot_size_ = {};
+    is_torn_ = false;
+    unfinished_segment_.reset();
+    pending_.clear();
+    hard_ = written_hard_ = {};
+    last_ = written_ = {};
+}
+
 template <file_system_port Files>
 auto disk_log<Files>::load_all() -> result<stored_log>
 {
     BOOST_OUTCOME_TRYV(files_.make_folder(options_.folder));
-    BOOST_OUTCOME_TRY(locked, files_.lock(path_of("lock")));
-    lock_ = locked;
+    if (!lock_)
+    {
+        BOOST_OUTCOME_TRY(locked, files_.lock(path_of("lock")));
+        lock_ = locked;
+    }
     BOOST_OUTCOME_TRY(names, files_.list(options_.folder));
     stored_log out;
     std::vector<segment_number> numbers;
@@ -84,8 +106,10 @@
         BOOST_OUTCOME_TRY(used, load_segment(out, it, it == numbers.back()));
         if (!used)
         {
-            // The process stopped while it created this segment.
+            // The process stopped while it created this segment. If the name
+            // came back, the segment before it would no longer be the last.
             BOOST_OUTCOME_TRYV(files_.remove(path_of(name_of(it))));
+            BOOST_OUTCOME_TRYV(files_.sync_folder(options_.folder));
         }
     }
     if (segments_.empty())
--- a/src/ports/log_store.hpp
+++ b/src/ports/log_store.hpp
@@ -25,9 +25,10 @@
 };
 
 /// save and append_entries only buffer; sync makes everything buffered durable
-/// at once. After a failure the store refuses every call, because a failed sync
-/// may have lost data that a second sync would report as durable. The process
-/// must exit.
+/// at once. A call that fails with disk_full leaves the durable contents as
+/// they were, keeps what is buffered, and may be repeated. After any other
+/// failure the store refuses every call, because a failed sync may have lost
+/// data that a second sync would report as durable. The process must exit.
 template <class T>
 concept log_store_port =
     requires(T& it, hard_state const& term_and_vote,
--- a/tests/crash_files.hpp
+++ b/tests/crash_files.hpp
@@ -1,4 +1,5 @@
-/// File system port in memory that fails or loses power at a chosen call.
+/// File system port in memory that fails, is full or loses power at a chosen
+/// call.
 #ifndef APRICOTLB_TESTS_CRASH_FILES_HPP
 #define APRICOTLB_TESTS_CRASH_FILES_HPP
 
@@ -32,17 +33,21 @@
     std::size_t calls{0};
     std::optional<std::size_t> fail_at;
     bool once{false}; ///< only that call fails; else the power is gone
+    /// First and last call during which nothing can be added.
+    std::optional<std::pair<std::size_t, std::size_t>> full;
     bool locked{false};
 
     auto make_folder(file_path const&) -> result<void> { return step(); }
     auto lock(file_path const& path) -> result<file_handle>
     {
-        if (std::exchange(locked, true))
+        if (locked)
         {
             return fail(error_kind::data_folder_locked, "locked");
         }
-        lock_ = next_;
-        return create(path);
+        BOOST_OUTCOME_TRY(file, create(path));
+        locked = true;
+        lock_ = file.value();
+        return file;
     }
     auto list(file_path const&) -> result<std::vector<std::string>>
     {
@@ -62,7 +67,7 @@
     }
     auto create(file_path const& path) -> result<file_handle>
     {
-        BOOST_OUTCOME_TRYV(step());
+        BOOST_OUTCOME_TRYV(step_that_adds());
         auto& it = names[path.value()];
         if (it == nullptr)
         {
@@ -78,7 +83,7 @@
     }
     auto write(file_handle to, std::string_view bytes) -> result<void>
     {
-        auto done = step();
+        auto done = step_that_adds();
         // A write that fails or is cut off may have reached the file in part.
         open_.at(to.value())->current +=
             done ? bytes : bytes.substr(0, dead() ? 0 : bytes.size() / 2);
@@ -86,7 +91,7 @@
     }
     auto sync(file_handle it) -> result<void>
     {
-        BOOST_OUTCOME_TRYV(step());
+        BOOST_OUTCOME_TRYV(step_that_adds());
         open_.at(it.value())->durable = open_.at(it.value())->current;
         return outcome::success();
     }
@@ -104,7 +109,7 @@
     }
     auto rename(file_path const& from, file_path const& to) -> result<void>
     {
-        BOOST_OUTCOME_TRYV(step());
+        BOOST_OUTCOME_TRYV(step_that_adds());
         names[to.value()] = names.extract(from.value()).mapped();
         return outcome::success();
     }
@@ -116,7 +121,7 @@
     }
     auto sync_folder(file_path const&) -> result<void>
     {
-        BOOST_OUTCOME_TRYV(step());
+        BOOST_OUTCOME_TRYV(step_that_adds());
         durable_names = names;
         return outcome::success();
     }
@@ -167,6 +172,7 @@
         locked = false;
         calls = 0;
         fail_at.reset();
+        full.reset();
     }
 
 private:
@@ -179,6 +185,15 @@
         }
         return outcome::success();
     }
+    auto step_that_adds() -> result<void>
+    {
+        BOOST_OUTCOME_TRYV(step());
+        if (full && calls >= full->first && calls <= full->second)
+        {
+            return fail(error_kind::disk_full, "no space");
+        }
+        return outcome::success();
+    }
     [[nodiscard]] auto dead() const -> bool
     {
         return fail_at && calls > *fail_at;
