Make durable what a restart reads back from the log

full_disk_log.what_a_restart_reads_back_survives_a_loss_of_power fails without the sync (entries read back, then gone) and passes with it.

--- a/src/adapters/disk_log_load.hpp
+++ b/src/adapters/disk_log_load.hpp
@@ -127,6 +127,8 @@
     BOOST_OUTCOME_TRY(file,
                       files_.open(path_of(name_of(segments_.back().number))));
     file_ = file;
+    // The process before may have ended between a write and its sync.
+    BOOST_OUTCOME_TRYV(files_.sync(file));
     if (!out.snapshot)
     {
         return out.base == log_position{}
--- a/tests/full_disk_log_test.cpp
+++ b/tests/full_disk_log_test.cpp
@@ -272,5 +272,37 @@
     EXPECT_EQ(log.sync().error().kind, error_kind::disk_failed);
 }
 
+// A record that was written but not synced, because the process ended in
+// between, must not be promised after a restart and then lost with the power.
+TEST(full_disk_log, what_a_restart_reads_back_survives_a_loss_of_power)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        SCOPED_TRACE(seed);
+        std::mt19937_64 random{seed};
+        crash_files files;
+        {
+            store_type log{files, options};
+            ASSERT_TRUE(log.load());
+            log.append_entries(entries(1, 2, 1));
+            files.full = {files.calls + 2, files.calls + 2};
+            ASSERT_EQ(log.sync().error().kind, error_kind::disk_full);
+        }
+        files.full.reset();
+        stored_log read_back;
+        {
+            store_type log{files, options};
+            auto loaded = log.load();
+            ASSERT_TRUE(loaded);
+            read_back = loaded.value();
+        }
+        EXPECT_EQ(read_back.entries.size(), 2);
+        files.lose_power(random);
+        auto const loaded = store_type{files, options}.load();
+        ASSERT_TRUE(loaded);
+        EXPECT_EQ(loaded.value().entries, read_back.entries);
+    }
+}
+
 } // namespace
 } // namespace apricotlb
