Keep a replica running while its disk is full

Its callers' changes ended with no_leader, and each start read the log and counted as a contact with the leader.

The cause: every error of the store ended the process, though a write without space has lost nothing that was promised.

The replica now keeps what it could not write, and goes on with all that needs no disk. Messages that depend on a sync are dropped; the other members repeat theirs. A leader steps down; the only voter stays the leader, answers reads and refuses changes with disk_full at once. Every 250 ms it writes again, and catches up when that succeeds. A start without space waits likewise.

state shows in two log lines and in apricotlb_disk_events_total.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -69,6 +69,15 @@
             { on_command_applied(it, result); });
         replica_.on_leadership([this](bool is_leading, term in_term)
                                { change_leadership(is_leading, in_term); });
+        replica_.on_disk_event(
+            [this](disk_event it, std::string const& cause)
+            {
+                metrics_.count(metric::disk_events, name_of(it));
+                if (on_disk_event_)
+                {
+                    on_disk_event_(it, cause);
+                }
+            });
     }
     control_role(control_role const&) = delete;
     auto operator=(control_role const&) -> control_role& = delete;
@@ -86,6 +95,14 @@
         replica_.on_failure(std::move(callback));
     }
 
+    /// Called when the disk is full, and on what is refused for it.
+    auto
+    on_disk_event(std::function<void(disk_event, std::string const&)> callback)
+        -> void
+    {
+        on_disk_event_ = std::move(callback);
+    }
+
     /// Called on the leader every config::fleet_report_interval with the state
     /// of the fleet.
     auto on_fleet(std::function<void(fleet_summary const&)> callback) -> void
@@ -763,6 +780,7 @@
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
     std::function<void(term)> on_leading_;
+    std::function<void(disk_event, std::string const&)> on_disk_event_;
     workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
     overload_guard overload_;
--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -43,6 +43,18 @@
                               {"leader_silent_ms", to_ms(it.leader_silence)}});
 }
 
+auto log_disk(disk_event it, std::string const& cause) -> void
+{
+    if (it == disk_event::full)
+    {
+        load_logger.warning("disk full", {{"cause", cause}});
+    }
+    else if (it == disk_event::writable)
+    {
+        load_logger.info("disk writable", {});
+    }
+}
+
 auto log_load(loop_usage const& loop, replica_load const& replica) -> void
 {
     load_logger.info("load",
--- a/src/app/load_log.hpp
+++ b/src/app/load_log.hpp
@@ -22,6 +22,9 @@
 /// Logs the new role of this process in its group.
 auto log_role(role_change const& it) -> void;
 
+/// Logs that the disk is full, and that it can be written again.
+auto log_disk(disk_event it, std::string const& cause) -> void;
+
 /// Logs the load of the loop and of the replica over one interval.
 auto log_load(loop_usage const& loop, replica_load const& replica) -> void;
 
--- a/src/app/replica.cpp
+++ b/src/app/replica.cpp
@@ -5,6 +5,26 @@
 namespace apricotlb
 {
 
+auto name_of(disk_event it) -> std::string_view
+{
+    switch (it)
+    {
+    case disk_event::full:
+        return "full";
+    case disk_event::writable:
+        return "writable";
+    case disk_event::entries_dropped:
+        return "entries_dropped";
+    case disk_event::snapshot_dropped:
+        return "snapshot_dropped";
+    case disk_event::proposal_refused:
+        return "proposal_refused";
+    case disk_event::snapshot_postponed:
+        break;
+    }
+    return "snapshot_postponed";
+}
+
 auto replica_options::builder::build() const -> result<replica_options>
 {
     auto const refuse = [](std::string detail)
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -20,6 +20,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -110,6 +112,19 @@
     duration longest_delay{};
 };
 
+/// What a replica does because its disk is full, or nearly so.
+enum class disk_event : std::uint8_t
+{
+    full,             ///< it accepts nothing from now on
+    writable,         ///< it writes again
+    entries_dropped,  ///< a message of the leader with entries
+    snapshot_dropped, ///< a message of the leader with a part of a snapshot
+    proposal_refused,
+    snapshot_postponed, ///< an own snapshot found no space
+};
+
+[[nodiscard]] auto name_of(disk_event it) -> std::string_view;
+
 /// A change of the role, the term or the leader that this replica knows.
 struct role_change
 {
@@ -150,14 +165,22 @@
     {
         on_role_ = std::move(callback);
     }
+    /// Called with each event and its cause.
+    auto
+    on_disk_event(std::function<void(disk_event, std::string const&)> callback)
+        -> void
+    {
+        on_disk_event_ = std::move(callback);
+    }
     /// Called once when the store has failed. The process must then exit: the
-    /// replica no longer processes messages or proposals.
+    /// replica no longer processes messages or proposals. A full disk is no
+    /// failure: the replica accepts nothing until it can write again.
     auto on_failure(std::function<void(error const&)> callback) -> void
     {
         on_failure_ = std::move(callback);
     }
 
-    /// Loads the store and joins the group.
+    /// Loads the store and joins the group; later, if the disk is full.
     auto start() -> result<void>;
 
     /// Proposes a command. The callback runs once: with the index after the
@@ -181,6 +204,8 @@
     {
         return core_ ? core_->leader() : std::nullopt;
     }
+    /// False while the disk is full.
+    [[nodiscard]] auto is_writable() const -> bool { return !disk_full_; }
     [[nodiscard]] auto status() const -> replica_status;
     /// Returns the load since the last call.
     [[nodiscard]] auto take_load() -> replica_load
@@ -196,6 +221,7 @@
         completion callback;
     };
 
+    auto open() -> result<void>;
     auto receive(node_id const& from, raft_message message) -> void;
     auto perform(raft_actions actions) -> void;
     auto install(raft_snapshot const& it) -> void;
@@ -215,8 +241,18 @@
     auto fail_pending(error const& it) -> void;
     auto arm_timer() -> void;
     auto stop(error const& it) -> void;
+    /// Stops the replica unless the disk is only full.
+    auto handle_failure(error const& it) -> void;
+    auto wait_for_space(error const& it) -> void;
+    auto arm_retry() -> void;
+    auto retry() -> void;
+    auto write_again() -> result<void>;
+    auto postpone_snapshot(error const& it) -> void;
+    auto report(disk_event it, std::string const& cause) -> void;
     auto next_random() -> random_bits;
-    [[nodiscard]] auto has_free_space(raft_message const& it) const -> bool;
+    /// The reason to drop a message, if there is one.
+    [[nodiscard]] auto refusal(raft_message const& it) const
+        -> std::optional<disk_event>;
 
     Clock& clock_;
     Transport& transport_;
@@ -226,6 +262,7 @@
     std::function<void(bool, term)> on_leadership_;
     std::function<void(error const&)> on_failure_;
     std::function<void(role_change const&)> on_role_;
+    std::function<void(disk_event, std::string const&)> on_disk_event_;
     role_change reported_role_;
     replica_load load_;
     std::optional<raft> core_;
@@ -238,6 +275,7 @@
     time_point flush_due_{}; ///< of flush_timer_
     std::optional<timer_id> piece_timer_;
     std::optional<timer_id> tick_timer_;
+    std::optional<timer_id> retry_timer_;
     time_point next_tick_{};
     time_point last_flush_{}; ///< start of the last flush
     duration last_sync_time_{};
@@ -245,12 +283,17 @@
     log_index snapshot_;
     std::optional<raft_snapshot> saving_;
     std::size_t bytes_since_snapshot_{0};
+    bool is_snapshot_postponed_{false};
+    time_point next_snapshot_{};              ///< not before
+    std::optional<raft_snapshot> installing_; ///< received, not yet durable
     std::optional<term> leading_term_;
     std::optional<error> failure_;
+    std::optional<error> disk_full_; ///< while the disk is full
 };
 
 } // namespace apricotlb
 
+#include "app/replica_disk.hpp"
 #include "app/replica_impl.hpp"
 
 #endif
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -14,7 +14,8 @@
     requires transport_port<Transport, raft_message>
 replica<Clock, Transport, LogStore, Machine>::~replica()
 {
-    for (auto const& it : {flush_timer_, piece_timer_, tick_timer_})
+    for (auto const& it :
+         {flush_timer_, piece_timer_, tick_timer_, retry_timer_})
     {
         if (it)
         {
@@ -31,6 +32,20 @@
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::start() -> result<void>
+{
+    auto done = open();
+    if (!done && done.error().kind == error_kind::disk_full)
+    {
+        wait_for_space(done.error());
+        return outcome::success();
+    }
+    return done;
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::open() -> result<void>
 {
     BOOST_OUTCOME_TRY(loaded, store_.load());
     auto const is_new = !loaded.snapshot && loaded.entries.empty() &&
@@ -86,11 +101,14 @@
             return;
         }
         auto const size = byte_count{static_cast<std::int64_t>(payload.size())};
-        if (store_.free_space() < config::disk_reserve + size)
+        auto const is_low = store_.free_space() < config::disk_reserve + size;
+        if (disk_full_ || is_low)
         {
-            callback(
-                fail(error_kind::disk_full,
-                     "the free disk space of the log is down to the reserve"));
+            auto const refused = disk_full_.value_or(
+                error{error_kind::disk_full,
+                      "the free disk space of the log is down to the reserve"});
+            report(disk_event::proposal_refused, refused.detail);
+            callback(outcome::failure(refused));
             return;
         }
     }
@@ -110,6 +128,12 @@
             error{error_kind::not_leader, "the replica is not started"})));
         return;
     }
+    if (disk_full_ && core_->role() == raft_role::leader)
+    {
+        report(disk_event::proposal_refused, disk_full_->detail);
+        callback(outcome::failure(*disk_full_));
+        return;
+    }
     add_pending(core_->change_member(change), 0, std::move(callback));
 }
 
@@ -140,20 +164,6 @@
             store_.used_space(), failure_};
 }
 
-/// Without free disk space a replica drops messages with entries; the leader
-/// sends them again, and a snapshot frees space in the meantime. Heartbeats and
-/// votes need almost no space and are always accepted.
-template <clock_port Clock, class Transport, log_store_port LogStore,
-          state_machine_port Machine>
-    requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::has_free_space(
-    raft_message const& it) const -> bool
-{
-    auto const* const message = std::get_if<append_entries>(&it);
-    return message == nullptr || message->entries.empty() ||
-           store_.free_space() > byte_count{2 * config::max_append_bytes};
-}
-
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
@@ -161,10 +171,16 @@
                                                            raft_message message)
     -> void
 {
-    if (!failure_ && has_free_space(message))
+    if (failure_)
     {
-        perform(core_->receive(clock_.now(), from, std::move(message)));
+        return;
     }
+    if (auto const refused = refusal(message))
+    {
+        report(*refused, "");
+        return;
+    }
+    perform(core_->receive(clock_.now(), from, std::move(message)));
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -188,10 +204,15 @@
     {
         transport_.send(it.to, it.message);
     }
-    held_messages_.insert(
-        held_messages_.end(),
-        std::make_move_iterator(actions.messages_after_sync.begin()),
-        std::make_move_iterator(actions.messages_after_sync.end()));
+    // Messages for which nothing can be made durable are lost; the other
+    // members repeat theirs.
+    if (!disk_full_)
+    {
+        held_messages_.insert(
+            held_messages_.end(),
+            std::make_move_iterator(actions.messages_after_sync.begin()),
+            std::make_move_iterator(actions.messages_after_sync.end()));
+    }
     if (actions.install)
     {
         install(*actions.install);
@@ -204,13 +225,13 @@
     {
         apply(it);
     }
-    if (unsynced_)
+    if (!unsynced_)
     {
-        schedule_flush();
+        send_held();
     }
-    else
+    else if (!disk_full_)
     {
-        send_held();
+        schedule_flush();
     }
     update_leadership();
     report_role();
@@ -223,22 +244,24 @@
 auto replica<Clock, Transport, LogStore, Machine>::install(
     raft_snapshot const& it) -> void
 {
-    auto done = store_.install(it);
-    if (done)
-    {
-        done = machine_.restore(it.data);
-    }
-    if (!done)
+    if (auto const done = machine_.restore(it.data); !done)
     {
         stop(done.error());
         return;
     }
-    unsynced_ = false;
-    term_unsynced_ = false;
     saving_.reset();
     applied_ = it.info.last.index;
     snapshot_ = applied_;
     bytes_since_snapshot_ = 0;
+    if (auto const done = store_.install(it); !done)
+    {
+        installing_ = it;
+        handle_failure(done.error());
+        return;
+    }
+    unsynced_ = false;
+    term_unsynced_ = false;
+    (void)core_->persisted(clock_.now()); // no actions on a follower
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -321,7 +344,7 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::flush() -> void
 {
-    if (failure_)
+    if (failure_ || disk_full_)
     {
         return;
     }
@@ -333,7 +356,7 @@
     {
         if (auto const done = sync(); !done)
         {
-            stop(done.error());
+            handle_failure(done.error());
             return;
         }
         unsynced_ = false;
@@ -395,74 +418,6 @@
     }
 }
 
-template <clock_port Clock, class Transport, log_store_port LogStore,
-          state_machine_port Machine>
-    requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::take_snapshot_if_due()
-    -> void
-{
-    auto const entries = (applied_ - snapshot_).value();
-    auto const is_disk_low = store_.free_space() < config::disk_reserve &&
-                             entries >= options_.snapshot_entries / 8;
-    if (failure_ || saving_ ||
-        (entries < options_.snapshot_entries &&
-         bytes_since_snapshot_ < options_.snapshot_bytes && !is_disk_low))
-    {
-        return;
-    }
-    saving_ =
-        raft_snapshot{core_->describe_snapshot(applied_), machine_.snapshot()};
-    snapshot_ = applied_;
-    bytes_since_snapshot_ = 0;
-    if (auto const done = store_.begin_snapshot(*saving_); !done)
-    {
-        stop(done.error());
-        return;
-    }
-    schedule_piece();
-}
-
-template <clock_port Clock, class Transport, log_store_port LogStore,
-          state_machine_port Machine>
-    requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::schedule_piece() -> void
-{
-    piece_timer_ = clock_.start_timer(duration{0},
-                                      [this]
-                                      {
-                                          piece_timer_.reset();
-                                          save_piece();
-                                      });
-}
-
-template <clock_port Clock, class Transport, log_store_port LogStore,
-          state_machine_port Machine>
-    requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::save_piece() -> void
-{
-    // A snapshot that was installed in the meantime has replaced this one.
-    if (failure_ || !saving_)
-    {
-        return;
-    }
-    auto const done = store_.continue_snapshot();
-    if (done && !done.value())
-    {
-        schedule_piece();
-        return;
-    }
-    if (!done)
-    {
-        stop(done.error());
-        return;
-    }
-    auto const keep = core_->compact(*std::exchange(saving_, std::nullopt));
-    if (auto const freed = store_.compact(keep); !freed)
-    {
-        stop(freed.error());
-    }
-}
-
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
@@ -539,7 +494,8 @@
 auto replica<Clock, Transport, LogStore, Machine>::stop(error const& it) -> void
 {
     failure_ = it;
-    for (auto* timer : {&flush_timer_, &piece_timer_, &tick_timer_})
+    for (auto* timer :
+         {&flush_timer_, &piece_timer_, &tick_timer_, &retry_timer_})
     {
         if (*timer)
         {
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -10,6 +10,7 @@
 #include "adapters/soup_workers.hpp"
 #include "app/control_role.hpp"
 #include "app/entry_node.hpp"
+#include "app/load_log.hpp"
 #include "app/process.hpp"
 
 #include <apricotlb/result.hpp>
@@ -92,6 +93,7 @@
                       control_options{std::move(options), policy, {}, false});
         role_->on_failure([this](error const& it)
                           { loop_.quit(report_end(it)); });
+        role_->on_disk_event(log_disk);
         node_.active_transport().on_message(
             [this](node_id const& from, peer_message it) {
                 std::visit([&](auto& body) { take(from, std::move(body)); },
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -130,7 +130,7 @@
         election_timeout_ = random_election_timeout(random);
         election_deadline_ = now + election_timeout_;
         leader_.reset();
-        if (is_voter(self_))
+        if (is_voter(self_) && is_writable_)
         {
             start_pre_vote(now);
         }
@@ -258,6 +258,17 @@
     return take_actions();
 }
 
+auto raft::set_writable(time_point now, bool is_writable) -> raft_actions
+{
+    is_writable_ = is_writable;
+    auto const is_sole_leader = role_ == raft_role::leader && quorum() == 1;
+    if (!is_writable && role_ != raft_role::follower && !is_sole_leader)
+    {
+        become_follower(now, term_and_vote_.current, std::nullopt);
+    }
+    return take_actions();
+}
+
 auto raft::describe_snapshot(log_index last) const -> snapshot_info
 {
     return {{last, log_.term_at(last).value_or(term{})}, log_.members_at(last)};
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -117,6 +117,9 @@
     auto flush(time_point now) -> raft_actions;
     /// Called once everything passed to the store so far is durable.
     auto persisted(time_point now) -> raft_actions;
+    /// While the store is not writable, this member votes for nobody and is no
+    /// candidate; a leader steps down, unless it is the only voter.
+    auto set_writable(time_point now, bool is_writable) -> raft_actions;
 
     /// Metadata of a snapshot of the state at a committed index.
     [[nodiscard]] auto describe_snapshot(log_index last) const -> snapshot_info;
@@ -258,6 +261,7 @@
     raft_log log_;
     std::shared_ptr<raft_snapshot const> snapshot_;
     log_index commit_;
+    bool is_writable_{true};
     raft_role role_{raft_role::follower};
     std::optional<node_id> leader_;
     raft_actions actions_;
--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -127,7 +127,8 @@
     };
     // Refused without adopting the higher term: a member that was partitioned
     // off must not depose a leader that is in contact with the others.
-    if (must_refuse_votes(now) || request.in_term < term_and_vote_.current)
+    if (must_refuse_votes(now) || !is_writable_ ||
+        request.in_term < term_and_vote_.current)
     {
         answer(false);
         return;
--- a/src/core/log/raft_follower.cpp
+++ b/src/core/log/raft_follower.cpp
@@ -157,7 +157,8 @@
     incoming_.reset();
     snapshot_ = std::make_shared<raft_snapshot const>(snapshot);
     log_ = raft_log{chunk.info.last, chunk.info.members};
-    durable_index_ = chunk.info.last.index;
+    // The snapshot counts as durable after persisted().
+    durable_index_ = std::min(durable_index_, commit_);
     commit_ = chunk.info.last.index;
     actions_.install = std::move(snapshot);
     accept(commit_);
--- a/tests/memory_log.hpp
+++ b/tests/memory_log.hpp
@@ -20,6 +20,9 @@
     std::int64_t free_space{std::int64_t{1} << 40};
     std::size_t syncs{0};
     bool fail_sync{false};
+    bool full{false}; ///< nothing can be written
+    /// A snapshot needs more space than there is.
+    bool full_for_snapshots{false};
     /// Called during each sync, e.g. to let it take time.
     std::function<void()> during_sync{};
 };
@@ -29,7 +32,11 @@
 public:
     explicit memory_log(memory_disk& disk) : disk_(disk) {}
 
-    auto load() -> result<stored_log> { return disk_.stored; }
+    auto load() -> result<stored_log>
+    {
+        BOOST_OUTCOME_TRYV(check_space(disk_.full));
+        return disk_.stored;
+    }
     auto save(hard_state const& it) -> void { hard_ = it; }
     auto append_entries(std::vector<log_entry> const& it) -> void
     {
@@ -42,6 +49,7 @@
         {
             return fail(error_kind::disk_failed, "sync");
         }
+        BOOST_OUTCOME_TRYV(check_space(disk_.full));
         ++disk_.syncs;
         if (disk_.during_sync)
         {
@@ -70,6 +78,7 @@
 
     auto continue_snapshot() -> result<bool>
     {
+        BOOST_OUTCOME_TRYV(check_space(disk_.full || disk_.full_for_snapshots));
         if (++pieces_ == 2 && unfinished_)
         {
             disk_.stored.snapshot = std::exchange(unfinished_, {});
@@ -112,6 +121,12 @@
     }
 
 private:
+    static auto check_space(bool is_full) -> result<void>
+    {
+        return is_full ? fail(error_kind::disk_full, "no space")
+                       : result<void>{outcome::success()};
+    }
+
     memory_disk& disk_;
     std::optional<hard_state> hard_;
     std::optional<raft_snapshot> unfinished_;
