--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -89,7 +89,8 @@
 inline constexpr byte_count disk_reserve{64 * std::int64_t{mib}};
 /// Interval at which a replica whose disk is full tries to write again.
 inline constexpr duration disk_retry_interval = 250ms;
-/// Time after which a snapshot that found no space is tried again.
+/// Least time between snapshots that are taken to free space, and before a
+/// snapshot that found no space is tried again.
 inline constexpr duration low_disk_snapshot_interval = 2s;
 
 // Messages between processes.
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -250,6 +250,7 @@
     auto postpone_snapshot(error const& it) -> void;
     auto report(disk_event it, std::string const& cause) -> void;
     auto next_random() -> random_bits;
+    [[nodiscard]] auto is_space_low() const -> bool;
     /// The reason to drop a message, if there is one.
     [[nodiscard]] auto refusal(raft_message const& it) const
         -> std::optional<disk_event>;
@@ -285,6 +286,7 @@
     std::size_t bytes_since_snapshot_{0};
     bool is_snapshot_postponed_{false};
     time_point next_snapshot_{};              ///< not before
+    time_point next_freeing_snapshot_{};      ///< the same while space is low
     std::optional<raft_snapshot> installing_; ///< received, not yet durable
     std::optional<term> leading_term_;
     std::optional<error> failure_;
--- a/src/app/replica_disk.hpp
+++ b/src/app/replica_disk.hpp
@@ -97,6 +97,10 @@
     if (!done)
     {
         arm_retry();
+        if (core_)
+        {
+            take_snapshot_if_due();
+        }
         return;
     }
     disk_full_.reset();
@@ -115,16 +119,20 @@
     -> void
 {
     auto const entries = (applied_ - snapshot_).value();
-    auto const is_disk_low = store_.free_space() < config::disk_reserve &&
-                             entries >= options_.snapshot_entries / 8;
+    auto const now = clock_.now();
+    auto const is_low = is_space_low();
+    auto const frees_space =
+        is_low && entries > 0 && now >= next_freeing_snapshot_;
     auto const is_due = entries >= options_.snapshot_entries ||
                         bytes_since_snapshot_ >= options_.snapshot_bytes ||
-                        is_snapshot_postponed_ || is_disk_low;
-    if (failure_ || saving_ || disk_full_ || !is_due ||
-        clock_.now() < next_snapshot_)
+                        is_snapshot_postponed_ || frees_space;
+    auto const is_useless = disk_full_ && !is_low;
+    if (failure_ || saving_ || installing_ || !is_due || is_useless ||
+        now < next_snapshot_)
     {
         return;
     }
+    next_freeing_snapshot_ = now + config::low_disk_snapshot_interval;
     saving_ =
         raft_snapshot{core_->describe_snapshot(applied_), machine_.snapshot()};
     if (auto const done = store_.begin_snapshot(*saving_); !done)
@@ -196,6 +204,16 @@
     report(disk_event::snapshot_postponed, it.detail);
 }
 
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::is_space_low() const -> bool
+{
+    return store_.free_space() <
+           config::disk_reserve +
+               byte_count{std::int64_t{config::max_entry_bytes}};
+}
+
 /// Heartbeats and votes need almost no space and are always accepted. The
 /// leader sends the rest again, and a snapshot frees space in the meantime.
 template <clock_port Clock, class Transport, log_store_port LogStore,
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -109,6 +109,7 @@
                       "the free disk space of the log is down to the reserve"});
             report(disk_event::proposal_refused, refused.detail);
             callback(outcome::failure(refused));
+            take_snapshot_if_due();
             return;
         }
     }
@@ -178,6 +179,7 @@
     if (auto const refused = refusal(message))
     {
         report(*refused, "");
+        take_snapshot_if_due();
         return;
     }
     perform(core_->receive(clock_.now(), from, std::move(message)));
--- a/tests/full_disk_group_test.cpp
+++ b/tests/full_disk_group_test.cpp
@@ -317,5 +317,22 @@
     group.settle();
 }
 
+// The reserve must not refuse changes for ever while a snapshot would free
+// space.
+TEST(full_disk_group, takes_a_snapshot_when_the_reserve_refuses_changes)
+{
+    replica_group group{1, 37};
+    auto const n = group.elect();
+    group.load(100);
+    auto const events = count(group, n);
+    group.nodes[n]->disk.free_space = config::disk_reserve.value();
+    group.propose(n);
+    EXPECT_EQ(group.refused[error_kind::disk_full], 1);
+    group.run(milliseconds{10});
+    EXPECT_GE(group.nodes[n]->disk.stored.snapshot.value().info.last.index,
+              log_index{100});
+    EXPECT_EQ((*events)[disk_event::proposal_refused], 1);
+}
+
 } // namespace
 } // namespace apricotlb
