--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -175,7 +175,7 @@
             pass.pools[entry.info->pool].push_back(&worker);
         }
         entry.was_usable = usable;
-        entry.held = false;
+        entry.held_for_restart = false;
     }
     for (auto& [name, pool] : pass.pools)
     {
@@ -293,7 +293,7 @@
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
 {
-    return (candidate.is_restart || !worker.second.held) &&
+    return (candidate.is_restart || !worker.second.held_for_restart) &&
            obstacle_to(worker, candidate, pass) == placement_obstacle::none;
 }
 
@@ -412,7 +412,8 @@
         expected += entry.finite_reserved;
         ++pass.visits;
         // The one with most room is the first on which the task will fit.
-        if (!entry.held && reservation_of(step).fits_into(expected) &&
+        if (!entry.held_for_restart &&
+            reservation_of(step).fits_into(expected) &&
             is_allowed(entry, step, candidate.task) &&
             !has_other_suspect(entry, candidate, pass.now) &&
             (best == nullptr || entry.free().cores > best->second.free().cores))
@@ -422,7 +423,7 @@
     }
     if (best != nullptr)
     {
-        best->second.held = true;
+        best->second.held_for_restart = true;
         pass.held.insert(best->first);
     }
 }
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -243,9 +243,9 @@
     bool recording_ends{false}; ///< the ends that it listed are proposed
     /// Nothing of this incarnation runs any more.
     bool incarnation_ended{false};
-    room_change gained_room; ///< the last one of this worker
-    bool was_usable{false};  ///< for new runs, in the last pass of plan()
-    bool held{false};        ///< for a restart, in the current pass
+    room_change gained_room;      ///< the last one of this worker
+    bool was_usable{false};       ///< for new runs, in the last pass of plan()
+    bool held_for_restart{false}; ///< in the current pass
 
     /// True if its last announcement said that it drains.
     [[nodiscard]] auto is_leaving() const -> bool
