Expire all idempotency keys that are due

Keys that were begun at more than 68 a second filled the memory of every replica: one command removes 4,096 keys at most, so that the loop is not held up, and the leader proposed one each minute. The keys of the first customers took up the bound, so that those of the customers behind were not reached at all.

The leader now looks every minute whether keys are due, and then proposes a command in each tick until none is. Without such keys nothing is written to the log.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -233,12 +233,21 @@
             return;
         }
         leader_->tick(now, next_random());
-        if (now - last_key_expiry_ >= config::key_expiry_interval)
+        auto const wall = clock_.wall_now();
+        auto const is_expiry_due =
+            now - last_key_expiry_ >= config::key_expiry_interval;
+        if (is_expiry_due)
         {
             last_key_expiry_ = now;
-            propose_own(expire_keys{clock_.wall_now()});
-            propose_own(expire_workflows{clock_.wall_now() -
-                                         config::workflow_retention});
+            propose_own(expire_workflows{wall - config::workflow_retention});
+        }
+        // One command removes a bounded number of keys.
+        auto const& state = machine_.state();
+        is_expiring_keys_ = (is_expiry_due || is_expiring_keys_) &&
+                            state.keys().has_expired(wall, state.contracts());
+        if (is_expiring_keys_)
+        {
+            propose_own(expire_keys{wall});
         }
         resolve_waiting();
         execute_actions();
@@ -771,6 +780,7 @@
     std::map<workflow_id, std::set<call_origin>> pending_submissions_;
     std::map<call_origin, refused_submission> refused_submissions_;
     time_point last_key_expiry_{};
+    bool is_expiring_keys_{false}; ///< keys that are due may be left
     time_point last_member_check_{};
     std::optional<timer_id> timer_;
 };
--- a/src/core/state/key_registry.cpp
+++ b/src/core/state/key_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <apricotlb/config.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -26,6 +27,14 @@
     return answer;
 }
 
+auto retention_of(customer_id const& customer,
+                  contract_registry const& contracts) -> seconds
+{
+    auto const* const contract = contracts.find(customer);
+    return contract == nullptr ? config::max_key_retention
+                               : contract->key_retention;
+}
+
 /// True if the command comes from the request that began the key.
 template <class Command>
 auto is_holder(Command const& it, key_record const& record) -> bool
@@ -169,9 +178,7 @@
     std::size_t dropped{0};
     for (auto list = ended_.begin(); list != ended_.end();)
     {
-        auto const* contract = contracts.find(list->first);
-        auto const retention = contract == nullptr ? config::max_key_retention
-                                                   : contract->key_retention;
+        auto const retention = retention_of(list->first, contracts);
         auto& slots = list->second;
         while (!slots.empty() && dropped < config::max_keys_expired_at_once &&
                slots.front()->record.at + retention <= it.now)
@@ -188,6 +195,21 @@
     return answer_at(at);
 }
 
+auto key_registry::has_expired(wall_time now,
+                               contract_registry const& contracts) const -> bool
+{
+    return std::ranges::any_of(ended_,
+                               [&](auto const& each)
+                               {
+                                   auto const& [customer, slots] = each;
+                                   return !slots.empty() &&
+                                          slots.front()->record.at +
+                                                  retention_of(customer,
+                                                               contracts) <=
+                                              now;
+                               });
+}
+
 auto key_registry::close(key_slot& it, key_state state) -> void
 {
     if (it.record.state == key_state::open)
--- a/src/core/state/key_registry.hpp
+++ b/src/core/state/key_registry.hpp
@@ -99,6 +99,11 @@
 
     [[nodiscard]] auto find(key_name const& name) const -> key_record const*;
 
+    /// True if expire_keys would remove a key.
+    [[nodiscard]] auto has_expired(wall_time now,
+                                   contract_registry const& contracts) const
+        -> bool;
+
     /// Number of recorded keys.
     [[nodiscard]] auto size() const -> std::size_t { return keys_.size(); }
 
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -4,6 +4,7 @@
 #include "fake_entry.hpp"
 #include "memory_log.hpp"
 #include "paused_clock.hpp"
+#include "state_fixture.hpp"
 
 #include <apricotlb/config.hpp>
 
@@ -129,6 +130,10 @@
     {
         return role_.state().workflows().live().size();
     }
+    [[nodiscard]] auto keys() const -> std::size_t
+    {
+        return role_.state().keys().size();
+    }
     [[nodiscard]] auto metrics() const -> fake_metrics const&
     {
         return metrics_;
@@ -230,6 +235,23 @@
     EXPECT_EQ(it.accepted(), 0);
 }
 
+// Keys that are begun faster than they expire would fill the memory.
+TEST(control_role, expires_all_keys_that_are_due)
+{
+    constexpr auto keys = 2 * config::max_keys_expired_at_once + 3;
+    lone_leader it;
+    it.call(command{change_of(1, "c1", "ann")});
+    for (std::uint64_t n = 0; n < keys; ++n)
+    {
+        it.call(command{begin_of(std::to_string(n), 1, n)});
+    }
+    it.run(milliseconds{200});
+    ASSERT_EQ(it.keys(), keys);
+    it.call(command{end_session{session_of(1)}});
+    it.run(2 * config::key_expiry_interval + seconds{1});
+    EXPECT_EQ(it.keys(), 0U);
+}
+
 // A copy of a submission whose first copy waits for its commit must not be
 // answered as refused: the workflow runs.
 TEST(control_role,
