--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -240,7 +240,8 @@
                                          {fake_fleet::step(1 + pick.below(6))});
                                break;
                            case 1:
-                               it.workers[name]->resize(1000 * pick.below(5));
+                               it.workers[name]->resize(std::int64_t{1000} *
+                                                        pick.below(5));
                                it.announce_now();
                                break;
                            case 2:
