--- a/tests/full_disk_group_test.cpp
+++ b/tests/full_disk_group_test.cpp
@@ -290,13 +290,14 @@
     auto const late = (leader + 1) % 3;
     group.nodes[late]->disk.full_for_snapshots = true;
     group.isolate(late);
-    for (std::size_t n = 0; n < 150; ++n)
+    // More than the log keeps behind a snapshot.
+    encoded const large(300'000, 'x');
+    for (std::size_t sent = 0; sent < 2 * config::log_tail_bytes;
+         sent += large.size())
     {
-        for (auto it = 0; it < 200; ++it)
-        {
-            group.propose(leader);
-        }
-        group.run(milliseconds{40});
+        group.nodes[leader]->it->propose(large,
+                                         [](result<log_index> const&) {});
+        group.run(milliseconds{30});
     }
     group.links.cuts.clear();
     group.run(seconds{3});
