--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -336,6 +336,10 @@
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
 inline constexpr duration fleet_report_interval = 1s;
+/// Wait of a permanent task for another run above which it is reported, and
+/// the waits in one report.
+inline constexpr duration reported_wait = 1s;
+inline constexpr std::size_t max_reported_waits = 4;
 inline constexpr duration order_timeout = 1s;
 /// Time since its last ping after which a relay gets no more orders.
 inline constexpr duration relay_timeout = 1300ms;
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -2,6 +2,8 @@
 
 #include "core/fleet/run_scheduler.hpp"
 
+#include <apricotlb/config.hpp>
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -12,16 +12,6 @@
 #include <map>
 #include <string_view>
 
-namespace apricotlb::config
-{
-
-/// Wait of a permanent task for another run above which it is reported, and
-/// the waits in one report.
-inline constexpr duration reported_wait = seconds{1};
-inline constexpr std::size_t max_reported_waits = 4;
-
-} // namespace apricotlb::config
-
 namespace apricotlb
 {
 
