Leave a worker's address to it when no contract names the other's pool

What happened: one announcement of another writer, with the address of a good worker, an id of its own and a service that no contract names, ended all runs known of the good worker; they were started again beside the first ones (4 starts became 8 in a fake fleet).

Cause: whoever is announced later at an address counted as proof that the worker before had ended.

Change: an announcement whose pool no contract names takes no address over. Not covered: another writer that names a known pool and a later incarnation.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -25,6 +25,15 @@
            a.labels == b.labels && a.phase == b.phase;
 }
 
+/// True if the contracts in force name the pool, or if there are none yet.
+auto may_be_pool(contract_set_registry const& contracts, pool_name const& name)
+    -> bool
+{
+    auto const& set = contracts.current();
+    return !set || std::ranges::find(set->pools, name, &pool_contract::name) !=
+                       set->pools.end();
+}
+
 } // namespace
 
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
@@ -81,6 +90,12 @@
         }
         if (former != workers_.end())
         {
+            // Whoever names a pool of no contract is no worker to use, and
+            // proves nothing about the one that is known at its address.
+            if (!may_be_pool(state_.contract_sets(), announcement.pool))
+            {
+                return;
+            }
             on_incarnation_end(*former);
         }
     }
--- a/tests/run_contacts_test.cpp
+++ b/tests/run_contacts_test.cpp
@@ -166,5 +166,33 @@
     EXPECT_FALSE(entry("v").incarnation_ended);
 }
 
+// An announcement of another writer under a good worker's address ended the
+// runs of that worker, which were then started twice.
+TEST(run_contacts_address,
+     stays_with_its_worker_when_no_contract_names_the_pool)
+{
+    fake_fleet fleet{40};
+    fleet.behaviour = [](std::string const&) {
+        return platform_worker::run{0, time_point{seconds{20}}, "done", 1000};
+    };
+    fleet.add_worker("w1", 4000);
+    fleet.add_worker("w2", 4000);
+    ASSERT_TRUE(fleet.run_until_known("w2"));
+    fleet.submit("a", {fake_fleet::step(4)});
+    fleet.run(seconds{3});
+    auto const before = fleet.starts;
+    auto odd = fleet.announcement_of("w1");
+    odd.instance = {worker_id{"odd"}, worker_incarnation{9000}};
+    odd.pool = pool_name{"nowhere"};
+    for (auto n = 0; n < 5; ++n)
+    {
+        odd.number = sequence{9000U + static_cast<std::uint64_t>(n)};
+        fleet.leader->on_announcement(odd, fleet.now);
+        fleet.run(seconds{1});
+    }
+    EXPECT_EQ(fleet.starts, before);
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front();
+}
+
 } // namespace
 } // namespace apricotlb
