Make the name of the last log segment durable on start

Cause, found in review: a process that ends between the sync of a new segment and that of its folder leaves a name that a loss of power may take away. The next start synced the file only, and then acknowledged entries in it.

Change: a start syncs the folder as well. No test kills a process between the two; the tests of the log and of full disks pass.

--- a/src/adapters/disk_log_load.hpp
+++ b/src/adapters/disk_log_load.hpp
@@ -127,8 +127,10 @@
     BOOST_OUTCOME_TRY(file,
                       files_.open(path_of(name_of(segments_.back().number))));
     file_ = file;
-    // The process before may have ended between a write and its sync.
+    // The process before may have ended between a write and its sync, or
+    // between the sync of a new segment and that of its name.
     BOOST_OUTCOME_TRYV(files_.sync(file));
+    BOOST_OUTCOME_TRYV(files_.sync_folder(options_.folder));
     if (!out.snapshot)
     {
         return out.base == log_position{}
