--- a/tests/crash_files.hpp
+++ b/tests/crash_files.hpp
@@ -44,10 +44,10 @@
         {
             return fail(error_kind::data_folder_locked, "locked");
         }
-        BOOST_OUTCOME_TRY(file, create(path));
+        BOOST_OUTCOME_TRY(created, create(path));
         locked = true;
-        lock_ = file.value();
-        return file;
+        lock_ = created.value();
+        return created;
     }
     auto list(file_path const&) -> result<std::vector<std::string>>
     {
