Blame no closed run for a crash, and keep evidence at late announcements

Cause, found in review: a run that was stopped, or that its worker had refused, counted as a cause if the worker crashed before its next lists, so that three of these made a sound workflow fail. And an announcement from before the crash that was delivered late erased the runs to blame.

Change: closed runs are not blamed, and only a newer sign of life clears.

worker_crash.blames_no_run_that_is_closed and worker_crash.keeps_possible_crashes_at_an_old_sign_of_life pass; each checks one of the two conditions that were missing.

--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -255,8 +255,12 @@
     /// Records that this incarnation was alive at a time.
     auto record_life_sign(time_point at) -> void
     {
-        last_contact = std::max(last_contact, at);
-        possible_crashes.clear();
+        // A late announcement from before the crash clears nobody.
+        if (at > last_contact)
+        {
+            last_contact = at;
+            possible_crashes.clear();
+        }
     }
     /// True if the run may have caused a crash of the worker that ended its
     /// contact: it had started for config::crash_blame_time at most. An order
@@ -264,6 +268,7 @@
     [[nodiscard]] auto may_blame(held_run const& run) const -> bool
     {
         if (run.phase == run_phase::proposed ||
+            run.phase == run_phase::closed ||
             run.phase == run_phase::ending || !run.ordered_at)
         {
             return false;
--- a/tests/worker_crash_test.cpp
+++ b/tests/worker_crash_test.cpp
@@ -287,5 +287,31 @@
     EXPECT_EQ(it.state_of("a"), workflow_state::running);
 }
 
+// A run that was stopped, or never ran, counted as the cause of a later crash.
+TEST(worker_crash, blames_no_run_that_is_closed)
+{
+    worker_entry worker;
+    worker.last_contact = time_point{seconds{10}};
+    held_run run;
+    run.phase = run_phase::running;
+    run.ordered_at = worker.last_contact;
+    EXPECT_TRUE(worker.may_blame(run));
+    run.phase = run_phase::closed;
+    EXPECT_FALSE(worker.may_blame(run));
+}
+
+// An announcement from before the crash, delivered late, erased what was known
+// of the crash.
+TEST(worker_crash, keeps_possible_crashes_at_an_old_sign_of_life)
+{
+    worker_entry worker;
+    worker.last_contact = time_point{seconds{10}};
+    worker.possible_crashes.emplace_back();
+    worker.record_life_sign(time_point{seconds{9}});
+    EXPECT_EQ(worker.possible_crashes.size(), 1U);
+    worker.record_life_sign(time_point{seconds{11}});
+    EXPECT_TRUE(worker.possible_crashes.empty());
+}
+
 } // namespace
 } // namespace apricotlb
