--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -262,7 +262,8 @@
     /// keys of their own, since held workers are open to them.
     using placement_key =
         std::tuple<pool_name, worker_label, image_name, bool, bool, bool,
-                   std::int64_t, std::int64_t, std::optional<workflow_task>>;
+                   std::int64_t, std::int64_t, std::int32_t,
+                   std::optional<workflow_task>>;
     auto placement_key_of(candidate_run const& candidate) const
         -> placement_key;
     /// A search that found no worker. Until it is repeated, only workers that
@@ -276,6 +277,16 @@
     /// State of one pass of plan().
     struct plan_pass
     {
+        /// Workers and serving images that one pass looks at. The loop has to
+        /// send heartbeats before the next pass.
+        static constexpr std::size_t max_visits = 500'000;
+        /// Visits by which failed searches are repeated, so that the other
+        /// half is left for tasks that follow.
+        static constexpr std::size_t max_repeat_visits = max_visits / 2;
+        /// Visits to choose workers to hold: restarts that fit nowhere leave
+        /// the others for new tasks.
+        static constexpr std::size_t max_hold_visits = max_visits / 4;
+
         time_point now;
         /// Workers that may get new runs, the last one that gained room first.
         std::map<pool_name, std::vector<identified_worker*>> pools;
@@ -283,6 +294,7 @@
         std::set<worker_id> held; ///< for restarts
         std::size_t visits{0};    ///< of workers and of their serving images
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
+        std::size_t hold_visits{0};   ///< of them, to choose workers to hold
         bool is_behind{false};        ///< some task found no worker
         bool is_cut{false};           ///< ended at its limit of visits
         /// Cached results of keeps_latency_targets().
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -268,8 +268,8 @@
     [[nodiscard]] auto may_blame(held_run const& run) const -> bool
     {
         if (run.phase == run_phase::proposed ||
-            run.phase == run_phase::closed ||
-            run.phase == run_phase::ending || !run.ordered_at)
+            run.phase == run_phase::closed || run.phase == run_phase::ending ||
+            !run.ordered_at)
         {
             return false;
         }
@@ -313,6 +313,14 @@
     }
     /// True if a run with a latency target holds a reservation.
     [[nodiscard]] auto is_serving() const -> bool { return !serving.empty(); }
+    /// True if the state of the worker allows new runs.
+    [[nodiscard]] auto is_usable(time_point now) const -> bool
+    {
+        return info && !incarnation_ended &&
+               info->phase == worker_phase::ready &&
+               now - last_contact < config::worker_contact_timeout &&
+               now >= paused_until && lease.is_sampled();
+    }
     /// Resources that are not reserved; none before the first announcement.
     [[nodiscard]] auto free() const -> resources
     {
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -511,6 +511,40 @@
     EXPECT_EQ(it.leader->summary(it.now).held, 5);
 }
 
+// Restarts for which no worker can be held used up every pass, so that no new
+// task was placed.
+TEST(run_scheduler, places_new_tasks_while_many_restarts_fit_nowhere)
+{
+    fake_fleet it{21};
+    for (auto n = 0; n < 1000; ++n)
+    {
+        it.add_worker("w" + std::to_string(n), 4000);
+    }
+    it.run(milliseconds{5});
+    for (auto n = 0; n < 600; ++n)
+    {
+        submit_interrupted(it, "a" + std::to_string(n), 8000);
+    }
+    it.submit("b", {fake_fleet::step(1)});
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+}
+
+// A task that needs an accelerator made tasks of the same size that need none
+// count as unplaceable.
+TEST(run_scheduler, places_a_task_beside_one_that_needs_an_accelerator)
+{
+    fake_fleet it{22};
+    it.add_worker("w1", 4000);
+    it.run(milliseconds{5});
+    auto accelerated = fake_fleet::step(1);
+    accelerated.each.accels = accelerators{1};
+    it.submit("a", {accelerated});
+    it.submit("b", {fake_fleet::step(1)});
+    it.leader->plan(it.now, wall_time{});
+    EXPECT_EQ(count_placed(*it.leader), 1);
+}
+
 // A gang that found no room was left out for as long as passes were cut.
 TEST(run_scheduler, places_a_gang_although_every_pass_is_cut)
 {
