Let entry processes take the announcements of workers

Cause: the four control processes beside the leader took the announcements of all workers.

Change: an entry listens for announcements at announcements_at and names the address in its pings. An entry sends what its workers announced together with its ping, so that the leader gets no more messages; while an acknowledgement waits, within 0.2 s.

--- a/include/apricotlb/ids.hpp
+++ b/include/apricotlb/ids.hpp
@@ -25,6 +25,9 @@
 using operator_name = strong<struct operator_tag, std::string>;
 using url = strong<struct url_tag, std::string>;
 
+/// IP address and port at which a process takes the announcements of workers.
+using intake_address = strong<struct intake_address_tag, std::string>;
+
 /// Identifies a process: a voter, a learner or an entry.
 using node_id = strong<struct node_tag, std::string>;
 
--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -83,6 +83,7 @@
             field("peer_ports", &settings::peer_ports),
             field("http_at", &settings::http_at),
             field("health_at", &settings::health_at),
+            field("announcements_at", &settings::announcements_at),
             field("discovery", &settings::discovery),
             field("interface", &settings::interface),
             field("trust", &settings::trust),
--- a/src/app/announcement_relay.hpp
+++ b/src/app/announcement_relay.hpp
@@ -15,6 +15,7 @@
 #include <apricotlb/time.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -25,8 +26,18 @@
 namespace apricotlb
 {
 
-/// Drives the intake: every config::worker_renewal_interval one round of calls
-/// to the leader, and a round at once when a new leader makes itself known.
+/// What starts a round of calls to the leader, beside a new leader.
+enum class round_trigger : std::uint8_t
+{
+    /// config::worker_renewal_interval, for a process with many workers.
+    interval,
+    /// The ping of the leader, so that both leave in one message; an interval
+    /// as above only while an acknowledgement waits. For the many processes
+    /// with few workers each.
+    ping,
+};
+
+/// Drives the intake by rounds of calls to the leader.
 template <clock_port Clock, class Group, metrics_port Metrics>
 class announcement_relay
 {
@@ -40,8 +51,9 @@
     static constexpr duration reply_delay =
         config::worker_renewal_interval + milliseconds{50};
 
-    announcement_relay(Clock& clock, Group& group, Metrics& metrics)
-        : clock_(clock), group_(group), metrics_(metrics)
+    announcement_relay(Clock& clock, Group& group, Metrics& metrics,
+                       round_trigger trigger = round_trigger::interval)
+        : clock_(clock), group_(group), metrics_(metrics), trigger_(trigger)
     {
         arm();
     }
@@ -71,6 +83,22 @@
         waiting_.emplace(*decision.ticket, pending{now, std::move(done)});
     }
 
+    /// This process is about to ping the leader.
+    auto on_ping() -> void
+    {
+        if (trigger_ == round_trigger::ping)
+        {
+            start_round();
+        }
+    }
+
+    /// Where a worker should announce itself from now on; none if it may stay.
+    [[nodiscard]] auto release_moved(worker_id const& worker)
+        -> std::optional<intake_address>
+    {
+        return intake_.release_moved(worker);
+    }
+
     /// A process has become the leader.
     auto on_leader(term in_term) -> void
     {
@@ -94,17 +122,26 @@
 
     auto arm() -> void
     {
-        timer_ = clock_.start_timer(config::worker_renewal_interval,
-                                    [this]
-                                    {
-                                        arm();
-                                        expire();
-                                        // A slow leader gets no second round.
-                                        if (calls_in_flight_ == 0)
-                                        {
-                                            send_round();
-                                        }
-                                    });
+        timer_ = clock_.start_timer(
+            config::worker_renewal_interval,
+            [this]
+            {
+                arm();
+                expire();
+                if (trigger_ == round_trigger::interval || !waiting_.empty())
+                {
+                    start_round();
+                }
+            });
+    }
+
+    /// A slow leader gets no second round.
+    auto start_round() -> void
+    {
+        if (calls_in_flight_ == 0)
+        {
+            send_round();
+        }
     }
 
     auto send_round() -> void
@@ -207,6 +244,7 @@
     Clock& clock_;
     Group& group_;
     Metrics& metrics_;
+    round_trigger trigger_;
     announcement_intake intake_;
     std::map<intake_ticket, pending> waiting_;
     std::multimap<time_point, reply> replies_; ///< acknowledged, by due time
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -57,9 +57,9 @@
                  Workers& workers, Runs& runs, Metrics& metrics,
                  control_options options)
         : clock_(clock), transport_(transport), raft_link_(transport),
-          workers_(workers), metrics_(metrics), policy_(options.policy),
-          discovers_(options.discovers), self_(options.replica.self),
-          random_(options.replica.seed),
+          workers_(workers), runs_(runs), metrics_(metrics),
+          policy_(options.policy), discovers_(options.discovers),
+          self_(options.replica.self), random_(options.replica.seed),
           replica_(clock, raft_link_, store, machine_,
                    std::move(options.replica)),
           workflows_(clock, runs, metrics, leader_log{this}, options.fleet)
@@ -453,7 +453,39 @@
 
     auto serve(call_origin caller, contact_batch const& it) -> void
     {
-        answer(caller, workflows_.on_contacts(it));
+        auto out = workflows_.on_contacts(it);
+        if constexpr (intake_directory_port<Runs>)
+        {
+            out.moves = moves_of(caller.node, it);
+        }
+        answer(caller, std::move(out));
+    }
+
+    /// Names processes in the zones of the workers, so that control processes
+    /// need not serve all of them.
+    auto moves_of(node_id const& from, contact_batch const& batch) const
+        -> std::vector<worker_move>
+    {
+        std::vector<worker_move> out;
+        auto const add = [&](worker_id const& id)
+        {
+            auto const* const zone = workflows_.zone_of(id);
+            auto to = zone == nullptr ? std::nullopt
+                                      : runs_.intake_for(from, id, *zone);
+            if (to)
+            {
+                out.push_back({id, std::move(*to)});
+            }
+        };
+        for (auto const& it : batch.announcements)
+        {
+            add(it.value.instance.id);
+        }
+        for (auto const& it : batch.contacts)
+        {
+            add(it.instance.id);
+        }
+        return out;
     }
 
     auto serve(call_origin caller, leader_ping) -> void
@@ -782,6 +814,7 @@
     Transport& transport_;
     raft_link<Transport> raft_link_;
     Workers& workers_;
+    Runs const& runs_;
     Metrics& metrics_;
     scheduler_policy policy_;
     bool discovers_;
--- a/src/app/group_link.hpp
+++ b/src/app/group_link.hpp
@@ -20,17 +20,17 @@
 {
 
 /// Discovers the control processes, and pings the leader every
-/// config::leader_ping_interval. Fetch is callable with (url, callback of
+/// config::leader_ping_interval. `ping_body` tells the leader what this process
+/// does for workers. Fetch is callable with (url, callback of
 /// result<std::string>).
 template <clock_port Clock, class Transport, class Fetch, class Json>
 class group_link
 {
 public:
     group_link(Clock& clock, Transport& transport, Fetch fetch,
-               std::vector<endpoint> const& seeds,
-               std::optional<zone_id> relays_in = std::nullopt)
+               std::vector<endpoint> const& seeds, leader_ping ping_body = {})
         : clock_(clock), transport_(transport),
-          relays_in_(std::move(relays_in)),
+          ping_body_(std::move(ping_body)),
           link_(clock, send_call{transport}, {}),
           discovery_(clock, std::move(fetch), introduce{transport}, seeds)
     {
@@ -54,10 +54,16 @@
         send_ping();
     }
 
+    /// Called before each regular ping; what it sends leaves with the ping.
+    auto before_ping(std::function<void()> callback) -> void
+    {
+        before_ping_ = std::move(callback);
+    }
+
     /// Tells the leader to send no more orders through this process.
     auto stop_relaying() -> void
     {
-        relays_in_.reset();
+        ping_body_ = {};
         send_ping();
     }
 
@@ -100,13 +106,17 @@
         timer_ = clock_.start_timer(config::leader_ping_interval,
                                     [this] { ping(); });
         discovery_.set_settled(has_leader());
+        if (before_ping_)
+        {
+            before_ping_();
+        }
         send_ping();
     }
 
     auto send_ping() -> void
     {
         link_.start(
-            leader_ping{relays_in_},
+            ping_body_,
             [this, sent = clock_.now()](auto const& got)
             {
                 if (!got.has_error())
@@ -119,7 +129,8 @@
 
     Clock& clock_;
     Transport& transport_;
-    std::optional<zone_id> relays_in_;
+    leader_ping ping_body_;
+    std::function<void()> before_ping_;
     control_link<Clock, send_call> link_;
     group_discovery<Clock, Fetch, introduce, Json> discovery_;
     std::optional<time_point> last_answered_ping_;
--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -67,7 +67,8 @@
     {
         if (it.relays_in)
         {
-            relays_.on_contact(from, *it.relays_in, clock_.now());
+            relays_.on_contact(from, *it.relays_in, clock_.now(),
+                               it.announcements_at);
         }
         else
         {
@@ -75,6 +76,17 @@
         }
     }
 
+    /// Where a worker should announce itself, which has done so to `from`; none
+    /// if it need not change, or if no process of its zone takes announcements.
+    [[nodiscard]] auto intake_for(node_id const& from, worker_id const& worker,
+                                  zone_id const& zone) const
+        -> std::optional<intake_address>
+    {
+        return relays_.is_intake(from)
+                   ? std::nullopt
+                   : relays_.intake_for(worker, zone, clock_.now());
+    }
+
     auto take(node_id const& from, answer_batch it) -> void
     {
         for (auto& answer : it.answers)
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -87,6 +87,9 @@
     std::uint32_t peer_ports{1}; ///< number of ports tried, from peers_at up
     endpoint http_at;   ///< HTTP address; on control for workers and operators
     endpoint health_at; ///< entry only: separate address for health checks
+    /// Entry only: address at which it takes announcements of the workers of
+    /// its zone; none if empty.
+    endpoint announcements_at;
     discovery_settings discovery;
     front_interface interface {
         front_interface::native
--- a/src/app/settings_check.cpp
+++ b/src/app/settings_check.cpp
@@ -116,9 +116,22 @@
         return invalid_setting("run_lease", "1s to 60s",
                                std::to_string(it.run_lease.count()) + "us");
     }
-    return role == process_role::entry
-               ? check_endpoint("health_at", it.health_at)
-               : result<void>{outcome::success()};
+    auto const takes_announcements = !it.announcements_at.value().empty();
+    if (role != process_role::entry)
+    {
+        return takes_announcements
+                   ? invalid_setting("announcements_at",
+                                     "left out for a control process, which "
+                                     "takes announcements at http_at",
+                                     it.announcements_at.value())
+                   : result<void>{outcome::success()};
+    }
+    if (takes_announcements)
+    {
+        BOOST_OUTCOME_TRYV(
+            check_endpoint("announcements_at", it.announcements_at));
+    }
+    return check_endpoint("health_at", it.health_at);
 }
 
 /// Checks a group listed in `control`. Even sizes are refused because an even
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -118,6 +118,19 @@
         return out;
     }
 
+    /// Zone of a worker that has announced itself; null for others.
+    [[nodiscard]] auto zone_of(worker_id const& id) const -> zone_id const*
+    {
+        if (!scheduler_)
+        {
+            return nullptr;
+        }
+        auto const found = scheduler_->workers().find(id);
+        return found != scheduler_->workers().end() && found->second.info
+                   ? &found->second.info->zone
+                   : nullptr;
+    }
+
     auto on_applied(command const& it) -> void
     {
         if (scheduler_)
--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -212,6 +212,13 @@
     last_answered_ = std::max(last_answered_.value_or(to.sent_at), to.sent_at);
     std::set<worker_id> const unknown{answer.unknown.begin(),
                                       answer.unknown.end()};
+    for (auto const& it : answer.moves)
+    {
+        if (auto const found = kept_.find(it.worker); found != kept_.end())
+        {
+            found->second.moves_to = it.to;
+        }
+    }
     std::vector<intake_ticket> acknowledged;
     for (auto const& entry : to.entries)
     {
@@ -268,6 +275,21 @@
     }
 }
 
+auto announcement_intake::release_moved(worker_id const& worker)
+    -> std::optional<intake_address>
+{
+    auto const found = kept_.find(worker);
+    // A worker that drains stays: its acknowledgement may have to be repeated.
+    if (found == kept_.end() || !found->second.moves_to ||
+        found->second.value.phase != worker_phase::ready)
+    {
+        return std::nullopt;
+    }
+    auto to = std::move(found->second.moves_to);
+    kept_.erase(found);
+    return to;
+}
+
 auto announcement_intake::on_leader(term in_term) -> void
 {
     if (in_term > leader_term_)
--- a/src/core/fleet/announcement_intake.hpp
+++ b/src/core/fleet/announcement_intake.hpp
@@ -101,6 +101,11 @@
         -> std::vector<intake_ticket>;
     auto on_no_answer(intake_call const& to) -> void;
 
+    /// Where a worker should announce itself from now on; none if it may stay.
+    /// The worker is forgotten then: a new leader hears of it from there.
+    [[nodiscard]] auto release_moved(worker_id const& worker)
+        -> std::optional<intake_address>;
+
     /// Called with the term of each leader that makes itself known.
     auto on_leader(term in_term) -> void;
     [[nodiscard]] auto leader_term() const -> term { return leader_term_; }
@@ -123,6 +128,7 @@
         std::uint64_t change{0};
         bool contact_due{false};
         sequence last_ticket;
+        std::optional<intake_address> moves_to;
     };
     struct departure
     {
--- a/src/core/fleet/contact_messages.hpp
+++ b/src/core/fleet/contact_messages.hpp
@@ -9,6 +9,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/time.hpp>
 
+#include <cstddef>
 #include <vector>
 
 namespace apricotlb
@@ -60,20 +61,39 @@
     }
 };
 
+/// A worker of the batch that should announce itself to another process.
+struct worker_move
+{
+    worker_id worker;
+    intake_address to;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("worker", &worker_move::worker),
+                          field("to", &worker_move::to));
+    }
+};
+
 /// The answer to a contact_batch.
 struct contact_answer
 {
     term leader_term;
     /// Workers of `contacts` whose full announcements the leader needs.
     std::vector<worker_id> unknown;
+    std::vector<worker_move> moves;
 
     static constexpr auto fields()
     {
         return field_list(field("leader_term", &contact_answer::leader_term),
-                          field("unknown", &contact_answer::unknown));
+                          field("unknown", &contact_answer::unknown),
+                          field("moves", &contact_answer::moves));
     }
 };
 
+/// Leaders of earlier versions move no workers.
+template <>
+inline constexpr std::size_t optional_fields<contact_answer> = 1;
+
 } // namespace apricotlb
 
 #endif
--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -1,15 +1,20 @@
 #include "core/fleet/relay_table.hpp"
 
+#include <functional>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace apricotlb
 {
 
 auto relay_table::on_contact(node_id const& relay, zone_id const& zone,
-                             time_point now) -> void
+                             time_point now,
+                             std::optional<intake_address> intake) -> void
 {
     auto& it = relays_[relay];
     it.zone = zone;
+    it.intake = std::move(intake);
     it.last_contact = now;
 }
 
@@ -70,6 +75,31 @@
     return chosen;
 }
 
+auto relay_table::intake_for(worker_id const& worker, zone_id const& zone,
+                             time_point now) const
+    -> std::optional<intake_address>
+{
+    std::vector<intake_address const*> intakes;
+    for (auto const& [id, it] : relays_)
+    {
+        if (it.intake && it.zone == zone && it.is_live(now))
+        {
+            intakes.push_back(&*it.intake);
+        }
+    }
+    if (intakes.empty())
+    {
+        return std::nullopt;
+    }
+    return *intakes[std::hash<worker_id>{}(worker) % intakes.size()];
+}
+
+auto relay_table::is_intake(node_id const& relay) const -> bool
+{
+    auto const found = relays_.find(relay);
+    return found != relays_.end() && found->second.intake.has_value();
+}
+
 auto relay_table::is_silent(node_id const& relay, time_point now) const -> bool
 {
     auto const found = relays_.find(relay);
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -19,8 +19,10 @@
 class relay_table
 {
 public:
-    /// Records that a process which passes orders on is in contact.
-    auto on_contact(node_id const& relay, zone_id const& zone, time_point now)
+    /// Records that a process which passes orders on is in contact, and where
+    /// it takes the announcements of workers, if it does.
+    auto on_contact(node_id const& relay, zone_id const& zone, time_point now,
+                    std::optional<intake_address> intake = std::nullopt)
         -> void;
     /// Takes a relay out of use, until it is in contact again.
     auto remove(node_id const& relay) -> void;
@@ -34,6 +36,14 @@
     /// The relay for a worker; none if no relay is live.
     [[nodiscard]] auto relay_for(worker_id const& worker, zone_id const& zone,
                                  time_point now) -> std::optional<node_id>;
+    /// Where a worker should announce itself: at a live process of its zone,
+    /// the same one as long as the processes of the zone are the same. None if
+    /// no such process takes announcements.
+    [[nodiscard]] auto intake_for(worker_id const& worker, zone_id const& zone,
+                                  time_point now) const
+        -> std::optional<intake_address>;
+    /// True for a process that takes announcements itself.
+    [[nodiscard]] auto is_intake(node_id const& relay) const -> bool;
     /// True for a relay without contact for config::relay_timeout. One that
     /// is not known has left in good order.
     [[nodiscard]] auto is_silent(node_id const& relay, time_point now) const
@@ -54,6 +64,7 @@
     struct relay_state
     {
         zone_id zone;
+        std::optional<intake_address> intake;
         time_point last_contact{};
         time_point suspended_until{};
         std::set<worker_id> workers;
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -398,13 +398,21 @@
 {
     /// Zone of a process that passes orders on to workers; none for others.
     std::optional<zone_id> relays_in;
+    /// Where such a process takes announcements of the workers of its zone.
+    std::optional<intake_address> announcements_at;
 
     static constexpr auto fields()
     {
-        return field_list(field("relays_in", &leader_ping::relays_in));
+        return field_list(
+            field("relays_in", &leader_ping::relays_in),
+            field("announcements_at", &leader_ping::announcements_at));
     }
 };
 
+/// Processes of earlier versions take no announcements.
+template <>
+inline constexpr std::size_t optional_fields<leader_ping> = 1;
+
 /// A request to the leader. A command is replicated through the log before it
 /// is answered.
 struct call
--- a/src/ports/run_worker.hpp
+++ b/src/ports/run_worker.hpp
@@ -4,7 +4,11 @@
 
 #include "core/fleet/worker_messages.hpp"
 
+#include <apricotlb/ids.hpp>
+
+#include <concepts>
 #include <functional>
+#include <optional>
 
 namespace apricotlb
 {
@@ -24,6 +28,16 @@
         it.send(poll, std::move(polled));
     };
 
+/// Knows which processes take the announcements of workers.
+template <class T>
+concept intake_directory_port =
+    requires(T const& it, node_id const& from, worker_id const& worker,
+             zone_id const& zone) {
+        {
+            it.intake_for(from, worker, zone)
+        } -> std::same_as<std::optional<intake_address>>;
+    };
+
 } // namespace apricotlb
 
 #endif
--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -35,7 +35,7 @@
         calls = intake.next_calls(now);
         for (auto const& it : calls)
         {
-            auto const more = intake.on_answer(it, {in_term, unknown});
+            auto const more = intake.on_answer(it, {in_term, unknown, {}});
             acknowledged.insert(acknowledged.end(), more.begin(), more.end());
         }
         return acknowledged;
@@ -115,7 +115,7 @@
     draining.phase = worker_phase::draining;
     auto const taken = intake.take(draining, now);
     ASSERT_TRUE(taken.ticket);
-    auto const answered = intake.on_answer(earlier[0], {first, {}});
+    auto const answered = intake.on_answer(earlier[0], {first, {}, {}});
     EXPECT_TRUE(std::ranges::all_of(answered, [&](intake_ticket const& it)
                                     { return it < *taken.ticket; }));
     EXPECT_EQ(round(first), std::vector{*taken.ticket});
@@ -173,7 +173,7 @@
     accept("w");
     auto const slow = intake.next_calls(now);
     now += config::leader_timeout;
-    (void)intake.on_answer(slow[0], {first, {}});
+    (void)intake.on_answer(slow[0], {first, {}, {}});
     EXPECT_FALSE(intake.is_in_contact(now));
 }
 
@@ -309,7 +309,7 @@
     intake.take(announcement("w", 1), now);
     auto const former = intake.next_calls(now);
     intake.on_leader(second);
-    EXPECT_TRUE(intake.on_answer(former[0], {first, {}}).empty());
+    EXPECT_TRUE(intake.on_answer(former[0], {first, {}, {}}).empty());
     EXPECT_FALSE(intake.is_in_contact(now));
     EXPECT_EQ(intake.next_calls(now)[0].batch.announcements.size(), 1U);
 }
@@ -394,5 +394,39 @@
     EXPECT_EQ(intake.size(), 0U);
 }
 
+// A control process that kept a worker which announces itself elsewhere would
+// give a later leader an outdated announcement of it.
+TEST_F(announcement_intake_test, forgets_a_worker_that_it_sends_elsewhere)
+{
+    intake_address const elsewhere{"10.0.0.1:7735"};
+    accept("w");
+    EXPECT_FALSE(intake.release_moved(worker_id{"w"}));
+    intake.take(announcement("w", 2), now);
+    calls = intake.next_calls(now);
+    (void)intake.on_answer(calls[0],
+                           {first, {}, {{worker_id{"w"}, elsewhere}}});
+    EXPECT_EQ(intake.release_moved(worker_id{"w"}), elsewhere);
+    EXPECT_EQ(intake.size(), 0U);
+    EXPECT_FALSE(intake.release_moved(worker_id{"w"}));
+    EXPECT_EQ(intake.take(announcement("w", 3), now).reason,
+              intake_reason::forwarded);
+}
+
+// The acknowledgement of a worker that drains is repeated by the process that
+// knows what the leader has taken.
+TEST_F(announcement_intake_test, keeps_a_worker_that_drains)
+{
+    accept("w");
+    auto draining = announcement("w", 2);
+    draining.phase = worker_phase::draining;
+    intake.take(draining, now);
+    calls = intake.next_calls(now);
+    (void)intake.on_answer(
+        calls[0],
+        {first, {}, {{worker_id{"w"}, intake_address{"10.0.0.1:7735"}}}});
+    EXPECT_FALSE(intake.release_moved(worker_id{"w"}));
+    EXPECT_EQ(intake.size(), 1U);
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/announcement_relay_test.cpp
+++ b/tests/announcement_relay_test.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,7 +48,8 @@
 class relay_group
 {
 public:
-    explicit relay_group(std::size_t processes)
+    explicit relay_group(std::size_t processes,
+                         round_trigger trigger = round_trigger::interval)
     {
         lead();
         for (std::size_t n = 0; n < processes; ++n)
@@ -60,7 +62,11 @@
                  {node_id{"leader"}}}});
             it.relay = std::make_unique<
                 announcement_relay<paused_clock, fake_group, label_counts>>(
-                clock, *it.group, it.metrics);
+                clock, *it.group, it.metrics, trigger);
+        }
+        if (trigger == round_trigger::ping)
+        {
+            ping();
         }
     }
 
@@ -117,6 +123,15 @@
     std::size_t refused{0};
 
 private:
+    auto ping() -> void
+    {
+        clock.start_timer(config::leader_ping_interval, [this] { ping(); });
+        for (auto& it : members)
+        {
+            it->relay->on_ping();
+        }
+    }
+
     auto announce(std::size_t worker) -> void
     {
         clock.start_timer(announcement_interval,
@@ -159,7 +174,7 @@
 
     auto serve(call const& it) -> call_answer
     {
-        contact_answer out{leader_term, {}};
+        contact_answer out{leader_term, {}, {}};
         auto const& batch = std::get<contact_batch>(it.body);
         for (auto const& each : batch.announcements)
         {
@@ -321,5 +336,51 @@
     }
 }
 
+// 147 entry processes that call the leader five times a second each, beside
+// their pings, would take most of its messages.
+TEST(leader_load, calls_of_an_entry_process_leave_with_its_pings)
+{
+    relay_group it{8, round_trigger::ping};
+    it.add_workers(8 * 12);
+    it.clock.advance(seconds{4});
+    for (auto& member : it.members)
+    {
+        member->calls = 0;
+    }
+    auto const before = it.acknowledged;
+    it.clock.advance(seconds{10});
+    EXPECT_EQ(it.refused, 0U);
+    EXPECT_GE(it.acknowledged - before, 8U * 12U * 9U);
+    constexpr auto pings_per_second = seconds{1} / config::leader_ping_interval;
+    for (auto const& member : it.members)
+    {
+        EXPECT_LE(member->calls, 10 * (pings_per_second + 1));
+    }
+}
+
+// A worker that drains must not wait for the next ping but one: after a second
+// it calls another process.
+TEST(announcement_relay, an_entry_process_acknowledges_draining_in_time)
+{
+    relay_group it{1, round_trigger::ping};
+    it.clock.advance(config::leader_ping_interval + milliseconds{1});
+    worker_announcement draining;
+    draining.instance = {worker_id{"w"}, worker_incarnation{1}};
+    draining.phase = worker_phase::draining;
+    draining.number = sequence{1};
+    std::optional<time_point> acknowledged_at;
+    auto const sent_at = it.clock.now();
+    it.members[0]->relay->announce(draining,
+                                   [&](result<void> const& taken)
+                                   {
+                                       ASSERT_TRUE(taken);
+                                       acknowledged_at = it.clock.now();
+                                   });
+    it.clock.advance(seconds{1});
+    ASSERT_TRUE(acknowledged_at);
+    EXPECT_LE(*acknowledged_at - sent_at,
+              announcement_intake::acknowledgement_timeout);
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/relay_messages_test.cpp
+++ b/tests/relay_messages_test.cpp
@@ -127,7 +127,9 @@
     EXPECT_EQ(peer_message{sample_answers()}.index(), 6U);
     EXPECT_EQ(peer_message{leader_notice{}}.index(), 7U);
     EXPECT_TRUE(survives(leader_ping{}));
-    EXPECT_TRUE(survives(leader_ping{zone_id{"z0"}}));
+    EXPECT_TRUE(survives(leader_ping{zone_id{"z0"}, {}}));
+    EXPECT_TRUE(
+        survives(leader_ping{zone_id{"z0"}, intake_address{"10.0.0.1:7735"}}));
 }
 
 // A cut message must be refused and must not end the process.
--- a/tests/relay_table_test.cpp
+++ b/tests/relay_table_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -198,5 +199,51 @@
               std::nullopt);
 }
 
+// Five control processes that serve the announcements of 1,800 workers have no
+// time left for their log.
+TEST(relay_table, spreads_announcements_over_the_processes_of_the_zone)
+{
+    relay_table it;
+    constexpr std::size_t processes = 30;
+    for (std::size_t n = 0; n < processes; ++n)
+    {
+        it.on_contact(relay(static_cast<int>(n)), near, start,
+                      intake_address{"10.0.0." + std::to_string(n) + ":7735"});
+    }
+    it.on_contact(relay(100), far, start, intake_address{"10.0.1.1:7735"});
+    std::map<std::string, std::size_t> workers;
+    for (std::size_t n = 0; n < 12 * processes; ++n)
+    {
+        auto const to = it.intake_for(worker(n), near, start);
+        ASSERT_TRUE(to);
+        EXPECT_EQ(it.intake_for(worker(n), near, start), to);
+        ++workers[to->value()];
+    }
+    EXPECT_FALSE(workers.contains("10.0.1.1:7735"));
+    EXPECT_EQ(workers.size(), processes);
+    for (auto const& [address, n] : workers)
+    {
+        EXPECT_LE(n, 36U) << address;
+    }
+}
+
+// A worker that is sent to a process that is down loses a second with it.
+TEST(relay_table, sends_no_worker_to_a_process_that_is_silent_or_leaves)
+{
+    relay_table it;
+    intake_address const intake{"10.0.0.1:7735"};
+    EXPECT_FALSE(it.intake_for(worker(0), near, start));
+    it.on_contact(relay(0), near, start);
+    EXPECT_FALSE(it.intake_for(worker(0), near, start));
+    it.on_contact(relay(0), near, start, intake);
+    EXPECT_TRUE(it.is_intake(relay(0)));
+    EXPECT_EQ(it.intake_for(worker(0), near, start), intake);
+    EXPECT_FALSE(it.intake_for(worker(0), near, start + config::relay_timeout));
+    it.on_contact(relay(0), near, start, intake);
+    it.remove(relay(0));
+    EXPECT_FALSE(it.is_intake(relay(0)));
+    EXPECT_FALSE(it.intake_for(worker(0), near, start));
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -37,7 +37,7 @@
         {
             if (!silent.contains(name))
             {
-                it->on_ping(node_id{name}, leader_ping{zone_id{zone}});
+                it->on_ping(node_id{name}, leader_ping{zone_id{zone}, {}});
             }
         }
     }
@@ -403,5 +403,21 @@
     EXPECT_TRUE(starts.empty());
 }
 
+// An entry process that were told to send its workers elsewhere would move them
+// with each change of the entries in its zone.
+TEST_F(relayed_workers_test, moves_only_workers_that_call_a_control_process)
+{
+    intake_address const intake{"10.0.0.1:7735"};
+    worker_id const worker{"w"};
+    zone_id const zone{"z0"};
+    EXPECT_FALSE(it->intake_for(node_id{"core"}, worker, zone));
+    it->on_ping(node_id{"r0"}, leader_ping{zone, intake});
+    EXPECT_EQ(it->intake_for(node_id{"core"}, worker, zone), intake);
+    EXPECT_FALSE(it->intake_for(node_id{"r0"}, worker, zone));
+    EXPECT_FALSE(it->intake_for(node_id{"core"}, worker, zone_id{"z1"}));
+    it->on_ping(node_id{"r0"}, leader_ping{});
+    EXPECT_FALSE(it->intake_for(node_id{"core"}, worker, zone));
+}
+
 } // namespace
 } // namespace apricotlb
