Search workers once for the tasks of a step

Cause: each of 40 tasks of a step looked at each of 1,800 workers, with one lookup of an effect by the names of two images for each serving image there. A pass reached its bound of visits after some 50 tasks, and each placement of a scavenging task walked the cached verdicts of all workers and images.

Change: a pass ranks the workers once for the tasks of a step that are alike, in a heap, and ranks anew only the worker that got a task. What the serving tasks of a worker can bear is kept with the worker and computed when its runs or measurements change; a pass reads the effect of one image on another once. Images are numbers inside the scheduler. A tick walks only the runs of workers with orders that are due. The model of images keeps ended tasks for 2 s instead of 20 s; its samples are a quarter of a second old.

divides_the_placing_of_many_tasks_into_short_passes submits its 900 tasks as 900 workflows: as one step they need one search and are no load for a pass any more. Its bound of 500 placed tasks stands. The assertions of disturbance_test.cpp are the same, with numbers for the names of images.

--- a/src/core/fleet/disturbance.cpp
+++ b/src/core/fleet/disturbance.cpp
@@ -19,6 +19,16 @@
 /// load, so all samples carry the same one.
 constexpr request_count equal_load{1};
 
+auto kind_of(image_ref it) -> kind_ref
+{
+    return kind_ref{it.value()};
+}
+
+auto service_of(image_ref it) -> service_ref
+{
+    return service_ref{it.value()};
+}
+
 /// Multiplies a share of a latency target by exp(effect).
 auto with_effect(permille share, permille effect) -> permille
 {
@@ -31,16 +41,15 @@
 } // namespace
 
 auto image_interference::started(worker_id const& worker, task_run const& run,
-                                 image_name const& image, time_point now)
-    -> void
+                                 image_ref image, time_point now) -> void
 {
     auto const [entry, added] = runs_.try_emplace(
         {worker, run}, task_ref{job_ref{last_run_ + 1}, task_index{}});
     if (added)
     {
         ++last_run_;
-        model_.started(worker_ref_of(worker), entry->second,
-                       scavenging_.ref(image), now);
+        model_.started(worker_ref_of(worker), entry->second, kind_of(image),
+                       now);
     }
 }
 
@@ -66,70 +75,61 @@
     }
 }
 
-auto image_interference::learn(worker_id const& worker,
-                               image_name const& serving,
+auto image_interference::learn(worker_id const& worker, image_ref serving,
                                milliseconds tail_latency, time_point now)
     -> void
 {
-    model_.learn({worker_ref_of(worker), serving_.ref(serving), tail_latency,
+    model_.learn({worker_ref_of(worker), service_of(serving), tail_latency,
                   equal_load, now - measurement_age});
 }
 
-auto image_interference::effect(image_name const& scavenging,
-                                image_name const& serving, time_point now) const
-    -> pair_estimate
+auto image_interference::effect(image_ref scavenging, image_ref serving,
+                                time_point now) const -> pair_estimate
 {
-    auto const kind = scavenging_.find(scavenging);
-    auto const service = serving_.find(serving);
-    if (!kind || !service)
-    {
-        return {config::default_effect, false};
-    }
-    return model_.estimate(*kind, *service, now);
+    return model_.estimate(kind_of(scavenging), service_of(serving), now);
 }
 
 auto image_interference::expected_ratio(
-    image_name const& serving, milliseconds target, permille latency_ratio,
-    std::vector<image_name> const& added_images, time_point now) const
+    image_ref serving, milliseconds target, permille latency_ratio,
+    std::vector<image_ref> const& added_images, time_point now) const
     -> permille
 {
-    auto const service = serving_.find(serving);
-    if (!service || target <= milliseconds{0})
+    if (target <= milliseconds{0})
     {
         return {};
     }
     std::int32_t sum{0};
-    for (auto const& image : added_images)
+    for (auto const image : added_images)
     {
         sum += std::max(effect(image, serving, now).slowdown.value(), 0);
     }
     // A task that has reported nothing yet is expected to have the baseline
     // latency of its image.
     auto const baseline_ratio = static_cast<std::int32_t>(
-        model_.baseline_latency(*service).count() * 1000 / target.count());
+        model_.baseline_latency(service_of(serving)).count() * 1000 /
+        target.count());
     return with_effect(std::max(latency_ratio, permille{baseline_ratio}),
                        permille{sum});
 }
 
-auto image_interference::is_harmful(image_name const& scavenging,
-                                    image_name const& serving,
+auto image_interference::is_harmful(image_ref scavenging, image_ref serving,
                                     milliseconds target, time_point now) const
     -> bool
 {
-    auto const service = serving_.find(serving);
     auto const slowdown = effect(scavenging, serving, now).slowdown;
-    if (!service || slowdown <= config::min_significant_effect)
+    if (slowdown <= config::min_significant_effect)
     {
         return false;
     }
-    auto const peak_ratio = model_.baseline_latency(*service).count() *
-                            config::peak_latency_ratio.value() / target.count();
+    auto const peak_ratio =
+        model_.baseline_latency(service_of(serving)).count() *
+        config::peak_latency_ratio.value() / target.count();
     return with_effect(permille{static_cast<std::int32_t>(peak_ratio)},
                        slowdown) > permille{1000};
 }
 
-auto image_interference::interference_state_of(image_name const& scavenging,
-                                               image_name const& serving,
+auto image_interference::interference_state_of(image_ref scavenging,
+                                               image_ref serving,
                                                time_point now) const
     -> interference_state
 {
--- a/src/core/fleet/disturbance.hpp
+++ b/src/core/fleet/disturbance.hpp
@@ -9,7 +9,6 @@
 #include <apricotlb/units.hpp>
 #include <apricotlb/workflow.hpp>
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -18,6 +17,9 @@
 namespace apricotlb
 {
 
+/// Reference to the image of a step, from an interner of the scheduler.
+using image_ref = strong<struct image_ref_tag, std::uint32_t>;
+
 /// Whether an image is measured to slow a serving image down.
 enum class interference_state : std::uint8_t
 {
@@ -33,53 +35,43 @@
 class image_interference
 {
 public:
-    auto started(worker_id const& worker, task_run const& run,
-                 image_name const& image, time_point now) -> void;
+    auto started(worker_id const& worker, task_run const& run, image_ref image,
+                 time_point now) -> void;
     auto pace_changed(worker_id const& worker, task_run const& run,
                       permille pace, time_point now) -> void;
     auto ended(worker_id const& worker, task_run const& run, time_point now)
         -> void;
 
     /// Adds one tail latency that a worker reported for a serving task.
-    auto learn(worker_id const& worker, image_name const& serving,
+    auto learn(worker_id const& worker, image_ref serving,
                milliseconds tail_latency, time_point now) -> void;
 
     /// Expected tail latency of a serving task, as a share of its target, once
     /// one task of each image in `added_images` is added to its worker.
     /// `latency_ratio` is the currently measured share.
     [[nodiscard]] auto
-    expected_ratio(image_name const& serving, milliseconds target,
+    expected_ratio(image_ref serving, milliseconds target,
                    permille latency_ratio,
-                   std::vector<image_name> const& added_images,
+                   std::vector<image_ref> const& added_images,
                    time_point now) const -> permille;
 
     /// True when a single task of an image is estimated to push a serving image
     /// over its target at peak load. Estimates above
     /// config::min_significant_effect count before they are reliable: large
     /// effects scatter most and would take long to become reliable.
-    [[nodiscard]] auto is_harmful(image_name const& scavenging,
-                                  image_name const& serving,
+    [[nodiscard]] auto is_harmful(image_ref scavenging, image_ref serving,
                                   milliseconds target, time_point now) const
         -> bool;
 
-    [[nodiscard]] auto interference_state_of(image_name const& scavenging,
-                                             image_name const& serving,
+    [[nodiscard]] auto interference_state_of(image_ref scavenging,
+                                             image_ref serving,
                                              time_point now) const
         -> interference_state;
 
-    /// Largest effect of one task of an image on any of the serving images.
-    template <class Images>
-    [[nodiscard]] auto largest_effect(image_name const& scavenging,
-                                      Images const& serving,
-                                      time_point now) const -> permille
-    {
-        permille most;
-        for (auto const& [image, tasks] : serving)
-        {
-            most = std::max(most, effect(scavenging, image, now).slowdown);
-        }
-        return most;
-    }
+    /// Effect of one task of an image on a serving image, as the natural
+    /// logarithm of a factor in thousandths.
+    [[nodiscard]] auto effect(image_ref scavenging, image_ref serving,
+                              time_point now) const -> pair_estimate;
 
 private:
     using worker_run = std::pair<worker_id, task_run>;
@@ -88,14 +80,8 @@
     {
         return workers_.ref(it);
     }
-    [[nodiscard]] auto effect(image_name const& scavenging,
-                              image_name const& serving, time_point now) const
-        -> pair_estimate;
-
     interference_model<multiplied_effects> model_;
     interner<worker_id, worker_ref> workers_;
-    interner<image_name, kind_ref> scavenging_;
-    interner<image_name, service_ref> serving_;
     std::map<worker_run, task_ref> runs_;
     std::uint32_t last_run_{0};
 };
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace apricotlb
 {
@@ -11,15 +12,12 @@
 namespace
 {
 
-/// Sort key of the workers for a task; lower is better.
-using preference = std::tuple<int, std::int64_t, std::int64_t>;
-
 /// Order of the workers for a permanent task with a latency target: first those
 /// that serve only its image, then those that serve none, then the others. A
 /// scavenging image slows few serving images down, so a worker with a single
 /// serving image can still take most scavenging tasks.
-auto colocation_rank(worker_entry const& worker, step_spec const& step)
-    -> std::int64_t
+auto colocation_rank(worker_entry const& worker, step_spec const& step,
+                     image_ref image) -> std::int64_t
 {
     if (step.latency_target <= milliseconds{0})
     {
@@ -30,7 +28,7 @@
         return 1;
     }
     auto const is_alone =
-        worker.serving.size() == 1 && worker.serving.contains(step.image);
+        worker.serving.size() == 1 && worker.serving.contains(image);
     return is_alone ? 0 : 2;
 }
 
@@ -122,8 +120,7 @@
 
 auto run_scheduler::make_pass(time_point now) -> plan_pass
 {
-    plan_pass pass;
-    pass.now = now;
+    plan_pass pass{interference_, now};
     for (auto& worker : workers_)
     {
         auto& entry = worker.second;
@@ -136,6 +133,10 @@
                 gain_room(entry);
             }
             pass.pools[entry.info->pool].push_back(&worker);
+            if (entry.are_shares_stale || now >= entry.shares_valid_until)
+            {
+                update_shares(entry, now);
+            }
         }
         entry.was_usable = usable;
         entry.held_for_restart = false;
@@ -149,62 +150,82 @@
     return pass;
 }
 
-/// True if one more scavenging task of an image keeps the serving tasks of a
-/// worker within their latency targets. The effect of scavenging tasks that
-/// started within config::effect_delay is added, since the reported latencies
-/// do not include it yet.
-auto run_scheduler::keeps_latency_targets(worker_entry const& worker,
-                                          image_name const& image,
-                                          time_point now) const -> bool
+/// The effect of scavenging tasks that started within config::effect_delay is
+/// added, since the reported latencies do not include it yet.
+auto run_scheduler::update_shares(worker_entry& worker, time_point now) const
+    -> void
 {
-    auto const extra = was_behind_ ? config::headroom_when_behind : permille{};
-    std::vector<image_name> added_images{image};
+    worker.are_shares_stale = false;
+    worker.shares_valid_until = time_point::max();
+    worker.serving_shares.clear();
+    if (!worker.is_serving())
+    {
+        return;
+    }
+    std::vector<image_ref> added_images;
+    for (auto const& [run, held] : worker.runs)
+    {
+        auto const shown_at = held.settled_at + config::effect_delay;
+        auto const is_running = held.phase == run_phase::running;
+        if (!held.scavenges || (is_running && now >= shown_at))
+        {
+            continue;
+        }
+        added_images.push_back(held.image);
+        if (is_running)
+        {
+            worker.shares_valid_until =
+                std::min(worker.shares_valid_until, shown_at);
+        }
+    }
     for (auto const& [run, held] : worker.runs)
     {
-        auto const is_shown = held.phase == run_phase::running &&
-                              now - held.settled_at >= config::effect_delay;
-        if (held.scavenges && !is_shown)
+        if (!held.is_serving())
         {
-            added_images.push_back(held.image);
+            continue;
+        }
+        auto const expected =
+            interference_.expected_ratio(held.image, held.latency_target,
+                                         held.latency_ratio, added_images, now);
+        auto const known = std::ranges::find(worker.serving_shares, held.image,
+                                             &serving_share::image);
+        if (known == worker.serving_shares.end())
+        {
+            worker.serving_shares.push_back({held.image, expected});
+        }
+        else
+        {
+            known->expected = std::max(known->expected, expected);
         }
     }
+}
+
+auto run_scheduler::keeps_latency_targets(worker_entry const& worker,
+                                          image_ref image,
+                                          plan_pass& pass) const -> bool
+{
+    auto const extra = was_behind_ ? config::headroom_when_behind : permille{};
     return std::ranges::all_of(
-        worker.runs,
-        [&](auto const& each)
+        worker.serving_shares,
+        [&](serving_share const& it)
         {
-            auto const& held = each.second;
-            auto const is_harmless =
-                interference_.interference_state_of(image, held.image, now) ==
-                interference_state::none;
-            auto const headroom = is_harmless ? config::harmless_headroom
-                                              : config::disturbance_headroom;
-            return !held.is_serving() ||
-                   interference_.expected_ratio(
-                       held.image, held.latency_target, held.latency_ratio,
-                       added_images, now) <= headroom + extra;
+            auto const& effect = pass.effects.effect(image, it.image);
+            auto const headroom = effect.harmless
+                                      ? config::harmless_headroom
+                                      : config::disturbance_headroom;
+            auto const share =
+                static_cast<double>(it.expected.value()) * effect.factor;
+            return share <= static_cast<double>((headroom + extra).value());
         });
 }
 
-auto run_scheduler::may_scavenge(identified_worker const& worker,
-                                 step_spec const& step, plan_pass& pass) const
-    -> bool
+auto run_scheduler::may_scavenge(worker_entry const& worker,
+                                 candidate_run const& candidate,
+                                 plan_pass& pass) const -> bool
 {
-    auto const& entry = worker.second;
-    if (estimated_load(entry) + step.each.cores > entry.info->capacity.cores)
-    {
-        return false;
-    }
-    if (!entry.is_serving())
-    {
-        return true;
-    }
-    auto const [cached, added] =
-        pass.scavenging_allowed.try_emplace({worker.first, step.image}, true);
-    if (added)
-    {
-        cached->second = keeps_latency_targets(entry, step.image, pass.now);
-    }
-    return cached->second;
+    return estimated_load(worker) + candidate.step->each.cores <=
+               worker.info->capacity.cores &&
+           keeps_latency_targets(worker, candidate.image, pass);
 }
 
 auto run_scheduler::obstacle_to(identified_worker const& worker,
@@ -230,7 +251,7 @@
     {
         return placement_obstacle::suspect;
     }
-    return step.scavenges && !may_scavenge(worker, step, pass)
+    return step.scavenges && !may_scavenge(entry, candidate, pass)
                ? placement_obstacle::latency
                : placement_obstacle::none;
 }
@@ -260,58 +281,70 @@
            obstacle_to(worker, candidate, pass) == placement_obstacle::none;
 }
 
-auto run_scheduler::choose_worker(candidate_run const& candidate,
-                                  room_change since, plan_pass& pass)
-    -> identified_worker*
+auto run_scheduler::score_of(identified_worker const& worker,
+                             candidate_run const& candidate,
+                             plan_pass& pass) const -> preference
 {
+    auto const& entry = worker.second;
     auto const& step = *candidate.step;
-    identified_worker* best{nullptr};
-    preference best_score{};
-    for (auto* const worker : pass.pools[pool_of(*candidate.record)])
+    if (step.scavenges)
     {
-        auto const& entry = worker->second;
-        if (entry.gained_room <= since)
+        // Workers without serving tasks first, then those with the smallest
+        // effect. Differences below config::min_significant_effect are not
+        // significant and do not count.
+        permille most;
+        for (auto const& [image, tasks] : entry.serving)
         {
-            break;
+            most = std::max(
+                most, pass.effects.effect(candidate.image, image).slowdown);
         }
-        auto const is_near = step.data_rack.value().empty() ||
-                             step.data_rack == entry.info->rack;
-        auto const free = entry.free().cores.value();
-        preference score;
+        return {entry.is_serving() ? 1 : 0,
+                most.value() / config::min_significant_effect.value(),
+                estimated_load(entry).value()};
+    }
+    auto const is_near =
+        step.data_rack.value().empty() || step.data_rack == entry.info->rack;
+    auto const free = entry.free().cores.value();
+    if (step.permanent)
+    {
+        // Serving tasks are packed onto few workers, so that the others stay
+        // free for scavenging tasks, which would slow them down.
+        return {is_near ? 0 : 1, colocation_rank(entry, step, candidate.image),
+                free};
+    }
+    // Best fit leaves the large gaps for large tasks.
+    return {is_near ? 0 : 1, free, 0};
+}
+
+auto run_scheduler::is_better(worker_search::option const& a,
+                              worker_search::option const& b) -> bool
+{
+    return a.score < b.score ||
+           (a.score == b.score && a.worker->first < b.worker->first);
+}
+
+auto run_scheduler::is_worse(worker_search::option const& a,
+                             worker_search::option const& b) -> bool
+{
+    return is_better(b, a);
+}
+
+auto run_scheduler::choose_worker(candidate_run const& candidate,
+                                  plan_pass& pass) -> identified_worker*
+{
+    std::optional<worker_search::option> best;
+    for (auto* const worker : pass.pools[pool_of(*candidate.record)])
+    {
         ++pass.visits;
-        if (step.scavenges)
-        {
-            pass.visits += effect_visits * entry.serving.size();
-            // Workers without serving tasks first, then those with the smallest
-            // effect. Differences below config::min_significant_effect are not
-            // significant and do not count.
-            auto const effect = interference_.largest_effect(
-                step.image, entry.serving, pass.now);
-            score = {entry.is_serving() ? 1 : 0,
-                     effect.value() / config::min_significant_effect.value(),
-                     estimated_load(entry).value()};
-        }
-        else if (step.permanent)
-        {
-            // Serving tasks are packed onto few workers, so that the others
-            // stay free for scavenging tasks, which would slow them down.
-            score = {is_near ? 0 : 1, colocation_rank(entry, step), free};
-        }
-        else
-        {
-            // Best fit leaves the large gaps for large tasks.
-            score = {is_near ? 0 : 1, free, 0};
-        }
-        auto const is_better =
-            best == nullptr || score < best_score ||
-            (score == best_score && worker->first < best->first);
-        if (is_better && can_place(*worker, candidate, pass))
+        worker_search::option const option{score_of(*worker, candidate, pass),
+                                           worker};
+        if ((!best || is_better(option, *best)) &&
+            can_place(*worker, candidate, pass))
         {
-            best = worker;
-            best_score = score;
+            best = option;
         }
     }
-    return best;
+    return best ? best->worker : nullptr;
 }
 
 auto run_scheduler::may_repeat_search(time_point searched_at,
@@ -323,38 +356,83 @@
             pass.now - searched_at >= config::failed_search_validity);
 }
 
-auto run_scheduler::find_worker(candidate_run const& candidate, plan_pass& pass)
-    -> identified_worker*
+auto run_scheduler::begin_search(candidate_run const& candidate,
+                                 plan_pass& pass) -> worker_search
 {
-    auto const [known, added] =
-        failed_searches_.try_emplace(placement_key_of(candidate));
-    auto& search = known->second;
+    worker_search out;
+    out.key = placement_key_of(candidate);
+    out.is_suspect = candidate.is_suspect;
+    auto const known = failed_searches_.find(out.key);
+    out.was_known = known != failed_searches_.end();
     // Measurements decide on scavenging tasks, and time clears suspects.
     auto const changes = candidate.step->scavenges || candidate.is_suspect;
-    auto const repeats = !added && changes && search.used_at != pass.now &&
-                         may_repeat_search(search.searched_at, pass);
+    out.repeats = out.was_known && changes &&
+                  known->second.used_at != pass.now &&
+                  may_repeat_search(known->second.searched_at, pass);
+    auto const since =
+        out.was_known && !out.repeats ? known->second.seen : room_change{};
     auto const visits_before = pass.visits;
-    auto const since = repeats ? room_change{} : search.seen;
-    auto* const worker = choose_worker(candidate, since, pass);
-    if (repeats)
+    auto const needed = reservation_of(*candidate.step);
+    for (auto* const worker : pass.pools[pool_of(*candidate.record)])
+    {
+        auto const& entry = worker->second;
+        if (entry.gained_room <= since)
+        {
+            break;
+        }
+        ++pass.visits;
+        if (needed.fits_into(entry.free()))
+        {
+            pass.visits += candidate.step->scavenges
+                               ? effect_visits * entry.serving.size()
+                               : 0;
+            out.options.push_back({score_of(*worker, candidate, pass), worker});
+        }
+    }
+    std::ranges::make_heap(out.options, is_worse);
+    if (out.repeats)
     {
         pass.repeat_visits += pass.visits - visits_before;
     }
-    if (worker != nullptr)
+    return out;
+}
+
+auto run_scheduler::next_worker(worker_search& search,
+                                candidate_run const& candidate, plan_pass& pass)
+    -> identified_worker*
+{
+    while (!search.options.empty())
     {
-        if (added)
+        ++pass.visits;
+        std::ranges::pop_heap(search.options, is_worse);
+        auto* const worker = search.options.back().worker;
+        search.options.pop_back();
+        if (can_place(*worker, candidate, pass))
         {
-            failed_searches_.erase(known);
+            return worker;
         }
-        return worker;
     }
-    search.searched_at = added || repeats ? pass.now : search.searched_at;
-    search.used_at = pass.now;
-    search.seen = last_room_change_;
-    pass.is_behind = true;
+    end_failed_search(search, pass);
     return nullptr;
 }
 
+auto run_scheduler::end_failed_search(worker_search& search, plan_pass& pass)
+    -> void
+{
+    pass.is_behind = true;
+    if (std::exchange(search.has_failed, true))
+    {
+        return;
+    }
+    auto& failed = failed_searches_[search.key];
+    if (!search.was_known || search.repeats)
+    {
+        failed.searched_at = pass.now;
+    }
+    failed.used_at = pass.now;
+    failed.seen = last_room_change_;
+}
+
 auto run_scheduler::hold_worker(candidate_run const& candidate, plan_pass& pass)
     -> void
 {
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -48,23 +48,23 @@
             task,
             number,
             step.permanent && has_run,
-            record.is_suspect(task)};
+            record.is_suspect(task),
+            images_.ref(step.image)};
 }
 
-auto run_scheduler::place_single(candidate_run const& candidate,
+auto run_scheduler::place_single(worker_search& search,
+                                 candidate_run const& candidate,
                                  plan_pass& pass) -> bool
 {
-    auto* const worker = find_worker(candidate, pass);
+    auto* const worker = next_worker(search, candidate, pass);
     if (worker == nullptr)
     {
         return false;
     }
     reserve(*worker, candidate);
-    if (candidate.step->scavenges)
-    {
-        std::erase_if(pass.scavenging_allowed, [worker](auto const& cached)
-                      { return cached.first.first == worker->first; });
-    }
+    update_shares(worker->second, pass.now);
+    search.options.push_back({score_of(*worker, candidate, pass), worker});
+    std::ranges::push_heap(search.options, is_worse);
     pass.placed.push_back({{candidate.task, candidate.number},
                            {worker->first, worker->second.incarnation}});
     return true;
@@ -94,7 +94,7 @@
         task.index = task_index{n};
         auto const candidate =
             make_candidate(record, task, last + run_number{1});
-        auto* const worker = choose_worker(candidate, {}, pass);
+        auto* const worker = choose_worker(candidate, pass);
         if (worker == nullptr)
         {
             for (auto const& each : placed)
@@ -104,6 +104,7 @@
             return false;
         }
         reserve(*worker, candidate);
+        update_shares(worker->second, pass.now);
         placed.push_back({{task, candidate.number},
                           {worker->first, worker->second.incarnation}});
     }
@@ -250,6 +251,7 @@
     auto const& record = *step.record;
     auto const& ready = state_.workflows().ready();
     auto const& spec = record.step(step.first->task);
+    std::optional<worker_search> search;
     for (auto it = step.first;
          it != ready.end() && is_same_step(*it, *step.first); ++it)
     {
@@ -276,7 +278,11 @@
         }
         auto const candidate = make_candidate(
             record, it->task, record.find(it->task)->last + run_number{1});
-        auto const placed = place_single(candidate, pass);
+        if (!search || search->is_suspect != candidate.is_suspect)
+        {
+            search = begin_search(candidate, pass);
+        }
+        auto const placed = place_single(*search, candidate, pass);
         if (candidate.is_restart)
         {
             waits_.record(it->task, placed ? pass_result::placed
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -386,6 +386,7 @@
     -> void
 {
     auto const poll_sent_at = worker.second.poll_sent_at;
+    worker.second.are_shares_stale = true;
     std::set<task_run> listed;
     for (auto const& row : lists.running)
     {
@@ -439,8 +440,8 @@
     }
     auto const may_run =
         held.phase == run_phase::running || held.phase == run_phase::closed;
-    if (!is_wanted(row.run) && may_run &&
-        now - held.sent >= config::order_retry_interval)
+    if (may_run && now - held.sent >= config::order_retry_interval &&
+        !is_wanted(row.run))
     {
         send_stop(worker, row.run, held, now);
     }
@@ -511,6 +512,7 @@
     }
     held.phase = run_phase::running;
     held.settled_at = now;
+    worker.second.are_shares_stale = true;
     waits_.remove(run.task);
     if (held.scavenges)
     {
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -9,13 +9,14 @@
 namespace
 {
 
-auto make_held_run(step_spec const& step, run_phase phase) -> held_run
+auto make_held_run(step_spec const& step, image_ref image, run_phase phase)
+    -> held_run
 {
     held_run run;
     run.phase = phase;
     run.reservation = reservation_of(step);
     run.scavenged_cores = step.each.cores - run.reservation.cores;
-    run.image = step.image;
+    run.image = image;
     run.latency_target = step.latency_target;
     run.permanent = step.permanent;
     run.scavenges = step.scavenges;
@@ -42,7 +43,11 @@
 {
     inherit_runs(now);
     inherit_waits(now);
-    unconfirmed_ = count_unconfirmed(now);
+    for (auto& worker : workers_)
+    {
+        review_orders(worker, now);
+        unconfirmed_ += worker.second.unconfirmed;
+    }
 }
 
 auto run_scheduler::inherit_runs(time_point now) -> void
@@ -62,7 +67,8 @@
                 worker.last_contact = now;
                 worker.lease.assume_until(latest_lease_end);
                 task_run const name{task, run.number};
-                auto held = make_held_run(spec.steps[task.step.value()],
+                auto const& step = spec.steps[task.step.value()];
+                auto held = make_held_run(step, images_.ref(step.image),
                                           run_phase::inherited);
                 held.suspect = record.is_suspect(task);
                 worker.add(name, std::move(held));
@@ -149,6 +155,7 @@
     // tick() repeats the order if there is no reading of the worker's clock or
     // no current phase yet.
     held.phase = run_phase::ordered;
+    worker.second.has_open_orders = true;
     send_start(worker, run, held, now);
 }
 
@@ -191,6 +198,7 @@
         held.start_unconfirmed ||
         (held.phase == run_phase::ordered && held.order_in_flight);
     held.phase = run_phase::stopping;
+    worker.second.has_open_orders = true;
     if (fenced_ || !worker.second.info)
     {
         return;
@@ -203,13 +211,16 @@
 auto run_scheduler::send_poll(identified_worker& worker, time_point now) -> void
 {
     auto& entry = worker.second;
+    if (fenced_ || entry.poll_in_flight || entry.recording_ends ||
+        entry.incarnation_ended || !entry.info || !entry.lease.is_sampled() ||
+        now < entry.next_poll_at)
+    {
+        return;
+    }
     auto const is_sent = [](auto const& each)
     { return each.second.phase != run_phase::proposed; };
     auto const is_needed = std::ranges::any_of(entry.runs, is_sent);
-    if (fenced_ || entry.poll_in_flight || entry.recording_ends ||
-        entry.incarnation_ended || !entry.info || !entry.lease.is_sampled() ||
-        now < entry.next_poll_at ||
-        !(is_needed || entry.acknowledged < entry.recorded))
+    if (!is_needed && entry.acknowledged >= entry.recorded)
     {
         return;
     }
@@ -238,18 +249,30 @@
     actions_.emplace_back(std::move(order));
 }
 
-auto run_scheduler::repeat_orders(identified_worker& worker, time_point now)
+/// Repeats the orders of a worker that are due, and counts its runs that wait
+/// for a sign of it.
+auto run_scheduler::review_orders(identified_worker& worker, time_point now)
     -> void
 {
-    for (auto& [run, held] : worker.second.runs)
+    auto& entry = worker.second;
+    entry.has_open_orders = false;
+    entry.unconfirmed = 0;
+    for (auto& [run, held] : entry.runs)
     {
+        auto const is_open = is_unconfirmed(held.phase);
+        entry.unconfirmed += is_open ? 1 : 0;
+        if (!is_open && held.phase != run_phase::stopping)
+        {
+            continue;
+        }
+        entry.has_open_orders = true;
         if (held.order_in_flight ||
             now - held.sent < config::order_retry_interval)
         {
             continue;
         }
         if (held.phase == run_phase::ordered &&
-            now - worker.second.last_contact < config::lease_extension_timeout)
+            now - entry.last_contact < config::lease_extension_timeout)
         {
             start_or_withdraw(worker, run, held, now);
         }
@@ -260,25 +283,10 @@
     }
 }
 
-/// Runs that the workers in contact have yet to confirm. Those on other workers
-/// don't count: they may stay unconfirmed until their leases have ended.
-auto run_scheduler::count_unconfirmed(time_point now) const -> std::size_t
-{
-    std::size_t n{0};
-    for (auto const& [id, worker] : workers_)
-    {
-        if (now - worker.last_contact < config::worker_contact_timeout)
-        {
-            n += static_cast<std::size_t>(std::ranges::count_if(
-                worker.runs, [](auto const& each)
-                { return is_unconfirmed(each.second.phase); }));
-        }
-    }
-    return n;
-}
-
 auto run_scheduler::tick(time_point now) -> void
 {
+    auto has_removed = false;
+    unconfirmed_ = 0;
     for (auto worker = workers_.begin(); worker != workers_.end();)
     {
         auto& entry = worker->second;
@@ -297,10 +305,19 @@
             (entry.incarnation_ended ||
              now - entry.last_contact >= config::worker_removal_delay))
         {
+            has_removed = true;
             worker = workers_.erase(worker);
             continue;
         }
-        repeat_orders(*worker, now);
+        if (entry.has_open_orders)
+        {
+            review_orders(*worker, now);
+        }
+        // Runs on a silent worker may stay unconfirmed until its lease is over.
+        if (now - entry.last_contact < config::worker_contact_timeout)
+        {
+            unconfirmed_ += entry.unconfirmed;
+        }
         send_poll(*worker, now);
         ++worker;
     }
@@ -315,9 +332,11 @@
         std::erase_if(ready_since_, [&live](auto const& each)
                       { return !live.contains(each.first.first); });
     }
-    std::erase_if(addresses_, [this](auto const& each)
-                  { return !workers_.contains(each.second); });
-    unconfirmed_ = count_unconfirmed(now);
+    if (has_removed)
+    {
+        std::erase_if(addresses_, [this](auto const& each)
+                      { return !workers_.contains(each.second); });
+    }
     needs_plan_ = true;
 }
 
@@ -349,7 +368,7 @@
     {
         for (auto const& ended : ends->runs)
         {
-            stop_unneeded_runs(ended.run.task.workflow, now);
+            stop_unneeded_after(ended.run.task, now);
             stop_incomplete_gang(ended, now);
             begin_wait(ended.run.task, now);
         }
@@ -445,6 +464,29 @@
         });
 }
 
+/// While a workflow is open, the end of a run makes only other runs of its own
+/// task unneeded.
+auto run_scheduler::stop_unneeded_after(workflow_task const& task,
+                                        time_point now) -> void
+{
+    auto const* const record = state_.workflows().find(task.workflow);
+    auto const* const progress =
+        record == nullptr ? nullptr : record->find(task);
+    // Members of a gang finish together.
+    if (progress == nullptr || !record->is_open() || record->step(task).gang)
+    {
+        stop_unneeded_runs(task.workflow, now);
+        return;
+    }
+    if (progress->finished)
+    {
+        for (auto const& run : progress->active)
+        {
+            request_stop({task, run.number}, now);
+        }
+    }
+}
+
 /// Workers end the members of a gang together, but not those that wait for a
 /// member that never started.
 auto run_scheduler::stop_incomplete_gang(ended_run const& ended, time_point now)
@@ -525,7 +567,8 @@
                             candidate_run const& candidate) -> void
 {
     task_run const run{candidate.task, candidate.number};
-    auto held = make_held_run(*candidate.step, run_phase::proposed);
+    auto held =
+        make_held_run(*candidate.step, candidate.image, run_phase::proposed);
     held.suspect = candidate.record->is_suspect(candidate.task);
     worker.second.add(run, std::move(held));
     worker_of_run_[run] = worker.first;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -13,6 +13,7 @@
 
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
+#include "core/fleet/effect_table.hpp"
 #include "core/fleet/run_waits.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
@@ -180,10 +181,11 @@
     auto send_stop(identified_worker& worker, task_run const& run,
                    held_run& held, time_point now) -> void;
     auto send_poll(identified_worker& worker, time_point now) -> void;
-    auto repeat_orders(identified_worker& worker, time_point now) -> void;
+    auto review_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
     /// Stops the runs of a workflow that are not wanted any more.
     auto stop_unneeded_runs(workflow_id const& id, time_point now) -> void;
+    auto stop_unneeded_after(workflow_task const& task, time_point now) -> void;
     /// After the end of a run, stops the other members of its gang unless the
     /// gang has finished.
     auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
@@ -199,7 +201,6 @@
     /// Ends the runs of a silent worker as lost, and keeps which of them are to
     /// blame if it has crashed.
     auto end_runs_of_silent(identified_worker& worker) -> void;
-    [[nodiscard]] auto count_unconfirmed(time_point now) const -> std::size_t;
 
     // run_contacts.cpp
     struct departure
@@ -256,6 +257,7 @@
         run_number number;
         bool is_restart; ///< of a permanent task
         bool is_suspect; ///< workers have crashed under earlier runs
+        image_ref image;
     };
     /// Properties that decide whether some worker can take a task. The step is
     /// part of the key only if it limits its tasks per worker. Restarts have
@@ -274,9 +276,31 @@
         time_point searched_at{}; ///< when all workers were searched last
         time_point used_at{};
     };
+    /// Sort key of the workers for a task; lower is better.
+    using preference = std::tuple<int, std::int64_t, std::int64_t>;
+    /// A search for workers for the tasks of one step that are alike.
+    struct worker_search
+    {
+        struct option
+        {
+            preference score;
+            identified_worker* worker;
+        };
+        placement_key key;
+        std::vector<option> options; ///< a heap with the best one in front
+        bool is_suspect{false};
+        bool was_known{false}; ///< an earlier search with this key has failed
+        bool repeats{false};   ///< that search
+        bool has_failed{false};
+    };
     /// State of one pass of plan().
     struct plan_pass
     {
+        plan_pass(image_interference const& model, time_point at)
+            : now(at), effects(model, at)
+        {
+        }
+
         /// Workers and serving images that one pass looks at. The loop has to
         /// send heartbeats before the next pass.
         static constexpr std::size_t max_visits = 500'000;
@@ -297,8 +321,7 @@
         std::size_t hold_visits{0};   ///< of them, to choose workers to hold
         bool is_behind{false};        ///< some task found no worker
         bool is_cut{false};           ///< ended at its limit of visits
-        /// Cached results of keeps_latency_targets().
-        std::map<std::pair<worker_id, image_name>, bool> scavenging_allowed;
+        effect_table effects;
     };
     /// Ready tasks of one step, with their sort keys.
     struct ranked_step
@@ -315,15 +338,30 @@
     /// Places tasks of a step; returns false at a limit of the pass.
     auto place_step(ranked_step const& step, plan_pass& pass) -> bool;
     auto make_pass(time_point now) -> plan_pass;
-    /// Searches the workers that have gained room after `since`.
-    auto choose_worker(candidate_run const& candidate, room_change since,
-                       plan_pass& pass) -> identified_worker*;
+    /// The best worker for a member of a gang.
+    auto choose_worker(candidate_run const& candidate, plan_pass& pass)
+        -> identified_worker*;
     /// True if the pass may search all workers again for a task that found
     /// none at `searched_at`.
     [[nodiscard]] auto may_repeat_search(time_point searched_at,
                                          plan_pass const& pass) const -> bool;
-    auto find_worker(candidate_run const& candidate, plan_pass& pass)
-        -> identified_worker*;
+    auto score_of(identified_worker const& worker,
+                  candidate_run const& candidate, plan_pass& pass) const
+        -> preference;
+    /// True if `a` comes before `b`; ids decide between equal scores.
+    [[nodiscard]] static auto is_better(worker_search::option const& a,
+                                        worker_search::option const& b) -> bool;
+    [[nodiscard]] static auto is_worse(worker_search::option const& a,
+                                       worker_search::option const& b) -> bool;
+    /// Looks at all workers, or, if an earlier search has failed, at those
+    /// that have gained room since.
+    auto begin_search(candidate_run const& candidate, plan_pass& pass)
+        -> worker_search;
+    /// The best worker that can take the task; null if there is none. One that
+    /// cannot take it takes no other task of the search either.
+    auto next_worker(worker_search& search, candidate_run const& candidate,
+                     plan_pass& pass) -> identified_worker*;
+    auto end_failed_search(worker_search& search, plan_pass& pass) -> void;
     /// Holds a worker on which a restart that found no room will fit once runs
     /// there have ended; only restarts are placed there in this pass.
     auto hold_worker(candidate_run const& candidate, plan_pass& pass) -> void;
@@ -331,11 +369,11 @@
     auto end_holds(plan_pass& pass) -> void;
     auto reserve(identified_worker& worker, candidate_run const& candidate)
         -> void;
-    [[nodiscard]] static auto make_candidate(workflow_record const& record,
-                                             workflow_task const& task,
-                                             run_number number)
-        -> candidate_run;
-    auto place_single(candidate_run const& candidate, plan_pass& pass) -> bool;
+    [[nodiscard]] auto make_candidate(workflow_record const& record,
+                                      workflow_task const& task,
+                                      run_number number) -> candidate_run;
+    auto place_single(worker_search& search, candidate_run const& candidate,
+                      plan_pass& pass) -> bool;
     /// Returns false if some member found no worker.
     auto place_gang(ready_task const& ready, workflow_record const& record,
                     plan_pass& pass) -> bool;
@@ -347,11 +385,16 @@
     auto can_place(identified_worker const& worker,
                    candidate_run const& candidate, plan_pass& pass) const
         -> bool;
-    auto may_scavenge(identified_worker const& worker, step_spec const& step,
-                      plan_pass& pass) const -> bool;
+    auto may_scavenge(worker_entry const& worker,
+                      candidate_run const& candidate, plan_pass& pass) const
+        -> bool;
+    /// True if one more scavenging task of an image keeps the serving tasks of
+    /// a worker within their latency targets.
     [[nodiscard]] auto keeps_latency_targets(worker_entry const& worker,
-                                             image_name const& image,
-                                             time_point now) const -> bool;
+                                             image_ref image,
+                                             plan_pass& pass) const -> bool;
+    /// Brings worker_entry::serving_shares up to date.
+    auto update_shares(worker_entry& worker, time_point now) const -> void;
     /// True if two suspects would share the worker: its next crash could not be
     /// assigned to one of them.
     static auto has_other_suspect(worker_entry const& worker,
@@ -380,6 +423,7 @@
     /// its workflow was accepted. A new leader counts from its election.
     std::map<std::pair<revision, occurrence_index>, time_point> ready_since_;
     time_point ready_since_pruned_at_{};
+    interner<image_name, image_ref> images_;
     image_interference interference_;
     std::vector<fleet_action> actions_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_CORE_FLEET_WORKER_ENTRY_HPP
 #define APRICOTLB_CORE_FLEET_WORKER_ENTRY_HPP
 
+#include "core/fleet/disturbance.hpp"
 #include "core/fleet/worker_messages.hpp"
 
 #include <apricotlb/config.hpp>
@@ -10,6 +11,7 @@
 #include <apricotlb/workflow.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -63,7 +65,7 @@
     run_phase phase{run_phase::proposed};
     resources reservation;
     millicores scavenged_cores; ///< processors it may use without reservation
-    image_name image;
+    image_ref image;
     milliseconds latency_target{};
     bool permanent{false};
     bool scavenges{false};
@@ -213,6 +215,15 @@
     bool sampled_{false};
 };
 
+/// What the tasks of one serving image on a worker can bear.
+struct serving_share
+{
+    image_ref image;
+    /// Largest expected tail latency of these tasks, as a share of the target,
+    /// with the scavenging tasks that are placed there already.
+    permille expected;
+};
+
 /// A worker with its current incarnation, lease and runs.
 struct worker_entry
 {
@@ -228,7 +239,18 @@
     resources finite_reserved;  ///< by runs that end by themselves
     millicores scavenged_cores; ///< by all scavenging runs
     /// Runs with a latency target, by image.
-    std::map<image_name, std::int64_t> serving;
+    std::map<image_ref, std::int64_t> serving;
+    /// By image, as of the last change of runs or measurements; brought up to
+    /// date by each pass of the planner.
+    std::vector<serving_share> serving_shares;
+    bool are_shares_stale{true};
+    /// When the measurements show the next scavenging task that is added to
+    /// the shares now.
+    time_point shares_valid_until{time_point::max()};
+    /// Set when an order to a run is due or under way; reset by the review of
+    /// orders that finds none.
+    bool has_open_orders{true};
+    std::size_t unconfirmed{0}; ///< runs, as of the last review of orders
     end_number recorded;     ///< ends up to this number are recorded in the log
     end_number acknowledged; ///< `recorded` of the last poll that was answered
     time_point last_contact{};
@@ -280,6 +302,8 @@
 
     auto add(task_run const& name, held_run run) -> void
     {
+        are_shares_stale = true;
+        has_open_orders = true;
         reserved += run.reservation;
         if (!run.permanent)
         {
@@ -297,6 +321,7 @@
         auto const it = runs.find(name);
         if (it != runs.end())
         {
+            are_shares_stale = true;
             reserved -= it->second.reservation;
             if (!it->second.permanent)
             {
--- a/src/core/scheduling/interference.cpp
+++ b/src/core/scheduling/interference.cpp
@@ -66,7 +66,7 @@
                                         kind_ref kind, time_point at) -> void
 {
     auto& all = get_or_grow(workers_, worker);
-    auto const old = at - config::measurement_history;
+    auto const old = at - Scale::history;
     std::erase_if(all, [old](task_interval const& it) { return it.to < old; });
     task_interval it{task, kind, at};
     it.speed_changed_at = at;
--- a/src/core/scheduling/interference.hpp
+++ b/src/core/scheduling/interference.hpp
@@ -52,6 +52,8 @@
     static constexpr float reliable_variance =
         noise_variance / static_cast<float>(config::min_reliable_samples);
     static constexpr permille default_effect{config::default_slowdown};
+    /// Reports of workers arrive late by up to this time.
+    static constexpr duration history = config::measurement_history;
     /// A slowdown of more than 20 times is a failure of the server, not
     /// interference.
     static constexpr float min_effect = 0.0F;
@@ -79,6 +81,9 @@
     /// A standard deviation of 0.14.
     static constexpr float reliable_variance = 0.02F;
     static constexpr permille default_effect{config::default_effect};
+    /// Samples are dated to a quarter of a second ago. Each sample looks at all
+    /// tasks of its worker that are kept.
+    static constexpr duration history = std::chrono::seconds{2};
     /// Below 0, because clamping noise at 0 would bias the estimate upwards.
     static constexpr float min_effect = -0.5F;
     static constexpr float max_effect = 3.0F; ///< 20 times the latency
@@ -121,6 +126,9 @@
     {
         T::default_effect
     } -> std::convertible_to<permille>;
+    {
+        T::history
+    } -> std::convertible_to<duration>;
 };
 
 /// Learns one effect per pair of batch kind and service. Each measurement is
--- a/tests/disturbance_test.cpp
+++ b/tests/disturbance_test.cpp
@@ -16,6 +16,10 @@
 
 constexpr milliseconds target{50};
 worker_id const at{"w"};
+constexpr image_ref serving_image{0};
+constexpr image_ref heavy_image{1};
+constexpr image_ref light_image{2};
+constexpr image_ref unknown_image{3};
 
 auto run(std::uint32_t n) -> task_run
 {
@@ -34,12 +38,12 @@
         auto const light = n % 3 == 1;
         if (heavy || light)
         {
-            it.started(at, run(n), image_name{heavy ? "heavy" : "light"}, now);
+            it.started(at, run(n), heavy ? heavy_image : light_image, now);
         }
         now += milliseconds{500};
         auto const scatter = 10 + static_cast<int>(n % 5) * 5;
-        it.learn(at, image_name{"serving"},
-                 milliseconds{scatter + (heavy ? 130 : 0)}, now);
+        it.learn(at, serving_image, milliseconds{scatter + (heavy ? 130 : 0)},
+                 now);
         it.ended(at, run(n), now);
     }
     return it;
@@ -52,24 +56,24 @@
 TEST(image_interference, tells_the_image_that_harms_from_the_one_that_does_not)
 {
     auto const it = learned();
-    image_name const serving{"serving"};
-    EXPECT_TRUE(it.is_harmful(image_name{"heavy"}, serving, target, later));
-    EXPECT_FALSE(it.is_harmful(image_name{"light"}, serving, target, later));
-    EXPECT_EQ(it.interference_state_of(image_name{"heavy"}, serving, later),
+    auto const serving = serving_image;
+    EXPECT_TRUE(it.is_harmful(heavy_image, serving, target, later));
+    EXPECT_FALSE(it.is_harmful(light_image, serving, target, later));
+    EXPECT_EQ(it.interference_state_of(heavy_image, serving, later),
               interference_state::known);
-    EXPECT_GT(it.expected_ratio(serving, target, permille{300},
-                                {image_name{"heavy"}}, later),
-              permille{1000});
+    EXPECT_GT(
+        it.expected_ratio(serving, target, permille{300}, {heavy_image}, later),
+        permille{1000});
 }
 
 // Ten tasks that disturb nobody must not add up to a full worker.
 TEST(image_interference, does_not_add_up_the_scatter_of_the_figures)
 {
     auto const it = learned();
-    std::vector<image_name> const many(10, image_name{"light"});
-    EXPECT_LT(it.expected_ratio(image_name{"serving"}, target, permille{400},
-                                many, later),
-              permille{900});
+    std::vector<image_ref> const many(10, light_image);
+    EXPECT_LT(
+        it.expected_ratio(serving_image, target, permille{400}, many, later),
+        permille{900});
 }
 
 // Figures that swing by a factor of two with a load that nobody reports were
@@ -91,26 +95,24 @@
             if (n % 4 == 0)
             {
                 it.ended(on, run(n), now);
-                it.started(
-                    on, run(n + 4),
-                    image_name{"light" + std::to_string((n / 4 + w) % images)},
-                    now);
+                it.started(on, run(n + 4), image_ref{1 + (n / 4 + w) % images},
+                           now);
             }
             auto const phase = static_cast<double>(n) / 40.0 +
                                static_cast<double>(w) / workers;
             auto const swing = std::sin(phase * 6.283);
-            it.learn(on, image_name{"serving"},
+            it.learn(on, serving_image,
                      milliseconds{static_cast<int>(20 + 10 * swing)}, now);
         }
     }
-    image_name const serving{"serving"};
+    auto const serving = serving_image;
     for (std::uint32_t n = 0; n < images; ++n)
     {
-        image_name const light{"light" + std::to_string(n)};
+        image_ref const light{1 + n};
         EXPECT_EQ(it.interference_state_of(light, serving, now),
                   interference_state::none);
         EXPECT_LT(it.expected_ratio(serving, target, permille{400},
-                                    std::vector<image_name>(10, light), now),
+                                    std::vector<image_ref>(10, light), now),
                   config::harmless_headroom);
     }
 }
@@ -123,12 +125,12 @@
     worker_entry entry;
     held_run serving;
     serving.phase = run_phase::running;
-    serving.image = image_name{"serving"};
+    serving.image = serving_image;
     serving.latency_target = target;
     entry.add(run(0), serving);
     held_run scavenging;
     scavenging.scavenges = true;
-    scavenging.image = image_name{"never_seen"};
+    scavenging.image = unknown_image;
     auto& seen = entry.runs.at(run(0));
     auto now = later;
     auto const asked = [&](std::int64_t tail)
@@ -155,14 +157,14 @@
     worker_entry entry;
     held_run serving;
     serving.phase = run_phase::running;
-    serving.image = image_name{"serving"};
+    serving.image = serving_image;
     serving.latency_target = target;
     entry.add(run(0), serving);
     auto& seen = entry.runs.at(run(0));
     held_run heavy;
-    heavy.image = image_name{"heavy"};
+    heavy.image = heavy_image;
     held_run light;
-    light.image = image_name{"light"};
+    light.image = light_image;
     seen.record_measurement(150, later);
     EXPECT_EQ(next_pace_step(entry, heavy, known, later), pace_step::stop);
     EXPECT_NE(next_pace_step(entry, light, known, later), pace_step::stop);
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -319,7 +319,11 @@
         it.add_worker("w" + std::to_string(n), 4000);
     }
     it.run(milliseconds{5});
-    it.submit("a", {fake_fleet::step(900)});
+    // One search serves all tasks of a step, so that these need 900 searches.
+    for (auto n = 0; n < 900; ++n)
+    {
+        it.submit("a" + std::to_string(n), {fake_fleet::step(1)});
+    }
     it.leader->plan(it.now, wall_time{});
     auto placed = count_placed(*it.leader);
     EXPECT_GT(placed, 0);
