Leave workers without cycles out of a search before they are ranked

Cause: a search for scavenging tasks ranked every worker with enough memory, and only then looked at the estimated use of its processors. 2,000 images that fit nowhere cost 14.0 ms a pass with 350 workers, 5.5 ms on.

Change: the check comes before the rank. plan_bench has rows for 1,800 and 6,000 workers. Two names and one multiplication in tests follow the linter.

--- a/bench/plan_bench.cpp
+++ b/bench/plan_bench.cpp
@@ -228,7 +228,7 @@
 
 auto main() -> int
 {
-    for (std::size_t const workers : {350U, 1000U})
+    for (std::size_t const workers : {350U, 1000U, 1800U, 6000U})
     {
         for (auto const& it : apricotlb::cases())
         {
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -84,6 +84,14 @@
            worker.scavenged_cores;
 }
 
+/// True unless the estimated processor use leaves too little for a scavenging
+/// task.
+auto has_cycles(worker_entry const& worker, step_spec const& step) -> bool
+{
+    return !step.scavenges || estimated_load(worker) + step.each.cores <=
+                                  worker.info->capacity.cores;
+}
+
 /// Visits by which one effect of a scavenging image on a serving one counts.
 constexpr std::size_t effect_visits = 2;
 
@@ -223,8 +231,7 @@
                                  candidate_run const& candidate,
                                  plan_pass& pass) const -> bool
 {
-    return estimated_load(worker) + candidate.step->each.cores <=
-               worker.info->capacity.cores &&
+    return has_cycles(worker, *candidate.step) &&
            keeps_latency_targets(worker, candidate.image, pass);
 }
 
@@ -372,7 +379,8 @@
     auto const since =
         out.was_known && !out.repeats ? known->second.seen : room_change{};
     auto const visits_before = pass.visits;
-    auto const needed = reservation_of(*candidate.step);
+    auto const& step = *candidate.step;
+    auto const needed = reservation_of(step);
     for (auto* const worker : pass.pools[pool_of(*candidate.record)])
     {
         auto const& entry = worker->second;
@@ -381,11 +389,10 @@
             break;
         }
         ++pass.visits;
-        if (needed.fits_into(entry.free()))
+        if (needed.fits_into(entry.free()) && has_cycles(entry, step))
         {
-            pass.visits += candidate.step->scavenges
-                               ? effect_visits * entry.serving.size()
-                               : 0;
+            pass.visits +=
+                step.scavenges ? effect_visits * entry.serving.size() : 0;
             out.options.push_back({score_of(*worker, candidate, pass), worker});
         }
     }
--- a/tests/announcement_relay_test.cpp
+++ b/tests/announcement_relay_test.cpp
@@ -341,7 +341,8 @@
 TEST(leader_load, calls_of_an_entry_process_leave_with_its_pings)
 {
     relay_group it{8, round_trigger::ping};
-    it.add_workers(8 * 12);
+    constexpr std::size_t workers = 96;
+    it.add_workers(workers);
     it.clock.advance(seconds{4});
     for (auto& member : it.members)
     {
@@ -350,7 +351,7 @@
     auto const before = it.acknowledged;
     it.clock.advance(seconds{10});
     EXPECT_EQ(it.refused, 0U);
-    EXPECT_GE(it.acknowledged - before, 8U * 12U * 9U);
+    EXPECT_GE(it.acknowledged - before, workers * 9);
     constexpr auto pings_per_second = seconds{1} / config::leader_ping_interval;
     for (auto const& member : it.members)
     {
--- a/tests/wide_step_test.cpp
+++ b/tests/wide_step_test.cpp
@@ -23,7 +23,7 @@
 {
 public:
     explicit serving_fleet(std::size_t workers)
-        : scheduler_(state_, fence_token{1}, now, fleet_policy{})
+        : scheduler_(state_, fence_token{1}, now_, fleet_policy{})
     {
         contract_set set;
         set.version = contract_set_version{1};
@@ -74,10 +74,10 @@
     /// One pass, whose starts are committed and confirmed; returns them.
     auto plan_once() -> std::vector<placed_run>
     {
-        now += milliseconds{50};
-        scheduler_.tick(now);
+        now_ += milliseconds{50};
+        scheduler_.tick(now_);
         (void)scheduler_.take_actions();
-        scheduler_.plan(now, wall_time{});
+        scheduler_.plan(now_, wall_time{});
         std::vector<placed_run> out;
         for (auto const& it : scheduler_.take_actions())
         {
@@ -92,7 +92,7 @@
         {
             if (auto const* const order = std::get_if<start_order>(&it))
             {
-                scheduler_.on_answer(*order, {order_outcome::done, {}}, now);
+                scheduler_.on_answer(*order, {order_outcome::done, {}}, now_);
             }
         }
         return out;
@@ -113,16 +113,16 @@
         it.pool = pool_name{"pool"};
         it.capacity = {millicores{16'000}, byte_count{64'000}, {}};
         it.number = sequence{1};
-        scheduler_.on_announcement(it, now);
+        scheduler_.on_announcement(it, now_);
     }
 
     auto apply(command const& it) -> void
     {
         state_.apply(it, state_.applied() + log_index{1});
-        scheduler_.on_applied(it, now);
+        scheduler_.on_applied(it, now_);
     }
 
-    time_point now{seconds{100}};
+    time_point now_{seconds{100}};
     state_machine state_;
     run_scheduler scheduler_;
     std::size_t last_id_{0};
