--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,12 +1,12 @@
-// Start orders for a worker wait in a frozen entry process. The worker is
-// restarted as planned under its id, its runs start elsewhere, and the entry
-// process, once awake, still hands the orders to the next life.
+// A worker is restarted as planned under its id while the entry process that
+// takes its announcements is frozen. The departure of its former life waits in
+// the frozen process and is taken for the end of the next one.
 #include "../standin/deployment.hpp"
 
 namespace
 {
 
-constexpr review::milliseconds freeze_time{5500};
+constexpr review::milliseconds freeze_time{5000};
 constexpr int tasks{12};
 
 auto play(std::string const& path) -> review::exit_status
@@ -37,27 +37,39 @@
     }
     loop.run_for(2000);
 
-    auto const frozen_at = loop.now();
-    if (review::has_trouble())
+    auto frozen_at = loop.now();
+    first.before_leaving = [&]
+    {
+        frozen_at = loop.now();
+        if (review::has_trouble())
+        {
+            system.freeze(system.entry(0));
+        }
+    };
+    first.drain_and_leave();
+    if (!loop.wait(10000, [&] { return !first.is_up(); }))
     {
-        system.freeze(system.entry(0));
+        return review::could_not_run;
     }
-    auto is_accepted = false;
-    system.call(
-        1, "POST", "00000000000000b2", review::job_body(tasks, "0", true),
-        [&](review::http_reply const& it) { is_accepted = it.status == 200; });
-    if (!loop.wait(2000, [&] { return is_accepted; }))
+    loop.run_for(300);
+    first.start();
+    if (!loop.wait(10000, [&] { return first.is_acknowledged(); }))
     {
         return review::could_not_run;
     }
-    loop.run_for(100);
-    first.drain_and_leave();
-    if (!loop.wait(8000, [&] { return !first.is_up(); }))
+    auto is_accepted = false;
+    system.call(
+        1, "POST", "00000000000000a1", review::job_body(tasks, "0", true),
+        [&](review::http_reply const& it) { is_accepted = it.status == 200; });
+    if (!loop.wait(5000,
+                   [&]
+                   {
+                       return is_accepted && first.running() > 0 &&
+                              first.running() + second.running() == tasks;
+                   }))
     {
         return review::could_not_run;
     }
-    loop.run_for(200);
-    first.start();
     loop.run_for(std::max<review::milliseconds>(
         frozen_at + freeze_time - loop.now(), 0));
     if (review::has_trouble())
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,19 +1,13 @@
-// Workers crash and start again at once under their ids, while short tasks
-// run. Until the leader has heard of the new life, its polls still release the
-// ends of the new one under the numbers of the former.
+// Start orders for a worker wait in a frozen entry process. The worker is
+// restarted as planned under its id, its runs start elsewhere, and the entry
+// process, once awake, still hands the orders to the next life.
 #include "../standin/deployment.hpp"
 
-#include <memory>
-
 namespace
 {
 
-constexpr int worker_count{8};
-constexpr review::milliseconds dark_time{50};
-constexpr review::milliseconds crash_gap{4000};
-constexpr review::milliseconds freeze_time{3000};
-constexpr int crashes{6};
-constexpr review::milliseconds submit_gap{100};
+constexpr review::milliseconds freeze_time{5500};
+constexpr int tasks{12};
 
 auto play(std::string const& path) -> review::exit_status
 {
@@ -25,66 +19,51 @@
     {
         return review::could_not_run;
     }
-    std::vector<std::unique_ptr<review::worker>> workers;
-    for (auto n = 1; n <= worker_count; ++n)
+    review::worker first{loop,
+                         all,
+                         record,
+                         {"worker-1", "pool", "z1", system.worker_address(1),
+                          system.controls()}};
+    review::worker second{loop,
+                          all,
+                          record,
+                          {"worker-2", "pool", "z2", system.worker_address(2),
+                           system.controls(), 16000}};
+    first.start();
+    second.start();
+    if (!loop.wait(10000, [&] { return first.beats_to() == system.intake(0); }))
     {
-        workers.push_back(std::make_unique<review::worker>(
-            loop, all, record,
-            review::worker_options{"worker-" + std::to_string(n), "pool",
-                                   "z" + std::to_string(1 + n % 3),
-                                   system.worker_address(n),
-                                   system.controls()}));
-        workers.back()->start();
+        return review::could_not_run;
     }
-    loop.run_for(3000);
+    loop.run_for(2000);
 
-    auto is_submitting = true;
-    auto next = 0;
-    std::function<void()> submit = [&]
+    auto const frozen_at = loop.now();
+    if (review::has_trouble())
     {
-        if (!is_submitting)
-        {
-            return;
-        }
-        loop.after(submit_gap, submit);
-        auto id = std::to_string(++next);
-        id.insert(0, 16 - id.size(), '0');
-        system.call(static_cast<std::size_t>(next % 3), "POST", id,
-                    review::job_body(4, "100", false),
-                    [](review::http_reply const&) {});
-    };
-    submit();
-    loop.run_for(5000);
-    for (auto n = 0; n < crashes; ++n)
+        system.freeze(system.entry(0));
+    }
+    auto is_accepted = false;
+    system.call(
+        1, "POST", "00000000000000b2", review::job_body(tasks, "0", true),
+        [&](review::http_reply const& it) { is_accepted = it.status == 200; });
+    if (!loop.wait(2000, [&] { return is_accepted; }))
+    {
+        return review::could_not_run;
+    }
+    loop.run_for(100);
+    first.drain_and_leave();
+    if (!loop.wait(8000, [&] { return !first.is_up(); }))
+    {
+        return review::could_not_run;
+    }
+    loop.run_for(200);
+    first.start();
+    loop.run_for(std::max<review::milliseconds>(
+        frozen_at + freeze_time - loop.now(), 0));
+    if (review::has_trouble())
     {
-        auto const leader = system.leader();
-        if (leader > 2)
-        {
-            return review::could_not_run;
-        }
-        auto const follower = (leader + 1) % 3;
-        if (review::has_trouble())
-        {
-            system.freeze(system.control_node(follower));
-        }
-        loop.run_for(500);
-        auto& busiest = **std::ranges::max_element(
-            workers, {}, [](auto const& it) { return it->running(); });
-        if (review::has_trouble())
-        {
-            busiest.crash();
-            loop.run_for(dark_time);
-            busiest.call_first(follower);
-            busiest.start();
-        }
-        loop.run_for(freeze_time);
-        if (review::has_trouble())
-        {
-            system.thaw(system.control_node(follower));
-        }
-        loop.run_for(crash_gap);
+        system.thaw(system.entry(0));
     }
-    is_submitting = false;
     loop.run_for(8000);
     return system.all_run() ? review::conclude(all, record)
                             : review::could_not_run;
--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -199,6 +199,23 @@
         ::waitpid(it.pid, nullptr, 0);
         it.pid = -1;
     }
+    /// Empties the disk of a process that does not run, and gives it the
+    /// settings of a machine that comes back without its disk.
+    auto wipe(node const& it) -> void
+    {
+        record_.line("wipe     " + it.name);
+        auto const data = folder_ / (it.name + ".data");
+        std::filesystem::remove_all(data);
+        std::filesystem::create_directories(data);
+        auto const path = folder_ / (it.name + ".yaml");
+        auto text = read(path);
+        std::string const founds{"found_group: true"};
+        if (auto const at = text.find(founds); at != std::string::npos)
+        {
+            text.replace(at, founds.size(), "found_group: false");
+        }
+        std::ofstream{path} << text;
+    }
     auto spawn(node& it) -> void
     {
         auto const log = (folder_ / (it.name + ".log")).string();
@@ -216,12 +233,44 @@
             ::_exit(127);
         }
     }
-    /// True if every process that was started and not killed still runs.
+    /// True if every process that was started and not killed still runs. The
+    /// end of one is recorded.
     auto all_run() -> bool
     {
-        return std::ranges::all_of(
-            nodes_, [](node const& it)
-            { return it.pid < 0 || ::waitpid(it.pid, nullptr, WNOHANG) == 0; });
+        for (auto& it : nodes_)
+        {
+            int status{0};
+            if (it.pid > 0 && ::waitpid(it.pid, &status, WNOHANG) != 0)
+            {
+                record_.line(
+                    "ended    " + it.name +
+                    (WIFSIGNALED(status)
+                         ? " by signal " + std::to_string(WTERMSIG(status))
+                         : " with status " +
+                               std::to_string(WEXITSTATUS(status))));
+                it.pid = -1;
+                has_ended_ = true;
+            }
+        }
+        return !has_ended_;
+    }
+
+    /// Starts the processes that have ended by themselves again, as the
+    /// platform does; returns how many.
+    auto restart_ended() -> int
+    {
+        auto out = 0;
+        (void)all_run();
+        for (auto& it : nodes_)
+        {
+            if (it.pid < 0)
+            {
+                spawn(it);
+                ++out;
+            }
+        }
+        has_ended_ = false;
+        return out;
     }
 
     /// Calls an entry process as a client does.
@@ -360,6 +409,7 @@
     int worker_port_{0};
     int peer_port_{0};
     std::vector<node> nodes_;
+    bool has_ended_{false};
 };
 
 /// Body of a job with one step of equal tasks of one core each.
