Keep only the cases as folders of the review

The headers of the stand-ins stand in review/, and each script's program is built into its own folder. No check or step of a case is changed.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // A follower is frozen for some seconds under load. While it catches up, the
 // leader takes a snapshot, drops entries that the follower still needs, and
 // ends with a segmentation fault.
-#include "../standin/deployment.hpp"
+#include "../deployment.hpp"
 
 #include <array>
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
 // A worker is restarted as planned under its id while the entry process that
 // takes its announcements is frozen. The departure of its former life waits in
 // the frozen process and is taken for the end of the next one.
-#include "../standin/deployment.hpp"
+#include "../deployment.hpp"
 
 namespace
 {
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,7 +1,7 @@
 // Start orders for a worker wait in a frozen entry process. The worker is
 // restarted as planned under its id, its runs start elsewhere, and the entry
 // process, once awake, still hands the orders to the next life.
-#include "../standin/deployment.hpp"
+#include "../deployment.hpp"
 
 namespace
 {
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,11 +4,11 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 number=4
-[ -x target/apricotlb ] && [ -x "review/build/case-$number" ] || exit 2
+[ -x target/apricotlb ] && [ -x "review/$number/build/case" ] || exit 2
 TMPDIR=$(mktemp -d)
 export TMPDIR
 trap 'rm -rf "$TMPDIR"' EXIT
-timeout 115 "review/build/case-$number" "review/$number/record.txt"
+timeout 115 "review/$number/build/case" "review/$number/record.txt"
 status=$?
 [ $status -le 2 ] || status=2
 exit $status
