End only the life of a worker that has drained at a departure

Callers saw tasks run twice: a worker was restarted as planned under its id while the entry process that takes its announcements was frozen.

Cause: the request of a departure names no life, and the leader took it for the end of whatever life it knew. The time in the socket of a process that does not run is part of no age.

Change: the process that takes a departure adds the life that it knows as draining; the leader ends this life only, or, if none is named, one that it knows as draining. Other departures are ignored and counted. A worker drains before it leaves, so the departure of a life that has not drained is another life's. If it has left all the same, its runs end with its lease.

Tests: run_contacts.a_late_departure_does_not_end_the_next_life and announcement_intake_test.names_the_life_that_has_drained_in_a_departure.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -83,8 +83,7 @@
     {
         if (scheduler_)
         {
-            metrics_.count(metric::announcements, "received");
-            scheduler_->on_announcement(it, clock_.now());
+            take(it, clock_.now(), {});
             execute_actions();
         }
     }
@@ -101,8 +100,7 @@
         auto const now = clock_.now();
         for (auto const& it : batch.announcements)
         {
-            metrics_.count(metric::announcements, "received");
-            scheduler_->on_announcement(it.value, now, it.age);
+            take(it.value, now, it.age);
         }
         for (auto const& it : batch.contacts)
         {
@@ -158,6 +156,14 @@
 private:
     static constexpr permille max_pass_share{200};
 
+    auto take(worker_announcement const& it, time_point now, duration age)
+        -> void
+    {
+        auto const is_taken = scheduler_->on_announcement(it, now, age);
+        metrics_.count(metric::announcements,
+                       is_taken ? "received" : "departure_of_other_life");
+    }
+
     auto arm() -> void
     {
         tick_timer_ = clock_.start_timer(config::scheduler_tick,
--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -61,8 +61,19 @@
 auto announcement_intake::take_departure(worker_id const& worker,
                                          time_point now) -> intake_decision
 {
-    kept_.erase(worker);
-    leaving_[worker] = {now, ++last_ticket_};
+    auto& leaving = leaving_[worker];
+    if (auto const found = kept_.find(worker); found != kept_.end())
+    {
+        // The request names no life. It may have waited in a socket while the
+        // next life announced itself here, which then has not drained.
+        if (found->second.value.phase == worker_phase::draining)
+        {
+            leaving.incarnation = found->second.value.instance.incarnation;
+        }
+        kept_.erase(found);
+    }
+    leaving.since = now;
+    leaving.last_ticket = ++last_ticket_;
     return {intake_reason::forwarded,
             intake_ticket{{worker, true}, last_ticket_}};
 }
@@ -146,7 +157,7 @@
     for (auto const& [worker, it] : leaving_)
     {
         worker_announcement message;
-        message.instance.id = worker;
+        message.instance = {worker, it.incarnation};
         message.phase = worker_phase::left;
         if (add_announcement(message, it.since))
         {
--- a/src/core/fleet/announcement_intake.hpp
+++ b/src/core/fleet/announcement_intake.hpp
@@ -132,6 +132,9 @@
     };
     struct departure
     {
+        /// The life that drained before, as far as this process knows it; 0 if
+        /// it does not.
+        worker_incarnation incarnation;
         time_point since{};
         sequence last_ticket;
     };
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -37,21 +37,44 @@
 } // namespace
 
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
-                                    time_point now, duration age) -> void
+                                    time_point now, duration age) -> bool
 {
     if (announcement.phase == worker_phase::left)
     {
-        // A leave message carries no incarnation. It is taken for the current
-        // one: a worker leaves before its next incarnation starts.
-        if (auto const found = workers_.find(announcement.instance.id);
-            found != workers_.end())
-        {
-            record_departure({found->first, found->second.incarnation}, now);
-            on_leave(*found);
-            needs_plan_ = true;
-        }
-        return;
+        return on_departure(announcement.instance, now);
     }
+    take_announcement(announcement, now, age);
+    return true;
+}
+
+/// A worker drains before it leaves, so a life that has not done so is not the
+/// one that has left: the message of its former life was held up. If it has
+/// left all the same, its runs end with its lease.
+auto run_scheduler::on_departure(worker_instance const& left, time_point now)
+    -> bool
+{
+    auto const found = workers_.find(left.id);
+    if (found == workers_.end())
+    {
+        return true;
+    }
+    auto& entry = found->second;
+    auto const is_named = left.incarnation != worker_incarnation{};
+    auto const is_current =
+        is_named ? left.incarnation == entry.incarnation : entry.is_leaving();
+    if (!is_current)
+    {
+        return false;
+    }
+    record_departure({left.id, entry.incarnation}, now);
+    on_leave(*found);
+    needs_plan_ = true;
+    return true;
+}
+
+auto run_scheduler::take_announcement(worker_announcement const& announcement,
+                                      time_point now, duration age) -> void
+{
     if (has_departed(announcement.instance))
     {
         return;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -94,9 +94,10 @@
                   fleet_policy policy);
 
     // Messages of workers (run_reports.cpp).
-    /// `age` is the time since the announcement was received.
+    /// `age` is the time since the announcement was received. Returns false
+    /// for the departure of another life than the current one.
     auto on_announcement(worker_announcement const& announcement,
-                         time_point now, duration age = {}) -> void;
+                         time_point now, duration age = {}) -> bool;
     /// Returns false if the full announcement of the worker is needed
     /// (run_contacts.cpp).
     auto on_contact(worker_contact const& contact, time_point now) -> bool;
@@ -215,6 +216,10 @@
         -> bool;
 
     // run_reports.cpp
+    auto take_announcement(worker_announcement const& announcement,
+                           time_point now, duration age) -> void;
+    /// Returns false if another life than the current one has left.
+    auto on_departure(worker_instance const& left, time_point now) -> bool;
     auto replace_incarnation(identified_worker& worker,
                              worker_announcement const& announcement,
                              time_point now) -> void;
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -36,7 +36,9 @@
 template <>
 inline constexpr auto last_enumerator<worker_phase> = worker_phase::left;
 
-/// Periodic announcement of a worker: its address, properties and state.
+/// Periodic announcement of a worker: its address, properties and state. Of
+/// one that says `left`, only the instance counts; its incarnation is 0 if the
+/// process that took it does not know which life has drained.
 struct worker_announcement
 {
     worker_instance instance;
--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -138,6 +138,30 @@
     EXPECT_TRUE(intake.next_calls(now).empty());
 }
 
+// The request of a departure names no life of the worker. One that was held up
+// must not be taken for that of the next life, which has not drained.
+TEST_F(announcement_intake_test, names_the_life_that_has_drained_in_a_departure)
+{
+    for (auto const phase : {worker_phase::ready, worker_phase::draining})
+    {
+        auto known = announcement("w", 1);
+        known.instance.incarnation = worker_incarnation{5};
+        known.phase = phase;
+        intake.take(known, now);
+        worker_announcement leaving;
+        leaving.instance.id = worker_id{"w"};
+        leaving.phase = worker_phase::left;
+        intake.take(leaving, now);
+        auto const sent = intake.next_calls(now);
+        auto const& announcements = sent.at(0).batch.announcements;
+        ASSERT_EQ(announcements.size(), 1U);
+        EXPECT_EQ(announcements[0].value.phase, worker_phase::left);
+        EXPECT_EQ(announcements[0].value.instance.incarnation,
+                  worker_incarnation{phase == worker_phase::draining ? 5 : 0});
+        (void)intake.on_answer(sent[0], {first, {}, {}});
+    }
+}
+
 // A departure that is sent much later could end the next life of the worker.
 TEST_F(announcement_intake_test, gives_up_a_departure_with_its_acknowledgement)
 {
--- a/tests/run_contacts_test.cpp
+++ b/tests/run_contacts_test.cpp
@@ -141,6 +141,45 @@
     EXPECT_EQ(scheduler.workers().size(), 1U);
 }
 
+// A departure that waited in a frozen process ended the next life of a worker
+// that was restarted under its id: its runs started elsewhere beside
+// themselves, and the worker was ignored for a minute.
+TEST_F(run_contacts, a_late_departure_does_not_end_the_next_life)
+{
+    auto drained = announcement("w", 2);
+    drained.phase = worker_phase::draining;
+    scheduler.on_announcement(drained, now);
+    auto restarted = announcement("w", 1);
+    restarted.instance.incarnation = worker_incarnation{2};
+    scheduler.on_announcement(restarted, now);
+
+    worker_announcement left;
+    left.phase = worker_phase::left;
+    for (auto const life : {0, 1})
+    {
+        left.instance = {worker_id{"w"}, worker_incarnation{life}};
+        EXPECT_FALSE(scheduler.on_announcement(left, now)) << life;
+        EXPECT_FALSE(entry("w").incarnation_ended) << life;
+    }
+    restarted.number = sequence{2};
+    scheduler.on_announcement(restarted, now);
+    EXPECT_EQ(entry("w").info->number, sequence{2});
+}
+
+// A worker may leave through a process that does not know it, when its own one
+// does not answer.
+TEST_F(run_contacts, a_departure_without_a_life_ends_one_that_drains)
+{
+    auto drained = announcement("w", 1);
+    drained.phase = worker_phase::draining;
+    scheduler.on_announcement(drained, now);
+    worker_announcement left;
+    left.instance.id = worker_id{"w"};
+    left.phase = worker_phase::left;
+    EXPECT_TRUE(scheduler.on_announcement(left, now));
+    EXPECT_TRUE(entry("w").incarnation_ended);
+}
+
 // An incarnation that another address has proved over stays over.
 TEST_F(run_contacts, do_not_bring_back_an_ended_incarnation)
 {
