Refuse orders that a relay has held for over a second

Cause: a relay passed an order on whatever its age. The next life of a worker knows neither the fence nor the closed runs, and its clock begins anew. The wire names the worker by its id alone, so the sender must know the age.

Change: relays tell the leader their clock with each ping, and each order says until when it is valid, on the relay's clock and in the relay's life. The leader's estimate of that clock is never ahead. The validity counts from the scheduler's decision, which comes before the check of the lease. libcurl sends nothing past the time of a request, on a clock that goes on through a suspension. After a departure, a run whose start may still be on its way is ended only once no order for it can arrive. Empty trailing fields are left out of messages, since earlier programs refuse fields that they don't know.

The check in libcurl's callback has no test: it differs from libcurl's own only while the machine is suspended.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -346,6 +346,13 @@
 inline constexpr duration reported_wait = 1s;
 inline constexpr std::size_t max_reported_waits = 4;
 inline constexpr duration order_timeout = 1s;
+/// Age of an order up to which a relay passes it on. Later the worker may have
+/// been restarted under its id, and would know neither the fence nor that the
+/// run is closed.
+inline constexpr duration order_validity = order_timeout;
+/// Age of an order from which a worker does not get it any more: the relay
+/// gives it up order_timeout after it has taken it.
+inline constexpr duration max_order_age = order_validity + order_timeout;
 /// Time since its last ping after which a relay gets no more orders.
 inline constexpr duration relay_timeout = 1300ms;
 /// How long a relay that left an order unanswered gets no more orders.
--- a/src/adapters/curl_requests.cpp
+++ b/src/adapters/curl_requests.cpp
@@ -1,5 +1,7 @@
 #include "adapters/curl_requests.hpp"
 
+#include "adapters/glib_clock.hpp"
+
 #include <apricotlb/config.hpp>
 
 #include <curl/curl.h>
@@ -34,6 +36,7 @@
     curl_slist* headers{nullptr};
     std::string answer;
     curl_requests::callback done;
+    time_point deadline{};
 
     transfer() = default;
     transfer(transfer const&) = delete;
@@ -53,6 +56,16 @@
     return size * n;
 }
 
+/// Called before the request is sent on a connection. libcurl's own clock
+/// stands still while the machine is suspended, so the time is checked here.
+auto begin_attempt(void* of, char* /*to*/, char* /*from*/, int /*to_port*/,
+                   int /*from_port*/) -> int
+{
+    return boot_time() >= static_cast<transfer*>(of)->deadline
+               ? CURL_PREREQFUNC_ABORT
+               : CURL_PREREQFUNC_OK;
+}
+
 auto to_ms(duration d) -> long
 {
     return std::max<long>(
@@ -218,9 +231,10 @@
     }
     if (how != CURLE_OK)
     {
-        it->done(fail(how == CURLE_OPERATION_TIMEDOUT
-                          ? error_kind::backend_timeout
-                          : error_kind::backend_failed,
+        auto const is_late =
+            how == CURLE_OPERATION_TIMEDOUT || how == CURLE_ABORTED_BY_CALLBACK;
+        it->done(fail(is_late ? error_kind::backend_timeout
+                              : error_kind::backend_failed,
                       curl_easy_strerror(how)));
         return;
     }
@@ -277,6 +291,7 @@
     auto made = std::make_unique<transfer>();
     made->body = it.body;
     made->done = std::move(done);
+    made->deadline = boot_time() + it.timeout;
     auto const add = [&made](std::string const& line)
     { made->headers = curl_slist_append(made->headers, line.c_str()); };
     add("Content-Type: application/json");
@@ -294,6 +309,8 @@
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, to_ms(it.timeout));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, take_bytes);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, made.get());
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, begin_attempt);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, made.get());
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, it.repeatable ? 0L : 1L);
     if (it.method == "POST")
     {
--- a/src/adapters/glib_clock.cpp
+++ b/src/adapters/glib_clock.cpp
@@ -21,8 +21,11 @@
 
 auto glib_clock::now() const -> time_point
 {
-    // CLOCK_BOOTTIME counts the time that a machine was suspended. Leases that
-    // others count on must not last longer than that here.
+    return boot_time();
+}
+
+auto boot_time() -> time_point
+{
     timespec it{};
     clock_gettime(CLOCK_BOOTTIME, &it);
     return time_point{
--- a/src/adapters/glib_clock.hpp
+++ b/src/adapters/glib_clock.hpp
@@ -12,6 +12,10 @@
 {
 
 /// Timers run in the default main context of the process.
+/// Steady time that goes on while the machine is suspended. Leases that others
+/// count on must not last longer than that.
+[[nodiscard]] auto boot_time() -> time_point;
+
 class glib_clock
 {
 public:
--- a/src/adapters/msgpack_codec.hpp
+++ b/src/adapters/msgpack_codec.hpp
@@ -60,6 +60,32 @@
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
+/// Fields of a struct to encode. Empty ones at the end that a reader may miss
+/// are left out, since programs of earlier versions refuse fields that they do
+/// not know.
+template <class T>
+auto count_fields(T const& value) -> std::size_t
+{
+    constexpr auto count = std::tuple_size_v<decltype(T::fields())>;
+    std::size_t n{0};
+    std::size_t used{count - optional_fields<T>};
+    for_each_field(
+        value,
+        [&](auto, auto const& it)
+        {
+            ++n;
+            if constexpr (is_optional_v<std::remove_cvref_t<decltype(it)>>)
+            {
+                used = it ? std::max(used, n) : used;
+            }
+            else
+            {
+                used = std::max(used, n);
+            }
+        });
+    return used;
+}
+
 template <class T>
 auto pack(packer& out, T const& value) -> void
 {
@@ -126,9 +152,17 @@
     else
     {
         static_assert(reflected<T>, "type has no fields()");
-        out.pack_array(static_cast<std::uint32_t>(
-            std::tuple_size_v<decltype(T::fields())>));
-        for_each_field(value, [&out](auto, auto const& it) { pack(out, it); });
+        auto left = count_fields(value);
+        out.pack_array(static_cast<std::uint32_t>(left));
+        for_each_field(value,
+                       [&](auto, auto const& it)
+                       {
+                           if (left > 0)
+                           {
+                               --left;
+                               pack(out, it);
+                           }
+                       });
     }
 }
 
--- a/src/app/group_link.hpp
+++ b/src/app/group_link.hpp
@@ -60,6 +60,13 @@
         before_ping_ = std::move(callback);
     }
 
+    /// Called before each ping, regular or not, with the process to ping; what
+    /// it sends there leaves with the ping.
+    auto with_ping(std::function<void(node_id const&)> callback) -> void
+    {
+        with_ping_ = std::move(callback);
+    }
+
     /// Tells the leader to send no more orders through this process.
     auto stop_relaying() -> void
     {
@@ -115,6 +122,10 @@
 
     auto send_ping() -> void
     {
+        if (with_ping_ && link_.is_connected())
+        {
+            with_ping_(link_.leader());
+        }
         link_.start(
             ping_body_,
             [this, sent = clock_.now()](auto const& got)
@@ -131,6 +142,7 @@
     Transport& transport_;
     leader_ping ping_body_;
     std::function<void()> before_ping_;
+    std::function<void(node_id const&)> with_ping_;
     control_link<Clock, send_call> link_;
     group_discovery<Clock, Fetch, introduce, Json> discovery_;
     std::optional<time_point> last_answered_ping_;
--- a/src/app/order_relay.hpp
+++ b/src/app/order_relay.hpp
@@ -5,6 +5,7 @@
 #include "app/peer_message.hpp"
 #include "core/fleet/relay_messages.hpp"
 #include "ports/clock.hpp"
+#include "ports/metrics.hpp"
 #include "ports/run_worker.hpp"
 
 #include <apricotlb/config.hpp>
@@ -22,15 +23,19 @@
 {
 
 /// Sends each order once and returns exactly one answer for it. Answers within
-/// config::answer_batch_delay go back as one message. It decides nothing: the
-/// fencing token, the run number and the end of the lease in an order protect
-/// the worker against one that is late.
-template <clock_port Clock, class Transport, run_worker_port Workers>
+/// config::answer_batch_delay go back as one message. It refuses orders that
+/// are past their validity or for an earlier life of this process, as they are
+/// after it was frozen: the fencing token, the run number and the end of the
+/// lease in an order do not protect a worker that was restarted meanwhile.
+template <clock_port Clock, class Transport, run_worker_port Workers,
+          metrics_port Metrics>
 class order_relay
 {
 public:
-    order_relay(Clock& clock, Transport& peers, Workers& workers)
-        : clock_(clock), transport_(peers), workers_(workers)
+    order_relay(Clock& clock, Transport& peers, Workers& workers,
+                Metrics& metrics, incarnation life)
+        : clock_(clock), transport_(peers), workers_(workers),
+          metrics_(metrics), life_(life)
     {
     }
     order_relay(order_relay const&) = delete;
@@ -47,29 +52,57 @@
     {
         for (auto const& order : it.orders)
         {
+            auto const is_expired =
+                order.valid_until &&
+                is_past({it.life.value_or(incarnation{}), *order.valid_until},
+                        reading());
             std::visit(
-                [&](auto const& value) {
-                    pass_on({from, it.leader_term}, order.number, value);
+                [&](auto const& value)
+                {
+                    origin const leader{from, it.leader_term};
+                    if (is_expired)
+                    {
+                        metrics_.count(metric::order_routes, "expired");
+                        refuse(leader, order.number, value);
+                        return;
+                    }
+                    pass_on(leader, order.number, value);
                 },
                 order.value);
         }
     }
 
+    /// What the leader has to know to limit the age of its orders.
+    [[nodiscard]] auto reading() const -> clock_reading
+    {
+        return {life_, to_process_clock(clock_.now())};
+    }
+
 private:
     /// The process to answer, and the term of its leadership.
     using origin = std::pair<node_id, term>;
 
+    template <class Order>
+    using answer_to = std::conditional_t<std::is_same_v<Order, poll_order>,
+                                         poll_answer, order_answer>;
+
+    template <class Order>
+    auto refuse(origin const& from, sequence number, Order const& /*order*/)
+        -> void
+    {
+        answer_to<Order> refused;
+        refused.outcome = order_outcome::not_sent;
+        add(from, {number, std::move(refused)});
+    }
+
     template <class Order>
     auto pass_on(origin const& from, sequence number, Order const& order)
         -> void
     {
-        using answer = std::conditional_t<std::is_same_v<Order, poll_order>,
-                                          poll_answer, order_answer>;
+        using answer = answer_to<Order>;
         if (in_flight_ >= config::max_relayed_orders)
         {
-            answer busy;
-            busy.outcome = order_outcome::not_sent;
-            add(from, {number, std::move(busy)});
+            refuse(from, number, order);
             return;
         }
         ++in_flight_;
@@ -127,6 +160,8 @@
     Clock& clock_;
     Transport& transport_;
     Workers& workers_;
+    Metrics& metrics_;
+    incarnation life_;
     std::size_t in_flight_{0};
     std::map<origin, collected_answers> batches_;
     std::optional<timer_id> timer_;
--- a/src/app/peer_message.hpp
+++ b/src/app/peer_message.hpp
@@ -18,7 +18,8 @@
 /// The order of alternatives is part of the protocol; append new alternatives.
 using peer_message =
     std::variant<raft_message, entry_heartbeat, entry_heartbeat_answer, call,
-                 call_answer, order_batch, answer_batch, leader_notice>;
+                 call_answer, order_batch, answer_batch, leader_notice,
+                 clock_reading>;
 
 /// Transport port for Raft messages on top of the transport for all messages.
 template <class Transport>
--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -76,6 +76,11 @@
         }
     }
 
+    auto on_clock(node_id const& from, clock_reading const& it) -> void
+    {
+        relays_.on_clock(from, it, clock_.now());
+    }
+
     /// Where a worker should announce itself, which has done so to `from`; none
     /// if it need not change, or if no process of its zone takes announcements.
     [[nodiscard]] auto intake_for(node_id const& from, worker_id const& worker,
@@ -173,8 +178,18 @@
                                  now + timeout + config::relay_answer_margin,
                                  std::move(done)});
         auto& batch = batches_[{*relay, in_term}];
+        auto const deadline = relays_.deadline_for(*relay, it.to.given);
+        auto const life =
+            deadline ? std::optional{deadline->life} : std::nullopt;
+        if (batch.life != life && !batch.orders.empty())
+        {
+            transport_.send(*relay, peer_message{std::exchange(batch, {})});
+        }
         batch.leader_term = in_term;
-        batch.orders.push_back({number, it});
+        batch.life = life;
+        batch.orders.push_back(
+            {number, it,
+             deadline ? std::optional{deadline->clock} : std::nullopt});
         if (batch.orders.size() >= config::max_orders_per_batch)
         {
             transport_.send(*relay, peer_message{std::exchange(batch, {})});
--- a/src/core/fleet/relay_messages.hpp
+++ b/src/core/fleet/relay_messages.hpp
@@ -3,12 +3,14 @@
 #ifndef APRICOTLB_CORE_FLEET_RELAY_MESSAGES_HPP
 #define APRICOTLB_CORE_FLEET_RELAY_MESSAGES_HPP
 
+#include "core/fleet/relay_clock.hpp"
 #include "core/fleet/worker_messages.hpp"
 
 #include <apricotlb/fields.hpp>
 #include <apricotlb/ids.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -21,27 +23,40 @@
 {
     sequence number;
     std::variant<start_order, stop_order, pace_order, poll_order> value;
+    /// On the relay's clock; none if the leader has no reading of it.
+    std::optional<process_clock> valid_until{std::nullopt};
 
     static constexpr auto fields()
     {
         return field_list(field("number", &relayed_order::number),
-                          field("value", &relayed_order::value));
+                          field("value", &relayed_order::value),
+                          field("valid_until", &relayed_order::valid_until));
     }
 };
 
+/// Relays of earlier versions tell no clock.
+template <>
+inline constexpr std::size_t optional_fields<relayed_order> = 1;
+
 /// Orders of one leader to workers of one relay.
 struct order_batch
 {
     term leader_term;
     std::vector<relayed_order> orders;
+    /// Life of the relay whose clock the orders refer to.
+    std::optional<incarnation> life{std::nullopt};
 
     static constexpr auto fields()
     {
         return field_list(field("leader_term", &order_batch::leader_term),
-                          field("orders", &order_batch::orders));
+                          field("orders", &order_batch::orders),
+                          field("life", &order_batch::life));
     }
 };
 
+template <>
+inline constexpr std::size_t optional_fields<order_batch> = 1;
+
 struct relayed_answer
 {
     sequence number;
--- a/src/core/fleet/relay_table.cpp
+++ b/src/core/fleet/relay_table.cpp
@@ -18,6 +18,21 @@
     it.last_contact = now;
 }
 
+auto relay_table::on_clock(node_id const& relay, clock_reading const& it,
+                           time_point now) -> void
+{
+    clocks_[relay].sample(it, now);
+}
+
+auto relay_table::deadline_for(node_id const& relay, time_point given) const
+    -> std::optional<clock_reading>
+{
+    auto const found = clocks_.find(relay);
+    return found == clocks_.end()
+               ? std::nullopt
+               : found->second.deadline(given, config::order_validity);
+}
+
 auto relay_table::remove(node_id const& relay) -> void
 {
     auto const found = relays_.find(relay);
@@ -116,6 +131,7 @@
 auto relay_table::clear() -> void
 {
     relays_.clear();
+    clocks_.clear();
     assigned_.clear();
 }
 
@@ -158,6 +174,8 @@
         release_workers(it->second);
         it = relays_.erase(it);
     }
+    std::erase_if(clocks_, [this](auto const& each)
+                  { return !relays_.contains(each.first); });
 }
 
 /// Relays of the zone before others; then one that is in use and has room
--- a/src/core/fleet/relay_table.hpp
+++ b/src/core/fleet/relay_table.hpp
@@ -2,6 +2,8 @@
 #ifndef APRICOTLB_CORE_FLEET_RELAY_TABLE_HPP
 #define APRICOTLB_CORE_FLEET_RELAY_TABLE_HPP
 
+#include "core/fleet/relay_clock.hpp"
+
 #include <apricotlb/config.hpp>
 #include <apricotlb/ids.hpp>
 #include <apricotlb/time.hpp>
@@ -24,6 +26,14 @@
     auto on_contact(node_id const& relay, zone_id const& zone, time_point now,
                     std::optional<intake_address> intake = std::nullopt)
         -> void;
+    /// Adds a reading of a relay's clock.
+    auto on_clock(node_id const& relay, clock_reading const& it, time_point now)
+        -> void;
+    /// Until when the relay may pass on an order that is given at `given`; none
+    /// without a reading of its clock.
+    [[nodiscard]] auto deadline_for(node_id const& relay,
+                                    time_point given) const
+        -> std::optional<clock_reading>;
     /// Takes a relay out of use, until it is in contact again.
     auto remove(node_id const& relay) -> void;
     /// Takes a relay out of use for config::relay_suspension: it answers pings,
@@ -97,6 +107,7 @@
         -> std::optional<node_id>;
 
     std::map<node_id, relay_state> relays_;
+    std::map<node_id, relay_clock> clocks_; ///< of these, and of former ones
     std::map<worker_id, assignment> assigned_;
     time_point pruned_at_{};
 };
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -67,7 +67,7 @@
         return false;
     }
     record_departure({left.id, entry.incarnation}, now);
-    on_leave(*found);
+    on_leave(*found, now);
     needs_plan_ = true;
     return true;
 }
@@ -119,7 +119,7 @@
             {
                 return;
             }
-            on_incarnation_end(*former);
+            on_incarnation_end(*former, now);
         }
     }
     addresses_[announcement.address] = announcement.instance.id;
@@ -185,14 +185,15 @@
     }
 }
 
-auto run_scheduler::on_leave(identified_worker& worker) -> void
+auto run_scheduler::on_leave(identified_worker& worker, time_point now) -> void
 {
     worker.second.incarnation_ended = true;
     worker.second.possible_crashes.clear();
-    end_runs_as_lost(worker);
+    end_runs_as_lost(worker, now);
 }
 
-auto run_scheduler::on_incarnation_end(identified_worker& worker) -> void
+auto run_scheduler::on_incarnation_end(identified_worker& worker,
+                                       time_point now) -> void
 {
     auto& entry = worker.second;
     if (!entry.incarnation_ended && !entry.is_leaving())
@@ -206,7 +207,7 @@
             }
         }
     }
-    on_leave(worker);
+    on_leave(worker, now);
 }
 
 auto run_scheduler::report_late_crashes(worker_entry& worker) -> void
@@ -277,7 +278,7 @@
                           now);
         break;
     case order_outcome::other_incarnation:
-        on_incarnation_end(*worker);
+        on_incarnation_end(*worker, now);
         break;
     case order_outcome::not_sent:
         held->sent = now;
@@ -323,7 +324,7 @@
     }
     else if (answer.outcome == order_outcome::other_incarnation)
     {
-        on_incarnation_end(*worker);
+        on_incarnation_end(*worker, now);
     }
     else if ((answer.outcome == order_outcome::done ||
               answer.outcome == order_outcome::superseded) &&
@@ -397,7 +398,7 @@
         fenced_ = true;
         break;
     case order_outcome::other_incarnation:
-        on_incarnation_end(worker);
+        on_incarnation_end(worker, now);
         break;
     default:
         break;
@@ -438,7 +439,7 @@
         // A run that is not recorded: a late order of an earlier leader.
         if (!fenced_)
         {
-            actions_.emplace_back(stop_order{target_of(worker), row.run});
+            actions_.emplace_back(stop_order{target_of(worker, now), row.run});
         }
         return;
     }
@@ -583,7 +584,8 @@
         {
             held.order_in_flight = true;
             held.sent = now;
-            actions_.emplace_back(pace_order{target_of(worker), run, pace});
+            actions_.emplace_back(
+                pace_order{target_of(worker, now), run, pace});
         }
     }
 }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -94,13 +94,14 @@
     return {&*worker, &held->second};
 }
 
-auto run_scheduler::target_of(identified_worker const& worker) const
-    -> order_target
+auto run_scheduler::target_of(identified_worker const& worker,
+                              time_point now) const -> order_target
 {
     return {{worker.first, worker.second.incarnation},
             worker.second.info->address,
             worker.second.info->zone,
-            fence_};
+            fence_,
+            now};
 }
 
 auto run_scheduler::is_wanted(task_run const& run) const -> bool
@@ -183,8 +184,9 @@
     }
     held.order_in_flight = true;
     held.sent = now;
+    held.start_sent = now;
     actions_.emplace_back(
-        start_order{target_of(worker), run, record->spec.payload,
+        start_order{target_of(worker, now), run, record->spec.payload,
                     record->find(run.task)->checkpoint,
                     worker.second.lease.grant(now, policy_.lease)});
 }
@@ -205,7 +207,7 @@
     }
     held.order_in_flight = true;
     held.sent = now;
-    actions_.emplace_back(stop_order{target_of(worker), run});
+    actions_.emplace_back(stop_order{target_of(worker, now), run});
 }
 
 auto run_scheduler::send_poll(identified_worker& worker, time_point now) -> void
@@ -239,7 +241,7 @@
                                             : config::poll_wait;
     entry.poll_in_flight = true;
     entry.poll_sent_at = now;
-    poll_order order{target_of(worker), entry.recorded, {}, wait};
+    poll_order order{target_of(worker, now), entry.recorded, {}, wait};
     // A poll that arrives late must not extend the lease of a worker whose runs
     // may already count as lost.
     if (now - entry.last_contact < config::lease_extension_timeout)
@@ -295,11 +297,11 @@
             now - entry.last_contact >= config::worker_contact_timeout;
         if (entry.incarnation_ended)
         {
-            end_runs_as_lost(*worker);
+            end_runs_as_lost(*worker, now);
         }
         else if (has_lapsed)
         {
-            end_runs_of_silent(*worker);
+            end_runs_of_silent(*worker, now);
         }
         if (entry.runs.empty() &&
             (entry.incarnation_ended ||
@@ -539,19 +541,31 @@
     worker.gained_room = ++last_room_change_;
 }
 
-auto run_scheduler::end_runs_as_lost(identified_worker& worker) -> void
+auto run_scheduler::may_start_late(held_run const& held, time_point now) const
+    -> bool
+{
+    auto const is_unanswered =
+        is_unconfirmed(held.phase) || held.start_unconfirmed;
+    // An earlier leader gave its last orders before this one was elected.
+    auto const given = std::max(held.start_sent, leading_since_);
+    return is_unanswered && now - given < config::max_order_age;
+}
+
+auto run_scheduler::end_runs_as_lost(identified_worker& worker, time_point now)
+    -> void
 {
     for (auto& [run, held] : worker.second.runs)
     {
         if (held.phase != run_phase::ending &&
-            held.phase != run_phase::proposed)
+            held.phase != run_phase::proposed && !may_start_late(held, now))
         {
             propose_end(run, held, run_end::lost);
         }
     }
 }
 
-auto run_scheduler::end_runs_of_silent(identified_worker& worker) -> void
+auto run_scheduler::end_runs_of_silent(identified_worker& worker,
+                                       time_point now) -> void
 {
     for (auto const& [run, held] : worker.second.runs)
     {
@@ -560,7 +574,7 @@
             worker.second.possible_crashes.push_back(run);
         }
     }
-    end_runs_as_lost(worker);
+    end_runs_as_lost(worker, now);
 }
 
 auto run_scheduler::reserve(identified_worker& worker,
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -151,7 +151,8 @@
     // run_scheduler.cpp
     auto inherit_runs(time_point now) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
-    auto target_of(identified_worker const& worker) const -> order_target;
+    auto target_of(identified_worker const& worker, time_point now) const
+        -> order_target;
     /// True while the log asks for the run: its end is not recorded, its
     /// workflow is open, and no other run has finished its task. A workflow
     /// without attempts left is not open.
@@ -198,10 +199,15 @@
     auto gain_room(worker_entry& worker) -> void;
     /// Takes back a reservation that is not proposed yet.
     auto cancel_reservation(task_run const& run) -> void;
-    auto end_runs_as_lost(identified_worker& worker) -> void;
+    /// True if a start order of the run may be on its way still, and would be
+    /// carried out by the next life of its worker.
+    [[nodiscard]] auto may_start_late(held_run const& held,
+                                      time_point now) const -> bool;
+    /// Leaves out runs that may start late; they are ended by a later call.
+    auto end_runs_as_lost(identified_worker& worker, time_point now) -> void;
     /// Ends the runs of a silent worker as lost, and keeps which of them are to
     /// blame if it has crashed.
-    auto end_runs_of_silent(identified_worker& worker) -> void;
+    auto end_runs_of_silent(identified_worker& worker, time_point now) -> void;
 
     // run_contacts.cpp
     struct departure
@@ -224,9 +230,9 @@
                              worker_announcement const& announcement,
                              time_point now) -> void;
     /// The worker has left in order.
-    auto on_leave(identified_worker& worker) -> void;
+    auto on_leave(identified_worker& worker, time_point now) -> void;
     /// Another worker or incarnation took the place of this one.
-    auto on_incarnation_end(identified_worker& worker) -> void;
+    auto on_incarnation_end(identified_worker& worker, time_point now) -> void;
     /// Records the crashes of runs that ended as lost before the crash of
     /// their worker was known.
     auto report_late_crashes(worker_entry& worker) -> void;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -79,6 +79,7 @@
     /// When it was first confirmed as running; none for a run of an earlier
     /// leader, which may have started at any time before.
     std::optional<time_point> started_at;
+    time_point start_sent{}; ///< last start order of this leader
     run_end closed_as{run_end::not_started}; ///< end to record once closed
     time_point sent{};                       ///< when the last order was sent
     time_point settled_at{}; ///< when it was confirmed as running, or closed
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -74,6 +74,7 @@
     url address;
     zone_id zone;
     fence_token fence;
+    time_point given{}; ///< on the leader's clock, which others do not share
 
     static constexpr auto fields()
     {
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -233,10 +233,17 @@
             if (frozen_until <= now)
             {
                 relay_table_.on_contact(id, zone_id{"z1"}, now);
+                relay_table_.on_clock(id, relay_reading(), now);
             }
         }
     }
 
+    /// Clocks of relays are ahead of the leader's.
+    [[nodiscard]] auto relay_reading() const -> clock_reading
+    {
+        return {incarnation{1}, to_process_clock(now + seconds{1000})};
+    }
+
     auto perform() -> void
     {
         for (auto& it : leader->take_actions())
@@ -336,7 +343,16 @@
     {
         ++held_back;
         auto const after = milliseconds{next_random(random_) % 50};
-        events_.emplace(relays_.at(relay) + after, [deliver] { deliver(); });
+        auto const deadline =
+            relay_table_.deadline_for(relay, it.to.given).value();
+        events_.emplace(relays_.at(relay) + after,
+                        [this, deadline, deliver]
+                        {
+                            if (!is_past(deadline, relay_reading()))
+                            {
+                                deliver();
+                            }
+                        });
         duration timeout = config::order_timeout + config::relay_answer_margin;
         if constexpr (std::is_same_v<Order, poll_order>)
         {
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-using entry_side =
-    order_relay<paused_clock, recording_transport, recording_workers>;
+using entry_side = order_relay<paused_clock, recording_transport,
+                               recording_workers, counting_metrics>;
 
 class order_relay_test : public testing::Test
 {
@@ -31,7 +31,9 @@
     paused_clock clock;
     recording_transport peers;
     recording_workers workers;
-    std::optional<entry_side> it{std::in_place, clock, peers, workers};
+    counting_metrics metrics;
+    std::optional<entry_side> it{std::in_place, clock,   peers,
+                                 workers,       metrics, incarnation{3}};
 };
 
 auto numbered(std::uint64_t n, std::string const& worker = "w0")
@@ -155,6 +157,54 @@
     EXPECT_EQ(answers, polls);
 }
 
+// An order that waited in the socket of a frozen relay started a run on the
+// next life of its worker, beside the run that had replaced it.
+TEST_F(order_relay_test, refuses_orders_past_their_validity)
+{
+    clock.advance(seconds{20});
+    relay_clock estimate;
+    estimate.sample(it->reading(), clock.now());
+    auto const deadline =
+        estimate.deadline(clock.now(), config::order_validity);
+    ASSERT_TRUE(deadline);
+    auto const batch = [&]
+    {
+        return order_batch{
+            term{7},
+            {{sequence{1}, start_at(target("w0")), deadline->clock},
+             {sequence{2}, poll_of(target("w0")), deadline->clock}},
+            deadline->life};
+    };
+    clock.block(config::order_validity);
+    it->take(leader, batch());
+    EXPECT_EQ(workers.to.size(), 2U);
+    clock.block(milliseconds{5});
+    it->take(leader, batch());
+    EXPECT_EQ(workers.to.size(), 2U);
+    EXPECT_EQ(metrics.routes("expired"), 2);
+    flush();
+    auto const sent = peers.all<answer_batch>();
+    ASSERT_EQ(sent.size(), 1U);
+    auto const& answers = sent[0].second.answers;
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(std::get<order_answer>(answers[0].value).outcome,
+              order_outcome::not_sent);
+    EXPECT_EQ(std::get<poll_answer>(answers[1].value).outcome,
+              order_outcome::not_sent);
+}
+
+// Messages for a process that was killed reach its next life, whose clock says
+// nothing about their age.
+TEST_F(order_relay_test, refuses_orders_for_an_earlier_life_of_the_relay)
+{
+    constexpr auto later = process_clock{1'000'000};
+    it->take(leader, {term{7},
+                      {{sequence{1}, start_at(target("w0")), later}},
+                      incarnation{2}});
+    EXPECT_TRUE(workers.to.empty());
+    EXPECT_EQ(metrics.routes("expired"), 1);
+}
+
 // A timer that outlives its object would use freed memory.
 TEST_F(order_relay_test, leaves_no_timer_behind)
 {
--- a/tests/relay_history_test.cpp
+++ b/tests/relay_history_test.cpp
@@ -106,9 +106,10 @@
     EXPECT_GT(held_back, 600U);
 }
 
-// A worker that was restarted under its id knows no closed run and carries out
-// what a relay sends it late. Red: see KNOWN-RED.txt.
-TEST(relay_history, DISABLED_ends_every_run_while_workers_restart_as_well)
+// A worker that was restarted under its id knows no closed run and carried out
+// what a frozen relay sent it late: the run had ended on record, and its task
+// ran on another worker.
+TEST(relay_history, ends_every_run_while_workers_restart_as_well)
 {
     for (std::uint64_t seed = 101; seed <= 160; ++seed)
     {
--- a/tests/relay_messages_test.cpp
+++ b/tests/relay_messages_test.cpp
@@ -88,6 +88,26 @@
     EXPECT_FALSE(std::get<poll_order>(orders[4].value).lease_end.has_value());
 }
 
+// A relay of an earlier version refuses a message with fields that it does not
+// know, and would get no orders while the processes are upgraded one by one.
+TEST(relay_messages, have_their_earlier_form_without_a_clock)
+{
+    auto orders = sample_orders();
+    auto const plain = msgpack_codec::encode(orders);
+    // Arrays of two elements: the batch, and behind its term the first order.
+    EXPECT_EQ(plain.at(0), '\x92');
+    EXPECT_EQ(plain.at(3), '\x92');
+    orders.life = incarnation{3};
+    orders.orders[1].valid_until = process_clock{77};
+    EXPECT_TRUE(survives(orders));
+    auto const got =
+        msgpack_codec::decode<order_batch>(msgpack_codec::encode(orders));
+    ASSERT_TRUE(got.has_value());
+    EXPECT_EQ(got.value().life, incarnation{3});
+    EXPECT_FALSE(got.value().orders[0].valid_until.has_value());
+    EXPECT_EQ(got.value().orders[1].valid_until, process_clock{77});
+}
+
 // A changed answer would end a run that goes on, or the reverse.
 TEST(relay_messages, returns_the_answers_that_were_encoded)
 {
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -124,6 +124,47 @@
     }
 }
 
+// A relay can refuse what waited in its socket only if each order says until
+// when it is valid, on the clock of the relay and in its life.
+TEST_F(relayed_workers_test, gives_each_order_an_end_on_the_relays_clock)
+{
+    ping_all();
+    clock_reading const reading{incarnation{4}, process_clock{50'000}};
+    it->on_clock(node_id{"r0"}, reading);
+    auto to = target("w0");
+    to.given = clock.now();
+    send_start(to);
+    it->on_clock(node_id{"r0"}, {incarnation{5}, process_clock{10}});
+    send_start(to);
+    clock.advance(duration{0});
+    auto const sent = peers.all<order_batch>();
+    ASSERT_EQ(sent.size(), 2U);
+    auto const validity = to_process_clock(time_point{config::order_validity});
+    EXPECT_EQ(sent[0].second.life, incarnation{4});
+    EXPECT_EQ(sent[0].second.orders.at(0).valid_until,
+              reading.clock + validity);
+    EXPECT_EQ(sent[1].second.life, incarnation{5});
+    EXPECT_EQ(sent[1].second.orders.at(0).valid_until,
+              process_clock{10} + validity);
+}
+
+// A reading that was held up on its way shows a clock that is too slow. The
+// validity that follows from it would end too early, never too late.
+TEST(relay_clock, is_never_ahead_of_the_relay)
+{
+    relay_clock it;
+    EXPECT_FALSE(it.deadline({}, config::order_validity));
+    auto const at = [](std::int64_t ms)
+    { return time_point{milliseconds{ms}}; };
+    it.sample({incarnation{1}, process_clock{7000}}, at(1000));
+    it.sample({incarnation{1}, process_clock{7100}}, at(1900));
+    EXPECT_EQ(it.deadline(at(1000), seconds{1})->clock, process_clock{8000});
+    it.sample({incarnation{1}, process_clock{8001}}, at(2000));
+    EXPECT_EQ(it.deadline(at(2000), seconds{1})->clock, process_clock{9001});
+    it.sample({incarnation{2}, process_clock{5}}, at(2000));
+    EXPECT_EQ(it.deadline(at(2000), seconds{1})->clock, process_clock{1005});
+}
+
 // Without a relay in contact nothing would reach the workers.
 TEST_F(relayed_workers_test, sends_to_workers_itself_without_a_relay)
 {
