Acknowledge no ends of a life of a worker that is not known

Cause: a poll names no life. Until the leader had heard of the new one, its polls acknowledged ends by the numbers of the former life, and the new life forgot its own ends under them. A commit that took longer than the restart raised the number for the new life as well.

Change: a poll acknowledges only ends that have not been acknowledged, and none after an order or poll without an answer: the next answer names the life first. A clock that runs behind the known one shows another life where the answer names none. Such a worker gets no starts and no polls until its announcement has arrived. The record of ends names the incarnation.

--- a/src/core/fleet/run_contacts.cpp
+++ b/src/core/fleet/run_contacts.cpp
@@ -25,6 +25,7 @@
     {
         return false;
     }
+    entry.is_replaced = false;
     entry.info->number = contact.number;
     entry.info->clock = contact.clock;
     entry.announced_at = now - contact.age;
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -128,6 +128,7 @@
         gain_room(entry);
     }
     entry.info = announcement;
+    entry.is_replaced = false;
     entry.described = announcement.number;
     entry.announced_at = now - age;
     entry.record_life_sign(entry.announced_at);
@@ -158,6 +159,8 @@
     entry.acknowledged = {};
     entry.recording_ends = false;
     entry.poll_in_flight = false;
+    entry.is_answering = false;
+    entry.is_replaced = false;
     entry.lease = {};
     entry.info = announcement;
     gain_room(entry);
@@ -218,6 +221,29 @@
     }
 }
 
+auto run_scheduler::record_answer(identified_worker& worker,
+                                  order_target const& to,
+                                  order_answer const& answer, time_point now)
+    -> bool
+{
+    auto& entry = worker.second;
+    if (!is_from_worker(answer.outcome))
+    {
+        entry.is_answering =
+            entry.is_answering && answer.outcome == order_outcome::not_sent;
+        return true;
+    }
+    if (answer.clock && entry.lease.is_of_other_life(*answer.clock, to.given))
+    {
+        // Its announcement follows and replaces this one.
+        entry.is_answering = false;
+        entry.is_replaced = true;
+        return false;
+    }
+    record_contact(worker, answer.clock, now);
+    return true;
+}
+
 auto run_scheduler::record_contact(identified_worker& worker,
                                    std::optional<worker_clock> const& clock,
                                    time_point now) -> void
@@ -240,10 +266,7 @@
         return;
     }
     held->order_in_flight = false;
-    if (is_from_worker(answer.outcome))
-    {
-        record_contact(*worker, answer.clock, now);
-    }
+    record_answer(*worker, order.to, answer, now);
     switch (answer.outcome)
     {
     case order_outcome::done:
@@ -314,10 +337,7 @@
     }
     held->order_in_flight = false;
     held->sent = now;
-    if (is_from_worker(answer.outcome))
-    {
-        record_contact(*worker, answer.clock, now);
-    }
+    record_answer(*worker, order.to, answer, now);
     if (answer.outcome == order_outcome::fenced)
     {
         fenced_ = true;
@@ -351,13 +371,13 @@
         return;
     }
     held->order_in_flight = false;
+    auto const is_current = record_answer(*worker, order.to, answer, now);
     if (answer.outcome == order_outcome::fenced)
     {
         fenced_ = true;
     }
-    else if (answer.outcome == order_outcome::done)
+    else if (answer.outcome == order_outcome::done && is_current)
     {
-        record_contact(*worker, answer.clock, now);
         held->pace = order.pace;
         held->pace_changed_at = now;
         interference_.pace_changed(worker->first, order.run, order.pace, now);
@@ -382,10 +402,11 @@
     case order_outcome::done:
         if (answer.lists.incarnation != entry.incarnation)
         {
-            // Another incarnation answered under the same id. Its announcement
-            // follows and replaces this one.
+            entry.is_answering = false;
+            entry.is_replaced = answer.lists.incarnation > entry.incarnation;
             return;
         }
+        entry.is_answering = true;
         entry.next_poll_at = order.wait > milliseconds{0}
                                  ? now + config::min_poll_interval
                                  : now;
@@ -400,7 +421,10 @@
     case order_outcome::other_incarnation:
         on_incarnation_end(worker, now);
         break;
+    case order_outcome::not_sent:
+        break;
     default:
+        entry.is_answering = false;
         break;
     }
 }
@@ -508,7 +532,7 @@
                                   std::vector<ended_row> const& rows) -> void
 {
     propose_ends proposal;
-    proposal.from = worker.first;
+    proposal.from = {worker.first, worker.second.incarnation};
     for (auto const& row : rows)
     {
         proposal.last_number = std::max(proposal.last_number, row.number);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -94,6 +94,16 @@
     return {&*worker, &held->second};
 }
 
+/// Null if the worker is not known, or has another incarnation by now.
+auto run_scheduler::find(worker_instance const& it) -> worker_entry*
+{
+    auto const found = workers_.find(it.id);
+    return found == workers_.end() ||
+                   found->second.incarnation != it.incarnation
+               ? nullptr
+               : &found->second;
+}
+
 auto run_scheduler::target_of(identified_worker const& worker,
                               time_point now) const -> order_target
 {
@@ -177,7 +187,8 @@
                                held_run& held, time_point now) -> void
 {
     auto const* const record = state_.workflows().find(run.task.workflow);
-    if (fenced_ || !worker.second.info || !worker.second.lease.is_sampled() ||
+    if (fenced_ || !worker.second.info || worker.second.is_replaced ||
+        !worker.second.lease.is_sampled() ||
         !has_current_phase(worker.second, now) || record == nullptr)
     {
         return;
@@ -214,8 +225,8 @@
 {
     auto& entry = worker.second;
     if (fenced_ || entry.poll_in_flight || entry.recording_ends ||
-        entry.incarnation_ended || !entry.info || !entry.lease.is_sampled() ||
-        now < entry.next_poll_at)
+        entry.incarnation_ended || entry.is_replaced || !entry.info ||
+        !entry.lease.is_sampled() || now < entry.next_poll_at)
     {
         return;
     }
@@ -226,7 +237,10 @@
     {
         return;
     }
-    auto urgent = !is_needed;
+    // Ends are acknowledged once, soon after the worker has listed them: a
+    // later poll may reach its next life, which numbers its ends anew.
+    auto const is_release_due = entry.acknowledged < entry.recorded;
+    auto urgent = !is_needed || (is_release_due && !entry.is_answering);
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : entry.runs)
@@ -241,7 +255,11 @@
                                             : config::poll_wait;
     entry.poll_in_flight = true;
     entry.poll_sent_at = now;
-    poll_order order{target_of(worker, now), entry.recorded, {}, wait};
+    poll_order order{target_of(worker, now),
+                     is_release_due && entry.is_answering ? entry.recorded
+                                                          : end_number{},
+                     {},
+                     wait};
     // A poll that arrives late must not extend the lease of a worker whose runs
     // may already count as lost.
     if (now - entry.last_contact < config::lease_extension_timeout)
@@ -401,13 +419,11 @@
     {
         release(ended.run, now);
     }
-    auto const worker = workers_.find(proposal.from);
-    if (worker != workers_.end())
+    if (auto* const entry = find(proposal.from))
     {
-        worker->second.recorded =
-            std::max(worker->second.recorded, proposal.last_number);
-        worker->second.recording_ends = false;
-        send_poll(*worker, now);
+        entry->recorded = std::max(entry->recorded, proposal.last_number);
+        entry->recording_ends = false;
+        send_poll(*workers_.find(proposal.from.id), now);
     }
 }
 
@@ -422,10 +438,9 @@
             held->closed_as = ended.outcome;
         }
     }
-    auto const worker = workers_.find(proposal.from);
-    if (worker != workers_.end())
+    if (auto* const entry = find(proposal.from))
     {
-        worker->second.recording_ends = false;
+        entry->recording_ends = false;
     }
 }
 
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -54,7 +54,7 @@
 struct propose_ends
 {
     std::vector<ended_run> runs;
-    worker_id from; ///< empty unless a worker listed them
+    worker_instance from; ///< no id unless a worker listed them
     end_number last_number;
 };
 
@@ -151,6 +151,7 @@
     // run_scheduler.cpp
     auto inherit_runs(time_point now) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
+    auto find(worker_instance const& it) -> worker_entry*;
     auto target_of(identified_worker const& worker, time_point now) const
         -> order_target;
     /// True while the log asks for the run: its end is not recorded, its
@@ -236,6 +237,10 @@
     /// Records the crashes of runs that ended as lost before the crash of
     /// their worker was known.
     auto report_late_crashes(worker_entry& worker) -> void;
+    /// Records that a worker has answered an order or poll, or has not.
+    /// Returns false if the answer is of another incarnation.
+    auto record_answer(identified_worker& worker, order_target const& to,
+                       order_answer const& answer, time_point now) -> bool;
     auto record_contact(identified_worker& worker,
                         std::optional<worker_clock> const& clock,
                         time_point now) -> void;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -189,6 +189,20 @@
         return end;
     }
 
+    /// True if a reading that was taken after `since` cannot be of the same
+    /// incarnation: clocks begin anew with each one.
+    [[nodiscard]] auto is_of_other_life(worker_clock reading,
+                                        time_point since) const -> bool
+    {
+        constexpr worker_clock rounding{10};
+        // The worker's clock does not run fast: it showed at least this before
+        // the sample.
+        auto const least = since < sampled_at_
+                               ? clock_ - to_worker_clock(sampled_at_ - since)
+                               : worker_now(since);
+        return sampled_ && reading + rounding < least;
+    }
+
     /// From this time on every granted lease has ended on the worker's clock.
     [[nodiscard]] auto latest_end() const -> time_point { return latest_end_; }
 
@@ -264,6 +278,12 @@
     time_point next_poll_at{}; ///< earliest time of the next poll
     bool poll_in_flight{false};
     bool recording_ends{false}; ///< the ends that it listed are proposed
+    /// The last order was answered, so that ends may be acknowledged: a worker
+    /// that was restarted under its id numbers its ends anew.
+    bool is_answering{false};
+    /// Another incarnation answers, whose announcement has not arrived yet. It
+    /// gets no orders until then.
+    bool is_replaced{false};
     /// Nothing of this incarnation runs any more.
     bool incarnation_ended{false};
     room_change gained_room;      ///< the last one of this worker
@@ -342,7 +362,7 @@
     /// True if the state of the worker allows new runs.
     [[nodiscard]] auto is_usable(time_point now) const -> bool
     {
-        return info && !incarnation_ended &&
+        return info && !incarnation_ended && !is_replaced &&
                info->phase == worker_phase::ready &&
                now - last_contact < config::worker_contact_timeout &&
                now >= paused_until && lease.is_sampled();
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -186,6 +186,7 @@
     std::map<std::string, std::unique_ptr<platform_worker>> workers;
     std::set<std::string> cut; ///< workers that nothing reaches
     std::set<std::string> draining;
+    std::set<std::string> unheard; ///< workers whose announcements are lost
     order_faults faults;
     std::vector<std::string> violations;
     std::vector<std::string> stale_runs; ///< runs that the log has no more
@@ -208,7 +209,7 @@
         next_beat_ = now + interval;
         for (auto const& [name, it] : workers)
         {
-            if (!cut.contains(name))
+            if (!cut.contains(name) && !unheard.contains(name))
             {
                 auto const text = it->heartbeat(
                     now, draining.contains(name) ? "draining" : "ready");
