Number the calls of each life of a process apart

The numbers of calls began with 1 at each start of a process, and neither calls nor answers name a life.

The numbers of a life now follow its incarnation, the microsecond of its start. The leader's refusals and waiting callers, which it keeps by process and number, are apart as well.

Test: control_link_test.answers_to_a_former_life_count_for_no_call. The constructor without an incarnation, as before, gives both lives number 1.

--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -30,8 +30,10 @@
     using body = decltype(call::body);
     using callback = std::function<void(result<decltype(call_answer::body)>)>;
 
-    control_link(Clock& clock, Send send, std::vector<node_id> control)
-        : clock_(clock), send_(std::move(send)), table_(std::move(control))
+    control_link(Clock& clock, Send send, std::vector<node_id> control,
+                 incarnation life = {})
+        : clock_(clock), send_(std::move(send)),
+          table_(std::move(control), life)
     {
         start_timer();
     }
--- a/src/app/entry_node.hpp
+++ b/src/app/entry_node.hpp
@@ -39,7 +39,7 @@
                                                         .run(own_incarnation)
                                                         .zone(own_settings.zone)
                                                         .build()),
-          link_(clock, send_call{transport}, control_),
+          link_(clock, send_call{transport}, control_, own_incarnation),
           role_(clock, source, upstream, link_, metrics, view_,
                 {own_settings.balancer_wait, own_settings.queue_per_customer,
                  random_bits{own_incarnation.value()}}),
--- a/src/app/group_link.hpp
+++ b/src/app/group_link.hpp
@@ -28,10 +28,11 @@
 {
 public:
     group_link(Clock& clock, Transport& transport, Fetch fetch,
-               std::vector<endpoint> const& seeds, leader_ping ping_body = {})
+               std::vector<endpoint> const& seeds, incarnation life,
+               leader_ping ping_body = {})
         : clock_(clock), transport_(transport),
           ping_body_(std::move(ping_body)),
-          link_(clock, send_call{transport}, {}),
+          link_(clock, send_call{transport}, {}, life),
           discovery_(clock, std::move(fetch), introduce{transport}, seeds)
     {
         discovery_.on_found([this](std::vector<node_id> const& nodes)
--- a/src/core/entry/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -29,8 +29,11 @@
 class call_table
 {
 public:
-    explicit call_table(std::vector<node_id> control)
-        : control_(std::move(control))
+    /// The numbers of the calls of one life of a process follow its
+    /// incarnation, the microsecond of its start: a late answer to an earlier
+    /// life must not count for a call of this one.
+    explicit call_table(std::vector<node_id> control, incarnation life = {})
+        : control_(std::move(control)), last_id_{life.value()}
     {
     }
 
--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -94,5 +94,29 @@
     EXPECT_FALSE(got.has_value());
 }
 
+// Numbers of calls began anew with each start of a process: a late answer to
+// its former life counted for a call of the next one.
+TEST_F(control_link_test, answers_to_a_former_life_count_for_no_call)
+{
+    submit();
+    auto const former = sent[0].message.id;
+    control_link<paused_clock, send_function> next{
+        clock,
+        [this](node_id const& to, call const& it) {
+            sent.push_back({to.value(), it});
+        },
+        {node_id{"c1"}},
+        incarnation{1'700'000'000'000'000}};
+    std::optional<result<apply_result>> got_next;
+    next.submit(command{},
+                [&](result<apply_result> it) { got_next = std::move(it); });
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_NE(sent[1].message.id, former);
+    next.take(node_id{"c1"}, {former, apply_result{}});
+    EXPECT_FALSE(got_next.has_value());
+    next.take(node_id{"c1"}, {sent[1].message.id, apply_result{}});
+    EXPECT_TRUE(got_next.has_value());
+}
+
 } // namespace
 } // namespace apricotlb
