--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -213,6 +213,9 @@
         -> log_index;
     auto update_peers(time_point now) -> void;
     auto replicate(time_point now, node_id const& to, peer& follower) -> void;
+    /// True if the log does not hold the entries that the peer needs next.
+    [[nodiscard]] auto needs_snapshot(peer const& follower) const -> bool;
+    auto begin_snapshot(peer& follower) const -> void;
     auto send_heartbeats(time_point now) -> void;
     auto send_append(time_point now, node_id const& to, peer const& follower,
                      std::vector<log_entry> entries) -> void;
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -60,12 +60,9 @@
             follower.next = follower.match + log_index{1};
             follower.inflight.clear();
         }
-        if (follower.mode != peer_mode::snapshot &&
-            !log_.term_at(follower.next - log_index{1}))
+        if (follower.mode != peer_mode::snapshot && needs_snapshot(follower))
         {
-            follower.mode = peer_mode::snapshot;
-            follower.snapshot = snapshot_;
-            follower.offset = 0;
+            begin_snapshot(follower);
         }
         if (follower.mode != peer_mode::snapshot)
         {
@@ -102,8 +99,28 @@
                  data.substr(follower.offset, max_bytes), now});
 }
 
+auto raft::needs_snapshot(peer const& follower) const -> bool
+{
+    return !log_.term_at(follower.next - log_index{1});
+}
+
+auto raft::begin_snapshot(peer& follower) const -> void
+{
+    follower.mode = peer_mode::snapshot;
+    follower.inflight.clear();
+    follower.snapshot = snapshot_;
+    follower.offset = 0;
+}
+
 auto raft::replicate(time_point now, node_id const& to, peer& follower) -> void
 {
+    if (follower.mode == peer_mode::replicate && needs_snapshot(follower))
+    {
+        // The log was compacted while the follower was catching up.
+        begin_snapshot(follower);
+        send_snapshot_chunk(now, to, follower, config::snapshot_chunk_bytes);
+        return;
+    }
     while (follower.mode == peer_mode::replicate &&
            follower.next <= log_.last().index &&
            follower.inflight.size() < config::max_inflight_appends)
@@ -192,17 +209,15 @@
         follower.next =
             std::max(follower.match, std::min(answer.match, answer.prev)) +
             log_index{1};
-        if (log_.term_at(follower.next - log_index{1}))
+        if (needs_snapshot(follower))
         {
-            send_append(now, from, follower, {});
+            begin_snapshot(follower);
+            send_snapshot_chunk(now, from, follower,
+                                config::snapshot_chunk_bytes);
         }
         else
         {
-            follower.mode = peer_mode::snapshot;
-            follower.snapshot = snapshot_;
-            follower.offset = 0;
-            send_snapshot_chunk(now, from, follower,
-                                config::snapshot_chunk_bytes);
+            send_append(now, from, follower, {});
         }
     }
     replicate(now, from, follower);
--- a/src/core/log/raft_log.cpp
+++ b/src/core/log/raft_log.cpp
@@ -56,6 +56,10 @@
     -> std::vector<log_entry>
 {
     std::vector<log_entry> out;
+    if (first <= base_.index)
+    {
+        return out;
+    }
     std::size_t bytes{0};
     for (auto n = offset(first); n < entries_.size(); ++n)
     {
--- a/src/core/log/raft_log.hpp
+++ b/src/core/log/raft_log.hpp
@@ -31,7 +31,7 @@
     [[nodiscard]] auto term_at(log_index index) const -> std::optional<term>;
     [[nodiscard]] auto at(log_index index) const -> log_entry const&;
     /// As many entries from first on as fit into max_bytes, but at least one if
-    /// there is any.
+    /// there is any. None if the log does not hold the first one any more.
     [[nodiscard]] auto slice(log_index first, std::size_t max_bytes) const
         -> std::vector<log_entry>;
     /// First of the consecutive entries that have the term of the given entry.
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -253,6 +253,41 @@
     EXPECT_EQ(it.persisted(late).committed_entries.size(), 1);
 }
 
+// A leader that compacted its log while a member was catching up read the last
+// of no entries at the member's next answer, and ended by signal 11.
+TEST(raft, a_member_that_catches_up_over_a_compaction_gets_the_snapshot)
+{
+    auto it = make({"a", "b", "c"});
+    lead(it, late);
+    accept(it, "b", late, 1, late);
+    constexpr auto large_entries =
+        2 * config::log_tail_bytes / config::max_entry_bytes;
+    for (std::size_t n = 0; n < large_entries; ++n)
+    {
+        ASSERT_TRUE(it.propose(std::string(config::max_entry_bytes, 'x')));
+    }
+    it.flush(late);
+    it.persisted(late);
+    auto const last = it.log().last().index;
+    accept(it, "b", late, last.value(), late);
+    ASSERT_EQ(it.commit_index(), last);
+    // c gets the first of the entries, alone, as they are committed.
+    auto const first = sent<append_entries>(accept(it, "c", late, 1, late));
+    ASSERT_EQ(first.size(), 1U);
+    ASSERT_EQ(first[0].second.entries.back().index, log_index{2});
+    it.compact({it.describe_snapshot(last), "state"});
+    ASSERT_GT(it.log().base().index, log_index{3});
+
+    auto const actions = accept(it, "c", late, 2, late);
+    EXPECT_TRUE(sent<append_entries>(actions).empty());
+    auto const chunks = sent<install_snapshot>(actions);
+    ASSERT_EQ(chunks.size(), 1U);
+    EXPECT_EQ(chunks[0].second.info.last.index, last);
+    auto const after = accept(it, "c", late, last.value(), late);
+    EXPECT_TRUE(sent<install_snapshot>(after).empty());
+    EXPECT_EQ(it.status().members.at(2).match, last);
+}
+
 // A follower that answers before its sync could lose what the leader counts.
 TEST(raft, a_follower_answers_after_its_sync_and_replaces_conflicts)
 {
