Take the refusal of a repeated request for no answer

Callers saw a task run twice (users' own runs with real processes).

Cause: libcurl repeats a request whose connection was closed without an answer, and reports only the second answer. The run of the first request was at work when the second was refused as by an unhealthy worker, and the leader ended it as not started.

Change: attempts are counted; a repetition that is not answered with success fails as without an answer, so that the run is stopped or shown by the lists before its task runs elsewhere. Success of a repetition stands.

--- a/src/adapters/curl_requests.cpp
+++ b/src/adapters/curl_requests.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -37,6 +38,7 @@
     std::string answer;
     curl_requests::callback done;
     time_point deadline{};
+    int attempts{0}; ///< connections on which it may have been sent
 
     transfer() = default;
     transfer(transfer const&) = delete;
@@ -56,14 +58,24 @@
     return size * n;
 }
 
-/// Called before the request is sent on a connection. libcurl's own clock
-/// stands still while the machine is suspended, so the time is checked here.
+/// Called before the request is sent on a connection. libcurl repeats one whose
+/// connection was closed without an answer. Its own clock stands still while
+/// the machine is suspended, so the time is checked here.
 auto begin_attempt(void* of, char* /*to*/, char* /*from*/, int /*to_port*/,
                    int /*from_port*/) -> int
 {
-    return boot_time() >= static_cast<transfer*>(of)->deadline
-               ? CURL_PREREQFUNC_ABORT
-               : CURL_PREREQFUNC_OK;
+    auto& it = *static_cast<transfer*>(of);
+    if (boot_time() >= it.deadline)
+    {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    ++it.attempts;
+    return CURL_PREREQFUNC_OK;
+}
+
+auto is_success(long status) -> bool
+{
+    return status >= 200 && status < 300;
 }
 
 auto to_ms(duration d) -> long
@@ -238,6 +250,14 @@
                       curl_easy_strerror(how)));
         return;
     }
+    if (it->attempts > 1 && !is_success(status))
+    {
+        it->done(fail(error_kind::backend_failed,
+                      "status " + std::to_string(status) +
+                          " answers a repetition; the first request may have "
+                          "been carried out"));
+        return;
+    }
     it->done(http_answer{
         static_cast<http_status>(status), {}, std::move(it->answer)});
 }
--- a/src/adapters/curl_requests.hpp
+++ b/src/adapters/curl_requests.hpp
@@ -30,7 +30,8 @@
     duration timeout{};
     /// Lets the request use an open connection. libcurl sends it again on a
     /// new one when that turns out to be closed, so the receiver must recognise
-    /// a repetition.
+    /// a repetition. A refusal of the second one says nothing about the first:
+    /// it counts as backend_failed.
     bool repeatable{false};
 };
 
--- a/tests/curl_requests_test.cpp
+++ b/tests/curl_requests_test.cpp
@@ -137,6 +137,62 @@
     }
 }
 
+// The first request was carried out and its connection closed; libcurl's
+// repetition was refused by the busy worker. The refusal counted for both, so
+// that the run was started on another worker beside itself.
+TEST_F(curl_requests_test, a_refused_repetition_does_not_answer_the_request)
+{
+    outgoing_request it;
+    it.to = url{"http://" + servers.front().at() + "/start"};
+    it.timeout = seconds{60}; // only ends a broken test
+    it.repeatable = true;
+    std::vector<result<http_answer>> got;
+    auto const send = [&]
+    {
+        http.send(it, [&](result<http_answer> const& answer)
+                  { got.push_back(answer); });
+    };
+    auto const take = [&](raw_socket& from)
+    {
+        return run_until(
+            [&]
+            {
+                if (!from.is_open())
+                {
+                    from = servers.front().accept();
+                }
+                return from.is_open() && from.text().ends_with("\r\n\r\n");
+            });
+    };
+    constexpr auto reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    raw_socket first;
+    send();
+    ASSERT_TRUE(take(first));
+    ASSERT_TRUE(first.send_at_once(reply));
+    ASSERT_TRUE(run_until([&] { return got.size() == 1; }));
+    auto const known = first.text().size();
+
+    send();
+    ASSERT_TRUE(run_until([&] { return first.text().size() > known; }));
+    first = {};
+    raw_socket second;
+    ASSERT_TRUE(take(second));
+    ASSERT_TRUE(
+        second.send_at_once("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"));
+    ASSERT_TRUE(run_until([&] { return got.size() == 2; }));
+    ASSERT_TRUE(got[1].has_error());
+    EXPECT_EQ(got[1].error().kind, error_kind::backend_failed);
+
+    // A refusal of a request that was sent once stands.
+    send();
+    ASSERT_TRUE(run_until([&] { return second.text().size() > known; }));
+    ASSERT_TRUE(
+        second.send_at_once("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"));
+    ASSERT_TRUE(run_until([&] { return got.size() == 3; }));
+    ASSERT_TRUE(got[2].has_value());
+    EXPECT_EQ(got[2].value().status, http_status{503});
+}
+
 // A server that never answers must not hold its request beyond the time limit.
 TEST_F(curl_requests_test, ends_a_request_at_its_time_limit)
 {
