Log ends and stops of runs that no list of a worker explains

The record of a task that ran twice could not tell whether the new leader had the first run, nor why it ended it: only counts and changes of role are logged. The leader now logs such ends with their cause, and runs that a worker lists and the log does not have, 64 a second at most, and counts all (`apricotlb_run_events_total`).

No test of its own: the lines were read in plays with real processes.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -341,6 +341,9 @@
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
 inline constexpr duration fleet_report_interval = 1s;
+/// Events of runs that are logged in one report interval. A rack that is lost
+/// ends hundreds of runs at once, and each line costs the leader time.
+inline constexpr std::size_t max_logged_run_events = 64;
 /// Wait of a permanent task for another run above which it is reported, and
 /// the waits in one report.
 inline constexpr duration reported_wait = 1s;
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -112,6 +112,13 @@
         workflows_.on_report(std::move(callback));
     }
 
+    /// Called on the leader for ends and stops of runs that no list of a worker
+    /// explains; config::max_logged_run_events bounds them.
+    auto on_run_event(std::function<void(run_event const&)> callback) -> void
+    {
+        workflows_.on_run_event(std::move(callback));
+    }
+
     /// Called when this process has become the leader.
     auto on_leading(std::function<void(term)> callback) -> void
     {
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -148,6 +149,13 @@
         on_report_ = std::move(callback);
     }
 
+    /// Called for up to config::max_logged_run_events events of runs in a
+    /// report interval; all are counted.
+    auto on_run_event(std::function<void(run_event const&)> callback) -> void
+    {
+        on_run_event_ = std::move(callback);
+    }
+
     [[nodiscard]] auto scheduler() const -> std::optional<run_scheduler> const&
     {
         return scheduler_;
@@ -182,6 +190,7 @@
         if (now - last_report_ >= config::fleet_report_interval && on_report_)
         {
             last_report_ = now;
+            logged_run_events_ = 0;
             on_report_(scheduler_->summary(now),
                        scheduler_->longest_waits(now));
         }
@@ -206,8 +215,23 @@
         return std::max(least, last_pass_time_ * (1000 - share) / share);
     }
 
+    auto report_run_events() -> void
+    {
+        for (auto const& it : scheduler_->take_events())
+        {
+            metrics_.count(metric::run_events, name_of(it.kind));
+            if (on_run_event_ &&
+                logged_run_events_ < config::max_logged_run_events)
+            {
+                ++logged_run_events_;
+                on_run_event_(it);
+            }
+        }
+    }
+
     auto execute_actions() -> void
     {
+        report_run_events();
         for (auto& it : scheduler_->take_actions())
         {
             std::visit(
@@ -315,6 +339,8 @@
     term leader_term_;
     std::optional<run_scheduler> scheduler_;
     report_callback on_report_;
+    std::function<void(run_event const&)> on_run_event_;
+    std::size_t logged_run_events_{0};
     time_point last_report_{};
     duration last_pass_time_{};
     std::uint64_t epoch_{0};
--- /dev/null
+++ b/src/core/fleet/run_events.hpp
@@ -0,0 +1,41 @@
+/// Ends and stops of runs that no list of a worker explains.
+#ifndef APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
+#define APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
+
+#include <apricotlb/workflow.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace apricotlb
+{
+
+/// What the leader concluded about a run, and from what.
+enum class run_event_kind : std::uint8_t
+{
+    lease_over,  ///< lost: its worker was silent until its lease was over
+    worker_gone, ///< lost or crashed: its worker has left or was replaced
+    missing,     ///< ended: its worker does not list it
+    withdrawn,   ///< not started: no order for it can be carried out any more
+    unrecorded,  ///< stopped: its worker lists it and the log does not
+};
+
+[[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
+{
+    constexpr std::array<std::string_view, 5> names{
+        "lease_over", "worker_gone", "missing", "withdrawn", "unrecorded"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+struct run_event
+{
+    run_event_kind kind;
+    task_run run;
+    worker_instance worker;
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -192,7 +192,7 @@
 {
     worker.second.incarnation_ended = true;
     worker.second.possible_crashes.clear();
-    end_runs_as_lost(worker, now);
+    end_runs_as_lost(worker, run_event_kind::worker_gone, now);
 }
 
 auto run_scheduler::on_incarnation_end(identified_worker& worker,
@@ -206,7 +206,8 @@
         {
             if (entry.may_blame(held))
             {
-                propose_end(run, held, run_end::crashed);
+                propose_end(worker, run, held, run_end::crashed,
+                            run_event_kind::worker_gone);
             }
         }
     }
@@ -463,6 +464,9 @@
         // A run that is not recorded: a late order of an earlier leader.
         if (!fenced_)
         {
+            events_.push_back({run_event_kind::unrecorded,
+                               row.run,
+                               {worker.first, worker.second.incarnation}});
             actions_.emplace_back(stop_order{target_of(worker, now), row.run});
         }
         return;
@@ -518,12 +522,14 @@
         else if (held.phase == run_phase::closed &&
                  held.settled_at < poll_sent_at)
         {
-            propose_end(run, held, held.closed_as);
+            propose_end(worker, run, held, held.closed_as,
+                        run_event_kind::missing);
         }
         else if (held.phase == run_phase::running &&
                  held.settled_at < poll_sent_at)
         {
-            propose_end(run, held, run_end::lost);
+            propose_end(worker, run, held, run_end::lost,
+                        run_event_kind::missing);
         }
     }
 }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -180,7 +180,8 @@
         send_stop(worker, run, held, now);
         return;
     }
-    propose_end(run, held, run_end::not_started);
+    propose_end(worker, run, held, run_end::not_started,
+                run_event_kind::withdrawn);
 }
 
 auto run_scheduler::send_start(identified_worker& worker, task_run const& run,
@@ -315,7 +316,7 @@
             now - entry.last_contact >= config::worker_contact_timeout;
         if (entry.incarnation_ended)
         {
-            end_runs_as_lost(*worker, now);
+            end_runs_as_lost(*worker, run_event_kind::worker_gone, now);
         }
         else if (has_lapsed)
         {
@@ -531,10 +532,12 @@
     }
 }
 
-auto run_scheduler::propose_end(task_run const& run, held_run& held,
-                                run_end outcome) -> void
+auto run_scheduler::propose_end(identified_worker const& worker,
+                                task_run const& run, held_run& held,
+                                run_end outcome, run_event_kind why) -> void
 {
     held.phase = run_phase::ending;
+    events_.push_back({why, run, {worker.first, worker.second.incarnation}});
     pending_ends_.push_back({run, outcome, held.checkpoint});
 }
 
@@ -566,15 +569,15 @@
     return is_unanswered && now - given < config::max_order_age;
 }
 
-auto run_scheduler::end_runs_as_lost(identified_worker& worker, time_point now)
-    -> void
+auto run_scheduler::end_runs_as_lost(identified_worker& worker,
+                                     run_event_kind why, time_point now) -> void
 {
     for (auto& [run, held] : worker.second.runs)
     {
         if (held.phase != run_phase::ending &&
             held.phase != run_phase::proposed && !may_start_late(held, now))
         {
-            propose_end(run, held, run_end::lost);
+            propose_end(worker, run, held, run_end::lost, why);
         }
     }
 }
@@ -589,7 +592,7 @@
             worker.second.possible_crashes.push_back(run);
         }
     }
-    end_runs_as_lost(worker, now);
+    end_runs_as_lost(worker, run_event_kind::lease_over, now);
 }
 
 auto run_scheduler::reserve(identified_worker& worker,
@@ -612,6 +615,11 @@
     proposed_.erase(run.task);
 }
 
+auto run_scheduler::take_events() -> std::vector<run_event>
+{
+    return std::exchange(events_, {});
+}
+
 auto run_scheduler::take_actions() -> std::vector<fleet_action>
 {
     if (!pending_ends_.empty())
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -14,6 +14,7 @@
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
+#include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
@@ -124,6 +125,8 @@
     auto plan(time_point now, wall_time wall) -> void;
 
     [[nodiscard]] auto take_actions() -> std::vector<fleet_action>;
+    /// What has happened to runs since the last call, for logs and counters.
+    [[nodiscard]] auto take_events() -> std::vector<run_event>;
 
     /// True once a worker has reported a later leader: this one sends no more
     /// orders.
@@ -192,7 +195,8 @@
     /// After the end of a run, stops the other members of its gang unless the
     /// gang has finished.
     auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
-    auto propose_end(task_run const& run, held_run& held, run_end outcome)
+    auto propose_end(identified_worker const& worker, task_run const& run,
+                     held_run& held, run_end outcome, run_event_kind why)
         -> void;
     auto release(task_run const& run, time_point now) -> void;
     /// Records that the worker may take runs that it could not take before, so
@@ -205,7 +209,8 @@
     [[nodiscard]] auto may_start_late(held_run const& held,
                                       time_point now) const -> bool;
     /// Leaves out runs that may start late; they are ended by a later call.
-    auto end_runs_as_lost(identified_worker& worker, time_point now) -> void;
+    auto end_runs_as_lost(identified_worker& worker, run_event_kind why,
+                          time_point now) -> void;
     /// Ends the runs of a silent worker as lost, and keeps which of them are to
     /// blame if it has crashed.
     auto end_runs_of_silent(identified_worker& worker, time_point now) -> void;
@@ -442,6 +447,7 @@
     interner<image_name, image_ref> images_;
     image_interference interference_;
     std::vector<fleet_action> actions_;
+    std::vector<run_event> events_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
     std::set<worker_id> held_;            ///< by the last pass
     room_change last_room_change_;
