Blame no task for ordinary crashes of its workers

Cause: three crashes of workers within 5 s of a start of the task, without an end of its own in between, failed the workflow. Ordinary crashes meet each task that was just started, and add up over the life of a permanent task.

Change: a crash counts within 0.5 s of the start, and not if the task has lasted since the crash before; four crashes give a task up; a suspect starts only on a worker that was heard from within 0.3 s.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -408,12 +408,14 @@
 inline constexpr permille max_workers_held_for_restarts{250};
 inline constexpr std::size_t max_runs_per_command = 256;
 /// A worker that crashes within this time of the start of a run counts as
-/// crashed by it. A task that has run for longer did not cause the crash.
-inline constexpr duration crash_blame_time = 5s;
-/// Workers that crash under a task before it is given up. Two could be chance:
-/// a neighbour of the task that causes the crashes may meet another one on its
-/// next worker.
-inline constexpr std::uint32_t max_task_crashes = 3;
+/// crashed by it. Tasks that crash their worker do so at once; with 5 s,
+/// ordinary crashes of workers added up and failed accepted workflows.
+inline constexpr duration crash_blame_time = 500ms;
+/// Workers that crash under a task before it is given up. Fewer could be
+/// chance: a task that was just started meets an ordinary crash, or the one of
+/// a neighbour. A task may be started five times when each run crashes its
+/// worker, and a change of leader hides one crash.
+inline constexpr std::uint32_t max_task_crashes = 4;
 /// Ended runs in one answer of a worker; a list of this length may be
 /// incomplete.
 inline constexpr std::size_t max_listed_ends = 500;
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -254,7 +254,11 @@
     {
         return placement_obstacle::worker_limit;
     }
-    if (has_other_suspect(entry, candidate, pass.now))
+    // A start on a worker that is down already would count against the task.
+    constexpr auto recent = milliseconds{300};
+    auto const is_stale =
+        candidate.is_suspect && pass.now - entry.last_contact >= recent;
+    if (is_stale || has_other_suspect(entry, candidate, pass.now))
     {
         return placement_obstacle::suspect;
     }
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -165,6 +165,8 @@
     entry.info = announcement;
     gain_room(entry);
     entry.lease.sample(announcement.clock, now);
+    auto const blamed =
+        has_crashed ? runs_to_blame(entry) : std::set<task_run>{};
     for (auto& [run, held] : entry.runs)
     {
         if (held.phase == run_phase::ending ||
@@ -173,8 +175,8 @@
             continue;
         }
         held.order_in_flight = false;
-        held.closed_as = has_crashed && entry.may_blame(held) ? run_end::crashed
-                                                              : run_end::lost;
+        held.closed_as =
+            blamed.contains(run) ? run_end::crashed : run_end::lost;
         if (held.start_unconfirmed || held.phase == run_phase::ordered ||
             held.phase == run_phase::inherited)
         {
@@ -202,18 +204,31 @@
     if (!entry.incarnation_ended && !entry.is_leaving())
     {
         report_late_crashes(entry);
-        for (auto& [run, held] : entry.runs)
+        for (auto const& run : runs_to_blame(entry))
         {
-            if (entry.may_blame(held))
-            {
-                propose_end(worker, run, held, run_end::crashed,
-                            run_event_kind::worker_gone);
-            }
+            propose_end(worker, run, entry.runs.at(run), run_end::crashed,
+                        run_event_kind::worker_gone);
         }
     }
     on_leave(worker, now);
 }
 
+/// A task that has lasted since the crash before does not crash its workers:
+/// ordinary crashes meet each task that was just started.
+auto run_scheduler::runs_to_blame(worker_entry const& worker)
+    -> std::set<task_run>
+{
+    std::set<task_run> out;
+    for (auto const& [run, held] : worker.runs)
+    {
+        if (worker.may_blame(held) && lasting_suspects_.erase(run.task) == 0)
+        {
+            out.insert(run);
+        }
+    }
+    return out;
+}
+
 auto run_scheduler::report_late_crashes(worker_entry& worker) -> void
 {
     for (auto const& run : std::exchange(worker.possible_crashes, {}))
@@ -490,6 +505,10 @@
     {
         set_running(worker, row.run, held, now);
     }
+    if (held.suspect && worker.second.has_lasted(held))
+    {
+        lasting_suspects_.insert(row.run.task);
+    }
     auto const may_run =
         held.phase == run_phase::running || held.phase == run_phase::closed;
     if (may_run && now - held.sent >= config::order_retry_interval &&
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -352,6 +352,9 @@
         }
         std::erase_if(ready_since_, [&live](auto const& each)
                       { return !live.contains(each.first.first); });
+        std::erase_if(
+            lasting_suspects_, [this](workflow_task const& each)
+            { return state_.workflows().find(each.workflow) == nullptr; });
     }
     if (has_removed)
     {
@@ -585,12 +588,10 @@
 auto run_scheduler::end_runs_of_silent(identified_worker& worker,
                                        time_point now) -> void
 {
-    for (auto const& [run, held] : worker.second.runs)
+    auto& possible = worker.second.possible_crashes;
+    for (auto const& run : runs_to_blame(worker.second))
     {
-        if (worker.second.may_blame(held))
-        {
-            worker.second.possible_crashes.push_back(run);
-        }
+        possible.push_back(run);
     }
     end_runs_as_lost(worker, run_event_kind::lease_over, now);
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -239,6 +239,9 @@
     auto on_leave(identified_worker& worker, time_point now) -> void;
     /// Another worker or incarnation took the place of this one.
     auto on_incarnation_end(identified_worker& worker, time_point now) -> void;
+    /// The runs that may have caused the crash of their worker.
+    [[nodiscard]] auto runs_to_blame(worker_entry const& worker)
+        -> std::set<task_run>;
     /// Records the crashes of runs that ended as lost before the crash of
     /// their worker was known.
     auto report_late_crashes(worker_entry& worker) -> void;
@@ -437,6 +440,8 @@
     std::map<worker_id, worker_entry> workers_;
     std::map<task_run, worker_id> worker_of_run_; ///< runs with a reservation
     std::map<url, worker_id> addresses_;
+    /// Tasks under which a worker has crashed, and which have lasted since.
+    std::set<workflow_task> lasting_suspects_;
     /// Workers that have left within config::worker_removal_delay.
     std::map<worker_id, departure> departed_;
     std::set<workflow_task> proposed_; ///< tasks with a proposed start
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -317,10 +317,21 @@
             return false;
         }
         auto const since = run.started_at.value_or(*run.ordered_at);
-        return last_contact - since < config::crash_blame_time &&
+        // An order without an answer may have been carried out at its end.
+        auto const limit =
+            config::crash_blame_time +
+            (run.started_at ? duration{} : duration{config::order_timeout});
+        return last_contact - since < limit &&
                since - last_contact < usual_contact_interval;
     }
 
+    /// True if the run has gone on for config::crash_blame_time.
+    [[nodiscard]] auto has_lasted(held_run const& run) const -> bool
+    {
+        return run.phase == run_phase::running &&
+               last_contact - run.settled_at >= config::crash_blame_time;
+    }
+
     auto add(task_run const& name, held_run run) -> void
     {
         are_shares_stale = true;
