Log how much of the waiting work can still be in time

The line fleet now has ready_in_time, ready_late and ready_without_worth, counted by the pass that ranks the backlog anyway.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -146,6 +146,9 @@
 {
     fleet_summary out;
     out.ready = static_cast<std::int64_t>(state_.workflows().ready().size());
+    out.ready_in_time = ready_by_worth_[0];
+    out.ready_late = ready_by_worth_[1];
+    out.ready_without_worth = ready_by_worth_[2];
     out.held = static_cast<std::int64_t>(held_.size());
     for (auto const& [id, worker] : workers_)
     {
@@ -188,6 +191,7 @@
     queue_priority priority;
     urgency urgency_rank;
     auto is_due = false;
+    ready_by_worth_ = {};
     for (auto it = ready.begin(); it != ready.end();)
     {
         auto const first = it;
@@ -222,6 +226,8 @@
         for (; it != ready.end() && is_same_step(*it, *first); ++it)
         {
             auto const restarts = permanent && is_restart(*record, *it);
+            ready_by_worth_[static_cast<std::size_t>(urgency_rank.worth)] +=
+                is_due ? 1 : 0;
             has_restart = has_restart || restarts;
             has_new = has_new || !restarts;
         }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -24,6 +24,7 @@
 #include <apricotlb/config.hpp>
 #include <apricotlb/time.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -67,6 +68,10 @@
     /// Workers with a serving task whose latency is over its target.
     std::int64_t over_target{0};
     std::int64_t ready{0}; ///< tasks without a run
+    /// Of these, as of the last pass that ranked them, by worth_left.
+    std::int64_t ready_in_time{0};
+    std::int64_t ready_late{0};
+    std::int64_t ready_without_worth{0};
     std::int64_t running{0};
     std::int64_t permanent{0};  ///< of the running ones
     std::int64_t scavenging{0}; ///< of the running ones
@@ -455,6 +460,7 @@
     std::vector<run_event> events_;
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
     std::set<worker_id> held_;            ///< by the last pass
+    std::array<std::int64_t, 3> ready_by_worth_{}; ///< by worth_left
     room_change last_room_change_;
     std::map<placement_key, failed_search> failed_searches_;
     /// When gangs that found no workers were tried, by their first task.
