Finish begun work first and place new work while it has slack

Cause: of the work that can still be in time, the one with the least slack was placed first. Under a backlog that does not clear, each workflow is then placed when its slack has just ended, and stragglers and its later steps make it late. The class of fault is an order that is best for a queue that clears and worst for one that does not.

Now work that has begun comes first; new work goes by its latest start only while it has used less than a third of its slack, and newest first after that. Late work goes newest first too. Permanent tasks, which lose nothing by waiting, go oldest first.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -189,6 +189,7 @@
     auto const& ready = state_.workflows().ready();
     workflow_record const* record{nullptr};
     queue_priority priority;
+    time_point since;
     urgency urgency_rank;
     auto is_due = false;
     ready_by_worth_ = {};
@@ -214,13 +215,14 @@
                          repeats.first + repeats.interval * occurrence.value();
             if (is_due)
             {
-                auto const since =
+                since =
                     ready_since_.try_emplace({first->accepted, occurrence}, now)
                         .first->second;
                 urgency_rank = urgency_of(*record, occurrence, since, now);
             }
         }
         auto const permanent = record->step(first->task).permanent;
+        auto const rank = permanent ? oldest_first(since) : urgency_rank;
         auto has_new = false;
         auto has_restart = false;
         for (; it != ready.end() && is_same_step(*it, *first); ++it)
@@ -233,13 +235,11 @@
         }
         if (is_due && has_restart)
         {
-            order.push_back(
-                {false, priority, permanent, urgency_rank, first, record});
+            order.push_back({false, priority, permanent, rank, first, record});
         }
         if (is_due && has_new)
         {
-            order.push_back(
-                {true, priority, permanent, urgency_rank, first, record});
+            order.push_back({true, priority, permanent, rank, first, record});
         }
     }
     std::ranges::stable_sort(order, {},
--- a/src/core/fleet/urgency.cpp
+++ b/src/core/fleet/urgency.cpp
@@ -33,6 +33,23 @@
     return longest;
 }
 
+/// True if a task of the occurrence has run.
+auto has_begun(workflow_record const& record, occurrence_index occurrence)
+    -> bool
+{
+    if (!record.started || record.occurrences.size() == 1)
+    {
+        return record.started;
+    }
+    return std::ranges::any_of(record.occurrences[occurrence.value()].steps,
+                               [](step_progress const& step)
+                               {
+                                   return std::ranges::any_of(
+                                       step.tasks, [](task_progress const& task)
+                                       { return task.last > run_number{}; });
+                               });
+}
+
 } // namespace
 
 auto remaining_critical_path(workflow_record const& record,
@@ -51,20 +68,28 @@
     duration const allowed =
         duration{full_path} * record.terms.stretch.value() / 1000 +
         record.terms.target;
+    duration const path = remaining_critical_path(record, occurrence);
     // Declared run times are off by up to a factor of two in either direction.
     // A workflow therefore counts as late only if it is late with half of them.
-    auto const remaining =
-        duration{remaining_critical_path(record, occurrence)} / 2;
-    auto const latest = since + allowed - remaining;
+    auto const latest = since + allowed - path / 2;
+    auto const age = now - since;
+    auto const begun = has_begun(record, occurrence);
     if (now <= latest)
     {
-        return {worth_left::full, latest};
+        if (begun || age <= (latest - since) / 3)
+        {
+            return {worth_left::full,
+                    begun ? wait_stage::begun : wait_stage::early,
+                    latest.time_since_epoch()};
+        }
+        return {worth_left::full, wait_stage::delayed, age};
     }
-    if (now <= since + allowed * config::max_lateness_factor - remaining)
+    if (age <= allowed * config::max_lateness_factor - path / 2)
     {
-        return {worth_left::reduced, since};
+        return {worth_left::reduced,
+                begun ? wait_stage::begun : wait_stage::delayed, age};
     }
-    return {worth_left::none, since};
+    return {worth_left::none, wait_stage::delayed, since.time_since_epoch()};
 }
 
 } // namespace apricotlb
--- a/src/core/fleet/urgency.hpp
+++ b/src/core/fleet/urgency.hpp
@@ -21,18 +21,40 @@
     none, ///< will end after config::max_lateness_factor times the allowed time
 };
 
+/// Place of waiting work among other work of the same worth.
+enum class wait_stage : std::uint8_t
+{
+    begun,   ///< some of its tasks have run
+    early,   ///< has used less than a third of its slack
+    delayed, ///< has not
+};
+
 /// Sort key of waiting tasks; lower values are placed first.
+///
+/// Under a backlog that does not clear, work in the order of its least slack is
+/// placed when its slack has just ended, so that all of it ends late. So work
+/// that has begun is finished first; new work goes by its latest start only
+/// while most of its slack is left for stragglers and later steps, and newest
+/// first after that.
 struct urgency
 {
     worth_left worth{worth_left::full};
-    /// Latest start of the remaining critical path that still meets the allowed
-    /// time. Late workflows have the time since which they wait here instead,
-    /// so that they are placed oldest first.
-    time_point latest_start{};
+    wait_stage stage{wait_stage::early};
+    /// In full worth, before `delayed`: latest start of the remaining critical
+    /// path that still meets the allowed time. Without worth: the time since
+    /// which it waits here, so that the oldest comes first. Otherwise its age,
+    /// so that the newest comes first.
+    duration order{};
 
     auto operator<=>(urgency const&) const = default;
 };
 
+/// The key of permanent tasks, which are worth as much however late they start.
+[[nodiscard]] inline auto oldest_first(time_point since) -> urgency
+{
+    return {worth_left::full, wait_stage::early, since.time_since_epoch()};
+}
+
 /// Sum of the declared run times along the critical path of the steps that have
 /// not finished.
 [[nodiscard]] auto remaining_critical_path(workflow_record const& record,
