Let a new leader know how long work has waited

After each change of leader all waiting work counted as fresh: the age of a workflow started at the election, so that work that had long been late took the places of work that could be in time.

Each member now remembers when it applied the submission of a workflow, on its own loop's clock, and a new leader takes the ages from there. After a restart the age is not known, as before.

overload_order.lets_a_new_leader_know_how_long_work_has_waited: without the ages the leader places the work that has waited for 20 s of its 1 s.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -350,12 +350,15 @@
     auto on_command_applied(command const& applied, apply_result const& result)
         -> void
     {
+        if (leader_)
+        {
+            leader_->on_applied(applied, result, clock_.now());
+        }
+        workflows_.on_applied(applied, machine_.state());
         if (!leader_)
         {
             return;
         }
-        leader_->on_applied(applied, result, clock_.now());
-        workflows_.on_applied(applied);
         auto const contract_changed =
             !result.refused &&
             (std::holds_alternative<apply_contract>(applied) ||
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -3,6 +3,7 @@
 #define APRICOTLB_APP_WORKFLOW_DRIVER_HPP
 
 #include "core/fleet/run_scheduler.hpp"
+#include "core/fleet/submission_times.hpp"
 #include "core/state/state_machine.hpp"
 #include "ports/clock.hpp"
 #include "ports/metrics.hpp"
@@ -60,7 +61,7 @@
         stop();
         leader_term_ = in_term;
         scheduler_.emplace(state, fence_token{in_term.value()}, clock_.now(),
-                           policy_);
+                           policy_, submitted_);
         arm();
     }
 
@@ -130,8 +131,17 @@
                    : nullptr;
     }
 
-    auto on_applied(command const& it) -> void
+    /// To be called for each command, whether this process leads or not.
+    auto on_applied(command const& it, state_machine const& state) -> void
     {
+        if (auto const* const submit = std::get_if<submit_workflow>(&it))
+        {
+            submitted_.record(submit->spec.id, clock_.now());
+        }
+        else if (std::holds_alternative<expire_workflows>(it))
+        {
+            submitted_.prune(state.workflows());
+        }
         if (scheduler_)
         {
             scheduler_->on_applied(it, clock_.now());
@@ -337,6 +347,7 @@
     Log log_;
     fleet_policy policy_;
     term leader_term_;
+    submission_times submitted_;
     std::optional<run_scheduler> scheduler_;
     report_callback on_report_;
     std::function<void(run_event const&)> on_run_event_;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -38,10 +38,12 @@
 } // namespace
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
-                             time_point now, fleet_policy policy)
+                             time_point now, fleet_policy policy,
+                             submission_times const& submitted)
     : state_(state), fence_(fence), leading_since_(now), policy_(policy)
 {
     inherit_runs(now);
+    inherit_ages(submitted);
     inherit_waits(now);
     for (auto& worker : workers_)
     {
@@ -81,6 +83,20 @@
     }
 }
 
+/// Occurrences that have a time of their own wait from then on, which is not
+/// known here.
+auto run_scheduler::inherit_ages(submission_times const& submitted) -> void
+{
+    for (auto const& [id, record] : state_.workflows().live())
+    {
+        auto const at = submitted.find(id);
+        if (at && record.spec.repeats.times.value() == 0)
+        {
+            ready_since_[{record.accepted, {}}] = *at;
+        }
+    }
+}
+
 auto run_scheduler::find(task_run const& run)
     -> std::pair<identified_worker*, held_run*>
 {
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -16,6 +16,7 @@
 #include "core/fleet/effect_table.hpp"
 #include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
+#include "core/fleet/submission_times.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
 #include "core/fleet/worker_messages.hpp"
@@ -97,7 +98,7 @@
     /// leader may last for one more lease length, as the workers' clocks count
     /// it.
     run_scheduler(state_machine const& state, fence_token fence, time_point now,
-                  fleet_policy policy);
+                  fleet_policy policy, submission_times const& submitted = {});
 
     // Messages of workers (run_reports.cpp).
     /// `age` is the time since the announcement was received. Returns false
@@ -158,6 +159,7 @@
 
     // run_scheduler.cpp
     auto inherit_runs(time_point now) -> void;
+    auto inherit_ages(submission_times const& submitted) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
     auto find(worker_instance const& it) -> worker_entry*;
     auto target_of(identified_worker const& worker, time_point now) const
@@ -451,7 +453,8 @@
     std::map<worker_id, departure> departed_;
     std::set<workflow_task> proposed_; ///< tasks with a proposed start
     /// When each occurrence first had a ready task, by the revision at which
-    /// its workflow was accepted. A new leader counts from its election.
+    /// its workflow was accepted. A new leader counts from when it has applied
+    /// the submission as a follower, or else from its election.
     std::map<std::pair<revision, occurrence_index>, time_point> ready_since_;
     time_point ready_since_pruned_at_{};
     interner<image_name, image_ref> images_;
--- a/tests/overload_order_test.cpp
+++ b/tests/overload_order_test.cpp
@@ -108,5 +108,46 @@
     EXPECT_EQ(it.ended_in_time(), it.submitted());
 }
 
+// After each change of leader all waiting work counted as fresh, and work that
+// was late already took the places of work that could be in time.
+TEST(overload_order, lets_a_new_leader_know_how_long_work_has_waited)
+{
+    state_machine state;
+    submission_times submitted;
+    contract_set set;
+    set.version = contract_set_version{1};
+    set.pools.push_back({pool_name{"pool"}, true, false});
+    queue_contract queue;
+    queue.name = queue_name{"q"};
+    queue.pool = pool_name{"pool"};
+    queue.target = milliseconds{1000};
+    set.queues.push_back(queue);
+    state.apply(apply_contract_set{set}, log_index{1});
+    workflow_spec spec;
+    spec.steps.push_back(fake_fleet::step(1));
+    spec.id = workflow_id{"waiting"};
+    state.apply(submit_workflow{spec, queue}, log_index{2});
+    submitted.record(spec.id, time_point{seconds{5}});
+    time_point const now{seconds{25}};
+    spec.id = workflow_id{"fresh"};
+    state.apply(submit_workflow{spec, queue}, log_index{3});
+    submitted.record(spec.id, now);
+
+    run_scheduler leader{state, fence_token{2}, now, fleet_policy{}, submitted};
+    worker_announcement it;
+    it.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    it.pool = pool_name{"pool"};
+    it.capacity.cores = millicores{1000};
+    it.number = sequence{1};
+    leader.on_announcement(it, now);
+    (void)leader.take_actions();
+    leader.plan(now, wall_time{});
+    auto const actions = leader.take_actions();
+    ASSERT_EQ(actions.size(), 1U);
+    auto const& placed = std::get<propose_starts>(actions[0]).value.runs;
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task.workflow, workflow_id{"fresh"});
+}
+
 } // namespace
 } // namespace apricotlb
