Propose the ends of a turn together

A leader of 1,800 workers spends a fifth of its time on the log, and followers apply the same entries: each list of a worker with an end was a command of its own, some 2,000 a second, to encode, replicate, decode and apply.

The ends that arrive in one turn of the loop are one command now, up to max_runs_per_command runs. A worker may still release its ends once all that it listed are recorded. The lists of a poll are checked by a mark on each run instead of a set of all listed runs that is built anew for each poll.

workflow_driver.proposes_the_ends_of_a_turn_together: 300 workers that list an end each cost 2 commands, 300 before.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -71,7 +71,8 @@
     {
         ++epoch_;
         scheduler_.reset();
-        for (auto* const timer : {&tick_timer_, &plan_timer_})
+        ends_ = {};
+        for (auto* const timer : {&tick_timer_, &plan_timer_, &ends_timer_})
         {
             if (*timer)
             {
@@ -299,6 +300,32 @@
             scheduler_->on_recorded(it, clock_.now());
             return;
         }
+        if (ends_.runs.size() + it.runs.size() > config::max_runs_per_command)
+        {
+            propose_collected_ends();
+        }
+        ends_.runs.insert(ends_.runs.end(), it.runs.begin(), it.runs.end());
+        ends_.lists.insert(ends_.lists.end(), it.lists.begin(), it.lists.end());
+        if (!ends_timer_)
+        {
+            ends_timer_ = clock_.start_timer(duration{0},
+                                             [this]
+                                             {
+                                                 ends_timer_.reset();
+                                                 propose_collected_ends();
+                                             });
+        }
+    }
+
+    /// Proposes the ends of one turn of the loop as one command: each command
+    /// costs every member of the group, however few runs it ends.
+    auto propose_collected_ends() -> void
+    {
+        auto it = std::exchange(ends_, {});
+        if (it.runs.empty())
+        {
+            return;
+        }
         command const proposal{end_runs{it.runs, clock_.wall_now()}};
         log_.propose(proposal, in_current_epoch(
                                    [this, it = std::move(it)](result<void> done)
@@ -357,6 +384,8 @@
     std::uint64_t epoch_{0};
     std::optional<timer_id> tick_timer_;
     std::optional<timer_id> plan_timer_;
+    propose_ends ends_; ///< of this turn of the loop
+    std::optional<timer_id> ends_timer_;
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -451,20 +451,15 @@
 {
     auto const poll_sent_at = worker.second.poll_sent_at;
     worker.second.are_shares_stale = true;
-    std::set<task_run> listed;
+    ++worker.second.last_list;
     for (auto const& row : lists.running)
     {
-        listed.insert(row.run);
         process_running(worker, row, now);
     }
-    for (auto const& row : lists.ended)
-    {
-        listed.insert(row.run.run);
-    }
     process_ended(worker, lists.ended);
     if (lists.ended.size() < config::max_listed_ends)
     {
-        process_absent(worker, listed, poll_sent_at, now);
+        process_absent(worker, poll_sent_at, now);
     }
     adjust_pace(worker, now);
 }
@@ -487,6 +482,7 @@
         return;
     }
     auto& held = it->second;
+    held.last_list = worker.second.last_list;
     held.record_measurement(row.load, now);
     if (held.is_serving())
     {
@@ -518,17 +514,16 @@
     }
 }
 
-/// Handles the runs that are missing from the lists. `poll_sent_at` is when the
-/// poll for these lists was sent. Lists prove nothing about a run that was
-/// confirmed or closed after that.
+/// Handles the runs that are missing from the last lists. `poll_sent_at` is
+/// when the poll for these lists was sent. Lists prove nothing about a run that
+/// was confirmed or closed after that.
 auto run_scheduler::process_absent(identified_worker& worker,
-                                   std::set<task_run> const& listed,
                                    time_point poll_sent_at, time_point now)
     -> void
 {
     for (auto& [run, held] : worker.second.runs)
     {
-        if (listed.contains(run))
+        if (held.last_list == worker.second.last_list)
         {
             continue;
         }
@@ -557,21 +552,27 @@
                                   std::vector<ended_row> const& rows) -> void
 {
     propose_ends proposal;
-    proposal.from = {worker.first, worker.second.incarnation};
+    end_number last_number;
     for (auto const& row : rows)
     {
-        proposal.last_number = std::max(proposal.last_number, row.number);
+        last_number = std::max(last_number, row.number);
         auto const it = worker.second.runs.find(row.run.run);
-        if (it != worker.second.runs.end() &&
-            it->second.phase != run_phase::ending)
+        if (it == worker.second.runs.end())
+        {
+            continue;
+        }
+        it->second.last_list = worker.second.last_list;
+        if (it->second.phase != run_phase::ending)
         {
             it->second.phase = run_phase::ending;
             proposal.runs.push_back(row.run);
         }
     }
-    if (proposal.last_number > worker.second.recorded)
+    if (last_number > worker.second.recorded)
     {
         worker.second.recording_ends = true;
+        proposal.lists.push_back(
+            {{worker.first, worker.second.incarnation}, last_number});
         actions_.emplace_back(std::move(proposal));
     }
 }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -439,11 +439,14 @@
     {
         release(ended.run, now);
     }
-    if (auto* const entry = find(proposal.from))
+    for (auto const& list : proposal.lists)
     {
-        entry->recorded = std::max(entry->recorded, proposal.last_number);
-        entry->recording_ends = false;
-        send_poll(*workers_.find(proposal.from.id), now);
+        if (auto* const entry = find(list.from))
+        {
+            entry->recorded = std::max(entry->recorded, list.last_number);
+            entry->recording_ends = false;
+            send_poll(*workers_.find(list.from.id), now);
+        }
     }
 }
 
@@ -458,9 +461,12 @@
             held->closed_as = ended.outcome;
         }
     }
-    if (auto* const entry = find(proposal.from))
+    for (auto const& list : proposal.lists)
     {
-        entry->recording_ends = false;
+        if (auto* const entry = find(list.from))
+        {
+            entry->recording_ends = false;
+        }
     }
 }
 
@@ -642,7 +648,7 @@
     if (!pending_ends_.empty())
     {
         actions_.emplace_back(
-            propose_ends{std::exchange(pending_ends_, {}), {}, {}});
+            propose_ends{std::exchange(pending_ends_, {}), {}});
     }
     return std::exchange(actions_, {});
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -52,13 +52,19 @@
     start_runs value;
 };
 
-/// Proposes the ends of runs to the log. Once they are recorded, the worker
-/// that listed them may discard its ends up to `last_number`.
+/// The ends that a worker has listed, up to `last_number`.
+struct listed_ends
+{
+    worker_instance from;
+    end_number last_number;
+};
+
+/// Proposes the ends of runs to the log. Once they are recorded, the workers
+/// that listed them may discard theirs.
 struct propose_ends
 {
     std::vector<ended_run> runs;
-    worker_instance from; ///< no id unless a worker listed them
-    end_number last_number;
+    std::vector<listed_ends> lists; ///< of which all ends are among `runs`
 };
 
 /// Counts over the fleet, for logs and gauges.
@@ -266,8 +272,7 @@
                        time_point now) -> void;
     auto process_running(identified_worker& worker, running_row const& row,
                          time_point now) -> void;
-    auto process_absent(identified_worker& worker,
-                        std::set<task_run> const& listed, time_point sent,
+    auto process_absent(identified_worker& worker, time_point sent,
                         time_point now) -> void;
     auto process_ended(identified_worker& worker,
                        std::vector<ended_row> const& rows) -> void;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -83,6 +83,7 @@
     run_end closed_as{run_end::not_started}; ///< end to record once closed
     time_point sent{};                       ///< when the last order was sent
     time_point settled_at{}; ///< when it was confirmed as running, or closed
+    sequence last_list;      ///< worker_entry::last_list when it was listed
     checkpoint_id checkpoint;
     std::int64_t load{0}; ///< as reported; see running_row::load
     /// Smoothed tail latency of a serving task, as a share of its target.
@@ -275,6 +276,7 @@
     /// blame if it turns out to have crashed.
     std::vector<task_run> possible_crashes;
     time_point poll_sent_at{};
+    sequence last_list;        ///< number of the last lists from the worker
     time_point next_poll_at{}; ///< earliest time of the next poll
     bool poll_in_flight{false};
     bool recording_ends{false}; ///< the ends that it listed are proposed
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -397,7 +397,7 @@
     ended_run const ended{
         {{workflow_id{id}, {}, {}, {}}, run_number{1}}, run_end::finished, {}};
     it.apply(end_runs{{ended}, {}});
-    it.leader->on_recorded(propose_ends{{ended}, {}, {}}, it.now);
+    it.leader->on_recorded(propose_ends{{ended}, {}}, it.now);
 }
 
 /// Submits 600 tasks that fit on no worker, of different sizes.
--- a/tests/worker_life_test.cpp
+++ b/tests/worker_life_test.cpp
@@ -73,10 +73,12 @@
     it.run(milliseconds{1500});
     ASSERT_EQ(it.known().incarnation, worker_incarnation{2});
     it.leader->on_recorded(
-        {{}, {worker_id{"w"}, worker_incarnation{1}}, end_number{9}}, it.now);
+        {{}, {{{worker_id{"w"}, worker_incarnation{1}}, end_number{9}}}},
+        it.now);
     EXPECT_EQ(it.known().recorded, end_number{});
     it.leader->on_recorded(
-        {{}, {worker_id{"w"}, worker_incarnation{2}}, end_number{9}}, it.now);
+        {{}, {{{worker_id{"w"}, worker_incarnation{2}}, end_number{9}}}},
+        it.now);
     EXPECT_EQ(it.known().recorded, end_number{9});
 }
 
--- a/tests/workflow_driver_test.cpp
+++ b/tests/workflow_driver_test.cpp
@@ -3,10 +3,14 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <string>
 #include <string_view>
 #include <type_traits>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace apricotlb
@@ -178,5 +182,103 @@
     EXPECT_LT(clock.passes * slow_pass_clock::pass_time * 4, elapsed);
 }
 
+/// Keeps the commands that were proposed.
+struct recording_log
+{
+    std::vector<end_runs>* ends;
+
+    auto propose(command const& it,
+                 std::function<void(result<void>)> done) const -> void
+    {
+        if (auto const* const proposed = std::get_if<end_runs>(&it))
+        {
+            ends->push_back(*proposed);
+            done(outcome::success());
+        }
+    }
+    [[nodiscard]] static auto is_current() -> bool { return true; }
+};
+
+/// Keeps the callbacks of all polls.
+struct polled_workers : counting_workers
+{
+    using counting_workers::send;
+    auto send(poll_order const& it, std::function<void(poll_answer)> done)
+        -> void
+    {
+        open.emplace_back(it, std::move(done));
+    }
+
+    std::vector<std::pair<poll_order, std::function<void(poll_answer)>>> open;
+};
+
+// Each proposal costs every member of the group: with one for each worker that
+// lists an end, the log took a fifth of a loaded leader's time.
+TEST(workflow_driver, proposes_the_ends_of_a_turn_together)
+{
+    constexpr std::uint32_t count = 300;
+    paused_clock clock;
+    polled_workers workers;
+    no_metrics metrics;
+    state_machine state;
+    std::vector<end_runs> ends;
+    contract_set set;
+    set.version = contract_set_version{1};
+    set.pools.push_back({pool_name{"pool"}, true, false});
+    queue_contract queue;
+    queue.name = queue_name{"q"};
+    queue.pool = pool_name{"pool"};
+    set.queues.push_back(queue);
+    state.apply(apply_contract_set{set}, log_index{1});
+    workflow_spec spec;
+    spec.id = workflow_id{"a"};
+    spec.steps.emplace_back().tasks = task_count{count};
+    state.apply(submit_workflow{spec, queue}, log_index{2});
+    start_runs starts;
+    for (std::uint32_t n = 0; n < count; ++n)
+    {
+        starts.runs.push_back(
+            {{{spec.id, {}, {}, task_index{n}}, run_number{1}},
+             {worker_id{"w" + std::to_string(n)}, worker_incarnation{1}}});
+    }
+    state.apply(starts, log_index{3});
+    workflow_driver<paused_clock, polled_workers, recording_log, no_metrics>
+        driver{clock, workers, metrics, recording_log{&ends},
+               fleet_policy{seconds{5}}};
+    driver.start(state, term{2});
+    for (auto const& each : starts.runs)
+    {
+        worker_announcement it;
+        it.instance = each.worker;
+        it.address = url{"http://" + each.worker.id.value()};
+        it.pool = pool_name{"pool"};
+        it.capacity.cores = millicores{1000};
+        it.number = sequence{1};
+        driver.on_announcement(it);
+    }
+    ASSERT_EQ(workers.open.size(), count);
+    for (std::uint32_t n = 0; n < count; ++n)
+    {
+        poll_answer listed;
+        listed.outcome = order_outcome::done;
+        listed.lists.incarnation = worker_incarnation{1};
+        listed.lists.ended.push_back(
+            {end_number{1}, {starts.runs[n].run, run_end::finished, {}}});
+        workers.open[n].second(listed);
+    }
+    clock.advance(duration{0});
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].runs.size(), config::max_runs_per_command);
+    EXPECT_EQ(ends[0].runs.size() + ends[1].runs.size(), count);
+    // Each worker may release its end now.
+    clock.advance(milliseconds{100});
+    std::size_t released{0};
+    for (auto n = std::size_t{count}; n < workers.open.size(); ++n)
+    {
+        released += workers.open[n].first.recorded == end_number{1} ? 1U : 0U;
+    }
+    EXPECT_EQ(released, count);
+}
+
 } // namespace
 } // namespace apricotlb
