Send answers of workers to the leader every 40 ms at most

A relay sent a message every 20 ms while its workers answered, and an nng pull socket hands over one message of each peer in a turn of the loop. A leader of 1,800 workers makes 45 to 70 turns a second, so that 57 relays with 50 messages a second were at the bound: answers queued up in front of the leader, and each message cost it an authentication and a decoding.

Messages of one relay now follow each other at 40 ms at least. An answer after a pause still leaves after 20 ms.

The test sends_each_order_once_and_returns_its_answer and those beside it wait for answer_interval instead of answer_batch_delay; what they expect is the same.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -372,6 +372,10 @@
 inline constexpr std::size_t max_relayed_orders = 1024;
 /// How long a relay collects answers into one message.
 inline constexpr duration answer_batch_delay = 20ms;
+/// Least time between two such messages. A turn of the leader's loop takes one
+/// message of each peer, and a loaded leader makes some 50 turns a second:
+/// faster ones queue up in front of it.
+inline constexpr duration answer_interval = 40ms;
 /// Interval at which a control process passes on to the leader which workers
 /// are in contact.
 inline constexpr duration worker_renewal_interval = 200ms;
--- a/src/app/order_relay.hpp
+++ b/src/app/order_relay.hpp
@@ -11,6 +11,7 @@
 #include <apricotlb/config.hpp>
 #include <apricotlb/ids.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -23,7 +24,8 @@
 {
 
 /// Sends each order once and returns exactly one answer for it. Answers within
-/// config::answer_batch_delay go back as one message. It refuses orders that
+/// config::answer_batch_delay go back as one message, and messages follow each
+/// other at config::answer_interval at least. It refuses orders that
 /// are past their validity or for an earlier life of this process, as they are
 /// after it was frozen: the fencing token, the run number and the end of the
 /// lease in an order do not protect a worker that was restarted meanwhile.
@@ -140,7 +142,10 @@
         }
         if (!timer_)
         {
-            timer_ = clock_.start_timer(config::answer_batch_delay,
+            auto const now = clock_.now();
+            auto const next = std::max(now + config::answer_batch_delay,
+                                       last_flush_ + config::answer_interval);
+            timer_ = clock_.start_timer(next - now,
                                         [this]
                                         {
                                             timer_.reset();
@@ -151,6 +156,7 @@
 
     auto flush() -> void
     {
+        last_flush_ = clock_.now();
         for (auto& [to, collected] : std::exchange(batches_, {}))
         {
             transport_.send(to.first, peer_message{std::move(collected.batch)});
@@ -165,6 +171,7 @@
     std::size_t in_flight_{0};
     std::map<origin, collected_answers> batches_;
     std::optional<timer_id> timer_;
+    time_point last_flush_{time_point{} - config::answer_interval};
 };
 
 } // namespace apricotlb
--- a/tests/order_relay_test.cpp
+++ b/tests/order_relay_test.cpp
@@ -25,7 +25,7 @@
     {
         it->take(leader, {term{in_term}, std::move(orders)});
     }
-    auto flush() -> void { clock.advance(config::answer_batch_delay); }
+    auto flush() -> void { clock.advance(config::answer_interval); }
 
     node_id leader{"leader"};
     paused_clock clock;
@@ -81,6 +81,33 @@
     EXPECT_EQ(peers.sent.size(), 2U);
 }
 
+// Fifty messages a second of each relay were more than a loaded leader takes,
+// and its answers waited for seconds. An answer after a pause must not wait.
+TEST_F(order_relay_test, limits_the_messages_of_steady_answers)
+{
+    for (std::uint64_t n = 0; n < 1000; ++n)
+    {
+        take({numbered(n)});
+        workers.answers.back()({order_outcome::done, {}});
+        clock.advance(milliseconds{1});
+    }
+    flush();
+    auto const interval = config::answer_interval / milliseconds{1};
+    EXPECT_LE(peers.sent.size(), 1000U / static_cast<unsigned>(interval) + 2);
+    std::size_t answered{0};
+    for (auto const& [to, batch] : peers.all<answer_batch>())
+    {
+        answered += batch.answers.size();
+    }
+    EXPECT_EQ(answered, 1000U);
+    clock.advance(seconds{1});
+    auto const before = peers.sent.size();
+    take({numbered(2000)});
+    workers.answers.back()({order_outcome::done, {}});
+    clock.advance(config::answer_batch_delay);
+    EXPECT_EQ(peers.sent.size(), before + 1);
+}
+
 // Answers for one leadership must not be taken for those of another.
 TEST_F(order_relay_test, returns_answers_to_the_leader_and_term_of_the_order)
 {
