Apply a long log in several turns of the loop

The class of fault is a turn whose length grows with the state.

Committed entries are applied for 20 ms at most in a turn. A leader takes office once it has applied all that was committed before, as it did; entries that are committed later are acknowledged when they are applied, so that what it answers stays current.

replica.leads_on_while_it_applies_a_long_log_after_a_restart fails without the bound; random faults are also played with commands that take 8 ms each.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -43,6 +43,9 @@
 /// Least time between two flushes of a leader. Each flush costs a message to
 /// and from each member and a sync, however many entries it carries.
 inline constexpr duration group_commit_interval = 15ms;
+/// Time in which committed entries are applied before the loop gets a turn. Far
+/// less than the shortest time without a heartbeat that ends a leadership.
+inline constexpr duration max_apply_time = 20ms;
 /// Largest share of the time that the syncs of a replica may take: the loop
 /// stands still during a sync.
 inline constexpr permille max_sync_share{300};
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -193,8 +194,9 @@
     auto change_member(member_change const& change, completion callback)
         -> void;
 
-    /// True while the leader lease is valid, which makes the applied state
-    /// current.
+    /// True while the leader lease is valid. The applied state is current then,
+    /// once on_leadership() has reported the leadership: later entries are
+    /// acknowledged when they are applied.
     [[nodiscard]] auto is_leader() const -> bool
     {
         return core_ && !failure_ && core_->has_lease(clock_.now());
@@ -225,6 +227,9 @@
     auto receive(node_id const& from, raft_message message) -> void;
     auto perform(raft_actions actions) -> void;
     auto install(raft_snapshot const& it) -> void;
+    /// Applies committed entries for config::max_apply_time, and the others in
+    /// later turns of the loop.
+    auto apply_committed() -> void;
     auto apply(log_entry const& entry) -> void;
     auto add_pending(result<log_index> index, std::size_t bytes,
                      completion callback) -> void;
@@ -269,11 +274,13 @@
     std::optional<raft> core_;
     std::map<log_index, pending> pending_;
     std::size_t pending_bytes_{0};
+    std::deque<log_entry> committed_;              ///< not applied yet
     std::vector<addressed_message> held_messages_; ///< sent after the next sync
     bool unsynced_{false};
     bool term_unsynced_{false};
     std::optional<timer_id> flush_timer_;
     time_point flush_due_{}; ///< of flush_timer_
+    std::optional<timer_id> apply_timer_;
     std::optional<timer_id> piece_timer_;
     std::optional<timer_id> tick_timer_;
     std::optional<timer_id> retry_timer_;
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -15,7 +15,7 @@
 replica<Clock, Transport, LogStore, Machine>::~replica()
 {
     for (auto const& it :
-         {flush_timer_, piece_timer_, tick_timer_, retry_timer_})
+         {flush_timer_, apply_timer_, piece_timer_, tick_timer_, retry_timer_})
     {
         if (it)
         {
@@ -223,10 +223,11 @@
     {
         return;
     }
-    for (auto const& it : actions.committed_entries)
-    {
-        apply(it);
-    }
+    committed_.insert(
+        committed_.end(),
+        std::make_move_iterator(actions.committed_entries.begin()),
+        std::make_move_iterator(actions.committed_entries.end()));
+    apply_committed();
     if (!unsynced_)
     {
         send_held();
@@ -252,6 +253,8 @@
         return;
     }
     saving_.reset();
+    std::erase_if(committed_, [&it](log_entry const& entry)
+                  { return entry.index <= it.info.last.index; });
     applied_ = it.info.last.index;
     snapshot_ = applied_;
     bytes_since_snapshot_ = 0;
@@ -266,6 +269,33 @@
     (void)core_->persisted(clock_.now()); // no actions on a follower
 }
 
+/// After a restart the first leader commits all entries since the last snapshot
+/// at once. Applied in one turn, they would keep it from its heartbeats for
+/// longer than its lease, and so would they each of its successors.
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::apply_committed() -> void
+{
+    auto const end = clock_.now() + config::max_apply_time;
+    while (!committed_.empty() && !failure_ && clock_.now() < end)
+    {
+        auto const entry = std::move(committed_.front());
+        committed_.pop_front();
+        apply(entry);
+    }
+    if (!committed_.empty() && !failure_ && !apply_timer_)
+    {
+        apply_timer_ = clock_.start_timer(duration{0},
+                                          [this]
+                                          {
+                                              apply_timer_.reset();
+                                              apply_committed();
+                                              update_leadership();
+                                          });
+    }
+}
+
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
@@ -441,7 +471,8 @@
             {error_kind::no_leader,
              "this replica stepped down before the proposal was committed"});
     }
-    else if (!leading_term_ && core_->has_lease(clock_.now()))
+    else if (!leading_term_ && committed_.empty() &&
+             core_->has_lease(clock_.now()))
     {
         leading_term_ = current;
         if (on_leadership_)
@@ -496,8 +527,8 @@
 auto replica<Clock, Transport, LogStore, Machine>::stop(error const& it) -> void
 {
     failure_ = it;
-    for (auto* timer :
-         {&flush_timer_, &piece_timer_, &tick_timer_, &retry_timer_})
+    for (auto* timer : {&flush_timer_, &apply_timer_, &piece_timer_,
+                        &tick_timer_, &retry_timer_})
     {
         if (*timer)
         {
--- a/tests/replica_group.hpp
+++ b/tests/replica_group.hpp
@@ -87,9 +87,12 @@
 {
     std::map<log_index, std::string>& record;
     std::map<log_index, std::string> applied;
+    paused_clock* clock;
+    duration apply_time; ///< of one command
 
     auto apply(term, log_index index, std::string_view command) -> void
     {
+        clock->block(apply_time);
         auto const first = record.emplace(index, command).first;
         EXPECT_EQ(first->second, command) << "a committed entry changed";
         applied[index] = command;
@@ -169,7 +172,8 @@
         it.transport =
             std::make_unique<test_transport>(test_transport{links, it.id});
         it.store = std::make_unique<memory_log>(it.disk);
-        it.machine = std::make_unique<list_machine>(list_machine{record, {}});
+        it.machine = std::make_unique<list_machine>(
+            list_machine{record, {}, &clock, apply_time});
         auto options =
             replica_options::builder{}
                 .self(it.id)
@@ -193,6 +197,16 @@
         nodes[n]->store.reset();
     }
 
+    /// How long each member takes to apply one command.
+    auto set_apply_time(duration it) -> void
+    {
+        apply_time = it;
+        for (auto const& each : nodes)
+        {
+            each->machine->apply_time = it;
+        }
+    }
+
     [[nodiscard]] auto is_up(std::size_t n) const -> bool
     {
         return nodes[n]->it != nullptr;
@@ -314,6 +328,7 @@
     test_links links;
     std::vector<std::unique_ptr<node>> nodes;
     std::size_t snapshot_entries{1'000'000};
+    duration apply_time{}; ///< of one command by members that start later
     std::size_t proposed{0};
     std::map<log_index, std::string> record;
     std::map<log_index, std::string> acknowledged;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -464,11 +464,13 @@
 
 // Any mix of crashes, cuts, loss, doubles and reordering must neither lose nor
 // change what was committed, nor give two replicas a lease.
-auto random_faults(std::size_t voters, std::uint64_t seed) -> std::size_t
+auto random_faults(std::size_t voters, std::uint64_t seed,
+                   duration apply_time = {}) -> std::size_t
 {
     replica_group group{voters, seed};
     auto& links = group.links;
     group.snapshot_entries = 50;
+    group.set_apply_time(apply_time);
     group.elect();
     for (auto step = 0; step < 60; ++step)
     {
@@ -512,6 +514,7 @@
         group.load(10 + links.below(60));
     }
     links.max_delay = milliseconds{5};
+    group.set_apply_time({});
     group.settle();
     return group.acknowledged.size();
 }
@@ -538,5 +541,48 @@
     EXPECT_GT(acknowledged, 20 * 50);
 }
 
+// Commands that take long to apply are left for later turns; what a member
+// answers or leads with must not run ahead of them.
+TEST(replica, three_survive_random_faults_while_applying_is_slow)
+{
+    std::size_t acknowledged{0};
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        SCOPED_TRACE(seed);
+        acknowledged += random_faults(3, seed, milliseconds{8});
+    }
+    EXPECT_GT(acknowledged, 10 * 20);
+}
+
+// After a stop of all members the new leader applied the whole log in one turn,
+// lost its lease meanwhile, and so did the leaders after it.
+TEST(replica, leads_on_while_it_applies_a_long_log_after_a_restart)
+{
+    replica_group it{3, 41};
+    it.elect();
+    it.load(400);
+    ASSERT_GT(it.acknowledged.size(), 300U);
+    it.set_apply_time(milliseconds{2});
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        it.crash(n);
+        it.nodes[n]->leadership.clear();
+        it.start(n);
+    }
+    it.run(seconds{6});
+    std::size_t changes{0};
+    for (auto const& each : it.nodes)
+    {
+        changes += each->leadership.size();
+    }
+    EXPECT_EQ(changes, 1U);
+    ASSERT_TRUE(it.leader());
+    auto const& state = it.nodes[*it.leader()]->machine->applied;
+    for (auto const& [index, command] : it.acknowledged)
+    {
+        EXPECT_TRUE(state.contains(index)) << index.value();
+    }
+}
+
 } // namespace
 } // namespace apricotlb
