Apply what is left over in later turns only

Each message to a member with entries left over applied 20 ms more of them, so that messages came faster than they were handled and the leader's lease ran out.

While entries are left over only the timer applies more.

--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -227,7 +227,11 @@
         committed_.end(),
         std::make_move_iterator(actions.committed_entries.begin()),
         std::make_move_iterator(actions.committed_entries.end()));
-    apply_committed();
+    // With entries left over, each message would cost the time of a turn.
+    if (!apply_timer_)
+    {
+        apply_committed();
+    }
     if (!unsynced_)
     {
         send_held();
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -559,28 +559,23 @@
 TEST(replica, leads_on_while_it_applies_a_long_log_after_a_restart)
 {
     replica_group it{3, 41};
-    it.elect();
+    auto const first = it.elect();
     it.load(400);
     ASSERT_GT(it.acknowledged.size(), 300U);
+    auto const before = it.nodes[first]->it->status().log.in_term;
     it.set_apply_time(milliseconds{2});
     for (std::size_t n = 0; n < 3; ++n)
     {
         it.crash(n);
-        it.nodes[n]->leadership.clear();
         it.start(n);
     }
     it.run(seconds{6});
-    std::size_t changes{0};
-    for (auto const& each : it.nodes)
-    {
-        changes += each->leadership.size();
-    }
-    EXPECT_EQ(changes, 1U);
     ASSERT_TRUE(it.leader());
-    auto const& state = it.nodes[*it.leader()]->machine->applied;
+    auto const& leader = *it.nodes[*it.leader()];
+    EXPECT_EQ(leader.it->status().log.in_term, before + term{1});
     for (auto const& [index, command] : it.acknowledged)
     {
-        EXPECT_TRUE(state.contains(index)) << index.value();
+        EXPECT_TRUE(leader.machine->applied.contains(index)) << index.value();
     }
 }
 
