--- a/src/app/order_relay.hpp
+++ b/src/app/order_relay.hpp
@@ -25,10 +25,10 @@
 
 /// Sends each order once and returns exactly one answer for it. Answers within
 /// config::answer_batch_delay go back as one message, and messages follow each
-/// other at config::answer_interval at least. It refuses orders that
-/// are past their validity or for an earlier life of this process, as they are
-/// after it was frozen: the fencing token, the run number and the end of the
-/// lease in an order do not protect a worker that was restarted meanwhile.
+/// other at config::answer_interval at least. It refuses orders that are past
+/// their validity or for an earlier life of this process, as they are after it
+/// was frozen: the fencing token, the run number and the end of the lease in an
+/// order do not protect a worker that was restarted meanwhile.
 template <clock_port Clock, class Transport, run_worker_port Workers,
           metrics_port Metrics>
 class order_relay
