--- a/src/core/fleet/urgency.hpp
+++ b/src/core/fleet/urgency.hpp
@@ -26,7 +26,7 @@
 {
     begun,   ///< some of its tasks have run
     early,   ///< has used less than a third of its slack
-    delayed, ///< has not
+    delayed, ///< has used a third or more
 };
 
 /// Sort key of waiting tasks; lower values are placed first.
