--- a/tests/overload_order_test.cpp
+++ b/tests/overload_order_test.cpp
@@ -66,8 +66,6 @@
         }
     }
 
-    auto change_leader() -> void { fleet_.lead(); }
-
     [[nodiscard]] auto submitted() const -> std::size_t
     {
         return submitted_.size();
