--- a/tests/full_disk_group_test.cpp
+++ b/tests/full_disk_group_test.cpp
@@ -53,7 +53,7 @@
 }
 
 /// The time after which the group must have a leader again, as after the loss
-/// of one (docs/design.md).
+/// of one (docs/design/README.md).
 constexpr duration leader_bound = seconds{2};
 /// The time after which all proposals must be accepted again.
 constexpr duration recovery_bound = seconds{2};
