Refuse submissions that cannot end in time

Every submission was accepted, so that in a crest most workflows ended late or without value, and made the next ones late as well.

The leader now forecasts the wait of new work from the declared work that waits and the work that was started lately, and refuses what would end after its allowed time, with a delay after which the caller may return. Permanent work is refused while work that ends by itself waits, while other permanent work waits, and in the room that the last crest needed.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -431,6 +431,42 @@
 /// Accepted workflows that have not ended; further ones are refused.
 inline constexpr std::size_t max_live_workflows = 20'000;
 
+// Admission of workflows (core/fleet/admission_forecast.hpp).
+/// Time over which the starts of tasks are counted. A new leader refuses
+/// nothing until it has seen this much.
+inline constexpr duration forecast_window = 2500ms;
+/// Time for which tasks have found no worker before new workflows are refused.
+/// A pass that finds no worker for a moment is no overload.
+inline constexpr duration admission_min_wait = 250ms;
+/// How long the room for a crest that found too little of it is held.
+inline constexpr duration crest_memory = 20s;
+/// Refusals end once the forecast is below this share of the allowed time, so
+/// that a crest does not switch them on and off with each end of a task.
+inline constexpr permille admission_hysteresis{800};
+/// Run times alone are forecast to take this share of the allowed time at most:
+/// if tasks are slow but do not wait, a refusal helps nobody.
+inline constexpr permille max_forecast_run_share{750};
+/// Bounds of the learned ratio of seen to declared run times. Declared run
+/// times are off by up to a factor of two; the rest is the effect of
+/// neighbours.
+inline constexpr permille min_run_time_ratio{500};
+inline constexpr permille max_run_time_ratio{4000};
+/// Weight of one run in that ratio: a step of a hundred slow tasks does not
+/// set it alone.
+inline constexpr permille run_time_ratio_weight{10};
+/// Longest wait that is forecast, and bounds of the delay that a refusal names
+/// before it is spread over callers.
+inline constexpr duration max_expected_wait = 60s;
+inline constexpr seconds min_admission_retry = 1s;
+inline constexpr seconds max_admission_retry = 30s;
+/// Least share of the starts that is expected to be left by more urgent work: a
+/// burst of it passes.
+inline constexpr permille least_start_share{250};
+/// How long a count of the free processors is used: it visits all workers.
+inline constexpr duration free_room_validity = 250ms;
+/// Least time between two log lines on refused submissions.
+inline constexpr duration refusal_log_interval = 1s;
+
 // Values that workers and clients report. The bounds keep sums and products of
 // them within 64 bits.
 inline constexpr millicores max_reported_cores{1'000'000'000};
--- a/include/apricotlb/error.hpp
+++ b/include/apricotlb/error.hpp
@@ -3,6 +3,7 @@
 #define APRICOTLB_ERROR_HPP
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -134,6 +135,8 @@
 {
     error_kind kind{error_kind::internal};
     std::string detail;
+    /// When the caller may try again, if that is known.
+    std::optional<std::chrono::seconds> retry_after{};
 
     auto operator==(error const&) const -> bool = default;
 };
--- a/include/apricotlb/units.hpp
+++ b/include/apricotlb/units.hpp
@@ -19,6 +19,9 @@
 using task_count = quantity<struct task_count_tag, std::int64_t>;
 using request_count = quantity<struct request_count_tag, std::int64_t>;
 
+/// Work: one core for one millisecond.
+using core_time = quantity<struct core_time_tag, std::int64_t>;
+
 /// Thousandths. A share is 0 to 1000; other ratios may exceed 1000.
 using permille = quantity<struct permille_tag, std::int32_t>;
 
--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -98,7 +98,8 @@
         auto callback_node = callbacks_.extract(answer.id);
         if (auto const* const failure = std::get_if<call_failure>(&answer.body))
         {
-            callback_node.mapped()(fail(failure->kind, failure->detail));
+            callback_node.mapped()(outcome::failure(
+                error{failure->kind, failure->detail, failure->retry_after}));
             return;
         }
         callback_node.mapped()(std::move(answer.body));
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -119,6 +119,14 @@
         workflows_.on_run_event(std::move(callback));
     }
 
+    /// Called on the leader for a refused submission, once in
+    /// config::refusal_log_interval.
+    auto on_refusal(std::function<void(refused_workflow const&)> callback)
+        -> void
+    {
+        workflows_.on_refusal(std::move(callback));
+    }
+
     /// Called when this process has become the leader.
     auto on_leading(std::function<void(term)> callback) -> void
     {
@@ -573,8 +581,7 @@
         if (auto const known = refused_submissions_.find(caller);
             known != refused_submissions_.end())
         {
-            refuse(caller.node, caller.id, known->second.reason.kind,
-                   known->second.reason.detail);
+            refuse(caller.node, caller.id, known->second.reason);
             return;
         }
         // A refusal of another copy would say that the workflow is not
@@ -613,11 +620,21 @@
                                "the limit on unfinished workflows is reached"});
             return;
         }
+        if (auto const decided = workflows_.admit(*spec, terms);
+            decided.is_refused())
+        {
+            refuse_submission(caller, refusal_of(decided));
+            return;
+        }
         pending_submissions_[id].insert(caller);
         command const request{submit_workflow{std::move(*spec), terms}};
         replica_.propose(Codec::encode(request),
                          [this, id](result<log_index> const& done)
                          {
+                             if (done.has_error())
+                             {
+                                 workflows_.on_submission_dropped(id);
+                             }
                              auto const callers =
                                  pending_submissions_.extract(id);
                              for (auto const& each : callers.mapped())
@@ -646,7 +663,7 @@
     /// once the reason has passed.
     auto refuse_submission(call_origin const& caller, error reason) -> void
     {
-        refuse(caller.node, caller.id, reason.kind, reason.detail);
+        refuse(caller.node, caller.id, reason);
         refused_submissions_[caller] = {std::move(reason),
                                         clock_.now() + config::call_timeout};
     }
@@ -753,9 +770,14 @@
     auto refuse(node_id const& to, call_id id, error_kind kind,
                 std::string detail) -> void
     {
-        metrics_.count("apricotlb_call_refusals_total", name_of(kind));
-        call_failure out{kind, std::move(detail), std::nullopt};
-        if (kind == error_kind::not_leader)
+        refuse(to, id, error{kind, std::move(detail)});
+    }
+    auto refuse(node_id const& to, call_id id, error const& reason) -> void
+    {
+        metrics_.count("apricotlb_call_refusals_total", name_of(reason.kind));
+        call_failure out{reason.kind, reason.detail, std::nullopt,
+                         reason.retry_after};
+        if (reason.kind == error_kind::not_leader)
         {
             out.leader = replica_.leader();
         }
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -150,6 +150,50 @@
         }
     }
 
+    /// Decides on a submission. An accepted one counts as waiting from now on,
+    /// so that a burst is seen before its first workflow is committed.
+    auto admit(workflow_spec const& spec, queue_contract const& terms)
+        -> admission_decision
+    {
+        if (!scheduler_)
+        {
+            return {};
+        }
+        auto const now = clock_.now();
+        auto const decided = scheduler_->admit(spec, terms, now);
+        metrics_.count(metric::admissions, name_of(decided.reason));
+        if (!decided.is_refused())
+        {
+            scheduler_->on_submission_proposed(spec, terms, decided, now);
+            return decided;
+        }
+        ++unlogged_refusals_;
+        if (on_refusal_ &&
+            now - last_refusal_log_ >= config::refusal_log_interval)
+        {
+            last_refusal_log_ = now;
+            on_refusal_({spec.id, terms.name, decided,
+                         request_count{std::exchange(unlogged_refusals_, 0)}});
+        }
+        return decided;
+    }
+
+    /// An accepted submission was not recorded.
+    auto on_submission_dropped(workflow_id const& id) -> void
+    {
+        if (scheduler_)
+        {
+            scheduler_->on_submission_dropped(id, clock_.now());
+        }
+    }
+
+    /// Called for a refused submission once in config::refusal_log_interval.
+    auto on_refusal(std::function<void(refused_workflow const&)> callback)
+        -> void
+    {
+        on_refusal_ = std::move(callback);
+    }
+
     using report_callback = std::function<void(
         fleet_summary const&, std::vector<wait_report> const&)>;
 
@@ -240,9 +284,20 @@
         }
     }
 
+    auto report_forecast_errors() -> void
+    {
+        for (auto const it : scheduler_->take_forecast_errors())
+        {
+            metrics_.record(metric::forecast_errors,
+                            it < duration{} ? "earlier" : "later",
+                            it < duration{} ? -it : it);
+        }
+    }
+
     auto execute_actions() -> void
     {
         report_run_events();
+        report_forecast_errors();
         for (auto& it : scheduler_->take_actions())
         {
             std::visit(
@@ -378,6 +433,9 @@
     std::optional<run_scheduler> scheduler_;
     report_callback on_report_;
     std::function<void(run_event const&)> on_run_event_;
+    std::function<void(refused_workflow const&)> on_refusal_;
+    request_count::rep unlogged_refusals_{0};
+    time_point last_refusal_log_{};
     std::size_t logged_run_events_{0};
     time_point last_report_{};
     duration last_pass_time_{};
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -134,7 +134,7 @@
     }
 }
 
-auto run_scheduler::summary(time_point now) const -> fleet_summary
+auto run_scheduler::summary(time_point now) -> fleet_summary
 {
     fleet_summary out;
     out.ready = static_cast<std::int64_t>(state_.workflows().ready_count());
@@ -142,6 +142,8 @@
     out.ready_late = ready_by_worth_[1];
     out.ready_without_worth = ready_by_worth_[2];
     out.held = static_cast<std::int64_t>(held_.size());
+    forecast_.advance(state_.workflows(), now);
+    out.expected_waits = forecast_.expected_waits(now);
     for (auto const& [id, worker] : workers_)
     {
         out.workers += worker.is_usable(now) ? 1 : 0;
@@ -185,6 +187,7 @@
     urgency urgency_rank;
     auto is_due = false;
     ready_by_worth_ = {};
+    ready_cores_.clear();
     for (auto const& [step, ready] : state_.workflows().ready())
     {
         auto const is_next_workflow =
@@ -219,7 +222,14 @@
         ready_by_worth_[static_cast<std::size_t>(urgency_rank.worth)] +=
             std::ssize(ready.tasks);
         workflow_task const first{ready.workflow, occurrence, step.step, {}};
-        auto const permanent = record->step(first).permanent;
+        auto const& spec = record->step(first);
+        auto const permanent = spec.permanent;
+        if (!permanent && !spec.scavenges &&
+            urgency_rank.worth == worth_left::full)
+        {
+            ready_cores_[pool_of(*record)] +=
+                millicores{std::ssize(ready.tasks) * spec.each.cores.value()};
+        }
         auto const rank = permanent ? oldest_first(since) : urgency_rank;
         auto const restarts =
             permanent
@@ -280,6 +290,10 @@
         if (spec.gang)
         {
             try_gang(step.first, record, pass);
+            if (failed_gangs_.contains(step.first))
+            {
+                note_shortage(step, pass);
+            }
             return true;
         }
         auto const candidate = make_candidate(
@@ -294,6 +308,10 @@
             waits_.record(task, placed ? pass_result::placed
                                        : pass_result::no_worker);
         }
+        if (!placed)
+        {
+            note_shortage(step, pass);
+        }
         // No worker takes the other tasks of the step either.
         if (!placed && !candidate.is_restart && !candidate.is_suspect)
         {
@@ -315,6 +333,7 @@
     {
         held_.clear();
         failed_searches_.clear();
+        forecast_.on_pass({}, {}, now);
     }
     if (fenced_ || state_.workflows().ready().empty() ||
         unconfirmed_ >= config::max_unconfirmed_starts)
@@ -324,13 +343,23 @@
     }
     waits_.begin_pass(pass_result::unreached);
     auto pass = make_pass(now);
+    auto has_tried_all = true;
     for (auto const& step : ranked_steps(now, wall))
     {
         if (!place_step(step, pass))
         {
+            has_tried_all = false;
             break;
         }
     }
+    if (has_tried_all)
+    {
+        forecast_.on_pass(pass.short_of, ready_cores_, now);
+    }
+    else
+    {
+        forecast_.on_cut_pass(pass.short_of, now);
+    }
     end_holds(pass);
     is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
     was_cut_ = pass.is_cut;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -40,11 +40,13 @@
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
                              time_point now, fleet_policy policy,
                              submission_times const& submitted)
-    : state_(state), fence_(fence), leading_since_(now), policy_(policy)
+    : state_(state), fence_(fence), leading_since_(now), policy_(policy),
+      forecast_(now)
 {
     inherit_runs(now);
     inherit_ages(submitted);
     inherit_waits(now);
+    inherit_forecast(now);
     for (auto& worker : workers_)
     {
         review_orders(worker, now);
@@ -382,6 +384,7 @@
 
 auto run_scheduler::on_applied(command const& applied, time_point now) -> void
 {
+    update_forecast(applied, now);
     if (auto const* const starts = std::get_if<start_runs>(&applied))
     {
         for (auto const& placed : starts->runs)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -11,6 +11,7 @@
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
+#include "core/fleet/admission_forecast.hpp"
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
@@ -92,6 +93,7 @@
     std::int64_t inherited{0};   ///< runs not yet seen under this leader
     std::int64_t unconfirmed{0}; ///< starts without an answer so far
     std::int64_t polls{0};       ///< that wait for their answers
+    std::vector<expected_wait> expected_waits; ///< of new work
 };
 
 /// An action that the caller of run_scheduler executes.
@@ -125,6 +127,21 @@
     auto on_answer(poll_order const& order, poll_answer const& answer,
                    time_point now) -> void;
 
+    // Submissions (run_admission.cpp).
+    /// Decides whether a new workflow is accepted.
+    [[nodiscard]] auto admit(workflow_spec const& spec,
+                             queue_contract const& terms, time_point now)
+        -> admission_decision;
+    /// An admitted workflow is proposed to the log, or was not recorded.
+    auto on_submission_proposed(workflow_spec const& spec,
+                                queue_contract const& terms,
+                                admission_decision const& decided,
+                                time_point now) -> void;
+    auto on_submission_dropped(workflow_id const& id, time_point now) -> void;
+    /// By how much workflows have ended later than forecast, since the last
+    /// call; negative for those that ended earlier.
+    [[nodiscard]] auto take_forecast_errors() -> std::vector<duration>;
+
     // Outcomes of proposals.
     auto on_applied(command const& applied, time_point now) -> void;
     auto on_not_applied(propose_starts const& proposal, time_point now) -> void;
@@ -150,7 +167,7 @@
     {
         return workers_;
     }
-    [[nodiscard]] auto summary(time_point now) const -> fleet_summary;
+    [[nodiscard]] auto summary(time_point now) -> fleet_summary;
     /// Permanent tasks that have waited for another run for longer than
     /// config::reported_wait, the longest waits first, and
     /// config::max_reported_waits of them at most (run_waits.cpp).
@@ -230,6 +247,18 @@
     /// blame if it has crashed.
     auto end_runs_of_silent(identified_worker& worker, time_point now) -> void;
 
+    // run_admission.cpp
+    auto inherit_forecast(time_point now) -> void;
+    auto update_forecast(command const& applied, time_point now) -> void;
+    auto update_forecast(workflow_task const& task, time_point now) -> void;
+    auto end_forecast(workflow_id const& id, time_point now) -> void;
+    /// Contract in force of the queue of a workflow.
+    [[nodiscard]] auto terms_of(workflow_record const& record) const
+        -> queue_contract const&;
+    /// Processors of the usable workers of a pool that are not reserved.
+    [[nodiscard]] auto free_cores(pool_name const& pool, time_point now)
+        -> millicores;
+
     // run_contacts.cpp
     struct departure
     {
@@ -360,6 +389,8 @@
         bool is_behind{false};        ///< some task found no worker
         bool is_cut{false};           ///< ended at its limit of visits
         effect_table effects;
+        /// Rooms of which some task found too little.
+        std::map<pool_room, room_shortage> short_of;
     };
     /// Ready tasks of one step, with their sort keys.
     struct ranked_step
@@ -376,6 +407,8 @@
         -> std::vector<ranked_step>;
     /// Places tasks of a step; returns false at a limit of the pass.
     auto place_step(ranked_step const& step, plan_pass& pass) -> bool;
+    /// Records that a task of the step found no worker.
+    auto note_shortage(ranked_step const& step, plan_pass& pass) const -> void;
     auto make_pass(time_point now) -> plan_pass;
     /// The best worker for a member of a gang.
     auto choose_worker(candidate_run const& candidate, plan_pass& pass)
@@ -475,6 +508,12 @@
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
     std::set<worker_id> held_;            ///< by the last pass
     std::array<std::int64_t, 3> ready_by_worth_{}; ///< by worth_left
+    /// Processors that ready tasks in time need which end by themselves.
+    std::map<pool_name, millicores> ready_cores_;
+    admission_forecast forecast_;
+    std::vector<duration> forecast_errors_;
+    std::map<pool_name, millicores> free_cores_;
+    std::optional<time_point> free_cores_at_;
     room_change last_room_change_;
     std::map<placement_key, failed_search> failed_searches_;
     /// When gangs that found no workers were tried, by their first task.
--- a/src/core/fleet/urgency.cpp
+++ b/src/core/fleet/urgency.cpp
@@ -3,7 +3,7 @@
 #include <apricotlb/config.hpp>
 
 #include <algorithm>
-#include <vector>
+#include <cstddef>
 
 namespace apricotlb
 {
@@ -11,28 +11,6 @@
 namespace
 {
 
-/// Length of the longest path through the steps; a step for which
-/// counts(index) is false adds nothing.
-template <class Counts>
-auto critical_path(workflow_spec const& spec, Counts counts) -> milliseconds
-{
-    // A step depends only on steps with a lower index.
-    std::vector<milliseconds> ends;
-    milliseconds longest{0};
-    for (auto const& step : spec.steps)
-    {
-        milliseconds begin{0};
-        for (auto const before : step.prerequisites)
-        {
-            begin = std::max(begin, ends[before.value()]);
-        }
-        ends.push_back(begin +
-                       (counts(ends.size()) ? step.estimate : milliseconds{0}));
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
 /// True if a task of the occurrence has run.
 auto has_begun(workflow_record const& record, occurrence_index occurrence)
     -> bool
@@ -52,26 +30,33 @@
 
 } // namespace
 
+auto allowed_time(workflow_spec const& spec, queue_contract const& terms)
+    -> duration
+{
+    auto const path = longest_path(spec, [&spec](std::size_t n)
+                                   { return spec.steps[n].estimate; });
+    return duration{path} * terms.stretch.value() / 1000 + terms.target;
+}
+
 auto remaining_critical_path(workflow_record const& record,
                              occurrence_index occurrence) -> milliseconds
 {
     auto const& steps = record.occurrences[occurrence.value()].steps;
-    return critical_path(record.spec, [&steps](std::size_t n)
-                         { return !steps[n].is_finished(); });
+    return longest_path(record.spec,
+                        [&](std::size_t n)
+                        {
+                            return steps[n].is_finished()
+                                       ? milliseconds{0}
+                                       : record.spec.steps[n].estimate;
+                        });
 }
 
 auto urgency_of(workflow_record const& record, occurrence_index occurrence,
                 time_point since, time_point now) -> urgency
 {
-    auto const full_path =
-        critical_path(record.spec, [](std::size_t) { return true; });
-    duration const allowed =
-        duration{full_path} * record.terms.stretch.value() / 1000 +
-        record.terms.target;
+    auto const allowed = allowed_time(record.spec, record.terms);
     duration const path = remaining_critical_path(record, occurrence);
-    // Declared run times are off by up to a factor of two in either direction.
-    // A workflow therefore counts as late only if it is late with half of them.
-    auto const latest = since + allowed - path / 2;
+    auto const latest = latest_in_time(since, allowed, path);
     auto const age = now - since;
     auto const begun = has_begun(record, occurrence);
     if (now <= latest)
--- a/src/core/fleet/urgency.hpp
+++ b/src/core/fleet/urgency.hpp
@@ -7,8 +7,11 @@
 
 #include <apricotlb/time.hpp>
 
+#include <algorithm>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace apricotlb
 {
@@ -55,6 +58,43 @@
     return {worth_left::full, wait_stage::early, since.time_since_epoch()};
 }
 
+/// Length of the longest path through the steps; length_of(step index) is the
+/// one of a step.
+template <class LengthOf>
+[[nodiscard]] auto longest_path(workflow_spec const& spec, LengthOf length_of)
+    -> milliseconds
+{
+    // A step depends only on steps with a lower index.
+    std::vector<milliseconds> ends;
+    ends.reserve(spec.steps.size());
+    milliseconds longest{0};
+    for (auto const& step : spec.steps)
+    {
+        milliseconds begin{0};
+        for (auto const before : step.prerequisites)
+        {
+            begin = std::max(begin, ends[before.value()]);
+        }
+        ends.push_back(begin + length_of(ends.size()));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+/// Time from its submission in which a workflow has to end, by its contract.
+[[nodiscard]] auto allowed_time(workflow_spec const& spec,
+                                queue_contract const& terms) -> duration;
+
+/// Until when the rest of a critical path may begin to end within the allowed
+/// time. Declared run times are off by up to a factor of two in either
+/// direction. A workflow therefore counts as late only if it is late with half
+/// of them.
+[[nodiscard]] inline auto latest_in_time(time_point since, duration allowed,
+                                         duration path) -> time_point
+{
+    return since + allowed - path / 2;
+}
+
 /// Sum of the declared run times along the critical path of the steps that have
 /// not finished.
 [[nodiscard]] auto remaining_critical_path(workflow_record const& record,
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -457,15 +457,21 @@
     error_kind kind{error_kind::internal};
     std::string detail;
     std::optional<node_id> leader; ///< to which the call may be sent next
+    /// When the call may be sent again, if that is known.
+    std::optional<seconds> retry_after{};
 
     static constexpr auto fields()
     {
         return field_list(field("kind", &call_failure::kind),
                           field("detail", &call_failure::detail),
-                          field("leader", &call_failure::leader));
+                          field("leader", &call_failure::leader),
+                          field("retry_after", &call_failure::retry_after));
     }
 };
 
+template <>
+inline constexpr std::size_t optional_fields<call_failure> = 1;
+
 struct call_answer
 {
     call_id id;
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -99,6 +99,28 @@
         return {workflow_action::submit, host_name{"h"}, "/" + id, spec};
     }
 
+    /// A task of a second on one core; the contract allows two of them.
+    static auto timed_submission(std::string const& id) -> workflow_call
+    {
+        auto out = submission(id);
+        out.spec->steps[0].each.cores = millicores{1000};
+        out.spec->steps[0].estimate = milliseconds{1000};
+        return out;
+    }
+    auto allow(milliseconds target) -> void
+    {
+        auto set = *role_.state().contract_sets().current();
+        set.version = contract_set_version{set.version.value() + 1};
+        set.queues[0].target = target;
+        call(command{apply_contract_set{set}});
+        clock_.advance(milliseconds{100});
+    }
+    [[nodiscard]] auto retry_after(call_id id) const -> std::optional<seconds>
+    {
+        return std::get<call_failure>(transport_.answers.at(id).body)
+            .retry_after;
+    }
+
     /// The loop stands still, so that its timers are late.
     auto stall(duration d) -> void
     {
@@ -277,6 +299,34 @@
     EXPECT_EQ(it.accepted(), 2);
 }
 
+// Work that cannot end in time was accepted, and made the next work late. A
+// refused copy must not be accepted later, and no accepted one be refused: its
+// caller would believe that it does not run.
+TEST(control_role, refuses_what_cannot_end_in_time_but_no_accepted_id)
+{
+    lone_leader it;
+    it.allow(milliseconds{1000});
+    it.run(config::forecast_window);
+    auto const accepted = it.call(lone_leader::timed_submission("a"));
+    it.run(2 * config::admission_min_wait);
+    EXPECT_EQ(it.refusal(accepted), std::nullopt);
+    auto const refused = it.call(lone_leader::timed_submission("b"));
+    EXPECT_EQ(it.refusal(refused), error_kind::deadline_unmeetable);
+    EXPECT_GE(it.retry_after(refused), config::min_admission_retry);
+    auto const repeated = it.call(lone_leader::timed_submission("a"));
+    EXPECT_EQ(it.refusal(repeated), std::nullopt);
+    it.run(seconds{2});
+    it.send(refused, lone_leader::timed_submission("b"));
+    EXPECT_EQ(it.refusal(refused), error_kind::deadline_unmeetable);
+    EXPECT_EQ(it.accepted(), 1);
+    // What waits has lost its value by now, and makes no other work late.
+    it.run(seconds{4});
+    auto const again = it.call(lone_leader::timed_submission("b"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(again), std::nullopt);
+    EXPECT_EQ(it.accepted(), 2);
+}
+
 // One short turn of the loop does not mean that the overload is over.
 TEST(overload_guard, ends_an_overload_only_after_a_time_without_delays)
 {
