--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -148,16 +149,32 @@
               it.scheduler.on_submission_proposed(finite, it.terms(), {},
                                                   it.now);
           });
-    // The processors of all workers are counted in each call.
+    // Once nothing waits, permanent tasks must leave room for the last crest:
+    // the processors of all workers are counted in each call.
+    for (std::size_t n = 0; n < workflows; ++n)
+    {
+        it.apply(cancel_workflow{workflow_id{"f" + std::to_string(n)}, {}},
+                 it.now);
+    }
+    it.scheduler.plan(it.now, wall_time{});
     auto permanent = spec_of("permanent");
     permanent.steps.resize(1);
     permanent.steps[0].permanent = true;
+    auto reason = admission_reason::room_free;
     print(workers, "admission, permanent",
-          [&](std::size_t)
+          [&](std::size_t n)
           {
-              it.now += config::free_room_validity;
-              (void)it.scheduler.admit(permanent, it.terms(), it.now);
+              // The memory of the crest lasts for 80 counts.
+              it.now = elected + seconds{4} +
+                       static_cast<duration::rep>(n % 60) *
+                           config::free_room_validity;
+              reason = it.scheduler.admit(permanent, it.terms(), it.now).reason;
           });
+    if (reason != admission_reason::crest_room)
+    {
+        std::printf("the processors were not counted\n");
+        std::exit(1);
+    }
 }
 
 } // namespace
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -183,6 +183,7 @@
     workflow_record const* record{nullptr};
     occurrence_index occurrence;
     queue_priority priority;
+    millicores* cores{nullptr};
     time_point since;
     urgency urgency_rank;
     auto is_due = false;
@@ -199,6 +200,8 @@
                 state_.contract_sets().queue(record->terms.name);
             priority =
                 queue != nullptr ? queue->priority : record->terms.priority;
+            cores = &ready_cores_[queue != nullptr ? queue->pool
+                                                   : record->terms.pool];
         }
         if (is_next_workflow || occurrence != step.occurrence)
         {
@@ -227,7 +230,7 @@
         if (!permanent && !spec.scavenges &&
             urgency_rank.worth == worth_left::full)
         {
-            ready_cores_[pool_of(*record)] +=
+            *cores +=
                 millicores{std::ssize(ready.tasks) * spec.each.cores.value()};
         }
         auto const rank = permanent ? oldest_first(since) : urgency_rank;
