Show that a leader in office has applied all that was acknowledged

The test restarts three members four times while a command takes 2 ms to apply and compares the leader in office with all acknowledged commands.

--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -579,5 +579,47 @@
     }
 }
 
+// A leader that served reads before it had applied what earlier leaders had
+// committed would show older state than they did.
+TEST(replica, leads_only_with_all_that_was_acknowledged_before)
+{
+    replica_group it{3, 43};
+    it.elect();
+    it.load(400);
+    it.set_apply_time(milliseconds{2});
+    std::size_t led{0};
+    for (std::size_t round = 0; round < 4; ++round)
+    {
+        for (std::size_t n = 0; n < 3; ++n)
+        {
+            it.crash(n);
+            it.nodes[n]->leadership.clear(); // of its former life
+            it.start(n);
+        }
+        auto const acknowledged = it.acknowledged;
+        for (auto end = led + 300; led < end;)
+        {
+            it.run(milliseconds{1});
+            auto const at = it.leader();
+            if (!at || it.nodes[*at]->leadership.empty() ||
+                !it.nodes[*at]->leadership.back())
+            {
+                continue;
+            }
+            ++led;
+            auto const& applied = it.nodes[*at]->machine->applied;
+            for (auto const& [index, command] : acknowledged)
+            {
+                ASSERT_TRUE(applied.contains(index))
+                    << index.value() << " in round " << round;
+            }
+            if (led % 10 == 0)
+            {
+                it.propose(*at);
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace apricotlb
