Refuse reads and new submissions soon while no leader answers

A read now looks for the leader for 200 ms, is not repeated after a change of leader, and is refused with not_leader once no leader has answered anything for 400 ms, or not it for 800 ms. A new submission is refused at once, and not sent, from 800 ms after the last answer of a leader on; one that was sent keeps its unknown outcome unless each copy was refused. Answers count when they arrive, so that a slow leader is no silent one. apricotlb_calls_without_leader_total counts the reasons.

Six tests of control_link_test fail if all calls are treated as changes, as before, and pass now; front.refuses_submissions_at_once_without_a_leader checks the 503 and its Retry-After.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -124,6 +124,16 @@
 // Calls to the control leader.
 inline constexpr duration call_retry_interval = 400ms;
 inline constexpr duration call_timeout = 5s;
+/// Time without an answer of a leader from which new submissions are refused.
+/// Processes ping it every leader_ping_interval; the rest is for a leader whose
+/// loop is late, which begins to refuse by itself at overload_delay.
+inline constexpr duration leader_silence = 800ms;
+/// How long a read looks for the leader. An answer from a leader that is
+/// elected later shows a later state than the answers to reads sent meanwhile.
+inline constexpr duration read_search_time = 200ms;
+/// How long a read waits for a leader that answers other calls. Messages of one
+/// process are handled in order, so the read or its answer is lost then.
+inline constexpr duration max_read_wait = 800ms;
 
 // Requests.
 inline constexpr byte_count max_body{256 * mib};
--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -21,8 +21,9 @@
 {
 
 /// Sends each call to the current leader, and again if the leader changes or
-/// does not answer, until it is answered or its timeout has passed. Send is
-/// callable with (node_id, message).
+/// does not answer, until it is answered or its timeout has passed. Reads and
+/// submissions are refused earlier while no leader answers (call_table). Send
+/// is callable with (node_id, message).
 template <clock_port Clock, class Send>
 class control_link
 {
@@ -51,6 +52,11 @@
                       "no control process has been discovered yet"));
             return;
         }
+        if (auto const reason = table_.refusal_of(request, clock_.now()))
+        {
+            refuse(*reason, done);
+            return;
+        }
         auto const first =
             table_.start(std::move(request), clock_.now(), timeout);
         callbacks_[first.message.id] = std::move(done);
@@ -91,6 +97,11 @@
         {
             send_(effect.resend->to, effect.resend->message);
         }
+        if (effect.refused)
+        {
+            refuse(*effect.refused, callbacks_.extract(answer.id).mapped());
+            return;
+        }
         if (!effect.done)
         {
             return;
@@ -104,11 +115,20 @@
         callback_node.mapped()(std::move(answer.body));
     }
 
+    /// Called with each call that is refused without an answer of a leader.
+    auto on_refused(std::function<void(call_refusal)> report) -> void
+    {
+        on_refused_ = std::move(report);
+    }
+
     [[nodiscard]] auto leader() const -> node_id const&
     {
         return table_.leader();
     }
-    auto set_leader(node_id const& id) -> void { table_.set_leader(id); }
+    auto set_leader(node_id const& id) -> void
+    {
+        table_.set_leader(id, clock_.now());
+    }
     auto set_control(std::vector<node_id> control) -> void
     {
         table_.set_control(std::move(control));
@@ -121,6 +141,17 @@
 private:
     static constexpr duration check_interval = std::chrono::milliseconds{50};
 
+    auto refuse(call_refusal reason, callback const& done) -> void
+    {
+        if (on_refused_)
+        {
+            on_refused_(reason);
+        }
+        done(fail(error_kind::not_leader,
+                  "no control leader has taken the call, which has not run; "
+                  "send it again"));
+    }
+
     auto start_timer() -> void
     {
         timer_ =
@@ -135,6 +166,10 @@
         {
             send_(it.to, it.message);
         }
+        for (auto const& it : due.refused)
+        {
+            refuse(it.reason, callbacks_.extract(it.id).mapped());
+        }
         for (auto const& id : due.expired)
         {
             auto callback_node = callbacks_.extract(id);
@@ -149,6 +184,7 @@
     Send send_;
     call_table table_;
     std::map<call_id, callback> callbacks_;
+    std::function<void(call_refusal)> on_refused_;
     timer_id timer_;
 };
 
--- a/src/core/entry/call_table.cpp
+++ b/src/core/entry/call_table.cpp
@@ -10,22 +10,66 @@
 namespace apricotlb
 {
 
-auto call_table::send_to_leader(pending_call& pending, time_point now)
-    -> call_to_send
+auto kind_of(decltype(call::body) const& body) -> call_kind
 {
-    pending.sent_to = leader();
+    if (std::holds_alternative<query>(body))
+    {
+        return call_kind::read;
+    }
+    auto const* const request = std::get_if<workflow_call>(&body);
+    if (request == nullptr || request->action == workflow_action::cancel)
+    {
+        return call_kind::change;
+    }
+    return request->action == workflow_action::submit ? call_kind::submission
+                                                      : call_kind::read;
+}
+
+auto name_of(call_refusal it) -> std::string_view
+{
+    switch (it)
+    {
+    case call_refusal::leader_silent:
+        return "leader_silent";
+    case call_refusal::not_accepted:
+        return "not_accepted";
+    case call_refusal::leader_changed:
+        return "leader_changed";
+    case call_refusal::read_unanswered:
+        break;
+    }
+    return "read_unanswered";
+}
+
+auto call_table::send_to(pending_call& pending, node_id const& to,
+                         time_point now) const -> call_to_send
+{
+    pending.sent_to = to;
+    pending.sent_at = now;
     pending.resend_at = now + config::call_retry_interval;
+    ++pending.sends;
     return {pending.sent_to, pending.message};
 }
 
+auto call_table::refusal_of(decltype(call::body) const& body,
+                            time_point now) const -> std::optional<call_refusal>
+{
+    return kind_of(body) == call_kind::submission && watch_.is_leaderless(now)
+               ? std::optional{call_refusal::leader_silent}
+               : std::nullopt;
+}
+
 auto call_table::start(decltype(call::body) body, time_point now,
                        duration timeout) -> call_to_send
 {
+    watch_.begin(now);
     ++last_id_;
     auto& pending = calls_[last_id_];
+    pending.kind = kind_of(body);
     pending.message = {last_id_, std::move(body)};
+    pending.started = now;
     pending.deadline = now + timeout;
-    return send_to_leader(pending, now);
+    return send_to(pending, leader(), now);
 }
 
 auto call_table::take(node_id const& from, call_answer const& it,
@@ -42,41 +86,133 @@
                                failure->kind == error_kind::no_leader);
     if (!is_redirected)
     {
-        set_leader(from);
+        set_leader(from, now);
+        calls_.erase(found);
+        return {std::nullopt, true, std::nullopt};
+    }
+    auto out = redirect(found->second, *failure, now);
+    if (out.refused)
+    {
         calls_.erase(found);
-        return {std::nullopt, true};
+    }
+    return out;
+}
+
+auto call_table::redirect(pending_call& pending, call_failure const& it,
+                          time_point now) -> outcome_of_answer
+{
+    if (it.kind == error_kind::not_leader)
+    {
+        ++pending.not_leader_answers;
+    }
+    else
+    {
+        pending.may_have_run = true;
+    }
+    auto const names_another = it.leader && *it.leader != pending.sent_to;
+    if (names_another)
+    {
+        presume(*it.leader);
+    }
+    if (pending.kind == call_kind::read)
+    {
+        // Other processes may know the leader before the one asked does.
+        auto const is_late = now - pending.started >= config::read_search_time;
+        auto const max_sends = control_.size() + (names_another ? 1 : 0);
+        if (is_late || pending.sends >= max_sends)
+        {
+            return {std::nullopt, false, call_refusal::leader_changed};
+        }
+        return {
+            send_to(pending,
+                    names_another ? leader() : process_after(pending.sent_to),
+                    now),
+            false, std::nullopt};
     }
     // If the answer names another leader, the call is sent there at once.
     // Otherwise it waits for its next repetition, so that an election does not
     // cause a burst of messages.
-    if (failure->leader && *failure->leader != found->second.sent_to)
+    if (names_another)
     {
-        set_leader(*failure->leader);
-        return {send_to_leader(found->second, now), false};
+        return {send_to(pending, leader(), now), false, std::nullopt};
     }
     return {};
 }
 
+auto call_table::refusal_of(pending_call const& it, time_point now) const
+    -> std::optional<call_refusal>
+{
+    if (it.kind == call_kind::read)
+    {
+        return refusal_of_read(it, now);
+    }
+    auto const is_over = watch_.is_leaderless(now) || now >= it.deadline;
+    if (it.kind == call_kind::submission && is_over && it.is_refused_by_all())
+    {
+        return call_refusal::not_accepted;
+    }
+    return std::nullopt;
+}
+
+auto call_table::refusal_of_read(pending_call const& it, time_point now) const
+    -> std::optional<call_refusal>
+{
+    auto const has_searched = now - it.started >= config::read_search_time;
+    if (has_searched && has_new_leader(it))
+    {
+        return call_refusal::leader_changed;
+    }
+    auto const waited = now - it.sent_at;
+    auto const is_silent = waited >= config::call_retry_interval &&
+                           !watch_.has_answered_since(it.sent_at);
+    if (now >= it.deadline || waited >= config::max_read_wait || is_silent ||
+        (has_searched && watch_.is_leaderless(now)))
+    {
+        return call_refusal::read_unanswered;
+    }
+    return std::nullopt;
+}
+
+auto call_table::has_new_leader(pending_call const& it) const -> bool
+{
+    return watch_.has_answered_since(it.sent_at) &&
+           *watch_.leader() != it.sent_to;
+}
+
 auto call_table::due(time_point now) -> due_calls
 {
     due_calls out;
     auto rotated = false;
     for (auto it = calls_.begin(); it != calls_.end();)
     {
-        if (now >= it->second.deadline)
+        auto& pending = it->second;
+        if (auto const reason = refusal_of(pending, now))
+        {
+            out.refused.push_back({it->first, *reason});
+            it = calls_.erase(it);
+            continue;
+        }
+        if (now >= pending.deadline)
         {
             out.expired.push_back(it->first);
             it = calls_.erase(it);
             continue;
         }
-        if (now >= it->second.resend_at)
+        if (pending.kind == call_kind::read)
+        {
+            if (has_new_leader(pending))
+            {
+                out.resend.push_back(send_to(pending, *watch_.leader(), now));
+            }
+        }
+        else if (now >= pending.resend_at)
         {
-            if (!rotated && it->second.sent_to == leader())
+            if (!rotated && pending.sent_to == leader())
             {
                 presumed_leader_ = (presumed_leader_ + 1) % control_.size();
                 rotated = true;
             }
-            out.resend.push_back(send_to_leader(it->second, now));
+            out.resend.push_back(send_to(pending, leader(), now));
         }
         ++it;
     }
@@ -94,11 +230,27 @@
     presumed_leader_ = 0;
     if (std::ranges::find(control_, previous_leader) != control_.end())
     {
-        set_leader(previous_leader);
+        presume(previous_leader);
+    }
+}
+
+auto call_table::set_leader(node_id const& id, time_point now) -> void
+{
+    watch_.answered(id, now);
+    presume(id);
+}
+
+auto call_table::process_after(node_id const& id) const -> node_id const&
+{
+    auto const it = std::ranges::find(control_, id);
+    if (it == control_.end() || std::next(it) == control_.end())
+    {
+        return control_.front();
     }
+    return *std::next(it);
 }
 
-auto call_table::set_leader(node_id const& id) -> void
+auto call_table::presume(node_id const& id) -> void
 {
     auto const it = std::ranges::find(control_, id);
     if (it != control_.end())
--- a/src/core/entry/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -1,16 +1,19 @@
 /// Pending calls to the control leader: where each is sent, when it is sent
-/// again and when it expires.
+/// again and when it is given up.
 #ifndef APRICOTLB_CORE_ENTRY_CALL_TABLE_HPP
 #define APRICOTLB_CORE_ENTRY_CALL_TABLE_HPP
 
+#include "core/entry/leader_watch.hpp"
 #include "core/messages.hpp"
 
 #include <apricotlb/ids.hpp>
 #include <apricotlb/time.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace apricotlb
@@ -23,6 +26,28 @@
     call message;
 };
 
+/// How a call is treated while no leader answers.
+enum class call_kind : std::uint8_t
+{
+    change, ///< repeated until its timeout
+    read,   ///< never answered by a leader that is elected later
+    /// Refused once no leader answers, as far as it has certainly not run.
+    submission,
+};
+
+[[nodiscard]] auto kind_of(decltype(call::body) const& body) -> call_kind;
+
+/// Why a call was refused without an answer of a leader. It has not run.
+enum class call_refusal : std::uint8_t
+{
+    leader_silent,   ///< a submission that was not sent
+    not_accepted,    ///< a submission that all processes asked have refused
+    read_unanswered, ///< no leader has answered the read in time
+    leader_changed,  ///< the read was sent to a process that does not lead
+};
+
+[[nodiscard]] auto name_of(call_refusal it) -> std::string_view;
+
 /// Sends each call to the presumed leader, and to another control process if
 /// no answer arrives in time. Calls are safe to repeat, since the state machine
 /// recognises a repeated call by its id.
@@ -37,6 +62,11 @@
     {
     }
 
+    /// The reason not to start a call, if there is one.
+    [[nodiscard]] auto refusal_of(decltype(call::body) const& body,
+                                  time_point now) const
+        -> std::optional<call_refusal>;
+
     /// Adds a call and returns its first message.
     [[nodiscard]] auto start(decltype(call::body) body, time_point now,
                              duration timeout) -> call_to_send;
@@ -45,15 +75,26 @@
     struct outcome_of_answer
     {
         std::optional<call_to_send> resend;
-        bool done{false}; ///< the answer is final and the call was removed
+        /// The answer is final and the call was removed.
+        bool done{false};
+        /// The call was removed without an answer of a leader.
+        std::optional<call_refusal> refused;
     };
     auto take(node_id const& from, call_answer const& it, time_point now)
         -> outcome_of_answer;
 
-    /// Calls to send again, and calls whose deadline has passed.
+    struct refused_call
+    {
+        call_id id;
+        call_refusal reason;
+    };
+
+    /// Calls to send again, and calls that were removed: refused, or with an
+    /// unknown outcome at their deadline.
     struct due_calls
     {
         std::vector<call_to_send> resend;
+        std::vector<refused_call> refused;
         std::vector<call_id> expired;
     };
     [[nodiscard]] auto due(time_point now) -> due_calls;
@@ -75,7 +116,7 @@
     }
 
     /// Records the sender of a message that only the leader sends.
-    auto set_leader(node_id const& id) -> void;
+    auto set_leader(node_id const& id, time_point now) -> void;
 
     [[nodiscard]] auto size() const -> std::size_t { return calls_.size(); }
 
@@ -83,15 +124,42 @@
     struct pending_call
     {
         call message;
+        call_kind kind{call_kind::change};
         node_id sent_to;
+        time_point started;
+        time_point sent_at; ///< the last time
         time_point resend_at;
         time_point deadline;
+        std::size_t sends{0};
+        std::size_t not_leader_answers{0};
+        bool may_have_run{false}; ///< by an answer
+
+        /// True if each copy that was sent is known not to have run.
+        [[nodiscard]] auto is_refused_by_all() const -> bool
+        {
+            return !may_have_run && not_leader_answers == sends;
+        }
     };
 
-    auto send_to_leader(pending_call& pending, time_point now) -> call_to_send;
+    auto send_to(pending_call& pending, node_id const& to, time_point now) const
+        -> call_to_send;
+    /// Decides on an answer of a process that is not the leader.
+    auto redirect(pending_call& pending, call_failure const& it, time_point now)
+        -> outcome_of_answer;
+    /// The reason to give a sent call up now, if there is one.
+    [[nodiscard]] auto refusal_of(pending_call const& it, time_point now) const
+        -> std::optional<call_refusal>;
+    [[nodiscard]] auto refusal_of_read(pending_call const& it,
+                                       time_point now) const
+        -> std::optional<call_refusal>;
+    /// True if another process than the one asked has since shown to lead.
+    [[nodiscard]] auto has_new_leader(pending_call const& it) const -> bool;
+    [[nodiscard]] auto process_after(node_id const& id) const -> node_id const&;
+    auto presume(node_id const& id) -> void;
 
     std::vector<node_id> control_;
     std::size_t presumed_leader_{0};
+    leader_watch watch_;
     call_id last_id_{};
     std::map<call_id, pending_call> calls_;
 };
--- /dev/null
+++ b/src/core/entry/leader_watch.hpp
@@ -0,0 +1,57 @@
+/// Whether a leader has answered lately.
+#ifndef APRICOTLB_CORE_ENTRY_LEADER_WATCH_HPP
+#define APRICOTLB_CORE_ENTRY_LEADER_WATCH_HPP
+
+#include <apricotlb/config.hpp>
+#include <apricotlb/ids.hpp>
+#include <apricotlb/time.hpp>
+
+#include <optional>
+
+namespace apricotlb
+{
+
+/// Counts the time since an answer arrived, not since the answered call was
+/// sent: a loaded leader answers late, but it does answer.
+class leader_watch
+{
+public:
+    /// Begins to wait for a first answer, if nothing is known yet.
+    auto begin(time_point now) -> void
+    {
+        if (!last_answer_)
+        {
+            last_answer_ = now;
+        }
+    }
+    /// Records a message that only a leader sends.
+    auto answered(node_id const& by, time_point now) -> void
+    {
+        leader_ = by;
+        last_answer_ = now;
+    }
+
+    /// True if no leader has answered for config::leader_silence.
+    [[nodiscard]] auto is_leaderless(time_point now) const -> bool
+    {
+        return last_answer_ && now - *last_answer_ >= config::leader_silence;
+    }
+    /// True if a leader has answered at this time or later.
+    [[nodiscard]] auto has_answered_since(time_point at) const -> bool
+    {
+        return leader_ && *last_answer_ >= at;
+    }
+    /// The process that has answered last; none at first.
+    [[nodiscard]] auto leader() const -> std::optional<node_id> const&
+    {
+        return leader_;
+    }
+
+private:
+    std::optional<node_id> leader_;
+    std::optional<time_point> last_answer_;
+};
+
+} // namespace apricotlb
+
+#endif
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -26,6 +26,8 @@
     "apricotlb_worker_announcements_total";
 inline constexpr std::string_view peer_messages =
     "apricotlb_peer_messages_total";
+inline constexpr std::string_view calls_without_leader =
+    "apricotlb_calls_without_leader_total";
 inline constexpr std::string_view disk_events = "apricotlb_disk_events_total";
 inline constexpr std::string_view run_ends = "apricotlb_run_ends_total";
 inline constexpr std::string_view run_events = "apricotlb_run_events_total";
--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -4,8 +4,11 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace apricotlb
@@ -37,15 +40,47 @@
                 call_failure{error_kind::not_leader, "", std::move(leader)}};
     }
 
+    using answer = result<decltype(call_answer::body)>;
+
+    /// Returns where the answer will be.
+    auto start(workflow_action action) -> std::shared_ptr<std::optional<answer>>
+    {
+        auto const out = std::make_shared<std::optional<answer>>();
+        link.start(
+            workflow_call{action, host_name{"h"}, "/q", std::nullopt},
+            [out](answer it) { *out = std::move(it); }, seconds{2});
+        return out;
+    }
+    static auto count(std::int64_t n) -> workflow_answer
+    {
+        return {{}, true, task_count{n}};
+    }
+    static auto waiting(answer const& it) -> std::int64_t
+    {
+        return std::get<workflow_answer>(it.value()).waiting.value();
+    }
+    static auto kind_of(std::optional<answer> const& it)
+        -> std::optional<error_kind>
+    {
+        return it && it->has_error() ? std::optional{it->error().kind}
+                                     : std::nullopt;
+    }
+
     paused_clock clock;
     std::vector<sent_call> sent;
     std::optional<result<apply_result>> got;
+    std::vector<call_refusal> reasons;
     control_link<paused_clock, send_function> link{
         clock,
         [this](node_id const& to, call const& it) {
             sent.push_back({to.value(), it});
         },
         {node_id{"c1"}, node_id{"c2"}, node_id{"c3"}}};
+
+    auto SetUp() -> void override
+    {
+        link.on_refused([this](call_refusal it) { reasons.push_back(it); });
+    }
 };
 
 // A call sent to a follower must reach the leader without waiting.
@@ -118,5 +153,134 @@
     EXPECT_TRUE(got_next.has_value());
 }
 
+// A read that was held over an election was answered by contracts that came
+// into force later; another one, sent after it, by the ones before.
+TEST_F(control_link_test, answers_no_read_by_a_leader_elected_long_after_it)
+{
+    auto const first = start(workflow_action::state);
+    clock.advance(milliseconds{250});
+    link.set_leader(node_id{"c2"}); // elected, with the old contracts
+    auto const second = start(workflow_action::state);
+    link.take(node_id{"c2"}, {sent.back().message.id, count(4)});
+    ASSERT_TRUE(second->has_value());
+    EXPECT_EQ(waiting(**second), 4);
+    // From here on c2 counts by the new contracts.
+    clock.advance(config::call_retry_interval);
+    for (auto const& it : std::vector{sent})
+    {
+        if (it.to == "c2")
+        {
+            link.take(node_id{"c2"}, {it.message.id, count(8)});
+        }
+    }
+    EXPECT_EQ(kind_of(*first), error_kind::not_leader);
+    EXPECT_EQ(reasons, std::vector{call_refusal::leader_changed});
+}
+
+// A read that has just been sent need not fail when a leader is elected.
+TEST_F(control_link_test, sends_a_fresh_read_to_the_new_leader)
+{
+    auto const read = start(workflow_action::state);
+    link.set_leader(node_id{"c2"});
+    clock.advance(milliseconds{60});
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_EQ(sent[1].to, "c2");
+    link.take(node_id{"c2"}, {sent[1].message.id, count(4)});
+    EXPECT_TRUE(*read && (*read)->has_value());
+}
+
+// Reads waited for their callers' timeouts while there was no leader.
+TEST_F(control_link_test, refuses_reads_soon_without_a_leader)
+{
+    auto const during_silence = start(workflow_action::state);
+    clock.advance(config::call_retry_interval + milliseconds{60});
+    EXPECT_EQ(kind_of(*during_silence), error_kind::not_leader);
+    clock.advance(config::leader_silence);
+    auto const later = start(workflow_action::state);
+    clock.advance(config::read_search_time + milliseconds{60});
+    EXPECT_EQ(kind_of(*later), error_kind::not_leader);
+
+    // Processes that know no leader are asked once each.
+    sent.clear();
+    auto const refused_by_all = start(workflow_action::state);
+    for (std::size_t n = 0; n < sent.size() && n < 10; ++n)
+    {
+        link.take(node_id{sent[n].to}, refused(sent[n].message.id, {}));
+    }
+    EXPECT_EQ(kind_of(*refused_by_all), error_kind::not_leader);
+    EXPECT_EQ(sent.size(), 3U);
+}
+
+// A loaded leader answers reads late; they must not fail for it.
+TEST_F(control_link_test, waits_for_a_slow_leader)
+{
+    link.set_leader(node_id{"c1"});
+    auto const read = start(workflow_action::state);
+    for (auto n = 0; n < 7; ++n)
+    {
+        clock.advance(milliseconds{100});
+        link.set_leader(node_id{"c1"}); // it answers other calls
+    }
+    EXPECT_FALSE(read->has_value());
+    EXPECT_EQ(sent.size(), 1U);
+    link.take(node_id{"c1"}, {sent[0].message.id, count(4)});
+    EXPECT_TRUE(*read && (*read)->has_value());
+}
+
+// Submissions waited at entries for seconds while no leader was there.
+TEST_F(control_link_test, refuses_new_submissions_without_a_leader)
+{
+    link.set_leader(node_id{"c1"});
+    // Answers that come late by less than the limit keep the door open.
+    for (auto n = 0; n < 5; ++n)
+    {
+        clock.advance(config::leader_silence - milliseconds{1});
+        start(workflow_action::submit);
+        EXPECT_EQ(sent.back().to, "c1");
+        link.take(node_id{"c1"}, {sent.back().message.id, count(0)});
+    }
+    EXPECT_TRUE(reasons.empty());
+    clock.advance(config::leader_silence);
+    sent.clear();
+    auto const refused_at_once = start(workflow_action::submit);
+    EXPECT_EQ(kind_of(*refused_at_once), error_kind::not_leader);
+    EXPECT_EQ(answer_of(error_kind::not_leader).ran, work_ran::no);
+    EXPECT_TRUE(sent.empty());
+    EXPECT_EQ(reasons, std::vector{call_refusal::leader_silent});
+    start(workflow_action::cancel);
+    EXPECT_EQ(sent.size(), 1U);
+    link.set_leader(node_id{"c2"});
+    start(workflow_action::submit);
+    EXPECT_EQ(sent.size(), 2U);
+}
+
+// A submission that a silent process may have taken must not be told as not
+// run, and one that all processes have refused need not be told as unknown.
+TEST_F(control_link_test, refuses_a_sent_submission_only_if_all_have_refused_it)
+{
+    auto const unanswered = start(workflow_action::submit);
+    auto const refused_by_all = start(workflow_action::submit);
+    auto const id = sent[1].message.id;
+    for (auto n = 0; n < 24; ++n)
+    {
+        for (auto const& it : std::exchange(sent, {}))
+        {
+            if (it.message.id == id || it.to != "c1")
+            {
+                link.take(node_id{it.to}, refused(it.message.id, {}));
+            }
+        }
+        clock.advance(milliseconds{50});
+        if (clock.now() >= time_point{config::leader_silence})
+        {
+            EXPECT_EQ(kind_of(*refused_by_all), error_kind::not_leader);
+        }
+    }
+    EXPECT_FALSE(unanswered->has_value());
+    clock.advance(seconds{2});
+    EXPECT_EQ(kind_of(*unanswered), error_kind::no_leader);
+    EXPECT_EQ(reasons, std::vector{call_refusal::not_accepted});
+}
+
 } // namespace
 } // namespace apricotlb
--- /dev/null
+++ b/tests/front_test.cpp
@@ -0,0 +1,58 @@
+#include "platform/front.hpp"
+
+#include "fake_entry.hpp"
+#include "paused_clock.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+struct silent_group
+{
+    using send_function = std::function<void(node_id const&, call const&)>;
+
+    paused_clock clock;
+    int sent{0};
+    control_link<paused_clock, send_function> link{
+        clock, [this](node_id const&, call const&) { ++sent; }, {node_id{"c"}}};
+
+    auto calls() -> auto& { return link; }
+};
+
+// While there is no leader, clients got a 504 after their whole timeout.
+TEST(front, refuses_submissions_at_once_without_a_leader)
+{
+    silent_group group;
+    fake_metrics metrics;
+    platform::front<silent_group, fake_metrics> front{group, metrics};
+    std::optional<http_answer> got;
+    http_request request;
+    request.method = "GET";
+    request.path = "/q";
+    front.handle(request, [&got](http_answer it) { got = std::move(it); });
+    group.clock.advance(config::leader_silence);
+    ASSERT_TRUE(got);
+    EXPECT_EQ(got->status, http_status{503});
+    EXPECT_EQ(group.sent, 1);
+
+    got.reset();
+    request.method = "POST";
+    request.path = "/q/a";
+    request.body = R"({"spec":"x","steps":[{"count":1}]})";
+    front.handle(request, [&got](http_answer it) { got = std::move(it); });
+    ASSERT_TRUE(got);
+    EXPECT_EQ(got->status, http_status{503});
+    EXPECT_NE(find_header(got->headers, "Retry-After"), nullptr);
+    EXPECT_EQ(group.sent, 1);
+    EXPECT_GE(metrics.of("apricotlb_refusals_total", "not_leader"), 2);
+}
+
+} // namespace
+} // namespace apricotlb
