Log the term and the contract versions of answered reads

Whether a read that showed older contracts came from another leader or from old state could not be told from the logs.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -12,6 +12,7 @@
 #include "core/group/membership.hpp"
 #include "core/leader/leader_state.hpp"
 #include "core/leader/overload_guard.hpp"
+#include "core/leader/read_report.hpp"
 #include "ports/clock.hpp"
 #include "ports/log_store.hpp"
 #include "ports/run_worker.hpp"
@@ -119,6 +120,13 @@
         workflows_.on_run_event(std::move(callback));
     }
 
+    /// Called on the leader every config::fleet_report_interval with the reads
+    /// that it has answered, if any.
+    auto on_reads(std::function<void(read_report const&)> callback) -> void
+    {
+        on_reads_ = std::move(callback);
+    }
+
     /// Called when this process has become the leader.
     auto on_leading(std::function<void(term)> callback) -> void
     {
@@ -254,6 +262,7 @@
             last_member_check_ = now;
             check_members(now);
         }
+        report_reads(now);
         if (!is_leader())
         {
             return;
@@ -326,6 +335,9 @@
     {
         metrics_.count("apricotlb_leadership_changes_total",
                        is_leading ? "gained" : "lost");
+        // A report is on the reads of one term.
+        next_read_report_ = {};
+        report_reads(clock_.now());
         if (is_leading)
         {
             leader_.emplace(machine_.state(), in_term, clock_.now(), policy_);
@@ -521,6 +533,10 @@
             refuse_call(error_kind::no_contracts, "no contracts are in force");
             return;
         }
+        if (request.action == workflow_action::state)
+        {
+            count_read();
+        }
         auto const found = contracts.match(request.host, request.path);
         if (!found)
         {
@@ -673,6 +689,7 @@
 
     auto serve(call_origin caller, query it) -> void
     {
+        count_read();
         auto text = read(it);
         if (text.has_error())
         {
@@ -764,6 +781,36 @@
 
     // Reads.
 
+    /// A read that shows older contracts than one before can be traced by the
+    /// reports: they tell which leader answered by which version.
+    auto count_read() -> void
+    {
+        auto const& current = machine_.state().contract_sets().current();
+        auto const version =
+            current ? current->version : contract_set_version{};
+        if (reads_.reads == 0)
+        {
+            reads_.in_term = replica_.status().log.in_term;
+            reads_.first = version;
+        }
+        ++reads_.reads;
+        reads_.last = version;
+    }
+
+    auto report_reads(time_point now) -> void
+    {
+        if (now < next_read_report_ || reads_.reads == 0)
+        {
+            return;
+        }
+        next_read_report_ = now + config::fleet_report_interval;
+        auto const out = std::exchange(reads_, {});
+        if (on_reads_)
+        {
+            on_reads_(out);
+        }
+    }
+
     auto read(query const& request) -> result<std::string>
     {
         auto const& state = machine_.state();
@@ -834,6 +881,9 @@
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
     std::function<void(term)> on_leading_;
+    std::function<void(read_report const&)> on_reads_;
+    read_report reads_;             ///< since the last report
+    time_point next_read_report_{}; ///< not before
     std::function<void(disk_event, std::string const&)> on_disk_event_;
     workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
