Keep the ages of work over a restart of the whole group

The time of a submission was kept in memory only. After a stop of all control processes thousands of old tasks counted as fresh and went before work that could still be in time: members that applied their log again took the time of that for the time of submission.

submit_workflow and workflow_record have the wall time of submission as a last, optional field. What it applies later is timed by its own loop as before, so that clocks that differ don't matter while a member follows.

control_role.knows_the_age_of_work_after_a_restart fails if the recorded time is ignored, and passes now; a clock that jumped back makes work fresh. The same fixture gets the test of the line `reads`.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -354,6 +354,9 @@
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
 inline constexpr duration fleet_report_interval = 1s;
+/// Bound on the age of a workflow by the wall clocks of two machines, which may
+/// jump. Older work is late whatever its queue allows.
+inline constexpr duration max_recorded_age = 600s;
 /// Events of runs that are logged in one report interval. A rack that is lost
 /// ends hundreds of runs at once, and each line costs the leader time.
 inline constexpr std::size_t max_logged_run_events = 64;
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -147,6 +147,8 @@
     auto start() -> result<void>
     {
         BOOST_OUTCOME_TRYV(replica_.start());
+        workflows_.set_log_at_start(
+            revision{replica_.status().log.last.value()});
         arm();
         return outcome::success();
     }
@@ -630,7 +632,8 @@
             return;
         }
         pending_submissions_[id].insert(caller);
-        command const request{submit_workflow{std::move(*spec), terms}};
+        command const request{
+            submit_workflow{std::move(*spec), terms, clock_.wall_now()}};
         replica_.propose(Codec::encode(request),
                          [this, id](result<log_index> const& done)
                          {
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -61,7 +61,7 @@
         stop();
         leader_term_ = in_term;
         scheduler_.emplace(state, fence_token{in_term.value()}, clock_.now(),
-                           policy_, submitted_);
+                           policy_, submitted_, clock_.wall_now());
         arm();
     }
 
@@ -132,12 +132,19 @@
                    : nullptr;
     }
 
+    /// To be called at the start of the process with the end of its log.
+    auto set_log_at_start(revision last) -> void { submitted_.set_start(last); }
+
     /// To be called for each command, whether this process leads or not.
     auto on_applied(command const& it, state_machine const& state) -> void
     {
         if (auto const* const submit = std::get_if<submit_workflow>(&it))
         {
-            submitted_.record(submit->spec.id, clock_.now());
+            auto const* const record = state.workflows().find(submit->spec.id);
+            if (record != nullptr)
+            {
+                submitted_.record(*record, clock_.now(), clock_.wall_now());
+            }
         }
         else if (std::holds_alternative<expire_workflows>(it))
         {
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -39,11 +39,11 @@
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
                              time_point now, fleet_policy policy,
-                             submission_times const& submitted)
+                             submission_times const& submitted, wall_time wall)
     : state_(state), fence_(fence), leading_since_(now), policy_(policy)
 {
     inherit_runs(now);
-    inherit_ages(submitted);
+    inherit_ages(submitted, now, wall);
     inherit_waits(now);
     for (auto& worker : workers_)
     {
@@ -86,14 +86,16 @@
 
 /// Occurrences that have a time of their own wait from then on, which is not
 /// known here.
-auto run_scheduler::inherit_ages(submission_times const& submitted) -> void
+auto run_scheduler::inherit_ages(submission_times const& submitted,
+                                 time_point now, wall_time wall) -> void
 {
     for (auto const& [id, record] : state_.workflows().live())
     {
-        auto const at = submitted.find(id);
-        if (at && record.spec.repeats.times.value() == 0)
+        if (record.spec.repeats.times.value() == 0)
         {
-            ready_since_[{record.accepted, {}}] = *at;
+            // A snapshot has brought what this process has not applied.
+            ready_since_[{record.accepted, {}}] =
+                submitted.find(id).value_or(now - recorded_age(record, wall));
         }
     }
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -106,7 +106,8 @@
     /// leader may last for one more lease length, as the workers' clocks count
     /// it.
     run_scheduler(state_machine const& state, fence_token fence, time_point now,
-                  fleet_policy policy, submission_times const& submitted = {});
+                  fleet_policy policy, submission_times const& submitted = {},
+                  wall_time wall = {});
 
     // Messages of workers (run_reports.cpp).
     /// `age` is the time since the announcement was received. Returns false
@@ -167,7 +168,8 @@
 
     // run_scheduler.cpp
     auto inherit_runs(time_point now) -> void;
-    auto inherit_ages(submission_times const& submitted) -> void;
+    auto inherit_ages(submission_times const& submitted, time_point now,
+                      wall_time wall) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
     auto find(worker_instance const& it) -> worker_entry*;
     auto target_of(identified_worker const& worker, time_point now) const
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -332,14 +332,20 @@
 {
     workflow_spec spec;
     queue_contract terms;
+    wall_time submitted{}; ///< 0 if not known
 
     static constexpr auto fields()
     {
         return field_list(field("spec", &submit_workflow::spec),
-                          field("terms", &submit_workflow::terms));
+                          field("terms", &submit_workflow::terms),
+                          field("submitted", &submit_workflow::submitted));
     }
 };
 
+/// Entries of earlier versions have no time of submission.
+template <>
+inline constexpr std::size_t optional_fields<submit_workflow> = 1;
+
 struct cancel_workflow
 {
     workflow_id id;
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -153,6 +153,7 @@
     record.spec = it.spec;
     record.terms = it.terms;
     record.accepted = at;
+    record.submitted = it.submitted;
     record.occurrences = initial_progress(it.spec);
     auto const& kept =
         live_.emplace(it.spec.id, std::move(record)).first->second;
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -90,6 +90,7 @@
     bool cancelled{false};
     bool failed{false};
     std::vector<occurrence_progress> occurrences;
+    wall_time submitted{}; ///< by the clock of the leader; 0 if not known
 
     [[nodiscard]] auto state() const -> workflow_state;
     /// True while runs of its tasks may start.
@@ -133,10 +134,15 @@
                           field("started", &workflow_record::started),
                           field("cancelled", &workflow_record::cancelled),
                           field("failed", &workflow_record::failed),
-                          field("occurrences", &workflow_record::occurrences));
+                          field("occurrences", &workflow_record::occurrences),
+                          field("submitted", &workflow_record::submitted));
     }
 };
 
+/// Snapshots of earlier versions have no times of submission.
+template <>
+inline constexpr std::size_t optional_fields<workflow_record> = 1;
+
 /// Record of a workflow after its end.
 struct ended_workflow
 {
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -14,8 +14,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace apricotlb
 {
@@ -49,9 +51,15 @@
 struct silent_run_workers
 {
     template <class Order, class Callback>
-    auto send(Order const& /*order*/, Callback const& /*done*/) -> void
+    auto send(Order const& order, Callback const& /*done*/) -> void
     {
+        if constexpr (std::is_same_v<Order, start_order>)
+        {
+            started.push_back(order.run.task.workflow);
+        }
     }
+
+    std::vector<workflow_id> started{};
 };
 
 /// A control process that is its own group and leads it.
@@ -61,9 +69,7 @@
     lone_leader()
     {
         clock_.advance(seconds{100});
-        EXPECT_TRUE(role_.start());
-        clock_.advance(seconds{1});
-        EXPECT_TRUE(role_.is_leader());
+        start();
         contract_set set;
         set.version = contract_set_version{1};
         set.pools.push_back({pool_name{"pool"}, true, false});
@@ -73,11 +79,20 @@
         queue.prefix = queue_path{"/"};
         queue.pool = pool_name{"pool"};
         queue.timeout = milliseconds{3000};
+        queue.target = milliseconds{5000};
         set.queues.push_back(queue);
         call(command{apply_contract_set{set}});
         clock_.advance(milliseconds{100});
     }
 
+    /// The process is lost and started again.
+    auto restart() -> void
+    {
+        role_.reset();
+        store_.emplace(disk_);
+        start();
+    }
+
     /// Sends a call and returns its id.
     template <class Body>
     auto call(Body body) -> call_id
@@ -89,13 +104,14 @@
     template <class Body>
     auto send(call_id id, Body body) -> void
     {
-        role_.take(node_id{"entry"}, apricotlb::call{id, std::move(body)});
+        role_->take(node_id{"entry"}, apricotlb::call{id, std::move(body)});
     }
 
     static auto submission(std::string const& id) -> workflow_call
     {
         workflow_spec spec;
         spec.steps.resize(1);
+        spec.steps[0].each.cores = millicores{1000};
         return {workflow_action::submit, host_name{"h"}, "/" + id, spec};
     }
 
@@ -128,11 +144,22 @@
     }
     [[nodiscard]] auto accepted() const -> std::size_t
     {
-        return role_.state().workflows().live().size();
+        return role_->state().workflows().live().size();
+    }
+    /// The workflows whose tasks were started, in order.
+    [[nodiscard]] auto started() const -> std::vector<workflow_id> const&
+    {
+        return runs_.started;
     }
+    [[nodiscard]] auto read_reports() const -> std::vector<read_report> const&
+    {
+        return read_reports_;
+    }
+    /// Each read of the wall clock is off by this from then on.
+    auto set_wall_error(seconds it) -> void { clock_.wall_error = it; }
     [[nodiscard]] auto keys() const -> std::size_t
     {
-        return role_.state().keys().size();
+        return role_->state().keys().size();
     }
     [[nodiscard]] auto metrics() const -> fake_metrics const&
     {
@@ -143,28 +170,34 @@
     paused_clock clock_;
     answer_list transport_;
     memory_disk disk_;
-    memory_log store_{disk_};
+    std::optional<memory_log> store_{disk_};
     silent_workers workers_;
     silent_run_workers runs_;
     fake_metrics metrics_;
     std::uint64_t last_id_{0};
-    control_role<paused_clock, answer_list, memory_log, silent_workers,
-                 silent_run_workers, msgpack_codec, snapshot_codec, json_codec,
-                 fake_metrics>
-        role_{clock_,
-              transport_,
-              store_,
-              workers_,
-              runs_,
-              metrics_,
-              {replica_options::builder{}
-                   .self(node_id{"a"})
-                   .bootstrap({{node_id{"a"}, {}, {}}})
-                   .build()
-                   .value(),
-               {},
-               {},
-               false}};
+    using role_type =
+        control_role<paused_clock, answer_list, memory_log, silent_workers,
+                     silent_run_workers, msgpack_codec, snapshot_codec,
+                     json_codec, fake_metrics>;
+
+    auto start() -> void
+    {
+        auto options = replica_options::builder{}
+                           .self(node_id{"a"})
+                           .bootstrap({{node_id{"a"}, {}, {}}})
+                           .build()
+                           .value();
+        role_.emplace(clock_, transport_, *store_, workers_, runs_, metrics_,
+                      control_options{std::move(options), {}, {}, false});
+        role_->on_reads([this](read_report const& it)
+                        { read_reports_.push_back(it); });
+        EXPECT_TRUE(role_->start());
+        clock_.advance(seconds{1});
+        EXPECT_TRUE(role_->is_leader());
+    }
+
+    std::vector<read_report> read_reports_;
+    std::optional<role_type> role_;
 };
 
 // A leader that goes on accepting work while it is late grows its backlog until
@@ -277,6 +310,65 @@
     EXPECT_EQ(it.accepted(), 2);
 }
 
+// The logs could not tell by which contracts, and in which term, a read was
+// answered.
+TEST(control_role, reports_the_terms_and_versions_of_reads)
+{
+    lone_leader it;
+    for (auto n = 0; n < 50; ++n)
+    {
+        it.call(query{query_kind::contract_set, {}, {}, {}});
+        it.call(workflow_call{workflow_action::state, host_name{"h"}, "/",
+                              std::nullopt});
+        it.run(milliseconds{100});
+    }
+    auto const& reports = it.read_reports();
+    ASSERT_GE(reports.size(), 4U);
+    EXPECT_LE(reports.size(), 6U);
+    for (auto const& each : reports)
+    {
+        EXPECT_EQ(each.in_term, term{1});
+        EXPECT_EQ(each.last, contract_set_version{1});
+    }
+    EXPECT_EQ(reports[1].reads, 20);
+}
+
+/// Lets two submissions wait for 40 s and for no time before a restart, and
+/// returns which of them a small worker gets first after it.
+auto first_after_restart(seconds wall_error) -> std::string
+{
+    lone_leader it;
+    it.call(lone_leader::submission("old"));
+    it.run(seconds{40});
+    it.call(lone_leader::submission("fresh"));
+    it.run(milliseconds{100});
+    it.set_wall_error(wall_error);
+    it.restart();
+    worker_announcement worker;
+    worker.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    worker.pool = pool_name{"pool"};
+    worker.capacity.cores = millicores{1000};
+    worker.number = sequence{1};
+    it.call(worker);
+    it.run(milliseconds{300});
+    EXPECT_EQ(it.accepted(), 2U);
+    return it.started().empty() ? "" : it.started().front().value();
+}
+
+// After a restart of the whole group all waiting work counted as fresh, and old
+// work went before work that could still be in time.
+TEST(control_role, knows_the_age_of_work_after_a_restart)
+{
+    EXPECT_EQ(first_after_restart(seconds{0}), "fresh");
+    EXPECT_EQ(first_after_restart(seconds{2}), "fresh");
+}
+
+// A wall clock that has jumped back must not make work younger than new.
+TEST(control_role, treats_work_from_the_future_as_fresh)
+{
+    EXPECT_EQ(first_after_restart(-seconds{100}), "old");
+}
+
 // One short turn of the loop does not mean that the overload is over.
 TEST(overload_guard, ends_an_overload_only_after_a_time_without_delays)
 {
--- a/tests/overload_order_test.cpp
+++ b/tests/overload_order_test.cpp
@@ -125,11 +125,12 @@
     spec.steps.push_back(fake_fleet::step(1));
     spec.id = workflow_id{"waiting"};
     state.apply(submit_workflow{spec, queue}, log_index{2});
-    submitted.record(spec.id, time_point{seconds{5}});
+    submitted.record(*state.workflows().find(spec.id), time_point{seconds{5}},
+                     wall_time{});
     time_point const now{seconds{25}};
     spec.id = workflow_id{"fresh"};
     state.apply(submit_workflow{spec, queue}, log_index{3});
-    submitted.record(spec.id, now);
+    submitted.record(*state.workflows().find(spec.id), now, wall_time{});
 
     run_scheduler leader{state, fence_token{2}, now, fleet_policy{}, submitted};
     worker_announcement it;
@@ -147,5 +148,34 @@
     EXPECT_EQ(placed[0].run.task.workflow, workflow_id{"fresh"});
 }
 
+// Wall clocks jump and differ between machines; no age may become absurd.
+TEST(overload_order, bounds_the_ages_that_the_log_records)
+{
+    workflow_record it;
+    auto const now = wall_time{seconds{1'700'000'000}};
+    EXPECT_EQ(recorded_age(it, now), duration{});
+    it.submitted = now - seconds{3};
+    EXPECT_EQ(recorded_age(it, now), duration{seconds{3}});
+    it.submitted = now + seconds{3};
+    EXPECT_EQ(recorded_age(it, now), duration{});
+    it.submitted = now - seconds{100'000};
+    EXPECT_EQ(recorded_age(it, now), config::max_recorded_age);
+
+    // Only what was in the log at the start gets its age from it: the clock of
+    // the leader may differ from that of a member that follows it.
+    submission_times times;
+    times.set_start(revision{1});
+    time_point const loop{seconds{50}};
+    it.submitted = now - seconds{3};
+    it.spec.id = workflow_id{"before"};
+    it.accepted = revision{1};
+    times.record(it, loop, now);
+    it.spec.id = workflow_id{"after"};
+    it.accepted = revision{2};
+    times.record(it, loop, now);
+    EXPECT_EQ(times.find(workflow_id{"before"}), loop - seconds{3});
+    EXPECT_EQ(times.find(workflow_id{"after"}), loop);
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/paused_clock.hpp
+++ b/tests/paused_clock.hpp
@@ -22,7 +22,8 @@
     [[nodiscard]] auto wall_now() const -> wall_time
     {
         return std::chrono::floor<seconds>(wall_time{seconds{1'700'000'000}} +
-                                           now_.time_since_epoch());
+                                           now_.time_since_epoch()) +
+               wall_error;
     }
 
     auto start_timer(duration after, std::function<void()> run) -> timer_id
@@ -54,6 +55,8 @@
     /// no timer runs meanwhile, and those that fall due run late.
     auto block(duration d) -> void { now_ += d; }
 
+    seconds wall_error{}; ///< added to the wall time
+
 private:
     time_point now_{};
     std::uint64_t last_timer_{0};
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -453,5 +453,73 @@
     }
 }
 
+/// A submission as versions without a time of submission wrote it.
+struct former_submission
+{
+    workflow_spec spec;
+    queue_contract terms;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("spec", &former_submission::spec),
+                          field("terms", &former_submission::terms));
+    }
+};
+
+/// The same for the record in a snapshot.
+struct former_record
+{
+    workflow_spec spec;
+    queue_contract terms;
+    revision accepted;
+    bool started{false};
+    bool cancelled{false};
+    bool failed{false};
+    std::vector<occurrence_progress> occurrences;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("spec", &former_record::spec),
+                          field("terms", &former_record::terms),
+                          field("accepted", &former_record::accepted),
+                          field("started", &former_record::started),
+                          field("cancelled", &former_record::cancelled),
+                          field("failed", &former_record::failed),
+                          field("occurrences", &former_record::occurrences));
+    }
+};
+
+// A log or a snapshot of the version before must not end the process.
+TEST(workflow_table, reads_submissions_without_a_time)
+{
+    former_submission command{{}, terms()};
+    command.spec.id = workflow_id{"a"};
+    auto const read =
+        msgpack_codec::decode<submit_workflow>(msgpack_codec::encode(command));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read.value().spec.id, workflow_id{"a"});
+    EXPECT_EQ(read.value().submitted, wall_time{});
+
+    former_record kept;
+    kept.spec.id = workflow_id{"b"};
+    kept.started = true;
+    auto const record =
+        msgpack_codec::decode<workflow_record>(msgpack_codec::encode(kept));
+    ASSERT_TRUE(record);
+    EXPECT_TRUE(record.value().started);
+    EXPECT_EQ(record.value().submitted, wall_time{});
+
+    // New ones keep their time through the log and a snapshot.
+    state_machine state;
+    submit_workflow const timed{command.spec, terms(), wall_time{seconds{7}}};
+    auto const again =
+        msgpack_codec::decode<submit_workflow>(msgpack_codec::encode(timed));
+    state.apply(again.value(), log_index{1});
+    auto const stored = msgpack_codec::decode<workflows_snapshot>(
+        msgpack_codec::encode(state.workflows().snapshot()));
+    ASSERT_EQ(stored.value().live.size(), 1U);
+    EXPECT_EQ(stored.value().live[0].submitted, wall_time{seconds{7}});
+}
+
 } // namespace
 } // namespace apricotlb
