Start copies of straggling tasks

A workflow waits for its last task, and three of a hundred tasks take seven times as long as the others. Steps may allow copies, and the state takes two runs of such a task, but nothing started the second one.

straggler_watch learns run times: the median of the ended tasks of a step, or else the declared run time times the 90th percentile of the ratios of the image. After a complete pass, run_scheduler starts a second run of a task that has lasted for more than twice that, on another worker and preferably in another rack, if no task of its pool waits for a worker and two more failed runs stay within the limit. The loser is stopped by the existing path as soon as the first end is recorded. Each decision and reason is an event with a counter, and the fleet line shows copies and stragglers.

The constant is config::copy_factor, since config::straggler_factor belongs to the other scheduler. Slow workers are not told apart from slow tasks.

platform_worker of the tests gets a rack that a test can set.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -414,6 +414,27 @@
 /// have ended, so most of the pool stays open to other work.
 inline constexpr permille max_workers_held_for_restarts{250};
 inline constexpr std::size_t max_runs_per_command = 256;
+/// A run of a workflow task is a straggler after this multiple of the usual run
+/// time of its step. Tasks of one step differ by some tens of percent, so that
+/// the slowest ordinary one stays below twice the median.
+inline constexpr std::int64_t copy_factor = 2;
+/// Least run time of a straggler: a copy costs a log entry and a start order.
+inline constexpr duration min_straggler_time = 300ms;
+/// Usual length of a straggler, as a multiple of the usual run time. A copy
+/// that starts when less than one usual run time is left comes too late.
+inline constexpr std::int64_t straggler_slowdown = 7;
+inline constexpr duration straggler_check_interval = 100ms;
+/// Copies that one pass of the planner starts. Each looks at all workers of its
+/// pool.
+inline constexpr std::size_t max_copies_per_pass = 8;
+/// Newest run times of a step, and newest ratios of seen to declared run times
+/// of an image, that are kept.
+inline constexpr std::size_t kept_run_times = 32;
+/// Ended tasks of the same step that make up its usual run time, and runs of an
+/// image that make up its ratio. Tasks of one step are close to each other,
+/// whereas the declared run times of steps are off by up to a factor of two.
+inline constexpr std::size_t min_step_run_times = 2;
+inline constexpr std::size_t min_image_run_times = 8;
 /// A worker that crashes within this time of the start of a run counts as
 /// crashed by it. Tasks that crash their worker do so at once; with 5 s,
 /// ordinary crashes of workers added up and failed accepted workflows.
--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -1,4 +1,5 @@
-/// Ends and stops of runs that no list of a worker explains.
+/// Ends and stops of runs that no list of a worker explains, and decisions on
+/// copies of straggling runs.
 #ifndef APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 
@@ -20,12 +21,25 @@
     missing,     ///< ended: its worker does not list it
     withdrawn,   ///< not started: no order for it can be carried out any more
     unrecorded,  ///< stopped: its worker lists it and the log does not
+    copied,      ///< a copy of a straggling run is proposed
+    copy_won,    ///< the copy has finished first
+    copy_lost,   ///< the first run has finished before its copy
+    // Reasons for no copy of a straggling run, at most once for each run.
+    copy_others_wait, ///< tasks of the same pool wait for room
+    copy_no_room,     ///< no other worker may take it
+    copy_no_evidence, ///< over its declared run time; no usual one is known
+    copy_ends_soon,   ///< a copy would probably end after the run
+    copy_failures,    ///< two failed runs could exceed max_failures
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 5> names{
-        "lease_over", "worker_gone", "missing", "withdrawn", "unrecorded"};
+    constexpr std::array<std::string_view, 13> names{
+        "lease_over",   "worker_gone",      "missing",
+        "withdrawn",    "unrecorded",       "copied",
+        "copy_won",     "copy_lost",        "copy_others_wait",
+        "copy_no_room", "copy_no_evidence", "copy_ends_soon",
+        "copy_failures"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -431,6 +431,7 @@
     -> void
 {
     pass.is_behind = true;
+    pass.behind.insert(std::get<pool_name>(search.key));
     if (std::exchange(search.has_failed, true))
     {
         return;
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -116,6 +116,7 @@
     if (was_tried &&
         (known->second == pass.now || !may_repeat_search(known->second, pass)))
     {
+        pass.behind.insert(pool_of(record));
         return;
     }
     auto const visits_before = pass.visits;
@@ -131,6 +132,7 @@
     else
     {
         failed_gangs_[gang] = pass.now;
+        pass.behind.insert(pool_of(record));
     }
 }
 
@@ -142,6 +144,7 @@
     out.ready_late = ready_by_worth_[1];
     out.ready_without_worth = ready_by_worth_[2];
     out.held = static_cast<std::int64_t>(held_.size());
+    out.stragglers = stragglers_;
     for (auto const& [id, worker] : workers_)
     {
         out.workers += worker.is_usable(now) ? 1 : 0;
@@ -157,6 +160,7 @@
         {
             out.inherited += held.phase == run_phase::inherited ? 1 : 0;
             out.unconfirmed += held.phase == run_phase::ordered ? 1 : 0;
+            out.copies += held.is_copy ? 1 : 0;
             if (held.phase == run_phase::running)
             {
                 ++out.running;
@@ -316,21 +320,20 @@
         held_.clear();
         failed_searches_.clear();
     }
-    if (fenced_ || state_.workflows().ready().empty() ||
-        unconfirmed_ >= config::max_unconfirmed_starts)
+    auto const stragglers = check_stragglers(now);
+    auto const has_work =
+        !state_.workflows().ready().empty() || !stragglers.empty();
+    if (fenced_ || !has_work || unconfirmed_ >= config::max_unconfirmed_starts)
     {
         waits_.begin_pass(pass_result::paused);
         return;
     }
     waits_.begin_pass(pass_result::unreached);
     auto pass = make_pass(now);
-    for (auto const& step : ranked_steps(now, wall))
-    {
-        if (!place_step(step, pass))
-        {
-            break;
-        }
-    }
+    auto const steps = ranked_steps(now, wall);
+    auto const is_complete = std::ranges::all_of(
+        steps, [&](ranked_step const& step) { return place_step(step, pass); });
+    place_copies(stragglers, is_complete, pass);
     end_holds(pass);
     is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
     was_cut_ = pass.is_cut;
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -456,7 +456,7 @@
     {
         process_running(worker, row, now);
     }
-    process_ended(worker, lists.ended);
+    process_ended(worker, lists.ended, now);
     if (lists.ended.size() < config::max_listed_ends)
     {
         process_absent(worker, poll_sent_at, now);
@@ -549,7 +549,8 @@
 }
 
 auto run_scheduler::process_ended(identified_worker& worker,
-                                  std::vector<ended_row> const& rows) -> void
+                                  std::vector<ended_row> const& rows,
+                                  time_point now) -> void
 {
     propose_ends proposal;
     end_number last_number;
@@ -564,6 +565,7 @@
         it->second.last_list = worker.second.last_list;
         if (it->second.phase != run_phase::ending)
         {
+            learn_run_time(row.run, it->second, now);
             it->second.phase = run_phase::ending;
             proposal.runs.push_back(row.run);
         }
@@ -588,6 +590,7 @@
     held.settled_at = now;
     worker.second.are_shares_stale = true;
     waits_.remove(run.task);
+    watch_run(run, held, now);
     if (held.scavenges)
     {
         interference_.started(worker.first, run, held.image, now);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -60,7 +60,7 @@
     {
         record.for_each_active(
             [&, &record = record, &spec = record.spec](
-                workflow_task const& task, task_progress const& /*progress*/,
+                workflow_task const& task, task_progress const& progress,
                 active_run const& run)
             {
                 auto& identified = *workers_.try_emplace(run.worker.id).first;
@@ -74,6 +74,7 @@
                 auto held = make_held_run(step, images_.ref(step.image),
                                           run_phase::inherited);
                 held.suspect = record.is_suspect(task);
+                held.is_copy = progress.active.front().number != run.number;
                 worker.add(name, std::move(held));
                 worker_of_run_[name] = &identified;
             });
@@ -408,6 +409,7 @@
     {
         for (auto const& ended : ends->runs)
         {
+            report_winner(ended);
             stop_unneeded_after(ended.run.task, now);
             stop_incomplete_gang(ended, now);
             begin_wait(ended.run.task, now);
@@ -573,6 +575,12 @@
     {
         auto& [id, worker] = *found->second;
         interference_.ended(id, run, now);
+        watch_.remove(run);
+        auto reported = reported_no_copy_.lower_bound({run, {}});
+        while (reported != reported_no_copy_.end() && reported->first == run)
+        {
+            reported = reported_no_copy_.erase(reported);
+        }
         worker.remove(run);
         worker_of_run_.erase(found);
         gain_room(worker);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -6,8 +6,8 @@
 /// runs there; an order without an answer may still be executed.
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
 /// messages of workers, run_contacts.cpp their repeated announcements, and
-/// run_plan.cpp the choice of tasks and workers, and run_waits.cpp says why a
-/// task is not placed.
+/// run_plan.cpp the choice of tasks and workers, run_copies.cpp the copies of
+/// straggling runs, and run_waits.cpp says why a task is not placed.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
@@ -16,6 +16,7 @@
 #include "core/fleet/effect_table.hpp"
 #include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
+#include "core/fleet/straggler_watch.hpp"
 #include "core/fleet/submission_times.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
@@ -85,6 +86,8 @@
     std::int64_t permanent{0};  ///< of the running ones
     std::int64_t scavenging{0}; ///< of the running ones
     std::int64_t slowed{0};     ///< of the scavenging ones
+    std::int64_t copies{0};     ///< second runs of tasks, in any phase
+    std::int64_t stragglers{0}; ///< runs, as of the last check
     std::int64_t free_cores{0}; ///< not reserved
     std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
@@ -277,7 +280,8 @@
     auto process_absent(identified_worker& worker, time_point sent,
                         time_point now) -> void;
     auto process_ended(identified_worker& worker,
-                       std::vector<ended_row> const& rows) -> void;
+                       std::vector<ended_row> const& rows, time_point now)
+        -> void;
     auto set_running(identified_worker& worker, task_run const& run,
                      held_run& held, time_point now) -> void;
     auto adjust_pace(identified_worker& worker, time_point now) -> void;
@@ -358,6 +362,7 @@
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
         std::size_t hold_visits{0};   ///< of them, to choose workers to hold
         bool is_behind{false};        ///< some task found no worker
+        std::set<pool_name> behind;   ///< pools with tasks without a worker
         bool is_cut{false};           ///< ended at its limit of visits
         effect_table effects;
     };
@@ -442,6 +447,35 @@
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
+    // run_copies.cpp
+    /// Watches a run that was seen on its worker if it may be copied.
+    auto watch_run(task_run const& run, held_run const& held, time_point now)
+        -> void;
+    /// Learns the run time of a run that has ended.
+    auto learn_run_time(ended_run const& ended, held_run const& held,
+                        time_point now) -> void;
+    /// The stragglers, if a check is due.
+    auto check_stragglers(time_point now) -> std::vector<straggler>;
+    /// Starts copies in room for which no task of the same pool waits.
+    /// `is_complete` says whether the pass has reached all waiting tasks.
+    auto place_copies(std::vector<straggler> const& stragglers,
+                      bool is_complete, plan_pass& pass) -> void;
+    /// Says why a straggler gets no copy whatever room there is; none if it
+    /// may get one or needs none.
+    [[nodiscard]] auto refusal_of_copy(straggler const& it,
+                                       workflow_record const& record) const
+        -> std::optional<run_event_kind>;
+    auto choose_copy_worker(identified_worker const& first,
+                            candidate_run const& candidate, plan_pass& pass)
+        -> identified_worker*;
+    /// True for an active run under way whose task has no other run and is no
+    /// suspect.
+    [[nodiscard]] auto needs_copy(task_run const& run) const -> bool;
+    /// Reports a reason once for each run.
+    auto report_no_copy(run_event_kind reason, task_run const& run) -> void;
+    /// Reports which of two runs of a task has finished first.
+    auto report_winner(ended_run const& ended) -> void;
+
     // run_waits.cpp
     auto begin_wait(workflow_task const& task, time_point now) -> void;
     auto inherit_waits(time_point now) -> void;
@@ -480,6 +514,12 @@
     /// When gangs that found no workers were tried, by their first task.
     std::map<workflow_task, time_point> failed_gangs_;
     restart_waits waits_;
+    straggler_watch watch_;
+    time_point stragglers_checked_at_{};
+    time_point watch_pruned_at_{};
+    std::int64_t stragglers_{0}; ///< as of the last check
+    /// Reasons for no copy that were reported for runs with a reservation.
+    std::set<std::pair<task_run, run_event_kind>> reported_no_copy_;
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -69,6 +69,7 @@
     milliseconds latency_target{};
     bool permanent{false};
     bool scavenges{false};
+    bool is_copy{false}; ///< another run of its task was active at its start
     /// A start order got no answer, so that it may still be executed later.
     bool start_unconfirmed{false};
     bool order_in_flight{false};
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -50,6 +50,8 @@
     /// What tasks need and how their runs go; set by the test.
     std::function<run(std::string const& task)> behaviour;
 
+    std::string rack{"r1"};
+
     /// Starts also what exceeds the capacity.
     bool accepts_everything{false};
 
@@ -126,9 +128,11 @@
     auto restart(std::int64_t incarnation_number, time_point now) -> void
     {
         auto const accepts = accepts_everything;
+        auto const same_rack = rack;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         accepts_everything = accepts;
+        rack = same_rack;
         started_ = now;
     }
 
@@ -143,8 +147,7 @@
             {"seq", {static_cast<std::int64_t>(clock(now) + 1)}},
             {"born", {born_}},
             {"clock_ms", {clock(now)}},
-            {"labels",
-             {json_value::array{{std::string{"a"}}, {std::string{"r1"}}}}},
+            {"labels", {json_value::array{{std::string{"a"}}, {rack}}}},
             {"capacity",
              {json_value::object{{"cpu", {cpu_}},
                                  {"mem_mb", {std::int64_t{64'000}}}}}}}});
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -394,6 +394,33 @@
     return out;
 }
 
+// With two runs of a task, the end of one made the task ready, so that a third
+// run started beside the other one, or after the task had finished.
+TEST(workflow_table, makes_a_task_with_two_runs_ready_after_both_ends_only)
+{
+    auto copied = step(1);
+    copied.allows_copies = true;
+    for (auto const how : {run_end::finished, run_end::failed, run_end::lost,
+                           run_end::stopped, run_end::crashed})
+    {
+        for (std::uint32_t first = 1; first <= 2; ++first)
+        {
+            one_workflow it{{copied, step(1)}};
+            it.start(it.run(0, 0, 1));
+            it.start(it.run(0, 0, 2));
+            it.start(it.run(0, 0, 3));
+            EXPECT_FALSE(it.state.workflows().is_active(it.run(0, 0, 3)));
+            EXPECT_EQ(it.ready(), 1U);
+            it.end(it.run(0, 0, first), how);
+            EXPECT_EQ(it.ready(), 1U);
+            EXPECT_TRUE(
+                it.state.workflows().is_active(it.run(0, 0, 3 - first)));
+            it.end(it.run(0, 0, 3 - first), run_end::stopped);
+            EXPECT_EQ(it.ready(), how == run_end::finished ? 1U : 2U);
+        }
+    }
+}
+
 // The ready tasks follow each end instead of being collected anew. One that is
 // left out never runs; one too many runs twice or before its input exists.
 TEST(workflow_table, keeps_the_ready_tasks_that_a_restart_would_find)
