Take evacuations of data centres from operators

Operators could not ask that nothing more is sent to a data centre. The leader answers once the entry is committed, and answers a repetition from the state unless another such request is pending. Operators' commands may use 64 reserved places of the queue of proposals.

Result: control_role and control_api tests pass; without the reserve the evacuation is refused with queue_full while callers fill the queue.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -71,6 +71,10 @@
 /// queue_full.
 inline constexpr std::size_t max_pending_proposals = 16 * kib;
 inline constexpr std::size_t max_pending_bytes = 16 * mib;
+/// Proposals of operators beyond these limits, so that the work of callers does
+/// not keep a configuration or an evacuation out of a full queue.
+inline constexpr std::size_t reserved_proposals = 64;
+inline constexpr std::size_t reserved_proposal_bytes = 2 * mib;
 /// A snapshot is taken after this many entries or bytes of entries, whichever
 /// is reached first.
 inline constexpr std::size_t snapshot_entries = 100'000;
@@ -130,6 +134,10 @@
 /// A larger body is left out of the outcome recorded for an idempotency key.
 inline constexpr byte_count max_recorded_body{64 * kib};
 inline constexpr std::size_t max_key_length = 128; ///< in bytes
+/// Bounds of the replicated set of evacuated data centres. Workers announce
+/// names of up to the same length.
+inline constexpr std::size_t max_data_centre_name = 128; ///< in bytes
+inline constexpr std::size_t max_evacuations = 64;
 
 /// Buffered bytes of a body per direction above which reading stops.
 inline constexpr std::size_t body_buffer_bytes = 64 * kib;
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -299,6 +299,12 @@
                                               url{request.arguments.at(1)}})};
     case members_remove:
         return remove("/v1/members/" + argument(0));
+    case data_centre_list:
+        return get("/v1/evacuation");
+    case data_centre_evacuate:
+        return api_request{"POST", "/v1/evacuation/" + argument(0)};
+    case data_centre_return:
+        return remove("/v1/evacuation/" + argument(0));
     case explain:
     {
         BOOST_OUTCOME_TRY(path, explain_path(request.arguments.at(0)));
--- a/src/app/cli_args.cpp
+++ b/src/app/cli_args.cpp
@@ -16,7 +16,7 @@
 
 using enum cli_command;
 
-constexpr std::array<command_info, 23> commands{{
+constexpr std::array<command_info, 26> commands{{
     {control, "control", "FILE", "Run a control process."},
     {entry, "entry", "FILE", "Run an entry process."},
     {standalone, "standalone", "FILE", "Run both roles in one process."},
@@ -42,6 +42,12 @@
     {members_list, "members list", "", "List voters and learners."},
     {members_add, "members add", "ID ADDRESS", "Add a control process."},
     {members_remove, "members remove", "ID", "Remove a control process."},
+    {data_centre_list, "data-centre list", "",
+     "List data centres and which of them are evacuated."},
+    {data_centre_evacuate, "data-centre evacuate", "NAME",
+     "Start nothing more on the workers of a data centre."},
+    {data_centre_return, "data-centre return", "NAME",
+     "Start work on the workers of a data centre again."},
     {explain, "explain", "TASK",
      "Show why a task (JOB/INDEX) waits or runs where it does."},
     {metrics, "metrics", "", "Print the metrics of the server."},
--- a/src/app/cli_args.hpp
+++ b/src/app/cli_args.hpp
@@ -40,6 +40,9 @@
     members_list,
     members_add,
     members_remove,
+    data_centre_list,
+    data_centre_evacuate,
+    data_centre_return,
     explain,
     metrics,
 };
--- a/src/app/command_check.cpp
+++ b/src/app/command_check.cpp
@@ -1,5 +1,7 @@
 #include "app/command_check.hpp"
 
+#include "core/state/evacuation_registry.hpp"
+
 #include <variant>
 
 namespace apricotlb
@@ -23,6 +25,14 @@
     {
         return check(set->value);
     }
+    if (auto const* const evacuation = std::get_if<evacuate_data_centre>(&it))
+    {
+        return check_data_centre(evacuation->zone);
+    }
+    if (auto const* const withdrawal = std::get_if<return_data_centre>(&it))
+    {
+        return check_data_centre(withdrawal->zone);
+    }
     return outcome::success();
 }
 
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -21,6 +21,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -434,9 +435,44 @@
         {
             key->at = clock_.wall_now();
         }
+        if (std::holds_alternative<evacuate_data_centre>(request) ||
+            std::holds_alternative<return_data_centre>(request))
+        {
+            change_evacuation(caller, request);
+            return;
+        }
         propose_for(caller, request);
     }
 
+    /// Answers a request that the state already holds without another entry,
+    /// unless one that is still pending may reverse it.
+    auto change_evacuation(call_origin const& caller, command const& it) -> void
+    {
+        auto const& state = machine_.state();
+        if (pending_evacuations_ == 0 && state.evacuations().is_in_effect(it))
+        {
+            metrics_.count(metric::evacuations, "repeated");
+            apply_result out;
+            out.at = revision{state.applied().value()};
+            answer(caller, std::move(out));
+            return;
+        }
+        auto const* const label =
+            std::holds_alternative<evacuate_data_centre>(it) ? "evacuated"
+                                                             : "returned";
+        ++pending_evacuations_;
+        replica_.propose(
+            Codec::encode(it),
+            [this, caller, label](result<log_index> const& done)
+            {
+                --pending_evacuations_;
+                metrics_.count(metric::evacuations,
+                               done ? label : name_of(done.error().kind));
+                answer_proposal(caller, done);
+            },
+            proposal_origin::system_operator);
+    }
+
     auto serve(call_origin caller, backend_announcement it) -> void
     {
         leader_->on_announce(it, clock_.now());
@@ -654,9 +690,20 @@
     /// Proposes a command and answers its caller once it has been applied.
     auto propose_for(call_origin const& caller, command const& it) -> void
     {
-        replica_.propose(Codec::encode(it),
-                         [this, caller](result<log_index> const& done)
-                         { answer_proposal(caller, done); });
+        replica_.propose(
+            Codec::encode(it),
+            [this, caller](result<log_index> const& done)
+            { answer_proposal(caller, done); },
+            origin_of(it));
+    }
+
+    static auto origin_of(command const& it) -> proposal_origin
+    {
+        return std::holds_alternative<apply_contract_set>(it) ||
+                       std::holds_alternative<apply_contract>(it) ||
+                       std::holds_alternative<remove_contract>(it)
+                   ? proposal_origin::system_operator
+                   : proposal_origin::caller;
     }
 
     auto answer_proposal(call_origin const& caller,
@@ -789,6 +836,9 @@
                 return current->document;
             }
             return fail(error_kind::no_contracts, "no contracts are in force");
+        case query_kind::data_centres:
+            return Json::encode(
+                make_data_centres(state, workflows_.scheduler()));
         case query_kind::status:
         case query_kind::metrics:
             break;
@@ -842,6 +892,8 @@
     /// Callers to answer once a proposed workflow has been committed.
     std::map<workflow_id, std::set<call_origin>> pending_submissions_;
     std::map<call_origin, refused_submission> refused_submissions_;
+    /// Proposed commands on evacuations whose outcome is open.
+    std::size_t pending_evacuations_{0};
     time_point last_key_expiry_{};
     bool is_expiring_keys_{false}; ///< keys that are due may be left
     time_point last_member_check_{};
--- a/src/app/control_views.cpp
+++ b/src/app/control_views.cpp
@@ -1,7 +1,10 @@
 #include "app/control_views.hpp"
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string_view>
+#include <utility>
 
 namespace apricotlb
 {
@@ -115,6 +118,45 @@
     return out;
 }
 
+auto make_data_centres(state_machine const& state,
+                       std::optional<run_scheduler> const& scheduler)
+    -> std::vector<data_centre_view>
+{
+    std::map<zone_id, data_centre_view> by_name;
+    for (auto const& zone : state.evacuations().all())
+    {
+        by_name[zone].evacuated = true;
+    }
+    for (auto const& [id, worker] : state.workers().all())
+    {
+        auto& it = by_name[worker.info.zone];
+        ++it.workers;
+        it.runs += count(worker.attempts.size());
+    }
+    if (scheduler)
+    {
+        for (auto const& [id, worker] : scheduler->workers())
+        {
+            if (worker.info)
+            {
+                auto& it = by_name[worker.info->zone];
+                ++it.workers;
+                it.runs += count(worker.runs.size());
+                it.permanent += task_count{
+                    std::ranges::count_if(worker.runs, [](auto const& each)
+                                          { return each.second.permanent; })};
+            }
+        }
+    }
+    std::vector<data_centre_view> out;
+    for (auto& [name, it] : by_name)
+    {
+        it.name = name;
+        out.push_back(std::move(it));
+    }
+    return out;
+}
+
 auto make_members(replica_status const& log) -> std::vector<member_view>
 {
     std::vector<member_view> out;
--- a/src/app/control_views.hpp
+++ b/src/app/control_views.hpp
@@ -4,6 +4,7 @@
 #define APRICOTLB_APP_CONTROL_VIEWS_HPP
 
 #include "app/replica.hpp"
+#include "core/fleet/run_scheduler.hpp"
 #include "core/leader/leader_state.hpp"
 #include "core/state/state_machine.hpp"
 
@@ -151,6 +152,25 @@
     }
 };
 
+/// One data centre that is evacuated or has workers.
+struct data_centre_view
+{
+    zone_id name;
+    bool evacuated{false};
+    task_count workers;   ///< known to the leader
+    task_count runs;      ///< that hold a reservation there
+    task_count permanent; ///< of them, runs of permanent tasks
+
+    static constexpr auto fields()
+    {
+        return field_list(field("name", &data_centre_view::name),
+                          field("evacuated", &data_centre_view::evacuated),
+                          field("workers", &data_centre_view::workers),
+                          field("runs", &data_centre_view::runs),
+                          field("permanent", &data_centre_view::permanent));
+    }
+};
+
 [[nodiscard]] auto make_status(node_id const& self, replica_status const& log,
                                state_machine const& state, leader_state& leader,
                                time_point now) -> status_view;
@@ -173,6 +193,12 @@
 
 [[nodiscard]] auto make_job(job_record const& it) -> job_view;
 
+/// By name. Evacuated data centres are listed without known workers too.
+[[nodiscard]] auto
+make_data_centres(state_machine const& state,
+                  std::optional<run_scheduler> const& scheduler)
+    -> std::vector<data_centre_view>;
+
 [[nodiscard]] auto make_members(replica_status const& log)
     -> std::vector<member_view>;
 
--- a/src/app/entry_api.hpp
+++ b/src/app/entry_api.hpp
@@ -9,6 +9,7 @@
 #include "core/entry/api_route.hpp"
 #include "core/entry/entry_view.hpp"
 #include "core/messages.hpp"
+#include "core/state/evacuation_registry.hpp"
 
 #include <apricotlb/config.hpp>
 #include <apricotlb/result.hpp>
@@ -148,6 +149,10 @@
         case register_worker:
             post_worker(message, std::move(done));
             return;
+        case evacuate_data_centre:
+        case return_data_centre:
+            change_evacuation(action, path_parameters, std::move(done));
+            return;
         case report_worker:
             post_report(path_parameters, message, std::move(done));
             return;
@@ -394,6 +399,27 @@
         link_.start(std::move(report).value(), std::move(on_answer));
     }
 
+    // Data centres.
+
+    auto change_evacuation(api_action action, parameters const& path_parameters,
+                           reply done) -> void
+    {
+        auto name = decode_path_part(path_parameters.at(0));
+        zone_id zone{std::move(name).value_or(std::string{})};
+        if (auto const checked = check_data_centre(zone); checked.has_error())
+        {
+            done(outcome::failure(checked.error()));
+            return;
+        }
+        if (action == api_action::evacuate_data_centre)
+        {
+            submit(apricotlb::evacuate_data_centre{std::move(zone)},
+                   std::move(done));
+            return;
+        }
+        submit(apricotlb::return_data_centre{std::move(zone)}, std::move(done));
+    }
+
     // Queries.
 
     auto answer_query(api_action action, parameters const& path_parameters,
@@ -419,6 +445,9 @@
         case list_members:
             request.kind = query_kind::members;
             break;
+        case list_data_centres:
+            request.kind = query_kind::data_centres;
+            break;
         case api_action::metrics:
             done(api_response{http_status{200}, "text/plain; version=0.0.4",
                               metrics_.text()});
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -113,6 +113,13 @@
     duration longest_delay{};
 };
 
+/// Whose command a proposal is.
+enum class proposal_origin : std::uint8_t
+{
+    caller,
+    system_operator, ///< may use the reserved places of the queue
+};
+
 /// What a replica does because its disk is full, or nearly so.
 enum class disk_event : std::uint8_t
 {
@@ -188,7 +195,8 @@
     /// command was applied on this replica; with no_leader if the outcome is
     /// unknown; or immediately with another error if the command was not
     /// proposed.
-    auto propose(encoded payload, completion callback) -> void;
+    auto propose(encoded payload, completion callback,
+                 proposal_origin origin = proposal_origin::caller) -> void;
     /// Adds, promotes or removes a member; the callback runs as for propose().
     /// A learner that has caught up is promoted automatically.
     auto change_member(member_change const& change, completion callback)
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -81,9 +81,8 @@
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::propose(encoded payload,
-                                                           completion callback)
-    -> void
+auto replica<Clock, Transport, LogStore, Machine>::propose(
+    encoded payload, completion callback, proposal_origin origin) -> void
 {
     if (failure_ || !core_)
     {
@@ -93,8 +92,15 @@
     }
     if (core_->role() == raft_role::leader)
     {
-        if (pending_.size() >= config::max_pending_proposals ||
-            pending_bytes_ + payload.size() > config::max_pending_bytes)
+        auto const has_reserve = origin == proposal_origin::system_operator;
+        auto const max_proposals =
+            config::max_pending_proposals +
+            (has_reserve ? config::reserved_proposals : 0);
+        auto const max_bytes =
+            config::max_pending_bytes +
+            (has_reserve ? config::reserved_proposal_bytes : 0);
+        if (pending_.size() >= max_proposals ||
+            pending_bytes_ + payload.size() > max_bytes)
         {
             callback(
                 fail(error_kind::queue_full, "too many proposals are pending"));
--- a/src/core/entry/api_route.cpp
+++ b/src/core/entry/api_route.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstddef>
+#include <system_error>
 
 namespace apricotlb
 {
@@ -55,6 +57,9 @@
     api_rule{withdraw_backend,   "DELETE", "/v1/backends/{}",        platform},
     api_rule{register_worker,  "POST",   "/v1/workers",            platform},
     api_rule{report_worker,    "POST",   "/v1/workers/{}/report",  platform},
+    api_rule{list_data_centres,    "GET",    "/v1/evacuation",       operators},
+    api_rule{evacuate_data_centre, "POST",   "/v1/evacuation/{}",    operators},
+    api_rule{return_data_centre,   "DELETE", "/v1/evacuation/{}",    operators},
     // clang-format on
 };
 
@@ -132,6 +137,33 @@
     return (rule->roles & role_bit(role)) != 0;
 }
 
+auto decode_path_part(std::string_view part) -> std::optional<std::string>
+{
+    std::string out;
+    while (!part.empty())
+    {
+        auto const c = part.front();
+        part.remove_prefix(1);
+        if (c != '%')
+        {
+            out += c;
+            continue;
+        }
+        constexpr std::size_t digits = 2;
+        constexpr auto base = 16;
+        unsigned code{0};
+        auto const* const end = part.data() + std::min(digits, part.size());
+        auto const [parsed, ec] = std::from_chars(part.data(), end, code, base);
+        if (ec != std::errc{} || parsed != part.data() + digits)
+        {
+            return std::nullopt;
+        }
+        out += static_cast<char>(code);
+        part.remove_prefix(digits);
+    }
+    return out;
+}
+
 auto query_parameter(std::string_view query, std::string_view name)
     -> std::optional<std::string>
 {
--- a/src/core/entry/api_route.hpp
+++ b/src/core/entry/api_route.hpp
@@ -38,6 +38,9 @@
     withdraw_backend,
     register_worker,
     report_worker,
+    list_data_centres,
+    evacuate_data_centre,
+    return_data_centre,
 };
 
 /// Role of a caller, decided by the token that it sent.
@@ -63,6 +66,10 @@
 /// True when the role may take the action.
 [[nodiscard]] auto is_allowed(api_role role, api_action action) -> bool;
 
+/// Decodes the percent-encoding of one part of a path; none if it is malformed.
+[[nodiscard]] auto decode_path_part(std::string_view part)
+    -> std::optional<std::string>;
+
 /// The value of a query parameter, still percent-encoded.
 [[nodiscard]] auto query_parameter(std::string_view query,
                                    std::string_view name)
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -292,10 +292,11 @@
     members,
     metrics,
     contract_set, ///< document of the contract set in force
+    data_centres,
 };
 
 template <>
-inline constexpr auto last_enumerator<query_kind> = query_kind::contract_set;
+inline constexpr auto last_enumerator<query_kind> = query_kind::data_centres;
 
 /// A read of the leader's state; the answer is text in JSON.
 struct query
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -417,6 +417,30 @@
     }
 };
 
+/// Asks that no run starts on the workers of a data centre. Succeeds without a
+/// change for one that is evacuated already.
+struct evacuate_data_centre
+{
+    zone_id zone;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("zone", &evacuate_data_centre::zone));
+    }
+};
+
+/// Withdraws the evacuation of a data centre. Succeeds without a change for one
+/// that is not evacuated.
+struct return_data_centre
+{
+    zone_id zone;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("zone", &return_data_centre::zone));
+    }
+};
+
 /// A command in the log. The order of the alternatives is part of the format,
 /// so new ones are added at the end.
 using command =
@@ -424,7 +448,8 @@
                  place_task, end_attempt, begin_key, finish_key, release_key,
                  end_session, expire_keys, register_worker, retire_worker,
                  save_interference, apply_contract_set, submit_workflow,
-                 cancel_workflow, start_runs, end_runs, expire_workflows>;
+                 cancel_workflow, start_runs, end_runs, expire_workflows,
+                 evacuate_data_centre, return_data_centre>;
 
 /// State of a key, as sent to the entry that began or finished it.
 struct key_status
--- a/src/core/state/state_machine.cpp
+++ b/src/core/state/state_machine.cpp
@@ -20,7 +20,8 @@
       workers_(from.workers), jobs_(std::move(from.jobs), workers_),
       keys_(std::move(from.keys)), interference_(std::move(from.interference)),
       contract_sets_(std::move(from.contract_sets)),
-      workflows_(std::move(from.workflows))
+      workflows_(std::move(from.workflows)),
+      evacuations_(std::move(from.evacuated))
 {
 }
 
@@ -72,6 +73,10 @@
         {
             return workflows_.apply(body, at, contract_sets_);
         }
+        else if constexpr (one_of<T, evacuate_data_centre, return_data_centre>)
+        {
+            return evacuations_.apply(body, at);
+        }
         else
         {
             static_assert(one_of<T, save_interference>);
@@ -93,7 +98,8 @@
             keys_.snapshot(),
             interference_,
             contract_sets_.current(),
-            workflows_.snapshot()};
+            workflows_.snapshot(),
+            evacuations_.snapshot()};
 }
 
 } // namespace apricotlb
--- a/src/core/state/state_machine.hpp
+++ b/src/core/state/state_machine.hpp
@@ -5,11 +5,13 @@
 #include "core/state/commands.hpp"
 #include "core/state/contract_registry.hpp"
 #include "core/state/contract_set_registry.hpp"
+#include "core/state/evacuation_registry.hpp"
 #include "core/state/job_table.hpp"
 #include "core/state/key_registry.hpp"
 #include "core/state/worker_registry.hpp"
 #include "core/state/workflow_table.hpp"
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -28,6 +30,7 @@
     std::vector<interference_entry> interference;
     std::optional<contract_set> contract_sets; ///< the current one, if any
     workflows_snapshot workflows;
+    std::vector<zone_id> evacuated; ///< data centres, in order
 
     static constexpr auto fields()
     {
@@ -39,10 +42,14 @@
             field("keys", &state_snapshot::keys),
             field("interference", &state_snapshot::interference),
             field("contract_sets", &state_snapshot::contract_sets),
-            field("workflows", &state_snapshot::workflows));
+            field("workflows", &state_snapshot::workflows),
+            field("evacuated", &state_snapshot::evacuated));
     }
 };
 
+template <>
+inline constexpr std::size_t optional_fields<state_snapshot> = 1;
+
 /// Applies commands deterministically: the same commands at the same indices
 /// give the same state and answers on every replica. The revision of a change
 /// is its log index.
@@ -79,6 +86,10 @@
     {
         return workflows_;
     }
+    [[nodiscard]] auto evacuations() const -> evacuation_registry const&
+    {
+        return evacuations_;
+    }
     [[nodiscard]] auto interference() const
         -> std::vector<interference_entry> const&
     {
@@ -94,6 +105,7 @@
     std::vector<interference_entry> interference_;
     contract_set_registry contract_sets_;
     workflow_table workflows_;
+    evacuation_registry evacuations_;
 };
 
 } // namespace apricotlb
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -29,6 +29,7 @@
 inline constexpr std::string_view disk_events = "apricotlb_disk_events_total";
 inline constexpr std::string_view run_ends = "apricotlb_run_ends_total";
 inline constexpr std::string_view run_events = "apricotlb_run_events_total";
+inline constexpr std::string_view evacuations = "apricotlb_evacuations_total";
 inline constexpr std::string_view backend_latency =
     "apricotlb_backend_latency_seconds";
 } // namespace metric
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -177,6 +177,9 @@
         {{"members", "list"}, "GET /v1/members"},
         {{"members", "add", "c4", "127.0.0.1:1"}, "POST /v1/members"},
         {{"members", "remove", "c4"}, "DELETE /v1/members/c4"},
+        {{"data-centre", "list"}, "GET /v1/evacuation"},
+        {{"data-centre", "evacuate", "a b"}, "POST /v1/evacuation/a%20b"},
+        {{"data-centre", "return", "a"}, "DELETE /v1/evacuation/a"},
         {{"explain", "j/7"}, "GET /v1/explain/j/7"},
         {{"metrics"}, "GET /metrics"},
     };
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -134,6 +134,20 @@
     {
         return role_.state().keys().size();
     }
+    [[nodiscard]] auto state() const -> state_machine const&
+    {
+        return role_.state();
+    }
+    /// The kind of a refusal by the check or the state, if there was one.
+    [[nodiscard]] auto refused(call_id id) const -> std::optional<error_kind>
+    {
+        return std::get<apply_result>(transport_.answers.at(id).body).refused;
+    }
+    /// The text that answers a query.
+    [[nodiscard]] auto text(call_id id) const -> std::string
+    {
+        return std::get<query_answer>(transport_.answers.at(id).body).json;
+    }
     [[nodiscard]] auto metrics() const -> fake_metrics const&
     {
         return metrics_;
@@ -277,6 +291,92 @@
     EXPECT_EQ(it.accepted(), 2);
 }
 
+// An evacuation that is acknowledged before its commit is gone with the leader;
+// one that needs an entry for each repetition fills the log.
+TEST(control_role, answers_an_evacuation_once_committed_and_again_without_entry)
+{
+    lone_leader it;
+    command const request{evacuate_data_centre{zone_id{"a"}}};
+    auto const first = it.call(request);
+    EXPECT_FALSE(it.is_answered(first));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refused(first), std::nullopt);
+    EXPECT_TRUE(it.state().evacuations().contains(zone_id{"a"}));
+
+    auto const applied = it.state().applied();
+    auto const again = it.call(request);
+    ASSERT_TRUE(it.is_answered(again));
+    EXPECT_EQ(it.refused(again), std::nullopt);
+    auto const other = it.call(command{return_data_centre{zone_id{"b"}}});
+    EXPECT_EQ(it.refused(other), std::nullopt);
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.state().applied(), applied);
+    EXPECT_EQ(it.metrics().of("apricotlb_evacuations_total", "evacuated"), 1);
+    EXPECT_EQ(it.metrics().of("apricotlb_evacuations_total", "repeated"), 2);
+
+    query request_list;
+    request_list.kind = query_kind::data_centres;
+    EXPECT_NE(it.text(it.call(request_list)).find(R"("evacuated":true)"),
+              std::string::npos);
+}
+
+// A return that is acknowledged from the state while the evacuation before it
+// waits for its commit would leave the data centre evacuated.
+TEST(control_role, takes_a_return_after_an_evacuation_that_is_not_committed)
+{
+    lone_leader it;
+    auto const first = it.call(command{evacuate_data_centre{zone_id{"a"}}});
+    auto const second = it.call(command{return_data_centre{zone_id{"a"}}});
+    EXPECT_FALSE(it.is_answered(second));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refused(first), std::nullopt);
+    EXPECT_EQ(it.refused(second), std::nullopt);
+    EXPECT_EQ(it.state().evacuations().size(), 0U);
+}
+
+// A leader that is behind refuses new work; an operator must still be able to
+// empty a data centre then.
+TEST(control_role, takes_an_evacuation_while_it_is_behind)
+{
+    lone_leader it;
+    it.stall(config::scheduler_tick + config::overload_delay);
+    auto const call = it.call(command{evacuate_data_centre{zone_id{"a"}}});
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refused(call), std::nullopt);
+}
+
+// Callers that fill the queue of proposals must not keep an operator out.
+TEST(control_role, takes_an_evacuation_while_the_queue_of_proposals_is_full)
+{
+    lone_leader it;
+    // Nothing is committed before the loop goes on.
+    call_id last;
+    for (std::size_t n = 0; n <= config::max_pending_proposals; ++n)
+    {
+        last = it.call(command{end_session{{node_id{"e"}, incarnation{n}}}});
+    }
+    ASSERT_TRUE(it.is_answered(last));
+    EXPECT_EQ(it.refusal(last), error_kind::queue_full);
+    auto const call = it.call(command{evacuate_data_centre{zone_id{"a"}}});
+    EXPECT_FALSE(it.is_answered(call));
+    it.run(seconds{1});
+    EXPECT_EQ(it.refused(call), std::nullopt);
+}
+
+// An entry or control process of another version may let a malformed name pass.
+TEST(control_role, refuses_malformed_names_of_data_centres)
+{
+    lone_leader it;
+    for (auto const& name : {std::string{}, std::string(129, 'a'),
+                             std::string{"a/b"}, std::string{"a\nb"}})
+    {
+        auto const call = it.call(command{evacuate_data_centre{zone_id{name}}});
+        EXPECT_EQ(it.refused(call), error_kind::bad_request) << name;
+        auto const back = it.call(command{return_data_centre{zone_id{name}}});
+        EXPECT_EQ(it.refused(back), error_kind::bad_request) << name;
+    }
+}
+
 // One short turn of the loop does not mean that the overload is over.
 TEST(overload_guard, ends_an_overload_only_after_a_time_without_delays)
 {
