Place no batch attempts in evacuated data centres

The scheduler of registered workers did not know of evacuations. It closes the workers of an evacuated zone for new placements until the return.

Result: scheduler_evacuation.places_nothing_there_until_the_return passes.

--- a/src/core/leader/leader_state.cpp
+++ b/src/core/leader/leader_state.cpp
@@ -54,6 +54,14 @@
     {
         target.worker_retired(it.id, now);
     }
+    auto operator()(evacuate_data_centre const& it) const -> void
+    {
+        target.zone_evacuated(it.zone, now);
+    }
+    auto operator()(return_data_centre const& it) const -> void
+    {
+        target.zone_returned(it.zone, now);
+    }
 
     /// Other commands do not concern the scheduler.
     template <class Other>
@@ -98,6 +106,10 @@
         restore_tasks(it, now);
     }
     scheduler_.interference_restored(state_.interference(), now);
+    for (auto const& zone : state_.evacuations().all())
+    {
+        scheduler_.zone_evacuated(zone, now);
+    }
 }
 
 auto leader_state::restore_tasks(job_record const& job, time_point now) -> void
--- a/src/core/scheduling/scheduler.hpp
+++ b/src/core/scheduling/scheduler.hpp
@@ -21,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -56,6 +57,9 @@
     auto contract_removed(customer_id const& it, time_point now) -> void;
     auto worker_registered(worker_info const& it, time_point now) -> void;
     auto worker_retired(worker_id const& it, time_point now) -> void;
+    /// No attempts are placed on the workers of an evacuated zone.
+    auto zone_evacuated(zone_id const& zone, time_point now) -> void;
+    auto zone_returned(zone_id const& zone, time_point now) -> void;
     auto job_submitted(job_spec const& it, time_point now) -> void;
     auto job_cancelled(customer_id const& customer, job_id const& job,
                        time_point now) -> void;
@@ -166,6 +170,7 @@
 
     // Workers.
     auto refresh_worker(worker_ref worker, time_point now) -> void;
+    auto refresh_workers(time_point now) -> void;
     auto check_workers(time_point now) -> void;
     auto run_guard(time_point now) -> void;
     [[nodiscard]] auto is_harmful(worker_ref worker, kind_ref kind,
@@ -219,6 +224,7 @@
     service_interference interference_;
     guard guard_;
     worker_health health_;
+    std::set<zone_id> evacuated_;
     task_leases leases_;
     work_model work_;
     std::map<queue_item, scheduler_detail::hold_entry> holds_;
--- a/src/core/scheduling/scheduler_reports.cpp
+++ b/src/core/scheduling/scheduler_reports.cpp
@@ -314,7 +314,7 @@
     }
     auto const state = health_.state(worker);
     auto const open =
-        it.has_reported &&
+        it.has_reported && !evacuated_.contains(it.info.zone) &&
         now - it.last_report <= config::worker_report_timeout &&
         (state == health_state::healthy ||
          (state == health_state::probation && it.attempts.empty()));
@@ -333,12 +333,29 @@
     }
     last_check_ = now;
     health_.tick(now);
+    refresh_workers(now);
+}
+
+auto scheduler::refresh_workers(time_point now) -> void
+{
     for (std::uint32_t n = 0; n < workers_.size(); ++n)
     {
         refresh_worker(worker_ref{n}, now);
     }
 }
 
+auto scheduler::zone_evacuated(zone_id const& zone, time_point now) -> void
+{
+    evacuated_.insert(zone);
+    refresh_workers(now);
+}
+
+auto scheduler::zone_returned(zone_id const& zone, time_point now) -> void
+{
+    evacuated_.erase(zone);
+    refresh_workers(now);
+}
+
 auto scheduler::is_harmful(worker_ref worker, kind_ref kind,
                            time_point now) const -> bool
 {
--- a/tests/scheduler_rules_test.cpp
+++ b/tests/scheduler_rules_test.cpp
@@ -57,6 +57,20 @@
     EXPECT_TRUE(it.violations.empty());
 }
 
+// Work that is placed in a data centre about to lose power is lost with it.
+TEST(scheduler_evacuation, places_nothing_there_until_the_return)
+{
+    auto it = cluster_of(2);
+    it.run(seconds{2});
+    it.leader.zone_evacuated(zone_id{"z0"}, it.now());
+    it.submit("a", "j", "k", 1);
+    it.run(seconds{2});
+    EXPECT_FALSE(why(it, "j").worker);
+    it.leader.zone_returned(zone_id{"z0"}, it.now());
+    it.run(seconds{2});
+    EXPECT_TRUE(why(it, "j").worker);
+}
+
 // Short work that waits behind long work of the same customer.
 TEST(scheduler_queue, short_work_goes_before_long_work)
 {
