Keep runs off evacuated and cold workers, and move permanent tasks

The planner and may_start did not know of evacuations, and a worker that had just started was filled at once. The planner leaves evacuated workers out of its pools, may_start refuses every send of a start order there, and a return counts as gained room. Permanent tasks on evacuated and draining workers move one by one, within max_unavailable of their step, to a worker that keeps room for them. The remaining time of a worker's warm-up is read from its announcements, optional for older peers; a cold worker gets a growing share of its processors, and its latencies are not learned. Stand-in workers announce a data centre and a warm-up, and the fake fleet reports any start order to an evacuated data centre.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -351,6 +351,20 @@
 inline constexpr duration lease_extension_timeout = 2500ms;
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
+/// Time for which a stopped task counts as unavailable to its users, who may
+/// need as long to notice that it runs again.
+inline constexpr duration relocation_notice = 5500ms;
+/// Time that a permanent task has to run before it counts as available.
+inline constexpr duration relocation_start_time = 2s;
+inline constexpr duration relocation_interval = 500ms;
+/// Time for which a worker keeps room for a task that was stopped elsewhere: a
+/// stop, the record of its end and the next start take less than this.
+inline constexpr duration relocation_hold = 1500ms;
+/// Share of a cold worker's warm-up after which its room for new runs grows.
+inline constexpr permille warm_up_step{50};
+/// Two announcements may differ in the end of the warm-up by this much: the
+/// remaining time is rounded and takes a while to arrive.
+inline constexpr duration warm_up_tolerance = 1s;
 inline constexpr duration fleet_report_interval = 1s;
 /// Events of runs that are logged in one report interval. A rack that is lost
 /// ends hundreds of runs at once, and each line costs the leader time.
--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -17,7 +17,18 @@
     return std::chrono::duration_cast<milliseconds>(now - received);
 }
 
-/// True if the two differ in nothing but the clock and the number.
+/// True if `it`, which came `later` than `known`, continues its warm-up.
+auto is_same_warm_up(worker_announcement const& it,
+                     worker_announcement const& known, duration later) -> bool
+{
+    auto const expected = std::max(duration{known.warm_up} - later, duration{});
+    auto const difference = duration{it.warm_up} - expected;
+    return difference <= config::warm_up_tolerance &&
+           -difference <= config::warm_up_tolerance;
+}
+
+/// True if the two differ in nothing but the clock, the number and the time
+/// that the warm-up has left.
 auto is_same_description(worker_announcement const& a,
                          worker_announcement const& b) -> bool
 {
@@ -98,8 +109,10 @@
         kept.accepted_in = {};
         return wait(kept, intake_reason::late);
     }
-    if (!is_new && is_ready && is_same_description(it, kept.value))
+    if (!is_new && is_ready && is_same_description(it, kept.value) &&
+        is_same_warm_up(it, kept.value, now - kept.received))
     {
+        kept.value.warm_up = it.warm_up;
         kept.value.number = it.number;
         kept.value.clock = it.clock;
         kept.received = now;
--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -20,12 +20,14 @@
     missing,     ///< ended: its worker does not list it
     withdrawn,   ///< not started: no order for it can be carried out any more
     unrecorded,  ///< stopped: its worker lists it and the log does not
+    relocated,   ///< stopped: moves off a worker that takes no new runs
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 5> names{
-        "lease_over", "worker_gone", "missing", "withdrawn", "unrecorded"};
+    constexpr std::array<std::string_view, 6> names{"lease_over", "worker_gone",
+                                                    "missing",    "withdrawn",
+                                                    "unrecorded", "relocated"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -86,10 +86,12 @@
 
 /// True unless the estimated processor use leaves too little for a scavenging
 /// task.
-auto has_cycles(worker_entry const& worker, step_spec const& step) -> bool
+auto has_cycles(worker_entry const& worker, step_spec const& step,
+                time_point now) -> bool
 {
-    return !step.scavenges || estimated_load(worker) + step.each.cores <=
-                                  worker.info->capacity.cores;
+    auto const cores = worker.runs.empty() ? worker.info->capacity.cores
+                                           : worker.usable_cores(now);
+    return !step.scavenges || estimated_load(worker) + step.each.cores <= cores;
 }
 
 /// Visits by which one effect of a scavenging image on a serving one counts.
@@ -132,11 +134,10 @@
     for (auto& worker : workers_)
     {
         auto& entry = worker.second;
-        auto const usable =
-            entry.is_usable(now) && has_current_phase(entry, now);
+        auto const usable = takes_new_runs(entry, now);
         if (usable)
         {
-            if (!entry.was_usable)
+            if (entry.warm_up.take_step(now) || !entry.was_usable)
             {
                 gain_room(entry);
             }
@@ -147,7 +148,11 @@
             }
         }
         entry.was_usable = usable;
-        entry.held_for_restart = false;
+        entry.held_for_restart = relocations_.is_target(worker.first, now);
+        if (entry.held_for_restart)
+        {
+            pass.held.insert(worker.first);
+        }
     }
     for (auto& [name, pool] : pass.pools)
     {
@@ -231,7 +236,7 @@
                                  candidate_run const& candidate,
                                  plan_pass& pass) const -> bool
 {
-    return has_cycles(worker, *candidate.step) &&
+    return has_cycles(worker, *candidate.step, pass.now) &&
            keeps_latency_targets(worker, candidate.image, pass);
 }
 
@@ -241,9 +246,10 @@
 {
     auto const& entry = worker.second;
     auto const& step = *candidate.step;
-    if (!reservation_of(step).fits_into(entry.free()))
+    auto const room = entry.free_for_new(pass.now);
+    if (!reservation_of(step).fits_into(room))
     {
-        return missing_resource(reservation_of(step), entry.free());
+        return missing_resource(reservation_of(step), room);
     }
     if (!has_label(*entry.info, step.requires_label))
     {
@@ -393,7 +399,7 @@
             break;
         }
         ++pass.visits;
-        if (needed.fits_into(entry.free()) && has_cycles(entry, step))
+        if (needed.fits_into(entry.free()) && has_cycles(entry, step, pass.now))
         {
             pass.visits +=
                 step.scavenges ? effect_visits * entry.serving.size() : 0;
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -142,9 +142,14 @@
     out.ready_late = ready_by_worth_[1];
     out.ready_without_worth = ready_by_worth_[2];
     out.held = static_cast<std::int64_t>(held_.size());
+    out.evacuated = static_cast<std::int64_t>(state_.evacuations().size());
+    out.relocating = static_cast<std::int64_t>(relocations_.size());
     for (auto const& [id, worker] : workers_)
     {
-        out.workers += worker.is_usable(now) ? 1 : 0;
+        auto const is_left = is_evacuated(worker);
+        out.workers += worker.is_usable(now) && !is_left ? 1 : 0;
+        out.evacuated_runs += is_left ? std::ssize(worker.runs) : 0;
+        out.cold += worker.warm_up.is_cold(now) ? 1 : 0;
         out.serving += worker.is_serving() ? 1 : 0;
         out.over_target += has_task_over_target(worker) ? 1 : 0;
         out.free_cores += worker.free().cores.value() / 1000;
@@ -310,6 +315,7 @@
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     needs_plan_ = false;
+    relocate(now);
     was_behind_ = std::exchange(is_behind_, false);
     if (state_.workflows().ready().empty())
     {
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -128,6 +128,7 @@
         gain_room(entry);
     }
     entry.info = announcement;
+    entry.warm_up.announce(announcement.warm_up, now - age);
     entry.is_replaced = false;
     entry.described = announcement.number;
     entry.announced_at = now - age;
@@ -162,6 +163,7 @@
     entry.is_answering = false;
     entry.is_replaced = false;
     entry.lease = {};
+    entry.warm_up = {};
     entry.info = announcement;
     gain_room(entry);
     entry.lease.sample(announcement.clock, now);
@@ -484,7 +486,8 @@
     auto& held = it->second;
     held.last_list = worker.second.last_list;
     held.record_measurement(row.load, now);
-    if (held.is_serving())
+    // The latencies of a cold worker are high without scavenging tasks too.
+    if (held.is_serving() && !worker.second.warm_up.is_cold(now))
     {
         interference_.learn(worker.first, held.image, milliseconds{row.load},
                             now);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -148,7 +148,8 @@
         entry.info && entry.info->phase != worker_phase::ready;
     // The capacity may have shrunk since the run was placed.
     auto const has_room = !entry.info || entry.has_room_for(run);
-    if (!is_wanted(run) || entry.incarnation_ended || is_draining || !has_room)
+    if (!is_wanted(run) || entry.incarnation_ended || is_draining ||
+        is_evacuated(entry) || !has_room)
     {
         return false;
     }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -6,14 +6,15 @@
 /// runs there; an order without an answer may still be executed.
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
 /// messages of workers, run_contacts.cpp their repeated announcements, and
-/// run_plan.cpp the choice of tasks and workers, and run_waits.cpp says why a
-/// task is not placed.
+/// run_plan.cpp the choice of tasks and workers, run_relocation.cpp moves
+/// permanent tasks, and run_waits.cpp says why a task is not placed.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
+#include "core/fleet/relocation.hpp"
 #include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
 #include "core/fleet/submission_times.hpp"
@@ -89,9 +90,13 @@
     std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
     std::int64_t silent{0};
-    std::int64_t inherited{0};   ///< runs not yet seen under this leader
-    std::int64_t unconfirmed{0}; ///< starts without an answer so far
-    std::int64_t polls{0};       ///< that wait for their answers
+    std::int64_t inherited{0};      ///< runs not yet seen under this leader
+    std::int64_t unconfirmed{0};    ///< starts without an answer so far
+    std::int64_t polls{0};          ///< that wait for their answers
+    std::int64_t evacuated{0};      ///< data centres
+    std::int64_t evacuated_runs{0}; ///< left on their workers
+    std::int64_t relocating{0}; ///< tasks stopped for a move a short time ago
+    std::int64_t cold{0};       ///< workers
 };
 
 /// An action that the caller of run_scheduler executes.
@@ -188,6 +193,17 @@
     /// drains.
     [[nodiscard]] auto has_current_phase(worker_entry const& worker,
                                          time_point now) const -> bool;
+    [[nodiscard]] auto is_evacuated(worker_entry const& worker) const -> bool
+    {
+        return worker.info && state_.evacuations().contains(worker.info->zone);
+    }
+    /// True if the planner may place runs on the worker.
+    [[nodiscard]] auto takes_new_runs(worker_entry const& worker,
+                                      time_point now) const -> bool
+    {
+        return worker.is_usable(now) && has_current_phase(worker, now) &&
+               !is_evacuated(worker);
+    }
     /// Sends the start order of a recorded run if it may start, and otherwise
     /// withdraws the run.
     auto start_or_withdraw(identified_worker& worker, task_run const& run,
@@ -442,6 +458,15 @@
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
+    // run_relocation.cpp
+    /// Stops permanent tasks on workers that take no new runs, so that they
+    /// start on other workers.
+    auto relocate(time_point now) -> void;
+    auto relocate_from(identified_worker& worker, plan_pass& pass) -> void;
+    /// The tasks of the step of `first` as choose_relocation() needs them.
+    auto step_tasks(workflow_record const& record, workflow_task const& first,
+                    time_point now) -> std::vector<step_task>;
+
     // run_waits.cpp
     auto begin_wait(workflow_task const& task, time_point now) -> void;
     auto inherit_waits(time_point now) -> void;
@@ -480,6 +505,8 @@
     /// When gangs that found no workers were tried, by their first task.
     std::map<workflow_task, time_point> failed_gangs_;
     restart_waits waits_;
+    relocation_table relocations_;
+    time_point relocated_at_{}; ///< last call of relocate()
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -231,6 +231,51 @@
     bool sampled_{false};
 };
 
+/// Follows the time for which a worker is slow because it is cold.
+class warm_up_progress
+{
+public:
+    /// Records that `remaining` of the warm-up was left at `at`.
+    auto announce(milliseconds remaining, time_point at) -> void
+    {
+        auto const end = at + remaining;
+        // An end later than announced before belongs to another warm-up.
+        if (at >= end_ || end > end_ + config::warm_up_tolerance)
+        {
+            begin_ = at;
+            step_ = 0;
+        }
+        end_ = end;
+    }
+    [[nodiscard]] auto is_cold(time_point now) const -> bool
+    {
+        return now < end_;
+    }
+    /// The elapsed share of the warm-up, in steps of config::warm_up_step.
+    [[nodiscard]] auto elapsed(time_point now) const -> permille
+    {
+        if (!is_cold(now))
+        {
+            return permille{1000};
+        }
+        auto const share =
+            std::max(now - begin_, duration{}) * 1000 / (end_ - begin_);
+        auto const step = std::int64_t{config::warm_up_step.value()};
+        return permille{static_cast<std::int32_t>(share / step * step)};
+    }
+    /// True if elapsed() has risen since the last call.
+    auto take_step(time_point now) -> bool
+    {
+        auto const share = elapsed(now).value();
+        return std::exchange(step_, share) < share;
+    }
+
+private:
+    time_point begin_{};
+    time_point end_{};
+    std::int32_t step_{1000}; ///< elapsed() at the last call of take_step()
+};
+
 /// What the tasks of one serving image on a worker can bear.
 struct serving_share
 {
@@ -250,6 +295,7 @@
     worker_incarnation incarnation;
     sequence described; ///< number of the announcement in `info`
     worker_lease lease;
+    warm_up_progress warm_up;
     std::map<task_run, held_run> runs;
     resources reserved;         ///< by all runs
     resources finite_reserved;  ///< by runs that end by themselves
@@ -387,6 +433,24 @@
         left -= reserved;
         return left;
     }
+    /// Processors that runs may use. A cold worker gets a share that grows
+    /// during its warm-up, since it is slow.
+    [[nodiscard]] auto usable_cores(time_point now) const -> millicores
+    {
+        auto const all = info ? info->capacity.cores : millicores{};
+        return millicores{all.value() * warm_up.elapsed(now).value() / 1000};
+    }
+    /// Resources for new runs. An empty worker takes at least one.
+    [[nodiscard]] auto free_for_new(time_point now) const -> resources
+    {
+        auto left = free();
+        if (warm_up.is_cold(now) && !runs.empty())
+        {
+            left.cores =
+                std::min(left.cores, usable_cores(now) - reserved.cores);
+        }
+        return left;
+    }
     /// True if a run that holds a reservation fits beside all others that may
     /// be on the worker, with the capacity that it announced last.
     [[nodiscard]] auto has_room_for(task_run const& name) const -> bool
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -10,6 +10,7 @@
 #include <apricotlb/units.hpp>
 #include <apricotlb/workflow.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,6 +52,9 @@
     worker_phase phase{worker_phase::ready};
     worker_clock clock;
     sequence number; ///< rises, so that a late announcement is recognised
+    /// How much longer the worker is slow because it is cold; zero if it is
+    /// warm.
+    milliseconds warm_up{};
 
     static constexpr auto fields()
     {
@@ -63,10 +67,14 @@
                           field("capacity", &worker_announcement::capacity),
                           field("phase", &worker_announcement::phase),
                           field("clock", &worker_announcement::clock),
-                          field("number", &worker_announcement::number));
+                          field("number", &worker_announcement::number),
+                          field("warm_up", &worker_announcement::warm_up));
     }
 };
 
+template <>
+inline constexpr std::size_t optional_fields<worker_announcement> = 1;
+
 /// The worker that an order is for, and the fencing token of the leader.
 struct order_target
 {
--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -55,6 +55,32 @@
     std::vector<intake_call> calls;
 };
 
+// A cold worker counts down in each announcement: to forward each one would
+// cost the leader a call per worker and second. Another warm-up is news.
+TEST_F(announcement_intake_test, forwards_a_new_warm_up_and_no_countdown)
+{
+    auto it = announcement("w", 1);
+    it.warm_up = seconds{20};
+    intake.take(it, now);
+    round(first);
+    auto number = std::uint64_t{2};
+    for (; number <= 30; ++number)
+    {
+        now += seconds{1};
+        it = announcement("w", number);
+        it.warm_up =
+            std::max(milliseconds{seconds{21}} - milliseconds{1000 * number},
+                     milliseconds{0});
+        EXPECT_EQ(intake.take(it, now).reason, intake_reason::renewed)
+            << number;
+        round(first);
+    }
+    now += seconds{1};
+    it = announcement("w", number);
+    it.warm_up = seconds{20};
+    EXPECT_EQ(intake.take(it, now).reason, intake_reason::forwarded);
+}
+
 // A renewal that waited for the leader would cost it one call per worker and
 // second.
 TEST_F(announcement_intake_test, acknowledges_a_renewal_at_once)
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -371,7 +371,8 @@
     }
 
     /// A start order is sent only for an active run of an open workflow, to the
-    /// worker of the record, and to none that has announced that it drains.
+    /// worker of the record, and to none that has announced that it drains or
+    /// is in an evacuated data centre.
     auto check_start(start_order const& it) -> void
     {
         auto const& task = it.run.task;
@@ -398,6 +399,11 @@
             violations.push_back("start on draining worker " +
                                  it.to.instance.id.value());
         }
+        if (state.evacuations().contains(known->zone))
+        {
+            violations.push_back("start in evacuated data centre " +
+                                 known->zone.value());
+        }
     }
 
     template <class Order>
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -79,12 +79,14 @@
     auto const text = std::string{
         R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
         R"("state":"draining","seq":4,"born":99,"clock_ms":5,)"
+        R"("cold_remaining_ms":1500,)"
         R"("labels":["a","r1"],"capacity":{"cpu":16000,"mem_mb":1}})"};
     auto const it = read(text);
     ASSERT_TRUE(it) << it.error().detail;
     EXPECT_EQ(it.value().phase, worker_phase::draining);
     EXPECT_EQ(it.value().instance.incarnation, worker_incarnation{99});
     EXPECT_EQ(it.value().rack, rack_id{"r1"});
+    EXPECT_EQ(it.value().warm_up, milliseconds{1500});
     EXPECT_EQ(it.value().capacity.cores, millicores{16000});
     for (auto const* bad :
          {"", "{}", "\xff\xfe",
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -10,6 +10,8 @@
 
 #include <apricotlb/time.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -52,6 +54,9 @@
 
     /// Starts also what exceeds the capacity.
     bool accepts_everything{false};
+    std::string zone{"z1"};
+    /// When it is warm; it says in each heartbeat how long that takes.
+    time_point warm_at{};
 
     /// Changes the capacity that the next heartbeat announces.
     auto resize(std::int64_t cpu) -> void { cpu_ = cpu; }
@@ -126,9 +131,11 @@
     auto restart(std::int64_t incarnation_number, time_point now) -> void
     {
         auto const accepts = accepts_everything;
+        auto in_zone = zone;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         accepts_everything = accepts;
+        zone = std::move(in_zone);
         started_ = now;
     }
 
@@ -138,7 +145,11 @@
         return print_json({json_value::object{
             {"service", {std::string{"pool"}}},
             {"address", {id_.value() + ":1"}},
-            {"zone", {std::string{"z1"}}},
+            {"zone", {zone}},
+            {"cold_remaining_ms",
+             {std::max<std::int64_t>(
+                 0, std::chrono::duration_cast<milliseconds>(warm_at - now)
+                        .count())}},
             {"state", {state}},
             {"seq", {static_cast<std::int64_t>(clock(now) + 1)}},
             {"born", {born_}},
