--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -71,6 +71,10 @@
 /// queue_full.
 inline constexpr std::size_t max_pending_proposals = 16 * kib;
 inline constexpr std::size_t max_pending_bytes = 16 * mib;
+/// Proposals of operators beyond these limits, so that the work of callers does
+/// not keep a configuration or an evacuation out of a full queue.
+inline constexpr std::size_t reserved_proposals = 64;
+inline constexpr std::size_t reserved_proposal_bytes = 2 * mib;
 /// A snapshot is taken after this many entries or bytes of entries, whichever
 /// is reached first.
 inline constexpr std::size_t snapshot_entries = 100'000;
@@ -140,6 +144,10 @@
 /// A larger body is left out of the outcome recorded for an idempotency key.
 inline constexpr byte_count max_recorded_body{64 * kib};
 inline constexpr std::size_t max_key_length = 128; ///< in bytes
+/// Bounds of the replicated set of evacuated data centres. Workers announce
+/// names of up to the same length.
+inline constexpr std::size_t max_data_centre_name = 128; ///< in bytes
+inline constexpr std::size_t max_evacuations = 64;
 
 /// Buffered bytes of a body per direction above which reading stops.
 inline constexpr std::size_t body_buffer_bytes = 64 * kib;
@@ -353,6 +361,20 @@
 inline constexpr duration lease_extension_timeout = 2500ms;
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
+/// Time for which a stopped task counts as unavailable to its users, who may
+/// need as long to notice that it runs again.
+inline constexpr duration relocation_notice = 5500ms;
+/// Time that a permanent task has to run before it counts as available.
+inline constexpr duration relocation_start_time = 2s;
+inline constexpr duration relocation_interval = 500ms;
+/// Time for which a worker keeps room for a task that was stopped elsewhere: a
+/// stop, the record of its end and the next start take less than this.
+inline constexpr duration relocation_hold = 1500ms;
+/// Share of a cold worker's warm-up after which its room for new runs grows.
+inline constexpr permille warm_up_step{50};
+/// Two announcements may differ in the end of the warm-up by this much: the
+/// remaining time is rounded and takes a while to arrive.
+inline constexpr duration warm_up_tolerance = 1s;
 inline constexpr duration fleet_report_interval = 1s;
 /// Bound on the age of a workflow by the wall clocks of two machines, which may
 /// jump. Older work is late whatever its queue allows.
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -34,6 +34,7 @@
 inline constexpr std::string_view admissions = "apricotlb_admissions_total";
 inline constexpr std::string_view forecast_errors =
     "apricotlb_forecast_error_seconds";
+inline constexpr std::string_view evacuations = "apricotlb_evacuations_total";
 inline constexpr std::string_view backend_latency =
     "apricotlb_backend_latency_seconds";
 } // namespace metric
