--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -430,6 +430,10 @@
 /// requires, because its latency figures are needed to set the pace.
 inline constexpr milliseconds poll_wait = 1800ms;
 inline constexpr milliseconds poll_wait_shared = 500ms;
+/// Least polls of a worker within its lease. With a lease of 6 s and a poll
+/// every 1.8 s, an outage of 3.5 s and the election after it let the leases of
+/// 2,300 tasks lapse.
+inline constexpr std::int64_t polls_per_lease = 6;
 /// How long a worker gets no new runs after it rejected one for this reason.
 inline constexpr duration no_room_pause = 300ms;
 inline constexpr duration unhealthy_pause = 1500ms;
@@ -563,8 +567,15 @@
 /// significant effect.
 inline constexpr permille disturbance_headroom{600};
 inline constexpr permille harmless_headroom{800};
-/// Added to both while ready tasks have found no worker.
-inline constexpr permille headroom_when_behind{100};
+/// The headroom is lowered by a cut per interval while more than the first share
+/// of the workers with serving tasks is strained, and raised again below the
+/// second. Latencies are read twice a second and smoothed.
+inline constexpr duration headroom_interval = 1s;
+inline constexpr permille max_strained_workers{100};
+inline constexpr permille few_strained_workers{50};
+inline constexpr permille headroom_cut{50};
+inline constexpr permille headroom_raise{25};
+inline constexpr permille max_headroom_reduction{300};
 /// Smallest effect that can be distinguished from the scatter of the
 /// measurements; a natural logarithm in thousandths, like default_effect.
 inline constexpr permille min_significant_effect{100};
