Let copies start while only scavenging work waits

Copies use reserved processors, but any waiting task of the pool kept them back. Only tasks that wait for reserved processors block copies now; run_copies.makes_none_while_others_wait covers these.

--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -376,6 +376,7 @@
     worker_search out;
     out.key = placement_key_of(candidate);
     out.is_suspect = candidate.is_suspect;
+    out.scavenges = candidate.step->scavenges;
     auto const known = failed_searches_.find(out.key);
     out.was_known = known != failed_searches_.end();
     // Measurements decide on scavenging tasks, and time clears suspects.
@@ -434,7 +435,11 @@
     -> void
 {
     pass.is_behind = true;
-    pass.behind.insert(std::get<pool_name>(search.key));
+    // Scavenging tasks wait for idle processors, not for reserved ones.
+    if (!search.scavenges)
+    {
+        pass.behind.insert(std::get<pool_name>(search.key));
+    }
     if (std::exchange(search.has_failed, true))
     {
         return;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -381,6 +381,7 @@
         placement_key key;
         std::vector<option> options; ///< a heap with the best one in front
         bool is_suspect{false};
+        bool scavenges{false};
         bool was_known{false}; ///< an earlier search with this key has failed
         bool repeats{false};   ///< that search
         bool has_failed{false};
@@ -412,8 +413,9 @@
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
         std::size_t hold_visits{0};   ///< of them, to choose workers to hold
         bool is_behind{false};        ///< some task found no worker
-        std::set<pool_name> behind;   ///< pools with tasks without a worker
-        bool is_cut{false};           ///< ended at its limit of visits
+        /// Pools in which tasks wait for reserved processors.
+        std::set<pool_name> behind;
+        bool is_cut{false}; ///< ended at its limit of visits
         effect_table effects;
         /// Rooms of which some task found too little.
         std::map<pool_room, room_shortage> short_of;
