--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -500,11 +500,10 @@
 inline constexpr duration admission_min_wait = 250ms;
 /// How long the room for a crest that found too little of it is held.
 inline constexpr duration crest_memory = 20s;
-/// Refusals end once the forecast is below this share of the time in which a
-/// workflow has a value, so that a crest does not switch them on and off with
-/// each end of a task.
+/// Refusals end once the forecast is below this share of the allowed time, so
+/// that a crest does not switch them on and off with each end of a task.
 inline constexpr permille admission_hysteresis{800};
-/// Run times alone are forecast to take this share of that time at most:
+/// Run times alone are forecast to take this share of the allowed time at most:
 /// if tasks are slow but do not wait, a refusal helps nobody.
 inline constexpr permille max_forecast_run_share{750};
 /// Bounds of the learned ratio of seen to declared run times. Declared run
@@ -568,9 +567,9 @@
 /// significant effect.
 inline constexpr permille disturbance_headroom{600};
 inline constexpr permille harmless_headroom{800};
-/// The headroom is lowered by a cut per interval while more than the first
-/// share of the workers with serving tasks is strained, and raised again below
-/// the second. Latencies are read twice a second and smoothed.
+/// The headroom is lowered by a cut per interval while more than the first share
+/// of the workers with serving tasks is strained, and raised again below the
+/// second. Latencies are read twice a second and smoothed.
 inline constexpr duration headroom_interval = 1s;
 inline constexpr permille max_strained_workers{100};
 inline constexpr permille few_strained_workers{50};
--- a/src/core/fleet/admission_forecast.cpp
+++ b/src/core/fleet/admission_forecast.cpp
@@ -61,8 +61,8 @@
 auto name_of(admission_reason it) -> std::string_view
 {
     constexpr std::array<std::string_view, 9> names{
-        "room_free",    "has_value",       "new_leader",
-        "own_times",    "room_left",       "no_value",
+        "room_free",    "in_time",         "new_leader",
+        "own_times",    "room_left",       "late",
         "finite_waits", "permanent_waits", "crest_room"};
     return names.at(static_cast<std::size_t>(it));
 }
@@ -75,11 +75,11 @@
     };
     switch (it.reason)
     {
-    case admission_reason::no_value:
+    case admission_reason::late:
         return {error_kind::deadline_unmeetable,
                 "the workflow would wait for " + millis(it.wait) +
                     " and run for " + millis(it.run) +
-                    ", and its result has no value after " + millis(it.limit),
+                    ", and its contract allows " + millis(it.allowed),
                 it.retry_after};
     case admission_reason::finite_waits:
         return {error_kind::queue_full,
@@ -239,7 +239,7 @@
     }
     auto& it = add_entry(spec, terms, now);
     if (!has_permanent_step(spec) &&
-        decided.reason == admission_reason::has_value)
+        decided.reason == admission_reason::in_time)
     {
         it.forecast_end = now + decided.wait + decided.run;
     }
@@ -540,7 +540,7 @@
     static_assert(config::max_forecast_run_share <
                   config::admission_hysteresis);
     admission_decision out;
-    out.limit = allowed_time(spec, terms) * config::max_lateness_factor;
+    out.allowed = allowed_time(spec, terms);
     auto const seen_time = [&](std::size_t n)
     {
         auto const& step = spec.steps[n];
@@ -574,19 +574,20 @@
             run = std::max(run, placed - wait + last);
         }
     }
-    out.run = std::min(run, scaled(out.limit, config::max_forecast_run_share));
+    out.run =
+        std::min(run, scaled(out.allowed, config::max_forecast_run_share));
     auto const bound = was_refusing
-                           ? scaled(out.limit, config::admission_hysteresis)
-                           : out.limit;
+                           ? scaled(out.allowed, config::admission_hysteresis)
+                           : out.allowed;
     // A contract that allows no time sets no bound.
-    auto const has_no_value =
-        waits && out.limit > duration{} && out.wait + out.run > bound;
-    out.reason = has_no_value ? admission_reason::no_value
-                 : waits      ? admission_reason::has_value
-                              : admission_reason::room_free;
+    auto const is_late =
+        waits && out.allowed > duration{} && out.wait + out.run > bound;
+    out.reason = is_late ? admission_reason::late
+                 : waits ? admission_reason::in_time
+                         : admission_reason::room_free;
     for (auto* const it : used)
     {
-        if (it != nullptr && has_no_value)
+        if (it != nullptr && is_late)
         {
             it->refusing.insert(terms.priority);
         }
@@ -604,10 +605,10 @@
                                      time_point now) -> seconds
 {
     duration delay{};
-    if (refused.reason == admission_reason::no_value)
+    if (refused.reason == admission_reason::late)
     {
         delay = refused.wait + refused.run -
-                scaled(refused.limit, config::admission_hysteresis);
+                scaled(refused.allowed, config::admission_hysteresis);
     }
     else if (refused.reason == admission_reason::crest_room)
     {
--- a/src/core/fleet/admission_forecast.hpp
+++ b/src/core/fleet/admission_forecast.hpp
@@ -55,11 +55,11 @@
 enum class admission_reason : std::uint8_t
 {
     room_free,       ///< accepted: nothing waits for such room
-    has_value,       ///< accepted: it can end while it has a value
+    in_time,         ///< accepted: it can end within its allowed time
     new_leader,      ///< accepted: this leader has not seen enough
     own_times,       ///< accepted: its occurrences have times of their own
     room_left,       ///< accepted: permanent tasks that leave enough room
-    no_value,        ///< refused: it would end after it has lost its value
+    late,            ///< refused: it would end after its allowed time
     finite_waits,    ///< refused: permanent tasks, while work that ends waits
     permanent_waits, ///< refused: permanent tasks, while others wait
     crest_room, ///< refused: permanent tasks, in the room of the last crest
@@ -75,14 +75,12 @@
     /// Expected from its first start to its end: the time of its longest chain
     /// of steps, or the time in which all its tasks get their turn.
     duration run{};
-    /// After config::max_lateness_factor times its allowed time it has no
-    /// value.
-    duration limit{};
+    duration allowed{}; ///< by the contract
     seconds retry_after{};
 
     [[nodiscard]] auto is_refused() const -> bool
     {
-        return reason >= admission_reason::no_value;
+        return reason >= admission_reason::late;
     }
 };
 
