--- a/src/adapters/enum_names.hpp
+++ b/src/adapters/enum_names.hpp
@@ -52,6 +52,9 @@
 inline constexpr std::array<std::string_view, 2> enum_names<front_interface>{
     "native", "platform"};
 template <>
+inline constexpr std::array<std::string_view, 2> enum_names<late_work_policy>{
+    "accept", "refuse"};
+template <>
 inline constexpr std::array<std::string_view, 2> enum_names<peer_trust>{
     "key", "network"};
 
--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -88,6 +88,7 @@
             field("interface", &settings::interface),
             field("trust", &settings::trust),
             field("run_lease", &settings::run_lease),
+            field("late_work", &settings::late_work),
             field("control", &settings::control),
             field("joins", &settings::joins),
             field("key_file", &settings::key_file),
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -41,6 +41,13 @@
     disabled,
 };
 
+/// What becomes of workflows that cannot end within their allowed time.
+enum class late_work_policy : std::uint8_t
+{
+    accept, ///< they are run, and end late
+    refuse, ///< submissions are refused at once
+};
+
 /// Protocol that this process serves to callers, workers and operators.
 enum class front_interface : std::uint8_t
 {
@@ -97,6 +104,8 @@
     peer_trust trust{peer_trust::key};
     /// Lease of a run that is sent to a worker of the platform interface.
     duration run_lease{std::chrono::seconds{10}};
+    /// Control only.
+    late_work_policy late_work{late_work_policy::accept};
 
     /// Ids of all control processes and their addresses for peer messages.
     std::map<node_id, endpoint> control;
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -167,7 +167,9 @@
             return {};
         }
         auto const now = clock_.now();
-        auto const decided = scheduler_->admit(spec, terms, now);
+        auto const decided = policy_.refuses_late_work
+                                 ? scheduler_->admit(spec, terms, now)
+                                 : admission_decision{};
         metrics_.count(metric::admissions, name_of(decided.reason));
         if (!decided.is_refused())
         {
--- a/src/core/fleet/admission_forecast.cpp
+++ b/src/core/fleet/admission_forecast.cpp
@@ -60,10 +60,10 @@
 
 auto name_of(admission_reason it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 9> names{
-        "room_free",    "in_time",         "new_leader",
-        "own_times",    "room_left",       "late",
-        "finite_waits", "permanent_waits", "crest_room"};
+    constexpr std::array<std::string_view, 10> names{
+        "no_limit",        "room_free", "in_time", "new_leader",
+        "own_times",       "room_left", "late",    "finite_waits",
+        "permanent_waits", "crest_room"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/admission_forecast.hpp
+++ b/src/core/fleet/admission_forecast.hpp
@@ -54,6 +54,7 @@
 /// Why a submission is accepted or refused.
 enum class admission_reason : std::uint8_t
 {
+    no_limit,        ///< accepted: this deployment refuses no late work
     room_free,       ///< accepted: nothing waits for such room
     in_time,         ///< accepted: it can end within its allowed time
     new_leader,      ///< accepted: this leader has not seen enough
@@ -70,7 +71,7 @@
 /// The answer to a submission and the figures behind it.
 struct admission_decision
 {
-    admission_reason reason{admission_reason::room_free};
+    admission_reason reason{admission_reason::no_limit};
     duration wait{}; ///< expected, before its first task starts
     /// Expected from its first start to its end: the time of its longest chain
     /// of steps, or the time in which all its tasks get their turn.
@@ -221,7 +222,7 @@
         {
             return {admission_reason::new_leader, {}, {}, {}, {}};
         }
-        auto out = admission_decision{};
+        admission_decision out;
         if (has_permanent_step(spec))
         {
             out.reason = finite_work_waits(terms.pool, now)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -51,6 +51,8 @@
 {
     /// Longest lease that workers accept; they shorten longer ones.
     duration lease{seconds{10}};
+    /// Submissions that cannot end in time are refused.
+    bool refuses_late_work{false};
 };
 
 /// Proposes the start of placed runs to the log.
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -203,6 +203,7 @@
     }
 
 private:
+    fleet_policy policy_{seconds{10}, true};
     paused_clock clock_;
     answer_list transport_;
     memory_disk disk_;
@@ -224,7 +225,7 @@
                            .build()
                            .value();
         role_.emplace(clock_, transport_, *store_, workers_, runs_, metrics_,
-                      control_options{std::move(options), {}, {}, false});
+                      control_options{std::move(options), {}, policy_, false});
         role_->on_reads([this](read_report const& it)
                         { read_reports_.push_back(it); });
         EXPECT_TRUE(role_->start());
