--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -430,10 +430,6 @@
 /// requires, because its latency figures are needed to set the pace.
 inline constexpr milliseconds poll_wait = 1800ms;
 inline constexpr milliseconds poll_wait_shared = 500ms;
-/// Least polls of a worker within its lease. With a lease of 6 s and a poll
-/// every 1.8 s, an outage of 3.5 s and the election after it let the leases of
-/// 2,300 tasks lapse.
-inline constexpr std::int64_t polls_per_lease = 6;
 /// How long a worker gets no new runs after it rejected one for this reason.
 inline constexpr duration no_room_pause = 300ms;
 inline constexpr duration unhealthy_pause = 1500ms;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -273,14 +273,9 @@
         serves = serves || held.is_serving();
         scavenges = scavenges || held.scavenges;
     }
-    // Each poll extends the lease. What is left of it has to last over an
-    // outage of all control processes and the election after it.
-    auto const longest = std::chrono::duration_cast<milliseconds>(
-        policy_.lease / config::polls_per_lease);
-    auto const wait = urgent ? milliseconds{0}
-                      : serves && scavenges
-                          ? config::poll_wait_shared
-                          : std::min(config::poll_wait, longest);
+    auto const wait = urgent                ? milliseconds{0}
+                      : serves && scavenges ? config::poll_wait_shared
+                                            : config::poll_wait;
     entry.poll_in_flight = true;
     entry.poll_sent_at = now;
     poll_order order{target_of(worker, now),
