--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -129,9 +129,9 @@
 inline constexpr duration call_retry_interval = 400ms;
 inline constexpr duration call_timeout = 5s;
 /// Time without an answer of a leader from which new submissions are refused.
-/// Processes ping it every leader_ping_interval; the rest is for a leader whose
-/// loop is late, which begins to refuse by itself at overload_delay.
-inline constexpr duration leader_silence = 800ms;
+/// Two elections in a row fit into it: with 800 ms, submissions were refused
+/// that the next leader would have taken well within their callers' timeouts.
+inline constexpr duration leader_silence = 2s;
 /// How long a read looks for the leader. An answer from a leader that is
 /// elected later shows a later state than the answers to reads sent meanwhile.
 inline constexpr duration read_search_time = 200ms;
