--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -71,6 +71,10 @@
 /// queue_full.
 inline constexpr std::size_t max_pending_proposals = 16 * kib;
 inline constexpr std::size_t max_pending_bytes = 16 * mib;
+/// Proposals of operators beyond these limits, so that the work of callers does
+/// not keep a configuration or an evacuation out of a full queue.
+inline constexpr std::size_t reserved_proposals = 64;
+inline constexpr std::size_t reserved_proposal_bytes = 2 * mib;
 /// A snapshot is taken after this many entries or bytes of entries, whichever
 /// is reached first.
 inline constexpr std::size_t snapshot_entries = 100'000;
@@ -124,12 +128,26 @@
 // Calls to the control leader.
 inline constexpr duration call_retry_interval = 400ms;
 inline constexpr duration call_timeout = 5s;
+/// Time without an answer of a leader from which new submissions are refused.
+/// Two elections in a row fit into it: with 800 ms, submissions were refused
+/// that the next leader would have taken well within their callers' timeouts.
+inline constexpr duration leader_silence = 2s;
+/// How long a read looks for the leader. An answer from a leader that is
+/// elected later shows a later state than the answers to reads sent meanwhile.
+inline constexpr duration read_search_time = 200ms;
+/// How long a read waits for a leader that answers other calls. Messages of one
+/// process are handled in order, so the read or its answer is lost then.
+inline constexpr duration max_read_wait = 800ms;
 
 // Requests.
 inline constexpr byte_count max_body{256 * mib};
 /// A larger body is left out of the outcome recorded for an idempotency key.
 inline constexpr byte_count max_recorded_body{64 * kib};
 inline constexpr std::size_t max_key_length = 128; ///< in bytes
+/// Bounds of the replicated set of evacuated data centres. Workers announce
+/// names of up to the same length.
+inline constexpr std::size_t max_data_centre_name = 128; ///< in bytes
+inline constexpr std::size_t max_evacuations = 64;
 
 /// Buffered bytes of a body per direction above which reading stops.
 inline constexpr std::size_t body_buffer_bytes = 64 * kib;
@@ -343,7 +361,24 @@
 inline constexpr duration lease_extension_timeout = 2500ms;
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
+/// Time for which a stopped task counts as unavailable to its users, who may
+/// need as long to notice that it runs again.
+inline constexpr duration relocation_notice = 5500ms;
+/// Time that a permanent task has to run before it counts as available.
+inline constexpr duration relocation_start_time = 2s;
+inline constexpr duration relocation_interval = 500ms;
+/// Time for which a worker keeps room for a task that was stopped elsewhere: a
+/// stop, the record of its end and the next start take less than this.
+inline constexpr duration relocation_hold = 1500ms;
+/// Share of a cold worker's warm-up after which its room for new runs grows.
+inline constexpr permille warm_up_step{50};
+/// Two announcements may differ in the end of the warm-up by this much: the
+/// remaining time is rounded and takes a while to arrive.
+inline constexpr duration warm_up_tolerance = 1s;
 inline constexpr duration fleet_report_interval = 1s;
+/// Bound on the age of a workflow by the wall clocks of two machines, which may
+/// jump. Older work is late whatever its queue allows.
+inline constexpr duration max_recorded_age = 600s;
 /// Events of runs that are logged in one report interval. A rack that is lost
 /// ends hundreds of runs at once, and each line costs the leader time.
 inline constexpr std::size_t max_logged_run_events = 64;
@@ -414,6 +449,27 @@
 /// have ended, so most of the pool stays open to other work.
 inline constexpr permille max_workers_held_for_restarts{250};
 inline constexpr std::size_t max_runs_per_command = 256;
+/// A run of a workflow task is a straggler after this multiple of the usual run
+/// time of its step. Tasks of one step differ by some tens of percent, so that
+/// the slowest ordinary one stays below twice the median.
+inline constexpr std::int64_t copy_factor = 2;
+/// Least run time of a straggler: a copy costs a log entry and a start order.
+inline constexpr duration min_straggler_time = 300ms;
+/// Usual length of a straggler, as a multiple of the usual run time. A copy
+/// that starts when less than one usual run time is left comes too late.
+inline constexpr std::int64_t straggler_slowdown = 7;
+inline constexpr duration straggler_check_interval = 100ms;
+/// Copies that one pass of the planner starts. Each looks at all workers of its
+/// pool.
+inline constexpr std::size_t max_copies_per_pass = 8;
+/// Newest run times of a step, and newest ratios of seen to declared run times
+/// of an image, that are kept.
+inline constexpr std::size_t kept_run_times = 32;
+/// Ended tasks of the same step that make up its usual run time, and runs of an
+/// image that make up its ratio. Tasks of one step are close to each other,
+/// whereas the declared run times of steps are off by up to a factor of two.
+inline constexpr std::size_t min_step_run_times = 2;
+inline constexpr std::size_t min_image_run_times = 8;
 /// A worker that crashes within this time of the start of a run counts as
 /// crashed by it. Tasks that crash their worker do so at once; with 5 s,
 /// ordinary crashes of workers added up and failed accepted workflows.
@@ -431,6 +487,42 @@
 /// Accepted workflows that have not ended; further ones are refused.
 inline constexpr std::size_t max_live_workflows = 20'000;
 
+// Admission of workflows (core/fleet/admission_forecast.hpp).
+/// Time over which the starts of tasks are counted. A new leader refuses
+/// nothing until it has seen this much.
+inline constexpr duration forecast_window = 2500ms;
+/// Time for which tasks have found no worker before new workflows are refused.
+/// A pass that finds no worker for a moment is no overload.
+inline constexpr duration admission_min_wait = 250ms;
+/// How long the room for a crest that found too little of it is held.
+inline constexpr duration crest_memory = 20s;
+/// Refusals end once the forecast is below this share of the allowed time, so
+/// that a crest does not switch them on and off with each end of a task.
+inline constexpr permille admission_hysteresis{800};
+/// Run times alone are forecast to take this share of the allowed time at most:
+/// if tasks are slow but do not wait, a refusal helps nobody.
+inline constexpr permille max_forecast_run_share{750};
+/// Bounds of the learned ratio of seen to declared run times. Declared run
+/// times are off by up to a factor of two; the rest is the effect of
+/// neighbours.
+inline constexpr permille min_run_time_ratio{500};
+inline constexpr permille max_run_time_ratio{4000};
+/// Weight of one run in that ratio: a step of a hundred slow tasks does not
+/// set it alone.
+inline constexpr permille run_time_ratio_weight{10};
+/// Longest wait that is forecast, and bounds of the delay that a refusal names
+/// before it is spread over callers.
+inline constexpr duration max_expected_wait = 60s;
+inline constexpr seconds min_admission_retry = 1s;
+inline constexpr seconds max_admission_retry = 30s;
+/// Least share of the starts that is expected to be left by more urgent work: a
+/// burst of it passes.
+inline constexpr permille least_start_share{250};
+/// How long a count of the free processors is used: it visits all workers.
+inline constexpr duration free_room_validity = 250ms;
+/// Least time between two log lines on refused submissions.
+inline constexpr duration refusal_log_interval = 1s;
+
 // Values that workers and clients report. The bounds keep sums and products of
 // them within 64 bits.
 inline constexpr millicores max_reported_cores{1'000'000'000};
@@ -471,8 +563,15 @@
 /// significant effect.
 inline constexpr permille disturbance_headroom{600};
 inline constexpr permille harmless_headroom{800};
-/// Added to both while ready tasks have found no worker.
-inline constexpr permille headroom_when_behind{100};
+/// The headroom is lowered by a cut per interval while more than the first share
+/// of the workers with serving tasks is strained, and raised again below the
+/// second. Latencies are read twice a second and smoothed.
+inline constexpr duration headroom_interval = 1s;
+inline constexpr permille max_strained_workers{100};
+inline constexpr permille few_strained_workers{50};
+inline constexpr permille headroom_cut{50};
+inline constexpr permille headroom_raise{25};
+inline constexpr permille max_headroom_reduction{300};
 /// Smallest effect that can be distinguished from the scatter of the
 /// measurements; a natural logarithm in thousandths, like default_effect.
 inline constexpr permille min_significant_effect{100};
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -12,6 +12,7 @@
 #include "core/group/membership.hpp"
 #include "core/leader/leader_state.hpp"
 #include "core/leader/overload_guard.hpp"
+#include "core/leader/read_report.hpp"
 #include "ports/clock.hpp"
 #include "ports/log_store.hpp"
 #include "ports/run_worker.hpp"
@@ -21,6 +22,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/result.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -119,6 +121,21 @@
         workflows_.on_run_event(std::move(callback));
     }
 
+    /// Called on the leader for a refused submission, once in
+    /// config::refusal_log_interval.
+    auto on_refusal(std::function<void(refused_workflow const&)> callback)
+        -> void
+    {
+        workflows_.on_refusal(std::move(callback));
+    }
+
+    /// Called on the leader every config::fleet_report_interval with the reads
+    /// that it has answered, if any.
+    auto on_reads(std::function<void(read_report const&)> callback) -> void
+    {
+        on_reads_ = std::move(callback);
+    }
+
     /// Called when this process has become the leader.
     auto on_leading(std::function<void(term)> callback) -> void
     {
@@ -139,6 +156,8 @@
     auto start() -> result<void>
     {
         BOOST_OUTCOME_TRYV(replica_.start());
+        workflows_.set_log_at_start(
+            revision{replica_.status().log.last.value()});
         arm();
         return outcome::success();
     }
@@ -254,6 +273,7 @@
             last_member_check_ = now;
             check_members(now);
         }
+        report_reads(now);
         if (!is_leader())
         {
             return;
@@ -326,6 +346,9 @@
     {
         metrics_.count("apricotlb_leadership_changes_total",
                        is_leading ? "gained" : "lost");
+        // A report is on the reads of one term.
+        next_read_report_ = {};
+        report_reads(clock_.now());
         if (is_leading)
         {
             leader_.emplace(machine_.state(), in_term, clock_.now(), policy_);
@@ -434,9 +457,44 @@
         {
             key->at = clock_.wall_now();
         }
+        if (std::holds_alternative<evacuate_data_centre>(request) ||
+            std::holds_alternative<return_data_centre>(request))
+        {
+            change_evacuation(caller, request);
+            return;
+        }
         propose_for(caller, request);
     }
 
+    /// Answers a request that the state already holds without another entry,
+    /// unless one that is still pending may reverse it.
+    auto change_evacuation(call_origin const& caller, command const& it) -> void
+    {
+        auto const& state = machine_.state();
+        if (pending_evacuations_ == 0 && state.evacuations().is_in_effect(it))
+        {
+            metrics_.count(metric::evacuations, "repeated");
+            apply_result out;
+            out.at = revision{state.applied().value()};
+            answer(caller, std::move(out));
+            return;
+        }
+        auto const* const label =
+            std::holds_alternative<evacuate_data_centre>(it) ? "evacuated"
+                                                             : "returned";
+        ++pending_evacuations_;
+        replica_.propose(
+            Codec::encode(it),
+            [this, caller, label](result<log_index> const& done)
+            {
+                --pending_evacuations_;
+                metrics_.count(metric::evacuations,
+                               done ? label : name_of(done.error().kind));
+                answer_proposal(caller, done);
+            },
+            proposal_origin::system_operator);
+    }
+
     auto serve(call_origin caller, backend_announcement it) -> void
     {
         leader_->on_announce(it, clock_.now());
@@ -521,6 +579,10 @@
             refuse_call(error_kind::no_contracts, "no contracts are in force");
             return;
         }
+        if (request.action == workflow_action::state)
+        {
+            count_read();
+        }
         auto const found = contracts.match(request.host, request.path);
         if (!found)
         {
@@ -573,8 +635,7 @@
         if (auto const known = refused_submissions_.find(caller);
             known != refused_submissions_.end())
         {
-            refuse(caller.node, caller.id, known->second.reason.kind,
-                   known->second.reason.detail);
+            refuse(caller.node, caller.id, known->second.reason);
             return;
         }
         // A refusal of another copy would say that the workflow is not
@@ -613,11 +674,22 @@
                                "the limit on unfinished workflows is reached"});
             return;
         }
+        if (auto const decided = workflows_.admit(*spec, terms);
+            decided.is_refused())
+        {
+            refuse_submission(caller, refusal_of(decided));
+            return;
+        }
         pending_submissions_[id].insert(caller);
-        command const request{submit_workflow{std::move(*spec), terms}};
+        command const request{
+            submit_workflow{std::move(*spec), terms, clock_.wall_now()}};
         replica_.propose(Codec::encode(request),
                          [this, id](result<log_index> const& done)
                          {
+                             if (done.has_error())
+                             {
+                                 workflows_.on_submission_dropped(id);
+                             }
                              auto const callers =
                                  pending_submissions_.extract(id);
                              for (auto const& each : callers.mapped())
@@ -646,7 +718,7 @@
     /// once the reason has passed.
     auto refuse_submission(call_origin const& caller, error reason) -> void
     {
-        refuse(caller.node, caller.id, reason.kind, reason.detail);
+        refuse(caller.node, caller.id, reason);
         refused_submissions_[caller] = {std::move(reason),
                                         clock_.now() + config::call_timeout};
     }
@@ -654,9 +726,20 @@
     /// Proposes a command and answers its caller once it has been applied.
     auto propose_for(call_origin const& caller, command const& it) -> void
     {
-        replica_.propose(Codec::encode(it),
-                         [this, caller](result<log_index> const& done)
-                         { answer_proposal(caller, done); });
+        replica_.propose(
+            Codec::encode(it),
+            [this, caller](result<log_index> const& done)
+            { answer_proposal(caller, done); },
+            origin_of(it));
+    }
+
+    static auto origin_of(command const& it) -> proposal_origin
+    {
+        return std::holds_alternative<apply_contract_set>(it) ||
+                       std::holds_alternative<apply_contract>(it) ||
+                       std::holds_alternative<remove_contract>(it)
+                   ? proposal_origin::system_operator
+                   : proposal_origin::caller;
     }
 
     auto answer_proposal(call_origin const& caller,
@@ -673,6 +756,7 @@
 
     auto serve(call_origin caller, query it) -> void
     {
+        count_read();
         auto text = read(it);
         if (text.has_error())
         {
@@ -753,9 +837,14 @@
     auto refuse(node_id const& to, call_id id, error_kind kind,
                 std::string detail) -> void
     {
-        metrics_.count("apricotlb_call_refusals_total", name_of(kind));
-        call_failure out{kind, std::move(detail), std::nullopt};
-        if (kind == error_kind::not_leader)
+        refuse(to, id, error{kind, std::move(detail)});
+    }
+    auto refuse(node_id const& to, call_id id, error const& reason) -> void
+    {
+        metrics_.count("apricotlb_call_refusals_total", name_of(reason.kind));
+        call_failure out{reason.kind, reason.detail, std::nullopt,
+                         reason.retry_after};
+        if (reason.kind == error_kind::not_leader)
         {
             out.leader = replica_.leader();
         }
@@ -764,6 +853,36 @@
 
     // Reads.
 
+    /// A read that shows older contracts than one before can be traced by the
+    /// reports: they tell which leader answered by which version.
+    auto count_read() -> void
+    {
+        auto const& current = machine_.state().contract_sets().current();
+        auto const version =
+            current ? current->version : contract_set_version{};
+        if (reads_.reads == 0)
+        {
+            reads_.in_term = replica_.status().log.in_term;
+            reads_.first = version;
+        }
+        ++reads_.reads;
+        reads_.last = version;
+    }
+
+    auto report_reads(time_point now) -> void
+    {
+        if (now < next_read_report_ || reads_.reads == 0)
+        {
+            return;
+        }
+        next_read_report_ = now + config::fleet_report_interval;
+        auto const out = std::exchange(reads_, {});
+        if (on_reads_)
+        {
+            on_reads_(out);
+        }
+    }
+
     auto read(query const& request) -> result<std::string>
     {
         auto const& state = machine_.state();
@@ -789,6 +908,9 @@
                 return current->document;
             }
             return fail(error_kind::no_contracts, "no contracts are in force");
+        case query_kind::data_centres:
+            return Json::encode(
+                make_data_centres(state, workflows_.scheduler()));
         case query_kind::status:
         case query_kind::metrics:
             break;
@@ -834,6 +956,9 @@
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
     std::function<void(term)> on_leading_;
+    std::function<void(read_report const&)> on_reads_;
+    read_report reads_;             ///< since the last report
+    time_point next_read_report_{}; ///< not before
     std::function<void(disk_event, std::string const&)> on_disk_event_;
     workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
@@ -842,6 +967,8 @@
     /// Callers to answer once a proposed workflow has been committed.
     std::map<workflow_id, std::set<call_origin>> pending_submissions_;
     std::map<call_origin, refused_submission> refused_submissions_;
+    /// Proposed commands on evacuations whose outcome is open.
+    std::size_t pending_evacuations_{0};
     time_point last_key_expiry_{};
     bool is_expiring_keys_{false}; ///< keys that are due may be left
     time_point last_member_check_{};
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -116,6 +116,7 @@
     if (was_tried &&
         (known->second == pass.now || !may_repeat_search(known->second, pass)))
     {
+        pass.behind.insert(pool_of(record));
         return;
     }
     auto const visits_before = pass.visits;
@@ -131,10 +132,22 @@
     else
     {
         failed_gangs_[gang] = pass.now;
+        pass.behind.insert(pool_of(record));
     }
 }
 
-auto run_scheduler::summary(time_point now) const -> fleet_summary
+auto run_scheduler::count_strain() const -> strain_count
+{
+    strain_count out;
+    for (auto const& [id, worker] : workers_)
+    {
+        out.serving += worker.is_serving() ? 1 : 0;
+        out.strained += has_task_over_target(worker) ? 1 : 0;
+    }
+    return out;
+}
+
+auto run_scheduler::summary(time_point now) -> fleet_summary
 {
     fleet_summary out;
     out.ready = static_cast<std::int64_t>(state_.workflows().ready_count());
@@ -142,9 +155,17 @@
     out.ready_late = ready_by_worth_[1];
     out.ready_without_worth = ready_by_worth_[2];
     out.held = static_cast<std::int64_t>(held_.size());
+    forecast_.advance(state_.workflows(), now);
+    out.expected_waits = forecast_.expected_waits(now);
+    out.stragglers = stragglers_;
+    out.evacuated = static_cast<std::int64_t>(state_.evacuations().size());
+    out.relocating = static_cast<std::int64_t>(relocations_.size());
     for (auto const& [id, worker] : workers_)
     {
-        out.workers += worker.is_usable(now) ? 1 : 0;
+        auto const is_left = is_evacuated(worker);
+        out.workers += worker.is_usable(now) && !is_left ? 1 : 0;
+        out.evacuated_runs += is_left ? std::ssize(worker.runs) : 0;
+        out.cold += worker.warm_up.is_cold(now) ? 1 : 0;
         out.serving += worker.is_serving() ? 1 : 0;
         out.over_target += has_task_over_target(worker) ? 1 : 0;
         out.free_cores += worker.free().cores.value() / 1000;
@@ -157,6 +178,7 @@
         {
             out.inherited += held.phase == run_phase::inherited ? 1 : 0;
             out.unconfirmed += held.phase == run_phase::ordered ? 1 : 0;
+            out.copies += held.is_copy ? 1 : 0;
             if (held.phase == run_phase::running)
             {
                 ++out.running;
@@ -181,10 +203,12 @@
     workflow_record const* record{nullptr};
     occurrence_index occurrence;
     queue_priority priority;
+    millicores* cores{nullptr};
     time_point since;
     urgency urgency_rank;
     auto is_due = false;
     ready_by_worth_ = {};
+    ready_cores_.clear();
     for (auto const& [step, ready] : state_.workflows().ready())
     {
         auto const is_next_workflow =
@@ -196,6 +220,8 @@
                 state_.contract_sets().queue(record->terms.name);
             priority =
                 queue != nullptr ? queue->priority : record->terms.priority;
+            cores = &ready_cores_[queue != nullptr ? queue->pool
+                                                   : record->terms.pool];
         }
         if (is_next_workflow || occurrence != step.occurrence)
         {
@@ -219,7 +245,14 @@
         ready_by_worth_[static_cast<std::size_t>(urgency_rank.worth)] +=
             std::ssize(ready.tasks);
         workflow_task const first{ready.workflow, occurrence, step.step, {}};
-        auto const permanent = record->step(first).permanent;
+        auto const& spec = record->step(first);
+        auto const permanent = spec.permanent;
+        if (!permanent && !spec.scavenges &&
+            urgency_rank.worth == worth_left::full)
+        {
+            *cores +=
+                millicores{std::ssize(ready.tasks) * spec.each.cores.value()};
+        }
         auto const rank = permanent ? oldest_first(since) : urgency_rank;
         auto const restarts =
             permanent
@@ -280,6 +313,10 @@
         if (spec.gang)
         {
             try_gang(step.first, record, pass);
+            if (failed_gangs_.contains(step.first))
+            {
+                note_shortage(step, pass);
+            }
             return true;
         }
         auto const candidate = make_candidate(
@@ -294,6 +331,10 @@
             waits_.record(task, placed ? pass_result::placed
                                        : pass_result::no_worker);
         }
+        if (!placed)
+        {
+            note_shortage(step, pass);
+        }
         // No worker takes the other tasks of the step either.
         if (!placed && !candidate.is_restart && !candidate.is_suspect)
         {
@@ -310,27 +351,37 @@
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     needs_plan_ = false;
+    relocate(now);
     was_behind_ = std::exchange(is_behind_, false);
     if (state_.workflows().ready().empty())
     {
         held_.clear();
         failed_searches_.clear();
+        forecast_.on_pass({}, {}, now);
     }
-    if (fenced_ || state_.workflows().ready().empty() ||
-        unconfirmed_ >= config::max_unconfirmed_starts)
+    auto const stragglers = check_stragglers(now);
+    auto const has_work =
+        !state_.workflows().ready().empty() || !stragglers.empty();
+    if (fenced_ || !has_work || unconfirmed_ >= config::max_unconfirmed_starts)
     {
         waits_.begin_pass(pass_result::paused);
         return;
     }
     waits_.begin_pass(pass_result::unreached);
+    headroom_.update(count_strain(), now);
     auto pass = make_pass(now);
-    for (auto const& step : ranked_steps(now, wall))
+    auto const steps = ranked_steps(now, wall);
+    auto const is_complete = std::ranges::all_of(
+        steps, [&](ranked_step const& step) { return place_step(step, pass); });
+    if (is_complete)
     {
-        if (!place_step(step, pass))
-        {
-            break;
-        }
+        forecast_.on_pass(pass.short_of, ready_cores_, now);
+    }
+    else
+    {
+        forecast_.on_cut_pass(pass.short_of, now);
     }
+    place_copies(stragglers, is_complete, pass);
     end_holds(pass);
     is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
     was_cut_ = pass.is_cut;
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -128,6 +128,7 @@
         gain_room(entry);
     }
     entry.info = announcement;
+    entry.warm_up.announce(announcement.warm_up, now - age);
     entry.is_replaced = false;
     entry.described = announcement.number;
     entry.announced_at = now - age;
@@ -162,6 +163,7 @@
     entry.is_answering = false;
     entry.is_replaced = false;
     entry.lease = {};
+    entry.warm_up = {};
     entry.info = announcement;
     gain_room(entry);
     entry.lease.sample(announcement.clock, now);
@@ -456,7 +458,7 @@
     {
         process_running(worker, row, now);
     }
-    process_ended(worker, lists.ended);
+    process_ended(worker, lists.ended, now);
     if (lists.ended.size() < config::max_listed_ends)
     {
         process_absent(worker, poll_sent_at, now);
@@ -484,7 +486,8 @@
     auto& held = it->second;
     held.last_list = worker.second.last_list;
     held.record_measurement(row.load, now);
-    if (held.is_serving())
+    // The latencies of a cold worker are high without scavenging tasks too.
+    if (held.is_serving() && !worker.second.warm_up.is_cold(now))
     {
         interference_.learn(worker.first, held.image, milliseconds{row.load},
                             now);
@@ -549,7 +552,8 @@
 }
 
 auto run_scheduler::process_ended(identified_worker& worker,
-                                  std::vector<ended_row> const& rows) -> void
+                                  std::vector<ended_row> const& rows,
+                                  time_point now) -> void
 {
     propose_ends proposal;
     end_number last_number;
@@ -564,6 +568,7 @@
         it->second.last_list = worker.second.last_list;
         if (it->second.phase != run_phase::ending)
         {
+            learn_run_time(row.run, it->second, now);
             it->second.phase = run_phase::ending;
             proposal.runs.push_back(row.run);
         }
@@ -588,6 +593,7 @@
     held.settled_at = now;
     worker.second.are_shares_stale = true;
     waits_.remove(run.task);
+    watch_run(run, held, now);
     if (held.scavenges)
     {
         interference_.started(worker.first, run, held.image, now);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -39,12 +39,14 @@
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
                              time_point now, fleet_policy policy,
-                             submission_times const& submitted)
-    : state_(state), fence_(fence), leading_since_(now), policy_(policy)
+                             submission_times const& submitted, wall_time wall)
+    : state_(state), fence_(fence), leading_since_(now), policy_(policy),
+      forecast_(now)
 {
     inherit_runs(now);
-    inherit_ages(submitted);
+    inherit_ages(submitted, now, wall);
     inherit_waits(now);
+    inherit_forecast(now);
     for (auto& worker : workers_)
     {
         review_orders(worker, now);
@@ -60,7 +62,7 @@
     {
         record.for_each_active(
             [&, &record = record, &spec = record.spec](
-                workflow_task const& task, task_progress const& /*progress*/,
+                workflow_task const& task, task_progress const& progress,
                 active_run const& run)
             {
                 auto& identified = *workers_.try_emplace(run.worker.id).first;
@@ -74,6 +76,7 @@
                 auto held = make_held_run(step, images_.ref(step.image),
                                           run_phase::inherited);
                 held.suspect = record.is_suspect(task);
+                held.is_copy = progress.active.front().number != run.number;
                 worker.add(name, std::move(held));
                 worker_of_run_[name] = &identified;
             });
@@ -86,14 +89,16 @@
 
 /// Occurrences that have a time of their own wait from then on, which is not
 /// known here.
-auto run_scheduler::inherit_ages(submission_times const& submitted) -> void
+auto run_scheduler::inherit_ages(submission_times const& submitted,
+                                 time_point now, wall_time wall) -> void
 {
     for (auto const& [id, record] : state_.workflows().live())
     {
-        auto const at = submitted.find(id);
-        if (at && record.spec.repeats.times.value() == 0)
+        if (record.spec.repeats.times.value() == 0)
         {
-            ready_since_[{record.accepted, {}}] = *at;
+            // A snapshot has brought what this process has not applied.
+            ready_since_[{record.accepted, {}}] =
+                submitted.find(id).value_or(now - recorded_age(record, wall));
         }
     }
 }
@@ -148,7 +153,8 @@
         entry.info && entry.info->phase != worker_phase::ready;
     // The capacity may have shrunk since the run was placed.
     auto const has_room = !entry.info || entry.has_room_for(run);
-    if (!is_wanted(run) || entry.incarnation_ended || is_draining || !has_room)
+    if (!is_wanted(run) || entry.incarnation_ended || is_draining ||
+        is_evacuated(entry) || !has_room)
     {
         return false;
     }
@@ -382,6 +388,7 @@
 
 auto run_scheduler::on_applied(command const& applied, time_point now) -> void
 {
+    update_forecast(applied, now);
     if (auto const* const starts = std::get_if<start_runs>(&applied))
     {
         for (auto const& placed : starts->runs)
@@ -408,6 +415,7 @@
     {
         for (auto const& ended : ends->runs)
         {
+            report_winner(ended);
             stop_unneeded_after(ended.run.task, now);
             stop_incomplete_gang(ended, now);
             begin_wait(ended.run.task, now);
@@ -573,6 +581,12 @@
     {
         auto& [id, worker] = *found->second;
         interference_.ended(id, run, now);
+        watch_.remove(run);
+        auto reported = reported_no_copy_.lower_bound({run, {}});
+        while (reported != reported_no_copy_.end() && reported->first == run)
+        {
+            reported = reported_no_copy_.erase(reported);
+        }
         worker.remove(run);
         worker_of_run_.erase(found);
         gain_room(worker);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -6,16 +6,21 @@
 /// runs there; an order without an answer may still be executed.
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
 /// messages of workers, run_contacts.cpp their repeated announcements, and
-/// run_plan.cpp the choice of tasks and workers, and run_waits.cpp says why a
-/// task is not placed.
+/// run_plan.cpp the choice of tasks and workers, run_copies.cpp the copies of
+/// straggling runs, run_relocation.cpp moves permanent tasks, and
+/// run_waits.cpp says why a task is not placed.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
+#include "core/fleet/admission_forecast.hpp"
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
+#include "core/fleet/headroom_control.hpp"
+#include "core/fleet/relocation.hpp"
 #include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
+#include "core/fleet/straggler_watch.hpp"
 #include "core/fleet/submission_times.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
@@ -46,6 +51,8 @@
 {
     /// Longest lease that workers accept; they shorten longer ones.
     duration lease{seconds{10}};
+    /// Submissions that cannot end in time are refused.
+    bool refuses_late_work{false};
 };
 
 /// Proposes the start of placed runs to the log.
@@ -85,13 +92,20 @@
     std::int64_t permanent{0};  ///< of the running ones
     std::int64_t scavenging{0}; ///< of the running ones
     std::int64_t slowed{0};     ///< of the scavenging ones
+    std::int64_t copies{0};     ///< second runs of tasks, in any phase
+    std::int64_t stragglers{0}; ///< runs, as of the last check
     std::int64_t free_cores{0}; ///< not reserved
     std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
     std::int64_t silent{0};
-    std::int64_t inherited{0};   ///< runs not yet seen under this leader
-    std::int64_t unconfirmed{0}; ///< starts without an answer so far
-    std::int64_t polls{0};       ///< that wait for their answers
+    std::int64_t inherited{0};      ///< runs not yet seen under this leader
+    std::int64_t unconfirmed{0};    ///< starts without an answer so far
+    std::int64_t polls{0};          ///< that wait for their answers
+    std::int64_t evacuated{0};      ///< data centres
+    std::int64_t evacuated_runs{0}; ///< left on their workers
+    std::int64_t relocating{0}; ///< tasks stopped for a move a short time ago
+    std::int64_t cold{0};       ///< workers
+    std::vector<expected_wait> expected_waits; ///< of new work
 };
 
 /// An action that the caller of run_scheduler executes.
@@ -106,7 +120,8 @@
     /// leader may last for one more lease length, as the workers' clocks count
     /// it.
     run_scheduler(state_machine const& state, fence_token fence, time_point now,
-                  fleet_policy policy, submission_times const& submitted = {});
+                  fleet_policy policy, submission_times const& submitted = {},
+                  wall_time wall = {});
 
     // Messages of workers (run_reports.cpp).
     /// `age` is the time since the announcement was received. Returns false
@@ -125,6 +140,21 @@
     auto on_answer(poll_order const& order, poll_answer const& answer,
                    time_point now) -> void;
 
+    // Submissions (run_admission.cpp).
+    /// Decides whether a new workflow is accepted.
+    [[nodiscard]] auto admit(workflow_spec const& spec,
+                             queue_contract const& terms, time_point now)
+        -> admission_decision;
+    /// An admitted workflow is proposed to the log, or was not recorded.
+    auto on_submission_proposed(workflow_spec const& spec,
+                                queue_contract const& terms,
+                                admission_decision const& decided,
+                                time_point now) -> void;
+    auto on_submission_dropped(workflow_id const& id, time_point now) -> void;
+    /// By how much workflows have ended later than forecast, since the last
+    /// call; negative for those that ended earlier.
+    [[nodiscard]] auto take_forecast_errors() -> std::vector<duration>;
+
     // Outcomes of proposals.
     auto on_applied(command const& applied, time_point now) -> void;
     auto on_not_applied(propose_starts const& proposal, time_point now) -> void;
@@ -150,7 +180,7 @@
     {
         return workers_;
     }
-    [[nodiscard]] auto summary(time_point now) const -> fleet_summary;
+    [[nodiscard]] auto summary(time_point now) -> fleet_summary;
     /// Permanent tasks that have waited for another run for longer than
     /// config::reported_wait, the longest waits first, and
     /// config::max_reported_waits of them at most (run_waits.cpp).
@@ -167,7 +197,8 @@
 
     // run_scheduler.cpp
     auto inherit_runs(time_point now) -> void;
-    auto inherit_ages(submission_times const& submitted) -> void;
+    auto inherit_ages(submission_times const& submitted, time_point now,
+                      wall_time wall) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
     auto find(worker_instance const& it) -> worker_entry*;
     auto target_of(identified_worker const& worker, time_point now) const
@@ -188,6 +219,17 @@
     /// drains.
     [[nodiscard]] auto has_current_phase(worker_entry const& worker,
                                          time_point now) const -> bool;
+    [[nodiscard]] auto is_evacuated(worker_entry const& worker) const -> bool
+    {
+        return worker.info && state_.evacuations().contains(worker.info->zone);
+    }
+    /// True if the planner may place runs on the worker.
+    [[nodiscard]] auto takes_new_runs(worker_entry const& worker,
+                                      time_point now) const -> bool
+    {
+        return worker.is_usable(now) && has_current_phase(worker, now) &&
+               !is_evacuated(worker);
+    }
     /// Sends the start order of a recorded run if it may start, and otherwise
     /// withdraws the run.
     auto start_or_withdraw(identified_worker& worker, task_run const& run,
@@ -230,6 +272,18 @@
     /// blame if it has crashed.
     auto end_runs_of_silent(identified_worker& worker, time_point now) -> void;
 
+    // run_admission.cpp
+    auto inherit_forecast(time_point now) -> void;
+    auto update_forecast(command const& applied, time_point now) -> void;
+    auto update_forecast(workflow_task const& task, time_point now) -> void;
+    auto end_forecast(workflow_id const& id, time_point now) -> void;
+    /// Contract in force of the queue of a workflow.
+    [[nodiscard]] auto terms_of(workflow_record const& record) const
+        -> queue_contract const&;
+    /// Processors of the usable workers of a pool that are not reserved.
+    [[nodiscard]] auto free_cores(pool_name const& pool, time_point now)
+        -> millicores;
+
     // run_contacts.cpp
     struct departure
     {
@@ -277,7 +331,8 @@
     auto process_absent(identified_worker& worker, time_point sent,
                         time_point now) -> void;
     auto process_ended(identified_worker& worker,
-                       std::vector<ended_row> const& rows) -> void;
+                       std::vector<ended_row> const& rows, time_point now)
+        -> void;
     auto set_running(identified_worker& worker, task_run const& run,
                      held_run& held, time_point now) -> void;
     auto adjust_pace(identified_worker& worker, time_point now) -> void;
@@ -304,6 +359,7 @@
         std::tuple<pool_name, worker_label, image_name, bool, bool, bool,
                    std::int64_t, std::int64_t, std::int32_t,
                    std::optional<workflow_task>>;
+    [[nodiscard]] auto count_strain() const -> strain_count;
     auto placement_key_of(candidate_run const& candidate) const
         -> placement_key;
     /// A search that found no worker. Until it is repeated, only workers that
@@ -327,6 +383,7 @@
         placement_key key;
         std::vector<option> options; ///< a heap with the best one in front
         bool is_suspect{false};
+        bool scavenges{false};
         bool was_known{false}; ///< an earlier search with this key has failed
         bool repeats{false};   ///< that search
         bool has_failed{false};
@@ -358,8 +415,12 @@
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
         std::size_t hold_visits{0};   ///< of them, to choose workers to hold
         bool is_behind{false};        ///< some task found no worker
-        bool is_cut{false};           ///< ended at its limit of visits
+        /// Pools in which tasks wait for reserved processors.
+        std::set<pool_name> behind;
+        bool is_cut{false}; ///< ended at its limit of visits
         effect_table effects;
+        /// Rooms of which some task found too little.
+        std::map<pool_room, room_shortage> short_of;
     };
     /// Ready tasks of one step, with their sort keys.
     struct ranked_step
@@ -376,6 +437,8 @@
         -> std::vector<ranked_step>;
     /// Places tasks of a step; returns false at a limit of the pass.
     auto place_step(ranked_step const& step, plan_pass& pass) -> bool;
+    /// Records that a task of the step found no worker.
+    auto note_shortage(ranked_step const& step, plan_pass& pass) const -> void;
     auto make_pass(time_point now) -> plan_pass;
     /// The best worker for a member of a gang.
     auto choose_worker(candidate_run const& candidate, plan_pass& pass)
@@ -442,6 +505,44 @@
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
+    // run_copies.cpp
+    /// Watches a run that was seen on its worker if it may be copied.
+    auto watch_run(task_run const& run, held_run const& held, time_point now)
+        -> void;
+    /// Learns the run time of a run that has ended.
+    auto learn_run_time(ended_run const& ended, held_run const& held,
+                        time_point now) -> void;
+    /// The stragglers, if a check is due.
+    auto check_stragglers(time_point now) -> std::vector<straggler>;
+    /// Starts copies in room for which no task of the same pool waits.
+    /// `is_complete` says whether the pass has reached all waiting tasks.
+    auto place_copies(std::vector<straggler> const& stragglers,
+                      bool is_complete, plan_pass& pass) -> void;
+    /// Says why a straggler gets no copy whatever room there is; none if it
+    /// may get one or needs none.
+    [[nodiscard]] auto refusal_of_copy(straggler const& it,
+                                       workflow_record const& record) const
+        -> std::optional<run_event_kind>;
+    auto choose_copy_worker(identified_worker const& first,
+                            candidate_run const& candidate, plan_pass& pass)
+        -> identified_worker*;
+    /// True for an active run under way whose task has no other run and is no
+    /// suspect.
+    [[nodiscard]] auto needs_copy(task_run const& run) const -> bool;
+    /// Reports a reason once for each run.
+    auto report_no_copy(run_event_kind reason, task_run const& run) -> void;
+    /// Reports which of two runs of a task has finished first.
+    auto report_winner(ended_run const& ended) -> void;
+
+    // run_relocation.cpp
+    /// Stops permanent tasks on workers that take no new runs, so that they
+    /// start on other workers.
+    auto relocate(time_point now) -> void;
+    auto relocate_from(identified_worker& worker, plan_pass& pass) -> void;
+    /// The tasks of the step of `first` as choose_relocation() needs them.
+    auto step_tasks(workflow_record const& record, workflow_task const& first,
+                    time_point now) -> std::vector<step_task>;
+
     // run_waits.cpp
     auto begin_wait(workflow_task const& task, time_point now) -> void;
     auto inherit_waits(time_point now) -> void;
@@ -475,17 +576,32 @@
     std::vector<ended_run> pending_ends_; ///< proposed by take_actions()
     std::set<worker_id> held_;            ///< by the last pass
     std::array<std::int64_t, 3> ready_by_worth_{}; ///< by worth_left
+    /// Processors that ready tasks in time need which end by themselves.
+    std::map<pool_name, millicores> ready_cores_;
+    admission_forecast forecast_;
+    std::vector<duration> forecast_errors_;
+    std::map<pool_name, millicores> free_cores_;
+    std::optional<time_point> free_cores_at_;
     room_change last_room_change_;
     std::map<placement_key, failed_search> failed_searches_;
     /// When gangs that found no workers were tried, by their first task.
     std::map<workflow_task, time_point> failed_gangs_;
     restart_waits waits_;
+    straggler_watch watch_;
+    time_point stragglers_checked_at_{};
+    time_point watch_pruned_at_{};
+    std::int64_t stragglers_{0}; ///< as of the last check
+    /// Reasons for no copy that were reported for runs with a reservation.
+    std::set<std::pair<task_run, run_event_kind>> reported_no_copy_;
+    relocation_table relocations_;
+    time_point relocated_at_{}; ///< last call of relocate()
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
     bool fenced_{false};
     bool needs_plan_{true};
     bool is_behind_{false};
+    headroom_control headroom_;
     bool was_behind_{false}; ///< is_behind() before the current plan
     bool was_cut_{false};    ///< the last pass ended at its limit of visits
 };
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -292,10 +292,11 @@
     members,
     metrics,
     contract_set, ///< document of the contract set in force
+    data_centres,
 };
 
 template <>
-inline constexpr auto last_enumerator<query_kind> = query_kind::contract_set;
+inline constexpr auto last_enumerator<query_kind> = query_kind::data_centres;
 
 /// A read of the leader's state; the answer is text in JSON.
 struct query
@@ -457,15 +458,21 @@
     error_kind kind{error_kind::internal};
     std::string detail;
     std::optional<node_id> leader; ///< to which the call may be sent next
+    /// When the call may be sent again, if that is known.
+    std::optional<seconds> retry_after{};
 
     static constexpr auto fields()
     {
         return field_list(field("kind", &call_failure::kind),
                           field("detail", &call_failure::detail),
-                          field("leader", &call_failure::leader));
+                          field("leader", &call_failure::leader),
+                          field("retry_after", &call_failure::retry_after));
     }
 };
 
+template <>
+inline constexpr std::size_t optional_fields<call_failure> = 1;
+
 struct call_answer
 {
     call_id id;
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -14,8 +14,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace apricotlb
 {
@@ -49,9 +51,15 @@
 struct silent_run_workers
 {
     template <class Order, class Callback>
-    auto send(Order const& /*order*/, Callback const& /*done*/) -> void
+    auto send(Order const& order, Callback const& /*done*/) -> void
     {
+        if constexpr (std::is_same_v<Order, start_order>)
+        {
+            started.push_back(order.run.task.workflow);
+        }
     }
+
+    std::vector<workflow_id> started{};
 };
 
 /// A control process that is its own group and leads it.
@@ -61,9 +69,7 @@
     lone_leader()
     {
         clock_.advance(seconds{100});
-        EXPECT_TRUE(role_.start());
-        clock_.advance(seconds{1});
-        EXPECT_TRUE(role_.is_leader());
+        start();
         contract_set set;
         set.version = contract_set_version{1};
         set.pools.push_back({pool_name{"pool"}, true, false});
@@ -73,11 +79,20 @@
         queue.prefix = queue_path{"/"};
         queue.pool = pool_name{"pool"};
         queue.timeout = milliseconds{3000};
+        queue.target = milliseconds{5000};
         set.queues.push_back(queue);
         call(command{apply_contract_set{set}});
         clock_.advance(milliseconds{100});
     }
 
+    /// The process is lost and started again.
+    auto restart() -> void
+    {
+        role_.reset();
+        store_.emplace(disk_);
+        start();
+    }
+
     /// Sends a call and returns its id.
     template <class Body>
     auto call(Body body) -> call_id
@@ -89,16 +104,39 @@
     template <class Body>
     auto send(call_id id, Body body) -> void
     {
-        role_.take(node_id{"entry"}, apricotlb::call{id, std::move(body)});
+        role_->take(node_id{"entry"}, apricotlb::call{id, std::move(body)});
     }
 
     static auto submission(std::string const& id) -> workflow_call
     {
         workflow_spec spec;
         spec.steps.resize(1);
+        spec.steps[0].each.cores = millicores{1000};
         return {workflow_action::submit, host_name{"h"}, "/" + id, spec};
     }
 
+    /// A task of a second on one core; the contract allows two of them.
+    static auto timed_submission(std::string const& id) -> workflow_call
+    {
+        auto out = submission(id);
+        out.spec->steps[0].each.cores = millicores{1000};
+        out.spec->steps[0].estimate = milliseconds{1000};
+        return out;
+    }
+    auto allow(milliseconds target) -> void
+    {
+        auto set = *role_->state().contract_sets().current();
+        set.version = contract_set_version{set.version.value() + 1};
+        set.queues[0].target = target;
+        call(command{apply_contract_set{set}});
+        clock_.advance(milliseconds{100});
+    }
+    [[nodiscard]] auto retry_after(call_id id) const -> std::optional<seconds>
+    {
+        return std::get<call_failure>(transport_.answers.at(id).body)
+            .retry_after;
+    }
+
     /// The loop stands still, so that its timers are late.
     auto stall(duration d) -> void
     {
@@ -128,11 +166,36 @@
     }
     [[nodiscard]] auto accepted() const -> std::size_t
     {
-        return role_.state().workflows().live().size();
+        return role_->state().workflows().live().size();
+    }
+    /// The workflows whose tasks were started, in order.
+    [[nodiscard]] auto started() const -> std::vector<workflow_id> const&
+    {
+        return runs_.started;
     }
+    [[nodiscard]] auto read_reports() const -> std::vector<read_report> const&
+    {
+        return read_reports_;
+    }
+    /// Each read of the wall clock is off by this from then on.
+    auto set_wall_error(seconds it) -> void { clock_.wall_error = it; }
     [[nodiscard]] auto keys() const -> std::size_t
     {
-        return role_.state().keys().size();
+        return role_->state().keys().size();
+    }
+    [[nodiscard]] auto state() const -> state_machine const&
+    {
+        return role_->state();
+    }
+    /// The kind of a refusal by the check or the state, if there was one.
+    [[nodiscard]] auto refused(call_id id) const -> std::optional<error_kind>
+    {
+        return std::get<apply_result>(transport_.answers.at(id).body).refused;
+    }
+    /// The text that answers a query.
+    [[nodiscard]] auto text(call_id id) const -> std::string
+    {
+        return std::get<query_answer>(transport_.answers.at(id).body).json;
     }
     [[nodiscard]] auto metrics() const -> fake_metrics const&
     {
@@ -140,31 +203,38 @@
     }
 
 private:
+    fleet_policy policy_{seconds{10}, true};
     paused_clock clock_;
     answer_list transport_;
     memory_disk disk_;
-    memory_log store_{disk_};
+    std::optional<memory_log> store_{disk_};
     silent_workers workers_;
     silent_run_workers runs_;
     fake_metrics metrics_;
     std::uint64_t last_id_{0};
-    control_role<paused_clock, answer_list, memory_log, silent_workers,
-                 silent_run_workers, msgpack_codec, snapshot_codec, json_codec,
-                 fake_metrics>
-        role_{clock_,
-              transport_,
-              store_,
-              workers_,
-              runs_,
-              metrics_,
-              {replica_options::builder{}
-                   .self(node_id{"a"})
-                   .bootstrap({{node_id{"a"}, {}, {}}})
-                   .build()
-                   .value(),
-               {},
-               {},
-               false}};
+    using role_type =
+        control_role<paused_clock, answer_list, memory_log, silent_workers,
+                     silent_run_workers, msgpack_codec, snapshot_codec,
+                     json_codec, fake_metrics>;
+
+    auto start() -> void
+    {
+        auto options = replica_options::builder{}
+                           .self(node_id{"a"})
+                           .bootstrap({{node_id{"a"}, {}, {}}})
+                           .build()
+                           .value();
+        role_.emplace(clock_, transport_, *store_, workers_, runs_, metrics_,
+                      control_options{std::move(options), {}, policy_, false});
+        role_->on_reads([this](read_report const& it)
+                        { read_reports_.push_back(it); });
+        EXPECT_TRUE(role_->start());
+        clock_.advance(seconds{1});
+        EXPECT_TRUE(role_->is_leader());
+    }
+
+    std::vector<read_report> read_reports_;
+    std::optional<role_type> role_;
 };
 
 // A leader that goes on accepting work while it is late grows its backlog until
@@ -277,6 +347,179 @@
     EXPECT_EQ(it.accepted(), 2);
 }
 
+// Work that cannot end in time was accepted, and made the next work late. A
+// refused copy must not be accepted later, and no accepted one be refused: its
+// caller would believe that it does not run.
+TEST(control_role, refuses_what_cannot_end_in_time_but_no_accepted_id)
+{
+    lone_leader it;
+    it.allow(milliseconds{1000});
+    it.run(config::forecast_window);
+    auto const accepted = it.call(lone_leader::timed_submission("a"));
+    it.run(2 * config::admission_min_wait);
+    EXPECT_EQ(it.refusal(accepted), std::nullopt);
+    auto const refused = it.call(lone_leader::timed_submission("b"));
+    EXPECT_EQ(it.refusal(refused), error_kind::deadline_unmeetable);
+    EXPECT_GE(it.retry_after(refused), config::min_admission_retry);
+    auto const repeated = it.call(lone_leader::timed_submission("a"));
+    EXPECT_EQ(it.refusal(repeated), std::nullopt);
+    it.run(seconds{2});
+    it.send(refused, lone_leader::timed_submission("b"));
+    EXPECT_EQ(it.refusal(refused), error_kind::deadline_unmeetable);
+    EXPECT_EQ(it.accepted(), 1);
+    // What waits has lost its value by now, and makes no other work late.
+    it.run(seconds{4});
+    auto const again = it.call(lone_leader::timed_submission("b"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(again), std::nullopt);
+    EXPECT_EQ(it.accepted(), 2);
+}
+
+// The logs could not tell by which contracts, and in which term, a read was
+// answered.
+TEST(control_role, reports_the_terms_and_versions_of_reads)
+{
+    lone_leader it;
+    for (auto n = 0; n < 50; ++n)
+    {
+        it.call(query{query_kind::contract_set, {}, {}, {}});
+        it.call(workflow_call{workflow_action::state, host_name{"h"}, "/",
+                              std::nullopt});
+        it.run(milliseconds{100});
+    }
+    auto const& reports = it.read_reports();
+    ASSERT_GE(reports.size(), 4U);
+    EXPECT_LE(reports.size(), 6U);
+    for (auto const& each : reports)
+    {
+        EXPECT_EQ(each.in_term, term{1});
+        EXPECT_EQ(each.last, contract_set_version{1});
+    }
+    EXPECT_EQ(reports[1].reads, 20);
+}
+
+/// Lets two submissions wait for 40 s and for no time before a restart, and
+/// returns which of them a small worker gets first after it.
+auto first_after_restart(seconds wall_error) -> std::string
+{
+    lone_leader it;
+    it.call(lone_leader::submission("old"));
+    it.run(seconds{40});
+    it.call(lone_leader::submission("fresh"));
+    it.run(milliseconds{100});
+    it.set_wall_error(wall_error);
+    it.restart();
+    worker_announcement worker;
+    worker.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    worker.pool = pool_name{"pool"};
+    worker.capacity.cores = millicores{1000};
+    worker.number = sequence{1};
+    it.call(worker);
+    it.run(milliseconds{300});
+    EXPECT_EQ(it.accepted(), 2U);
+    return it.started().empty() ? "" : it.started().front().value();
+}
+
+// After a restart of the whole group all waiting work counted as fresh, and old
+// work went before work that could still be in time.
+TEST(control_role, knows_the_age_of_work_after_a_restart)
+{
+    EXPECT_EQ(first_after_restart(seconds{0}), "fresh");
+    EXPECT_EQ(first_after_restart(seconds{2}), "fresh");
+}
+
+// A wall clock that has jumped back must not make work younger than new.
+TEST(control_role, treats_work_from_the_future_as_fresh)
+{
+    EXPECT_EQ(first_after_restart(-seconds{100}), "old");
+}
+
+// An evacuation that is acknowledged before its commit is gone with the leader;
+// one that needs an entry for each repetition fills the log.
+TEST(control_role, answers_an_evacuation_once_committed_and_again_without_entry)
+{
+    lone_leader it;
+    command const request{evacuate_data_centre{zone_id{"a"}}};
+    auto const first = it.call(request);
+    EXPECT_FALSE(it.is_answered(first));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refused(first), std::nullopt);
+    EXPECT_TRUE(it.state().evacuations().contains(zone_id{"a"}));
+
+    auto const applied = it.state().applied();
+    auto const again = it.call(request);
+    ASSERT_TRUE(it.is_answered(again));
+    EXPECT_EQ(it.refused(again), std::nullopt);
+    auto const other = it.call(command{return_data_centre{zone_id{"b"}}});
+    EXPECT_EQ(it.refused(other), std::nullopt);
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.state().applied(), applied);
+    EXPECT_EQ(it.metrics().of("apricotlb_evacuations_total", "evacuated"), 1);
+    EXPECT_EQ(it.metrics().of("apricotlb_evacuations_total", "repeated"), 2);
+
+    query request_list;
+    request_list.kind = query_kind::data_centres;
+    EXPECT_NE(it.text(it.call(request_list)).find(R"("evacuated":true)"),
+              std::string::npos);
+}
+
+// A return that is acknowledged from the state while the evacuation before it
+// waits for its commit would leave the data centre evacuated.
+TEST(control_role, takes_a_return_after_an_evacuation_that_is_not_committed)
+{
+    lone_leader it;
+    auto const first = it.call(command{evacuate_data_centre{zone_id{"a"}}});
+    auto const second = it.call(command{return_data_centre{zone_id{"a"}}});
+    EXPECT_FALSE(it.is_answered(second));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refused(first), std::nullopt);
+    EXPECT_EQ(it.refused(second), std::nullopt);
+    EXPECT_EQ(it.state().evacuations().size(), 0U);
+}
+
+// A leader that is behind refuses new work; an operator must still be able to
+// empty a data centre then.
+TEST(control_role, takes_an_evacuation_while_it_is_behind)
+{
+    lone_leader it;
+    it.stall(config::scheduler_tick + config::overload_delay);
+    auto const call = it.call(command{evacuate_data_centre{zone_id{"a"}}});
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refused(call), std::nullopt);
+}
+
+// Callers that fill the queue of proposals must not keep an operator out.
+TEST(control_role, takes_an_evacuation_while_the_queue_of_proposals_is_full)
+{
+    lone_leader it;
+    // Nothing is committed before the loop goes on.
+    call_id last;
+    for (std::size_t n = 0; n <= config::max_pending_proposals; ++n)
+    {
+        last = it.call(command{end_session{{node_id{"e"}, incarnation{n}}}});
+    }
+    ASSERT_TRUE(it.is_answered(last));
+    EXPECT_EQ(it.refusal(last), error_kind::queue_full);
+    auto const call = it.call(command{evacuate_data_centre{zone_id{"a"}}});
+    EXPECT_FALSE(it.is_answered(call));
+    it.run(seconds{1});
+    EXPECT_EQ(it.refused(call), std::nullopt);
+}
+
+// An entry or control process of another version may let a malformed name pass.
+TEST(control_role, refuses_malformed_names_of_data_centres)
+{
+    lone_leader it;
+    for (auto const& name : {std::string{}, std::string(129, 'a'),
+                             std::string{"a/b"}, std::string{"a\nb"}})
+    {
+        auto const call = it.call(command{evacuate_data_centre{zone_id{name}}});
+        EXPECT_EQ(it.refused(call), error_kind::bad_request) << name;
+        auto const back = it.call(command{return_data_centre{zone_id{name}}});
+        EXPECT_EQ(it.refused(back), error_kind::bad_request) << name;
+    }
+}
+
 // One short turn of the loop does not mean that the overload is over.
 TEST(overload_guard, ends_an_overload_only_after_a_time_without_delays)
 {
