Let the test's calls outlast the silence of a leader

Submissions are refused after 2 s without a leader; the calls of control_link_test expired at the same time, so that they could not be told apart.

--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -48,7 +48,7 @@
         auto const out = std::make_shared<std::optional<answer>>();
         link.start(
             workflow_call{action, host_name{"h"}, "/q", std::nullopt},
-            [out](answer it) { *out = std::move(it); }, seconds{2});
+            [out](answer it) { *out = std::move(it); }, seconds{3});
         return out;
     }
     static auto count(std::int64_t n) -> workflow_answer
@@ -279,7 +279,7 @@
         }
     }
     EXPECT_FALSE(unanswered->has_value());
-    clock.advance(seconds{2});
+    clock.advance(seconds{3});
     EXPECT_EQ(kind_of(*unanswered), error_kind::no_leader);
     EXPECT_EQ(reasons, std::vector{call_refusal::not_accepted});
 }
