Leave evacuated data centres out of the room for permanent tasks

With late_work: refuse, the free processors that permanent workflows are weighed against included those of evacuated data centres and of workers whose phase this leader does not know, where no run starts. The planner's own predicate decides now. No test of its own; evacuation_test covers the predicate.

--- a/src/core/fleet/run_admission.cpp
+++ b/src/core/fleet/run_admission.cpp
@@ -100,7 +100,7 @@
         free_cores_.clear();
         for (auto const& [id, worker] : workers_)
         {
-            if (worker.is_usable(now))
+            if (takes_new_runs(worker, now))
             {
                 free_cores_[worker.info->pool] += worker.free().cores;
             }
