--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -563,9 +563,9 @@
 /// significant effect.
 inline constexpr permille disturbance_headroom{600};
 inline constexpr permille harmless_headroom{800};
-/// The headroom is lowered by a cut per interval while more than the first share
-/// of the workers with serving tasks is strained, and raised again below the
-/// second. Latencies are read twice a second and smoothed.
+/// The headroom is lowered by a cut per interval while more than the first
+/// share of the workers with serving tasks is strained, and raised again below
+/// the second. Latencies are read twice a second and smoothed.
 inline constexpr duration headroom_interval = 1s;
 inline constexpr permille max_strained_workers{100};
 inline constexpr permille few_strained_workers{50};
