--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -45,7 +45,7 @@
     /// Returns where the answer will be.
     auto start(workflow_action action) -> std::shared_ptr<std::optional<answer>>
     {
-        auto const out = std::make_shared<std::optional<answer>>();
+        auto out = std::make_shared<std::optional<answer>>();
         link.start(
             workflow_call{action, host_name{"h"}, "/q", std::nullopt},
             [out](answer it) { *out = std::move(it); }, seconds{3});
--- a/tests/restart_schedule_test.cpp
+++ b/tests/restart_schedule_test.cpp
@@ -1,4 +1,4 @@
-/// Workers that restart under their ids, among order faults and changes of
+/// Workers that restart under their ids_, among order faults and changes of
 /// leader, in seeded schedules.
 #include "fake_fleet.hpp"
 
@@ -19,7 +19,7 @@
     explicit restart_schedule(std::uint64_t seed)
         : fleet(seed), random_(seed * 7919 + 1)
     {
-        for (auto const& id : ids)
+        for (auto const& id : ids_)
         {
             fleet.add_worker(id, 4000);
             incarnations_.push_back(1);
@@ -69,8 +69,8 @@
         }
         if (below(25) == 0)
         {
-            auto const at = below(ids.size());
-            fleet.workers[ids[at]]->restart(++incarnations_[at], fleet.now);
+            auto const at = below(ids_.size());
+            fleet.workers[ids_[at]]->restart(++incarnations_[at], fleet.now);
         }
         if (below(25) == 0 && !names_.empty())
         {
@@ -79,7 +79,7 @@
         }
         if (below(20) == 0)
         {
-            fleet.cut.insert(ids[below(ids.size())]);
+            fleet.cut.insert(ids_[below(ids_.size())]);
         }
         if (below(6) == 0)
         {
@@ -100,7 +100,7 @@
         fleet.submit(name, {first, second});
     }
 
-    std::vector<std::string> const ids{"w1", "w2", "w3", "w4", "w5"};
+    std::vector<std::string> const ids_{"w1", "w2", "w3", "w4", "w5"};
     std::vector<int> incarnations_;
     std::vector<std::string> names_;
     std::uint64_t random_;
@@ -110,7 +110,7 @@
 // whose task runs elsewhere. KNOWN-RED.txt names the seeds.
 TEST(restart_schedule, DISABLED_runs_no_task_twice)
 {
-    for (std::uint64_t const seed : {438, 589})
+    for (auto const seed : {std::uint64_t{438}, std::uint64_t{589}})
     {
         restart_schedule it{seed};
         it.run();
