Revert "Lower the headroom for scavenging work while many workers are strained"

Serving tasks were slowed less, but scavenging work, which is worth more there, found too little room. The fixed headroom and its addition for a backlog are back.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -563,15 +563,8 @@
 /// significant effect.
 inline constexpr permille disturbance_headroom{600};
 inline constexpr permille harmless_headroom{800};
-/// The headroom is lowered by a cut per interval while more than the first
-/// share of the workers with serving tasks is strained, and raised again below
-/// the second. Latencies are read twice a second and smoothed.
-inline constexpr duration headroom_interval = 1s;
-inline constexpr permille max_strained_workers{100};
-inline constexpr permille few_strained_workers{50};
-inline constexpr permille headroom_cut{50};
-inline constexpr permille headroom_raise{25};
-inline constexpr permille max_headroom_reduction{300};
+/// Added to both while ready tasks have found no worker.
+inline constexpr permille headroom_when_behind{100};
 /// Smallest effect that can be distinguished from the scatter of the
 /// measurements; a natural logarithm in thousandths, like default_effect.
 inline constexpr permille min_significant_effect{100};
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -217,15 +217,18 @@
                                           image_ref image,
                                           plan_pass& pass) const -> bool
 {
+    auto const extra = was_behind_ ? config::headroom_when_behind : permille{};
     return std::ranges::all_of(
         worker.serving_shares,
         [&](serving_share const& it)
         {
             auto const& effect = pass.effects.effect(image, it.image);
-            auto const headroom = headroom_.headroom(effect.harmless);
+            auto const headroom = effect.harmless
+                                      ? config::harmless_headroom
+                                      : config::disturbance_headroom;
             auto const share =
                 static_cast<double>(it.expected.value()) * effect.factor;
-            return share <= static_cast<double>(headroom.value());
+            return share <= static_cast<double>((headroom + extra).value());
         });
 }
 
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -136,17 +136,6 @@
     }
 }
 
-auto run_scheduler::count_strain() const -> strain_count
-{
-    strain_count out;
-    for (auto const& [id, worker] : workers_)
-    {
-        out.serving += worker.is_serving() ? 1 : 0;
-        out.strained += has_task_over_target(worker) ? 1 : 0;
-    }
-    return out;
-}
-
 auto run_scheduler::summary(time_point now) -> fleet_summary
 {
     fleet_summary out;
@@ -368,7 +357,6 @@
         return;
     }
     waits_.begin_pass(pass_result::unreached);
-    headroom_.update(count_strain(), now);
     auto pass = make_pass(now);
     auto const steps = ranked_steps(now, wall);
     auto const is_complete = std::ranges::all_of(
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -16,7 +16,6 @@
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
-#include "core/fleet/headroom_control.hpp"
 #include "core/fleet/relocation.hpp"
 #include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
@@ -359,7 +358,6 @@
         std::tuple<pool_name, worker_label, image_name, bool, bool, bool,
                    std::int64_t, std::int64_t, std::int32_t,
                    std::optional<workflow_task>>;
-    [[nodiscard]] auto count_strain() const -> strain_count;
     auto placement_key_of(candidate_run const& candidate) const
         -> placement_key;
     /// A search that found no worker. Until it is repeated, only workers that
@@ -601,7 +599,6 @@
     bool fenced_{false};
     bool needs_plan_{true};
     bool is_behind_{false};
-    headroom_control headroom_;
     bool was_behind_{false}; ///< is_behind() before the current plan
     bool was_cut_{false};    ///< the last pass ended at its limit of visits
 };
