Log why accepted work has not started, and count contradictions

A task that has never run was followed by no line and no counter: the lines `waiting` follow restarts of permanent tasks only. So the record of an accepted task that never started could not tell the places apart that may hold it back.

The leader now logs the steps of which nothing has run for longest, once a second, four at most, with the cause and the workers by the reason for which they do not take the first task. Work that a worker would take is counted as apricotlb_planner_contradictions_total. A report looks at the 256 steps that were accepted first, so that its time does not grow with the backlog.

The count in the driver has no test of its own. No decision of the planner changes.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -386,6 +386,8 @@
 /// the waits in one report.
 inline constexpr duration reported_wait = 1s;
 inline constexpr std::size_t max_reported_waits = 4;
+/// Steps with waiting tasks that a report looks at, in order of acceptance.
+inline constexpr std::size_t max_followed_steps = 256;
 inline constexpr duration order_timeout = 1s;
 /// Age of an order up to which a relay passes it on. Later the worker may have
 /// been restarted under its id, and would know neither the fence nor that the
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -106,10 +106,10 @@
     }
 
     /// Called on the leader every config::fleet_report_interval with the state
-    /// of the fleet and the longest waits.
-    auto on_fleet(std::function<void(fleet_summary const&,
-                                     std::vector<wait_report> const&)>
-                      callback) -> void
+    /// of the fleet and the work that has waited for longest.
+    auto on_fleet(
+        std::function<void(fleet_summary const&, waiting_work const&)> callback)
+        -> void
     {
         workflows_.on_report(std::move(callback));
     }
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -203,11 +203,11 @@
         on_refusal_ = std::move(callback);
     }
 
-    using report_callback = std::function<void(
-        fleet_summary const&, std::vector<wait_report> const&)>;
+    using report_callback =
+        std::function<void(fleet_summary const&, waiting_work const&)>;
 
     /// Called every config::fleet_report_interval with the state of the fleet
-    /// and the longest waits.
+    /// and the work that has waited for longest.
     auto on_report(report_callback callback) -> void
     {
         on_report_ = std::move(callback);
@@ -251,12 +251,24 @@
     auto report() -> void
     {
         auto const now = clock_.now();
-        if (now - last_report_ >= config::fleet_report_interval && on_report_)
+        if (now - last_report_ < config::fleet_report_interval)
         {
-            last_report_ = now;
-            logged_run_events_ = 0;
-            on_report_(scheduler_->summary(now),
-                       scheduler_->longest_waits(now));
+            return;
+        }
+        last_report_ = now;
+        logged_run_events_ = 0;
+        auto const waiting =
+            scheduler_->longest_waiting(now, clock_.wall_now());
+        for (auto const& it : waiting.steps)
+        {
+            if (is_contradiction(it.cause))
+            {
+                metrics_.count(metric::contradictions, name_of(it.cause));
+            }
+        }
+        if (on_report_)
+        {
+            on_report_(scheduler_->summary(now), waiting);
         }
     }
 
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -195,7 +195,7 @@
     millicores* cores{nullptr};
     time_point since;
     urgency urgency_rank;
-    auto is_due = false;
+    auto occurrence_is_due = false;
     ready_by_worth_ = {};
     ready_cores_.clear();
     for (auto const& [step, ready] : state_.workflows().ready())
@@ -215,11 +215,8 @@
         if (is_next_workflow || occurrence != step.occurrence)
         {
             occurrence = step.occurrence;
-            auto const& repeats = record->spec.repeats;
-            is_due = repeats.times.value() == 0 ||
-                     wall.time_since_epoch() >=
-                         repeats.first + repeats.interval * occurrence.value();
-            if (is_due)
+            occurrence_is_due = is_due(*record, occurrence, wall);
+            if (occurrence_is_due)
             {
                 since =
                     ready_since_.try_emplace({step.accepted, occurrence}, now)
@@ -227,7 +224,7 @@
                 urgency_rank = urgency_of(*record, occurrence, since, now);
             }
         }
-        if (!is_due)
+        if (!occurrence_is_due)
         {
             continue;
         }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -181,10 +181,11 @@
     }
     [[nodiscard]] auto summary(time_point now) -> fleet_summary;
     /// Permanent tasks that have waited for another run for longer than
-    /// config::reported_wait, the longest waits first, and
-    /// config::max_reported_waits of them at most (run_waits.cpp).
-    [[nodiscard]] auto longest_waits(time_point now)
-        -> std::vector<wait_report>;
+    /// config::reported_wait, and steps of which nothing has run for as long;
+    /// the longest waits first, and config::max_reported_waits of each at most.
+    /// To be called at regular intervals (run_waits.cpp).
+    [[nodiscard]] auto longest_waiting(time_point now, wall_time wall)
+        -> waiting_work;
     /// True if an event since the last plan may allow a task to start.
     [[nodiscard]] auto needs_plan() const -> bool { return needs_plan_; }
     /// True if the last plan found no worker for some ready task, members of
@@ -544,8 +545,15 @@
     // run_waits.cpp
     auto begin_wait(workflow_task const& task, time_point now) -> void;
     auto inherit_waits(time_point now) -> void;
+    [[nodiscard]] auto longest_waits(time_point now)
+        -> std::vector<wait_report>;
+    [[nodiscard]] auto longest_stalls(time_point now, wall_time wall)
+        -> std::vector<stalled_step>;
     auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
-                         wait_report& out) const -> void;
+                         obstacle_counts& counts,
+                         millicores& largest_free) const -> void;
+    [[nodiscard]] auto stall_cause_of(candidate_run const& candidate,
+                                      bool has_worker) const -> stall_cause;
 
     state_machine const& state_;
     fence_token fence_;
@@ -585,6 +593,8 @@
     /// When gangs that found no workers were tried, by their first task.
     std::map<workflow_task, time_point> failed_gangs_;
     restart_waits waits_;
+    /// Ready steps of which nothing ran at the last report, and since when.
+    std::map<ready_step, time_point> stalled_since_;
     straggler_watch watch_;
     time_point stragglers_checked_at_{};
     time_point watch_pruned_at_{};
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -5,8 +5,12 @@
 #include <apricotlb/config.hpp>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <iterator>
+#include <map>
+#include <ranges>
+#include <utility>
 #include <vector>
 
 namespace apricotlb
@@ -30,6 +34,14 @@
     return "placed";
 }
 
+auto name_of(stall_cause it) -> std::string_view
+{
+    constexpr std::array<std::string_view, 7> names{
+        "fenced",    "proposed",      "paused",   "gang_active",
+        "no_worker", "failed_search", "unreached"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
 auto restart_waits::add(workflow_task const& task, time_point now) -> void
 {
     auto& wait = waits_.try_emplace(task, restart_wait{now}).first->second;
@@ -63,6 +75,21 @@
                                                                           : 0;
 }
 
+namespace
+{
+
+/// True if some task of the step of `task` has a run that has not ended.
+auto has_active_task(workflow_record const& record, workflow_task const& task)
+    -> bool
+{
+    auto const& step =
+        record.occurrences[task.occurrence.value()].steps[task.step.value()];
+    return std::ranges::any_of(step.tasks, [](task_progress const& each)
+                               { return !each.active.empty(); });
+}
+
+} // namespace
+
 /// Begins a wait if the task is permanent and has no run.
 auto run_scheduler::begin_wait(workflow_task const& task, time_point now)
     -> void
@@ -98,20 +125,19 @@
 }
 
 auto run_scheduler::count_obstacles(candidate_run const& candidate,
-                                    plan_pass& pass, wait_report& out) const
-    -> void
+                                    plan_pass& pass, obstacle_counts& counts,
+                                    millicores& largest_free) const -> void
 {
     auto const& pool = pool_of(*candidate.record);
     auto const& usable = pass.pools[pool];
     auto const in_pool = std::ranges::count_if(
         workers_, [&pool](auto const& worker)
         { return worker.second.info && worker.second.info->pool == pool; });
-    out.workers.add(placement_obstacle::unusable, in_pool - std::ssize(usable));
+    counts.add(placement_obstacle::unusable, in_pool - std::ssize(usable));
     for (auto const* const worker : usable)
     {
-        out.workers.add(obstacle_to(*worker, candidate, pass));
-        out.largest_free_cores =
-            std::max(out.largest_free_cores, worker->second.free().cores);
+        counts.add(obstacle_to(*worker, candidate, pass));
+        largest_free = std::max(largest_free, worker->second.free().cores);
     }
 }
 
@@ -134,17 +160,108 @@
     }
     std::ranges::stable_sort(out, std::greater{}, &wait_report::waited);
     out.resize(std::min(out.size(), config::max_reported_waits));
-    if (!out.empty())
+    return out;
+}
+
+/// Only the steps that were accepted first are looked at: a walk over all of a
+/// long backlog would take the time of a pass.
+auto run_scheduler::longest_stalls(time_point now, wall_time wall)
+    -> std::vector<stalled_step>
+{
+    std::map<ready_step, time_point> stalled;
+    std::vector<stalled_step> out;
+    for (auto const& [step, ready] :
+         state_.workflows().ready() |
+             std::views::take(config::max_followed_steps))
     {
-        auto pass = make_pass(now);
-        for (auto& it : out)
+        auto const& record = *state_.workflows().find(ready.workflow);
+        workflow_task const task{ready.workflow, step.occurrence, step.step,
+                                 *ready.tasks.begin()};
+        auto const& spec = record.step(task);
+        // Other tasks of a permanent step or of a gang are no progress.
+        auto const stands_still =
+            spec.permanent || spec.gang || !has_active_task(record, task);
+        if (!stands_still || !is_due(record, step.occurrence, wall))
+        {
+            continue;
+        }
+        auto const known = stalled_since_.find(step);
+        auto const since = known == stalled_since_.end() ? now : known->second;
+        stalled.emplace(step, since);
+        if (now - since >= config::reported_wait)
         {
-            auto const& record = *state_.workflows().find(it.task.workflow);
-            auto const candidate = make_candidate(record, it.task, {});
-            it.required_cores = reservation_of(*candidate.step).cores;
-            count_obstacles(candidate, pass, it);
+            stalled_step found;
+            found.task = task;
+            found.waiting = task_count{std::ssize(ready.tasks)};
+            found.waited = now - since;
+            out.push_back(std::move(found));
         }
     }
+    stalled_since_ = std::move(stalled);
+    std::ranges::stable_sort(out, std::greater{}, &stalled_step::waited);
+    out.resize(std::min(out.size(), config::max_reported_waits));
+    return out;
+}
+
+auto run_scheduler::stall_cause_of(candidate_run const& candidate,
+                                   bool has_worker) const -> stall_cause
+{
+    auto const& task = candidate.task;
+    if (fenced_)
+    {
+        return stall_cause::fenced;
+    }
+    if (proposed_.contains(task))
+    {
+        return stall_cause::proposed;
+    }
+    if (unconfirmed_ >= config::max_unconfirmed_starts)
+    {
+        return stall_cause::paused;
+    }
+    if (candidate.step->gang && has_active_task(*candidate.record, task))
+    {
+        return stall_cause::gang_active;
+    }
+    if (!has_worker)
+    {
+        return stall_cause::no_worker;
+    }
+    auto first = task;
+    first.index = {};
+    auto const is_known =
+        candidate.step->gang
+            ? failed_gangs_.contains(first)
+            : failed_searches_.contains(placement_key_of(candidate));
+    return is_known ? stall_cause::failed_search : stall_cause::unreached;
+}
+
+auto run_scheduler::longest_waiting(time_point now, wall_time wall)
+    -> waiting_work
+{
+    waiting_work out{longest_waits(now), longest_stalls(now, wall)};
+    if (out.restarts.empty() && out.steps.empty())
+    {
+        return out;
+    }
+    auto pass = make_pass(now);
+    for (auto& it : out.restarts)
+    {
+        auto const& record = *state_.workflows().find(it.task.workflow);
+        auto const candidate = make_candidate(record, it.task, {});
+        it.required_cores = reservation_of(*candidate.step).cores;
+        count_obstacles(candidate, pass, it.workers, it.largest_free_cores);
+    }
+    for (auto& it : out.steps)
+    {
+        auto const& record = *state_.workflows().find(it.task.workflow);
+        auto const candidate = make_candidate(record, it.task, {});
+        it.scavenges = candidate.step->scavenges;
+        it.required_cores = candidate.step->each.cores;
+        count_obstacles(candidate, pass, it.workers, it.largest_free_cores);
+        it.cause =
+            stall_cause_of(candidate, it.workers[placement_obstacle::none] > 0);
+    }
     return out;
 }
 
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -1,4 +1,5 @@
-/// Permanent tasks that have run before and wait for their next run.
+/// Work that waits for a run: restarts of permanent tasks, and steps of which
+/// nothing runs.
 #ifndef APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
 
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <string_view>
+#include <vector>
 
 namespace apricotlb
 {
@@ -113,6 +115,49 @@
     obstacle_counts workers;
 };
 
+/// What holds back a step of which nothing runs.
+enum class stall_cause : std::uint8_t
+{
+    fenced,      ///< the leader sends no orders
+    proposed,    ///< the start of its first task is proposed
+    paused,      ///< too many starts are unconfirmed
+    gang_active, ///< a member of the gang still counts as active
+    no_worker,   ///< no worker takes its first task now
+    /// A worker would take it. An earlier search has found none, and no event
+    /// since has ended that finding.
+    failed_search,
+    unreached, ///< a worker would take it, and no failed search is kept
+};
+
+[[nodiscard]] auto name_of(stall_cause it) -> std::string_view;
+
+/// True if the planner holds back what a worker would take.
+[[nodiscard]] constexpr auto is_contradiction(stall_cause it) -> bool
+{
+    return it == stall_cause::failed_search || it == stall_cause::unreached;
+}
+
+/// A step with ready tasks of which nothing runs, with the workers of its pool
+/// by the reason for which they cannot take its first waiting task.
+struct stalled_step
+{
+    workflow_task task; ///< the first one that waits
+    task_count waiting;
+    duration waited{}; ///< since a report has first found the step stalled
+    stall_cause cause{stall_cause::unreached};
+    bool scavenges{false};
+    millicores required_cores;
+    millicores largest_free_cores; ///< on a worker that may get new runs
+    obstacle_counts workers;
+};
+
+/// What has waited for longest, as of one report.
+struct waiting_work
+{
+    std::vector<wait_report> restarts;
+    std::vector<stalled_step> steps;
+};
+
 } // namespace apricotlb
 
 #endif
--- a/src/core/fleet/urgency.hpp
+++ b/src/core/fleet/urgency.hpp
@@ -58,6 +58,18 @@
     return {worth_left::full, wait_stage::early, since.time_since_epoch()};
 }
 
+/// True if the tasks of an occurrence may start. Occurrences of a workflow that
+/// repeats have times of their own.
+[[nodiscard]] inline auto is_due(workflow_record const& record,
+                                 occurrence_index occurrence, wall_time wall)
+    -> bool
+{
+    auto const& repeats = record.spec.repeats;
+    return repeats.times.value() == 0 ||
+           wall.time_since_epoch() >=
+               repeats.first + repeats.interval * occurrence.value();
+}
+
 /// Length of the longest path through the steps; length_of(step index) is the
 /// one of a step.
 template <class LengthOf>
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -31,6 +31,8 @@
 inline constexpr std::string_view disk_events = "apricotlb_disk_events_total";
 inline constexpr std::string_view run_ends = "apricotlb_run_ends_total";
 inline constexpr std::string_view run_events = "apricotlb_run_events_total";
+inline constexpr std::string_view contradictions =
+    "apricotlb_planner_contradictions_total";
 inline constexpr std::string_view admissions = "apricotlb_admissions_total";
 inline constexpr std::string_view forecast_errors =
     "apricotlb_forecast_error_seconds";
--- a/tests/run_waits_test.cpp
+++ b/tests/run_waits_test.cpp
@@ -53,7 +53,7 @@
     auto plan() -> void { fleet.leader->plan(fleet.now, wall_time{}); }
     auto waits() -> std::vector<wait_report>
     {
-        return fleet.leader->longest_waits(fleet.now);
+        return fleet.leader->longest_waiting(fleet.now, wall_time{}).restarts;
     }
 
     fake_fleet fleet{1};
