Start scavenging work that latencies keep from all workers

Accepted work of callers never began, or was not continued after a stop, while most of the fleet was free: a step of scavenging tasks was kept from every worker by the expected latency of its serving tasks, without end.

On fleets where every worker has a serving task there is no worker to which the estimate does not apply. An estimate of an image's effect changes only while the image runs, and the latency of a serving task may be high by its own load, so nothing ends the finding.

A step that latencies have kept from all workers for 1 s, and of which nothing runs, now gets a start on a mostly idle worker, the one whose serving tasks are expected to come least close to their targets, one such run a worker. The pace of the run follows the measured latencies as for any other, and the measurements correct the estimate. On workers with more than half of their processors reserved nothing changes. The start is logged and counted as exceeds_headroom.

--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -31,16 +31,19 @@
     copy_ends_soon,   ///< a copy would probably end after the run
     copy_failures,    ///< two failed runs could exceed max_failures
     relocated,        ///< stopped: moves off a worker that takes no new runs
+    /// A scavenging task is proposed beside serving tasks that are expected
+    /// above their headroom, since its step has waited for too long.
+    exceeds_headroom,
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 14> names{
+    constexpr std::array<std::string_view, 15> names{
         "lease_over",    "worker_gone",      "missing",
         "withdrawn",     "unrecorded",       "copied",
         "copy_won",      "copy_lost",        "copy_others_wait",
         "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
-        "copy_failures", "relocated"};
+        "copy_failures", "relocated",        "exceeds_headroom"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -232,6 +232,50 @@
         });
 }
 
+auto run_scheduler::expected_share(worker_entry const& worker, image_ref image,
+                                   plan_pass& pass) const -> double
+{
+    double out{0};
+    for (auto const& it : worker.serving_shares)
+    {
+        auto const& effect = pass.effects.effect(image, it.image);
+        out = std::max(out, static_cast<double>(it.expected.value()) *
+                                effect.factor);
+    }
+    return out;
+}
+
+auto run_scheduler::choose_mostly_idle_worker(candidate_run const& candidate,
+                                              plan_pass& pass)
+    -> identified_worker*
+{
+    identified_worker* best{nullptr};
+    double least{0};
+    for (auto* const worker : pass.pools[pool_of(*candidate.record)])
+    {
+        auto const& entry = worker->second;
+        pass.visits += 1 + effect_visits * entry.serving.size();
+        auto const is_open =
+            entry.is_mostly_idle() && !entry.held_for_restart &&
+            candidate.step->each.fits_into(entry.free_for_new(pass.now)) &&
+            std::ranges::none_of(entry.runs, [](auto const& each)
+                                 { return each.second.exceeds_headroom; });
+        if (!is_open || obstacle_to(*worker, candidate, pass) !=
+                            placement_obstacle::latency)
+        {
+            continue;
+        }
+        auto const share = expected_share(entry, candidate.image, pass);
+        if (best == nullptr || share < least ||
+            (share == least && worker->first < best->first))
+        {
+            best = worker;
+            least = share;
+        }
+    }
+    return best;
+}
+
 auto run_scheduler::may_scavenge(worker_entry const& worker,
                                  candidate_run const& candidate,
                                  plan_pass& pass) const -> bool
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -64,6 +64,41 @@
     return true;
 }
 
+auto run_scheduler::place_after_latency_wait(ranked_step const& step,
+                                             candidate_run const& candidate,
+                                             plan_pass& pass) -> bool
+{
+    if (step.record->has_active_run(step.first))
+    {
+        return false;
+    }
+    ready_step const key{step.record->accepted, step.first.occurrence,
+                         step.first.step};
+    auto& wait =
+        latency_waits_.try_emplace(key, latency_wait{pass.now}).first->second;
+    wait.seen_at = pass.now;
+    if (pass.now - wait.since < config::max_latency_wait ||
+        pass.latency_wait_searches == 0)
+    {
+        return false;
+    }
+    --pass.latency_wait_searches;
+    auto* const worker = choose_mostly_idle_worker(candidate, pass);
+    if (worker == nullptr)
+    {
+        return false;
+    }
+    reserve(*worker, candidate);
+    task_run const run{candidate.task, candidate.number};
+    worker->second.runs.at(run).exceeds_headroom = true;
+    update_shares(worker->second, pass.now);
+    worker_instance const instance{worker->first, worker->second.incarnation};
+    pass.placed.push_back({run, instance});
+    events_.push_back({run_event_kind::exceeds_headroom, run, instance});
+    latency_waits_.erase(key);
+    return true;
+}
+
 /// Places all members of a gang or none; they share one run number.
 auto run_scheduler::place_gang(workflow_task const& first,
                                workflow_record const& record, plan_pass& pass)
@@ -311,7 +346,9 @@
         {
             search = begin_search(candidate, pass);
         }
-        auto const placed = place_single(*search, candidate, pass);
+        auto const placed =
+            place_single(*search, candidate, pass) ||
+            (spec.scavenges && place_after_latency_wait(step, candidate, pass));
         if (candidate.is_restart)
         {
             waits_.record(task, placed ? pass_result::placed
@@ -377,6 +414,8 @@
                       { return each.second.used_at < now; });
         std::erase_if(failed_gangs_,
                       [now](auto const& each) { return each.second < now; });
+        std::erase_if(latency_waits_, [now](auto const& each)
+                      { return each.second.seen_at < now; });
     }
     unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -418,6 +418,7 @@
         std::set<pool_name> behind;
         bool is_cut{false}; ///< ended at its limit of visits
         effect_table effects;
+        std::size_t latency_wait_searches{config::max_latency_wait_searches};
         /// Rooms of which some task found too little.
         std::map<pool_room, room_shortage> short_of;
     };
@@ -475,6 +476,15 @@
                                       run_number number) -> candidate_run;
     auto place_single(worker_search& search, candidate_run const& candidate,
                       plan_pass& pass) -> bool;
+    /// Places a scavenging task that found no worker, if its step has waited
+    /// for config::max_latency_wait and nothing of it runs.
+    auto place_after_latency_wait(ranked_step const& step,
+                                  candidate_run const& candidate,
+                                  plan_pass& pass) -> bool;
+    /// The mostly idle worker on which serving tasks are expected to come least
+    /// close to their targets, with one such task at most.
+    auto choose_mostly_idle_worker(candidate_run const& candidate,
+                                   plan_pass& pass) -> identified_worker*;
     /// Returns false if some member found no worker.
     auto place_gang(workflow_task const& first, workflow_record const& record,
                     plan_pass& pass) -> bool;
@@ -489,6 +499,11 @@
     auto may_scavenge(worker_entry const& worker,
                       candidate_run const& candidate, plan_pass& pass) const
         -> bool;
+    /// The largest tail latency of the serving tasks of a worker, as a share of
+    /// its target, that is expected with one more scavenging task.
+    [[nodiscard]] auto expected_share(worker_entry const& worker,
+                                      image_ref image, plan_pass& pass) const
+        -> double;
     /// True if one more scavenging task of an image keeps the serving tasks of
     /// a worker within their latency targets.
     [[nodiscard]] auto keeps_latency_targets(worker_entry const& worker,
@@ -592,6 +607,14 @@
     std::map<placement_key, failed_search> failed_searches_;
     /// When gangs that found no workers were tried, by their first task.
     std::map<workflow_task, time_point> failed_gangs_;
+    /// Steps of scavenging tasks of which nothing runs and that no worker
+    /// takes, with the time since when.
+    struct latency_wait
+    {
+        time_point since{};
+        time_point seen_at{}; ///< the last pass that found them so
+    };
+    std::map<ready_step, latency_wait> latency_waits_;
     restart_waits waits_;
     /// Ready steps of which nothing ran at the last report, and since when.
     std::map<ready_step, time_point> stalled_since_;
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -75,21 +75,6 @@
                                                                           : 0;
 }
 
-namespace
-{
-
-/// True if some task of the step of `task` has a run that has not ended.
-auto has_active_task(workflow_record const& record, workflow_task const& task)
-    -> bool
-{
-    auto const& step =
-        record.occurrences[task.occurrence.value()].steps[task.step.value()];
-    return std::ranges::any_of(step.tasks, [](task_progress const& each)
-                               { return !each.active.empty(); });
-}
-
-} // namespace
-
 /// Begins a wait if the task is permanent and has no run.
 auto run_scheduler::begin_wait(workflow_task const& task, time_point now)
     -> void
@@ -180,7 +165,7 @@
         auto const& spec = record.step(task);
         // Other tasks of a permanent step or of a gang are no progress.
         auto const stands_still =
-            spec.permanent || spec.gang || !has_active_task(record, task);
+            spec.permanent || spec.gang || !record.has_active_run(task);
         if (!stands_still || !is_due(record, step.occurrence, wall))
         {
             continue;
@@ -219,7 +204,7 @@
     {
         return stall_cause::paused;
     }
-    if (candidate.step->gang && has_active_task(*candidate.record, task))
+    if (candidate.step->gang && candidate.record->has_active_run(task))
     {
         return stall_cause::gang_active;
     }
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -70,6 +70,9 @@
     bool permanent{false};
     bool scavenges{false};
     bool is_copy{false}; ///< another run of its task was active at its start
+    /// A scavenging task that was placed although a serving task of the worker
+    /// was expected above its headroom.
+    bool exceeds_headroom{false};
     /// A start order got no answer, so that it may still be executed later.
     bool start_unconfirmed{false};
     bool order_in_flight{false};
@@ -427,6 +430,13 @@
                now - last_contact < config::worker_contact_timeout &&
                now >= paused_until && lease.is_sampled();
     }
+    /// True if most of its processors are not reserved.
+    [[nodiscard]] auto is_mostly_idle() const -> bool
+    {
+        return info && reserved.cores.value() * 1000 <=
+                           info->capacity.cores.value() *
+                               config::mostly_idle_share.value();
+    }
     /// Resources that are not reserved; none before the first announcement.
     [[nodiscard]] auto free() const -> resources
     {
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -106,6 +106,14 @@
     return counted.crashes > 0;
 }
 
+auto workflow_record::has_active_run(workflow_task const& task) const -> bool
+{
+    auto const& step =
+        occurrences[task.occurrence.value()].steps[task.step.value()];
+    return !std::ranges::all_of(step.tasks, &std::vector<active_run>::empty,
+                                &task_progress::active);
+}
+
 auto workflow_record::find(workflow_task const& task) const
     -> task_progress const*
 {
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -122,6 +122,8 @@
             }
         }
     }
+    /// True if a task of the step of `task` has a run that has not ended.
+    [[nodiscard]] auto has_active_run(workflow_task const& task) const -> bool;
     /// Null if the workflow has no such task.
     [[nodiscard]] auto find(workflow_task const& task) const
         -> task_progress const*;
--- /dev/null
+++ b/tests/scavenging_start_test.cpp
@@ -0,0 +1,51 @@
+#include "measured_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace apricotlb
+{
+namespace
+{
+
+/// Four workers of which each has a serving task, and scavenging work of the
+/// image "harmful" that the leader has measured to raise its latency.
+class scavenging_start : public testing::Test
+{
+protected:
+    scavenging_start()
+    {
+        fleet.effect = [](std::string const& image)
+        { return image == "harmful" ? 1.5 : 0.0; };
+        fleet.submit("serving", {measured_fleet::serving_step(4)});
+        fleet.run(seconds{3});
+        fleet.submit("first", {measured_fleet::scavenging_step("harmful", 4)});
+        fleet.run(seconds{8});
+        fleet.finish("first");
+        fleet.run(seconds{4});
+    }
+
+    measured_fleet fleet{4};
+};
+
+// The effect of an image is only measured while it runs, so that nothing would
+// ever lower the estimate by which it is kept out.
+TEST_F(scavenging_start, is_not_put_off_for_good_by_a_learned_effect)
+{
+    fleet.submit("second", {measured_fleet::scavenging_step("harmful", 4)});
+    fleet.run(seconds{3});
+    EXPECT_GT(fleet.running("second"), 0U);
+}
+
+// A serving task may be near its target by its own load for as long as its
+// users want.
+TEST_F(scavenging_start, is_not_put_off_for_good_by_the_load_of_serving_tasks)
+{
+    fleet.idle_latency = 70;
+    fleet.run(seconds{3});
+    fleet.submit("second", {measured_fleet::scavenging_step("harmless", 4)});
+    fleet.run(seconds{3});
+    EXPECT_GT(fleet.running("second"), 0U);
+}
+
+} // namespace
+} // namespace apricotlb
