--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -64,6 +64,41 @@
     return true;
 }
 
+auto run_scheduler::place_after_latency_wait(ranked_step const& step,
+                                             candidate_run const& candidate,
+                                             plan_pass& pass) -> bool
+{
+    if (step.record->has_active_run(step.first))
+    {
+        return false;
+    }
+    ready_step const key{step.record->accepted, step.first.occurrence,
+                         step.first.step};
+    auto& wait =
+        latency_waits_.try_emplace(key, latency_wait{pass.now}).first->second;
+    wait.seen_at = pass.now;
+    if (pass.now - wait.since < config::max_latency_wait ||
+        pass.latency_wait_searches == 0)
+    {
+        return false;
+    }
+    --pass.latency_wait_searches;
+    auto* const worker = choose_mostly_idle_worker(candidate, pass);
+    if (worker == nullptr)
+    {
+        return false;
+    }
+    reserve(*worker, candidate);
+    task_run const run{candidate.task, candidate.number};
+    worker->second.runs.at(run).exceeds_headroom = true;
+    update_shares(worker->second, pass.now);
+    worker_instance const instance{worker->first, worker->second.incarnation};
+    pass.placed.push_back({run, instance});
+    events_.push_back({run_event_kind::exceeds_headroom, run, instance});
+    latency_waits_.erase(key);
+    return true;
+}
+
 /// Places all members of a gang or none; they share one run number.
 auto run_scheduler::place_gang(workflow_task const& first,
                                workflow_record const& record, plan_pass& pass)
@@ -195,7 +230,7 @@
     millicores* cores{nullptr};
     time_point since;
     urgency urgency_rank;
-    auto is_due = false;
+    auto occurrence_is_due = false;
     ready_by_worth_ = {};
     ready_cores_.clear();
     for (auto const& [step, ready] : state_.workflows().ready())
@@ -215,11 +250,8 @@
         if (is_next_workflow || occurrence != step.occurrence)
         {
             occurrence = step.occurrence;
-            auto const& repeats = record->spec.repeats;
-            is_due = repeats.times.value() == 0 ||
-                     wall.time_since_epoch() >=
-                         repeats.first + repeats.interval * occurrence.value();
-            if (is_due)
+            occurrence_is_due = is_due(*record, occurrence, wall);
+            if (occurrence_is_due)
             {
                 since =
                     ready_since_.try_emplace({step.accepted, occurrence}, now)
@@ -227,7 +259,7 @@
                 urgency_rank = urgency_of(*record, occurrence, since, now);
             }
         }
-        if (!is_due)
+        if (!occurrence_is_due)
         {
             continue;
         }
@@ -314,7 +346,9 @@
         {
             search = begin_search(candidate, pass);
         }
-        auto const placed = place_single(*search, candidate, pass);
+        auto const placed =
+            place_single(*search, candidate, pass) ||
+            (spec.scavenges && place_after_latency_wait(step, candidate, pass));
         if (candidate.is_restart)
         {
             waits_.record(task, placed ? pass_result::placed
@@ -380,6 +414,8 @@
                       { return each.second.used_at < now; });
         std::erase_if(failed_gangs_,
                       [now](auto const& each) { return each.second < now; });
+        std::erase_if(latency_waits_, [now](auto const& each)
+                      { return each.second.seen_at < now; });
     }
     unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
