--- a/tests/replica_group.hpp
+++ b/tests/replica_group.hpp
@@ -90,12 +90,12 @@
     paused_clock* clock;
     duration apply_time; ///< of one command
 
-    auto apply(term, log_index index, std::string_view command) -> void
+    auto apply(term, log_index index, std::string_view payload) -> void
     {
         clock->block(apply_time);
-        auto const first = record.emplace(index, command).first;
-        EXPECT_EQ(first->second, command) << "a committed entry changed";
-        applied[index] = command;
+        auto const first = record.emplace(index, payload).first;
+        EXPECT_EQ(first->second, payload) << "a committed entry changed";
+        applied[index] = payload;
     }
     [[nodiscard]] auto snapshot() const -> encoded
     {
@@ -142,8 +142,9 @@
     };
 
     replica_group(std::size_t voters, std::uint64_t seed,
-                  std::size_t least_copies = 1)
-        : copies{least_copies},
+                  std::size_t least_copies = 1,
+                  std::size_t most_voters = config::max_members)
+        : copies{least_copies}, max_voters{most_voters},
           links{clock, std::mt19937_64{seed}, {}, {}, milliseconds{5}, {}, {}}
     {
         raft_members members;
@@ -180,6 +181,7 @@
                 .bootstrap(it.bootstrap)
                 .seed(random_bits{links.random()})
                 .copies(copies)
+                .max_voters(max_voters)
                 .snapshot_after(snapshot_entries, byte_count{1 << 20})
                 .build();
         it.it = std::make_unique<replica_type>(clock, *it.transport, *it.store,
@@ -264,13 +266,13 @@
     /// Proposes one command; an acknowledged one must never be lost.
     auto propose(std::size_t n) -> void
     {
-        auto const command = "c" + std::to_string(++proposed);
-        nodes[n]->it->propose(command,
-                              [this, command](result<log_index> it)
+        auto const payload = "c" + std::to_string(++proposed);
+        nodes[n]->it->propose(payload,
+                              [this, payload](result<log_index> it)
                               {
                                   if (it)
                                   {
-                                      acknowledged[it.value()] = command;
+                                      acknowledged[it.value()] = payload;
                                   }
                                   else
                                   {
@@ -311,10 +313,10 @@
         propose(n);
         run(seconds{3});
         auto const& state = nodes[elect()]->machine->applied;
-        for (auto const& [index, command] : acknowledged)
+        for (auto const& [index, payload] : acknowledged)
         {
             auto const found = state.find(index);
-            ASSERT_TRUE(found != state.end() && found->second == command)
+            ASSERT_TRUE(found != state.end() && found->second == payload)
                 << "entry " << index.value() << " was acknowledged and lost";
         }
         for (auto const& it : nodes)
@@ -324,6 +326,7 @@
     }
 
     std::size_t copies; ///< of an entry before it counts
+    std::size_t max_voters;
     paused_clock clock;
     test_links links;
     std::vector<std::unique_ptr<node>> nodes;
