Keep a silent voter while another machine is replaced

Callers saw a group that answered nothing for good: one member was off, the disk of another one was lost and replaced, and once that had caught up two more disks were lost with the power of all others.

Cause: next_removal took the learner that succeeds one machine for a replacement of the silent voter too, and removed that one first if it came first in the list. The group went on with four voters, so that two lost disks left no majority. With five, the silent one comes back with its disk and is the third.

Change: a silent voter is removed only while all places among the voters are taken, and only for a learner that is not the successor of another voter. raft_status tells the number of places.

--- a/src/core/group/membership.cpp
+++ b/src/core/group/membership.cpp
@@ -44,13 +44,29 @@
     // Whether the live voters are a majority of the voters that remain after a
     // removal.
     auto const has_remaining_majority = live_voters >= (voters - 1) / 2 + 1;
-    auto const has_replacement = std::ranges::any_of(
-        status.members,
-        [&](member_status const& it)
-        {
-            return !is_voter(it) && is_alive(it) &&
-                   it.lag <= log_index{config::max_promotion_lag};
-        });
+    auto const serves_address_of_voter = [&](member_status const& it)
+    {
+        return std::ranges::any_of(status.members,
+                                   [&](member_status const& other)
+                                   {
+                                       return is_voter(other) &&
+                                              served_address(other.member.id) ==
+                                                  served_address(it.member.id);
+                                   });
+    };
+    // A learner takes a free place among the voters by itself, and the place of
+    // its machine's former self once that one is removed. Only another one can
+    // replace a silent voter, which may still come back with its disk.
+    auto const has_replacement =
+        static_cast<std::size_t>(voters) >= status.max_voters &&
+        std::ranges::any_of(status.members,
+                            [&](member_status const& it)
+                            {
+                                return !is_voter(it) && is_alive(it) &&
+                                       !serves_address_of_voter(it) &&
+                                       it.lag <=
+                                           log_index{config::max_promotion_lag};
+                            });
     for (auto const& member : status.members)
     {
         auto const is_replaced = std::ranges::any_of(
--- a/src/core/group/membership.hpp
+++ b/src/core/group/membership.hpp
@@ -35,8 +35,8 @@
 /// - a member that has been silent for config::peer_timeout while a live member
 ///   has the same address under another id: the machine lost its disk;
 /// - a voter that has been silent for config::voter_removal_delay while a
-/// learner
-///   that has caught up can replace it;
+///   learner that has caught up can replace it: one that is no successor of
+///   another voter, while no place among the voters is free;
 /// - a learner that has been silent for config::learner_removal_delay.
 /// A voter is removed only if the live voters are a majority of those that
 /// remain.
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -298,8 +298,9 @@
 
 auto raft::status() const -> raft_status
 {
-    raft_status out{role_,   term_and_vote_.current, leader_,
-                    commit_, log_.last().index,      {}};
+    raft_status out{role_,      term_and_vote_.current, leader_,
+                    commit_,    log_.last().index,      {},
+                    max_voters_};
     for (auto const& member : log_.members())
     {
         member_status row{member, {}, {}};
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -93,6 +93,7 @@
     log_index commit_index;
     log_index last;                     ///< index of the last entry of the log
     std::vector<member_status> members; ///< match and lag on the leader only
+    std::size_t max_voters{0};          ///< learners are promoted up to it
 };
 
 /// One member of the group.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -44,6 +44,30 @@
     EXPECT_EQ(change->kind, member_change_kind::remove);
 }
 
+// The successor of one machine takes the place of its former self only. Counted
+// for a silent voter as well, it left a group of four, of which two lost disks
+// took the majority.
+TEST(membership, keeps_a_silent_voter_while_another_machine_is_replaced)
+{
+    auto it = five_voters();
+    it.max_voters = 5;
+    it.members[1].last_contact = now - seconds{60};
+    it.members[4].last_contact = now - config::peer_timeout;
+    it.members.push_back(member("e:1~7", member_role::learner, {}));
+    auto const change = next_removal(it, node_id{"a:1"}, now);
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->id, node_id{"e:1"});
+    // The place is free until the successor is promoted.
+    it.members.erase(it.members.begin() + 4);
+    EXPECT_FALSE(next_removal(it, node_id{"a:1"}, now));
+    it.members.back().member.role = member_role::voter;
+    EXPECT_FALSE(next_removal(it, node_id{"a:1"}, now));
+    it.members.push_back(member("f:1", member_role::learner, {}));
+    auto const next = next_removal(it, node_id{"a:1"}, now);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->id, node_id{"b:1"});
+}
+
 // A removal that the remaining voters could not commit would block the group.
 TEST(membership, removes_no_voter_while_the_others_lack_a_majority)
 {
