End the turn of a driver whose lead ends within a proposal

What was seen: nothing yet; found while testing the outcomes of proposals. A control process whose disk fails while it takes a proposal ends with an abort instead of its error.

The driver then discards its scheduler, but went on with the other actions of the turn and with its report, whose callbacks belong to the new epoch and so reached the scheduler that was gone.

Change: the loop over the actions and the report stop there.

The tests let proposals of starts and of ends be applied, applied within the proposal, refused (queue_full, disk_full, too large, not leader), dropped later, applied in part, and dropped, lost or committed by a change of leader that comes back to the same process; another group of tests does the latter with a whole control_role, its callers and evacuations, and a full disk. After each, all work ends, no worker keeps a reservation or recording_ends, and the callers are answered.

Result: before, ends_the_turn_when_the_lead_ends_within_a_proposal aborted ("Assertion 'this->_M_is_engaged()' failed" in optional); the other tests here passed before as well. Now all pass.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -251,7 +251,8 @@
     auto report() -> void
     {
         auto const now = clock_.now();
-        if (now - last_report_ >= config::fleet_report_interval && on_report_)
+        if (scheduler_ && on_report_ &&
+            now - last_report_ >= config::fleet_report_interval)
         {
             last_report_ = now;
             logged_run_events_ = 0;
@@ -307,10 +308,16 @@
     {
         report_run_events();
         report_forecast_errors();
+        auto const epoch = epoch_;
         for (auto& it : scheduler_->take_actions())
         {
             std::visit(
                 [this](auto& action) { this->execute(std::move(action)); }, it);
+            // A failed disk ends the leadership within a proposal.
+            if (epoch != epoch_)
+            {
+                return;
+            }
         }
         if (scheduler_ && scheduler_->needs_plan() && !plan_timer_)
         {
