Propose the ends of lost runs in commands that fit the log

What callers would see: after the loss of a data centre, its tasks stay on record as running and are not started again for as long as the leader lasts.

Cause: the runs of all workers whose leases end in one tick were proposed as one command. With some thousands of them it exceeds the size of a log entry and is refused, and the next tick proposes all of them again.

Change: take_actions() splits them by config::max_runs_per_command. Ends that a worker lists are bounded by its list as before.

Result: the new test has 5000 runs with ids of 128 bytes on workers that were lost, and a log that refuses what replica refuses. With shorter ids it takes more runs, so this is a matter of large fleets and not of the reported one.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -659,11 +659,18 @@
 
 auto run_scheduler::take_actions() -> std::vector<fleet_action>
 {
-    if (!pending_ends_.empty())
-    {
-        actions_.emplace_back(
-            propose_ends{std::exchange(pending_ends_, {}), {}});
-    }
+    // The ends of all runs of a lost data centre would exceed a log entry.
+    for (std::size_t begin = 0; begin < pending_ends_.size();
+         begin += config::max_runs_per_command)
+    {
+        auto const end = std::min(begin + config::max_runs_per_command,
+                                  pending_ends_.size());
+        actions_.emplace_back(propose_ends{
+            {pending_ends_.begin() + static_cast<std::ptrdiff_t>(begin),
+             pending_ends_.begin() + static_cast<std::ptrdiff_t>(end)},
+            {}});
+    }
+    pending_ends_.clear();
     return std::exchange(actions_, {});
 }
 
--- a/tests/proposal_outcome_test.cpp
+++ b/tests/proposal_outcome_test.cpp
@@ -479,5 +479,52 @@
     it.expect_all_done("");
 }
 
+// The runs of a lost data centre end in one turn. Their ends in one command
+// exceeded an entry of the log, so that it was refused each time.
+TEST(proposal_outcome, records_the_ends_of_more_runs_than_an_entry_holds)
+{
+    constexpr std::uint32_t count = 5000;
+    proposal_fixture it{proposal_kind::end};
+    it.handle(1'000'000,
+              [&it](proposal& each)
+              {
+                  if (msgpack_codec::encode(each.value).size() >
+                      config::max_entry_bytes)
+                  {
+                      each.done(fail(error_kind::bad_request, "too large"));
+                      return true;
+                  }
+                  it.clock.start_timer(milliseconds{3},
+                                       [&it, each = std::move(each)]
+                                       { it.commit(each); });
+                  return true;
+              });
+    it.run(seconds{5});
+    std::string const id(config::max_name_length, 'x');
+    it.submit(id, count, false);
+    for (std::uint32_t n = 0; n < count; n += 250)
+    {
+        start_runs starts;
+        for (std::uint32_t k = n; k < n + 250; ++k)
+        {
+            starts.runs.push_back(
+                {{{workflow_id{id}, {}, {}, task_index{k}}, run_number{1}},
+                 {worker_id{"lost" + std::to_string(n)},
+                  worker_incarnation{1}}});
+        }
+        it.state.apply(starts, log_index{1000 + n});
+    }
+    it.lead_again();
+    it.run(seconds{30});
+    auto const* const record = it.state.workflows().find(workflow_id{id});
+    ASSERT_NE(record, nullptr);
+    std::size_t still_lost{0};
+    record->for_each_active(
+        [&still_lost](workflow_task const&, task_progress const&,
+                      active_run const& run)
+        { still_lost += run.worker.id.value().starts_with("lost") ? 1U : 0U; });
+    EXPECT_EQ(still_lost, 0U);
+}
+
 } // namespace
 } // namespace apricotlb
