Start a recorded run whose proposal was given up

What callers see: on a group of one control process, a task whose start was proposed while the disk was full is accepted and never started; its workflow is shown as running.

Cause: a lone leader with a full disk stays in office. It reports the proposals that wait as failed, and the scheduler forgets their runs; it keeps the entries and commits them once it can write. on_applied() passed over runs that the scheduler does not hold, so that nobody started or ended them until the next change of leader.

Change: the scheduler takes such a run over as one of an earlier leader: the worker's next lists tell whether it has to be started.

A group of more than one voter steps down with a full disk, so that this is not the cause of the reported case on five control processes.

Result: before, proposal_outcome.all_work_ends_when_proposals_are_committed_ after_all found three runs on record without an end after 15 s, and control_role.starts_a_run_whose_record_waited_for_a_full_disk saw no start. Both pass now. control_role.answers_a_submission_whose_entry_waits_for_a_full_ disk passed before as well.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -56,29 +56,13 @@
 
 auto run_scheduler::inherit_runs(time_point now) -> void
 {
-    auto const latest_lease_end =
-        now + worker_lease::max_duration(policy_.lease);
     for (auto const& [id, record] : state_.workflows().live())
     {
         record.for_each_active(
-            [&, &record = record, &spec = record.spec](
-                workflow_task const& task, task_progress const& progress,
-                active_run const& run)
-            {
-                auto& identified = *workers_.try_emplace(run.worker.id).first;
-                auto& worker = identified.second;
-                worker.incarnation =
-                    std::max(worker.incarnation, run.worker.incarnation);
-                worker.last_contact = now;
-                worker.lease.assume_until(latest_lease_end);
-                task_run const name{task, run.number};
-                auto const& step = spec.steps[task.step.value()];
-                auto held = make_held_run(step, images_.ref(step.image),
-                                          run_phase::inherited);
-                held.suspect = record.is_suspect(task);
-                held.is_copy = progress.active.front().number != run.number;
-                worker.add(name, std::move(held));
-                worker_of_run_[name] = &identified;
+            [&, &record = record](workflow_task const& task,
+                                  task_progress const& progress,
+                                  active_run const& run) {
+                inherit_run(record, {task, run.number}, progress, run, now);
             });
     }
     for (auto const& [id, record] : state_.workflows().live())
@@ -87,6 +71,48 @@
     }
 }
 
+auto run_scheduler::inherit_run(workflow_record const& record,
+                                task_run const& name,
+                                task_progress const& progress,
+                                active_run const& run, time_point now) -> void
+{
+    auto const [entry, is_unknown] = workers_.try_emplace(run.worker.id);
+    auto& worker = entry->second;
+    worker.incarnation = std::max(worker.incarnation, run.worker.incarnation);
+    if (is_unknown)
+    {
+        worker.last_contact = now;
+        worker.lease.assume_until(now +
+                                  worker_lease::max_duration(policy_.lease));
+    }
+    auto const& step = record.step(name.task);
+    auto held =
+        make_held_run(step, images_.ref(step.image), run_phase::inherited);
+    held.suspect = record.is_suspect(name.task);
+    held.is_copy = progress.active.front().number != run.number;
+    worker.add(name, std::move(held));
+    worker_of_run_[name] = &*entry;
+}
+
+/// A lone leader whose disk is full reports a proposal as not applied, and may
+/// commit it later.
+auto run_scheduler::inherit_unexpected(task_run const& run, time_point now)
+    -> void
+{
+    auto const* const record = state_.workflows().find(run.task.workflow);
+    auto const* const task =
+        record == nullptr ? nullptr : record->find(run.task);
+    if (task == nullptr)
+    {
+        return;
+    }
+    auto const active = find_active(*task, run.number);
+    if (active != task->active.end())
+    {
+        inherit_run(*record, run, *task, *active, now);
+    }
+}
+
 /// Occurrences that have a time of their own wait from then on, which is not
 /// known here.
 auto run_scheduler::inherit_ages(submission_times const& submitted,
@@ -395,7 +421,12 @@
         {
             proposed_.erase(placed.run.task);
             auto const [worker, held] = find(placed.run);
-            if (held == nullptr || held->phase != run_phase::proposed)
+            if (held == nullptr)
+            {
+                inherit_unexpected(placed.run, now);
+                continue;
+            }
+            if (held->phase != run_phase::proposed)
             {
                 continue;
             }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -196,6 +196,11 @@
 
     // run_scheduler.cpp
     auto inherit_runs(time_point now) -> void;
+    auto inherit_run(workflow_record const& record, task_run const& name,
+                     task_progress const& progress, active_run const& run,
+                     time_point now) -> void;
+    /// Holds a run that is recorded although its proposal had been given up.
+    auto inherit_unexpected(task_run const& run, time_point now) -> void;
     auto inherit_ages(submission_times const& submitted, time_point now,
                       wall_time wall) -> void;
     auto find(task_run const& run) -> std::pair<identified_worker*, held_run*>;
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -51,15 +51,26 @@
 struct silent_run_workers
 {
     template <class Order, class Callback>
-    auto send(Order const& order, Callback const& /*done*/) -> void
+    auto send(Order const& order, Callback const& done) -> void
     {
         if constexpr (std::is_same_v<Order, start_order>)
         {
             started.push_back(order.run.task.workflow);
         }
+        if constexpr (std::is_same_v<Order, poll_order>)
+        {
+            polled = [order, done]
+            {
+                poll_answer it;
+                it.outcome = order_outcome::done;
+                it.lists.incarnation = order.to.instance.incarnation;
+                done(it);
+            };
+        }
     }
 
     std::vector<workflow_id> started{};
+    std::function<void()> polled; ///< answers the last poll with empty lists
 };
 
 /// A control process that is its own group and leads it.
@@ -151,6 +162,21 @@
     {
         disk_.free_space = bytes;
     }
+    auto set_disk_full(bool is_full) -> void { disk_.full = is_full; }
+    /// Answers the last poll, and later the next ones, with empty lists.
+    auto answer_polls() -> void
+    {
+        clock_.start_timer(milliseconds{100},
+                           [this]
+                           {
+                               if (auto const it =
+                                       std::exchange(runs_.polled, {}))
+                               {
+                                   it();
+                               }
+                               answer_polls();
+                           });
+    }
     auto run(duration d) -> void { clock_.advance(d); }
 
     [[nodiscard]] auto is_answered(call_id id) const -> bool
@@ -434,6 +460,48 @@
     EXPECT_EQ(first_after_restart(-seconds{100}), "old");
 }
 
+// A lone leader with a full disk gave its proposals up, and committed them once
+// it could write: the recorded run was never started.
+TEST(control_role, starts_a_run_whose_record_waited_for_a_full_disk)
+{
+    lone_leader it;
+    it.call(lone_leader::submission("a"));
+    it.run(milliseconds{100});
+    it.set_disk_full(true);
+    worker_announcement worker;
+    worker.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    worker.pool = pool_name{"pool"};
+    worker.capacity.cores = millicores{1000};
+    worker.number = sequence{1};
+    it.call(worker);
+    it.run(milliseconds{400});
+    EXPECT_TRUE(it.started().empty());
+    it.set_disk_full(false);
+    it.answer_polls();
+    it.run(seconds{2});
+    ASSERT_FALSE(it.started().empty());
+    EXPECT_EQ(it.started().front(), workflow_id{"a"});
+}
+
+// A caller that waits for a disk without space gives up; its copies must get
+// the outcome of the entry once there is one.
+TEST(control_role, answers_a_submission_whose_entry_waits_for_a_full_disk)
+{
+    lone_leader it;
+    it.set_disk_full(true);
+    auto const call = it.call(lone_leader::submission("a"));
+    it.run(milliseconds{400});
+    ASSERT_TRUE(it.is_answered(call));
+    EXPECT_EQ(it.refusal(call), error_kind::no_leader);
+    it.set_disk_full(false);
+    it.run(seconds{1});
+    auto const copy = it.call(lone_leader::submission("a"));
+    it.run(milliseconds{100});
+    ASSERT_TRUE(it.is_answered(copy));
+    EXPECT_EQ(it.refusal(copy), std::nullopt);
+    EXPECT_EQ(it.accepted(), 1);
+}
+
 // An evacuation that is acknowledged before its commit is gone with the leader;
 // one that needs an entry for each repetition fills the log.
 TEST(control_role, answers_an_evacuation_once_committed_and_again_without_entry)
--- a/tests/proposal_outcome_test.cpp
+++ b/tests/proposal_outcome_test.cpp
@@ -454,6 +454,25 @@
     }
 }
 
+// A lone leader with a full disk reports its proposals as failed, keeps them,
+// and commits them once it can write: their runs were recorded and never
+// started.
+TEST(proposal_outcome, all_work_ends_when_proposals_are_committed_after_all)
+{
+    for (auto const kind : kinds)
+    {
+        proposal_fixture it{kind};
+        it.handle(1, [](proposal&) { return false; });
+        it.run(milliseconds{400});
+        ASSERT_EQ(it.open.size(), 1U);
+        auto const late = it.open.front();
+        it.open.pop_front();
+        late.done(fail(error_kind::no_leader, "the disk was full"));
+        it.apply(late.value);
+        it.expect_all_done(name_of(kind));
+    }
+}
+
 // A failed disk ends the lead within a proposal. What was left of the turn
 // reached a scheduler that was gone, and the process crashed.
 TEST(proposal_outcome, ends_the_turn_when_the_lead_ends_within_a_proposal)
