Go on without a worker that refuses the fencing token, or resign

One answer `fenced` of any worker stopped planning, polls, starts, stops and paces for the rest of the term, while the leader stayed in office: callers saw workflows accepted and never started. Nothing was logged, and run_scheduler::is_fenced() had no caller.

A refusal now marks only the worker that gave it, for the rest of its life or of the leadership. It gets no order and no poll with that token any more, so that its runs count as lost once their lease is over, and an order that it refused is withdrawn at once. The mark is logged and counted as `fenced`, in the line `run`, in apricotlb_run_events_total and in the line `fleet`. Once two workers in contact refuse the token, or all of them, the leader resigns: the next term has a higher token. It does so 2 s after its election at the earliest, and each process once a minute at most, so that workers that refuse every token do not keep the group without a leader.

The tests of resign() and step_down() need the new operations.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -361,6 +361,17 @@
 inline constexpr duration lease_extension_timeout = 2500ms;
 /// Time since last contact after which a worker without runs is removed.
 inline constexpr duration worker_removal_delay = 60s;
+/// Workers whose refusals of the leader's fencing token make it resign, unless
+/// all workers in contact refuse it: a single worker may be wrong.
+inline constexpr std::int64_t fenced_workers_to_resign = 2;
+/// Time in office before a leader resigns: all workers have announced
+/// themselves by then, and their leases outlast the election that follows.
+inline constexpr duration min_time_before_resignation = 2s;
+/// Least time between two resignations of one process. Workers that refuse
+/// every token without reason must not keep the group without a leader: an
+/// election takes up to a second, so that a group of five is without one for a
+/// tenth of the time at most.
+inline constexpr duration resignation_interval = 60s;
 /// Time for which a stopped task counts as unavailable to its users, who may
 /// need as long to notice that it runs again.
 inline constexpr duration relocation_notice = 5500ms;
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -236,6 +236,12 @@
                              : result<void>{outcome::failure(got.error())});
                 });
         }
+        auto resign() const -> void
+        {
+            role->metrics_.count("apricotlb_leadership_changes_total",
+                                 "resigned");
+            role->replica_.resign();
+        }
     };
 
     /// The process to answer, and its id of the call.
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -202,6 +202,9 @@
     auto change_member(member_change const& change, completion callback)
         -> void;
 
+    /// Ends the leadership of this replica, if it leads.
+    auto resign() -> void;
+
     /// True while the leader lease is valid. The applied state is current then,
     /// once on_leadership() has reported the leadership: later entries are
     /// acknowledged when they are applied.
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -144,6 +144,17 @@
     add_pending(core_->change_member(change), 0, std::move(callback));
 }
 
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::resign() -> void
+{
+    if (core_ && !failure_)
+    {
+        perform(core_->step_down(clock_.now()));
+    }
+}
+
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -36,6 +36,8 @@
     {
         it.is_current()
     } -> std::same_as<bool>;
+    /// Ends this leadership, so that the next one has a higher term.
+    it.resign();
 };
 
 /// Connects the run scheduler to the clock, the log and the workers.
@@ -60,6 +62,7 @@
     {
         stop();
         leader_term_ = in_term;
+        leading_since_ = clock_.now();
         scheduler_.emplace(state, fence_token{in_term.value()}, clock_.now(),
                            policy_, submitted_, clock_.wall_now());
         arm();
@@ -245,6 +248,7 @@
                                              scheduler_->tick(clock_.now());
                                              execute_actions();
                                              report();
+                                             resign_if_fenced();
                                          });
     }
 
@@ -260,6 +264,21 @@
         }
     }
 
+    /// Ends this leadership, and with it the scheduler.
+    auto resign_if_fenced() -> void
+    {
+        auto const now = clock_.now();
+        if (!scheduler_->is_fenced() ||
+            now - leading_since_ < config::min_time_before_resignation ||
+            (resigned_at_ &&
+             now - *resigned_at_ < config::resignation_interval))
+        {
+            return;
+        }
+        resigned_at_ = now;
+        log_.resign();
+    }
+
     auto plan() -> void
     {
         auto const begin = clock_.now();
@@ -438,6 +457,8 @@
     Log log_;
     fleet_policy policy_;
     term leader_term_;
+    time_point leading_since_{};
+    std::optional<time_point> resigned_at_; ///< by this process, the last time
     submission_times submitted_;
     std::optional<run_scheduler> scheduler_;
     report_callback on_report_;
--- a/src/core/fleet/run_copies.cpp
+++ b/src/core/fleet/run_copies.cpp
@@ -53,8 +53,7 @@
 
 auto run_scheduler::check_stragglers(time_point now) -> std::vector<straggler>
 {
-    if (fenced_ ||
-        now - stragglers_checked_at_ < config::straggler_check_interval)
+    if (now - stragglers_checked_at_ < config::straggler_check_interval)
     {
         return {};
     }
--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -1,5 +1,5 @@
-/// Ends and stops of runs that no list of a worker explains, and decisions on
-/// copies of straggling runs.
+/// Ends and stops of runs that no list of a worker explains, decisions on
+/// copies of straggling runs, and workers that refuse a fencing token.
 #ifndef APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 
@@ -16,7 +16,8 @@
 /// What the leader concluded about a run, and from what.
 enum class run_event_kind : std::uint8_t
 {
-    lease_over,  ///< lost: its worker was silent until its lease was over
+    lease_over,  ///< lost: its worker was silent until its lease was over, or
+                 ///< refused the leader's token so long
     worker_gone, ///< lost or crashed: its worker has left or was replaced
     missing,     ///< ended: its worker does not list it
     withdrawn,   ///< not started: no order for it can be carried out any more
@@ -31,16 +32,18 @@
     copy_ends_soon,   ///< a copy would probably end after the run
     copy_failures,    ///< two failed runs could exceed max_failures
     relocated,        ///< stopped: moves off a worker that takes no new runs
+    fenced, ///< its worker has refused the leader's fencing token; of no run if
+            ///< it refused a poll
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 14> names{
+    constexpr std::array<std::string_view, 15> names{
         "lease_over",    "worker_gone",      "missing",
         "withdrawn",     "unrecorded",       "copied",
         "copy_won",      "copy_lost",        "copy_others_wait",
         "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
-        "copy_failures", "relocated"};
+        "copy_failures", "relocated",        "fenced"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -163,6 +163,7 @@
                                                   config::worker_contact_timeout
                           ? 1
                           : 0;
+        out.fenced += worker.is_fenced && !worker.incarnation_ended ? 1 : 0;
         for (auto const& [run, held] : worker.runs)
         {
             out.inherited += held.phase == run_phase::inherited ? 1 : 0;
@@ -351,7 +352,7 @@
     auto const stragglers = check_stragglers(now);
     auto const has_work =
         !state_.workflows().ready().empty() || !stragglers.empty();
-    if (fenced_ || !has_work || unconfirmed_ >= config::max_unconfirmed_starts)
+    if (!has_work || unconfirmed_ >= config::max_unconfirmed_starts)
     {
         waits_.begin_pass(pass_result::paused);
         return;
--- a/src/core/fleet/run_relocation.cpp
+++ b/src/core/fleet/run_relocation.cpp
@@ -94,7 +94,7 @@
 auto run_scheduler::relocate(time_point now) -> void
 {
     relocations_.prune(now);
-    if (fenced_ || now - relocated_at_ < config::relocation_interval)
+    if (now - relocated_at_ < config::relocation_interval)
     {
         return;
     }
@@ -104,7 +104,7 @@
     {
         auto const& entry = worker.second;
         auto const has_permanent =
-            entry.info && !entry.incarnation_ended &&
+            entry.info && !entry.incarnation_ended && !entry.is_fenced &&
             (entry.is_leaving() || is_evacuated(entry)) &&
             std::ranges::any_of(entry.runs, [](auto const& each)
                                 { return each.second.permanent; });
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -162,6 +162,7 @@
     entry.poll_in_flight = false;
     entry.is_answering = false;
     entry.is_replaced = false;
+    entry.is_fenced = false;
     entry.lease = {};
     entry.warm_up = {};
     entry.info = announcement;
@@ -215,6 +216,17 @@
     on_leave(worker, now);
 }
 
+auto run_scheduler::on_fenced(identified_worker& worker, task_run const& run)
+    -> void
+{
+    if (!std::exchange(worker.second.is_fenced, true))
+    {
+        events_.push_back({run_event_kind::fenced,
+                           run,
+                           {worker.first, worker.second.incarnation}});
+    }
+}
+
 /// A task that has lasted since the crash before does not crash its workers:
 /// ordinary crashes meet each task that was just started.
 auto run_scheduler::runs_to_blame(worker_entry const& worker)
@@ -295,7 +307,11 @@
         }
         break;
     case order_outcome::fenced:
-        fenced_ = true;
+        on_fenced(*worker, order.run);
+        if (held->phase == run_phase::ordered)
+        {
+            withdraw(*worker, order.run, *held, now);
+        }
         break;
     case order_outcome::superseded:
         // The run has ended already, or its stop arrived before its start.
@@ -358,7 +374,7 @@
     record_answer(*worker, order.to, answer, now);
     if (answer.outcome == order_outcome::fenced)
     {
-        fenced_ = true;
+        on_fenced(*worker, order.run);
     }
     else if (answer.outcome == order_outcome::other_incarnation)
     {
@@ -392,7 +408,7 @@
     auto const is_current = record_answer(*worker, order.to, answer, now);
     if (answer.outcome == order_outcome::fenced)
     {
-        fenced_ = true;
+        on_fenced(*worker, order.run);
     }
     else if (answer.outcome == order_outcome::done && is_current)
     {
@@ -434,7 +450,7 @@
         send_poll(worker, now);
         break;
     case order_outcome::fenced:
-        fenced_ = true;
+        on_fenced(worker, {});
         break;
     case order_outcome::other_incarnation:
         on_incarnation_end(worker, now);
@@ -474,7 +490,7 @@
     if (it == worker.second.runs.end())
     {
         // A run that is not recorded: a late order of an earlier leader.
-        if (!fenced_)
+        if (!worker.second.is_fenced)
         {
             events_.push_back({run_event_kind::unrecorded,
                                row.run,
@@ -625,7 +641,7 @@
     for (auto& [run, held] : worker.second.runs)
     {
         if (!held.scavenges || held.phase != run_phase::running ||
-            held.order_in_flight || fenced_)
+            held.order_in_flight || worker.second.is_fenced)
         {
             continue;
         }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -153,8 +153,8 @@
         entry.info && entry.info->phase != worker_phase::ready;
     // The capacity may have shrunk since the run was placed.
     auto const has_room = !entry.info || entry.has_room_for(run);
-    if (!is_wanted(run) || entry.incarnation_ended || is_draining ||
-        is_evacuated(entry) || !has_room)
+    if (!is_wanted(run) || entry.incarnation_ended || entry.is_fenced ||
+        is_draining || is_evacuated(entry) || !has_room)
     {
         return false;
     }
@@ -210,8 +210,8 @@
                                held_run& held, time_point now) -> void
 {
     auto const* const record = state_.workflows().find(run.task.workflow);
-    if (fenced_ || !worker.second.info || worker.second.is_replaced ||
-        !worker.second.lease.is_sampled() ||
+    if (!worker.second.info || worker.second.is_replaced ||
+        worker.second.is_fenced || !worker.second.lease.is_sampled() ||
         !has_current_phase(worker.second, now) || record == nullptr)
     {
         return;
@@ -235,7 +235,7 @@
         (held.phase == run_phase::ordered && held.order_in_flight);
     held.phase = run_phase::stopping;
     worker.second.has_open_orders = true;
-    if (fenced_ || !worker.second.info)
+    if (!worker.second.info || worker.second.is_fenced)
     {
         return;
     }
@@ -247,9 +247,9 @@
 auto run_scheduler::send_poll(identified_worker& worker, time_point now) -> void
 {
     auto& entry = worker.second;
-    if (fenced_ || entry.poll_in_flight || entry.recording_ends ||
-        entry.incarnation_ended || entry.is_replaced || !entry.info ||
-        !entry.lease.is_sampled() || now < entry.next_poll_at)
+    if (entry.poll_in_flight || entry.recording_ends ||
+        entry.incarnation_ended || entry.is_replaced || entry.is_fenced ||
+        !entry.info || !entry.lease.is_sampled() || now < entry.next_poll_at)
     {
         return;
     }
@@ -330,23 +330,30 @@
 {
     auto has_removed = false;
     unconfirmed_ = 0;
+    std::int64_t in_contact{0};
+    std::int64_t refusing{0};
     for (auto worker = workers_.begin(); worker != workers_.end();)
     {
         auto& entry = worker->second;
-        auto const has_lapsed =
-            now >= entry.lease.latest_end() &&
+        auto const is_silent =
             now - entry.last_contact >= config::worker_contact_timeout;
+        auto const has_lapsed = now >= entry.lease.latest_end();
         if (entry.incarnation_ended)
         {
             end_runs_as_lost(*worker, run_event_kind::worker_gone, now);
         }
-        else if (has_lapsed)
+        else if (has_lapsed && entry.is_fenced)
+        {
+            end_runs_as_lost(*worker, run_event_kind::lease_over, now);
+        }
+        else if (has_lapsed && is_silent)
         {
             end_runs_of_silent(*worker, now);
         }
         if (entry.runs.empty() &&
             (entry.incarnation_ended ||
-             now - entry.last_contact >= config::worker_removal_delay))
+             (!entry.is_fenced &&
+              now - entry.last_contact >= config::worker_removal_delay)))
         {
             has_removed = true;
             worker = workers_.erase(worker);
@@ -356,14 +363,22 @@
         {
             review_orders(*worker, now);
         }
-        // Runs on a silent worker may stay unconfirmed until its lease is over.
-        if (now - entry.last_contact < config::worker_contact_timeout)
+        // Runs on a silent worker may stay unconfirmed until its lease is over,
+        // as do those on a worker that gets no orders.
+        if (!is_silent && !entry.is_fenced)
         {
             unconfirmed_ += entry.unconfirmed;
         }
+        if (!is_silent && entry.info && !entry.incarnation_ended)
+        {
+            ++in_contact;
+            refusing += entry.is_fenced ? 1 : 0;
+        }
         send_poll(*worker, now);
         ++worker;
     }
+    is_fenced_ = refusing >= config::fenced_workers_to_resign ||
+                 (refusing > 0 && refusing == in_contact);
     if (now - ready_since_pruned_at_ >= config::worker_removal_delay)
     {
         ready_since_pruned_at_ = now;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -97,6 +97,7 @@
     std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
     std::int64_t silent{0};
+    std::int64_t fenced{0};         ///< workers that refuse the leader's token
     std::int64_t inherited{0};      ///< runs not yet seen under this leader
     std::int64_t unconfirmed{0};    ///< starts without an answer so far
     std::int64_t polls{0};          ///< that wait for their answers
@@ -171,9 +172,9 @@
     /// What has happened to runs since the last call, for logs and counters.
     [[nodiscard]] auto take_events() -> std::vector<run_event>;
 
-    /// True once a worker has reported a later leader: this one sends no more
-    /// orders.
-    [[nodiscard]] auto is_fenced() const -> bool { return fenced_; }
+    /// True if so many workers in contact refuse the fencing token of this
+    /// leader that its term must have been exceeded, as of the last tick.
+    [[nodiscard]] auto is_fenced() const -> bool { return is_fenced_; }
     [[nodiscard]] auto workers() const
         -> std::map<worker_id, worker_entry> const&
     {
@@ -305,6 +306,8 @@
                              time_point now) -> void;
     /// The worker has left in order.
     auto on_leave(identified_worker& worker, time_point now) -> void;
+    /// The worker has refused the leader's fencing token.
+    auto on_fenced(identified_worker& worker, task_run const& run) -> void;
     /// Another worker or incarnation took the place of this one.
     auto on_incarnation_end(identified_worker& worker, time_point now) -> void;
     /// The runs that may have caused the crash of their worker.
@@ -596,7 +599,7 @@
     /// Runs without a sign of their workers at the last tick, and those placed
     /// since.
     std::size_t unconfirmed_{0};
-    bool fenced_{false};
+    bool is_fenced_{false};
     bool needs_plan_{true};
     bool is_behind_{false};
     bool was_behind_{false}; ///< is_behind() before the current plan
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -333,6 +333,9 @@
     /// Another incarnation answers, whose announcement has not arrived yet. It
     /// gets no orders until then.
     bool is_replaced{false};
+    /// This incarnation has refused the leader's fencing token. It gets no
+    /// orders and no polls with that token any more, so that its lease ends.
+    bool is_fenced{false};
     /// Nothing of this incarnation runs any more.
     bool incarnation_ended{false};
     room_change gained_room;      ///< the last one of this worker
@@ -422,7 +425,7 @@
     /// True if the state of the worker allows new runs.
     [[nodiscard]] auto is_usable(time_point now) const -> bool
     {
-        return info && !incarnation_ended && !is_replaced &&
+        return info && !incarnation_ended && !is_replaced && !is_fenced &&
                info->phase == worker_phase::ready &&
                now - last_contact < config::worker_contact_timeout &&
                now >= paused_until && lease.is_sampled();
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -269,6 +269,15 @@
     return take_actions();
 }
 
+auto raft::step_down(time_point now) -> raft_actions
+{
+    if (role_ == raft_role::leader)
+    {
+        become_follower(now, term_and_vote_.current, std::nullopt);
+    }
+    return take_actions();
+}
+
 auto raft::describe_snapshot(log_index last) const -> snapshot_info
 {
     return {{last, log_.term_at(last).value_or(term{})}, log_.members_at(last)};
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -120,6 +120,9 @@
     /// While the store is not writable, this member votes for nobody and is no
     /// candidate; a leader steps down, unless it is the only voter.
     auto set_writable(time_point now, bool is_writable) -> raft_actions;
+    /// Makes a leader a follower. The next leader, which may be this member,
+    /// has a higher term.
+    auto step_down(time_point now) -> raft_actions;
 
     /// Metadata of a snapshot of the state at a committed index.
     [[nodiscard]] auto describe_snapshot(log_index last) const -> snapshot_info;
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -110,6 +110,7 @@
         auto const fence = in.integer("fencing_token");
         if (fence < fence_)
         {
+            ++fenced_requests_;
             return reject(now, "fence");
         }
         fence_ = fence;
@@ -129,6 +130,14 @@
         return platform::json_answer(200, clock_body(now));
     }
 
+    /// Another leader has used this fencing token.
+    auto raise_fence(std::int64_t token) -> void { fence_ = token; }
+    /// Orders and polls that were refused for their fencing tokens.
+    [[nodiscard]] auto fenced_requests() const -> std::size_t
+    {
+        return fenced_requests_;
+    }
+
     /// Forgets everything, as a crash does, and starts under the same id.
     auto restart(std::int64_t incarnation_number, time_point now) -> void
     {
@@ -295,6 +304,7 @@
     std::int64_t last_end_{0};
     std::int64_t most_used_{0};
     std::size_t starts_over_capacity_{0};
+    std::size_t fenced_requests_{0};
     std::map<std::string, run> running_;
     std::map<std::string, std::int64_t> closed_;
     std::vector<ended> ended_;
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -227,6 +227,32 @@
     EXPECT_EQ(it.propose("x").error().kind, error_kind::not_leader);
 }
 
+// A leader that resigns must lose its lease at once, and only a higher term
+// may follow, also if it is the only voter.
+TEST(raft, a_leader_that_resigns_is_followed_by_a_higher_term)
+{
+    auto it = make({"a", "b", "c"});
+    auto const resigned = lead(it, late);
+    accept(it, "b", late, 1, late);
+    ASSERT_TRUE(it.has_lease(late));
+    it.step_down(late);
+    EXPECT_EQ(it.role(), raft_role::follower);
+    EXPECT_FALSE(it.has_lease(late));
+    EXPECT_EQ(it.current_term(), resigned);
+    auto const after = late + config::election_timeout_max;
+    EXPECT_LE(it.next_tick(), after);
+    EXPECT_GT(lead(it, after), resigned);
+
+    auto alone = make({"a"});
+    alone.tick(late, random_bits{0});
+    ASSERT_EQ(alone.role(), raft_role::leader);
+    alone.step_down(late);
+    EXPECT_EQ(alone.role(), raft_role::follower);
+    alone.tick(after, random_bits{0});
+    EXPECT_EQ(alone.role(), raft_role::leader);
+    EXPECT_EQ(alone.current_term(), term{2});
+}
+
 // An entry of an earlier term on a majority can still be replaced: it may
 // only be committed together with one of the own term.
 TEST(raft, commits_no_entry_of_an_earlier_term_by_counting)
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -241,6 +241,27 @@
     group.settle();
 }
 
+// A resignation must lose nothing that was acknowledged, and answer what was
+// proposed before it.
+TEST(replica, a_leader_that_resigns_makes_way_for_a_higher_term)
+{
+    replica_group group{3, 8};
+    auto const n = group.elect();
+    group.load(20);
+    auto const resigned = group.nodes[n]->it->status().log.in_term;
+    group.propose(n);
+    group.nodes[n]->it->resign();
+    EXPECT_FALSE(group.nodes[n]->it->is_leader());
+    EXPECT_EQ(group.nodes[n]->leadership, (std::vector<bool>{true, false}));
+    EXPECT_EQ(group.refused[error_kind::no_leader], 1U);
+    group.run(seconds{2});
+    auto const next = group.leader();
+    ASSERT_TRUE(next);
+    EXPECT_GT(group.nodes[*next]->it->status().log.in_term, resigned);
+    group.load(20);
+    group.settle();
+}
+
 // A member that cannot hear the leader must not depose it by ever higher
 // terms.
 TEST(replica, a_member_that_hears_nobody_does_not_disturb_the_leader)
--- a/tests/workflow_driver_test.cpp
+++ b/tests/workflow_driver_test.cpp
@@ -63,12 +63,20 @@
 struct test_lease
 {
     bool* is_held;
+    int* resignations{nullptr};
 
     auto propose(command const& /*it*/,
                  std::function<void(result<void>)> /*done*/) const -> void
     {
     }
     [[nodiscard]] auto is_current() const -> bool { return *is_held; }
+    auto resign() const -> void
+    {
+        if (resignations != nullptr)
+        {
+            ++*resignations;
+        }
+    }
 };
 
 /// Each pass of the scheduler, which reads the wall clock once, takes 10 ms.
@@ -124,15 +132,46 @@
     task_run const run{{workflow_id{"a"}, {}, {}, {}}, run_number{1}};
     std::uint64_t announcements{0};
     bool holds_lease{true};
+    int resignations{0};
     paused_clock clock;
     counting_workers workers;
     no_metrics metrics;
     state_machine state;
     workflow_driver<paused_clock, counting_workers, test_lease, no_metrics>
-        driver{clock, workers, metrics, test_lease{&holds_lease},
+        driver{clock, workers, metrics, test_lease{&holds_lease, &resignations},
                fleet_policy{seconds{5}}};
 };
 
+// Workers that refuse every token could keep the group without a leader.
+TEST_F(driver_fixture, resigns_rarely_while_workers_refuse_its_token)
+{
+    auto const refuse_for = [this](int time)
+    {
+        for (auto n = 0; n < time; ++n)
+        {
+            announce();
+            if (auto const done = std::exchange(workers.last_poll, nullptr))
+            {
+                poll_answer refused;
+                refused.outcome = order_outcome::fenced;
+                done(refused);
+            }
+            clock.advance(seconds{1});
+        }
+    };
+    refuse_for(1);
+    EXPECT_EQ(resignations, 0);
+    refuse_for(3);
+    EXPECT_EQ(resignations, 1);
+    EXPECT_EQ(workers.polls, 1);
+    driver.start(state, term{3});
+    refuse_for(55);
+    EXPECT_EQ(resignations, 1);
+    EXPECT_EQ(workers.polls, 2);
+    refuse_for(10);
+    EXPECT_EQ(resignations, 2);
+}
+
 // A leader that was frozen must not start a run that its successor has
 // cancelled, nor extend a lease that its successor takes for over.
 TEST_F(driver_fixture, sends_no_start_and_no_poll_without_the_leader_lease)
@@ -197,6 +236,7 @@
         }
     }
     [[nodiscard]] static auto is_current() -> bool { return true; }
+    static auto resign() -> void {}
 };
 
 /// Keeps the callbacks of all polls.
