--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -36,8 +36,8 @@
 
 auto name_of(stall_cause it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 7> names{
-        "fenced",    "proposed",      "paused",   "gang_active",
+    constexpr std::array<std::string_view, 6> names{
+        "proposed",  "paused",        "gang_active",
         "no_worker", "failed_search", "unreached"};
     return names.at(static_cast<std::size_t>(it));
 }
@@ -192,10 +192,6 @@
                                    bool has_worker) const -> stall_cause
 {
     auto const& task = candidate.task;
-    if (fenced_)
-    {
-        return stall_cause::fenced;
-    }
     if (proposed_.contains(task))
     {
         return stall_cause::proposed;
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -118,7 +118,6 @@
 /// What holds back a step of which nothing runs.
 enum class stall_cause : std::uint8_t
 {
-    fenced,      ///< the leader sends no orders
     proposed,    ///< the start of its first task is proposed
     paused,      ///< too many starts are unconfirmed
     gang_active, ///< a member of the gang still counts as active
