Report serving tasks that stay over their latency targets

Callers saw a serving task over its target for 4.5 s beside two scavenging runs. The logs of the control processes could not tell whether pace orders were not sent, were lost or were taken back too early: the line fleet counts workers over target, and orders are counted without their kind.

The leader now logs a line over_target a second for each of up to four serving tasks that are over their target for more than config::max_time_over_target beside scavenging runs: how long, the latency that was reported last and the smoothed one, the age of the last lists and of the open poll, and of up to six of the scavenging runs the pace, the learned effect, the time at that pace and the age of an open order. The field unmeasured of the line fleet counts workers with both kinds of runs whose last lists are older than that. apricotlb_pace_orders_total counts the answers to pace orders by outcome; the labels of apricotlb_worker_orders_total stay as they are, since dashboards sum them.

The stand-in for a worker in the tests obeys paces and reports loads, and the fake fleet can hold polls for as long as they ask.

Run: the tests of pace_schedule, disturbance, run_scheduler and worker_capacity, 56 passed.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -416,6 +416,10 @@
                                    ? metric::polls
                                    : metric::orders,
                                name_of(got.outcome));
+                if constexpr (std::is_same_v<Order, pace_order>)
+                {
+                    metrics_.count(metric::pace_orders, name_of(got.outcome));
+                }
                 scheduler_->on_answer(it, got, clock_.now());
             });
         // A process without the leader's lease may have a successor, which may
--- a/src/core/fleet/disturbance.cpp
+++ b/src/core/fleet/disturbance.cpp
@@ -3,7 +3,9 @@
 #include <apricotlb/config.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <cstddef>
 
 namespace apricotlb
 {
@@ -40,6 +42,12 @@
 
 } // namespace
 
+auto name_of(interference_state it) -> std::string_view
+{
+    constexpr std::array<std::string_view, 3> names{"none", "unknown", "known"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
 auto image_interference::started(worker_id const& worker, task_run const& run,
                                  image_ref image, time_point now) -> void
 {
--- a/src/core/fleet/disturbance.hpp
+++ b/src/core/fleet/disturbance.hpp
@@ -10,6 +10,7 @@
 #include <apricotlb/workflow.hpp>
 
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -27,6 +28,9 @@
     known,   ///< reliable estimate above config::min_significant_effect
 };
 
+/// Name for logs.
+[[nodiscard]] auto name_of(interference_state it) -> std::string_view;
+
 /// Adapter of the interference model: takes images instead of batch kinds and
 /// services, and returns estimates as shares of a latency target. The measured
 /// latency of a serving task already includes its own load and the tasks
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -149,6 +149,8 @@
     out.stragglers = stragglers_;
     out.evacuated = static_cast<std::int64_t>(state_.evacuations().size());
     out.relocating = static_cast<std::int64_t>(relocations_.size());
+    out.targets_missed = tasks_over_target(now);
+    out.unmeasured = count_unmeasured(now);
     for (auto const& [id, worker] : workers_)
     {
         auto const is_left = is_evacuated(worker);
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -454,6 +454,7 @@
     auto const poll_sent_at = worker.second.poll_sent_at;
     worker.second.are_shares_stale = true;
     ++worker.second.last_list;
+    worker.second.listed_at = now;
     for (auto const& row : lists.running)
     {
         process_running(worker, row, now);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -8,7 +8,8 @@
 /// messages of workers, run_contacts.cpp their repeated announcements, and
 /// run_plan.cpp the choice of tasks and workers, run_copies.cpp the copies of
 /// straggling runs, run_relocation.cpp moves permanent tasks, and
-/// run_waits.cpp says why a task is not placed.
+/// run_waits.cpp says why a task is not placed, and run_targets.cpp which
+/// serving tasks stay over their latency targets.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
@@ -21,6 +22,7 @@
 #include "core/fleet/run_waits.hpp"
 #include "core/fleet/straggler_watch.hpp"
 #include "core/fleet/submission_times.hpp"
+#include "core/fleet/target_report.hpp"
 #include "core/fleet/urgency.hpp"
 #include "core/fleet/worker_entry.hpp"
 #include "core/fleet/worker_messages.hpp"
@@ -82,6 +84,9 @@
     std::int64_t serving{0}; ///< workers with tasks that have a latency target
     /// Workers with a serving task whose latency is over its target.
     std::int64_t over_target{0};
+    /// Workers with both serving and scavenging tasks whose last lists are
+    /// older than config::max_time_over_target.
+    std::int64_t unmeasured{0};
     std::int64_t ready{0}; ///< tasks without a run
     /// Of these, as of the last pass that ranked them, by worth_left.
     std::int64_t ready_in_time{0};
@@ -105,6 +110,9 @@
     std::int64_t relocating{0}; ///< tasks stopped for a move a short time ago
     std::int64_t cold{0};       ///< workers
     std::vector<expected_wait> expected_waits; ///< of new work
+    /// Serving tasks that stay over their targets, those beside which
+    /// scavenging runs work on and the longest ones first.
+    std::vector<target_report> targets_missed;
 };
 
 /// An action that the caller of run_scheduler executes.
@@ -541,6 +549,15 @@
     auto step_tasks(workflow_record const& record, workflow_task const& first,
                     time_point now) -> std::vector<step_task>;
 
+    // run_targets.cpp
+    [[nodiscard]] auto tasks_over_target(time_point now) const
+        -> std::vector<target_report>;
+    [[nodiscard]] auto neighbors_of(worker_entry const& worker,
+                                    held_run const& serving,
+                                    time_point now) const
+        -> std::vector<scavenging_neighbor>;
+    [[nodiscard]] auto count_unmeasured(time_point now) const -> std::int64_t;
+
     // run_waits.cpp
     auto begin_wait(workflow_task const& task, time_point now) -> void;
     auto inherit_waits(time_point now) -> void;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -324,6 +324,7 @@
     std::vector<task_run> possible_crashes;
     time_point poll_sent_at{};
     sequence last_list;        ///< number of the last lists from the worker
+    time_point listed_at{};    ///< when they were received
     time_point next_poll_at{}; ///< earliest time of the next poll
     bool poll_in_flight{false};
     bool recording_ends{false}; ///< the ends that it listed are proposed
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -20,6 +20,8 @@
 inline constexpr std::string_view member_changes =
     "apricotlb_member_changes_total";
 inline constexpr std::string_view orders = "apricotlb_worker_orders_total";
+/// The pace orders among these.
+inline constexpr std::string_view pace_orders = "apricotlb_pace_orders_total";
 inline constexpr std::string_view order_routes = "apricotlb_order_routes_total";
 inline constexpr std::string_view polls = "apricotlb_worker_polls_total";
 inline constexpr std::string_view announcements =
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -188,6 +188,7 @@
     std::set<std::string> draining;
     std::set<std::string> unheard; ///< workers whose announcements are lost
     order_faults faults;
+    bool polls_wait{false}; ///< for as long as they ask, whatever ends
     std::vector<std::string> violations;
     std::vector<std::string> stale_runs; ///< runs that the log has no more
     std::size_t starts{0};
@@ -288,7 +289,7 @@
                        : at->second->serve(platform::run_codec::encode(it),
                                            now);
         };
-        auto const is_poll = std::is_same_v<Order, poll_order>;
+        constexpr auto is_poll = std::is_same_v<Order, poll_order>;
         auto const relay =
             relay_table_.relay_for(it.to.instance.id, it.to.zone, now);
         if (relay && relays_.at(*relay) > now)
@@ -321,8 +322,12 @@
             auto const after = milliseconds{2000 + next_random(random_) % 4000};
             events_.emplace(now + after, [deliver] { deliver(); });
         }
-        // A poll waits; the fake answers at once and rests instead.
-        auto const delay = is_poll ? milliseconds{60} : milliseconds{5};
+        // Unless polls wait, the fake answers at once and rests instead.
+        auto delay = is_poll ? milliseconds{60} : milliseconds{5};
+        if constexpr (is_poll)
+        {
+            delay = polls_wait ? std::max(delay, it.wait) : delay;
+        }
         events_.emplace(
             now + (lost ? duration{config::order_timeout} : duration{delay}),
             [this, it, deliver, lost, late = bool{late}, epoch = epoch_]
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -34,6 +34,7 @@
         time_point ends{};
         std::string how{"done"};
         std::int64_t cpu{0};
+        std::int64_t pace{100}; ///< percent
     };
     struct ended
     {
@@ -52,6 +53,9 @@
     /// What tasks need and how their runs go; set by the test.
     std::function<run(std::string const& task)> behaviour;
 
+    /// Fifth entry of a task's row in the list; 0 if it is not set.
+    std::function<std::int64_t(std::string const& task)> load;
+
     std::string rack{"r1"};
 
     /// Starts also what exceeds the capacity.
@@ -126,7 +130,7 @@
         {
             return hold(in, now);
         }
-        return platform::json_answer(200, clock_body(now));
+        return pace(in, now);
     }
 
     /// Forgets everything, as a crash does, and starts under the same id.
@@ -135,11 +139,13 @@
         auto const accepts = accepts_everything;
         auto const same_rack = rack;
         auto in_zone = zone;
+        auto reported_load = std::move(load);
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         accepts_everything = accepts;
         rack = same_rack;
         zone = std::move(in_zone);
+        load = std::move(reported_load);
         started_ = now;
     }
 
@@ -252,6 +258,16 @@
         return platform::json_answer(200, clock_body(now));
     }
 
+    auto pace(platform::fields& in, time_point now) -> http_answer
+    {
+        auto const it = running_.find(in.text("task"));
+        if (it != running_.end() && it->second.number == in.integer("run_id"))
+        {
+            it->second.pace = in.integer("percent");
+        }
+        return platform::json_answer(200, clock_body(now));
+    }
+
     auto hold(platform::fields& in, time_point now) -> http_answer
     {
         lease_ = std::max(lease_, in.integer("deadline_ms"));
@@ -261,8 +277,12 @@
         json_value::array rows;
         for (auto const& [task, it] : running_)
         {
-            rows.push_back({json_value::array{
-                {task}, {it.number}, {std::string{}}, {std::int64_t{100}}}});
+            rows.push_back(
+                {json_value::array{{task},
+                                   {it.number},
+                                   {std::string{}},
+                                   {std::int64_t{100}},
+                                   {load ? load(task) : std::int64_t{0}}}});
         }
         json_value::array ends;
         for (auto const& it : ended_)
