Repeat pace orders whose outcome is unknown

A scavenging run could keep a pace of 250 beside a serving task that was over its target, for as long as the task was over it; another one stayed slowed for good although nothing was left to protect.

The leader recorded a pace only when a worker had confirmed it, and sent no order when the wanted pace equalled the recorded one. An order that was carried out while its answer was lost left the worker with another pace. Raised from 0 to 250 without an answer, the run counted as paused, so that the order to pause it was never sent. Slowed without an answer, it counted as running at full speed, so that it was never raised.

held_run::possible_pace now keeps the lowest pace that the worker may have instead. Steps start from it, and an order is sent with each list until one is confirmed.

Two tests of pace_schedule, on the code before: pauses_a_task_that_was_raised_without_an_answer: longest_impact < max_impact, actual: 8005000us vs 4000000us (the end of the test) resumes_a_task_that_was_slowed_without_an_answer: not at full speed after 8 s Both pass now. Run: the tests of pace_schedule, disturbance, run_scheduler and worker_capacity, 58 passed.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -397,9 +397,14 @@
     else if (answer.outcome == order_outcome::done && is_current)
     {
         held->pace = order.pace;
+        held->possible_pace.reset();
         held->pace_changed_at = now;
         interference_.pace_changed(worker->first, order.run, order.pace, now);
     }
+    else if (answer.outcome == order_outcome::no_answer)
+    {
+        held->possible_pace = std::min(held->lowest_pace(), order.pace);
+    }
 }
 
 auto run_scheduler::on_answer(poll_order const& order,
@@ -636,8 +641,9 @@
             continue;
         }
         auto const pace = apply_pace_step(
-            held.pace, next_pace_step(worker.second, held, interference_, now));
-        if (pace != held.pace)
+            held.lowest_pace(),
+            next_pace_step(worker.second, held, interference_, now));
+        if (pace != held.pace || held.possible_pace)
         {
             held.order_in_flight = true;
             held.sent = now;
--- a/src/core/fleet/run_targets.cpp
+++ b/src/core/fleet/run_targets.cpp
@@ -38,7 +38,7 @@
         if (is_running_scavenger(held))
         {
             out.push_back(
-                {run, held.pace,
+                {run, held.pace, held.possible_pace,
                  interference_.interference_state_of(held.image, serving.image,
                                                      now),
                  now - std::max(held.pace_changed_at, held.settled_at),
--- a/src/core/fleet/target_report.hpp
+++ b/src/core/fleet/target_report.hpp
@@ -22,7 +22,8 @@
 struct scavenging_neighbor
 {
     task_run run;
-    permille pace; ///< as confirmed by the worker
+    permille pace;                         ///< as confirmed by the worker
+    std::optional<permille> possible_pace; ///< as in held_run
     interference_state effect{interference_state::unknown};
     duration at_pace{}; ///< since the pace or the run was last confirmed
     /// Age of the order that waits for its answer; none without one.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -89,7 +89,10 @@
     std::int64_t load{0}; ///< as reported; see running_row::load
     /// Smoothed tail latency of a serving task, as a share of its target.
     permille latency_ratio{};
-    permille pace{1000};          ///< as confirmed by the worker
+    permille pace{1000}; ///< as confirmed by the worker
+    /// The lowest pace that the worker may have instead, after orders without
+    /// an answer.
+    std::optional<permille> possible_pace;
     time_point pace_changed_at{}; ///< when the pace was last changed
     /// Since when latency_ratio has been above config::pace_cut_above.
     std::optional<time_point> over_target_since;
@@ -100,6 +103,13 @@
         return latency_target > milliseconds{0};
     }
 
+    /// Steps start from the lowest pace that the worker may have, so that a
+    /// raise never goes too far.
+    [[nodiscard]] auto lowest_pace() const -> permille
+    {
+        return std::min(pace, possible_pace.value_or(pace));
+    }
+
     /// True while a crash of its worker would count as caused by it and another
     /// worker has crashed under its task before.
     [[nodiscard]] auto is_unproven_suspect(time_point now) const -> bool
--- a/tests/pace_schedule_test.cpp
+++ b/tests/pace_schedule_test.cpp
@@ -207,5 +207,34 @@
     EXPECT_EQ(fleet.leader->summary(fleet.now).unmeasured, 1);
 }
 
+// The raised run counted as paused, so the order to pause it was never sent.
+TEST_F(pace_schedule, pauses_a_task_that_was_raised_without_an_answer)
+{
+    learn(1, 0.8);
+    base = 90;
+    ASSERT_TRUE(run_until([&] { return is_at(0); }, max_impact));
+    fleet.faults.unanswered = 100;
+    base = 20;
+    ASSERT_TRUE(run_until([&] { return is_order_open(); }, seconds{4}));
+    base = 95;
+    ASSERT_TRUE(run_until([&] { return is_at(25); }, seconds{2}));
+    fleet.faults.unanswered = 0;
+    run(seconds{8});
+    EXPECT_LT(longest_impact, max_impact);
+}
+
+// The slowed run counted as running at full speed, so it was never raised.
+TEST_F(pace_schedule, resumes_a_task_that_was_slowed_without_an_answer)
+{
+    learn(1, 0.8);
+    fleet.faults.unanswered = 100;
+    base = 90;
+    ASSERT_TRUE(run_until([&] { return is_order_open(); }, max_impact));
+    base = 20;
+    ASSERT_TRUE(run_until([&] { return !is_at(100); }, seconds{2}));
+    fleet.faults.unanswered = 0;
+    EXPECT_TRUE(run_until([&] { return is_at(100); }, seconds{8}));
+}
+
 } // namespace
 } // namespace apricotlb
