Set the pace of runs that a new leader takes over

A scavenging run that was slowed or paused when the leader changed stayed so until it was slowed again: an idle worker did no scavenging work.

A new leader took every inherited run to be at full speed, so that a raise changed nothing and no order was sent. Its runs now count as possibly at config::pace_step, and get an order with their first list. Beside serving tasks below their targets they go up by steps, at full speed after three lists; steps from the recorded full speed would let a paused run go on at full speed at once. On a worker without serving tasks they are released at once, as is every run there: the steps protect nobody, and lists are 1.8 s apart.

Test on the code before: resumes_tasks_that_an_earlier_leader_has_paused: not at full speed after 8 s It passes now. keeps_the_target_after_a_change_of_leader passed before and guards the steps. Run: the tests of pace_schedule, disturbance, run_scheduler and worker_capacity, 60 passed.

--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -11,6 +11,10 @@
                     image_interference const& interference, time_point now)
     -> pace_step
 {
+    if (!worker.is_serving())
+    {
+        return pace_step::release;
+    }
     auto step = pace_step::raise;
     for (auto const& [run, serving] : worker.runs)
     {
@@ -54,6 +58,8 @@
     }
     case pace_step::stop:
         return permille{0};
+    case pace_step::release:
+        return permille{1000};
     case pace_step::raise:
         return std::min(pace + config::pace_step, permille{1000});
     case pace_step::keep:
--- a/src/core/fleet/pace_control.hpp
+++ b/src/core/fleet/pace_control.hpp
@@ -15,9 +15,10 @@
 enum class pace_step : std::uint8_t
 {
     keep,
-    cut,   ///< halves the pace; to 0 if that is below config::min_pace
-    raise, ///< by config::pace_step
-    stop,  ///< to 0 at once
+    cut,     ///< halves the pace; to 0 if that is below config::min_pace
+    raise,   ///< by config::pace_step
+    stop,    ///< to 0 at once
+    release, ///< to full speed at once
 };
 
 /// Chooses the next pace step of one scavenging task from the latencies of the
@@ -26,6 +27,7 @@
 /// is slowed step by step. A latency on which the image is known to have no
 /// effect is ignored until it has been over its target for
 /// config::max_time_over_target; then the task is stopped whatever its image.
+/// On a worker without serving tasks it is released.
 /// The gap between config::pace_raise_below and config::pace_cut_above keeps
 /// the pace steady while a latency is close to its target.
 [[nodiscard]] auto next_pace_step(worker_entry const& worker,
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -540,6 +540,8 @@
         {
             // The worker has accepted this leader's fencing token with the
             // poll, so that no order of an earlier leader can start the run.
+            // Runs start at full speed.
+            held.possible_pace.reset();
             start_or_withdraw(worker, run, held, now);
         }
         else if (held.phase == run_phase::closed &&
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -76,6 +76,10 @@
                 auto held = make_held_run(step, images_.ref(step.image),
                                           run_phase::inherited);
                 held.suspect = record.is_suspect(task);
+                if (held.scavenges)
+                {
+                    held.possible_pace = config::pace_step;
+                }
                 held.is_copy = progress.active.front().number != run.number;
                 worker.add(name, std::move(held));
                 worker_of_run_[name] = &identified;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -91,7 +91,7 @@
     permille latency_ratio{};
     permille pace{1000}; ///< as confirmed by the worker
     /// The lowest pace that the worker may have instead, after orders without
-    /// an answer.
+    /// an answer or orders of an earlier leader.
     std::optional<permille> possible_pace;
     time_point pace_changed_at{}; ///< when the pace was last changed
     /// Since when latency_ratio has been above config::pace_cut_above.
--- a/tests/pace_schedule_test.cpp
+++ b/tests/pace_schedule_test.cpp
@@ -236,5 +236,27 @@
     EXPECT_TRUE(run_until([&] { return is_at(100); }, seconds{8}));
 }
 
+// A new leader took paused runs to be at full speed, and never raised them.
+TEST_F(pace_schedule, resumes_tasks_that_an_earlier_leader_has_paused)
+{
+    learn(1, 0.8);
+    base = 90;
+    ASSERT_TRUE(run_until([&] { return is_at(0); }, max_impact));
+    fleet.lead();
+    base = 20;
+    EXPECT_TRUE(run_until([&] { return is_at(100); }, seconds{8}));
+}
+
+// A new leader must not let a paused run go on at full speed at once.
+TEST_F(pace_schedule, keeps_the_target_after_a_change_of_leader)
+{
+    learn(1, 0.8);
+    base = 90;
+    ASSERT_TRUE(run_until([&] { return is_at(0); }, max_impact));
+    fleet.lead();
+    run(seconds{8});
+    EXPECT_LT(longest_impact, max_impact);
+}
+
 } // namespace
 } // namespace apricotlb
