End the time over a latency target by hysteresis

A serving task can be over its target for as long as it likes while images that are known to have no effect work on beside it at full speed.

Such images are paused once the smoothed latency has been over the target for config::max_time_over_target, since small effects add up. Reported latencies scatter, and one smoothed value of at most the target started that time anew. Paused runs were also raised again at the next value below the target, which put the task over it once more.

The time over the target now ends at a value below config::pace_raise_below, as raises do for other images. A run is still stopped only while the smoothed latency is over the target, so that an image without effect is not paused beside a task that stays below it; but once the time has passed, it is not raised before it ends. The line over_target leaves out tasks that are below their target again.

Two tests of harmless_neighbor, on the code before: is_paused_in_spite_of_a_low_figure: never stopped in 4 s of latencies at 124, 124 and 78 % of the target by turns is_not_raised_close_to_the_target: raise instead of keep Both pass now. Run: the tests of pace_schedule, disturbance, run_scheduler and worker_capacity, 62 passed.

--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -24,17 +24,17 @@
         }
         auto const effect = interference.interference_state_of(
             scavenging.image, serving.image, now);
-        if (serving.over_target_since &&
-            (effect == interference_state::known ||
-             now - *serving.over_target_since >= config::max_time_over_target))
+        auto const is_long_over = serving.is_long_over_target(now);
+        if (serving.is_over_target() &&
+            (effect == interference_state::known || is_long_over))
         {
             return pace_step::stop;
         }
-        if (effect == interference_state::none)
+        if (effect == interference_state::none && !is_long_over)
         {
             continue;
         }
-        if (serving.latency_ratio > config::pace_cut_above)
+        if (serving.is_over_target())
         {
             step = pace_step::cut;
         }
--- a/src/core/fleet/pace_control.hpp
+++ b/src/core/fleet/pace_control.hpp
@@ -26,7 +26,8 @@
 /// with a known effect on it is stopped at once and one with an unknown effect
 /// is slowed step by step. A latency on which the image is known to have no
 /// effect is ignored until it has been over its target for
-/// config::max_time_over_target; then the task is stopped whatever its image.
+/// config::max_time_over_target; then the task is stopped whatever its image,
+/// and not raised before the latency is below config::pace_raise_below.
 /// On a worker without serving tasks it is released.
 /// The gap between config::pace_raise_below and config::pace_cut_above keeps
 /// the pace steady while a latency is close to its target.
--- a/src/core/fleet/run_targets.cpp
+++ b/src/core/fleet/run_targets.cpp
@@ -61,7 +61,7 @@
             auto const over = held.over_target_since
                                   ? now - *held.over_target_since
                                   : duration{};
-            if (held.phase != run_phase::running ||
+            if (held.phase != run_phase::running || !held.is_over_target() ||
                 over <= config::max_time_over_target)
             {
                 continue;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -94,7 +94,9 @@
     /// an answer or orders of an earlier leader.
     std::optional<permille> possible_pace;
     time_point pace_changed_at{}; ///< when the pace was last changed
-    /// Since when latency_ratio has been above config::pace_cut_above.
+    /// Since when latency_ratio has been above config::pace_cut_above, but for
+    /// values of at least config::pace_raise_below in between: the reported
+    /// latencies scatter.
     std::optional<time_point> over_target_since;
 
     /// True for a task with a latency target.
@@ -103,6 +105,18 @@
         return latency_target > milliseconds{0};
     }
 
+    [[nodiscard]] auto is_over_target() const -> bool
+    {
+        return latency_ratio > config::pace_cut_above;
+    }
+    /// True once every scavenging task beside it has to slow down, whatever
+    /// its image.
+    [[nodiscard]] auto is_long_over_target(time_point now) const -> bool
+    {
+        return over_target_since &&
+               now - *over_target_since >= config::max_time_over_target;
+    }
+
     /// Steps start from the lowest pace that the worker may have, so that a
     /// raise never goes too far.
     [[nodiscard]] auto lowest_pace() const -> permille
@@ -132,11 +146,11 @@
             auto const change = (ratio - latency_ratio).value() *
                                 config::latency_smoothing.value() / 1000;
             latency_ratio += permille{change};
-            if (latency_ratio <= config::pace_cut_above)
+            if (latency_ratio < config::pace_raise_below)
             {
                 over_target_since.reset();
             }
-            else if (!over_target_since)
+            else if (is_over_target() && !over_target_since)
             {
                 over_target_since = now;
             }
--- a/tests/disturbance_test.cpp
+++ b/tests/disturbance_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -178,5 +180,78 @@
               pace_step::raise);
 }
 
+/// A serving task beside one of an image that is known to have no effect.
+class harmless_neighbor : public testing::Test
+{
+protected:
+    harmless_neighbor()
+    {
+        held_run serving;
+        serving.phase = run_phase::running;
+        serving.image = serving_image;
+        serving.latency_target = target;
+        entry.add(run(0), serving);
+        light.image = light_image;
+        for (auto n = 0; n < 10; ++n)
+        {
+            read(20);
+        }
+        begin = now;
+    }
+
+    /// Reads a figure from `lists` lists within one interval between polls.
+    auto read(std::int64_t tail, int lists = 1) -> void
+    {
+        for (auto n = 0; n < lists; ++n)
+        {
+            now += duration{config::poll_wait_shared} / lists;
+            entry.runs.at(run(0)).record_measurement(tail, now);
+            step = next_pace_step(entry, light, known, now);
+            if (step == pace_step::stop && !stopped_at)
+            {
+                stopped_at = now;
+            }
+        }
+    }
+
+    /// Time that is left for figures once the worker's window of half a second
+    /// and the way of the order are taken off.
+    static constexpr duration max_time = seconds{4} - milliseconds{700};
+
+    image_interference known{learned()};
+    worker_entry entry;
+    held_run light;
+    time_point now{later};
+    time_point begin;
+    pace_step step{pace_step::keep};
+    std::optional<time_point> stopped_at;
+};
+
+// One low figure ended the time over the target, so nothing was ever paused.
+TEST_F(harmless_neighbor, is_paused_in_spite_of_a_low_figure)
+{
+    for (auto n = 0; n < 8; ++n)
+    {
+        read(n % 3 == 2 ? 39 : 62);
+    }
+    ASSERT_TRUE(stopped_at);
+    EXPECT_LE(*stopped_at - begin, max_time);
+}
+
+// A run that was paused for lasting effects was raised close to the target.
+TEST_F(harmless_neighbor, is_not_raised_close_to_the_target)
+{
+    for (auto n = 0; n < 8; ++n)
+    {
+        read(60);
+    }
+    ASSERT_TRUE(stopped_at);
+    read(30);
+    EXPECT_EQ(step, pace_step::keep);
+    read(20);
+    read(20);
+    EXPECT_EQ(step, pace_step::raise);
+}
+
 } // namespace
 } // namespace apricotlb
