Weigh reported latencies by the time between them

A serving task can stay over its target beside scavenging runs while short tasks come and go on its worker.

The lists of a worker follow each other within 100 ms while runs end, and each one carries the latency of the same half second. Each counted as a new value with half of the weight: one low value, repeated by five lists, was all that was left of the ones before, and ended the time over the target. The other way round, the first value after a poll of 1.8 s, which a worker gets that has no scavenging run yet, counted half as well, although nothing else is known of that time.

The weight of a value now depends on the time since the one before: config::latency_smoothing for values config::poll_wait_shared apart, more after a longer time, all of it for the first one.

pace_control.follows_the_smoothed_latency read values 100 ms apart; they are 500 ms apart now, as those of a worker with both kinds of runs, and its expectations are the same.

Run: the tests of pace_schedule, disturbance, run_scheduler and worker_capacity, 64 passed.

--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -11,6 +11,8 @@
 #include <apricotlb/workflow.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -93,7 +95,8 @@
     /// The lowest pace that the worker may have instead, after orders without
     /// an answer or orders of an earlier leader.
     std::optional<permille> possible_pace;
-    time_point pace_changed_at{}; ///< when the pace was last changed
+    time_point pace_changed_at{};          ///< when the pace was last changed
+    std::optional<time_point> measured_at; ///< when latency_ratio was
     /// Since when latency_ratio has been above config::pace_cut_above, but for
     /// values of at least config::pace_raise_below in between: the reported
     /// latencies scatter.
@@ -132,6 +135,19 @@
                            now - settled_at < config::crash_blame_time);
     }
 
+    /// Weight of a tail latency that is reported now. Latencies cover the last
+    /// half second, so those that follow each other faster repeat themselves.
+    /// Values that are config::poll_wait_shared apart have the weight
+    /// config::latency_smoothing.
+    [[nodiscard]] auto weight_of_next(time_point now) const -> double
+    {
+        constexpr auto kept = 1 - config::latency_smoothing.value() / 1000.0;
+        using fraction = std::chrono::duration<double>;
+        return measured_at ? 1 - std::pow(kept, fraction{now - *measured_at} /
+                                                    config::poll_wait_shared)
+                           : 1;
+    }
+
     /// Records the load that the worker reported, as in running_row::load.
     auto record_measurement(std::int64_t reported_load, time_point now) -> void
     {
@@ -143,9 +159,12 @@
                 permille{static_cast<std::int32_t>(std::clamp<std::int64_t>(
                     reported_load * 1000 / latency_target.count(), 0,
                     max_ratio))};
-            auto const change = (ratio - latency_ratio).value() *
-                                config::latency_smoothing.value() / 1000;
-            latency_ratio += permille{change};
+            auto const change =
+                static_cast<double>((ratio - latency_ratio).value()) *
+                weight_of_next(now);
+            latency_ratio +=
+                permille{static_cast<std::int32_t>(std::lround(change))};
+            measured_at = now;
             if (latency_ratio < config::pace_raise_below)
             {
                 over_target_since.reset();
--- a/tests/disturbance_test.cpp
+++ b/tests/disturbance_test.cpp
@@ -137,7 +137,7 @@
     auto now = later;
     auto const asked = [&](std::int64_t tail)
     {
-        now += milliseconds{100};
+        now += config::poll_wait_shared;
         seen.record_measurement(tail, now);
         return next_pace_step(entry, scavenging, known, now);
     };
@@ -253,5 +253,24 @@
     EXPECT_EQ(step, pace_step::raise);
 }
 
+// A low figure counted once for each list that repeated it.
+TEST_F(harmless_neighbor, is_paused_when_lists_repeat_a_low_figure)
+{
+    for (auto n = 0; n < 8; ++n)
+    {
+        read(n % 3 == 2 ? 39 : 62, 5);
+    }
+    ASSERT_TRUE(stopped_at);
+    EXPECT_LE(*stopped_at - begin, max_time);
+}
+
+// Half of the first figure after 1.8 s counted, which delayed the pause.
+TEST_F(harmless_neighbor, counts_most_of_a_figure_after_a_long_gap)
+{
+    now += config::poll_wait - config::poll_wait_shared;
+    read(60);
+    EXPECT_TRUE(entry.runs.at(run(0)).over_target_since);
+}
+
 } // namespace
 } // namespace apricotlb
