Limit how fast the pace of a run changes

A paused scavenging run went on at full speed within 0.4 s while short tasks ended on its worker, and pushed the serving tasks there over their targets again.

Each list of a worker raised the pace by a step, and lists follow each other within 100 ms while runs end. The latencies cover half a second, so that none of them showed the first step before the last one was taken. Cuts ran ahead of their effect in the same way and paused runs that half of the speed would have served.

Steps up and down are at least 0.4 s apart, which leaves one to each list of a worker that is polled every half second. Stops are sent at once, as before.

Test on the code before: raises_the_pace_no_faster_than_figures_show_it: total_pace() <= 50, actual: 100 It passes now. Run: the tests of pace_schedule, disturbance, run_scheduler and worker_capacity, 65 passed.

--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -7,6 +7,15 @@
 namespace apricotlb
 {
 
+namespace
+{
+
+/// Least time between two steps of one task. Less than the time between the
+/// lists that no end of a run brings forward.
+constexpr duration min_step_interval = milliseconds{400};
+
+} // namespace
+
 auto next_pace_step(worker_entry const& worker, held_run const& scavenging,
                     image_interference const& interference, time_point now)
     -> pace_step
@@ -44,7 +53,8 @@
             step = pace_step::keep;
         }
     }
-    return step;
+    auto const is_recent = now - scavenging.pace_changed_at < min_step_interval;
+    return is_recent ? pace_step::keep : step;
 }
 
 auto apply_pace_step(permille pace, pace_step step) -> permille
--- a/src/core/fleet/pace_control.hpp
+++ b/src/core/fleet/pace_control.hpp
@@ -28,6 +28,8 @@
 /// effect is ignored until it has been over its target for
 /// config::max_time_over_target; then the task is stopped whatever its image,
 /// and not raised before the latency is below config::pace_raise_below.
+/// Steps up and down follow each other no faster than the reported latencies
+/// show them.
 /// On a worker without serving tasks it is released.
 /// The gap between config::pace_raise_below and config::pace_cut_above keeps
 /// the pace steady while a latency is close to its target.
--- a/tests/pace_schedule_test.cpp
+++ b/tests/pace_schedule_test.cpp
@@ -258,5 +258,18 @@
     EXPECT_LT(longest_impact, max_impact);
 }
 
+// Four lists within 0.4 s raised a paused run to full speed.
+TEST_F(pace_schedule, raises_the_pace_no_faster_than_figures_show_it)
+{
+    learn(1, 0.8);
+    base = 90;
+    ASSERT_TRUE(run_until([&] { return is_at(0); }, max_impact));
+    fleet.polls_wait = false;
+    base = 20;
+    ASSERT_TRUE(run_until([&] { return is_at(25); }, seconds{4}));
+    run(milliseconds{600});
+    EXPECT_LE(total_pace(), 50);
+}
+
 } // namespace
 } // namespace apricotlb
