--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -7,10 +7,23 @@
 namespace apricotlb
 {
 
+namespace
+{
+
+/// Least time between two steps of one task. Less than the time between the
+/// lists that no end of a run brings forward.
+constexpr duration min_step_interval = milliseconds{400};
+
+} // namespace
+
 auto next_pace_step(worker_entry const& worker, held_run const& scavenging,
                     image_interference const& interference, time_point now)
     -> pace_step
 {
+    if (!worker.is_serving())
+    {
+        return pace_step::release;
+    }
     auto step = pace_step::raise;
     for (auto const& [run, serving] : worker.runs)
     {
@@ -20,17 +33,17 @@
         }
         auto const effect = interference.interference_state_of(
             scavenging.image, serving.image, now);
-        if (serving.over_target_since &&
-            (effect == interference_state::known ||
-             now - *serving.over_target_since >= config::max_time_over_target))
+        auto const is_long_over = serving.is_long_over_target(now);
+        if (serving.is_over_target() &&
+            (effect == interference_state::known || is_long_over))
         {
             return pace_step::stop;
         }
-        if (effect == interference_state::none)
+        if (effect == interference_state::none && !is_long_over)
         {
             continue;
         }
-        if (serving.latency_ratio > config::pace_cut_above)
+        if (serving.is_over_target())
         {
             step = pace_step::cut;
         }
@@ -40,7 +53,8 @@
             step = pace_step::keep;
         }
     }
-    return step;
+    auto const is_recent = now - scavenging.pace_changed_at < min_step_interval;
+    return is_recent ? pace_step::keep : step;
 }
 
 auto apply_pace_step(permille pace, pace_step step) -> permille
@@ -54,6 +68,8 @@
     }
     case pace_step::stop:
         return permille{0};
+    case pace_step::release:
+        return permille{1000};
     case pace_step::raise:
         return std::min(pace + config::pace_step, permille{1000});
     case pace_step::keep:
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -413,9 +413,20 @@
     else if (answer.outcome == order_outcome::done && is_current)
     {
         held->pace = order.pace;
+        held->possible_pace.reset();
         held->pace_changed_at = now;
         interference_.pace_changed(worker->first, order.run, order.pace, now);
     }
+    else if (answer.outcome == order_outcome::no_answer)
+    {
+        held->possible_pace = std::min(held->lowest_pace(), order.pace);
+        auto const& entry = worker->second;
+        if (!entry.is_replaced &&
+            now - entry.last_contact < config::lease_extension_timeout)
+        {
+            adjust_pace(*worker, order.run, *held, now);
+        }
+    }
 }
 
 auto run_scheduler::on_answer(poll_order const& order,
@@ -470,6 +481,7 @@
     auto const poll_sent_at = worker.second.poll_sent_at;
     worker.second.are_shares_stale = true;
     ++worker.second.last_list;
+    worker.second.listed_at = now;
     for (auto const& row : lists.running)
     {
         process_running(worker, row, now);
@@ -550,6 +562,8 @@
         {
             // The worker has accepted this leader's fencing token with the
             // poll, so that no order of an earlier leader can start the run.
+            // Runs start at full speed.
+            held.possible_pace.reset();
             start_or_withdraw(worker, run, held, now);
         }
         else if (held.phase == run_phase::closed &&
@@ -640,25 +654,31 @@
 {
     for (auto& [run, held] : worker.second.runs)
     {
-        if (!held.scavenges || held.phase != run_phase::running ||
-            held.order_in_flight || worker.second.is_fenced)
-        {
-            continue;
-        }
-        if (must_move(worker.second, held, now))
-        {
-            send_stop(worker, run, held, now);
-            continue;
-        }
-        auto const pace = apply_pace_step(
-            held.pace, next_pace_step(worker.second, held, interference_, now));
-        if (pace != held.pace)
-        {
-            held.order_in_flight = true;
-            held.sent = now;
-            actions_.emplace_back(
-                pace_order{target_of(worker, now), run, pace});
-        }
+        adjust_pace(worker, run, held, now);
+    }
+}
+
+auto run_scheduler::adjust_pace(identified_worker& worker, task_run const& run,
+                                held_run& held, time_point now) -> void
+{
+    if (!held.scavenges || held.phase != run_phase::running ||
+        held.order_in_flight || worker.second.is_fenced)
+    {
+        return;
+    }
+    if (must_move(worker.second, held, now))
+    {
+        send_stop(worker, run, held, now);
+        return;
+    }
+    auto const pace =
+        apply_pace_step(held.lowest_pace(), next_pace_step(worker.second, held,
+                                                           interference_, now));
+    if (pace != held.pace || held.possible_pace)
+    {
+        held.order_in_flight = true;
+        held.sent = now;
+        actions_.emplace_back(pace_order{target_of(worker, now), run, pace});
     }
 }
 
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -89,6 +89,10 @@
     auto held =
         make_held_run(step, images_.ref(step.image), run_phase::inherited);
     held.suspect = record.is_suspect(name.task);
+    if (held.scavenges)
+    {
+        held.possible_pace = config::pace_step;
+    }
     held.is_copy = progress.active.front().number != run.number;
     worker.add(name, std::move(held));
     worker_of_run_[name] = &*entry;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -11,6 +11,8 @@
 #include <apricotlb/workflow.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -92,9 +94,15 @@
     std::int64_t load{0}; ///< as reported; see running_row::load
     /// Smoothed tail latency of a serving task, as a share of its target.
     permille latency_ratio{};
-    permille pace{1000};          ///< as confirmed by the worker
-    time_point pace_changed_at{}; ///< when the pace was last changed
-    /// Since when latency_ratio has been above config::pace_cut_above.
+    permille pace{1000}; ///< as confirmed by the worker
+    /// The lowest pace that the worker may have instead, after orders without
+    /// an answer or orders of an earlier leader.
+    std::optional<permille> possible_pace;
+    time_point pace_changed_at{};          ///< when the pace was last changed
+    std::optional<time_point> measured_at; ///< when latency_ratio was
+    /// Since when latency_ratio has been above config::pace_cut_above, but for
+    /// values of at least config::pace_raise_below in between: the reported
+    /// latencies scatter.
     std::optional<time_point> over_target_since;
 
     /// True for a task with a latency target.
@@ -103,6 +111,25 @@
         return latency_target > milliseconds{0};
     }
 
+    [[nodiscard]] auto is_over_target() const -> bool
+    {
+        return latency_ratio > config::pace_cut_above;
+    }
+    /// True once every scavenging task beside it has to slow down, whatever
+    /// its image.
+    [[nodiscard]] auto is_long_over_target(time_point now) const -> bool
+    {
+        return over_target_since &&
+               now - *over_target_since >= config::max_time_over_target;
+    }
+
+    /// Steps start from the lowest pace that the worker may have, so that a
+    /// raise never goes too far.
+    [[nodiscard]] auto lowest_pace() const -> permille
+    {
+        return std::min(pace, possible_pace.value_or(pace));
+    }
+
     /// True while a crash of its worker would count as caused by it and another
     /// worker has crashed under its task before.
     [[nodiscard]] auto is_unproven_suspect(time_point now) const -> bool
@@ -111,6 +138,19 @@
                            now - settled_at < config::crash_blame_time);
     }
 
+    /// Weight of a tail latency that is reported now. Latencies cover the last
+    /// half second, so those that follow each other faster repeat themselves.
+    /// Values that are config::poll_wait_shared apart have the weight
+    /// config::latency_smoothing.
+    [[nodiscard]] auto weight_of_next(time_point now) const -> double
+    {
+        constexpr auto kept = 1 - config::latency_smoothing.value() / 1000.0;
+        using fraction = std::chrono::duration<double>;
+        return measured_at ? 1 - std::pow(kept, fraction{now - *measured_at} /
+                                                    config::poll_wait_shared)
+                           : 1;
+    }
+
     /// Records the load that the worker reported, as in running_row::load.
     auto record_measurement(std::int64_t reported_load, time_point now) -> void
     {
@@ -122,14 +162,17 @@
                 permille{static_cast<std::int32_t>(std::clamp<std::int64_t>(
                     reported_load * 1000 / latency_target.count(), 0,
                     max_ratio))};
-            auto const change = (ratio - latency_ratio).value() *
-                                config::latency_smoothing.value() / 1000;
-            latency_ratio += permille{change};
-            if (latency_ratio <= config::pace_cut_above)
+            auto const change =
+                static_cast<double>((ratio - latency_ratio).value()) *
+                weight_of_next(now);
+            latency_ratio +=
+                permille{static_cast<std::int32_t>(std::lround(change))};
+            measured_at = now;
+            if (latency_ratio < config::pace_raise_below)
             {
                 over_target_since.reset();
             }
-            else if (!over_target_since)
+            else if (is_over_target() && !over_target_since)
             {
                 over_target_since = now;
             }
@@ -327,6 +370,7 @@
     std::vector<task_run> possible_crashes;
     time_point poll_sent_at{};
     sequence last_list;        ///< number of the last lists from the worker
+    time_point listed_at{};    ///< when they were received
     time_point next_poll_at{}; ///< earliest time of the next poll
     bool poll_in_flight{false};
     bool recording_ends{false}; ///< the ends that it listed are proposed
