Stop paused scavenging work only where another worker takes it

The stop was sent without a look at the other workers.

On the code before, leaves_paused_work_where_no_other_worker_takes_it has 0 runs left of 1, and moves_paused_work_to_a_worker_that_takes_it sees 2 stops before another worker is there.

--- a/src/core/fleet/run_relocation.cpp
+++ b/src/core/fleet/run_relocation.cpp
@@ -91,6 +91,57 @@
     }
 }
 
+/// True if a scavenging task has been paused for config::max_paused_time
+/// beside a serving task that it would harm, and has a checkpoint from which it
+/// can continue on another worker.
+auto run_scheduler::must_move(worker_entry const& worker, held_run const& held,
+                              time_point now) const -> bool
+{
+    auto const is_harmed = [&](auto const& run)
+    {
+        auto const& serving = run.second;
+        return serving.is_serving() &&
+               interference_.is_harmful(held.image, serving.image,
+                                        serving.latency_target, now);
+    };
+    return held.pace == permille{0} &&
+           now - held.pace_changed_at >= config::max_paused_time &&
+           !held.checkpoint.value().empty() &&
+           std::ranges::any_of(worker.runs, is_harmed);
+}
+
+/// A task for which no other worker has room stays: it keeps what it has done,
+/// and goes on as soon as the latencies allow.
+auto run_scheduler::move_paused(identified_worker& worker, plan_pass& pass)
+    -> void
+{
+    for (auto& [run, held] : worker.second.runs)
+    {
+        auto const* const record = state_.workflows().find(run.task.workflow);
+        if (held.phase != run_phase::running || held.order_in_flight ||
+            record == nullptr || !must_move(worker.second, held, pass.now))
+        {
+            continue;
+        }
+        auto const candidate =
+            make_candidate(*record, run.task, run.number + run_number{1});
+        auto& pool = pass.pools[pool_of(*record)];
+        auto const target = std::ranges::find_if(
+            pool,
+            [&](identified_worker* const it)
+            {
+                ++pass.visits;
+                return it != &worker && can_place(*it, candidate, pass);
+            });
+        if (target != pool.end())
+        {
+            // Each target takes one task until the next call.
+            pool.erase(target);
+            send_stop(worker, run, held, pass.now);
+        }
+    }
+}
+
 auto run_scheduler::relocate(time_point now) -> void
 {
     relocations_.prune(now);
@@ -100,6 +151,7 @@
     }
     relocated_at_ = now;
     std::vector<identified_worker*> sources;
+    std::vector<identified_worker*> paused;
     for (auto& worker : workers_)
     {
         auto const& entry = worker.second;
@@ -112,8 +164,13 @@
         {
             sources.push_back(&worker);
         }
+        if (std::ranges::any_of(entry.runs, [&](auto const& each)
+                                { return must_move(entry, each.second, now); }))
+        {
+            paused.push_back(&worker);
+        }
     }
-    if (sources.empty())
+    if (sources.empty() && paused.empty())
     {
         return;
     }
@@ -125,6 +182,13 @@
             relocate_from(*worker, pass);
         }
     }
+    for (auto* const worker : paused)
+    {
+        if (pass.visits < plan_pass::max_visits)
+        {
+            move_paused(*worker, pass);
+        }
+    }
 }
 
 } // namespace apricotlb
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -630,25 +630,6 @@
     }
 }
 
-/// True if a scavenging task has been stopped for config::max_paused_time
-/// beside a serving task that it would harm, and has a checkpoint from which it
-/// can continue on another worker.
-auto run_scheduler::must_move(worker_entry const& worker, held_run const& held,
-                              time_point now) const -> bool
-{
-    auto const is_harmed = [&](auto const& run)
-    {
-        auto const& serving = run.second;
-        return serving.is_serving() &&
-               interference_.is_harmful(held.image, serving.image,
-                                        serving.latency_target, now);
-    };
-    return held.pace == permille{0} &&
-           now - held.pace_changed_at >= config::max_paused_time &&
-           !held.checkpoint.value().empty() &&
-           std::ranges::any_of(worker.runs, is_harmed);
-}
-
 auto run_scheduler::adjust_pace(identified_worker& worker, time_point now)
     -> void
 {
@@ -666,11 +647,6 @@
     {
         return;
     }
-    if (must_move(worker.second, held, now))
-    {
-        send_stop(worker, run, held, now);
-        return;
-    }
     auto const pace =
         apply_pace_step(held.lowest_pace(), next_pace_step(worker.second, held,
                                                            interference_, now));
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -354,9 +354,6 @@
     auto adjust_pace(identified_worker& worker, time_point now) -> void;
     auto adjust_pace(identified_worker& worker, task_run const& run,
                      held_run& held, time_point now) -> void;
-    [[nodiscard]] auto must_move(worker_entry const& worker,
-                                 held_run const& held, time_point now) const
-        -> bool;
 
     // run_plan.cpp
     /// A task for which a worker is sought, with the number of its next run.
@@ -567,10 +564,14 @@
     auto report_winner(ended_run const& ended) -> void;
 
     // run_relocation.cpp
-    /// Stops permanent tasks on workers that take no new runs, so that they
-    /// start on other workers.
+    /// Stops permanent tasks on workers that take no new runs, and scavenging
+    /// tasks that stay paused, so that they start on other workers.
     auto relocate(time_point now) -> void;
     auto relocate_from(identified_worker& worker, plan_pass& pass) -> void;
+    auto move_paused(identified_worker& worker, plan_pass& pass) -> void;
+    [[nodiscard]] auto must_move(worker_entry const& worker,
+                                 held_run const& held, time_point now) const
+        -> bool;
     /// The tasks of the step of `first` as choose_relocation() needs them.
     auto step_tasks(workflow_record const& record, workflow_task const& first,
                     time_point now) -> std::vector<step_task>;
--- a/tests/measured_fleet.hpp
+++ b/tests/measured_fleet.hpp
@@ -44,6 +44,8 @@
         announce();
     }
 
+    auto add_worker(std::string const& name) -> void { names_.push_back(name); }
+
     static auto serving_step(std::int64_t tasks) -> step_spec
     {
         step_spec step;
@@ -113,20 +115,11 @@
         return n;
     }
 
-    /// Workers with more than one scavenging task at a pace above 0.
-    [[nodiscard]] auto workers_with_several_at_work() const -> std::size_t
+    [[nodiscard]] auto running_on(std::string const& worker) const
+        -> std::size_t
     {
-        std::size_t out{0};
-        for (auto const& [worker, runs] : runs_)
-        {
-            std::size_t n{0};
-            for (auto const& [run, it] : runs)
-            {
-                n += it.scavenges && it.pace > permille{0} ? 1 : 0;
-            }
-            out += n > 1 ? 1 : 0;
-        }
-        return out;
+        auto const found = runs_.find(worker);
+        return found == runs_.end() ? 0 : found->second.size();
     }
 
     /// Ends the runs of a workflow as finished.
@@ -177,6 +170,7 @@
     time_point now{seconds{100}};
     state_machine state;
     double idle_latency{20}; ///< in ms
+    std::size_t stops{0};    ///< orders
     std::function<double(std::string const&)> effect = [](std::string const&)
     { return 0.0; };
 
@@ -224,6 +218,7 @@
             {
                 running_row row;
                 row.run = run;
+                row.checkpoint = checkpoint_id{"c"};
                 row.load =
                     it.scavenges ? 1000 : std::lround(latency_on(worker));
                 answer.lists.running.push_back(row);
@@ -266,6 +261,7 @@
     }
     auto execute(stop_order const& it) -> void
     {
+        ++stops;
         runs_[it.to.instance.id.value()].erase(it.run);
         scheduler_.on_answer(it, {order_outcome::done, clock()}, now);
     }
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -47,5 +47,34 @@
     EXPECT_GT(fleet.running("second"), 0U);
 }
 
+// Stopped without another place, a task lost the one that it had, and waited.
+TEST_F(scavenging_start, leaves_paused_work_where_no_other_worker_takes_it)
+{
+    fleet.submit("second", {measured_fleet::scavenging_step("harmful", 4)});
+    fleet.run(seconds{3});
+    auto const running = fleet.running("second");
+    ASSERT_GT(running, 0U);
+    fleet.idle_latency = 120;
+    fleet.run(seconds{10});
+    EXPECT_EQ(fleet.stops, 0U);
+    EXPECT_EQ(fleet.running("second"), running);
+}
+
+// Paused for good, a task would never end although another worker is free.
+TEST_F(scavenging_start, moves_paused_work_to_a_worker_that_takes_it)
+{
+    fleet.submit("second", {measured_fleet::scavenging_step("harmful", 1)});
+    fleet.run(seconds{3});
+    ASSERT_EQ(fleet.running("second"), 1U);
+    fleet.idle_latency = 120;
+    fleet.run(seconds{5});
+    ASSERT_EQ(fleet.stops, 0U);
+    fleet.add_worker("free");
+    fleet.run(seconds{3});
+    EXPECT_EQ(fleet.stops, 1U);
+    EXPECT_EQ(fleet.running("second"), 1U);
+    EXPECT_EQ(fleet.running_on("free"), 1U);
+}
+
 } // namespace
 } // namespace apricotlb
