Let the bar of a departed worker end with its time

A worker that left and came back with the same or an earlier birth was ignored until another worker left more than a minute later: records of departures were dropped only by the next departure. The record now counts for worker_removal_delay, and no longer.

--- a/src/core/fleet/run_contacts.cpp
+++ b/src/core/fleet/run_contacts.cpp
@@ -44,11 +44,13 @@
     departed_[worker.id] = {worker.incarnation, now};
 }
 
-auto run_scheduler::has_departed(worker_instance const& worker) const -> bool
+auto run_scheduler::has_departed(worker_instance const& worker,
+                                 time_point now) const -> bool
 {
     auto const found = departed_.find(worker.id);
     return found != departed_.end() &&
-           worker.incarnation <= found->second.incarnation;
+           worker.incarnation <= found->second.incarnation &&
+           now - found->second.since < config::worker_removal_delay;
 }
 
 } // namespace apricotlb
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -75,7 +75,7 @@
 auto run_scheduler::take_announcement(worker_announcement const& announcement,
                                       time_point now, duration age) -> void
 {
-    if (has_departed(announcement.instance))
+    if (has_departed(announcement.instance, now))
     {
         return;
     }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -292,8 +292,8 @@
     auto record_departure(worker_instance const& worker, time_point now)
         -> void;
     /// True if a late announcement would bring back a worker that has left.
-    [[nodiscard]] auto has_departed(worker_instance const& worker) const
-        -> bool;
+    [[nodiscard]] auto has_departed(worker_instance const& worker,
+                                    time_point now) const -> bool;
 
     // run_reports.cpp
     auto take_announcement(worker_announcement const& announcement,
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -187,6 +187,11 @@
     std::set<std::string> cut; ///< workers that nothing reaches
     std::set<std::string> draining;
     std::set<std::string> unheard; ///< workers whose announcements are lost
+    std::set<std::string> deaf;    ///< workers whose orders are lost
+    /// Age of announcements when the leader gets them.
+    duration announcement_age{};
+    duration announcement_interval{seconds{1}};
+    bool loses_proposals{false}; ///< nothing that is proposed is applied
     order_faults faults;
     std::vector<std::string> violations;
     std::vector<std::string> stale_runs; ///< runs that the log has no more
@@ -194,6 +199,11 @@
     std::size_t held_back{0}; ///< orders that met a frozen relay
 
 private:
+    [[nodiscard]] auto is_reached(std::string const& name) const -> bool
+    {
+        return !cut.contains(name) && !deaf.contains(name);
+    }
+
     auto happens(std::uint64_t percent) -> bool
     {
         return next_random(random_) % 100 < percent;
@@ -201,23 +211,23 @@
 
     auto heartbeat() -> void
     {
-        constexpr auto interval = milliseconds{1000};
         if (now < next_beat_)
         {
             return;
         }
-        next_beat_ = now + interval;
+        next_beat_ = now + announcement_interval;
+        auto const sent = now - announcement_age;
         for (auto const& [name, it] : workers)
         {
             if (!cut.contains(name) && !unheard.contains(name))
             {
                 auto const text = it->heartbeat(
-                    now, draining.contains(name) ? "draining" : "ready");
+                    sent, draining.contains(name) ? "draining" : "ready");
                 it->note_announced();
                 leader->on_announcement(
                     platform::decode_announcement(worker_id{name}, text)
                         .value(),
-                    now);
+                    now, announcement_age);
             }
         }
     }
@@ -257,7 +267,15 @@
     auto carry_out(propose_starts it) -> void
     {
         log_.emplace_back(now + milliseconds{15},
-                          [this, it] { apply(start_runs{it.value}); });
+                          [this, it]
+                          {
+                              if (loses_proposals)
+                              {
+                                  leader->on_not_applied(it, now);
+                                  return;
+                              }
+                              apply(start_runs{it.value});
+                          });
     }
 
     auto carry_out(propose_ends const& it) -> void
@@ -265,6 +283,11 @@
         log_.emplace_back(now + milliseconds{15},
                           [this, it]
                           {
+                              if (loses_proposals)
+                              {
+                                  leader->on_not_recorded(it);
+                                  return;
+                              }
                               apply(end_runs{it.runs, {}});
                               leader->on_recorded(it, now);
                           });
@@ -283,7 +306,7 @@
         auto const deliver = [this, it, name]() -> http_answer
         {
             auto const at = workers.find(name);
-            return at == workers.end() || cut.contains(name)
+            return at == workers.end() || !is_reached(name)
                        ? platform::json_answer(500, "")
                        : at->second->serve(platform::run_codec::encode(it),
                                            now);
@@ -309,7 +332,7 @@
             return;
         }
         auto const late = !is_poll && happens(faults.late);
-        auto const lost = late || cut.contains(name) ||
+        auto const lost = late || !is_reached(name) ||
                           (!is_poll && happens(faults.unanswered));
         if (late)
         {
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -53,9 +53,12 @@
     std::function<run(std::string const& task)> behaviour;
 
     std::string rack{"r1"};
+    std::string pool{"pool"};
 
     /// Starts also what exceeds the capacity.
     bool accepts_everything{false};
+    /// Rejects all orders as an unhealthy worker does, without any effect.
+    bool rejects_everything{false};
     std::string zone{"z1"};
     /// When it is warm; it says in each heartbeat how long that takes.
     time_point warm_at{};
@@ -98,6 +101,10 @@
     auto serve(outgoing_request const& it, time_point now) -> http_answer
     {
         advance(now);
+        if (rejects_everything)
+        {
+            return platform::json_answer(503, "{}");
+        }
         auto const tree = parse_json(it.body).value();
         platform::fields in{tree};
         for (auto const& [name, value] : it.headers)
@@ -135,11 +142,13 @@
         auto const accepts = accepts_everything;
         auto const same_rack = rack;
         auto in_zone = zone;
+        auto in_pool = pool;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         accepts_everything = accepts;
         rack = same_rack;
         zone = std::move(in_zone);
+        pool = std::move(in_pool);
         started_ = now;
     }
 
@@ -147,7 +156,7 @@
         -> std::string
     {
         return print_json({json_value::object{
-            {"service", {std::string{"pool"}}},
+            {"service", {pool}},
             {"address", {id_.value() + ":1"}},
             {"zone", {zone}},
             {"cold_remaining_ms",
