Poll workers whose recent contact a suspect task waits for

A task under which a worker has crashed starts only on a worker heard from within 300 ms. An idle worker is not polled; its announcements come every 1 to 1.5 s through entries that pass them on with a ping every 400 ms. At an age of 300 ms or more the task never started, and a gang of such tasks needed recent contacts of several workers at one moment.

The search now asks such workers for a contact: for 3 s they are polled with a wait of 100 ms, whether they have runs or not.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -430,6 +430,13 @@
 /// requires, because its latency figures are needed to set the pace.
 inline constexpr milliseconds poll_wait = 1800ms;
 inline constexpr milliseconds poll_wait_shared = 500ms;
+/// The same for a worker whose recent contact a suspect task waits for, and how
+/// long it is polled so: longer than a poll that is under way takes.
+inline constexpr milliseconds poll_wait_for_contact = 100ms;
+inline constexpr duration contact_request_time = 3s;
+/// Age of the last contact of a worker up to which suspect tasks start there. A
+/// start on a worker that is down already would count against the task.
+inline constexpr duration recent_contact = 300ms;
 /// How long a worker gets no new runs after it rejected one for this reason.
 inline constexpr duration no_room_pause = 300ms;
 inline constexpr duration unhealthy_pause = 1500ms;
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -260,11 +260,8 @@
     {
         return placement_obstacle::worker_limit;
     }
-    // A start on a worker that is down already would count against the task.
-    constexpr auto recent = milliseconds{300};
-    auto const is_stale =
-        candidate.is_suspect && pass.now - entry.last_contact >= recent;
-    if (is_stale || has_other_suspect(entry, candidate, pass.now))
+    if (lacks_contact(entry, candidate, pass.now) ||
+        has_other_suspect(entry, candidate, pass.now))
     {
         return placement_obstacle::suspect;
     }
@@ -290,6 +287,14 @@
                });
 }
 
+auto run_scheduler::lacks_contact(worker_entry const& worker,
+                                  candidate_run const& candidate,
+                                  time_point now) -> bool
+{
+    return candidate.is_suspect &&
+           now - worker.last_contact >= config::recent_contact;
+}
+
 auto run_scheduler::can_place(identified_worker const& worker,
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
@@ -298,6 +303,20 @@
            obstacle_to(worker, candidate, pass) == placement_obstacle::none;
 }
 
+auto run_scheduler::can_place_or_ask(identified_worker& worker,
+                                     candidate_run const& candidate,
+                                     plan_pass& pass) const -> bool
+{
+    auto const placeable = can_place(worker, candidate, pass);
+    auto& entry = worker.second;
+    if (!placeable && lacks_contact(entry, candidate, pass.now) &&
+        obstacle_to(worker, candidate, pass) == placement_obstacle::suspect)
+    {
+        entry.contact_wanted_until = pass.now + config::contact_request_time;
+    }
+    return placeable;
+}
+
 auto run_scheduler::score_of(identified_worker const& worker,
                              candidate_run const& candidate,
                              plan_pass& pass) const -> preference
@@ -356,7 +375,7 @@
         worker_search::option const option{score_of(*worker, candidate, pass),
                                            worker};
         if ((!best || is_better(option, *best)) &&
-            can_place(*worker, candidate, pass))
+            can_place_or_ask(*worker, candidate, pass))
         {
             best = option;
         }
@@ -425,7 +444,7 @@
         std::ranges::pop_heap(search.options, is_worse);
         auto* const worker = search.options.back().worker;
         search.options.pop_back();
-        if (can_place(*worker, candidate, pass))
+        if (can_place_or_ask(*worker, candidate, pass))
         {
             return worker;
         }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -255,7 +255,9 @@
     }
     auto const is_sent = [](auto const& each)
     { return each.second.phase != run_phase::proposed; };
-    auto const is_needed = std::ranges::any_of(entry.runs, is_sent);
+    auto const is_contact_wanted = now < entry.contact_wanted_until;
+    auto const is_needed =
+        is_contact_wanted || std::ranges::any_of(entry.runs, is_sent);
     if (!is_needed && entry.acknowledged >= entry.recorded)
     {
         return;
@@ -274,6 +276,7 @@
         scavenges = scavenges || held.scavenges;
     }
     auto const wait = urgent                ? milliseconds{0}
+                      : is_contact_wanted   ? config::poll_wait_for_contact
                       : serves && scavenges ? config::poll_wait_shared
                                             : config::poll_wait;
     entry.poll_in_flight = true;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -485,6 +485,14 @@
     auto can_place(identified_worker const& worker,
                    candidate_run const& candidate, plan_pass& pass) const
         -> bool;
+    /// can_place(), which also asks a worker for a contact if the task lacks a
+    /// recent one there.
+    auto can_place_or_ask(identified_worker& worker,
+                          candidate_run const& candidate, plan_pass& pass) const
+        -> bool;
+    static auto lacks_contact(worker_entry const& worker,
+                              candidate_run const& candidate, time_point now)
+        -> bool;
     auto may_scavenge(worker_entry const& worker,
                       candidate_run const& candidate, plan_pass& pass) const
         -> bool;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -325,6 +325,8 @@
     time_point poll_sent_at{};
     sequence last_list;        ///< number of the last lists from the worker
     time_point next_poll_at{}; ///< earliest time of the next poll
+    /// A suspect task waits until then for a recent contact of the worker.
+    time_point contact_wanted_until{};
     bool poll_in_flight{false};
     bool recording_ends{false}; ///< the ends that it listed are proposed
     /// The last order was answered, so that ends may be acknowledged: a worker
--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -442,6 +442,76 @@
                          testing::ValuesIn(obstacle_rows),
                          [](auto const& it) { return it.param.name; });
 
+/// How announcements reach the leader.
+struct contact_times
+{
+    milliseconds age;
+    milliseconds interval;
+};
+
+class obstacle_events_suspect : public testing::TestWithParam<contact_times>
+{
+};
+
+// Suspects start only on workers heard from within 300 ms, and entries pass
+// announcements on up to 400 ms after they came.
+TEST_P(obstacle_events_suspect, starts_on_an_idle_fleet)
+{
+    waiting_fleet it;
+    it.run(seconds{3});
+    it.announcement_age = GetParam().age;
+    it.announcement_interval = GetParam().interval;
+    it.run(seconds{3});
+    it.submit_suspects("waiting", fake_fleet::step(1));
+    EXPECT_LT(it.time_to_start(usual_bound), usual_bound);
+}
+
+auto all_contact_times() -> std::vector<contact_times>
+{
+    std::vector<contact_times> out;
+    for (auto const interval : {1000, 1250, 1500})
+    {
+        for (auto age = 0; age <= 450; age += 50)
+        {
+            out.push_back({milliseconds{age}, milliseconds{interval}});
+        }
+    }
+    return out;
+}
+
+INSTANTIATE_TEST_SUITE_P(ages, obstacle_events_suspect,
+                         testing::ValuesIn(all_contact_times()),
+                         [](auto const& it)
+                         {
+                             return std::to_string(it.param.age.count()) +
+                                    "_of_" +
+                                    std::to_string(it.param.interval.count());
+                         });
+
+// Members of a gang on different workers need recent contacts of all of them at
+// one moment.
+TEST(obstacle_events_gang, suspects_start_on_workers_that_announce_in_turn)
+{
+    waiting_fleet it;
+    it.workers.clear();
+    for (auto n = 0; n < 4; ++n)
+    {
+        it.add_worker("v" + std::to_string(n), 1000);
+        it.unheard.insert("v" + std::to_string(n));
+    }
+    auto gang = fake_fleet::step(4);
+    gang.gang = true;
+    it.submit_suspects("waiting", gang);
+    auto const begin = it.now;
+    for (auto n = 0; it.now - begin < seconds{4} && !it.is_started(); ++n)
+    {
+        auto const name = "v" + std::to_string(n % 4);
+        it.leader->on_announcement(it.announcement_of(name), it.now);
+        it.run(milliseconds{350});
+    }
+    EXPECT_TRUE(it.is_started());
+}
+
 // A worker that is ready by its announcements and rejects every order.
 TEST(obstacle_events_rejection, leaves_the_task_to_other_workers)
 {
