Extend no lease of a worker that carries out no orders

A worker that announces itself as ready while no order reaches it, or while it rejects all of them, kept its tasks for good: each repeated start and each poll extended its lease in the leader's record, and the announcements kept it in contact. A task that was accepted never started on a free fleet, and a gang was not placed again while such a worker held one member.

The entry now records since when orders and polls have failed. After lease_extension_timeout the lease is not extended, the worker gets no new runs, and its runs end as lost once the lease is over. Polls go on, also without runs, and the first one that is answered ends the finding. The bound on the lease of a new life covers start orders that may reach it late.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -17,6 +17,13 @@
     return it != order_outcome::no_answer && it != order_outcome::not_sent;
 }
 
+/// True if the worker neither was out of reach nor failed at the order.
+auto is_response(order_outcome it) -> bool
+{
+    return is_from_worker(it) && it != order_outcome::unhealthy &&
+           it != order_outcome::malformed;
+}
+
 /// True if both announcements let the same tasks be placed on a worker.
 auto has_same_offer(worker_announcement const& a, worker_announcement const& b)
     -> bool
@@ -162,6 +169,7 @@
     entry.poll_in_flight = false;
     entry.is_answering = false;
     entry.is_replaced = false;
+    entry.unanswered_since.reset();
     entry.lease = {};
     entry.warm_up = {};
     entry.info = announcement;
@@ -182,6 +190,9 @@
         if (held.start_unconfirmed || held.phase == run_phase::ordered ||
             held.phase == run_phase::inherited)
         {
+            // A late start order may give the new life a lease.
+            entry.lease.assume_until(now + config::max_order_age +
+                                     worker_lease::max_duration(policy_.lease));
             send_stop(worker, run, held, now);
         }
         else
@@ -245,6 +256,10 @@
     -> bool
 {
     auto& entry = worker.second;
+    if (answer.outcome != order_outcome::not_sent)
+    {
+        entry.record_response(is_response(answer.outcome), now);
+    }
     if (!is_from_worker(answer.outcome))
     {
         entry.is_answering =
@@ -415,6 +430,10 @@
     auto& entry = worker.second;
     entry.poll_in_flight = false;
     entry.next_poll_at = now + config::poll_retry_delay;
+    if (answer.outcome != order_outcome::not_sent)
+    {
+        entry.record_response(is_response(answer.outcome), now);
+    }
     switch (answer.outcome)
     {
     case order_outcome::done:
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -256,8 +256,8 @@
     auto const is_sent = [](auto const& each)
     { return each.second.phase != run_phase::proposed; };
     auto const is_contact_wanted = now < entry.contact_wanted_until;
-    auto const is_needed =
-        is_contact_wanted || std::ranges::any_of(entry.runs, is_sent);
+    auto const is_needed = is_contact_wanted || entry.unanswered_since ||
+                           std::ranges::any_of(entry.runs, is_sent);
     if (!is_needed && entry.acknowledged >= entry.recorded)
     {
         return;
@@ -265,7 +265,8 @@
     // Ends are acknowledged once, soon after the worker has listed them: a
     // later poll may reach its next life, which numbers its ends anew.
     auto const is_release_due = entry.acknowledged < entry.recorded;
-    auto urgent = !is_needed || (is_release_due && !entry.is_answering);
+    auto urgent = !is_needed || entry.unanswered_since ||
+                  (is_release_due && !entry.is_answering);
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : entry.runs)
@@ -288,7 +289,7 @@
                      wait};
     // A poll that arrives late must not extend the lease of a worker whose runs
     // may already count as lost.
-    if (now - entry.last_contact < config::lease_extension_timeout)
+    if (entry.may_extend_lease(now))
     {
         order.lease_end = entry.lease.grant(now, policy_.lease);
     }
@@ -317,8 +318,7 @@
         {
             continue;
         }
-        if (held.phase == run_phase::ordered &&
-            now - entry.last_contact < config::lease_extension_timeout)
+        if (held.phase == run_phase::ordered && entry.may_extend_lease(now))
         {
             start_or_withdraw(worker, run, held, now);
         }
@@ -338,7 +338,8 @@
         auto& entry = worker->second;
         auto const has_lapsed =
             now >= entry.lease.latest_end() &&
-            now - entry.last_contact >= config::worker_contact_timeout;
+            (now - entry.last_contact >= config::worker_contact_timeout ||
+             entry.is_unresponsive(now));
         if (entry.incarnation_ended)
         {
             end_runs_as_lost(*worker, run_event_kind::worker_gone, now);
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -328,6 +328,9 @@
     /// A suspect task waits until then for a recent contact of the worker.
     time_point contact_wanted_until{};
     bool poll_in_flight{false};
+    /// Since when orders and polls got no answer, or one of a worker that does
+    /// not carry them out; announcements prove nothing of the kind.
+    std::optional<time_point> unanswered_since;
     bool recording_ends{false}; ///< the ends that it listed are proposed
     /// The last order was answered, so that ends may be acknowledged: a worker
     /// that was restarted under its id numbers its ends anew.
@@ -341,6 +344,27 @@
     bool was_usable{false};       ///< for new runs, in the last pass of plan()
     bool held_for_restart{false}; ///< in the current pass
 
+    /// True if it has carried out no order for config::lease_extension_timeout.
+    /// Its lease is not extended then, so that its runs end with it.
+    [[nodiscard]] auto is_unresponsive(time_point now) const -> bool
+    {
+        return unanswered_since &&
+               now - *unanswered_since >= config::lease_extension_timeout;
+    }
+    /// True if its lease may be extended.
+    [[nodiscard]] auto may_extend_lease(time_point now) const -> bool
+    {
+        return now - last_contact < config::lease_extension_timeout &&
+               !is_unresponsive(now);
+    }
+    /// Records whether it has carried out an order or poll, or has rejected it
+    /// for good reason.
+    auto record_response(bool is_response, time_point now) -> void
+    {
+        unanswered_since = is_response
+                               ? std::nullopt
+                               : std::optional{unanswered_since.value_or(now)};
+    }
     /// True if its last announcement said that it drains.
     [[nodiscard]] auto is_leaving() const -> bool
     {
@@ -427,7 +451,8 @@
         return info && !incarnation_ended && !is_replaced &&
                info->phase == worker_phase::ready &&
                now - last_contact < config::worker_contact_timeout &&
-               now >= paused_until && lease.is_sampled();
+               now >= paused_until && lease.is_sampled() &&
+               !is_unresponsive(now);
     }
     /// Resources that are not reserved; none before the first announcement.
     [[nodiscard]] auto free() const -> resources
--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -657,5 +657,148 @@
     EXPECT_TRUE(is_usable("w"));
 }
 
+/// Time after which no order of a leader can be carried out any more on a
+/// worker that has not answered since, and its runs are recorded as lost.
+auto bound_of_lease() -> duration
+{
+    return worker_lease::max_duration(seconds{5}) + config::order_timeout +
+           config::lease_extension_timeout + usual_bound;
+}
+
+// A worker that announces itself while no order reaches it kept the task for
+// good: each repeated order extended its lease.
+TEST(obstacle_events_order, that_no_answer_comes_to)
+{
+    waiting_fleet it;
+    it.deaf.insert("w1");
+    it.submit_waiting(sized(1000));
+    it.run(milliseconds{100});
+    ASSERT_EQ(it.starts, 1U);
+    it.add_worker("w2", 4000);
+    EXPECT_LT(it.time_to_start(bound_of_lease()), bound_of_lease());
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+}
+
+// The same with a worker that rejects every order after one whose answer was
+// lost, so that the stop is never confirmed.
+TEST(obstacle_events_order, that_is_rejected_after_a_lost_answer)
+{
+    waiting_fleet it;
+    it.faults.unanswered = 100;
+    it.submit_waiting(sized(1000));
+    it.run(milliseconds{100});
+    ASSERT_EQ(it.starts, 1U);
+    it.faults.unanswered = 0;
+    it.one().rejects_everything = true;
+    it.run(bound_of_lease());
+    it.add_worker("w2", 4000);
+    EXPECT_LT(it.time_to_start(usual_bound), usual_bound);
+    EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+}
+
+// Members of gangs: nothing is placed again while one of them is active.
+class obstacle_events_member : public testing::Test
+{
+protected:
+    /// Starts a gang of one member on each of two workers.
+    auto SetUp() -> void override
+    {
+        it.add_worker("w2", 4000);
+        it.announce_now();
+        it.run(milliseconds{5});
+        auto gang = sized(3000);
+        gang.tasks = task_count{2};
+        gang.gang = true;
+        it.submit_waiting(gang);
+        it.run(milliseconds{300});
+        ASSERT_EQ(it.one().running().size(), 1U);
+        ASSERT_EQ(it.workers.at("w2")->running().size(), 1U);
+        it.add_worker("w3", 4000);
+        it.announce_now();
+        it.run(milliseconds{5});
+    }
+    /// Expects that the whole gang runs again without w1 within the bound.
+    auto expect_restart(duration bound) -> void
+    {
+        auto const begin = it.now;
+        auto const is_whole = [this]
+        {
+            return !it.workers.at("w2")->running().empty() &&
+                   !it.workers.at("w3")->running().empty() &&
+                   it.workers.at("w2")->running().begin()->second.number == 2;
+        };
+        while (!is_whole() && it.now - begin < bound)
+        {
+            it.run(milliseconds{5});
+        }
+        EXPECT_LT(it.now - begin, bound);
+        EXPECT_TRUE(it.violations.empty()) << it.violations.front();
+    }
+
+    waiting_fleet it;
+};
+
+TEST_F(obstacle_events_member, on_a_silent_worker)
+{
+    it.cut.insert("w1");
+    expect_restart(bound_of_lease());
+}
+
+TEST_F(obstacle_events_member, on_a_worker_that_is_silent_but_for_announcements)
+{
+    it.deaf.insert("w1");
+    expect_restart(bound_of_lease());
+}
+
+TEST_F(obstacle_events_member, on_a_worker_with_a_new_life)
+{
+    it.one().restart(2, it.now);
+    it.one().rejects_everything = true;
+    it.announce_now();
+    expect_restart(bound_of_lease());
+}
+
+TEST_F(obstacle_events_member, on_a_worker_that_was_replaced_at_its_address)
+{
+    auto other = it.announcement_of("w1");
+    it.one().restart(2, it.now);
+    it.cut.insert("w1");
+    other.instance = {worker_id{"other"}, worker_incarnation{9}};
+    other.labels.clear();
+    other.phase = worker_phase::draining;
+    it.leader->on_announcement(other, it.now);
+    expect_restart(usual_bound);
+}
+
+TEST_F(obstacle_events_member, on_a_worker_that_left)
+{
+    it.draining.insert("w1");
+    it.announce_now();
+    it.run(milliseconds{5});
+    auto left = it.announcement_of("w1");
+    left.phase = worker_phase::left;
+    it.one().restart(2, it.now);
+    it.cut.insert("w1");
+    it.leader->on_announcement(left, it.now);
+    expect_restart(usual_bound);
+}
+
+// Contact that comes and goes must neither extend the lease of a worker without
+// answers nor keep the gang waiting for longer than that lease.
+TEST_F(obstacle_events_member, on_a_worker_that_flaps)
+{
+    it.deaf.insert("w1");
+    auto const begin = it.now;
+    while (it.now - begin < bound_of_lease() - seconds{2})
+    {
+        it.unheard.insert("w1");
+        it.run(milliseconds{1700});
+        it.unheard.clear();
+        it.announce_now();
+        it.run(milliseconds{300});
+    }
+    expect_restart(seconds{2});
+}
+
 } // namespace
 } // namespace apricotlb
