Repeat the failed searches that were put off first

Failed searches of scavenging work, suspects and gangs are repeated with half of a pass. The first ones in the order used it up in each pass, and the visits by which they choose among workers did not count, so that they cut the pass. A suspect or a gang behind much scavenging work was not searched for on an almost free fleet.

All visits of a repeated search count now. If a pass puts searches off, the next one repeats none that is newer than these.

--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -384,12 +384,19 @@
 }
 
 auto run_scheduler::may_repeat_search(time_point searched_at,
-                                      plan_pass const& pass) const -> bool
+                                      plan_pass& pass) const -> bool
 {
     // A pass that was cut leaves the tasks behind it to the next ones.
-    return pass.repeat_visits < plan_pass::max_repeat_visits &&
-           (!was_cut_ ||
-            pass.now - searched_at >= config::failed_search_validity);
+    auto const is_due =
+        searched_at <= repeats_until_ &&
+        (!was_cut_ || pass.now - searched_at >= config::failed_search_validity);
+    auto const has_visits = pass.repeat_visits < plan_pass::max_repeat_visits;
+    if (is_due && !has_visits)
+    {
+        pass.newest_put_off =
+            std::max(pass.newest_put_off.value_or(searched_at), searched_at);
+    }
+    return is_due && has_visits;
 }
 
 auto run_scheduler::begin_search(candidate_run const& candidate,
@@ -441,6 +448,7 @@
     while (!search.options.empty())
     {
         ++pass.visits;
+        pass.repeat_visits += search.repeats ? 1 : 0;
         std::ranges::pop_heap(search.options, is_worse);
         auto* const worker = search.options.back().worker;
         search.options.pop_back();
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -373,6 +373,7 @@
     end_holds(pass);
     is_behind_ = pass.is_behind || (pass.is_cut && was_behind_);
     was_cut_ = pass.is_cut;
+    repeats_until_ = pass.newest_put_off.value_or(time_point::max());
     needs_plan_ = pass.is_cut;
     if (!pass.is_cut)
     {
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -412,7 +412,9 @@
         std::size_t visits{0};    ///< of workers and of their serving images
         std::size_t repeat_visits{0}; ///< of them, to repeat failed searches
         std::size_t hold_visits{0};   ///< of them, to choose workers to hold
-        bool is_behind{false};        ///< some task found no worker
+        /// The newest failed search for which no visits were left.
+        std::optional<time_point> newest_put_off;
+        bool is_behind{false}; ///< some task found no worker
         /// Pools in which tasks wait for reserved processors.
         std::set<pool_name> behind;
         bool is_cut{false}; ///< ended at its limit of visits
@@ -442,9 +444,10 @@
     auto choose_worker(candidate_run const& candidate, plan_pass& pass)
         -> identified_worker*;
     /// True if the pass may search all workers again for a task that found
-    /// none at `searched_at`.
+    /// none at `searched_at`. Otherwise the next pass does so before it repeats
+    /// any later search.
     [[nodiscard]] auto may_repeat_search(time_point searched_at,
-                                         plan_pass const& pass) const -> bool;
+                                         plan_pass& pass) const -> bool;
     auto score_of(identified_worker const& worker,
                   candidate_run const& candidate, plan_pass& pass) const
         -> preference;
@@ -609,6 +612,9 @@
     bool is_behind_{false};
     bool was_behind_{false}; ///< is_behind() before the current plan
     bool was_cut_{false};    ///< the last pass ended at its limit of visits
+    /// Failed searches made after this are not repeated, since the last pass
+    /// has put off earlier ones.
+    time_point repeats_until_{time_point::max()};
 };
 
 } // namespace apricotlb
--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -800,5 +800,96 @@
     expect_restart(seconds{2});
 }
 
+/// Many idle workers, and scavenging work of many images that finds none of
+/// them. A repeated search of it looks at all workers.
+struct scavenged_fleet : fake_fleet
+{
+    scavenged_fleet(int kinds, step_spec const& fill) : fake_fleet(52)
+    {
+        for (auto n = 0; n < 1000; ++n)
+        {
+            add_worker("w" + std::to_string(n), 4000);
+        }
+        run(milliseconds{5});
+        for (auto n = 0; n < kinds; ++n)
+        {
+            auto it = fill;
+            it.scavenges = true;
+            it.image = image_name{"fill" + std::to_string(n)};
+            submit(it.image.value(), {it});
+        }
+    }
+
+    /// Contacts tell of nothing new, so that no worker gains room.
+    auto renew_all_contacts() -> void
+    {
+        for (auto const& [name, it] : workers)
+        {
+            auto const sent = announcement_of(name);
+            auto const& known = leader->workers().at(worker_id{name});
+            ASSERT_TRUE(leader->on_contact(
+                {sent.instance, sent.number, known.described, sent.clock, {}},
+                now));
+        }
+    }
+
+    /// Runs that a pass places after some time.
+    auto placed_after(duration time) -> std::size_t
+    {
+        now += time;
+        leader->plan(now, wall_time{});
+        std::size_t placed{0};
+        for (auto const& action : leader->take_actions())
+        {
+            auto const* const proposed = std::get_if<propose_starts>(&action);
+            placed += proposed != nullptr ? proposed->value.runs.size() : 0;
+        }
+        return placed;
+    }
+};
+
+// Searches repeated for scavenging work left none to a suspect behind it in any
+// pass, although nothing but time had to pass for its start.
+TEST(obstacle_events_search, a_suspect_behind_much_scavenging_work)
+{
+    scavenged_fleet it{400, sized(1'000'000)};
+    it.now += seconds{1};
+    it.submit("suspect", {fake_fleet::step(1)});
+    task_run const first{{workflow_id{"suspect"}, {}, {}, {}}, run_number{1}};
+    it.apply(start_runs{{{first, {worker_id{"gone"}, {}}}}});
+    it.apply(end_runs{{{first, run_end::crashed, {}}}, {}});
+    ASSERT_EQ(it.placed_after(milliseconds{25}), 0U);
+    std::size_t placed{0};
+    for (auto const end = it.now + usual_bound; placed == 0 && it.now < end;)
+    {
+        it.renew_all_contacts();
+        placed = it.placed_after(milliseconds{25});
+    }
+    EXPECT_EQ(placed, 1U);
+}
+
+// The visits by which repeated searches choose among workers cut each pass
+// before it came to a gang, and the first searches were repeated again.
+TEST(obstacle_events_search, a_gang_behind_much_scavenging_work)
+{
+    scavenged_fleet it{600, labelled()};
+    it.now += seconds{1};
+    auto gang = sized(5000);
+    gang.gang = true;
+    it.submit("gang", {gang});
+    for (auto n = 0; n < 10; ++n)
+    {
+        ASSERT_EQ(it.placed_after(milliseconds{25}), 0U);
+    }
+    it.workers.at("w0")->resize(5000);
+    it.leader->on_announcement(it.announcement_of("w0"), it.now);
+    std::size_t placed{0};
+    for (auto const end = it.now + usual_bound; placed == 0 && it.now < end;)
+    {
+        placed = it.placed_after(milliseconds{400});
+    }
+    EXPECT_EQ(placed, 1U);
+}
+
 } // namespace
 } // namespace apricotlb
