Let the test of a gang of suspects show its failure

The test held before as well: a worker of the fixture that was not in turn took the whole gang in the leader's view, and only one member was checked. The worker is out of contact now, one run alone counts as a crash, and all members are checked.

--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -493,7 +493,8 @@
 TEST(obstacle_events_gang, suspects_start_on_workers_that_announce_in_turn)
 {
     waiting_fleet it;
-    it.workers.clear();
+    it.cut.insert("w1");
+    it.run(config::worker_contact_timeout);
     for (auto n = 0; n < 4; ++n)
     {
         it.add_worker("v" + std::to_string(n), 1000);
@@ -501,7 +502,19 @@
     }
     auto gang = fake_fleet::step(4);
     gang.gang = true;
-    it.submit_suspects("waiting", gang);
+    it.submit("waiting", {gang});
+    start_runs former;
+    end_runs ends;
+    for (std::uint32_t n = 0; n < 4; ++n)
+    {
+        task_run const first{{workflow_id{"waiting"}, {}, {}, task_index{n}},
+                             run_number{1}};
+        auto const how = n == 0 ? run_end::crashed : run_end::lost;
+        former.runs.push_back({first, {worker_id{"gone"}, {}}});
+        ends.runs.push_back({first, how, {}});
+    }
+    it.apply(former);
+    it.apply(ends);
     auto const begin = it.now;
     for (auto n = 0; it.now - begin < seconds{4} && !it.is_started(); ++n)
     {
@@ -509,7 +522,11 @@
         it.leader->on_announcement(it.announcement_of(name), it.now);
         it.run(milliseconds{350});
     }
-    EXPECT_TRUE(it.is_started());
+    for (auto n = 0; n < 4; ++n)
+    {
+        auto const name = "v" + std::to_string(n);
+        EXPECT_EQ(it.workers.at(name)->running().size(), 1U) << name;
+    }
 }
 
 // A worker that is ready by its announcements and rejects every order.
