--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -304,11 +304,8 @@
     {
         return placement_obstacle::worker_limit;
     }
-    // A start on a worker that is down already would count against the task.
-    constexpr auto recent = milliseconds{300};
-    auto const is_stale =
-        candidate.is_suspect && pass.now - entry.last_contact >= recent;
-    if (is_stale || has_other_suspect(entry, candidate, pass.now))
+    if (lacks_contact(entry, candidate, pass.now) ||
+        has_other_suspect(entry, candidate, pass.now))
     {
         return placement_obstacle::suspect;
     }
@@ -334,6 +331,14 @@
                });
 }
 
+auto run_scheduler::lacks_contact(worker_entry const& worker,
+                                  candidate_run const& candidate,
+                                  time_point now) -> bool
+{
+    return candidate.is_suspect &&
+           now - worker.last_contact >= config::recent_contact;
+}
+
 auto run_scheduler::can_place(identified_worker const& worker,
                               candidate_run const& candidate,
                               plan_pass& pass) const -> bool
@@ -342,6 +347,20 @@
            obstacle_to(worker, candidate, pass) == placement_obstacle::none;
 }
 
+auto run_scheduler::can_place_or_ask(identified_worker& worker,
+                                     candidate_run const& candidate,
+                                     plan_pass& pass) const -> bool
+{
+    auto const placeable = can_place(worker, candidate, pass);
+    auto& entry = worker.second;
+    if (!placeable && lacks_contact(entry, candidate, pass.now) &&
+        obstacle_to(worker, candidate, pass) == placement_obstacle::suspect)
+    {
+        entry.contact_wanted_until = pass.now + config::contact_request_time;
+    }
+    return placeable;
+}
+
 auto run_scheduler::score_of(identified_worker const& worker,
                              candidate_run const& candidate,
                              plan_pass& pass) const -> preference
@@ -400,7 +419,7 @@
         worker_search::option const option{score_of(*worker, candidate, pass),
                                            worker};
         if ((!best || is_better(option, *best)) &&
-            can_place(*worker, candidate, pass))
+            can_place_or_ask(*worker, candidate, pass))
         {
             best = option;
         }
@@ -409,12 +428,19 @@
 }
 
 auto run_scheduler::may_repeat_search(time_point searched_at,
-                                      plan_pass const& pass) const -> bool
+                                      plan_pass& pass) const -> bool
 {
     // A pass that was cut leaves the tasks behind it to the next ones.
-    return pass.repeat_visits < plan_pass::max_repeat_visits &&
-           (!was_cut_ ||
-            pass.now - searched_at >= config::failed_search_validity);
+    auto const is_due =
+        searched_at <= repeats_until_ &&
+        (!was_cut_ || pass.now - searched_at >= config::failed_search_validity);
+    auto const has_visits = pass.repeat_visits < plan_pass::max_repeat_visits;
+    if (is_due && !has_visits)
+    {
+        pass.newest_put_off =
+            std::max(pass.newest_put_off.value_or(searched_at), searched_at);
+    }
+    return is_due && has_visits;
 }
 
 auto run_scheduler::begin_search(candidate_run const& candidate,
@@ -466,10 +492,11 @@
     while (!search.options.empty())
     {
         ++pass.visits;
+        pass.repeat_visits += search.repeats ? 1 : 0;
         std::ranges::pop_heap(search.options, is_worse);
         auto* const worker = search.options.back().worker;
         search.options.pop_back();
-        if (can_place(*worker, candidate, pass))
+        if (can_place_or_ask(*worker, candidate, pass))
         {
             return worker;
         }
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -57,9 +57,12 @@
     std::function<std::int64_t(std::string const& task)> load;
 
     std::string rack{"r1"};
+    std::string pool{"pool"};
 
     /// Starts also what exceeds the capacity.
     bool accepts_everything{false};
+    /// Rejects all orders as an unhealthy worker does, without any effect.
+    bool rejects_everything{false};
     std::string zone{"z1"};
     /// When it is warm; it says in each heartbeat how long that takes.
     time_point warm_at{};
@@ -102,6 +105,10 @@
     auto serve(outgoing_request const& it, time_point now) -> http_answer
     {
         advance(now);
+        if (rejects_everything)
+        {
+            return platform::json_answer(503, "{}");
+        }
         auto const tree = parse_json(it.body).value();
         platform::fields in{tree};
         for (auto const& [name, value] : it.headers)
@@ -149,12 +156,14 @@
         auto const same_rack = rack;
         auto in_zone = zone;
         auto reported_load = std::move(load);
+        auto in_pool = pool;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         accepts_everything = accepts;
         rack = same_rack;
         zone = std::move(in_zone);
         load = std::move(reported_load);
+        pool = std::move(in_pool);
         started_ = now;
     }
 
@@ -162,7 +171,7 @@
         -> std::string
     {
         return print_json({json_value::object{
-            {"service", {std::string{"pool"}}},
+            {"service", {pool}},
             {"address", {id_.value() + ":1"}},
             {"zone", {zone}},
             {"cold_remaining_ms",
