--- a/tests/lost_disk_term_test.cpp
+++ b/tests/lost_disk_term_test.cpp
@@ -33,17 +33,17 @@
     {
         for (std::size_t n = 0; n < count; ++n)
         {
-            member_at.push_back(n);
+            member_at_.push_back(n);
         }
     }
 
     [[nodiscard]] auto node(std::size_t machine) -> replica_group::node&
     {
-        return *group.nodes[member_at[machine]];
+        return *group.nodes[member_at_[machine]];
     }
     [[nodiscard]] auto is_up(std::size_t machine) const -> bool
     {
-        return group.is_up(member_at[machine]);
+        return group.is_up(member_at_[machine]);
     }
     [[nodiscard]] auto term_of(std::size_t machine) -> term
     {
@@ -56,16 +56,16 @@
         auto const former = node(machine).id;
         if (is_up(machine))
         {
-            group.crash(member_at[machine]);
+            group.crash(member_at_[machine]);
         }
         auto const id =
             member_id(served_address(former), std::to_string(++lives));
-        member_at[machine] = group.add_empty(id);
-        for (auto const other : cut_machines)
+        member_at_[machine] = group.add_empty(id);
+        for (auto const other : cut_machines_)
         {
             cut(other, machine);
         }
-        if (cut_machines.contains(machine))
+        if (cut_machines_.contains(machine))
         {
             isolate(machine);
         }
@@ -74,24 +74,24 @@
     {
         if (is_up(machine))
         {
-            group.crash(member_at[machine]);
+            group.crash(member_at_[machine]);
         }
     }
     auto start(std::size_t machine) -> void
     {
         if (!is_up(machine))
         {
-            group.start(member_at[machine]);
+            group.start(member_at_[machine]);
         }
     }
     auto isolate(std::size_t machine) -> void
     {
-        cut_machines.insert(machine);
-        group.isolate(member_at[machine]);
+        cut_machines_.insert(machine);
+        group.isolate(member_at_[machine]);
     }
     auto heal() -> void
     {
-        cut_machines.clear();
+        cut_machines_.clear();
         group.links.cuts.clear();
     }
 
@@ -109,9 +109,9 @@
                     check(*it);
                 }
             }
-            if (group.clock.now() >= next_review)
+            if (group.clock.now() >= next_review_)
             {
-                next_review = group.clock.now() + milliseconds{200};
+                next_review_ = group.clock.now() + milliseconds{200};
                 review_members();
             }
         }
@@ -131,8 +131,8 @@
 
     auto cut(std::size_t a, std::size_t b) -> void
     {
-        group.cut(member_at[a], member_at[b]);
-        group.cut(member_at[b], member_at[a]);
+        group.cut(member_at_[a], member_at_[b]);
+        group.cut(member_at_[b], member_at_[a]);
     }
 
     auto check(replica_group::node const& it) -> void
@@ -141,7 +141,7 @@
         if (status.role == raft_role::leader)
         {
             auto const known =
-                leader_of.try_emplace(status.in_term, it.id).first;
+                leader_of_.try_emplace(status.in_term, it.id).first;
             EXPECT_EQ(known->second, it.id)
                 << "two leaders of term " << status.in_term.value();
         }
@@ -176,7 +176,7 @@
             auto const is_member = std::ranges::any_of(
                 status.members,
                 [&id](member_status const& it) { return it.member.id == id; });
-            if (is_up(n) && !is_member && !cut_machines.contains(n))
+            if (is_up(n) && !is_member && !cut_machines_.contains(n))
             {
                 leader.it->change_member(
                     {member_change_kind::add_learner, id, {}}, ignore);
@@ -185,10 +185,10 @@
         }
     }
 
-    std::vector<std::size_t> member_at; ///< of each machine, in group.nodes
-    std::set<std::size_t> cut_machines;
-    std::map<term, node_id> leader_of;
-    time_point next_review{};
+    std::vector<std::size_t> member_at_; ///< of each machine, in group.nodes
+    std::set<std::size_t> cut_machines_;
+    std::map<term, node_id> leader_of_;
+    time_point next_review_{};
 };
 
 // The token of a leader is its term. If the two members that were wiped could
