--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -404,7 +404,7 @@
      [](auto& it)
      {
          it.apply(cancel_workflow{workflow_id{"lasting"}, {}});
-         (void)it.leader->longest_waits(it.now);
+         (void)it.leader->longest_waiting(it.now, wall_time{});
      }},
     {"relocation_target",
      [](auto& it)
--- a/tests/proposal_outcome_test.cpp
+++ b/tests/proposal_outcome_test.cpp
@@ -44,6 +44,7 @@
         }
     }
     [[nodiscard]] static auto is_current() -> bool { return true; }
+    static auto resign() -> void {}
 };
 
 /// Workers that answer each order after 5 ms and end each run after 200 ms.
