Leave workers that carry out no orders out of the pause of the planner

Work of all callers waited for seconds on free workers: the planner pauses while 1,024 starts are unconfirmed, and those on a worker that announces itself and carries out no orders counted until its lease was over.

Found in review. On the code before, the new test finds the workflow of another worker queued after 5 s; it is completed now.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -398,7 +398,7 @@
         }
         // Runs on a silent worker may stay unconfirmed until its lease is over,
         // as do those on a worker that gets no orders.
-        if (!is_silent && !entry.is_fenced)
+        if (!is_silent && !entry.is_fenced && !entry.is_unresponsive(now))
         {
             unconfirmed_ += entry.unconfirmed;
         }
--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -908,5 +908,24 @@
     EXPECT_EQ(placed, 1U);
 }
 
+// Its orders counted as on their way, so that nothing else was placed until its
+// lease was over.
+TEST(obstacle_events,
+     a_worker_that_carries_out_no_orders_stops_no_other_placing)
+{
+    fake_fleet fleet{1};
+    fleet.add_worker("deaf", 2'000'000);
+    fleet.deaf.insert("deaf");
+    fleet.announce_now();
+    fleet.submit("a", {fake_fleet::step(static_cast<std::int64_t>(
+                          config::max_unconfirmed_starts))});
+    fleet.run(seconds{1});
+    fleet.add_worker("sound", 4000);
+    fleet.announce_now();
+    fleet.submit("b", {fake_fleet::step(4)});
+    fleet.run(seconds{4});
+    EXPECT_EQ(fleet.state_of("b"), workflow_state::completed);
+}
+
 } // namespace
 } // namespace apricotlb
