Resume work that is paused beside serving tasks near their targets

Work that had begun stayed paused for good: between 85 and 100 % of the target a latency neither resumes paused work nor shows that its own load is the cause.

Found in review. On the code before, the new test has 0 us of work in 20 s for 14 of 16 phases of the load; all pass now.

--- a/src/core/fleet/pace_control.cpp
+++ b/src/core/fleet/pace_control.cpp
@@ -24,9 +24,12 @@
     {
         return pace_step::release;
     }
-    // A pause that changes nothing for the serving tasks would keep the work
-    // from ending. The next list above the target pauses it again.
-    if (scavenging.is_paused() && worker.is_strained_by_itself(now))
+    // A pause that changes nothing for the serving tasks, or leaves one just
+    // below its target, would keep the work from ending. The next list above
+    // the target pauses it again.
+    if (scavenging.is_paused() &&
+        now - scavenging.pace_changed_at >= config::pause_evaluation_time &&
+        (!worker.is_strained() || worker.is_strained_by_itself(now)))
     {
         return pace_step::raise;
     }
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace apricotlb
@@ -113,5 +116,27 @@
     }
 }
 
+// A latency just below the target neither resumed paused work nor showed that
+// the pause was in vain.
+TEST(scavenging_fleet, goes_on_beside_serving_tasks_just_below_their_targets)
+{
+    for (auto phase = milliseconds{0}; phase < seconds{4};
+         phase += milliseconds{250})
+    {
+        measured_fleet fleet{4};
+        fleet.submit("serving", {measured_fleet::serving_step(4)});
+        fleet.run(seconds{3});
+        fleet.submit("a", {measured_fleet::scavenging_step("harmless", 4)});
+        fleet.run(seconds{2});
+        fleet.idle_latency = 120;
+        fleet.run(seconds{4} + phase);
+        fleet.idle_latency = 95;
+        fleet.run(seconds{4});
+        auto const before = fleet.work["a"];
+        fleet.run(seconds{20});
+        EXPECT_GT(fleet.work["a"] - before, seconds{4}) << phase.count();
+    }
+}
+
 } // namespace
 } // namespace apricotlb
