Spread the starts after a latency wait over steps and time

Four ways in which accepted scavenging work still never started on a mostly idle fleet, found in review of the start above the headroom:

- Eight steps that no worker can take used up the searches of every pass.
A step whose search has failed waits for 1 s again.
- One run at work kept all others from its worker until it ended.
- The tasks of a permanent step waited for each other.
- Used-up processors counted as a latency, so that work started beyond them.
They are counted without paused runs, which use none.

On the code before, the four new tests fail: 0 runs of 1 behind sixteen such steps, four of eight workflows without a run after 8 s, 1 permanent task of 4, and 1 run beyond the processors.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -593,8 +593,8 @@
 inline constexpr duration max_latency_wait = 1s;
 /// Searches of one pass for such a worker. Each looks at all workers of a pool.
 inline constexpr std::size_t max_latency_wait_searches = 8;
-/// Such runs on one worker at a time. A further one starts only while those
-/// there are paused.
+/// Runs on one worker that started so. A further one starts only once the
+/// latencies show the effect of those there.
 inline constexpr std::int64_t max_latency_wait_runs = 4;
 /// Largest reserved share of the processors of a mostly idle worker.
 inline constexpr permille mostly_idle_share{500};
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -249,16 +249,28 @@
                                         candidate_run const& candidate,
                                         time_point now) -> bool
 {
-    auto const is_exception = [](auto const& each)
-    { return each.second.exceeds_headroom; };
-    auto const is_at_work = [](auto const& each)
-    { return each.second.exceeds_headroom && !each.second.is_paused(); };
+    auto const& needed = candidate.step->each;
+    auto load = millicores{worker.reserved.cores.value() / 2} + needed.cores;
+    std::int64_t exceptions{0};
+    for (auto const& [run, held] : worker.runs)
+    {
+        // The latencies show the effect of a run that has lasted for this long.
+        auto const is_measured =
+            held.is_paused() ||
+            (held.phase == run_phase::running &&
+             now - held.settled_at >= config::pause_evaluation_time);
+        if (held.exceeds_headroom && !is_measured)
+        {
+            return false;
+        }
+        exceptions += held.exceeds_headroom ? 1 : 0;
+        load += held.is_paused() ? millicores{} : held.scavenged_cores;
+    }
     return worker.is_mostly_idle() && !worker.held_for_restart &&
-           candidate.step->each.fits_into(worker.free_for_new(now)) &&
+           needed.fits_into(worker.free_for_new(now)) &&
+           load <= worker.usable_cores(now) &&
            (!worker.is_strained() || worker.is_strained_by_itself(now)) &&
-           std::ranges::none_of(worker.runs, is_at_work) &&
-           std::ranges::count_if(worker.runs, is_exception) <
-               config::max_latency_wait_runs;
+           exceptions < config::max_latency_wait_runs;
 }
 
 auto run_scheduler::choose_mostly_idle_worker(candidate_run const& candidate,
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -68,7 +68,8 @@
                                              candidate_run const& candidate,
                                              plan_pass& pass) -> bool
 {
-    if (step.record->has_active_run(step.first))
+    // Each permanent task counts by itself.
+    if (!candidate.step->permanent && step.record->has_active_run(step.first))
     {
         return false;
     }
@@ -86,6 +87,8 @@
     auto* const worker = choose_mostly_idle_worker(candidate, pass);
     if (worker == nullptr)
     {
+        // Steps that no worker can take leave the next searches to others.
+        wait.since = pass.now;
         return false;
     }
     reserve(*worker, candidate);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -500,9 +500,9 @@
                                   candidate_run const& candidate,
                                   plan_pass& pass) -> bool;
     /// True if a scavenging task may start on the worker although its serving
-    /// tasks are expected above their headroom: the worker is mostly idle, none
-    /// of them is over its target by the work beside it, and no other task that
-    /// started so is at work there.
+    /// tasks are expected above their headroom: the worker is mostly idle and
+    /// has processors left, none of them is over its target unless by its own
+    /// load, and the latencies show the effect of those that started so before.
     [[nodiscard]] static auto
     may_exceed_headroom(worker_entry const& worker,
                         candidate_run const& candidate, time_point now) -> bool;
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -116,6 +116,77 @@
     }
 }
 
+class strained_fleet : public testing::Test
+{
+protected:
+    auto strain(std::size_t workers) -> measured_fleet&
+    {
+        auto& it = fleet.emplace(workers);
+        it.idle_latency = 95;
+        it.submit("serving", {measured_fleet::serving_step(
+                                 static_cast<std::int64_t>(workers))});
+        it.run(seconds{3});
+        return it;
+    }
+
+    std::optional<measured_fleet> fleet;
+};
+
+// Steps that no worker can take used up all searches of each pass.
+TEST_F(strained_fleet, starts_work_behind_steps_that_no_worker_can_take)
+{
+    auto& it = strain(4);
+    auto step = measured_fleet::scavenging_step("harmless", 1);
+    step.requires_label = worker_label{"absent"};
+    for (std::size_t n = 0; n < 2 * config::max_latency_wait_searches; ++n)
+    {
+        it.submit("a" + std::to_string(n), {step});
+    }
+    it.submit("b", {measured_fleet::scavenging_step("harmless", 1)});
+    it.run(seconds{3});
+    EXPECT_EQ(it.running("b"), 1U);
+}
+
+// Work that lasts kept all other work from its worker.
+TEST_F(strained_fleet, starts_more_work_than_it_has_workers)
+{
+    auto& it = strain(4);
+    for (auto n = 0; n < 8; ++n)
+    {
+        it.submit("a" + std::to_string(n),
+                  {measured_fleet::scavenging_step("harmless", 1)});
+    }
+    it.run(seconds{8});
+    for (auto n = 0; n < 8; ++n)
+    {
+        EXPECT_EQ(it.running("a" + std::to_string(n)), 1U) << n;
+    }
+}
+
+// The tasks of a permanent step do not wait for each other.
+TEST_F(strained_fleet, starts_each_task_of_a_permanent_scavenging_step)
+{
+    auto& it = strain(4);
+    auto step = measured_fleet::scavenging_step("harmless", 4);
+    step.permanent = true;
+    it.submit("a", {step});
+    it.run(seconds{8});
+    EXPECT_EQ(it.running("a"), 4U);
+}
+
+// Work beyond the processors would slow down all work of the worker.
+TEST(scavenging_fleet, starts_nothing_beyond_its_processors)
+{
+    measured_fleet fleet{2};
+    auto step = measured_fleet::scavenging_step("harmless", 32);
+    fleet.submit("first", {step});
+    fleet.run(seconds{1});
+    ASSERT_EQ(fleet.running("first"), 32U);
+    fleet.submit("second", {measured_fleet::scavenging_step("harmless", 1)});
+    fleet.run(seconds{5});
+    EXPECT_EQ(fleet.running("second"), 0U);
+}
+
 // A latency just below the target neither resumed paused work nor showed that
 // the pause was in vain.
 TEST(scavenging_fleet, goes_on_beside_serving_tasks_just_below_their_targets)
