Keep the headroom of serving tasks while most of a pool is reserved

That these starts are the cause is suspected.

Such a start was allowed on each worker that is at most half reserved. It now asks for a pool that is: accepted work that waits is a loss where the fleet is mostly free, and on a fuller one the latencies come first, as before the incident.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -586,17 +586,19 @@
 /// Added to both while ready tasks have found no worker.
 inline constexpr permille headroom_when_behind{100};
 /// Time for which a step of scavenging tasks of which nothing runs is kept from
-/// all workers by the latencies of serving tasks. Then a task of it starts on a
-/// mostly idle worker, and its pace follows the measured latencies: estimates
-/// only change while tasks run. Callers take 3 s without a start on a free
-/// fleet for a loss; a commit, an order and a retry take up to half of that.
+/// all workers of a mostly idle pool by the latencies of serving tasks. Then a
+/// task of it starts all the same, and its pace follows the measured latencies:
+/// estimates only change while tasks run. Callers take 3 s without a start on a
+/// free fleet for a loss; a commit, an order and a retry take up to half of
+/// that.
 inline constexpr duration max_latency_wait = 1s;
 /// Searches of one pass for such a worker. Each looks at all workers of a pool.
 inline constexpr std::size_t max_latency_wait_searches = 8;
 /// Runs on one worker that started so. A further one starts only once the
 /// latencies show the effect of those there.
 inline constexpr std::int64_t max_latency_wait_runs = 4;
-/// Largest reserved share of the processors of a mostly idle worker.
+/// Largest reserved share of the processors of a mostly idle pool. In a fuller
+/// one the serving tasks keep their headroom.
 inline constexpr permille mostly_idle_share{500};
 /// Smallest effect that can be distinguished from the scatter of the
 /// measurements; a natural logarithm in thousandths, like default_effect.
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -142,6 +142,9 @@
                 gain_room(entry);
             }
             pass.pools[entry.info->pool].push_back(&worker);
+            auto& use = pass.uses[entry.info->pool];
+            use.reserved += entry.reserved.cores;
+            use.capacity += entry.info->capacity.cores;
             if (entry.are_shares_stale || now >= entry.shares_valid_until)
             {
                 update_shares(entry, now);
@@ -245,6 +248,16 @@
     return out;
 }
 
+auto run_scheduler::is_mostly_idle(plan_pass const& pass, pool_name const& pool)
+    -> bool
+{
+    auto const found = pass.uses.find(pool);
+    return found != pass.uses.end() &&
+           found->second.reserved.value() * 1000 <=
+               found->second.capacity.value() *
+                   config::mostly_idle_share.value();
+}
+
 auto run_scheduler::may_exceed_headroom(worker_entry const& worker,
                                         candidate_run const& candidate,
                                         time_point now) -> bool
@@ -266,16 +279,15 @@
         exceptions += held.exceeds_headroom ? 1 : 0;
         load += held.is_paused() ? millicores{} : held.scavenged_cores;
     }
-    return worker.is_mostly_idle() && !worker.held_for_restart &&
+    return !worker.held_for_restart &&
            needed.fits_into(worker.free_for_new(now)) &&
            load <= worker.usable_cores(now) &&
            (!worker.is_strained() || worker.is_strained_by_itself(now)) &&
            exceptions < config::max_latency_wait_runs;
 }
 
-auto run_scheduler::choose_mostly_idle_worker(candidate_run const& candidate,
-                                              plan_pass& pass)
-    -> identified_worker*
+auto run_scheduler::choose_above_headroom(candidate_run const& candidate,
+                                          plan_pass& pass) -> identified_worker*
 {
     // Workers that are not strained come first.
     using rank = std::tuple<bool, double, worker_id>;
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -68,6 +68,10 @@
                                              candidate_run const& candidate,
                                              plan_pass& pass) -> bool
 {
+    if (!is_mostly_idle(pass, pool_of(*step.record)))
+    {
+        return false;
+    }
     // Each permanent task counts by itself.
     if (!candidate.step->permanent && step.record->has_active_run(step.first))
     {
@@ -84,7 +88,7 @@
         return false;
     }
     --pass.latency_wait_searches;
-    auto* const worker = choose_mostly_idle_worker(candidate, pass);
+    auto* const worker = choose_above_headroom(candidate, pass);
     if (worker == nullptr)
     {
         // Steps that no worker can take leave the next searches to others.
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -423,6 +423,13 @@
         time_point now;
         /// Workers that may get new runs, the last one that gained room first.
         std::map<pool_name, std::vector<identified_worker*>> pools;
+        /// Processors of these workers.
+        struct pool_use
+        {
+            millicores reserved;
+            millicores capacity;
+        };
+        std::map<pool_name, pool_use> uses;
         std::vector<placed_run> placed;
         std::set<worker_id> held; ///< for restarts
         std::size_t visits{0};    ///< of workers and of their serving images
@@ -457,6 +464,10 @@
     /// Records that a task of the step found no worker.
     auto note_shortage(ranked_step const& step, plan_pass& pass) const -> void;
     auto make_pass(time_point now) -> plan_pass;
+    /// True if most processors of the usable workers of a pool are not
+    /// reserved.
+    [[nodiscard]] static auto is_mostly_idle(plan_pass const& pass,
+                                             pool_name const& pool) -> bool;
     /// The best worker for a member of a gang.
     auto choose_worker(candidate_run const& candidate, plan_pass& pass)
         -> identified_worker*;
@@ -500,16 +511,16 @@
                                   candidate_run const& candidate,
                                   plan_pass& pass) -> bool;
     /// True if a scavenging task may start on the worker although its serving
-    /// tasks are expected above their headroom: the worker is mostly idle and
-    /// has processors left, none of them is over its target unless by its own
-    /// load, and the latencies show the effect of those that started so before.
+    /// tasks are expected above their headroom: the worker has room and
+    /// processors left, none of them is over its target unless by its own load,
+    /// and the latencies show the effect of those that started so before.
     [[nodiscard]] static auto
     may_exceed_headroom(worker_entry const& worker,
                         candidate_run const& candidate, time_point now) -> bool;
     /// Of these workers, the one on which serving tasks are expected to come
     /// least close to their targets.
-    auto choose_mostly_idle_worker(candidate_run const& candidate,
-                                   plan_pass& pass) -> identified_worker*;
+    auto choose_above_headroom(candidate_run const& candidate, plan_pass& pass)
+        -> identified_worker*;
     /// Returns false if some member found no worker.
     auto place_gang(workflow_task const& first, workflow_record const& record,
                     plan_pass& pass) -> bool;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -536,13 +536,6 @@
                                    config::pause_evaluation_time);
                    });
     }
-    /// True if most of its processors are not reserved.
-    [[nodiscard]] auto is_mostly_idle() const -> bool
-    {
-        return info && reserved.cores.value() * 1000 <=
-                           info->capacity.cores.value() *
-                               config::mostly_idle_share.value();
-    }
     /// Resources that are not reserved; none before the first announcement.
     [[nodiscard]] auto free() const -> resources
     {
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -129,6 +129,14 @@
         return it;
     }
 
+    static auto reserved_step() -> step_spec
+    {
+        auto step = measured_fleet::serving_step(4);
+        step.latency_target = {};
+        step.each.cores = millicores{6000};
+        return step;
+    }
+
     std::optional<measured_fleet> fleet;
 };
 
@@ -174,6 +182,19 @@
     EXPECT_EQ(it.running("a"), 4U);
 }
 
+// On a fleet that is in use, latencies come before the waits of other work.
+TEST_F(strained_fleet, keeps_the_headroom_while_most_of_the_pool_is_reserved)
+{
+    auto& it = strain(4);
+    auto other = reserved_step();
+    it.submit("other", {other});
+    it.run(seconds{1});
+    ASSERT_EQ(it.running("other"), 4U);
+    it.submit("a", {measured_fleet::scavenging_step("harmless", 1)});
+    it.run(seconds{5});
+    EXPECT_EQ(it.running("a"), 0U);
+}
+
 // Work beyond the processors would slow down all work of the worker.
 TEST(scavenging_fleet, starts_nothing_beyond_its_processors)
 {
