--- /dev/null
+++ b/soak/clients.cpp
@@ -0,0 +1,433 @@
+#include "soak/clients.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr auto queue_host = "q.example";
+
+auto body_of(workflow_plan const& it) -> std::string
+{
+    auto steps = json::array();
+    for (auto const& step : it.steps)
+    {
+        auto const estimate =
+            std::chrono::duration_cast<milliseconds>(step.run_time).count();
+        json row{{"count", step.tasks},
+                 {"cpu", step.cpu},
+                 {"mem_mb", step.mem_mb},
+                 {"estimate_ms", estimate}};
+        if (!step.prerequisites.empty())
+        {
+            row["depends_on"] = step.prerequisites;
+        }
+        if (step.permanent)
+        {
+            row["long_running"] = true;
+            row["target_ms"] = step.target_ms;
+            row["miss_allowed"] = step.max_unavailable;
+        }
+        if (step.scavenges)
+        {
+            row["fills"] = true;
+        }
+        if (step.checkpoints)
+        {
+            row["checkpointing"] = true;
+        }
+        if (!step.image.empty())
+        {
+            row["image"] = step.image;
+        }
+        steps.push_back(row);
+    }
+    return json{{"spec", it.spec}, {"steps", steps}}.dump();
+}
+
+} // namespace
+
+balancer::balancer(glib_clock& clock, processes& system)
+    : clock_(clock), system_(system)
+{
+    check();
+}
+
+auto balancer::check() -> void
+{
+    constexpr auto interval = std::chrono::seconds{1};
+    constexpr auto timeout = milliseconds{900};
+    clock_.start_timer(interval, [this] { check(); });
+    for (auto const& name : system_.names('e'))
+    {
+        auto& it = entries_[name];
+        it.connection = std::make_unique<http_connection>(
+            clock_, system_.at(name).ready_at());
+        it.connection->call({"GET", "/ready", "ready", "", timeout},
+                            [&it](call_result const& got)
+                            { it.misses = got.status == 200 ? 0 : it.misses + 1; });
+    }
+}
+
+auto balancer::entry_for(std::string const& zone, std::uint64_t hash) const
+    -> std::string
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (auto const& name : system_.names('e'))
+    {
+        auto const found = entries_.find(name);
+        if (found == entries_.end() || found->second.misses >= 2)
+        {
+            continue;
+        }
+        all.push_back(name);
+        if (system_.at(name).zone == zone)
+        {
+            near.push_back(name);
+        }
+    }
+    auto const& from = !near.empty() ? near
+                       : !all.empty() ? all
+                                      : system_.names('e');
+    return from[hash % from.size()];
+}
+
+clients::clients(glib_clock& clock, processes& system, balancer& entries,
+                 ledger& seen, config_ledger& configs, std::uint64_t seed,
+                 traffic rate)
+    : clock_(clock), system_(system), entries_(entries), ledger_(seen),
+      configs_(configs), random_(seed), rate_(rate)
+{
+    for (auto const& name : system_.names('e'))
+    {
+        for (std::size_t n = 0; n < rate_.callers_per_entry; ++n)
+        {
+            auto it = std::make_unique<caller>();
+            it->zone = system_.at(name).zone;
+            it->hash = random_();
+            callers_.push_back(std::move(it));
+        }
+    }
+}
+
+auto clients::start() -> void
+{
+    submit_later();
+    read_later();
+    count_later();
+}
+
+auto clients::idle_caller() -> caller*
+{
+    auto const first = random_() % callers_.size();
+    for (std::size_t n = 0; n < callers_.size(); ++n)
+    {
+        auto& it = *callers_[(first + n) % callers_.size()];
+        if (!it.connection || !it.connection->is_busy())
+        {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
+/// Calls on an open connection if the caller has one; a new connection goes to
+/// the entry that the balancer names.
+auto clients::call(http_call const& it, callback done) -> void
+{
+    auto* const from = idle_caller();
+    if (from == nullptr)
+    {
+        constexpr auto retry = milliseconds{20};
+        clock_.start_timer(retry, [this, it, done = std::move(done)]
+                           { call(it, done); });
+        return;
+    }
+    if (!from->connection || !from->connection->is_open())
+    {
+        from->entry = entries_.entry_for(from->zone, ++from->hash);
+        from->connection = std::make_unique<http_connection>(
+            clock_, system_.at(from->entry).served_at());
+    }
+    auto const node = from->entry;
+    from->connection->call(
+        it,
+        [this, node, what = it.method + " " + it.path,
+         done = std::move(done)](call_result const& got)
+        {
+            auto const outcome =
+                got.how == call_end::answered ? std::to_string(got.status)
+                : got.how == call_end::cut    ? "cut"
+                : got.how == call_end::timed_out ? "timed out"
+                                                 : "not connected";
+            ++calls_[outcome];
+            if (got.how == call_end::cut || got.how == call_end::timed_out)
+            {
+                ledger_.on_cut(node, what, got.sent_at, got.ended_at);
+            }
+            done(node, got);
+        });
+}
+
+auto clients::new_plan() -> workflow_plan
+{
+    workflow_plan out;
+    constexpr std::size_t id_digits = 16;
+    for (std::size_t n = 0; n < id_digits; ++n)
+    {
+        out.id += "0123456789abcdef"[random_() % 16];
+    }
+    out.spec = "spec of " + out.id;
+    auto const kind = random_() % 10;
+    auto const width = [this](int most)
+    { return 1 + static_cast<int>(random_() % static_cast<unsigned>(most)); };
+    auto const steps = 1 + random_() % 3;
+    if (kind == 0)
+    {
+        out.queue_path = "/watch/";
+        step_plan step;
+        step.tasks = width(5);
+        step.cpu = 3000;
+        step.mem_mb = 6000;
+        step.run_time = milliseconds{400};
+        step.permanent = step.checkpoints = true;
+        step.max_unavailable = 1;
+        step.target_ms = 125;
+        step.image = "image-" + std::to_string(random_() % 3);
+        out.steps.push_back(step);
+        return out;
+    }
+    auto const scavenges = kind >= 6;
+    out.queue_path = scavenges ? "/report/" : "/check/";
+    for (std::size_t n = 0; n < steps; ++n)
+    {
+        step_plan step;
+        step.tasks = width(scavenges ? 16 : 10);
+        step.cpu = scavenges ? 1800 : 1600;
+        step.mem_mb = 1024;
+        step.run_time = milliseconds{300 + random_() % 1200};
+        step.scavenges = step.checkpoints = scavenges;
+        step.image = scavenges ? "fill-" + std::to_string(random_() % 4) : "";
+        if (n > 0)
+        {
+            step.prerequisites.push_back(static_cast<int>(n) - 1);
+        }
+        out.steps.push_back(step);
+    }
+    return out;
+}
+
+auto clients::submit_later() -> void
+{
+    auto const mean = 1000.0 / rate_.submissions_per_s;
+    std::exponential_distribution<double> gap{1.0 / mean};
+    clock_.start_timer(
+        milliseconds{static_cast<std::int64_t>(gap(random_))},
+        [this]
+        {
+            if (stopped_)
+            {
+                return;
+            }
+            submit_later();
+            constexpr int attempts = 4;
+            submit(new_plan(), attempts);
+        });
+}
+
+auto clients::submit(workflow_plan const& plan, int attempts_left) -> void
+{
+    ledger_.on_submission(plan);
+    call({"POST", plan.queue_path + plan.id, queue_host, body_of(plan),
+          std::chrono::seconds{3}},
+         [this, plan, attempts_left](std::string const& node,
+                                     call_result const& it)
+         {
+             auto const is_refused =
+                 it.status == 429 || it.status == 503 || it.status == 404 ||
+                 it.how == call_end::not_connected;
+             auto const answer = it.is_success() ? submission_answer::accepted
+                                 : is_refused    ? submission_answer::refused
+                                              : submission_answer::unknown;
+             ledger_.on_submission_answer(plan.id, answer, clock_.now());
+             if (answer == submission_answer::accepted)
+             {
+                 submitted_.push_back(plan.id);
+                 if (on_accepted)
+                 {
+                     on_accepted(node);
+                 }
+                 std::uniform_real_distribution<double> luck{0, 1};
+                 if (luck(random_) < rate_.cancelled && !stopped_)
+                 {
+                     constexpr int cancel_attempts = 20;
+                     clock_.start_timer(
+                         milliseconds{random_() % 3000},
+                         [this, id = plan.id] { cancel(id, cancel_attempts); });
+                 }
+                 // A copy of the request that was held up on its way.
+                 if (random_() % 20 == 0)
+                 {
+                     clock_.start_timer(
+                         milliseconds{1000 + random_() % 4000},
+                         [this, plan]
+                         {
+                             ledger_.on_submission(plan);
+                             call({"POST", plan.queue_path + plan.id,
+                                   queue_host, body_of(plan),
+                                   std::chrono::seconds{3}},
+                                  [](std::string const&, call_result const&) {});
+                         });
+                 }
+                 return;
+             }
+             if (attempts_left > 1 && (!is_refused || random_() % 2 == 0))
+             {
+                 clock_.start_timer(milliseconds{50 + random_() % 300},
+                                    [this, plan, attempts_left]
+                                    { submit(plan, attempts_left - 1); });
+             }
+         });
+}
+
+auto clients::cancel(std::string const& id, int attempts_left) -> void
+{
+    auto const* const plan = ledger_.plan_of(id);
+    ledger_.on_cancel_sent(id);
+    call({"DELETE", plan->queue_path + id, queue_host, "",
+          std::chrono::seconds{3}},
+         [this, id, attempts_left](std::string const&, call_result const& it)
+         {
+             if (it.is_success())
+             {
+                 ledger_.on_cancel_answer(id, clock_.now());
+                 return;
+             }
+             if (attempts_left > 1 && it.status != 410)
+             {
+                 clock_.start_timer(milliseconds{50 + random_() % 300},
+                                    [this, id, attempts_left]
+                                    { cancel(id, attempts_left - 1); });
+             }
+         });
+}
+
+auto clients::take_state(std::string const& id, std::string const& node,
+                         call_result const& it) -> void
+{
+    if (it.status == 410)
+    {
+        ledger_.on_state(id, "unknown", node, it.sent_at, clock_.now());
+        return;
+    }
+    auto const got = json::parse(it.answer.body, nullptr, false);
+    if (it.is_success() && got.is_object() && got.contains("state"))
+    {
+        ledger_.on_state(id, got["state"].get<std::string>(), node, it.sent_at,
+                         clock_.now());
+    }
+}
+
+auto clients::read_later() -> void
+{
+    clock_.start_timer(
+        milliseconds{10 + random_() % 60},
+        [this]
+        {
+            if (stopped_)
+            {
+                return;
+            }
+            read_later();
+            if (submitted_.empty())
+            {
+                return;
+            }
+            constexpr std::size_t recent = 200;
+            auto const most = std::min(recent, submitted_.size());
+            auto const id = submitted_[submitted_.size() - 1 - random_() % most];
+            call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
+                  std::chrono::seconds{2}},
+                 [this, id](std::string const& node, call_result const& it)
+                 { take_state(id, node, it); });
+        });
+}
+
+/// Counts are asked of each entry directly.
+auto clients::count_later() -> void
+{
+    clock_.start_timer(
+        milliseconds{10 + random_() % 50},
+        [this]
+        {
+            if (stopped_)
+            {
+                return;
+            }
+            count_later();
+            auto const names = system_.names('e');
+            auto const& node = names[random_() % names.size()];
+            auto& it = counts_[node];
+            if (counted_prefixes.empty() || (it && it->is_busy()))
+            {
+                return;
+            }
+            if (!it)
+            {
+                it = std::make_unique<http_connection>(
+                    clock_, system_.at(node).served_at());
+            }
+            auto const prefix =
+                counted_prefixes[random_() % counted_prefixes.size()];
+            it->call({"GET", prefix, queue_host, "", std::chrono::seconds{2}},
+                     [this, node, prefix](call_result const& got)
+                     {
+                         configs_.on_count(node, prefix, got.status,
+                                           got.sent_at, clock_.now());
+                         if (got.how == call_end::cut)
+                         {
+                             ledger_.on_cut(node, "GET " + prefix, got.sent_at,
+                                            got.ended_at);
+                         }
+                     });
+        });
+}
+
+auto clients::ask_for_all() -> void
+{
+    for (auto const& id : ledger_.accepted())
+    {
+        unanswered_.insert(id);
+    }
+    for (auto const& id : unanswered())
+    {
+        call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
+              std::chrono::seconds{2}},
+             [this, id](std::string const& node, call_result const& it)
+             {
+                 take_state(id, node, it);
+                 if (it.is_success())
+                 {
+                     unanswered_.erase(id);
+                 }
+             });
+    }
+}
+
+auto clients::unanswered() const -> std::vector<std::string>
+{
+    return {unanswered_.begin(), unanswered_.end()};
+}
+
+} // namespace apricotlb::soak
--- /dev/null
+++ b/soak/faults.cpp
@@ -0,0 +1,460 @@
+#include "soak/faults.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kinds = std::to_array<std::pair<fault_kind, std::string_view>>(
+    {{fault_kind::kill_control, "kill_control"},
+     {fault_kind::kill_all_control, "kill_all_control"},
+     {fault_kind::freeze_control, "freeze_control"},
+     {fault_kind::end_control, "end_control"},
+     {fault_kind::restart_series, "restart_series"},
+     {fault_kind::lose_disk, "lose_disk"},
+     {fault_kind::replace_control, "replace_control"},
+     {fault_kind::kill_entry, "kill_entry"},
+     {fault_kind::freeze_entry, "freeze_entry"},
+     {fault_kind::end_entry, "end_entry"},
+     {fault_kind::end_entries, "end_entries"},
+     {fault_kind::hang_up, "hang_up"},
+     {fault_kind::crash_workers, "crash_workers"},
+     {fault_kind::late_workers, "late_workers"},
+     {fault_kind::freeze_workers, "freeze_workers"},
+     {fault_kind::drain_workers, "drain_workers"},
+     {fault_kind::cut_links, "cut_links"},
+     {fault_kind::slow_links, "slow_links"},
+     {fault_kind::reset_links, "reset_links"}});
+
+/// Time until a machine that lost its disk, or is new, counts again.
+constexpr auto catch_up = seconds{9};
+constexpr auto grace = seconds{6};
+
+auto chance(std::mt19937_64& random, std::uint64_t of) -> bool
+{
+    return random() % of == 0;
+}
+
+auto between(std::mt19937_64& random, milliseconds least, milliseconds most)
+    -> duration
+{
+    auto const span = static_cast<std::uint64_t>((most - least).count());
+    return least + milliseconds{random() % (span + 1)};
+}
+
+} // namespace
+
+auto name_of(fault_kind it) -> std::string_view
+{
+    return std::ranges::find(kinds, it, &decltype(kinds)::value_type::first)
+        ->second;
+}
+
+auto make_schedule(std::uint64_t seed, duration length) -> std::vector<fault>
+{
+    std::mt19937_64 random{seed};
+    std::vector<fault> out;
+    duration at = seconds{3};
+    while (at < length)
+    {
+        // A series, then a calm span that is longer than any bound.
+        for (auto n = 1 + random() % 4; n > 0; --n)
+        {
+            out.push_back({at, kinds[random() % kinds.size()].first, random()});
+            at += between(random, milliseconds{0}, milliseconds{2500});
+        }
+        at += between(random, milliseconds{1000}, milliseconds{12000});
+    }
+    std::erase_if(out, [&](fault const& it) { return it.at >= length; });
+    return out;
+}
+
+fault_injector::fault_injector(glib_clock& clock, processes& system,
+                               std::vector<std::unique_ptr<worker>>& workers,
+                               disturbances& disturbed,
+                               std::function<void(std::string const&)> log)
+    : clock_(clock), system_(system), workers_(workers), disturbed_(disturbed),
+      log_(std::move(log))
+{
+    system_.on_end = [this](std::string const& name)
+    {
+        auto const node = on_ended_.extract(name);
+        if (node && node.mapped())
+        {
+            node.mapped()();
+            return;
+        }
+        // Ended by itself: a supervisor starts it again.
+        after(milliseconds{200}, [this, name] { system_.start(name); });
+    };
+}
+
+auto fault_injector::after(duration delay, std::function<void()> run) -> void
+{
+    clock_.start_timer(delay, std::move(run));
+}
+
+auto fault_injector::run(std::vector<fault> const& schedule) -> void
+{
+    for (auto const& it : schedule)
+    {
+        after(it.at, [this, it] { begin(it); });
+    }
+}
+
+auto fault_injector::pick(std::mt19937_64& random, names from,
+                          std::size_t n) const -> names
+{
+    std::ranges::shuffle(from, random);
+    from.resize(std::min(n, from.size()));
+    return from;
+}
+
+auto fault_injector::pick_workers(std::mt19937_64& random)
+    -> std::vector<worker*>
+{
+    std::vector<worker*> out;
+    constexpr std::size_t share = 6;
+    auto const first = random() % workers_.size();
+    for (std::size_t n = 0; n < workers_.size() / share + 1; ++n)
+    {
+        out.push_back(workers_[(first + n) % workers_.size()].get());
+    }
+    return out;
+}
+
+auto fault_injector::restart(std::string const& name, duration down,
+                             bool planned) -> void
+{
+    on_ended_[name] = [this, name, down, planned]
+    {
+        after(down,
+              [this, name, planned]
+              {
+                  system_.start(name);
+                  if (planned)
+                  {
+                      disturbed_.mark_planned(name, clock_.now());
+                  }
+                  else
+                  {
+                      disturbed_.end(name, clock_.now());
+                  }
+              });
+    };
+}
+
+auto fault_injector::kill(std::string const& name, duration down) -> void
+{
+    if (!system_.at(name).is_running())
+    {
+        return;
+    }
+    disturbed_.begin(name, clock_.now());
+    restart(name, down, false);
+    system_.signal(name, SIGKILL);
+}
+
+/// SIGTERM, some more of them, and SIGKILL after the grace time.
+auto fault_injector::end(std::string const& name, std::uint64_t signals) -> void
+{
+    if (!system_.at(name).is_running() || on_ended_.contains(name))
+    {
+        return;
+    }
+    disturbed_.mark_planned(name, clock_.now());
+    restart(name, milliseconds{300}, true);
+    auto const pid = system_.at(name).pid;
+    for (std::uint64_t n = 0; n < signals; ++n)
+    {
+        after(milliseconds{700} * n, [this, name, pid]
+              {
+                  if (system_.at(name).pid == pid)
+                  {
+                      system_.signal(name, SIGTERM);
+                  }
+              });
+    }
+    after(grace, [this, name, pid]
+          {
+              if (system_.at(name).pid == pid)
+              {
+                  log_(name + " is still there at the end of its grace time");
+                  system_.signal(name, SIGKILL);
+              }
+          });
+}
+
+auto fault_injector::freeze(std::string const& name, duration time) -> void
+{
+    if (!system_.at(name).is_running())
+    {
+        return;
+    }
+    disturbed_.begin(name, clock_.now());
+    system_.signal(name, SIGSTOP);
+    after(time,
+          [this, name]
+          {
+              system_.signal(name, SIGCONT);
+              disturbed_.end(name, clock_.now());
+          });
+}
+
+auto fault_injector::restart_in_series(std::string const& name, int times)
+    -> void
+{
+    kill(name, milliseconds{50});
+    if (times > 1)
+    {
+        after(milliseconds{400}, [this, name, times]
+              { restart_in_series(name, times - 1); });
+    }
+}
+
+auto fault_injector::begin(fault const& it) -> void
+{
+    std::mt19937_64 random{it.seed};
+    log_("fault " + std::string{name_of(it.kind)});
+    auto const down = between(random, milliseconds{20}, milliseconds{2500});
+    auto const frozen = between(random, milliseconds{200}, milliseconds{6000});
+    auto const one_or_two = 1 + random() % 2;
+    auto const signals = 1 + random() % 3;
+    auto const control = system_.names('c');
+    auto const entries = system_.names('e');
+    switch (it.kind)
+    {
+    case fault_kind::kill_control:
+        for (auto const& name : pick(random, control, one_or_two))
+        {
+            kill(name, down);
+        }
+        break;
+    case fault_kind::kill_all_control:
+        for (auto const& name : control)
+        {
+            kill(name, milliseconds{600});
+        }
+        break;
+    case fault_kind::freeze_control:
+        for (auto const& name : pick(random, control, one_or_two))
+        {
+            freeze(name, frozen);
+        }
+        break;
+    case fault_kind::end_control:
+        for (auto const& name : pick(random, control, one_or_two))
+        {
+            end(name, signals);
+        }
+        break;
+    case fault_kind::restart_series:
+        restart_in_series(pick(random, control, 1).front(), 4);
+        break;
+    case fault_kind::lose_disk:
+    case fault_kind::replace_control:
+        if (clock_.now() - last_disk_loss_ < catch_up)
+        {
+            break;
+        }
+        last_disk_loss_ = clock_.now();
+        for (auto const& name : pick(random, control, 1))
+        {
+            if (it.kind == fault_kind::replace_control)
+            {
+                disturbed_.mark(name, clock_.now());
+                system_.remove(name);
+                auto const added = system_.add_control();
+                log_(name + " is replaced by " + added);
+                disturbed_.mark(added, clock_.now());
+                break;
+            }
+            kill(name, down);
+            system_.wipe(name);
+        }
+        break;
+    case fault_kind::kill_entry:
+        kill(pick(random, entries, 1).front(), down);
+        break;
+    case fault_kind::freeze_entry:
+        freeze(pick(random, entries, 1).front(), frozen);
+        break;
+    case fault_kind::end_entry:
+        end(pick(random, entries, 1).front(), signals);
+        break;
+    case fault_kind::end_entries:
+    {
+        auto delay = duration{};
+        for (auto const& name : pick(random, entries, entries.size() / 2))
+        {
+            after(delay, [this, name, signals] { end(name, signals); });
+            delay += between(random, milliseconds{100}, milliseconds{1300});
+        }
+        break;
+    }
+    case fault_kind::hang_up:
+        for (auto const* const each : {&control, &entries})
+        {
+            for (auto const& name : *each)
+            {
+                disturbed_.mark_planned(name, clock_.now());
+                system_.rewrite_settings(name);
+                system_.signal(name, SIGHUP);
+            }
+        }
+        break;
+    case fault_kind::crash_workers:
+    case fault_kind::late_workers:
+    case fault_kind::freeze_workers:
+    case fault_kind::drain_workers:
+        harm_workers(it.kind, random);
+        break;
+    case fault_kind::cut_links:
+    case fault_kind::slow_links:
+    case fault_kind::reset_links:
+        harm_links(it.kind, random);
+        break;
+    }
+}
+
+auto fault_injector::harm_workers(fault_kind kind, std::mt19937_64& random)
+    -> void
+{
+    auto const time = between(random, milliseconds{300}, milliseconds{6000});
+    auto const keeps_id = chance(random, 2);
+    auto const dark = chance(random, 2);
+    for (auto* const it : pick_workers(random))
+    {
+        if (!it->is_up())
+        {
+            continue;
+        }
+        auto const name = it->name();
+        disturbed_.begin(name, clock_.now());
+        auto const life = it->life();
+        switch (kind)
+        {
+        case fault_kind::crash_workers:
+            it->crash(dark);
+            break;
+        case fault_kind::late_workers:
+            it->set_late(time / 2);
+            break;
+        case fault_kind::freeze_workers:
+            it->freeze(true);
+            break;
+        default:
+            it->drain();
+        }
+        constexpr auto leaving_time = seconds{7};
+        after(kind == fault_kind::drain_workers ? duration{leaving_time} : time,
+              [this, it, name, life, kind, keeps_id]
+              {
+                  if (it->life() == life && kind == fault_kind::late_workers)
+                  {
+                      it->set_late({});
+                  }
+                  else if (it->life() == life &&
+                           kind == fault_kind::freeze_workers)
+                  {
+                      it->freeze(false);
+                  }
+                  else if (!it->is_up())
+                  {
+                      it->start(keeps_id);
+                  }
+                  disturbed_.end(name, clock_.now());
+              });
+    }
+}
+
+auto fault_injector::harm_links(fault_kind kind, std::mt19937_64& random)
+    -> void
+{
+    auto const time = between(random, milliseconds{300}, milliseconds{5000});
+    auto const requests = !chance(random, 3);
+    auto const answers = !requests || !chance(random, 3);
+    auto const delay = between(random, milliseconds{50}, milliseconds{900});
+    for (auto* const it : pick_workers(random))
+    {
+        auto const name = it->name();
+        disturbed_.begin(name, clock_.now());
+        switch (kind)
+        {
+        case fault_kind::cut_links:
+            it->links().set_silent(requests, answers);
+            break;
+        case fault_kind::slow_links:
+            it->links().set_delay(delay);
+            break;
+        default:
+            it->links().reset_connections();
+        }
+        after(time,
+              [this, it, name]
+              {
+                  it->links().set_silent(false, false);
+                  it->links().set_delay({});
+                  disturbed_.end(name, clock_.now());
+              });
+    }
+}
+
+auto fault_injector::lose_all(bool with_disks, std::uint64_t seed) -> void
+{
+    std::mt19937_64 random{seed};
+    log_(with_disks ? "all processes are killed, two disks are lost"
+                    : "all processes are killed");
+    auto const control = system_.names('c');
+    constexpr auto down = milliseconds{1000};
+    auto const entries = system_.names('e');
+    for (auto const* const each : {&control, &entries})
+    {
+        for (auto const& name : *each)
+        {
+            kill(name, down);
+        }
+    }
+    if (with_disks)
+    {
+        for (auto const& name : pick(random, control, 2))
+        {
+            system_.wipe(name);
+        }
+    }
+}
+
+auto fault_injector::repair() -> void
+{
+    for (auto const kind : {'c', 'e'})
+    {
+        for (auto const& name : system_.names(kind))
+        {
+            system_.signal(name, SIGCONT);
+            system_.start(name);
+        }
+    }
+    for (auto const& it : workers_)
+    {
+        it->links().set_silent(false, false);
+        it->links().set_delay({});
+        it->set_late({});
+        it->freeze(false);
+        if (!it->is_up())
+        {
+            it->start(true);
+        }
+    }
+}
+
+} // namespace apricotlb::soak
--- /dev/null
+++ b/soak/faults.hpp
@@ -0,0 +1,101 @@
+/// The schedule of faults of a soak, and what carries it out from outside of
+/// the processes.
+#ifndef APRICOTLB_SOAK_FAULTS_HPP
+#define APRICOTLB_SOAK_FAULTS_HPP
+
+#include "soak/ledger.hpp"
+#include "soak/processes.hpp"
+#include "soak/worker.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+enum class fault_kind : std::uint8_t
+{
+    kill_control,     ///< one or two
+    kill_all_control, ///< at the same moment
+    freeze_control,   ///< one or two
+    end_control,      ///< SIGTERM, repeated or not
+    restart_series,   ///< one control process is killed several times in a row
+    lose_disk,
+    replace_control, ///< gone for good; another one comes at a new address
+    kill_entry,
+    freeze_entry,
+    end_entry,      ///< SIGTERM, repeated or not
+    end_entries,    ///< several, one after the other, overlapping
+    hang_up,        ///< SIGHUP to all, with settings files that change
+    crash_workers,  ///< down, silent or not, and back under their ids or others
+    late_workers,   ///< leave orders unanswered and carry them out late
+    freeze_workers,
+    drain_workers,
+    cut_links,   ///< between entries and workers, one way or both
+    slow_links,
+    reset_links,
+};
+
+[[nodiscard]] auto name_of(fault_kind it) -> std::string_view;
+
+struct fault
+{
+    duration at{};
+    fault_kind kind{};
+    std::uint64_t seed{0}; ///< of the choices that it needs
+};
+
+/// The same seed gives the same schedule. Faults come in series and overlap,
+/// with calm spans between in which promises with a time bound are checked.
+[[nodiscard]] auto make_schedule(std::uint64_t seed, duration length)
+    -> std::vector<fault>;
+
+class fault_injector
+{
+public:
+    fault_injector(glib_clock& clock, processes& system,
+                   std::vector<std::unique_ptr<worker>>& workers,
+                   disturbances& disturbed,
+                   std::function<void(std::string const&)> log);
+    fault_injector(fault_injector const&) = delete;
+    auto operator=(fault_injector const&) -> fault_injector& = delete;
+
+    auto run(std::vector<fault> const& schedule) -> void;
+    /// Ends the soak with the loss of all processes; two control processes also
+    /// lose their disks if `with_disks`.
+    auto lose_all(bool with_disks, std::uint64_t seed) -> void;
+    /// Starts what is down, lets frozen processes go on and repairs links.
+    auto repair() -> void;
+
+private:
+    using names = std::vector<std::string>;
+
+    auto begin(fault const& it) -> void;
+    auto pick(std::mt19937_64& random, names from, std::size_t n) const -> names;
+    auto pick_workers(std::mt19937_64& random) -> std::vector<worker*>;
+    auto after(duration delay, std::function<void()> run) -> void;
+    auto kill(std::string const& name, duration down) -> void;
+    auto end(std::string const& name, std::uint64_t signals) -> void;
+    auto freeze(std::string const& name, duration time) -> void;
+    auto restart(std::string const& name, duration down, bool planned) -> void;
+    auto harm_workers(fault_kind kind, std::mt19937_64& random) -> void;
+    auto harm_links(fault_kind kind, std::mt19937_64& random) -> void;
+    auto restart_in_series(std::string const& name, int times) -> void;
+
+    glib_clock& clock_;
+    processes& system_;
+    std::vector<std::unique_ptr<worker>>& workers_;
+    disturbances& disturbed_;
+    std::function<void(std::string const&)> log_;
+    std::map<std::string, std::function<void()>> on_ended_;
+    time_point last_disk_loss_{};
+};
+
+} // namespace apricotlb::soak
+
+#endif
--- /dev/null
+++ b/soak/ledger.cpp
@@ -0,0 +1,433 @@
+#include "soak/ledger.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace apricotlb::soak
+{
+
+auto name_of(promise it) -> std::string_view
+{
+    switch (it)
+    {
+    case promise::unasked:
+        return "unasked";
+    case promise::twice:
+        return "twice";
+    case promise::order:
+        return "order";
+    case promise::refused:
+        return "refused";
+    case promise::drain:
+        return "drain";
+    case promise::lost:
+        return "lost";
+    case promise::cut:
+        return "cut";
+    case promise::shown:
+        return "shown";
+    case promise::config_order:
+        return "config_order";
+    case promise::config_refused:
+        return "config_refused";
+    case promise::config_invalid:
+        return "config_invalid";
+    case promise::config_missing:
+        return "config_missing";
+    case promise::process:
+        break;
+    }
+    return "process";
+}
+
+auto task_name::parse(std::string const& text) -> std::optional<task_name>
+{
+    task_name out;
+    int* const numbers[]{&out.index, &out.step, &out.occurrence};
+    auto end = text.size();
+    for (auto* const n : numbers)
+    {
+        auto const dot = text.rfind('.', end - 1);
+        if (dot == std::string::npos || dot == 0)
+        {
+            return std::nullopt;
+        }
+        std::from_chars(text.data() + dot + 1, text.data() + end, *n);
+        end = dot;
+    }
+    out.workflow = text.substr(0, end);
+    return out;
+}
+
+auto ledger::report(promise broken, std::string text, time_point now) -> void
+{
+    // One fault may be seen by each read that follows.
+    if (reported_.insert(text).second)
+    {
+        findings_.push_back({broken, now, std::move(text)});
+    }
+}
+
+/// All control and entry processes have been left alone since then.
+auto ledger::is_calm(time_point since) const -> bool
+{
+    return disturbed_.are_undisturbed('c', since) &&
+           disturbed_.are_undisturbed('e', since);
+}
+
+auto ledger::on_submission(workflow_plan const& plan) -> void
+{
+    auto& it = workflows_[plan.id];
+    it.plan = plan;
+    ++it.attempts;
+}
+
+auto ledger::on_submission_answer(std::string const& id, submission_answer got,
+                                  time_point now) -> void
+{
+    auto& it = workflows_.at(id);
+    if (got == submission_answer::refused)
+    {
+        ++it.refused;
+    }
+    else if (got == submission_answer::accepted && !it.accepted_at)
+    {
+        it.accepted_at = now;
+        ++accepted_count_;
+    }
+}
+
+auto ledger::on_cancel_sent(std::string const& id) -> void
+{
+    workflows_.at(id).cancel_sent = true;
+}
+
+auto ledger::on_cancel_answer(std::string const& id, time_point now) -> void
+{
+    auto& it = workflows_.at(id);
+    if (!it.cancelled_at)
+    {
+        it.cancelled_at = now;
+        ++cancels_;
+    }
+}
+
+auto ledger::is_step_done(workflow const& it, int occurrence, int step) const
+    -> bool
+{
+    for (auto n = 0; n < it.plan.steps[static_cast<std::size_t>(step)].tasks;
+         ++n)
+    {
+        auto const found = it.tasks.find(
+            it.plan.id + "." + std::to_string(occurrence) + "." +
+            std::to_string(step) + "." + std::to_string(n));
+        if (found == it.tasks.end() || !found->second.done)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto ledger::on_start(run_key const& key, std::string const& spec,
+                      std::string const& checkpoint, bool is_late,
+                      time_point now) -> void
+{
+    ++starts_;
+    auto const where = key.task + " run " + std::to_string(key.number) +
+                       " on " + key.worker + " life " +
+                       std::to_string(key.life);
+    auto const name = task_name::parse(key.task);
+    auto const found =
+        name ? workflows_.find(name->workflow) : workflows_.end();
+    if (found == workflows_.end())
+    {
+        report(promise::unasked, where + ": no caller sent this workflow", now);
+        return;
+    }
+    auto& it = found->second;
+    auto const step = static_cast<std::size_t>(name->step);
+    if (spec != it.plan.spec || step >= it.plan.steps.size() ||
+        name->index >= it.plan.steps[step].tasks || name->occurrence != 0)
+    {
+        report(promise::unasked, where + ": the order differs from what was sent",
+               now);
+        return;
+    }
+    auto& all = it.tasks[key.task];
+    if (!checkpoint.empty() && !all.checkpoints.contains(checkpoint))
+    {
+        report(promise::unasked,
+               where + ": checkpoint " + checkpoint + " is not the task's", now);
+    }
+    if (it.cancelled_at && !is_late && now > *it.cancelled_at + limits_.cancel &&
+        is_calm(now - limits_.contact))
+    {
+        report(promise::unasked, where + ": starts after its cancel", now);
+    }
+    for (auto const& other : all.runs)
+    {
+        if (other.at_work)
+        {
+            report(promise::twice,
+                   where + ": starts beside run " +
+                       std::to_string(other.key.number) + " on " +
+                       other.key.worker,
+                   now);
+        }
+        else if (other.how == "done" && other.recorded)
+        {
+            report(promise::twice,
+                   where + ": starts after its recorded end on " +
+                       other.key.worker,
+                   now);
+        }
+    }
+    for (auto const before : it.plan.steps[step].prerequisites)
+    {
+        if (!is_step_done(it, name->occurrence, before))
+        {
+            report(promise::order,
+                   where + ": step " + std::to_string(before) + " is not done",
+                   now);
+        }
+    }
+    auto const draining =
+        draining_.find(key.worker + "/" + std::to_string(key.life));
+    if (draining != draining_.end() && !is_late &&
+        now > draining->second + limits_.drain &&
+        is_calm(now - limits_.contact))
+    {
+        report(promise::drain, where + ": the worker is leaving", now);
+    }
+    all.runs.push_back({key, true, false, {}});
+}
+
+auto ledger::on_checkpoint(std::string const& of, std::string const& it) -> void
+{
+    if (auto const name = task_name::parse(of);
+        name && workflows_.contains(name->workflow))
+    {
+        workflows_.at(name->workflow).tasks[of].checkpoints.insert(it);
+    }
+}
+
+auto ledger::on_end(run_key const& key, std::string const& how, time_point)
+    -> void
+{
+    auto const name = task_name::parse(key.task);
+    if (!name || !workflows_.contains(name->workflow))
+    {
+        return;
+    }
+    auto& all = workflows_.at(name->workflow).tasks[key.task];
+    for (auto& it : all.runs)
+    {
+        if (it.key == key)
+        {
+            it.at_work = false;
+            it.how = how;
+        }
+    }
+    all.failures += how == "failed" ? 1 : 0;
+    all.done = all.done || how == "done";
+}
+
+auto ledger::on_end_recorded(run_key const& key) -> void
+{
+    auto const name = task_name::parse(key.task);
+    if (!name || !workflows_.contains(name->workflow))
+    {
+        return;
+    }
+    for (auto& it : workflows_.at(name->workflow).tasks[key.task].runs)
+    {
+        it.recorded = it.recorded || it.key == key;
+    }
+}
+
+auto ledger::on_drain_acknowledged(std::string const& worker, int life,
+                                   time_point now) -> void
+{
+    draining_.try_emplace(worker + "/" + std::to_string(life), now);
+}
+
+auto ledger::check_cancelled(time_point now) -> void
+{
+    // Ends are listed up to a tenth of a second after they happen.
+    constexpr auto listing_time = std::chrono::milliseconds{100};
+    for (auto& [id, it] : workflows_)
+    {
+        auto const due = it.cancelled_at.value_or(time_point::max() -
+                                                  std::chrono::hours{1}) +
+                         limits_.cancel + limits_.stop + listing_time;
+        if (it.cancel_checked || now < due)
+        {
+            continue;
+        }
+        // A disturbance puts the check off; it is never left out.
+        if (!is_calm(now - limits_.cancel - limits_.stop - listing_time))
+        {
+            continue;
+        }
+        it.cancel_checked = true;
+        for (auto const& [name, all] : it.tasks)
+        {
+            for (auto const& each : all.runs)
+            {
+                if (each.at_work && disturbed_.is_calm(each.key.worker, due))
+                {
+                    report(promise::unasked,
+                           name + " run " + std::to_string(each.key.number) +
+                               " on " + each.key.worker +
+                               ": is at work after its cancel",
+                           now);
+                }
+            }
+        }
+    }
+}
+
+auto ledger::on_state(std::string const& id, std::string const& state,
+                      std::string const& node, time_point sent_at,
+                      time_point now) -> void
+{
+    auto const& it = workflows_.at(id);
+    auto const seen = id + " shown as " + state + " by " + node;
+    auto const in_touch =
+        disturbed_.is_undisturbed(node, sent_at - limits_.contact) &&
+        disturbed_.are_undisturbed('c', sent_at - limits_.contact);
+    if (state == "unknown")
+    {
+        if (it.accepted_at && !it.cancel_sent && in_touch &&
+            sent_at > *it.accepted_at + limits_.visible)
+        {
+            report(promise::lost, seen + ": it was accepted", now);
+        }
+        return;
+    }
+    if (state == "completed")
+    {
+        for (std::size_t n = 0; n < it.plan.steps.size(); ++n)
+        {
+            if (!is_step_done(it, 0, static_cast<int>(n)))
+            {
+                report(promise::shown,
+                       seen + ": step " + std::to_string(n) + " is not done",
+                       now);
+            }
+        }
+    }
+    else if (state == "cancelled" && !it.cancel_sent)
+    {
+        report(promise::lost, seen + ": nobody cancelled it", now);
+    }
+    else if (state == "failed")
+    {
+        auto const has_failed =
+            std::ranges::any_of(it.tasks, [](auto const& each)
+                                { return each.second.failures > 0; });
+        if (!has_failed)
+        {
+            report(promise::lost, seen + ": none of its tasks has failed", now);
+        }
+    }
+}
+
+auto ledger::on_cut(std::string const& node, std::string const& what,
+                    time_point sent_at, time_point now) -> void
+{
+    constexpr auto end_margin = std::chrono::seconds{1};
+    auto const calm_from = sent_at - limits_.contact;
+    if (!disturbed_.is_calm(node, calm_from) ||
+        !disturbed_.are_calm('c', calm_from) ||
+        now - sent_at <= limits_.loss_slack)
+    {
+        return;
+    }
+    auto const planned = disturbed_.was_planned(
+        node, sent_at - limits_.grace - end_margin, now);
+    auto const waited =
+        std::chrono::duration_cast<milliseconds>(now - sent_at).count();
+    report(promise::cut,
+           what + " at " + node + " ended without an answer after " +
+               std::to_string(waited) +
+               (planned ? " ms, at the end of the process"
+                        : " ms, without a disturbance"),
+           now);
+}
+
+auto ledger::on_process_end(std::string const& node, int code, time_point now)
+    -> void
+{
+    report(promise::process,
+           node + " ended by itself with status " + std::to_string(code), now);
+}
+
+auto ledger::accepted() const -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    for (auto const& [id, it] : workflows_)
+    {
+        if (it.accepted_at && !it.cancel_sent)
+        {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+auto ledger::plan_of(std::string const& id) const -> workflow_plan const*
+{
+    auto const it = workflows_.find(id);
+    return it == workflows_.end() ? nullptr : &it->second.plan;
+}
+
+auto ledger::is_permanent(std::string const& id) const -> bool
+{
+    return std::ranges::any_of(workflows_.at(id).plan.steps,
+                               &step_plan::permanent);
+}
+
+auto ledger::is_done(std::string const& id) const -> bool
+{
+    auto const& it = workflows_.at(id);
+    for (std::size_t n = 0; n < it.plan.steps.size(); ++n)
+    {
+        if (!is_step_done(it, 0, static_cast<int>(n)))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto ledger::is_running(std::string const& id) const -> bool
+{
+    return std::ranges::any_of(
+        workflows_.at(id).tasks, [](auto const& each)
+        { return std::ranges::any_of(each.second.runs, &run::at_work); });
+}
+
+auto ledger::has_given_up(std::string const& id) const -> bool
+{
+    return std::ranges::any_of(
+        workflows_.at(id).tasks, [this](auto const& each)
+        { return each.second.failures >= limits_.max_attempts; });
+}
+
+auto ledger::check_refused(time_point now) -> void
+{
+    for (auto const& [id, it] : workflows_)
+    {
+        if (!it.tasks.empty() && it.attempts == it.refused)
+        {
+            report(promise::refused,
+                   id + " has run although all its submissions were refused",
+                   now);
+        }
+    }
+}
+
+} // namespace apricotlb::soak
--- /dev/null
+++ b/soak/ledger.hpp
@@ -0,0 +1,223 @@
+/// What callers, workers and operators have seen, checked against the promises
+/// of the system. No I/O: times come in as arguments.
+#ifndef APRICOTLB_SOAK_LEDGER_HPP
+#define APRICOTLB_SOAK_LEDGER_HPP
+
+#include "soak/disturbances.hpp"
+
+#include <apricotlb/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+/// Times that the deployment allows.
+struct bounds
+{
+    duration contact{std::chrono::milliseconds{3000}};
+    duration config_apply{std::chrono::milliseconds{2000}};
+    duration cancel{std::chrono::milliseconds{3000}};
+    duration stop{std::chrono::milliseconds{400}};
+    duration visible{std::chrono::milliseconds{3000}};
+    duration drain{std::chrono::milliseconds{2000}};
+    duration loss_slack{std::chrono::milliseconds{200}};
+    duration grace{std::chrono::milliseconds{6000}};
+    int max_attempts{4}; ///< failed runs of one task
+};
+
+enum class promise : std::uint8_t
+{
+    unasked,        ///< a worker is told to start what no caller sent
+    twice,          ///< a task runs in two places, or again after its end
+    order,          ///< a step starts before its prerequisites
+    refused,        ///< a workflow that was refused runs
+    drain,          ///< a start on a worker that is leaving
+    lost,           ///< an accepted workflow is unknown, or wrongly ended
+    cut,            ///< a request ends without an answer
+    shown,          ///< a state is shown that does not hold
+    config_order,   ///< an older configuration is read or obeyed
+    config_refused, ///< a valid configuration is refused
+    config_invalid, ///< an invalid one is acknowledged or in force
+    config_missing, ///< no configuration can be read in the end
+    process,        ///< a process ends by itself
+};
+
+[[nodiscard]] auto name_of(promise it) -> std::string_view;
+
+struct finding
+{
+    promise broken;
+    time_point at{};
+    std::string text;
+};
+
+struct step_plan
+{
+    int tasks{1};
+    std::int64_t cpu{1000};
+    std::int64_t mem_mb{256};
+    duration run_time{};
+    std::vector<int> prerequisites;
+    bool permanent{false};
+    bool scavenges{false};
+    bool checkpoints{false};
+    std::string image;
+    std::int64_t target_ms{0};
+    int max_unavailable{0};
+};
+
+struct workflow_plan
+{
+    std::string id;
+    std::string queue_path; ///< with the slash at its end
+    std::string spec;
+    std::vector<step_plan> steps;
+};
+
+/// Name of a task as on the wire: ID.OCCURRENCE.STEP.INDEX.
+struct task_name
+{
+    std::string workflow;
+    int occurrence{0};
+    int step{0};
+    int index{0};
+
+    [[nodiscard]] static auto parse(std::string const& text)
+        -> std::optional<task_name>;
+};
+
+/// One start of a task on one life of a worker.
+struct run_key
+{
+    std::string task;
+    std::int64_t number{0};
+    std::string worker;
+    int life{0};
+
+    auto operator<=>(run_key const&) const = default;
+};
+
+enum class submission_answer : std::uint8_t
+{
+    accepted,
+    refused,
+    unknown,
+};
+
+class ledger
+{
+public:
+    ledger(bounds limits, disturbances const& disturbed)
+        : limits_(limits), disturbed_(disturbed)
+    {
+    }
+
+    // Workflows, as callers see them.
+    auto on_submission(workflow_plan const& plan) -> void;
+    auto on_submission_answer(std::string const& id, submission_answer it,
+                              time_point now) -> void;
+    auto on_cancel_sent(std::string const& id) -> void;
+    auto on_cancel_answer(std::string const& id, time_point now) -> void;
+    /// A state as shown by a node; "unknown" for a workflow that it doesn't
+    /// know.
+    auto on_state(std::string const& id, std::string const& state,
+                  std::string const& node, time_point sent_at, time_point now)
+        -> void;
+    /// A request whose connection ended without an answer.
+    auto on_cut(std::string const& node, std::string const& what,
+                time_point sent_at, time_point now) -> void;
+
+    // Runs, as workers see them. `is_late`: the worker held the order back.
+    auto on_start(run_key const& run, std::string const& spec,
+                  std::string const& checkpoint, bool is_late, time_point now)
+        -> void;
+    auto on_checkpoint(std::string const& task, std::string const& it) -> void;
+    auto on_end(run_key const& run, std::string const& how, time_point now)
+        -> void;
+    /// The system has taken note of an end.
+    auto on_end_recorded(run_key const& run) -> void;
+    auto on_drain_acknowledged(std::string const& worker, int life,
+                               time_point now) -> void;
+    /// Checks what holds at a point of time after a cancel.
+    auto check_cancelled(time_point now) -> void;
+
+    auto on_process_end(std::string const& node, int code, time_point now)
+        -> void;
+
+    // The end of a soak.
+    /// Accepted workflows that nobody has cancelled.
+    [[nodiscard]] auto accepted() const -> std::vector<std::string>;
+    [[nodiscard]] auto plan_of(std::string const& id) const
+        -> workflow_plan const*;
+    [[nodiscard]] auto is_permanent(std::string const& id) const -> bool;
+    [[nodiscard]] auto is_done(std::string const& id) const -> bool;
+    [[nodiscard]] auto is_running(std::string const& id) const -> bool;
+    /// A task has failed as often as its queue allows.
+    [[nodiscard]] auto has_given_up(std::string const& id) const -> bool;
+    auto report(promise broken, std::string text, time_point now) -> void;
+    auto check_refused(time_point now) -> void;
+
+    [[nodiscard]] auto findings() const -> std::vector<finding> const&
+    {
+        return findings_;
+    }
+    [[nodiscard]] auto starts() const -> std::size_t { return starts_; }
+    [[nodiscard]] auto cancels() const -> std::size_t { return cancels_; }
+    [[nodiscard]] auto accepted_count() const -> std::size_t
+    {
+        return accepted_count_;
+    }
+
+private:
+    struct run
+    {
+        run_key key;
+        bool at_work{true};
+        bool recorded{false};
+        std::string how;
+    };
+    struct task
+    {
+        std::vector<run> runs;
+        std::set<std::string> checkpoints;
+        int failures{0};
+        bool done{false};
+    };
+    struct workflow
+    {
+        workflow_plan plan;
+        std::map<std::string, task> tasks;
+        std::size_t refused{0};
+        std::size_t attempts{0};
+        std::optional<time_point> accepted_at;
+        std::optional<time_point> cancelled_at; ///< acknowledged
+        bool cancel_sent{false};
+        bool cancel_checked{false};
+        bool starts_before_answer{false};
+    };
+
+    [[nodiscard]] auto is_step_done(workflow const& it, int occurrence,
+                                    int step) const -> bool;
+    [[nodiscard]] auto is_calm(time_point since) const -> bool;
+
+    bounds limits_;
+    disturbances const& disturbed_;
+    std::map<std::string, workflow> workflows_;
+    std::map<std::string, time_point> draining_; ///< worker and life
+    std::vector<finding> findings_;
+    std::set<std::string> reported_; ///< texts of the findings
+    std::size_t starts_{0};
+    std::size_t cancels_{0};
+    std::size_t accepted_count_{0};
+};
+
+} // namespace apricotlb::soak
+
+#endif
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,347 @@
+/// Randomized soak: runs the program as separate processes, harms them from
+/// outside, and checks what callers, workers and operators see.
+#include "adapters/glib_clock.hpp"
+#include "soak/clients.hpp"
+#include "soak/config_ledger.hpp"
+#include "soak/faults.hpp"
+#include "soak/ledger.hpp"
+#include "soak/operators.hpp"
+#include "soak/processes.hpp"
+#include "soak/worker.hpp"
+
+#include <cxxopts.hpp>
+#include <glib.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct options
+{
+    std::uint64_t seed{1};
+    seconds length{60};
+    std::size_t entries{6};
+    std::size_t workers{24};
+    double submissions_per_s{6};
+    bool unread_logs{false};
+    bool keep{false};
+    std::filesystem::path binary;
+    std::filesystem::path templates{"deploy"};
+};
+
+/// Steady state before the first fault, and what is allowed after the last.
+constexpr auto lead = seconds{2};
+constexpr auto recovery = seconds{12};
+constexpr auto finish = seconds{14};
+constexpr auto poll = milliseconds{100};
+
+class soak_run
+{
+public:
+    explicit soak_run(options chosen)
+        : options_(std::move(chosen)), folder_(make_folder()),
+          seen_(bounds{}, disturbed_), configs_(bounds{}, disturbed_, seen_),
+          system_(clock_, seen_, disturbed_, deployment()),
+          balancer_(clock_, system_),
+          clients_(clock_, system_, balancer_, seen_, configs_,
+                   options_.seed + 1,
+                   traffic{options_.submissions_per_s}),
+          operators_(clock_, system_, configs_, clients_, options_.seed + 2),
+          faults_(clock_, system_, workers_, disturbed_,
+                  [this](std::string const& line) { log(line); })
+    {
+    }
+
+    auto run() -> int
+    {
+        auto* const loop = g_main_loop_new(nullptr, FALSE);
+        loop_ = loop;
+        began_ = clock_.now();
+        log("seed " + std::to_string(options_.seed) + ", logs in " +
+            folder_.string());
+        system_.start_all();
+        add_workers();
+        print_findings_later();
+        operators_.start([this] { begin(); });
+        clock_.start_timer(seconds{20},
+                           [this]
+                           {
+                               if (!configured_)
+                               {
+                                   seen_.report(promise::config_missing,
+                                                "the first configuration was "
+                                                "not acknowledged in 20 s",
+                                                clock_.now());
+                                   g_main_loop_quit(loop_);
+                               }
+                           });
+        g_main_loop_run(loop);
+        g_main_loop_unref(loop);
+        return conclude();
+    }
+
+private:
+    [[nodiscard]] auto make_folder() const -> std::filesystem::path
+    {
+        auto out = std::filesystem::temp_directory_path() /
+                   ("apricotlb-soak-" + std::to_string(options_.seed) + "-" +
+                    std::to_string(::getpid()));
+        std::filesystem::create_directories(out);
+        return out;
+    }
+
+    /// The second octet of the loopback addresses, so that runs side by side do
+    /// not meet.
+    [[nodiscard]] auto deployment() const -> deployment_options
+    {
+        constexpr int first{16};
+        constexpr int octets{200};
+        deployment_options out;
+        out.binary = options_.binary;
+        out.templates = options_.templates;
+        out.folder = folder_;
+        out.first_octets = first + ::getpid() % octets;
+        out.entries = options_.entries;
+        out.unread_logs = options_.unread_logs;
+        return out;
+    }
+
+    auto add_workers() -> void
+    {
+        auto const net = "127." + std::to_string(deployment().first_octets);
+        constexpr std::size_t zones = 3;
+        constexpr std::size_t rack = 8;
+        for (std::size_t n = 0; n < options_.workers; ++n)
+        {
+            auto const zone = std::to_string(n % zones);
+            auto const host = std::to_string(1 + n / zones);
+            worker_place place;
+            place.id = "i" + std::to_string(n);
+            place.zone = "z" + zone;
+            place.rack = "r" + std::to_string(n / zones / rack) + "-" + zone;
+            place.listen_at = net + ".1" + zone + "." + host + ":8000";
+            place.proxy_at = net + ".1" + zone + "." + host + ":8001";
+            workers_.push_back(std::make_unique<worker>(
+                clock_, seen_, options_.seed + n, place,
+                system_.addresses('c')));
+            workers_.back()->start(true);
+        }
+    }
+
+    auto begin() -> void
+    {
+        configured_ = true;
+        log("configured");
+        check_cancels();
+        clock_.start_timer(lead, [this] { clients_.start(); });
+        auto const schedule = make_schedule(options_.seed, options_.length);
+        clock_.start_timer(lead, [this, schedule] { faults_.run(schedule); });
+        clock_.start_timer(lead + options_.length, [this] { close(); });
+    }
+
+    auto check_cancels() -> void
+    {
+        clock_.start_timer(poll,
+                           [this]
+                           {
+                               check_cancels();
+                               seen_.check_cancelled(clock_.now());
+                           });
+    }
+
+    /// The final fault comes while changes and work are under way.
+    auto close() -> void
+    {
+        auto const how = options_.seed % 3;
+        faults_.repair();
+        if (how != 0)
+        {
+            faults_.lose_all(how == 2, options_.seed);
+        }
+        clock_.start_timer(recovery,
+                           [this]
+                           {
+                               clients_.stop();
+                               operators_.stop();
+                               log("traffic ends");
+                               ended_ = clock_.now();
+                               operators_.take_answering();
+                               ask();
+                           });
+    }
+
+    /// Asks until all is answered, or the time for that is over.
+    auto ask() -> void
+    {
+        if (clock_.now() - ended_ < finish)
+        {
+            clients_.ask_for_all();
+            clock_.start_timer(seconds{2}, [this] { ask(); });
+            return;
+        }
+        auto const now = clock_.now();
+        for (auto const& id : clients_.unanswered())
+        {
+            seen_.report(promise::lost,
+                         id + ": accepted, and its state is not answered", now);
+        }
+        for (auto const& id : seen_.accepted())
+        {
+            if (!seen_.is_done(id) && !seen_.is_running(id) &&
+                !seen_.has_given_up(id))
+            {
+                seen_.report(promise::lost,
+                             id + ": accepted, and nothing of it runs", now);
+            }
+        }
+        seen_.check_refused(now);
+        auto const answering = operators_.take_answering();
+        for (auto const& name : system_.names('c'))
+        {
+            if (!answering.contains(name))
+            {
+                seen_.report(promise::config_missing,
+                             name + " answers no read of the configuration",
+                             now);
+            }
+        }
+        if (operators_.has_open_changes())
+        {
+            seen_.report(promise::config_refused,
+                         "a configuration was never acknowledged", now);
+        }
+        g_main_loop_quit(loop_);
+    }
+
+    auto print_findings_later() -> void
+    {
+        clock_.start_timer(poll, [this] { print_findings_later(); });
+        for (; printed_ < seen_.findings().size(); ++printed_)
+        {
+            auto const& it = seen_.findings()[printed_];
+            log("BROKEN " + std::string{name_of(it.broken)} + ": " + it.text);
+        }
+    }
+
+    auto log(std::string const& line) -> void
+    {
+        auto const ms = std::chrono::duration_cast<milliseconds>(clock_.now() -
+                                                                 began_);
+        std::cout << std::setw(7) << ms.count() << " ms  " << line << std::endl;
+    }
+
+    auto conclude() -> int
+    {
+        for (; printed_ < seen_.findings().size(); ++printed_)
+        {
+            auto const& it = seen_.findings()[printed_];
+            log("BROKEN " + std::string{name_of(it.broken)} + ": " + it.text);
+        }
+        std::string calls;
+        for (auto const& [outcome, n] : clients_.calls())
+        {
+            calls += ", " + outcome + " " + std::to_string(n);
+        }
+        log("starts " + std::to_string(seen_.starts()) + ", accepted " +
+            std::to_string(seen_.accepted_count()) + ", cancelled " +
+            std::to_string(seen_.cancels()) + ", configurations " +
+            std::to_string(configs_.acknowledged()) + ", reads " +
+            std::to_string(configs_.reads()) + ", counts " +
+            std::to_string(configs_.counts()) + calls);
+        auto const n = seen_.findings().size();
+        // A run in which nothing was served shows nothing.
+        auto const is_idle = seen_.starts() == 0 || configs_.reads() == 0;
+        log("seed " + std::to_string(options_.seed) + ": " +
+            (is_idle ? "nothing was served"
+                     : std::to_string(n) + " promises broken"));
+        if (n == 0 && !options_.keep)
+        {
+            std::error_code ec;
+            std::filesystem::remove_all(folder_, ec);
+        }
+        return n == 0 && !is_idle ? 0 : 1;
+    }
+
+    options options_;
+    std::filesystem::path folder_;
+    glib_clock clock_;
+    disturbances disturbed_;
+    ledger seen_;
+    config_ledger configs_;
+    processes system_;
+    balancer balancer_;
+    clients clients_;
+    operators operators_;
+    std::vector<std::unique_ptr<worker>> workers_;
+    fault_injector faults_;
+    GMainLoop* loop_{nullptr};
+    time_point began_{};
+    time_point ended_{};
+    std::size_t printed_{0};
+    bool configured_{false};
+};
+
+auto parse(int argc, char** argv) -> options
+{
+    cxxopts::Options table{"soak", "Randomized soak of real processes"};
+    table.add_options()("binary", "program under test",
+                        cxxopts::value<std::string>())(
+        "seed", "of the schedule", cxxopts::value<std::uint64_t>())(
+        "seconds", "of traffic with faults", cxxopts::value<int>())(
+        "entries", "entry processes", cxxopts::value<std::size_t>())(
+        "workers", "workers", cxxopts::value<std::size_t>())(
+        "rate", "submissions a second", cxxopts::value<double>())(
+        "unread-logs", "logs go to pipes that nobody reads")(
+        "keep", "keep the logs");
+    auto const got = table.parse(argc, argv);
+    options out;
+    out.binary = got["binary"].as<std::string>();
+    out.seed = got.count("seed") > 0 ? got["seed"].as<std::uint64_t>() : 1;
+    out.length = seconds{
+        got.count("seconds") > 0 ? got["seconds"].as<int>() : 60};
+    out.entries =
+        got.count("entries") > 0 ? got["entries"].as<std::size_t>() : 6;
+    out.workers =
+        got.count("workers") > 0 ? got["workers"].as<std::size_t>() : 24;
+    out.submissions_per_s =
+        got.count("rate") > 0 ? got["rate"].as<double>() : 6;
+    out.unread_logs = got.count("unread-logs") > 0;
+    out.keep = got.count("keep") > 0;
+    return out;
+}
+
+} // namespace
+
+} // namespace apricotlb::soak
+
+auto main(int argc, char** argv) -> int
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try
+    {
+        auto const chosen = apricotlb::soak::parse(argc, argv);
+        return apricotlb::soak::soak_run{chosen}.run();
+    }
+    catch (std::exception const& it)
+    {
+        std::cerr << "soak: " << it.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/soak/processes.cpp
@@ -0,0 +1,285 @@
+#include "soak/processes.hpp"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <system_error>
+#include <utility>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+constexpr std::size_t zones = 3;
+constexpr auto front_port = ":8161";
+constexpr auto ready_port = ":8167";
+constexpr auto control_port = ":8166";
+
+auto read_text(std::filesystem::path const& path) -> std::string
+{
+    std::ifstream in{path};
+    return {std::istreambuf_iterator<char>{in}, {}};
+}
+
+auto replace(std::string& text, std::string const& what,
+             std::string const& with) -> void
+{
+    for (auto at = text.find(what); at != std::string::npos;
+         at = text.find(what, at + with.size()))
+    {
+        text.replace(at, what.size(), with);
+    }
+}
+
+} // namespace
+
+auto machine::served_at() const -> std::string
+{
+    return ip + (is_control() ? control_port : front_port);
+}
+
+auto machine::ready_at() const -> std::string
+{
+    return ip + ready_port;
+}
+
+processes::processes(glib_clock& clock, ledger& seen, disturbances& disturbed,
+                     deployment_options options)
+    : clock_(clock), ledger_(seen), disturbed_(disturbed),
+      options_(std::move(options))
+{
+    for (std::size_t n = 0; n < options_.control; ++n)
+    {
+        add('c');
+    }
+    for (std::size_t n = 0; n < options_.entries; ++n)
+    {
+        add('e');
+    }
+    for (auto const* const name : {"c0", "c1", "c2"})
+    {
+        seeds_ += (seeds_.empty() ? "\"" : ",\"") +
+                  machines_.at(name).served_at() + "\"";
+    }
+}
+
+processes::~processes()
+{
+    for (auto& [name, it] : machines_)
+    {
+        if (it.watch != 0)
+        {
+            g_source_remove(it.watch);
+        }
+        if (it.pid > 0)
+        {
+            ::kill(it.pid, SIGKILL);
+            ::waitpid(it.pid, nullptr, 0);
+        }
+    }
+}
+
+auto processes::add(char kind) -> std::string
+{
+    auto const n = count_[kind]++;
+    machine it;
+    it.name = kind + std::to_string(n);
+    auto const zone = n % zones;
+    it.zone = "z" + std::to_string(zone);
+    // Control processes and entries of a zone share the third octet.
+    constexpr std::size_t first_entry = 100;
+    it.ip = "127." + std::to_string(options_.first_octets) + "." +
+            std::to_string(zone) + "." +
+            std::to_string((kind == 'c' ? 1 : first_entry) + n);
+    it.data = options_.folder / it.name;
+    machines_[it.name] = it;
+    return it.name;
+}
+
+auto processes::add_control() -> std::string
+{
+    auto name = add('c');
+    start(name);
+    return name;
+}
+
+auto processes::write_settings(machine const& it, bool first) -> void
+{
+    auto text = read_text(options_.templates /
+                          (it.is_control() ? "control.yaml.in" : "entry.yaml.in"));
+    auto const list_begin = text.find("{{#seeds}}");
+    std::string const list_end{"{{/seeds}}"};
+    auto const end = text.find(list_end);
+    if (list_begin != std::string::npos && end != std::string::npos)
+    {
+        text.replace(list_begin, end + list_end.size() - list_begin, seeds_);
+    }
+    replace(text, "{{node_name}}", it.name);
+    replace(text, "{{region}}", "r");
+    replace(text, "{{zone}}", it.zone);
+    replace(text, "{{data_dir}}", it.data.string());
+    replace(text, "{{ip}}", it.ip);
+    replace(text, "{{port_range.0}}", "7720");
+    replace(text, "{{port_range.1}}", "7735");
+    replace(text, "{{listen_addrs.control}}", it.served_at());
+    replace(text, "{{listen_addrs.front}}", it.served_at());
+    replace(text, "{{listen_addrs.readiness_addr}}", it.ready_at());
+    replace(text, "{{bootstrap}}", first ? "true" : "false");
+    replace(text, "{{fault_tolerance.machines}}", "2");
+    replace(text, "{{bounds.max_hold_ms}}", "10000");
+    replace(text, "{{limits.disk_mb}}", "128");
+    std::ofstream{options_.folder / (it.name + ".yaml")} << text;
+}
+
+auto processes::rewrite_settings(std::string const& name) -> void
+{
+    write_settings(machines_.at(name), false);
+}
+
+auto processes::start(std::string const& name, bool first) -> void
+{
+    auto& it = machines_.at(name);
+    if (it.is_running() || it.removed)
+    {
+        return;
+    }
+    write_settings(it, first);
+    std::error_code ec;
+    if (it.is_control())
+    {
+        std::filesystem::create_directories(it.data, ec);
+    }
+    auto const settings = (options_.folder / (name + ".yaml")).string();
+    auto const log = (options_.folder / (name + ".log")).string();
+    auto const binary = options_.binary.string();
+    auto const* const role = it.is_control() ? "control" : "entry";
+    std::array<int, 2> unread{-1, -1};
+    if (options_.unread_logs)
+    {
+        (void)::pipe2(unread.data(), O_CLOEXEC);
+    }
+    auto const pid = ::fork();
+    if (pid == 0)
+    {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        auto const out = options_.unread_logs
+                             ? unread[1]
+                             : ::open(log.c_str(),
+                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(out, 1);
+        ::dup2(out, 2);
+        ::execl(binary.c_str(), binary.c_str(), role, settings.c_str(),
+                nullptr);
+        ::_exit(127);
+    }
+    if (unread[1] >= 0)
+    {
+        // The reading end stays open, and unread.
+        ::close(unread[1]);
+    }
+    it.pid = pid;
+    it.ending = false;
+    struct watched
+    {
+        processes* owner;
+        std::string name;
+    };
+    it.watch = g_child_watch_add_full(
+        G_PRIORITY_DEFAULT, pid,
+        [](GPid, gint status, gpointer data)
+        {
+            auto const& got = *static_cast<watched*>(data);
+            got.owner->reap(got.name, status);
+        },
+        new watched{this, name},
+        [](gpointer data)
+        { std::default_delete<watched>{}(static_cast<watched*>(data)); });
+}
+
+auto processes::start_all() -> void
+{
+    for (auto const kind : {'c', 'e'})
+    {
+        for (auto const& name : names(kind))
+        {
+            start(name, true);
+        }
+    }
+}
+
+auto processes::reap(std::string const& name, int status) -> void
+{
+    auto& it = machines_.at(name);
+    it.pid = -1;
+    it.watch = 0;
+    if (!std::exchange(it.ending, false))
+    {
+        ledger_.on_process_end(name, status, clock_.now());
+        disturbed_.mark(name, clock_.now());
+    }
+    if (on_end)
+    {
+        on_end(name);
+    }
+}
+
+auto processes::signal(std::string const& name, int number) -> void
+{
+    auto& it = machines_.at(name);
+    if (!it.is_running())
+    {
+        return;
+    }
+    if (number == SIGKILL || number == SIGTERM)
+    {
+        it.ending = true;
+    }
+    ::kill(it.pid, number);
+}
+
+auto processes::remove(std::string const& name) -> void
+{
+    machines_.at(name).removed = true;
+    signal(name, SIGKILL);
+}
+
+auto processes::wipe(std::string const& name) -> void
+{
+    std::error_code ec;
+    std::filesystem::remove_all(machines_.at(name).data, ec);
+}
+
+auto processes::names(char kind) const -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    for (auto const& [name, it] : machines_)
+    {
+        if (name.front() == kind && !it.removed)
+        {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+auto processes::addresses(char kind) const -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    for (auto const& name : names(kind))
+    {
+        out.push_back(machines_.at(name).served_at());
+    }
+    return out;
+}
+
+} // namespace apricotlb::soak
--- /dev/null
+++ b/soak/processes.hpp
@@ -0,0 +1,98 @@
+/// The processes of a deployment on loopback, each with an address of its own.
+#ifndef APRICOTLB_SOAK_PROCESSES_HPP
+#define APRICOTLB_SOAK_PROCESSES_HPP
+
+#include "soak/http.hpp"
+#include "soak/ledger.hpp"
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+struct machine
+{
+    std::string name; ///< c0, c1, ... or e0, e1, ...
+    std::string ip;
+    std::string zone;
+    std::filesystem::path data; ///< of a control process
+    pid_t pid{-1};
+    unsigned watch{0};
+    bool ending{false}; ///< by a signal of the soak
+    bool removed{false};
+
+    [[nodiscard]] auto is_control() const -> bool { return name.front() == 'c'; }
+    [[nodiscard]] auto is_running() const -> bool { return pid > 0; }
+    /// Address at which callers (entry) or operators and workers (control)
+    /// are served.
+    [[nodiscard]] auto served_at() const -> std::string;
+    [[nodiscard]] auto ready_at() const -> std::string;
+};
+
+struct deployment_options
+{
+    std::filesystem::path binary;
+    std::filesystem::path templates; ///< folder of control.yaml.in, entry.yaml.in
+    std::filesystem::path folder;
+    int first_octets{10}; ///< addresses are 127.first_octets.zone.number
+    std::size_t control{5};
+    std::size_t entries{6};
+    bool unread_logs{false}; ///< logs go to pipes that nobody reads
+};
+
+class processes
+{
+public:
+    processes(glib_clock& clock, ledger& seen, disturbances& disturbed,
+              deployment_options options);
+    processes(processes const&) = delete;
+    auto operator=(processes const&) -> processes& = delete;
+    /// Kills what is left, by process id.
+    ~processes();
+
+    /// Starts a process; `first` is the first start of the deployment.
+    auto start(std::string const& name, bool first = false) -> void;
+    auto start_all() -> void;
+    auto signal(std::string const& name, int number) -> void;
+    /// Adds a control machine with an empty disk, at a new address.
+    auto add_control() -> std::string;
+    auto remove(std::string const& name) -> void;
+    auto wipe(std::string const& name) -> void;
+    /// Writes the settings file again, in place.
+    auto rewrite_settings(std::string const& name) -> void;
+
+    [[nodiscard]] auto at(std::string const& name) -> machine&
+    {
+        return machines_.at(name);
+    }
+    /// Machines that were not removed; kind is `c` or `e`.
+    [[nodiscard]] auto names(char kind) const -> std::vector<std::string>;
+    [[nodiscard]] auto addresses(char kind) const -> std::vector<std::string>;
+
+    /// Called when a process has ended, expected or not.
+    std::function<void(std::string const&)> on_end;
+
+private:
+    auto add(char kind) -> std::string;
+    auto write_settings(machine const& it, bool first) -> void;
+    auto reap(std::string const& name, int status) -> void;
+
+    glib_clock& clock_;
+    ledger& ledger_;
+    disturbances& disturbed_;
+    deployment_options options_;
+    std::map<std::string, machine> machines_;
+    std::map<char, std::size_t> count_;
+    std::string seeds_;
+};
+
+} // namespace apricotlb::soak
+
+#endif
--- /dev/null
+++ b/soak/worker.cpp
@@ -0,0 +1,521 @@
+#include "soak/worker.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto heartbeat = milliseconds{1100};
+constexpr auto beat_timeout = milliseconds{1000};
+constexpr auto lease_check = milliseconds{20};
+constexpr auto stop_time = milliseconds{60};
+constexpr auto drain_time = milliseconds{2000};
+constexpr std::int64_t max_hold_ms = 10'000;
+constexpr std::int64_t checkpoint_ms = 1000;
+constexpr std::size_t max_listed = 500;
+/// Of 1000 runs.
+constexpr std::uint64_t failing = 15;
+constexpr std::uint64_t stragglers = 30;
+constexpr int straggler_factor = 7;
+
+} // namespace
+
+worker::worker(glib_clock& clock, ledger& seen, std::uint64_t seed,
+               worker_place place, std::vector<std::string> control)
+    : clock_(clock), ledger_(seen), random_(seed), place_(std::move(place)),
+      control_(std::move(control)),
+      server_([this](http_text const& request, http_server::reply const& reply)
+              { serve(request, reply); }),
+      proxy_(clock, place_.proxy_at, place_.listen_at), id_(place_.id)
+{
+    (void)proxy_.open();
+    check_lease();
+}
+
+auto worker::clock_ms() const -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(clock_.now() - started_)
+        .count();
+}
+
+auto worker::start(bool keeps_id) -> void
+{
+    ++life_;
+    server_.close();
+    if (!keeps_id)
+    {
+        id_ = place_.id + "-" + std::to_string(life_);
+    }
+    is_up_ = server_.open(place_.listen_at);
+    is_frozen_ = false;
+    is_leaving_ = false;
+    state_ = "ready";
+    started_ = clock_.now();
+    born_ = std::chrono::duration_cast<milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+    sequence_ = fence_ = deadline_ = last_end_ = 0;
+    late_ = {};
+    slowness_ = 1;
+    closed_.clear();
+    ends_.clear();
+    beat_to_.clear();
+    next_control_ = random_() % control_.size();
+    beats_.reset();
+    beat();
+}
+
+auto worker::crash(bool dark) -> void
+{
+    end_life("crashed", dark);
+}
+
+auto worker::end_life(std::string const& how, bool dark) -> void
+{
+    is_up_ = false;
+    server_.close(dark);
+    holds_.clear();
+    for (auto& [task, it] : runs_)
+    {
+        if (it.end_timer)
+        {
+            clock_.cancel_timer(*it.end_timer);
+        }
+        ledger_.on_end(it.key, how, clock_.now());
+    }
+    runs_.clear();
+    beats_.reset();
+}
+
+auto worker::freeze(bool frozen) -> void
+{
+    is_frozen_ = frozen;
+    server_.pause(frozen);
+}
+
+auto worker::drain() -> void
+{
+    if (is_up_ && state_ == "ready")
+    {
+        state_ = "draining";
+        beats_.reset();
+        beat();
+    }
+}
+
+auto worker::schedule_beat(duration after) -> void
+{
+    clock_.start_timer(after,
+                       [this, life = life_]
+                       {
+                           if (life == life_ && is_up_)
+                           {
+                               beat();
+                           }
+                       });
+}
+
+auto worker::beat() -> void
+{
+    if (is_frozen_ || (beats_ && beats_->is_busy()))
+    {
+        schedule_beat(heartbeat);
+        return;
+    }
+    auto const target = beat_to_.empty()
+                            ? control_[next_control_ % control_.size()]
+                            : beat_to_;
+    if (!beats_ || beats_->address() != target)
+    {
+        beats_ = std::make_unique<http_connection>(clock_, target);
+    }
+    json body{{"service", "s"},
+              {"address", place_.proxy_at},
+              {"zone", place_.zone},
+              {"version", "v1"},
+              {"slots", 8},
+              {"state", state_},
+              {"cold_remaining_ms", 0},
+              {"capacity",
+               {{"cpu", place_.cpu}, {"mem_mb", place_.mem_mb}, {"gpu", 0}}},
+              {"labels", {"a", place_.rack}},
+              {"clock_ms", clock_ms()},
+              {"born", born_},
+              {"seq", ++sequence_}};
+    if (state_ == "draining")
+    {
+        body["drain_remaining_ms"] = milliseconds{drain_time}.count();
+    }
+    auto const life = life_;
+    beats_->call({"PUT", "/instances/" + id_, target, body.dump(),
+                  beat_timeout},
+                 [this, life, state = state_](call_result const& it)
+                 {
+                     if (life == life_ && is_up_)
+                     {
+                         take_beat_answer(state, it);
+                     }
+                 });
+}
+
+auto worker::take_beat_answer(std::string const& state, call_result const& it)
+    -> void
+{
+    constexpr auto retry_delay = milliseconds{20};
+    if (!it.is_success())
+    {
+        beat_to_.clear();
+        ++next_control_;
+        schedule_beat(retry_delay);
+        return;
+    }
+    auto const got = json::parse(it.answer.body, nullptr, false);
+    if (got.is_object() && got.contains("heartbeat_addr"))
+    {
+        beat_to_ = got["heartbeat_addr"].get<std::string>();
+    }
+    if (state == "draining" && !std::exchange(is_leaving_, true))
+    {
+        ledger_.on_drain_acknowledged(name(), life_, clock_.now());
+        clock_.start_timer(drain_time + milliseconds{random_() % 2000},
+                           [this, life = life_]
+                           {
+                               if (life == life_ && is_up_)
+                               {
+                                   leave();
+                               }
+                           });
+    }
+    schedule_beat(heartbeat);
+}
+
+auto worker::leave() -> void
+{
+    auto const target = beat_to_.empty() ? control_.front() : beat_to_;
+    end_life("left", false);
+    beats_ = std::make_unique<http_connection>(clock_, target);
+    beats_->call({"DELETE", "/instances/" + id_, target, "", beat_timeout},
+                 [](call_result const&) {});
+}
+
+auto worker::serve(http_text const& request, http_server::reply const& reply)
+    -> void
+{
+    auto const path = request.first_line.substr(
+        request.first_line.find(' ') + 1,
+        request.first_line.rfind(' ') - request.first_line.find(' ') - 1);
+    auto const target = request.header("target-instance");
+    if (!target.empty() && target != id_)
+    {
+        reply(421, "{}");
+        return;
+    }
+    auto const body = json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+    {
+        reply(400, "{}");
+        return;
+    }
+    if (late_ == duration{} || path == "/hold")
+    {
+        carry_out(path, body, reply, false);
+        return;
+    }
+    clock_.start_timer(late_,
+                       [this, path, body, life = life_]
+                       {
+                           if (is_up_ && life == life_)
+                           {
+                               carry_out(path, body,
+                                         [](int, std::string const&) {}, true);
+                           }
+                       });
+}
+
+auto worker::carry_out(std::string const& path, json const& body,
+                       http_server::reply const& reply, bool is_late) -> void
+{
+    auto const fence = body.value("fencing_token", std::int64_t{0});
+    if (fence < fence_)
+    {
+        reject(reply, "fence");
+        return;
+    }
+    fence_ = fence;
+    if (body.contains("deadline_ms"))
+    {
+        deadline_ = std::max(deadline_,
+                             std::min(body["deadline_ms"].get<std::int64_t>(),
+                                      clock_ms() + max_hold_ms));
+    }
+    if (path == "/run-start")
+    {
+        start_run(body, reply, is_late);
+    }
+    else if (path == "/run-stop")
+    {
+        stop_run(body, reply);
+    }
+    else if (path == "/pace")
+    {
+        pace_run(body, reply);
+    }
+    else if (path == "/hold")
+    {
+        hold(body, reply);
+    }
+    else
+    {
+        reply(404, "{}");
+    }
+}
+
+auto worker::reject(http_server::reply const& reply, char const* reason) -> void
+{
+    reply(409, json{{"clock_ms", clock_ms()}, {"reason", reason}}.dump());
+}
+
+auto worker::start_run(json const& body, http_server::reply const& reply,
+                       bool is_late) -> void
+{
+    auto const task = body.value("task", std::string{});
+    auto const number = body.value("run_id", std::int64_t{0});
+    auto const known = runs_.find(task);
+    if (known != runs_.end() && known->second.key.number == number)
+    {
+        reply(200, json{{"clock_ms", clock_ms()}}.dump());
+        return;
+    }
+    if (known != runs_.end() || number <= closed_[task])
+    {
+        reject(reply, "old");
+        return;
+    }
+    if (body.value("deadline_ms", std::int64_t{0}) <= clock_ms())
+    {
+        reject(reply, "late");
+        return;
+    }
+    run it;
+    it.key = {task, number, name(), life_};
+    it.checkpoint = body.value("checkpoint", std::string{});
+    auto const parsed = task_name::parse(task);
+    auto const* const plan =
+        parsed ? ledger_.plan_of(parsed->workflow) : nullptr;
+    if (plan != nullptr &&
+        static_cast<std::size_t>(parsed->step) < plan->steps.size())
+    {
+        it.step = plan->steps[static_cast<std::size_t>(parsed->step)];
+    }
+    std::int64_t cpu{it.step.scavenges ? 0 : it.step.cpu};
+    std::int64_t mem_mb{it.step.mem_mb};
+    for (auto const& [name, other] : runs_)
+    {
+        cpu += other.step.scavenges ? 0 : other.step.cpu;
+        mem_mb += other.step.mem_mb;
+    }
+    if (cpu > place_.cpu || mem_mb > place_.mem_mb)
+    {
+        reject(reply, "room");
+        return;
+    }
+    auto const luck = random_() % 1000;
+    it.fails = luck < failing;
+    it.work_left = it.step.run_time *
+                   (luck >= 1000 - stragglers ? straggler_factor : 1) *
+                   slowness_;
+    it.since = clock_.now();
+    ledger_.on_start(it.key, body.value("spec", std::string{}), it.checkpoint,
+                     is_late, clock_.now());
+    auto& added = runs_[task] = std::move(it);
+    arm_end(added);
+    reply(200, json{{"clock_ms", clock_ms()}}.dump());
+}
+
+/// Counts the work since the last change of the pace.
+auto worker::advance(run& it) -> void
+{
+    auto const now = clock_.now();
+    it.work_left -= (now - it.since) * it.pace / 100;
+    it.since = now;
+}
+
+auto worker::arm_end(run& it) -> void
+{
+    if (it.end_timer)
+    {
+        clock_.cancel_timer(*std::exchange(it.end_timer, std::nullopt));
+    }
+    if (it.step.permanent || it.pace == 0)
+    {
+        return;
+    }
+    auto const after = std::max(duration{}, it.work_left * 100 / it.pace);
+    it.end_timer = clock_.start_timer(
+        after,
+        [this, task = it.key.task, number = it.key.number, life = life_]
+        {
+            auto const found = runs_.find(task);
+            if (life == life_ && found != runs_.end() &&
+                found->second.key.number == number)
+            {
+                found->second.end_timer.reset();
+                end_run(task, found->second.fails ? "failed" : "done");
+            }
+        });
+}
+
+auto worker::stop_run(json const& body, http_server::reply const& reply) -> void
+{
+    auto const task = body.value("task", std::string{});
+    auto const number = body.value("run_id", std::int64_t{0});
+    closed_[task] = std::max(closed_[task], number);
+    auto const known = runs_.find(task);
+    if (known != runs_.end() && known->second.key.number <= number)
+    {
+        clock_.start_timer(stop_time,
+                           [this, key = known->second.key]
+                           {
+                               auto const it = runs_.find(key.task);
+                               if (it != runs_.end() && it->second.key == key)
+                               {
+                                   end_run(key.task, "stopped");
+                               }
+                           });
+    }
+    reply(200, json{{"clock_ms", clock_ms()}}.dump());
+}
+
+auto worker::pace_run(json const& body, http_server::reply const& reply) -> void
+{
+    auto const known = runs_.find(body.value("task", std::string{}));
+    if (known != runs_.end() &&
+        known->second.key.number == body.value("run_id", std::int64_t{0}))
+    {
+        advance(known->second);
+        known->second.pace = body.value("percent", 100);
+        arm_end(known->second);
+    }
+    reply(200, json{{"clock_ms", clock_ms()}}.dump());
+}
+
+auto worker::end_run(std::string const& task, std::string const& how) -> void
+{
+    auto node = runs_.extract(task);
+    auto& it = node.mapped();
+    if (it.end_timer)
+    {
+        clock_.cancel_timer(*it.end_timer);
+    }
+    if (it.step.checkpoints && (how == "stopped" || it.step.permanent))
+    {
+        it.checkpoint = id_ + "-" + std::to_string(born_) + "-" +
+                        std::to_string(++checkpoints_);
+        ledger_.on_checkpoint(task, it.checkpoint);
+    }
+    closed_[task] = std::max(closed_[task], it.key.number);
+    ledger_.on_end(it.key, how, clock_.now());
+    ends_.push_back({++last_end_, it.key, how, it.checkpoint});
+    answer_holds();
+}
+
+auto worker::answer_holds() -> void
+{
+    for (auto const& answer : std::exchange(holds_, {}))
+    {
+        answer();
+    }
+}
+
+auto worker::hold(json const& body, http_server::reply const& reply) -> void
+{
+    auto const seen = body.value("ack_cursor", std::int64_t{0});
+    while (!ends_.empty() && ends_.front().number <= seen)
+    {
+        ledger_.on_end_recorded(ends_.front().key);
+        ends_.pop_front();
+    }
+    auto const is_answered = std::make_shared<bool>(false);
+    auto const answer = [this, reply, is_answered, life = life_]
+    {
+        if (!std::exchange(*is_answered, true) && life == life_ && is_up_)
+        {
+            reply(200, lists());
+        }
+    };
+    auto const wait = body.value("wait_ms", std::int64_t{0});
+    if (wait == 0 || !ends_.empty())
+    {
+        answer();
+        return;
+    }
+    holds_.push_back(answer);
+    clock_.start_timer(milliseconds{wait}, answer);
+}
+
+auto worker::lists() const -> std::string
+{
+    auto rows = json::array();
+    for (auto const& [task, it] : runs_)
+    {
+        // A serving task lists its tail latency in ms, another its processors.
+        constexpr std::int64_t usual_tail{40};
+        rows.push_back({task, it.key.number, it.checkpoint, it.pace,
+                        it.step.permanent ? usual_tail : it.step.cpu});
+    }
+    auto ended_rows = json::array();
+    for (auto const& it : ends_)
+    {
+        if (ended_rows.size() < max_listed)
+        {
+            ended_rows.push_back(
+                {it.number, it.key.task, it.key.number, it.how, it.checkpoint});
+        }
+    }
+    return json{{"clock_ms", clock_ms()},
+                {"born", born_},
+                {"running", rows},
+                {"finished", ended_rows}}
+        .dump();
+}
+
+/// Ends all runs when the lease is over; between, runs save their progress.
+auto worker::check_lease() -> void
+{
+    clock_.start_timer(lease_check, [this] { check_lease(); });
+    if (!is_up_)
+    {
+        return;
+    }
+    std::vector<std::string> lapsed;
+    for (auto& [task, it] : runs_)
+    {
+        auto const age = std::chrono::duration_cast<milliseconds>(
+                             clock_.now() - it.since)
+                             .count();
+        if (it.step.checkpoints && age >= checkpoint_ms)
+        {
+            advance(it);
+            it.checkpoint = id_ + "-" + std::to_string(born_) + "-" +
+                            std::to_string(++checkpoints_);
+            ledger_.on_checkpoint(task, it.checkpoint);
+        }
+        if (clock_ms() > deadline_)
+        {
+            lapsed.push_back(task);
+        }
+    }
+    for (auto const& task : lapsed)
+    {
+        end_run(task, "lapsed");
+    }
+}
+
+} // namespace apricotlb::soak
--- /dev/null
+++ b/soak/worker.hpp
@@ -0,0 +1,144 @@
+/// Stand-in for a worker of the users' platform, over real sockets.
+#ifndef APRICOTLB_SOAK_WORKER_HPP
+#define APRICOTLB_SOAK_WORKER_HPP
+
+#include "soak/http.hpp"
+#include "soak/ledger.hpp"
+#include "soak/proxy.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+struct worker_place
+{
+    std::string id;
+    std::string zone;
+    std::string rack;
+    std::string listen_at;
+    std::string proxy_at; ///< the address that it announces
+    std::int64_t cpu{16000};
+    std::int64_t mem_mb{62500};
+};
+
+/// Guards its capacity, obeys fences and leases, and lists ends until they are
+/// acknowledged.
+class worker
+{
+public:
+    worker(glib_clock& clock, ledger& seen, std::uint64_t seed,
+           worker_place place, std::vector<std::string> control);
+    worker(worker const&) = delete;
+    auto operator=(worker const&) -> worker& = delete;
+
+    /// Begins a life, under the same id or a new one, that knows nothing of
+    /// before.
+    auto start(bool keeps_id) -> void;
+    /// Ends at once; connections stay open without an answer if `dark`.
+    auto crash(bool dark) -> void;
+    /// Announces that it drains, and leaves once that is acknowledged.
+    auto drain() -> void;
+    /// Carries orders out only after a delay, and answers none meanwhile.
+    auto set_late(duration delay) -> void { late_ = delay; }
+    /// Stops reading and sending, as a suspended machine.
+    auto freeze(bool frozen) -> void;
+    auto set_slowness(int factor) -> void { slowness_ = factor; }
+
+    [[nodiscard]] auto links() -> proxy& { return proxy_; }
+    [[nodiscard]] auto name() const -> std::string { return "w" + place_.id; }
+    [[nodiscard]] auto is_up() const -> bool { return is_up_; }
+    [[nodiscard]] auto life() const -> int { return life_; }
+    [[nodiscard]] auto running() const -> std::size_t { return runs_.size(); }
+
+private:
+    using json = nlohmann::json;
+
+    struct run
+    {
+        run_key key;
+        step_plan step;
+        std::string checkpoint;
+        duration work_left{};
+        time_point since{};
+        int pace{100}; ///< percent
+        bool fails{false};
+        std::optional<timer_id> end_timer;
+    };
+    struct ended
+    {
+        std::int64_t number{0};
+        run_key key;
+        std::string how;
+        std::string checkpoint;
+    };
+
+    [[nodiscard]] auto clock_ms() const -> std::int64_t;
+    auto beat() -> void;
+    auto take_beat_answer(std::string const& state, call_result const& it)
+        -> void;
+    auto schedule_beat(duration after) -> void;
+    auto leave() -> void;
+    auto end_life(std::string const& how, bool dark) -> void;
+
+    auto serve(http_text const& request, http_server::reply const& reply)
+        -> void;
+    auto carry_out(std::string const& path, json const& body,
+                   http_server::reply const& reply, bool is_late) -> void;
+    auto reject(http_server::reply const& reply, char const* reason) -> void;
+    auto start_run(json const& body, http_server::reply const& reply,
+                   bool is_late) -> void;
+    auto stop_run(json const& body, http_server::reply const& reply) -> void;
+    auto pace_run(json const& body, http_server::reply const& reply) -> void;
+    auto hold(json const& body, http_server::reply const& reply) -> void;
+    auto arm_end(run& it) -> void;
+    auto advance(run& it) -> void;
+    auto end_run(std::string const& task, std::string const& how) -> void;
+    auto answer_holds() -> void;
+    auto check_lease() -> void;
+    [[nodiscard]] auto lists() const -> std::string;
+
+    glib_clock& clock_;
+    ledger& ledger_;
+    std::mt19937_64 random_;
+    worker_place place_;
+    std::vector<std::string> control_;
+    http_server server_;
+    proxy proxy_;
+    std::unique_ptr<http_connection> beats_;
+    std::string beat_to_;
+    std::size_t next_control_{0};
+    std::string id_;
+    int life_{0};
+    bool is_up_{false};
+    bool is_frozen_{false};
+    bool is_leaving_{false};
+    std::string state_{"ready"};
+    time_point started_{};
+    std::int64_t born_{0};
+    std::int64_t sequence_{0};
+    std::int64_t fence_{0};
+    std::int64_t deadline_{0};
+    std::int64_t last_end_{0};
+    std::int64_t checkpoints_{0};
+    duration late_{};
+    int slowness_{1};
+    std::map<std::string, run> runs_;
+    std::map<std::string, std::int64_t> closed_;
+    std::deque<ended> ends_;
+    std::vector<std::function<void()>> holds_;
+};
+
+} // namespace apricotlb::soak
+
+#endif
