--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -268,14 +268,7 @@
                  {
                      on_accepted(node);
                  }
-                 std::uniform_real_distribution<double> luck{0, 1};
-                 if (luck(random_) < rate_.cancelled && !stopped_)
-                 {
-                     constexpr int cancel_attempts = 20;
-                     clock_.start_timer(
-                         milliseconds{random_() % 3000},
-                         [this, id = plan.id] { cancel(id, cancel_attempts); });
-                 }
+                 cancel_later(plan);
                  // A copy of the request that was held up on its way.
                  if (random_() % 20 == 0)
                  {
@@ -301,6 +294,22 @@
          });
 }
 
+/// Permanent work stays for a while; of the rest a share is cancelled early.
+auto clients::cancel_later(workflow_plan const& plan) -> void
+{
+    constexpr int attempts = 20;
+    auto const stays = ledger_.is_permanent(plan.id);
+    std::uniform_real_distribution<double> luck{0, 1};
+    if (stopped_ || (!stays && luck(random_) >= rate_.cancelled))
+    {
+        return;
+    }
+    auto const after = stays ? milliseconds{4000 + random_() % 12000}
+                             : milliseconds{random_() % 3000};
+    clock_.start_timer(after, [this, id = plan.id]
+                       { cancel(id, attempts); });
+}
+
 auto clients::cancel(std::string const& id, int attempts_left) -> void
 {
     auto const* const plan = ledger_.plan_of(id);
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -90,6 +90,7 @@
     auto idle_caller() -> caller*;
     auto submit_later() -> void;
     auto submit(workflow_plan const& plan, int attempts_left) -> void;
+    auto cancel_later(workflow_plan const& plan) -> void;
     auto cancel(std::string const& id, int attempts_left) -> void;
     auto read_later() -> void;
     auto count_later() -> void;
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -293,7 +293,8 @@
                       std::string const& node, time_point sent_at,
                       time_point now) -> void
 {
-    auto const& it = workflows_.at(id);
+    auto& it = workflows_.at(id);
+    it.shown = state;
     auto const seen = id + " shown as " + state + " by " + node;
     auto const in_touch =
         disturbed_.is_undisturbed(node, sent_at - limits_.contact) &&
@@ -410,11 +411,30 @@
         { return std::ranges::any_of(each.second.runs, &run::at_work); });
 }
 
-auto ledger::has_given_up(std::string const& id) const -> bool
+auto ledger::is_shown_as_ended(std::string const& id) const -> bool
 {
-    return std::ranges::any_of(
-        workflows_.at(id).tasks, [this](auto const& each)
-        { return each.second.failures >= limits_.max_attempts; });
+    auto const& it = workflows_.at(id).shown;
+    return it == "completed" || it == "failed" || it == "cancelled";
+}
+
+auto ledger::describe(std::string const& id) const -> std::string
+{
+    auto const& it = workflows_.at(id);
+    auto out = id + " in " + it.plan.queue_path + ", shown as " +
+               (it.shown.empty() ? "nothing" : it.shown);
+    for (auto const& [name, all] : it.tasks)
+    {
+        if (!all.done)
+        {
+            out += ", " + name.substr(id.size() + 1) + ":";
+            for (auto const& each : all.runs)
+            {
+                out += " " + (each.at_work ? "at work" : each.how) +
+                       (each.recorded ? " recorded" : "");
+            }
+        }
+    }
+    return out;
 }
 
 auto ledger::check_refused(time_point now) -> void
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -29,7 +29,6 @@
     duration drain{std::chrono::milliseconds{2000}};
     duration loss_slack{std::chrono::milliseconds{200}};
     duration grace{std::chrono::milliseconds{6000}};
-    int max_attempts{4}; ///< failed runs of one task
 };
 
 enum class promise : std::uint8_t
@@ -159,8 +158,9 @@
     [[nodiscard]] auto is_permanent(std::string const& id) const -> bool;
     [[nodiscard]] auto is_done(std::string const& id) const -> bool;
     [[nodiscard]] auto is_running(std::string const& id) const -> bool;
-    /// A task has failed as often as its queue allows.
-    [[nodiscard]] auto has_given_up(std::string const& id) const -> bool;
+    /// The last state that was shown, and the ends of the runs so far.
+    [[nodiscard]] auto describe(std::string const& id) const -> std::string;
+    [[nodiscard]] auto is_shown_as_ended(std::string const& id) const -> bool;
     auto report(promise broken, std::string text, time_point now) -> void;
     auto check_refused(time_point now) -> void;
 
@@ -200,7 +200,7 @@
         std::optional<time_point> cancelled_at; ///< acknowledged
         bool cancel_sent{false};
         bool cancel_checked{false};
-        bool starts_before_answer{false};
+        std::string shown; ///< the last state that was answered
     };
 
     [[nodiscard]] auto is_step_done(workflow const& it, int occurrence,
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -202,13 +202,13 @@
             seen_.report(promise::lost,
                          id + ": accepted, and its state is not answered", now);
         }
-        for (auto const& id : seen_.accepted())
+        for (auto const& id : has_room() ? seen_.accepted()
+                                         : std::vector<std::string>{})
         {
-            if (!seen_.is_done(id) && !seen_.is_running(id) &&
-                !seen_.has_given_up(id))
+            if (!seen_.is_shown_as_ended(id) && !seen_.is_running(id))
             {
                 seen_.report(promise::lost,
-                             id + ": accepted, and nothing of it runs", now);
+                             "nothing runs of " + seen_.describe(id), now);
             }
         }
         seen_.check_refused(now);
@@ -230,6 +230,19 @@
         g_main_loop_quit(loop_);
     }
 
+    /// Waiting work is a fault only while most of the room is free.
+    [[nodiscard]] auto has_room() const -> bool
+    {
+        std::int64_t all{0};
+        std::int64_t free{0};
+        for (auto const& it : workers_)
+        {
+            all += it->cpu();
+            free += it->is_up() ? it->free_cpu() : 0;
+        }
+        return free * 2 > all;
+    }
+
     auto print_findings_later() -> void
     {
         clock_.start_timer(poll, [this] { print_findings_later(); });
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -339,6 +339,16 @@
     reply(200, json{{"clock_ms", clock_ms()}}.dump());
 }
 
+auto worker::free_cpu() const -> std::int64_t
+{
+    auto out = place_.cpu;
+    for (auto const& [task, it] : runs_)
+    {
+        out -= it.step.scavenges ? 0 : it.step.cpu;
+    }
+    return out;
+}
+
 /// Counts the work since the last change of the pace.
 auto worker::advance(run& it) -> void
 {
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -59,7 +59,9 @@
     [[nodiscard]] auto name() const -> std::string { return "w" + place_.id; }
     [[nodiscard]] auto is_up() const -> bool { return is_up_; }
     [[nodiscard]] auto life() const -> int { return life_; }
-    [[nodiscard]] auto running() const -> std::size_t { return runs_.size(); }
+    /// Processors in thousandths, and how many of them are not reserved.
+    [[nodiscard]] auto cpu() const -> std::int64_t { return place_.cpu; }
+    [[nodiscard]] auto free_cpu() const -> std::int64_t;
 
 private:
     using json = nlohmann::json;
--- /dev/null
+++ b/tests/soak_ledger_test.cpp
@@ -0,0 +1,235 @@
+/// The checks of the soak find a planted fault of each kind, and nothing in a
+/// history without faults.
+#include "soak/config_ledger.hpp"
+#include "soak/faults.hpp"
+#include "soak/ledger.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+auto at(int ms) -> time_point
+{
+    return time_point{} + std::chrono::hours{1} + milliseconds{ms};
+}
+
+auto plan(std::string const& id) -> workflow_plan
+{
+    workflow_plan it;
+    it.id = id;
+    it.queue_path = "/check/";
+    it.spec = "spec of " + id;
+    it.steps.resize(2);
+    it.steps[1].prerequisites = {0};
+    return it;
+}
+
+auto configuration(std::int64_t version, std::string const& prefix)
+    -> nlohmann::json
+{
+    return {{"version", version}, {"routes", {{{"path_prefix", prefix}}}}};
+}
+
+/// A ledger with one accepted workflow.
+class soak_ledger : public testing::Test
+{
+protected:
+    soak_ledger()
+    {
+        seen.on_submission(plan("f1"));
+        seen.on_submission_answer("f1", submission_answer::accepted, at(0));
+    }
+
+    auto start(std::string const& task, std::int64_t number,
+               std::string const& worker, int ms) -> void
+    {
+        seen.on_start({task, number, worker, 1}, "spec of f1", "", false,
+                      at(ms));
+    }
+    auto end(std::string const& task, std::int64_t number,
+             std::string const& worker, std::string const& how, int ms) -> void
+    {
+        seen.on_end({task, number, worker, 1}, how, at(ms));
+    }
+    [[nodiscard]] auto broken() const -> std::vector<promise>
+    {
+        std::vector<promise> out;
+        for (auto const& it : seen.findings())
+        {
+            out.push_back(it.broken);
+        }
+        return out;
+    }
+
+    disturbances disturbed;
+    ledger seen{bounds{}, disturbed};
+    config_ledger configs{bounds{}, disturbed, seen};
+};
+
+using found = std::vector<promise>;
+
+} // namespace
+
+TEST_F(soak_ledger, finds_nothing_in_a_history_without_faults)
+{
+    start("f1.0.0.0", 1, "w1", 100);
+    end("f1.0.0.0", 1, "w1", "lapsed", 200);
+    start("f1.0.0.0", 2, "w2", 300);
+    end("f1.0.0.0", 2, "w2", "done", 400);
+    seen.on_end_recorded({"f1.0.0.0", 2, "w2", 1});
+    start("f1.0.1.0", 1, "w1", 500);
+    end("f1.0.1.0", 1, "w1", "done", 600);
+    seen.on_state("f1", "completed", "e0", at(700), at(710));
+    seen.check_refused(at(9000));
+    seen.check_cancelled(at(9000));
+    EXPECT_EQ(broken(), found{});
+}
+
+TEST_F(soak_ledger, finds_a_start_that_no_caller_asked_for)
+{
+    start("f2.0.0.0", 1, "w1", 100);
+    start("f1.0.0.7", 1, "w1", 100);
+    seen.on_start({"f1.0.0.0", 1, "w1", 1}, "another spec", "", false, at(100));
+    seen.on_start({"f1.0.0.0", 1, "w1", 1}, "spec of f1", "of another task",
+                  false, at(100));
+    EXPECT_EQ(broken(), (found{promise::unasked, promise::unasked,
+                               promise::unasked, promise::unasked}));
+}
+
+TEST_F(soak_ledger, finds_a_start_after_a_cancel)
+{
+    seen.on_cancel_sent("f1");
+    seen.on_cancel_answer("f1", at(1000));
+    start("f1.0.0.0", 1, "w1", 3900);
+    EXPECT_EQ(broken(), found{});
+    start("f1.0.0.0", 2, "w1", 4001);
+    EXPECT_EQ(broken(), (found{promise::unasked, promise::twice}));
+}
+
+TEST_F(soak_ledger, finds_a_run_that_outlives_its_cancel_once_all_is_calm)
+{
+    start("f1.0.0.0", 1, "w1", 100);
+    seen.on_cancel_sent("f1");
+    seen.on_cancel_answer("f1", at(1000));
+    disturbed.mark("c1", at(3000));
+    seen.check_cancelled(at(4600));
+    EXPECT_EQ(broken(), found{});
+    seen.check_cancelled(at(6600));
+    EXPECT_EQ(broken(), found{promise::unasked});
+}
+
+TEST_F(soak_ledger, finds_a_task_in_two_places_and_after_its_recorded_end)
+{
+    start("f1.0.0.0", 1, "w1", 100);
+    start("f1.0.0.0", 2, "w2", 200);
+    EXPECT_EQ(broken(), found{promise::twice});
+    end("f1.0.0.0", 1, "w1", "done", 300);
+    end("f1.0.0.0", 2, "w2", "stopped", 300);
+    seen.on_end_recorded({"f1.0.0.0", 1, "w1", 1});
+    start("f1.0.0.0", 3, "w3", 400);
+    EXPECT_EQ(broken(), (found{promise::twice, promise::twice}));
+}
+
+TEST_F(soak_ledger, finds_a_step_that_starts_before_its_prerequisites)
+{
+    start("f1.0.1.0", 1, "w1", 100);
+    EXPECT_EQ(broken(), found{promise::order});
+}
+
+TEST_F(soak_ledger, finds_a_start_on_a_worker_that_is_leaving)
+{
+    seen.on_drain_acknowledged("w1", 1, at(0));
+    start("f1.0.0.0", 1, "w1", 1900);
+    EXPECT_EQ(broken(), found{});
+    end("f1.0.0.0", 1, "w1", "stopped", 1950);
+    start("f1.0.0.0", 2, "w1", 2100);
+    EXPECT_EQ(broken(), found{promise::drain});
+}
+
+TEST_F(soak_ledger, finds_accepted_work_that_is_unknown_or_ended_without_cause)
+{
+    seen.on_state("f1", "unknown", "e0", at(2900), at(2910));
+    EXPECT_EQ(broken(), found{});
+    seen.on_state("f1", "unknown", "e0", at(3100), at(3110));
+    seen.on_state("f1", "failed", "e0", at(3100), at(3110));
+    seen.on_state("f1", "cancelled", "e0", at(3100), at(3110));
+    seen.on_state("f1", "completed", "e0", at(3100), at(3110));
+    EXPECT_EQ(broken(), (found{promise::lost, promise::lost, promise::lost,
+                               promise::shown, promise::shown}));
+}
+
+TEST_F(soak_ledger, finds_refused_work_that_runs)
+{
+    seen.on_submission(plan("f2"));
+    seen.on_submission_answer("f2", submission_answer::refused, at(10));
+    seen.on_start({"f2.0.0.0", 1, "w1", 1}, "spec of f2", "", false, at(100));
+    seen.check_refused(at(1000));
+    EXPECT_EQ(broken(), found{promise::refused});
+}
+
+TEST_F(soak_ledger, finds_a_request_that_is_cut_at_a_planned_end)
+{
+    disturbed.mark_planned("e0", at(1000));
+    seen.on_cut("e0", "GET /a", at(1900), at(2000));
+    EXPECT_EQ(broken(), found{});
+    seen.on_cut("e0", "GET /b", at(1700), at(2000));
+    EXPECT_EQ(broken(), found{promise::cut});
+    disturbed.mark("e0", at(2500));
+    seen.on_cut("e0", "GET /c", at(2400), at(2700));
+    EXPECT_EQ(broken(), found{promise::cut});
+}
+
+TEST_F(soak_ledger, finds_configurations_that_go_back_or_were_never_sent)
+{
+    configs.on_sent(3, configuration(3, "/a/"));
+    configs.on_sent(5, configuration(5, "/b/"));
+    configs.on_answer(3, true, 200, "c0", at(0));
+    configs.on_answer(5, true, 200, "c0", at(0));
+    configs.on_read("c1", configuration(3, "/a/").dump(), at(1900), at(1910));
+    configs.on_count("e0", "/a/", 200, at(1900), at(1910));
+    EXPECT_EQ(broken(), found{});
+    configs.on_read("c1", configuration(3, "/a/").dump(), at(2100), at(2110));
+    configs.on_count("e0", "/a/", 200, at(2100), at(2110));
+    configs.on_count("e0", "/b/", 404, at(2100), at(2110));
+    configs.on_read("c1", configuration(5, "/a/").dump(), at(2100), at(2110));
+    EXPECT_EQ(broken(),
+              (found{promise::config_order, promise::config_order,
+                     promise::config_order, promise::config_invalid}));
+}
+
+TEST_F(soak_ledger, finds_wrong_answers_to_configurations)
+{
+    configs.on_sent(3, configuration(3, "/a/"));
+    configs.on_answer(3, true, 409, "c0", at(0));
+    configs.on_answer(9, false, 200, "c0", at(0));
+    EXPECT_EQ(broken(),
+              (found{promise::config_refused, promise::config_invalid}));
+}
+
+TEST(soak_schedule, is_the_same_for_the_same_seed)
+{
+    auto const length = std::chrono::seconds{60};
+    auto const first = make_schedule(7, length);
+    auto const second = make_schedule(7, length);
+    ASSERT_FALSE(first.empty());
+    ASSERT_EQ(first.size(), second.size());
+    for (std::size_t n = 0; n < first.size(); ++n)
+    {
+        EXPECT_EQ(first[n].at, second[n].at);
+        EXPECT_EQ(first[n].kind, second[n].kind);
+        EXPECT_EQ(first[n].seed, second[n].seed);
+    }
+}
+
+} // namespace apricotlb::soak
