Refuse JSON bodies that contain a NUL byte

Callers saw a configuration acknowledged whose text goes on after a NUL byte. It came into force, and the text that GET /config returned was no JSON. Jobs and heartbeats that end in a NUL byte and other text were taken as well.

The JSON library's lexer takes a NUL byte for the end of its input, so parse_json() read the bytes before it and reported success. JSON allows no NUL byte outside or inside of a string (RFC 8259, 2 and 7).

parse_json() refuses a text with a NUL byte, with its position. All JSON bodies are parsed there. The msgpack decoder compares the end of what it read with the size of its input, and yaml-cpp refuses a NUL byte.

The two new tests failed before the change: parse_json() returned a value for a NUL byte at the end, with or without text after it, and decode_contract_set(), decode_workflow() and decode_announcement() accepted it. Both pass now.

--- a/src/adapters/json_codec.cpp
+++ b/src/adapters/json_codec.cpp
@@ -189,6 +189,12 @@
                     "JSON body: at most " + std::to_string(max_json_bytes) +
                         " bytes, got " + std::to_string(text.size()));
     }
+    // The library takes a NUL byte for the end of its input; JSON allows none.
+    if (auto const nul = text.find('\0'); nul != std::string_view::npos)
+    {
+        return fail(error_kind::bad_request,
+                    "body: not JSON at byte " + std::to_string(nul + 1));
+    }
     tree_builder builder;
     // The library reports some faults by exceptions; they end here.
     try
--- a/tests/json_codec_test.cpp
+++ b/tests/json_codec_test.cpp
@@ -45,6 +45,21 @@
         backend);
 }
 
+// The library takes a NUL byte for the end of its input, so a text that is no
+// JSON would be accepted and returned to its readers.
+TEST(json_codec, refuses_a_nul_byte_anywhere)
+{
+    auto const whole = std::string{R"({"a":[1,"b"]})"};
+    ASSERT_TRUE(parse_json(whole));
+    for (std::size_t n = 0; n <= whole.size(); ++n)
+    {
+        auto text = whole;
+        text.insert(n, 1, '\0');
+        EXPECT_FALSE(parse_json(text)) << "at byte " << n;
+        EXPECT_FALSE(parse_json(text + "x")) << "at byte " << n;
+    }
+}
+
 // A key without its unit would be read in another unit by a worker.
 TEST(json_codec, puts_units_into_keys_and_enums_by_name)
 {
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -52,6 +52,25 @@
     }
 }
 
+// A body that goes on after a NUL byte is not read in full.
+TEST(platform_wire, refuses_bodies_with_a_nul_byte)
+{
+    auto const tail = std::string{"\0,\"x\":", 6};
+    auto const job = std::string{R"({"spec":"x","steps":[{"count":4}]})"};
+    auto const heartbeat =
+        std::string{R"({"service":"s","address":"10.0.0.1:80",)"
+                    R"("state":"ready","seq":4,"capacity":{}})"};
+    ASSERT_TRUE(decode_contract_set(config_text));
+    ASSERT_TRUE(decode_workflow(job));
+    ASSERT_TRUE(decode_announcement(worker_id{"i"}, heartbeat));
+    for (auto const& rest : {tail, tail.substr(0, 1)})
+    {
+        EXPECT_FALSE(decode_contract_set(config_text + rest));
+        EXPECT_FALSE(decode_workflow(job + rest));
+        EXPECT_FALSE(decode_announcement(worker_id{"i"}, heartbeat + rest));
+    }
+}
+
 // Fields that are left out mean 0, false or empty.
 TEST(platform_wire, reads_a_job)
 {
