Refuse settings files with more than one document

Everything after a line of three dots or dashes was lost without a word: a settings file, contract or job with a second document was taken with the keys of the first, also when the rest had unknown keys.

YAML::Load() reads the first document only. parse() now reads all and refuses a second one with its line. One document between --- and ... stays valid. Bytes that end other parsers' input (NUL, 0x04) were refused already.

The new test failed before the change for ... and --- with a known and an unknown key after it, and passes now.

--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -372,7 +372,13 @@
     // The library reports bad input by exceptions; they end here.
     try
     {
-        auto const root = YAML::Load(std::string{text});
+        auto const documents = YAML::LoadAll(std::string{text});
+        if (documents.size() > 1)
+        {
+            return in.at(documents[1].Mark(), "",
+                         "must be the only document of its file");
+        }
+        auto const root = documents.empty() ? YAML::Node{} : documents[0];
         BOOST_OUTCOME_TRYV(in.read_struct(root, value, ""));
         if (auto const it = checked(value); it.has_error())
         {
--- a/tests/yaml_test.cpp
+++ b/tests/yaml_test.cpp
@@ -147,6 +147,22 @@
     EXPECT_EQ(it.value().format, log_format::json);
 }
 
+// Keys after a byte or a line that ends the parser's input would be lost.
+TEST(yaml_settings, refuses_text_that_is_not_read_to_its_end)
+{
+    auto const text = std::string{"node: n\nregion: r\n"};
+    for (auto const& whole : {text, "---\n" + text + "...\n"})
+    {
+        EXPECT_TRUE(parse_settings(whole, file_path{"s.yaml"})) << whole;
+    }
+    for (auto const& end : {std::string{'\0'}, std::string{'\4'},
+                            std::string{"...\n"}, std::string{"---\n"}})
+    {
+        settings_error(text + end + "zone: z\n");
+        settings_error(text + end + "no_such_key: 1\n");
+    }
+}
+
 // A value of another type must not be read as a default.
 TEST(yaml_settings, names_what_is_allowed_for_each_type)
 {
