--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace apricotlb::platform
 {
@@ -71,6 +73,86 @@
     }
 }
 
+/// A whole configuration in which each member can be replaced.
+auto const full_config_text = std::string{
+    R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+    R"("path_prefix":"/q/","kind":"non_idempotent","timeout_ms":3000,)"
+    R"("target_duration_ms":300,"priority":0,"service":"s",)"
+    R"("max_attempts":4,"stretch":2.0}],"services":[{"name":"s",)"
+    R"("health_path":"/health","max_conns":64,"protocol":"h1","tls":false,)"
+    R"("rejects_overload":true,"standby":false}],"limits":)"
+    R"({"max_header_bytes":16384,"max_body_bytes":262144,)"
+    R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})"};
+
+/// full_config_text with the first `"member":value` replaced by `with`.
+auto config_with(std::string const& was, std::string const& with) -> std::string
+{
+    auto text = full_config_text;
+    auto const at = text.find(was);
+    EXPECT_NE(at, std::string::npos) << was;
+    return text.replace(at, was.size(), with);
+}
+
+// Members that the scheduler does not use were not read, so a configuration
+// that is invalid came into force.
+TEST(platform_wire, refuses_members_of_another_type_that_it_does_not_use)
+{
+    ASSERT_TRUE(decode_contract_set(full_config_text));
+    auto const limits =
+        full_config_text.substr(full_config_text.find("\"limits\""));
+    for (auto const& [was, with] :
+         std::vector<std::pair<std::string, std::string>>{
+             {R"("non_idempotent")", "3"},
+             {R"("non_idempotent")", "{}"},
+             {R"("/health")", "false"},
+             {R"("/health")", R"(["/health"])"},
+             {R"("max_conns":64)", R"("max_conns":"64")"},
+             {R"("max_conns":64)", R"("max_conns":6.5)"},
+             {R"("max_conns":64)", R"("max_conns":-1)"},
+             {R"("h1")", "1"},
+             {R"("tls":false)", R"("tls":"false")"},
+             {R"("tls":false)", R"("tls":0)"},
+             {R"("priority":0)", R"("priority":-1)"},
+             {R"("max_attempts":4)", R"("max_attempts":-4)"},
+             {limits, R"("limits":"x"})"},
+             {limits, R"("limits":[]})"},
+             {limits, R"("limits":0})"},
+             {R"("max_header_bytes":16384)", R"("max_header_bytes":"16384")"},
+             {R"("max_body_bytes":262144)", R"("max_body_bytes":-1)"},
+             {R"("header_timeout_ms":3000)", R"("header_timeout_ms":true)"},
+             {R"("idle_timeout_ms":15000)", R"("idle_timeout_ms":1.5)"}})
+    {
+        EXPECT_FALSE(decode_contract_set(config_with(was, with))) << with;
+    }
+}
+
+// A valid configuration that is refused never comes into force.
+TEST(platform_wire, takes_configurations_with_missing_and_new_members)
+{
+    auto const limits =
+        full_config_text.substr(full_config_text.find(",\"limits\""));
+    for (auto const& [was, with] :
+         std::vector<std::pair<std::string, std::string>>{
+             {limits, "}"},
+             {limits, R"(,"limits":null})"},
+             {limits, R"(,"limits":{}})"},
+             {limits, R"(,"limits":{"max_body_bytes":0,"new":"x"}})"},
+             {R"("kind":"non_idempotent",)", ""},
+             {R"("non_idempotent")", R"("a_new_kind")"},
+             {R"("health_path":"/health","max_conns":64,)", ""},
+             {R"("protocol":"h1","tls":false,)", R"("protocol":"h2",)"},
+             {R"("tls":false)", R"("tls":true,"new":[{"x":null}])"},
+             {R"("stretch":2.0)", R"("stretch":2)"},
+             {R"("version":7,)", R"("version":7,"new":{"a":-1.5},)"}})
+    {
+        auto const text = config_with(was, with);
+        auto const it = decode_contract_set(text);
+        ASSERT_TRUE(it) << with << ": " << it.error().detail;
+        EXPECT_TRUE(check(it.value()));
+        EXPECT_EQ(it.value().document, text);
+    }
+}
+
 // Fields that are left out mean 0, false or empty.
 TEST(platform_wire, reads_a_job)
 {
