Refuse JSON bodies that begin with a byte order mark

A configuration that begins with a byte order mark was acknowledged, and GET /config returned it with the mark, which most JSON parsers refuse. Senders must not add the mark (RFC 8259, 8.1), so this broke the rule for our own answers too.

The JSON library skips the mark. parse_json() refuses it; the character is still allowed inside of strings.

The new test failed before the change (parse_json() returned a value for a mark before {}) and passes now.

--- a/src/adapters/json_codec.cpp
+++ b/src/adapters/json_codec.cpp
@@ -195,6 +195,11 @@
         return fail(error_kind::bad_request,
                     "body: not JSON at byte " + std::to_string(nul + 1));
     }
+    // The library skips a byte order mark, which senders must not add.
+    if (text.starts_with("\xEF\xBB\xBF"))
+    {
+        return fail(error_kind::bad_request, "body: not JSON at byte 1");
+    }
     tree_builder builder;
     // The library reports some faults by exceptions; they end here.
     try
--- a/tests/json_codec_test.cpp
+++ b/tests/json_codec_test.cpp
@@ -60,6 +60,13 @@
     }
 }
 
+// A text that is returned with a byte order mark is no JSON to most readers.
+TEST(json_codec, refuses_a_byte_order_mark)
+{
+    EXPECT_TRUE(parse_json(R"({"a":"\ufeff"})"));
+    EXPECT_FALSE(parse_json("\xEF\xBB\xBF{}"));
+}
+
 // A key without its unit would be read in another unit by a worker.
 TEST(json_codec, puts_units_into_keys_and_enums_by_name)
 {
