Go on with a shutdown when SIGTERM is repeated

A second SIGTERM ended an entry process at once and cut every request in flight. Platforms repeat the signal, for a restart beside a stop or a change of settings.

A repeated SIGTERM now changes nothing, since SIGKILL ends a process at once. SIGINT during a shutdown still does, for a person at a terminal. The decision is in core (drain::signal), which is told the signal.

--- a/src/adapters/unix_signals.cpp
+++ b/src/adapters/unix_signals.cpp
@@ -13,25 +13,34 @@
 {
     GMainLoop* loop{nullptr};
     guint sources[3]{};
-    std::function<void()> on_stop;
+    std::function<void(stop_signal)> on_stop;
     std::function<void()> on_reload;
     std::optional<exit_code> code;
+
+    auto stop(stop_signal it) const -> void
+    {
+        if (on_stop)
+        {
+            on_stop(it);
+        }
+    }
 };
 
 unix_signals::unix_signals() : state_(std::make_unique<state>())
 {
     state_->loop = g_main_loop_new(nullptr, FALSE);
-    auto const stop = [](gpointer data) -> gboolean
+    auto const terminate = [](gpointer data) -> gboolean
     {
-        auto& it = *static_cast<state*>(data);
-        if (it.on_stop)
-        {
-            it.on_stop();
-        }
+        static_cast<state*>(data)->stop(stop_signal::terminate);
+        return G_SOURCE_CONTINUE;
+    };
+    auto const interrupt = [](gpointer data) -> gboolean
+    {
+        static_cast<state*>(data)->stop(stop_signal::interrupt);
         return G_SOURCE_CONTINUE;
     };
-    state_->sources[0] = g_unix_signal_add(SIGTERM, stop, state_.get());
-    state_->sources[1] = g_unix_signal_add(SIGINT, stop, state_.get());
+    state_->sources[0] = g_unix_signal_add(SIGTERM, terminate, state_.get());
+    state_->sources[1] = g_unix_signal_add(SIGINT, interrupt, state_.get());
     auto const reload = [](gpointer data) -> gboolean
     {
         auto& it = *static_cast<state*>(data);
@@ -53,7 +62,7 @@
     g_main_loop_unref(state_->loop);
 }
 
-auto unix_signals::run(std::function<void()> on_stop) -> exit_code
+auto unix_signals::run(std::function<void(stop_signal)> on_stop) -> exit_code
 {
     state_->on_stop = std::move(on_stop);
     if (!state_->code)
--- a/src/adapters/unix_signals.hpp
+++ b/src/adapters/unix_signals.hpp
@@ -2,6 +2,8 @@
 #ifndef APRICOTLB_ADAPTERS_UNIX_SIGNALS_HPP
 #define APRICOTLB_ADAPTERS_UNIX_SIGNALS_HPP
 
+#include "core/entry/drain.hpp"
+
 #include <apricotlb/error.hpp>
 
 #include <functional>
@@ -21,7 +23,8 @@
     ~unix_signals();
 
     /// Runs the loop; on_stop is called once for each signal.
-    [[nodiscard]] auto run(std::function<void()> on_stop) -> exit_code;
+    [[nodiscard]] auto run(std::function<void(stop_signal)> on_stop)
+        -> exit_code;
 
     /// Called on the loop for each SIGHUP; without it the signal is ignored.
     auto on_reload(std::function<void()> run) -> void;
--- a/src/app/entry_role.hpp
+++ b/src/app/entry_role.hpp
@@ -137,15 +137,18 @@
         exit_handler_ = std::move(handler);
     }
 
-    /// Starts the graceful shutdown; a second call exits at once.
-    auto begin_drain() -> void
+    /// Starts the graceful shutdown, or ends it, as drain::signal decides.
+    auto begin_drain(stop_signal it) -> void
     {
         if (is_exiting_)
         {
-            run_exit_handler(source_.open());
+            if (it == stop_signal::interrupt)
+            {
+                run_exit_handler(source_.open());
+            }
             return;
         }
-        execute(drain_.signal(clock_.now(), in_flight()));
+        execute(drain_.signal(it, clock_.now(), in_flight()));
     }
 
 private:
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -178,8 +178,7 @@
         return outcome::success();
     }
 
-    /// Starts the graceful shutdown. A second call ends the process at once.
-    auto stop() -> void
+    auto stop(stop_signal it) -> void
     {
         entry_->role().on_exit(
             [this](request_count interrupted)
@@ -188,8 +187,12 @@
                 loop_.quit(interrupted == request_count{0} ? exit_code::ok
                                                            : exit_code::failed);
             });
-        role_log.info("draining", {{"in_flight", entry_->role().in_flight()}});
-        entry_->role().begin_drain();
+        if (!entry_->role().is_draining())
+        {
+            role_log.info("draining",
+                          {{"in_flight", entry_->role().in_flight()}});
+        }
+        entry_->role().begin_drain(it);
     }
 
 private:
@@ -240,7 +243,7 @@
     role_log.info("started", {{"role", "control"}, {"node", own.node}});
     auto const watch =
         watch_settings(start, process_role::control, clock, loop);
-    return loop.run([&loop] { loop.quit(exit_code::ok); });
+    return loop.run([&loop](stop_signal) { loop.quit(exit_code::ok); });
 }
 
 auto run_entry(process_start const& start) -> exit_code
@@ -262,7 +265,7 @@
     }
     role_log.info("started", {{"role", "entry"}, {"node", own.node}});
     auto const watch = watch_settings(start, process_role::entry, clock, loop);
-    return loop.run([&process] { process.stop(); });
+    return loop.run([&process](stop_signal it) { process.stop(it); });
 }
 
 auto run_standalone(process_start const& start) -> exit_code
@@ -294,7 +297,7 @@
     role_log.info("started", {{"role", "standalone"}, {"node", loaded.node}});
     auto const watch =
         watch_settings(start, process_role::standalone, clock, loop);
-    return loop.run([&entry_side] { entry_side.stop(); });
+    return loop.run([&entry_side](stop_signal it) { entry_side.stop(it); });
 }
 
 } // namespace apricotlb
--- a/src/core/entry/drain.cpp
+++ b/src/core/entry/drain.cpp
@@ -3,7 +3,8 @@
 namespace apricotlb
 {
 
-auto drain::signal(time_point now, request_count in_flight) -> drain_step
+auto drain::signal(stop_signal it, time_point now, request_count in_flight)
+    -> drain_step
 {
     drain_step out;
     if (phase_ == drain_phase::serving)
@@ -13,6 +14,10 @@
         out.wake_after = wait_;
         return out;
     }
+    if (it == stop_signal::terminate)
+    {
+        return out;
+    }
     out.exit = phase_ != drain_phase::done;
     out.stop_listening = phase_ == drain_phase::unhealthy;
     out.interrupted = out.exit ? in_flight : request_count{0};
--- a/src/core/entry/drain.hpp
+++ b/src/core/entry/drain.hpp
@@ -19,6 +19,13 @@
     done,
 };
 
+/// Signals that ask a process to end.
+enum class stop_signal : std::uint8_t
+{
+    terminate, ///< of a platform or a service manager, which may repeat it
+    interrupt, ///< of a person at a terminal
+};
+
 /// Actions for the driver after a step.
 struct drain_step
 {
@@ -35,10 +42,11 @@
 public:
     explicit drain(duration balancer_wait) : wait_(balancer_wait) {}
 
-    /// Handles a termination signal. The first starts the shutdown, a second
-    /// one exits at once.
-    [[nodiscard]] auto signal(time_point now, request_count in_flight)
-        -> drain_step;
+    /// Handles a signal. The first starts the shutdown. While it goes on,
+    /// terminate changes nothing, since who wants the process to end at once
+    /// can kill it; interrupt exits at once.
+    [[nodiscard]] auto signal(stop_signal it, time_point now,
+                              request_count in_flight) -> drain_step;
     /// Call when the wait is over or a request has ended.
     [[nodiscard]] auto step(time_point now, request_count in_flight)
         -> drain_step;
