Let the soak look for changes without an acknowledgement

A cancel or a configuration that waits for 4 s while nothing is disturbed is reported. Failed calls in undisturbed time are counted by outcome. A late loop of the soak counts as a disturbance of all processes, as on a slow machine.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -55,6 +55,22 @@
     return json{{"spec", it.spec}, {"steps", steps}}.dump();
 }
 
+auto name_of(call_result const& it) -> std::string
+{
+    switch (it.how)
+    {
+    case call_end::answered:
+        return std::to_string(it.status);
+    case call_end::cut:
+        return "cut";
+    case call_end::timed_out:
+        return "timed out";
+    case call_end::not_connected:
+        break;
+    }
+    return "not connected";
+}
+
 } // namespace
 
 balancer::balancer(glib_clock& clock, processes& system)
@@ -74,8 +90,10 @@
         it.connection = std::make_unique<http_connection>(
             clock_, system_.at(name).ready_at());
         it.connection->call({"GET", "/ready", "ready", "", timeout},
-                            [&it](call_result const& got)
-                            { it.misses = got.status == 200 ? 0 : it.misses + 1; });
+                            [&it](call_result const& got) {
+                                it.misses =
+                                    got.status == 200 ? 0 : it.misses + 1;
+                            });
     }
 }
 
@@ -97,7 +115,7 @@
             near.push_back(name);
         }
     }
-    auto const& from = !near.empty() ? near
+    auto const& from = !near.empty()  ? near
                        : !all.empty() ? all
                                       : system_.names('e');
     return from[hash % from.size()];
@@ -166,12 +184,13 @@
         [this, node, what = it.method + " " + it.path,
          done = std::move(done)](call_result const& got)
         {
-            auto const outcome =
-                got.how == call_end::answered ? std::to_string(got.status)
-                : got.how == call_end::cut    ? "cut"
-                : got.how == call_end::timed_out ? "timed out"
-                                                 : "not connected";
+            auto const outcome = name_of(got);
             ++calls_[outcome];
+            if (!got.is_success() && got.status != 404 && got.status != 410 &&
+                ledger_.is_undisturbed(node, got.sent_at))
+            {
+                ++calls_["undisturbed " + outcome];
+            }
             if (got.how == call_end::cut || got.how == call_end::timed_out)
             {
                 ledger_.on_cut(node, what, got.sent_at, got.ended_at);
@@ -232,18 +251,17 @@
 {
     auto const mean = 1000.0 / rate_.submissions_per_s;
     std::exponential_distribution<double> gap{1.0 / mean};
-    clock_.start_timer(
-        milliseconds{static_cast<std::int64_t>(gap(random_))},
-        [this]
-        {
-            if (stopped_)
-            {
-                return;
-            }
-            submit_later();
-            constexpr int attempts = 4;
-            submit(new_plan(), attempts);
-        });
+    clock_.start_timer(milliseconds{static_cast<std::int64_t>(gap(random_))},
+                       [this]
+                       {
+                           if (stopped_)
+                           {
+                               return;
+                           }
+                           submit_later();
+                           constexpr int attempts = 4;
+                           submit(new_plan(), attempts);
+                       });
 }
 
 auto clients::submit(workflow_plan const& plan, int attempts_left) -> void
@@ -254,12 +272,12 @@
          [this, plan, attempts_left](std::string const& node,
                                      call_result const& it)
          {
-             auto const is_refused =
-                 it.status == 429 || it.status == 503 || it.status == 404 ||
-                 it.how == call_end::not_connected;
+             auto const is_refused = it.status == 429 || it.status == 503 ||
+                                     it.status == 404 ||
+                                     it.how == call_end::not_connected;
              auto const answer = it.is_success() ? submission_answer::accepted
                                  : is_refused    ? submission_answer::refused
-                                              : submission_answer::unknown;
+                                                 : submission_answer::unknown;
              ledger_.on_submission_answer(plan.id, answer, clock_.now());
              if (answer == submission_answer::accepted)
              {
@@ -277,10 +295,10 @@
                          [this, plan]
                          {
                              ledger_.on_submission(plan);
-                             call({"POST", plan.queue_path + plan.id,
-                                   queue_host, body_of(plan),
-                                   std::chrono::seconds{3}},
-                                  [](std::string const&, call_result const&) {});
+                             call(
+                                 {"POST", plan.queue_path + plan.id, queue_host,
+                                  body_of(plan), std::chrono::seconds{3}},
+                                 [](std::string const&, call_result const&) {});
                          });
                  }
                  return;
@@ -306,14 +324,13 @@
     }
     auto const after = stays ? milliseconds{4000 + random_() % 12000}
                              : milliseconds{random_() % 3000};
-    clock_.start_timer(after, [this, id = plan.id]
-                       { cancel(id, attempts); });
+    clock_.start_timer(after, [this, id = plan.id] { cancel(id, attempts); });
 }
 
 auto clients::cancel(std::string const& id, int attempts_left) -> void
 {
     auto const* const plan = ledger_.plan_of(id);
-    ledger_.on_cancel_sent(id);
+    ledger_.on_cancel_sent(id, clock_.now());
     call({"DELETE", plan->queue_path + id, queue_host, "",
           std::chrono::seconds{3}},
          [this, id, attempts_left](std::string const&, call_result const& it)
@@ -365,7 +382,8 @@
             }
             constexpr std::size_t recent = 200;
             auto const most = std::min(recent, submitted_.size());
-            auto const id = submitted_[submitted_.size() - 1 - random_() % most];
+            auto const id =
+                submitted_[submitted_.size() - 1 - random_() % most];
             call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
                   std::chrono::seconds{2}},
                  [this, id](std::string const& node, call_result const& it)
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -27,8 +27,8 @@
     balancer(glib_clock& clock, processes& system);
 
     /// The entry for a new connection of a caller in a zone.
-    [[nodiscard]] auto entry_for(std::string const& zone, std::uint64_t hash)
-        const -> std::string;
+    [[nodiscard]] auto entry_for(std::string const& zone,
+                                 std::uint64_t hash) const -> std::string;
 
 private:
     struct checked
@@ -70,7 +70,8 @@
     /// Called with the time of an answer that accepts work.
     std::function<void(std::string const& node)> on_accepted;
 
-    [[nodiscard]] auto calls() const -> std::map<std::string, std::size_t> const&
+    [[nodiscard]] auto calls() const
+        -> std::map<std::string, std::size_t> const&
     {
         return calls_;
     }
@@ -84,7 +85,8 @@
         std::string entry;
         std::unique_ptr<http_connection> connection;
     };
-    using callback = std::function<void(std::string const&, call_result const&)>;
+    using callback =
+        std::function<void(std::string const&, call_result const&)>;
 
     auto call(http_call const& it, callback done) -> void;
     auto idle_caller() -> caller*;
--- a/soak/config_ledger.cpp
+++ b/soak/config_ledger.cpp
@@ -6,10 +6,11 @@
 namespace apricotlb::soak
 {
 
-auto config_ledger::on_sent(std::int64_t number, nlohmann::json document)
-    -> void
+auto config_ledger::on_sent(std::int64_t number, nlohmann::json document,
+                            time_point now) -> void
 {
     auto& it = sent_[number];
+    it.sent_at = it.documents.empty() ? now : it.sent_at;
     if (std::ranges::find(it.documents, document) != it.documents.end())
     {
         return;
@@ -27,8 +28,8 @@
                               std::string const& node, time_point now) -> void
 {
     auto const what = "version " + std::to_string(number) + " at " + node;
-    auto const is_refusal = status >= 400 && status < 500 && status != 408 &&
-                            status != 429;
+    auto const is_refusal =
+        status >= 400 && status < 500 && status != 408 && status != 429;
     if (status == 200 && !is_valid)
     {
         all_.report(promise::config_invalid, what + " is acknowledged", now);
@@ -44,9 +45,21 @@
     }
 }
 
-auto config_ledger::newest_acknowledged() const -> std::int64_t
+auto config_ledger::check(time_point now) -> void
 {
-    return acknowledged_.empty() ? 0 : acknowledged_.rbegin()->first;
+    if (!all_.is_calm(now - limits_.acknowledge - limits_.contact))
+    {
+        return;
+    }
+    for (auto const& [number, it] : sent_)
+    {
+        if (!acknowledged_.contains(number) &&
+            now > it.sent_at + limits_.acknowledge)
+        {
+            all_.report(promise::unacknowledged,
+                        "version " + std::to_string(number), now);
+        }
+    }
 }
 
 /// The version that must be in force for what is sent at a point of time.
@@ -109,10 +122,11 @@
     auto is_allowed = needed == 0;
     for (auto it = sent_.lower_bound(needed); it != sent_.end(); ++it)
     {
-        is_allowed = is_allowed ||
-                     std::ranges::any_of(
-                         it->second.prefixes, [&](auto const& prefixes)
-                         { return prefixes.contains(prefix) == (status == 200); });
+        is_allowed =
+            is_allowed ||
+            std::ranges::any_of(
+                it->second.prefixes, [&](auto const& prefixes)
+                { return prefixes.contains(prefix) == (status == 200); });
     }
     if (!is_allowed)
     {
--- a/soak/config_ledger.hpp
+++ b/soak/config_ledger.hpp
@@ -25,7 +25,8 @@
     }
 
     /// Two configurations may be sent under one version by two operators.
-    auto on_sent(std::int64_t version, nlohmann::json document) -> void;
+    auto on_sent(std::int64_t version, nlohmann::json document, time_point now)
+        -> void;
     auto on_answer(std::int64_t version, bool is_valid, int status,
                    std::string const& node, time_point now) -> void;
     auto on_read(std::string const& node, std::string const& body,
@@ -34,7 +35,9 @@
     auto on_count(std::string const& node, std::string const& prefix,
                   int status, time_point sent_at, time_point now) -> void;
 
-    [[nodiscard]] auto newest_acknowledged() const -> std::int64_t;
+    /// Reports what should have been acknowledged by now.
+    auto check(time_point now) -> void;
+
     [[nodiscard]] auto acknowledged() const -> std::size_t
     {
         return acknowledged_.size();
@@ -45,6 +48,7 @@
 private:
     struct version
     {
+        time_point sent_at{}; ///< first
         std::vector<nlohmann::json> documents;
         std::vector<std::set<std::string>> prefixes; ///< of each document
     };
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -177,7 +177,8 @@
     auto const pid = system_.at(name).pid;
     for (std::uint64_t n = 0; n < signals; ++n)
     {
-        after(milliseconds{700} * n, [this, name, pid]
+        after(milliseconds{700} * n,
+              [this, name, pid]
               {
                   if (system_.at(name).pid == pid)
                   {
@@ -185,7 +186,8 @@
                   }
               });
     }
-    after(grace, [this, name, pid]
+    after(grace,
+          [this, name, pid]
           {
               if (system_.at(name).pid == pid)
               {
@@ -217,8 +219,8 @@
     kill(name, milliseconds{50});
     if (times > 1)
     {
-        after(milliseconds{400}, [this, name, times]
-              { restart_in_series(name, times - 1); });
+        after(milliseconds{400},
+              [this, name, times] { restart_in_series(name, times - 1); });
     }
 }
 
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -29,14 +29,14 @@
     replace_control, ///< gone for good; another one comes at a new address
     kill_entry,
     freeze_entry,
-    end_entry,      ///< SIGTERM, repeated or not
-    end_entries,    ///< several, one after the other, overlapping
-    hang_up,        ///< SIGHUP to all, with settings files that change
-    crash_workers,  ///< down, silent or not, and back under their ids or others
-    late_workers,   ///< leave orders unanswered and carry them out late
+    end_entry,     ///< SIGTERM, repeated or not
+    end_entries,   ///< several, one after the other, overlapping
+    hang_up,       ///< SIGHUP to all, with settings files that change
+    crash_workers, ///< down, silent or not, and back under their ids or others
+    late_workers,  ///< leave orders unanswered and carry them out late
     freeze_workers,
     drain_workers,
-    cut_links,   ///< between entries and workers, one way or both
+    cut_links, ///< between entries and workers, one way or both
     slow_links,
     reset_links,
 };
@@ -76,7 +76,8 @@
     using names = std::vector<std::string>;
 
     auto begin(fault const& it) -> void;
-    auto pick(std::mt19937_64& random, names from, std::size_t n) const -> names;
+    auto pick(std::mt19937_64& random, names from, std::size_t n) const
+        -> names;
     auto pick_workers(std::mt19937_64& random) -> std::vector<worker*>;
     auto after(duration delay, std::function<void()> run) -> void;
     auto kill(std::string const& name, duration down) -> void;
--- a/soak/http.cpp
+++ b/soak/http.cpp
@@ -24,7 +24,8 @@
 
 auto lower_case(std::string text) -> std::string
 {
-    std::ranges::transform(text, text.begin(), [](char c)
+    std::ranges::transform(text, text.begin(),
+                           [](char c)
                            { return c >= 'A' && c <= 'Z' ? char(c + 32) : c; });
     return text;
 }
@@ -41,8 +42,8 @@
     auto const colon = address.rfind(':');
     sockaddr_in out{};
     out.sin_family = AF_INET;
-    out.sin_port = htons(
-        static_cast<std::uint16_t>(to_number(address.substr(colon + 1))));
+    out.sin_port =
+        htons(static_cast<std::uint16_t>(to_number(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
     return out;
 }
@@ -76,7 +77,8 @@
     auto line_begin = std::size_t{0};
     while (line_begin < head_end)
     {
-        auto const line_end = std::min(held_.find("\r\n", line_begin), head_end);
+        auto const line_end =
+            std::min(held_.find("\r\n", line_begin), head_end);
         auto const line = held_.substr(line_begin, line_end - line_begin);
         line_begin = line_end + 2;
         if (out.first_line.empty())
@@ -133,9 +135,10 @@
         return G_SOURCE_CONTINUE;
     };
     // A paused stream is not told of the end of its peer either.
-    source_ = events == 0 ? 0
-                          : g_unix_fd_add(fd_, static_cast<GIOCondition>(events),
-                                          ready, this);
+    source_ = events == 0
+                  ? 0
+                  : g_unix_fd_add(fd_, static_cast<GIOCondition>(events), ready,
+                                  this);
 }
 
 auto stream::serve(unsigned events) -> void
@@ -301,8 +304,8 @@
         auto const fd = connect_to(address_);
         if (fd < 0)
         {
-            timeout_ = clock_.start_timer(
-                duration{0}, [this] { finish(call_end::not_connected); });
+            timeout_ = clock_.start_timer(duration{0}, [this]
+                                          { finish(call_end::not_connected); });
             return;
         }
         stream_ = std::make_unique<stream>(fd);
@@ -314,22 +317,21 @@
                 close();
                 return;
             }
-            auto const was_sent = result_.reused || got_bytes_ ||
-                                  stream_->unsent() == 0;
+            auto const was_sent =
+                result_.reused || got_bytes_ || stream_->unsent() == 0;
             finish(was_sent ? call_end::cut : call_end::not_connected);
         };
     }
     result_.sent_at = clock_.now();
-    timeout_ = clock_.start_timer(it.timeout,
-                                  [this] { finish(call_end::timed_out); });
+    timeout_ =
+        clock_.start_timer(it.timeout, [this] { finish(call_end::timed_out); });
     constexpr auto answer_margin = std::chrono::milliseconds{50};
-    auto const wait = std::chrono::duration_cast<milliseconds>(
-        it.timeout - answer_margin);
+    auto const wait =
+        std::chrono::duration_cast<milliseconds>(it.timeout - answer_margin);
     stream_->write(it.method + " " + it.path + " HTTP/1.1\r\nHost: " + it.host +
                    "\r\nContent-Type: application/json\r\nTimeout-Ms: " +
-                   std::to_string(wait.count()) +
-                   "\r\nContent-Length: " + std::to_string(it.body.size()) +
-                   "\r\n\r\n" + it.body);
+                   std::to_string(wait.count()) + "\r\nContent-Length: " +
+                   std::to_string(it.body.size()) + "\r\n\r\n" + it.body);
 }
 
 auto http_connection::take(std::string_view bytes) -> void
@@ -340,9 +342,8 @@
     {
         // "HTTP/1.1 200 OK"
         constexpr std::size_t status_at = 9;
-        result_.status = static_cast<int>(
-            to_number(it->first_line.substr(std::min(
-                status_at, it->first_line.size()))));
+        result_.status = static_cast<int>(to_number(
+            it->first_line.substr(std::min(status_at, it->first_line.size()))));
         result_.answer = std::move(*it);
         finish(call_end::answered);
     }
@@ -393,9 +394,10 @@
     auto node = connections_.extract(id);
     auto socket = std::move(node.mapped().socket);
     socket->close();
-    g_idle_add_once([](gpointer old)
-                    { std::default_delete<stream>{}(static_cast<stream*>(old)); },
-                    socket.release());
+    g_idle_add_once(
+        [](gpointer old)
+        { std::default_delete<stream>{}(static_cast<stream*>(old)); },
+        socket.release());
 }
 
 auto http_server::serve(std::uint64_t id) -> void
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -35,6 +35,8 @@
         return "config_invalid";
     case promise::config_missing:
         return "config_missing";
+    case promise::unacknowledged:
+        return "unacknowledged";
     case promise::process:
         break;
     }
@@ -98,9 +100,10 @@
     }
 }
 
-auto ledger::on_cancel_sent(std::string const& id) -> void
+auto ledger::on_cancel_sent(std::string const& id, time_point now) -> void
 {
-    workflows_.at(id).cancel_sent = true;
+    auto& it = workflows_.at(id);
+    it.cancel_sent = it.cancel_sent.value_or(now);
 }
 
 auto ledger::on_cancel_answer(std::string const& id, time_point now) -> void
@@ -119,9 +122,9 @@
     for (auto n = 0; n < it.plan.steps[static_cast<std::size_t>(step)].tasks;
          ++n)
     {
-        auto const found = it.tasks.find(
-            it.plan.id + "." + std::to_string(occurrence) + "." +
-            std::to_string(step) + "." + std::to_string(n));
+        auto const found =
+            it.tasks.find(it.plan.id + "." + std::to_string(occurrence) + "." +
+                          std::to_string(step) + "." + std::to_string(n));
         if (found == it.tasks.end() || !found->second.done)
         {
             return false;
@@ -151,17 +154,19 @@
     if (spec != it.plan.spec || step >= it.plan.steps.size() ||
         name->index >= it.plan.steps[step].tasks || name->occurrence != 0)
     {
-        report(promise::unasked, where + ": the order differs from what was sent",
-               now);
+        report(promise::unasked,
+               where + ": the order differs from what was sent", now);
         return;
     }
     auto& all = it.tasks[key.task];
     if (!checkpoint.empty() && !all.checkpoints.contains(checkpoint))
     {
         report(promise::unasked,
-               where + ": checkpoint " + checkpoint + " is not the task's", now);
+               where + ": checkpoint " + checkpoint + " is not the task's",
+               now);
     }
-    if (it.cancelled_at && !is_late && now > *it.cancelled_at + limits_.cancel &&
+    if (it.cancelled_at && !is_late &&
+        now > *it.cancelled_at + limits_.cancel &&
         is_calm(now - limits_.contact))
     {
         report(promise::unasked, where + ": starts after its cancel", now);
@@ -259,6 +264,12 @@
     constexpr auto listing_time = std::chrono::milliseconds{100};
     for (auto& [id, it] : workflows_)
     {
+        if (it.cancel_sent && !it.cancelled_at &&
+            now > *it.cancel_sent + limits_.acknowledge &&
+            is_calm(now - limits_.acknowledge - limits_.contact))
+        {
+            report(promise::unacknowledged, "the cancel of " + id, now);
+        }
         auto const due = it.cancelled_at.value_or(time_point::max() -
                                                   std::chrono::hours{1}) +
                          limits_.cancel + limits_.stop + listing_time;
@@ -296,9 +307,7 @@
     auto& it = workflows_.at(id);
     it.shown = state;
     auto const seen = id + " shown as " + state + " by " + node;
-    auto const in_touch =
-        disturbed_.is_undisturbed(node, sent_at - limits_.contact) &&
-        disturbed_.are_undisturbed('c', sent_at - limits_.contact);
+    auto const in_touch = is_undisturbed(node, sent_at);
     if (state == "unknown")
     {
         if (it.accepted_at && !it.cancel_sent && in_touch &&
@@ -347,8 +356,8 @@
     {
         return;
     }
-    auto const planned = disturbed_.was_planned(
-        node, sent_at - limits_.grace - end_margin, now);
+    auto const planned =
+        disturbed_.was_planned(node, sent_at - limits_.grace - end_margin, now);
     auto const waited =
         std::chrono::duration_cast<milliseconds>(now - sent_at).count();
     report(promise::cut,
@@ -359,6 +368,14 @@
            now);
 }
 
+auto ledger::is_undisturbed(std::string const& node, time_point sent_at) const
+    -> bool
+{
+    auto const since = sent_at - limits_.contact;
+    return disturbed_.is_undisturbed(node, since) &&
+           disturbed_.are_undisturbed('c', since);
+}
+
 auto ledger::on_process_end(std::string const& node, int code, time_point now)
     -> void
 {
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -24,6 +24,7 @@
     duration contact{std::chrono::milliseconds{3000}};
     duration config_apply{std::chrono::milliseconds{2000}};
     duration cancel{std::chrono::milliseconds{3000}};
+    duration acknowledge{std::chrono::milliseconds{4000}};
     duration stop{std::chrono::milliseconds{400}};
     duration visible{std::chrono::milliseconds{3000}};
     duration drain{std::chrono::milliseconds{2000}};
@@ -45,6 +46,7 @@
     config_refused, ///< a valid configuration is refused
     config_invalid, ///< an invalid one is acknowledged or in force
     config_missing, ///< no configuration can be read in the end
+    unacknowledged, ///< a cancel or a configuration, although nothing is wrong
     process,        ///< a process ends by itself
 };
 
@@ -122,7 +124,7 @@
     auto on_submission(workflow_plan const& plan) -> void;
     auto on_submission_answer(std::string const& id, submission_answer it,
                               time_point now) -> void;
-    auto on_cancel_sent(std::string const& id) -> void;
+    auto on_cancel_sent(std::string const& id, time_point now) -> void;
     auto on_cancel_answer(std::string const& id, time_point now) -> void;
     /// A state as shown by a node; "unknown" for a workflow that it doesn't
     /// know.
@@ -147,6 +149,14 @@
     /// Checks what holds at a point of time after a cancel.
     auto check_cancelled(time_point now) -> void;
 
+    /// True if nothing has harmed a node, or the control processes, for long
+    /// enough before a request.
+    [[nodiscard]] auto is_undisturbed(std::string const& node,
+                                      time_point sent_at) const -> bool;
+
+    /// The same for all control and entry processes since a point of time.
+    [[nodiscard]] auto is_calm(time_point since) const -> bool;
+
     auto on_process_end(std::string const& node, int code, time_point now)
         -> void;
 
@@ -198,14 +208,13 @@
         std::size_t attempts{0};
         std::optional<time_point> accepted_at;
         std::optional<time_point> cancelled_at; ///< acknowledged
-        bool cancel_sent{false};
+        std::optional<time_point> cancel_sent;
         bool cancel_checked{false};
         std::string shown; ///< the last state that was answered
     };
 
     [[nodiscard]] auto is_step_done(workflow const& it, int occurrence,
                                     int step) const -> bool;
-    [[nodiscard]] auto is_calm(time_point since) const -> bool;
 
     bounds limits_;
     disturbances const& disturbed_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -51,6 +51,7 @@
 constexpr auto recovery = seconds{12};
 constexpr auto finish = seconds{14};
 constexpr auto poll = milliseconds{100};
+constexpr auto late_loop = milliseconds{300};
 
 class soak_run
 {
@@ -61,8 +62,7 @@
           system_(clock_, seen_, disturbed_, deployment()),
           balancer_(clock_, system_),
           clients_(clock_, system_, balancer_, seen_, configs_,
-                   options_.seed + 1,
-                   traffic{options_.submissions_per_s}),
+                   options_.seed + 1, traffic{options_.submissions_per_s}),
           operators_(clock_, system_, configs_, clients_, options_.seed + 2),
           faults_(clock_, system_, workers_, disturbed_,
                   [this](std::string const& line) { log(line); })
@@ -138,9 +138,9 @@
             place.rack = "r" + std::to_string(n / zones / rack) + "-" + zone;
             place.listen_at = net + ".1" + zone + "." + host + ":8000";
             place.proxy_at = net + ".1" + zone + "." + host + ":8001";
-            workers_.push_back(std::make_unique<worker>(
-                clock_, seen_, options_.seed + n, place,
-                system_.addresses('c')));
+            workers_.push_back(
+                std::make_unique<worker>(clock_, seen_, options_.seed + n,
+                                         place, system_.addresses('c')));
             workers_.back()->start(true);
         }
     }
@@ -149,20 +149,35 @@
     {
         configured_ = true;
         log("configured");
-        check_cancels();
+        watch();
         clock_.start_timer(lead, [this] { clients_.start(); });
         auto const schedule = make_schedule(options_.seed, options_.length);
         clock_.start_timer(lead, [this, schedule] { faults_.run(schedule); });
         clock_.start_timer(lead + options_.length, [this] { close(); });
     }
 
-    auto check_cancels() -> void
+    /// A machine that is late with this loop is late with the processes too,
+    /// which excuses them as a slow machine does.
+    auto watch() -> void
     {
         clock_.start_timer(poll,
-                           [this]
+                           [this, due = clock_.now() + poll]
                            {
-                               check_cancels();
+                               watch();
+                               if (clock_.now() - due > late_loop)
+                               {
+                                   ++late_turns_;
+                                   for (auto const kind : {'c', 'e'})
+                                   {
+                                       for (auto const& it :
+                                            system_.names(kind))
+                                       {
+                                           disturbed_.mark(it, clock_.now());
+                                       }
+                                   }
+                               }
                                seen_.check_cancelled(clock_.now());
+                               configs_.check(clock_.now());
                            });
     }
 
@@ -202,8 +217,8 @@
             seen_.report(promise::lost,
                          id + ": accepted, and its state is not answered", now);
         }
-        for (auto const& id : has_room() ? seen_.accepted()
-                                         : std::vector<std::string>{})
+        for (auto const& id :
+             has_room() ? seen_.accepted() : std::vector<std::string>{})
         {
             if (!seen_.is_shown_as_ended(id) && !seen_.is_running(id))
             {
@@ -255,8 +270,8 @@
 
     auto log(std::string const& line) -> void
     {
-        auto const ms = std::chrono::duration_cast<milliseconds>(clock_.now() -
-                                                                 began_);
+        auto const ms =
+            std::chrono::duration_cast<milliseconds>(clock_.now() - began_);
         std::cout << std::setw(7) << ms.count() << " ms  " << line << std::endl;
     }
 
@@ -277,7 +292,8 @@
             std::to_string(seen_.cancels()) + ", configurations " +
             std::to_string(configs_.acknowledged()) + ", reads " +
             std::to_string(configs_.reads()) + ", counts " +
-            std::to_string(configs_.counts()) + calls);
+            std::to_string(configs_.counts()) + ", late turns " +
+            std::to_string(late_turns_) + calls);
         auto const n = seen_.findings().size();
         // A run in which nothing was served shows nothing.
         auto const is_idle = seen_.starts() == 0 || configs_.reads() == 0;
@@ -308,6 +324,7 @@
     time_point began_{};
     time_point ended_{};
     std::size_t printed_{0};
+    std::size_t late_turns_{0};
     bool configured_{false};
 };
 
@@ -316,19 +333,25 @@
     cxxopts::Options table{"soak", "Randomized soak of real processes"};
     table.add_options()("binary", "program under test",
                         cxxopts::value<std::string>())(
-        "seed", "of the schedule", cxxopts::value<std::uint64_t>())(
+        "templates", "folder with the templates of the settings files",
+        cxxopts::value<std::string>())("seed", "of the schedule",
+                                       cxxopts::value<std::uint64_t>())(
         "seconds", "of traffic with faults", cxxopts::value<int>())(
         "entries", "entry processes", cxxopts::value<std::size_t>())(
         "workers", "workers", cxxopts::value<std::size_t>())(
         "rate", "submissions a second", cxxopts::value<double>())(
-        "unread-logs", "logs go to pipes that nobody reads")(
-        "keep", "keep the logs");
+        "unread-logs", "logs go to pipes that nobody reads")("keep",
+                                                             "keep the logs");
     auto const got = table.parse(argc, argv);
     options out;
     out.binary = got["binary"].as<std::string>();
+    if (got.count("templates") > 0)
+    {
+        out.templates = got["templates"].as<std::string>();
+    }
     out.seed = got.count("seed") > 0 ? got["seed"].as<std::uint64_t>() : 1;
-    out.length = seconds{
-        got.count("seconds") > 0 ? got["seconds"].as<int>() : 60};
+    out.length =
+        seconds{got.count("seconds") > 0 ? got["seconds"].as<int>() : 60};
     out.entries =
         got.count("entries") > 0 ? got["entries"].as<std::size_t>() : 6;
     out.workers =
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -19,16 +19,11 @@
 
 auto route(std::string const& prefix, int priority)
 {
-    return nlohmann::json{{"name", "r" + prefix},
-                          {"host", "q.example"},
-                          {"path_prefix", prefix},
-                          {"kind", "non_idempotent"},
-                          {"timeout_ms", 3000},
-                          {"target_duration_ms", 1000},
-                          {"priority", priority},
-                          {"service", "s"},
-                          {"max_attempts", 4},
-                          {"stretch", 2.0}};
+    return nlohmann::json{{"name", "r" + prefix},  {"host", "q.example"},
+                          {"path_prefix", prefix}, {"kind", "non_idempotent"},
+                          {"timeout_ms", 3000},    {"target_duration_ms", 1000},
+                          {"priority", priority},  {"service", "s"},
+                          {"max_attempts", 4},     {"stretch", 2.0}};
 }
 
 } // namespace
@@ -43,22 +38,21 @@
 
 auto operators::document(std::int64_t version) const -> json
 {
-    auto routes = json::array({route("/check/", 0), route("/report/", 2),
-                               route("/watch/", 0)});
+    auto routes = json::array(
+        {route("/check/", 0), route("/report/", 2), route("/watch/", 0)});
     for (auto const& prefix : routes_)
     {
         routes.push_back(route(prefix, 0));
     }
     return {{"version", version},
             {"routes", routes},
-            {"services",
-             json::array({{{"name", "s"},
-                           {"health_path", "/health"},
-                           {"max_conns", 64},
-                           {"protocol", "h1"},
-                           {"tls", false},
-                           {"rejects_overload", true},
-                           {"standby", false}}})},
+            {"services", json::array({{{"name", "s"},
+                                       {"health_path", "/health"},
+                                       {"max_conns", 64},
+                                       {"protocol", "h1"},
+                                       {"tls", false},
+                                       {"rejects_overload", true},
+                                       {"standby", false}}})},
             {"limits",
              {{"max_header_bytes", 16384},
               {"max_body_bytes", 262144},
@@ -69,7 +63,7 @@
 auto operators::start(std::function<void()> configured) -> void
 {
     auto const first = document(++version_);
-    configs_.on_sent(version_, first);
+    configs_.on_sent(version_, first, clock_.now());
     ++open_;
     send(std::make_shared<std::string const>(first.dump()), version_, true,
          many_attempts,
@@ -127,35 +121,36 @@
 {
     constexpr std::array gaps{milliseconds{40}, milliseconds{300},
                               milliseconds{1000}, milliseconds{2500}};
-    clock_.start_timer(
-        gaps[random_() % gaps.size()],
-        [this]
-        {
-            if (stopped_)
-            {
-                return;
-            }
-            next_round();
-            constexpr std::array bursts{1, 1, 2, 3, 5};
-            for (auto n = bursts[random_() % bursts.size()];
-                 n > 0 && open_ < max_open; --n)
-            {
-                version_ += 1 + static_cast<std::int64_t>(random_() % 5);
-                change_routes();
-                auto const mine = document(version_);
-                send_change(mine, true);
-                if (random_() % 6 == 0)
-                {
-                    // Another operator sends other content as this version.
-                    change_routes();
-                    send_change(document(version_), true);
-                }
-                if (random_() % 4 == 0)
-                {
-                    send_invalid();
-                }
-            }
-        });
+    clock_.start_timer(gaps[random_() % gaps.size()],
+                       [this]
+                       {
+                           if (stopped_)
+                           {
+                               return;
+                           }
+                           next_round();
+                           constexpr std::array bursts{1, 1, 2, 3, 5};
+                           for (auto n = bursts[random_() % bursts.size()];
+                                n > 0 && open_ < max_open; --n)
+                           {
+                               version_ +=
+                                   1 + static_cast<std::int64_t>(random_() % 5);
+                               change_routes();
+                               auto const mine = document(version_);
+                               send_change(mine, true);
+                               if (random_() % 6 == 0)
+                               {
+                                   // Another operator sends other content as
+                                   // this version.
+                                   change_routes();
+                                   send_change(document(version_), true);
+                               }
+                               if (random_() % 4 == 0)
+                               {
+                                   send_invalid();
+                               }
+                           }
+                       });
 }
 
 auto operators::send_change(json const& it, bool is_valid) -> void
@@ -163,7 +158,7 @@
     auto const number = it["version"].get<std::int64_t>();
     if (is_valid)
     {
-        configs_.on_sent(number, it);
+        configs_.on_sent(number, it, clock_.now());
     }
     ++open_;
     auto body = std::make_shared<std::string const>(it.dump());
@@ -223,42 +218,39 @@
 {
     auto const names = system_.names('c');
     auto const node = names[random_() % names.size()];
-    auto const to = std::make_shared<http_connection>(
-        clock_, system_.at(node).served_at());
+    auto const to =
+        std::make_shared<http_connection>(clock_, system_.at(node).served_at());
     constexpr std::size_t bytes_per_ms = 200;
     auto const timeout =
         std::chrono::seconds{1} + milliseconds{body->size() / bytes_per_ms};
-    to->call(
-        {"PUT", "/config", "operator", *body, timeout},
-        [this, to, node, body, version, is_valid, attempts_left,
-         done = std::move(done)](call_result const& it)
-        {
-            // The connection is destroyed after this callback.
-            clock_.start_timer(duration{0}, [to] {});
-            configs_.on_answer(version, is_valid, it.status, node,
-                               clock_.now());
-            auto const is_final =
-                it.status == 200 || it.status == 400 || it.status == 409 ||
-                it.status == 412 || it.status == 413 || it.status == 422;
-            if (it.status == 200 && on_acknowledged)
-            {
-                on_acknowledged(node);
-            }
-            if (is_final || attempts_left <= 1)
-            {
-                --open_;
-                done();
-                return;
-            }
-            constexpr auto retry = milliseconds{100};
-            clock_.start_timer(retry,
-                               [this, body, version, is_valid, attempts_left,
-                                done]
-                               {
-                                   send(body, version, is_valid,
-                                        attempts_left - 1, done);
-                               });
-        });
+    to->call({"PUT", "/config", "operator", *body, timeout},
+             [this, to, node, body, version, is_valid, attempts_left,
+              done = std::move(done)](call_result const& it)
+             {
+                 // The connection is destroyed after this callback.
+                 clock_.start_timer(duration{0}, [to] {});
+                 configs_.on_answer(version, is_valid, it.status, node,
+                                    clock_.now());
+                 auto const is_final = it.status == 200 || it.status == 400 ||
+                                       it.status == 409 || it.status == 412 ||
+                                       it.status == 413 || it.status == 422;
+                 if (it.status == 200 && on_acknowledged)
+                 {
+                     on_acknowledged(node);
+                 }
+                 if (is_final || attempts_left <= 1)
+                 {
+                     --open_;
+                     done();
+                     return;
+                 }
+                 constexpr auto retry = milliseconds{100};
+                 clock_.start_timer(
+                     retry,
+                     [this, body, version, is_valid, attempts_left, done] {
+                         send(body, version, is_valid, attempts_left - 1, done);
+                     });
+             });
 }
 
 auto operators::read_later(std::string const& node) -> void
@@ -277,18 +269,18 @@
                 it = std::make_unique<http_connection>(
                     clock_, system_.at(node).served_at());
             }
-            it->call({"GET", "/config", "operator", "",
-                      std::chrono::seconds{2}},
-                     [this, node](call_result const& got)
-                     {
-                         if (got.status == 200)
-                         {
-                             answering_.insert(node);
-                             configs_.on_read(node, got.answer.body,
-                                              got.sent_at, clock_.now());
-                         }
-                         read_later(node);
-                     });
+            it->call(
+                {"GET", "/config", "operator", "", std::chrono::seconds{2}},
+                [this, node](call_result const& got)
+                {
+                    if (got.status == 200)
+                    {
+                        answering_.insert(node);
+                        configs_.on_read(node, got.answer.body, got.sent_at,
+                                         clock_.now());
+                    }
+                    read_later(node);
+                });
         });
 }
 
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -115,8 +115,9 @@
 
 auto processes::write_settings(machine const& it, bool first) -> void
 {
-    auto text = read_text(options_.templates /
-                          (it.is_control() ? "control.yaml.in" : "entry.yaml.in"));
+    auto text =
+        read_text(options_.templates /
+                  (it.is_control() ? "control.yaml.in" : "entry.yaml.in"));
     auto const list_begin = text.find("{{#seeds}}");
     std::string const list_end{"{{/seeds}}"};
     auto const end = text.find(list_end);
@@ -172,10 +173,10 @@
     if (pid == 0)
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        auto const out = options_.unread_logs
-                             ? unread[1]
-                             : ::open(log.c_str(),
-                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
+        auto const out =
+            options_.unread_logs
+                ? unread[1]
+                : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
         ::execl(binary.c_str(), binary.c_str(), role, settings.c_str(),
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -28,7 +28,10 @@
     bool ending{false}; ///< by a signal of the soak
     bool removed{false};
 
-    [[nodiscard]] auto is_control() const -> bool { return name.front() == 'c'; }
+    [[nodiscard]] auto is_control() const -> bool
+    {
+        return name.front() == 'c';
+    }
     [[nodiscard]] auto is_running() const -> bool { return pid > 0; }
     /// Address at which callers (entry) or operators and workers (control)
     /// are served.
@@ -39,7 +42,8 @@
 struct deployment_options
 {
     std::filesystem::path binary;
-    std::filesystem::path templates; ///< folder of control.yaml.in, entry.yaml.in
+    std::filesystem::path
+        templates; ///< folder of control.yaml.in, entry.yaml.in
     std::filesystem::path folder;
     int first_octets{10}; ///< addresses are 127.first_octets.zone.number
     std::size_t control{5};
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -21,8 +21,7 @@
 public:
     proxy(glib_clock& clock, std::string listen_at, std::string target)
         : clock_(clock), listen_at_(std::move(listen_at)),
-          target_(std::move(target)),
-          listener_([this](int fd) { accept(fd); })
+          target_(std::move(target)), listener_([this](int fd) { accept(fd); })
     {
     }
     proxy(proxy const&) = delete;
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -129,9 +129,8 @@
         schedule_beat(heartbeat);
         return;
     }
-    auto const target = beat_to_.empty()
-                            ? control_[next_control_ % control_.size()]
-                            : beat_to_;
+    auto const target =
+        beat_to_.empty() ? control_[next_control_ % control_.size()] : beat_to_;
     if (!beats_ || beats_->address() != target)
     {
         beats_ = std::make_unique<http_connection>(clock_, target);
@@ -154,15 +153,15 @@
         body["drain_remaining_ms"] = milliseconds{drain_time}.count();
     }
     auto const life = life_;
-    beats_->call({"PUT", "/instances/" + id_, target, body.dump(),
-                  beat_timeout},
-                 [this, life, state = state_](call_result const& it)
-                 {
-                     if (life == life_ && is_up_)
-                     {
-                         take_beat_answer(state, it);
-                     }
-                 });
+    beats_->call(
+        {"PUT", "/instances/" + id_, target, body.dump(), beat_timeout},
+        [this, life, state = state_](call_result const& it)
+        {
+            if (life == life_ && is_up_)
+            {
+                take_beat_answer(state, it);
+            }
+        });
 }
 
 auto worker::take_beat_answer(std::string const& state, call_result const& it)
@@ -233,8 +232,9 @@
                        {
                            if (is_up_ && life == life_)
                            {
-                               carry_out(path, body,
-                                         [](int, std::string const&) {}, true);
+                               carry_out(
+                                   path, body, [](int, std::string const&) {},
+                                   true);
                            }
                        });
 }
@@ -507,9 +507,9 @@
     std::vector<std::string> lapsed;
     for (auto& [task, it] : runs_)
     {
-        auto const age = std::chrono::duration_cast<milliseconds>(
-                             clock_.now() - it.since)
-                             .count();
+        auto const age =
+            std::chrono::duration_cast<milliseconds>(clock_.now() - it.since)
+                .count();
         if (it.step.checkpoints && age >= checkpoint_ms)
         {
             advance(it);
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -109,7 +109,7 @@
 
 TEST_F(soak_ledger, finds_a_start_after_a_cancel)
 {
-    seen.on_cancel_sent("f1");
+    seen.on_cancel_sent("f1", at(900));
     seen.on_cancel_answer("f1", at(1000));
     start("f1.0.0.0", 1, "w1", 3900);
     EXPECT_EQ(broken(), found{});
@@ -120,7 +120,7 @@
 TEST_F(soak_ledger, finds_a_run_that_outlives_its_cancel_once_all_is_calm)
 {
     start("f1.0.0.0", 1, "w1", 100);
-    seen.on_cancel_sent("f1");
+    seen.on_cancel_sent("f1", at(900));
     seen.on_cancel_answer("f1", at(1000));
     disturbed.mark("c1", at(3000));
     seen.check_cancelled(at(4600));
@@ -192,8 +192,8 @@
 
 TEST_F(soak_ledger, finds_configurations_that_go_back_or_were_never_sent)
 {
-    configs.on_sent(3, configuration(3, "/a/"));
-    configs.on_sent(5, configuration(5, "/b/"));
+    configs.on_sent(3, configuration(3, "/a/"), at(0));
+    configs.on_sent(5, configuration(5, "/b/"), at(0));
     configs.on_answer(3, true, 200, "c0", at(0));
     configs.on_answer(5, true, 200, "c0", at(0));
     configs.on_read("c1", configuration(3, "/a/").dump(), at(1900), at(1910));
@@ -210,13 +210,26 @@
 
 TEST_F(soak_ledger, finds_wrong_answers_to_configurations)
 {
-    configs.on_sent(3, configuration(3, "/a/"));
+    configs.on_sent(3, configuration(3, "/a/"), at(0));
     configs.on_answer(3, true, 409, "c0", at(0));
     configs.on_answer(9, false, 200, "c0", at(0));
     EXPECT_EQ(broken(),
               (found{promise::config_refused, promise::config_invalid}));
 }
 
+TEST_F(soak_ledger, finds_changes_that_are_not_acknowledged_while_all_is_calm)
+{
+    configs.on_sent(3, configuration(3, "/a/"), at(0));
+    seen.on_cancel_sent("f1", at(0));
+    configs.check(at(3900));
+    seen.check_cancelled(at(3900));
+    EXPECT_EQ(broken(), found{});
+    configs.check(at(4100));
+    seen.check_cancelled(at(4100));
+    EXPECT_EQ(broken(),
+              (found{promise::unacknowledged, promise::unacknowledged}));
+}
+
 TEST(soak_schedule, is_the_same_for_the_same_seed)
 {
     auto const length = std::chrono::seconds{60};
