--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -218,7 +218,7 @@
     }
 }
 
-auto ledger::on_end(run_key const& key, std::string const& how, time_point)
+auto ledger::on_end(run_key const& key, std::string const& how, time_point now)
     -> void
 {
     auto const name = task_name::parse(key.task);
@@ -226,6 +226,7 @@
     {
         return;
     }
+    workflows_.at(name->workflow).last_run_end = now;
     auto& all = workflows_.at(name->workflow).tasks[key.task];
     for (auto& it : all.runs)
     {
@@ -421,11 +422,16 @@
     return true;
 }
 
-auto ledger::is_running(std::string const& id) const -> bool
+auto ledger::is_idle_since(std::string const& id, time_point since) const
+    -> bool
 {
-    return std::ranges::any_of(
-        workflows_.at(id).tasks, [](auto const& each)
-        { return std::ranges::any_of(each.second.runs, &run::at_work); });
+    auto const& it = workflows_.at(id);
+    return it.last_run_end < since &&
+           std::ranges::none_of(it.tasks,
+                                [](auto const& each) {
+                                    return std::ranges::any_of(each.second.runs,
+                                                               &run::at_work);
+                                });
 }
 
 auto ledger::is_shown_as_ended(std::string const& id) const -> bool
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -167,7 +167,9 @@
         -> workflow_plan const*;
     [[nodiscard]] auto is_permanent(std::string const& id) const -> bool;
     [[nodiscard]] auto is_done(std::string const& id) const -> bool;
-    [[nodiscard]] auto is_running(std::string const& id) const -> bool;
+    /// True if none of its runs has been at work since a point of time.
+    [[nodiscard]] auto is_idle_since(std::string const& id,
+                                     time_point since) const -> bool;
     /// The last state that was shown, and the ends of the runs so far.
     [[nodiscard]] auto describe(std::string const& id) const -> std::string;
     [[nodiscard]] auto is_shown_as_ended(std::string const& id) const -> bool;
@@ -210,6 +212,7 @@
         std::optional<time_point> cancelled_at; ///< acknowledged
         std::optional<time_point> cancel_sent;
         bool cancel_checked{false};
+        time_point last_run_end{};
         std::string shown; ///< the last state that was answered
     };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -51,6 +51,8 @@
 constexpr auto recovery = seconds{12};
 constexpr auto finish = seconds{14};
 constexpr auto poll = milliseconds{100};
+/// Without a run for longer than this, a workflow that could run stands still.
+constexpr auto idle = seconds{6};
 constexpr auto late_loop = milliseconds{300};
 
 class soak_run
@@ -220,7 +222,8 @@
         for (auto const& id :
              has_room() ? seen_.accepted() : std::vector<std::string>{})
         {
-            if (!seen_.is_shown_as_ended(id) && !seen_.is_running(id))
+            if (!seen_.is_shown_as_ended(id) &&
+                seen_.is_idle_since(id, now - idle))
             {
                 seen_.report(promise::lost,
                              "nothing runs of " + seen_.describe(id), now);
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -69,10 +69,7 @@
          many_attempts,
          [this, configured = std::move(configured)]
          {
-             for (auto const& name : system_.names('c'))
-             {
-                 read_later(name);
-             }
+             read_all();
              next_round();
              configured();
          });
@@ -253,6 +250,22 @@
              });
 }
 
+/// Looks for control processes that were added.
+auto operators::read_all() -> void
+{
+    constexpr auto interval = std::chrono::seconds{1};
+    clock_.start_timer(interval, [this] { read_all(); });
+    for (auto const& name : system_.names('c'))
+    {
+        if (!readers_.contains(name))
+        {
+            readers_[name] = std::make_unique<http_connection>(
+                clock_, system_.at(name).served_at());
+            read_later(name);
+        }
+    }
+}
+
 auto operators::read_later(std::string const& node) -> void
 {
     clock_.start_timer(
@@ -263,13 +276,7 @@
             {
                 return;
             }
-            auto& it = readers_[node];
-            if (!it)
-            {
-                it = std::make_unique<http_connection>(
-                    clock_, system_.at(node).served_at());
-            }
-            it->call(
+            readers_.at(node)->call(
                 {"GET", "/config", "operator", "", std::chrono::seconds{2}},
                 [this, node](call_result const& got)
                 {
--- a/soak/operators.hpp
+++ b/soak/operators.hpp
@@ -56,6 +56,7 @@
               bool is_valid, int attempts_left, std::function<void()> done)
         -> void;
     auto send_invalid() -> void;
+    auto read_all() -> void;
     auto read_later(std::string const& node) -> void;
 
     glib_clock& clock_;
