Keep a cancellation that overtakes its submission

Callers saw a job run although its cancellation had been acknowledged with 410. In a run of real processes on loopback (five control and three entry processes, 16 workers, faults by signals), a client cancelled a job while its submission was still under way in another entry. The tasks started afterwards and ran until the end of the run, also long after the last fault.

The leader answered 410 from its applied state and recorded nothing, so that the submission was accepted when it arrived. The same happened to a cancellation that reached the leader between the proposal of a submission and its commit; the job was then accepted and ran on.

A cancellation is now always proposed. For an id that is not known, the state keeps it as an ended workflow that nobody has submitted: it is not shown, expires like other ended ones, and a submission that arrives later is recorded as cancelled and starts nothing. The answer, 200 or 410, is given by the state after the commit. An id longer than any that can be submitted is refused without an entry in the log. The forecast drops a submission that was admitted and came to nothing.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -613,21 +613,45 @@
         }
         workflow_id const id{std::string{found->rest}};
         auto const state = table.state(id);
-        if (!state)
+        auto const is_possible = id.value().size() <= config::max_name_length;
+        if (request.action == workflow_action::cancel && is_possible)
         {
-            refuse_call(error_kind::unknown_workflow,
-                        "no workflow " + id.value());
+            cancel(caller, id);
         }
-        else if (request.action == workflow_action::state)
+        else if (!state)
         {
-            answer(caller, workflow_answer{*state, false, {}});
+            refuse_unknown(caller, id);
         }
         else
         {
-            propose_for(caller, cancel_workflow{id, clock_.wall_now()});
+            answer(caller, workflow_answer{*state, false, {}});
         }
     }
 
+    auto refuse_unknown(call_origin const& caller, workflow_id const& id)
+        -> void
+    {
+        refuse(caller.node, caller.id, error_kind::unknown_workflow,
+               "no workflow " + id.value());
+    }
+
+    /// The submission may be proposed already, or arrive later.
+    auto cancel(call_origin const& caller, workflow_id const& id) -> void
+    {
+        command const request{cancel_workflow{id, clock_.wall_now()}};
+        replica_.propose(Codec::encode(request),
+                         [this, caller, id](result<log_index> const& done)
+                         {
+                             if (done &&
+                                 !machine_.state().workflows().state(id))
+                             {
+                                 refuse_unknown(caller, id);
+                                 return;
+                             }
+                             answer_proposal(caller, done);
+                         });
+    }
+
     auto submit(call_origin const& caller, queue_contract const& terms,
                 workflow_id const& id, std::optional<workflow_spec> spec)
         -> void
--- a/src/core/fleet/run_admission.cpp
+++ b/src/core/fleet/run_admission.cpp
@@ -55,6 +55,10 @@
         {
             forecast_.on_accepted(*record, terms_of(*record), now);
         }
+        else
+        {
+            end_forecast(submit->spec.id, now);
+        }
     }
     else if (auto const* const starts = std::get_if<start_runs>(&applied))
     {
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -157,6 +157,14 @@
     {
         return answer_at(at);
     }
+    if (auto const early = ended_.find(it.spec.id); early != ended_.end())
+    {
+        auto& cancelled = early->second;
+        cancelled.submitted = true;
+        cancelled.queue = it.terms.name;
+        cancelled.at = std::max(cancelled.at, it.submitted);
+        return answer_at(at);
+    }
     workflow_record record;
     record.spec = it.spec;
     record.terms = it.terms;
@@ -177,7 +185,21 @@
     -> apply_result
 {
     auto const found = live_.find(it.id);
-    if (found != live_.end() && found->second.is_open())
+    if (found == live_.end())
+    {
+        auto& ended =
+            ended_
+                .try_emplace(
+                    it.id,
+                    ended_workflow{
+                        it.id, {}, workflow_state::cancelled, it.at, false})
+                .first->second;
+        if (!ended.submitted)
+        {
+            ended.at = std::max(ended.at, it.at);
+        }
+    }
+    else if (found->second.is_open())
     {
         count_waiting(found->second, -1);
         remove_ready(found->second);
@@ -482,7 +504,7 @@
         return it->state();
     }
     auto const it = ended_.find(id);
-    if (it == ended_.end())
+    if (it == ended_.end() || !it->second.submitted)
     {
         return std::nullopt;
     }
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -145,23 +145,30 @@
 template <>
 inline constexpr std::size_t optional_fields<workflow_record> = 1;
 
-/// Record of a workflow after its end.
+/// Record of a workflow after its end, or of a cancelling that arrived before
+/// the submission.
 struct ended_workflow
 {
     workflow_id id;
     queue_name queue;
     workflow_state state{workflow_state::completed};
     wall_time at;
+    bool submitted{true};
 
     static constexpr auto fields()
     {
         return field_list(field("id", &ended_workflow::id),
                           field("queue", &ended_workflow::queue),
                           field("state", &ended_workflow::state),
-                          field("at", &ended_workflow::at));
+                          field("at", &ended_workflow::at),
+                          field("submitted", &ended_workflow::submitted));
     }
 };
 
+/// Snapshots of earlier versions hold submitted workflows only.
+template <>
+inline constexpr std::size_t optional_fields<ended_workflow> = 1;
+
 struct workflows_snapshot
 {
     std::vector<workflow_record> live;
@@ -202,9 +209,11 @@
     workflow_table() = default;
     explicit workflow_table(workflows_snapshot from);
 
-    /// Succeeds without a change for an id that is already recorded.
+    /// Succeeds without a change for an id that is already recorded. Starts
+    /// nothing of a workflow that was cancelled before.
     auto apply(submit_workflow const& it, revision at) -> apply_result;
-    /// Succeeds without a change for an unknown or ended workflow.
+    /// Succeeds without a change for an ended workflow. The cancelling of an
+    /// unknown one is kept, as its submission may still be under way.
     auto apply(cancel_workflow const& it, revision at) -> apply_result;
     /// Records each run that may start and ignores the others.
     auto apply(start_runs const& it, revision at) -> apply_result;
@@ -217,7 +226,7 @@
     /// Null for an unknown or ended workflow.
     [[nodiscard]] auto find(workflow_id const& id) const
         -> workflow_record const*;
-    /// State of a live or ended workflow; none if the id is unknown.
+    /// State of a live or ended workflow; none if it was not submitted.
     [[nodiscard]] auto state(workflow_id const& id) const
         -> std::optional<workflow_state>;
     /// True if the run is recorded and its end is not.
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -297,6 +297,49 @@
     EXPECT_EQ(it.refusal(after), std::nullopt);
 }
 
+// A task that started later than a cancelling was acknowledged, with an answer
+// that knows no such workflow, was never asked for.
+TEST(control_role, starts_nothing_of_a_workflow_cancelled_before_it_arrived)
+{
+    lone_leader it;
+    auto const cancel = [&it]
+    {
+        return it.call(workflow_call{workflow_action::cancel, host_name{"h"},
+                                     "/late", std::nullopt});
+    };
+    auto const read = [&it]
+    {
+        return it.call(workflow_call{workflow_action::state, host_name{"h"},
+                                     "/late", std::nullopt});
+    };
+    auto const early = cancel();
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(early), error_kind::unknown_workflow);
+    EXPECT_EQ(it.refusal(read()), error_kind::unknown_workflow);
+
+    auto const late = it.call(lone_leader::submission("late"));
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(late), std::nullopt);
+    EXPECT_EQ(it.accepted(), 0U);
+    EXPECT_EQ(it.refusal(read()), std::nullopt);
+    auto const again = cancel();
+    it.run(milliseconds{100});
+    EXPECT_EQ(it.refusal(again), std::nullopt);
+}
+
+// The submission waits for its commit while its cancelling arrives.
+TEST(control_role, cancels_a_workflow_whose_submission_is_not_committed_yet)
+{
+    lone_leader it;
+    auto const submitted = it.call(lone_leader::submission("a"));
+    auto const cancelled = it.call(workflow_call{
+        workflow_action::cancel, host_name{"h"}, "/a", std::nullopt});
+    it.run(milliseconds{200});
+    EXPECT_EQ(it.refusal(submitted), std::nullopt);
+    EXPECT_EQ(it.refusal(cancelled), std::nullopt);
+    EXPECT_EQ(it.accepted(), 0U);
+}
+
 // A caller that has been refused does not expect the workflow to run: a copy of
 // its call that is handled after the overload must not start it.
 TEST(control_role, refuses_all_copies_of_a_refused_submission)
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
@@ -278,6 +279,53 @@
     EXPECT_EQ(it.shown(), workflow_state::cancelled);
 }
 
+// A cancelling may overtake a submission that a process or a socket held up.
+TEST(workflow_table, a_submission_after_its_cancelling_starts_nothing)
+{
+    workflow_spec late;
+    late.id = workflow_id{"b"};
+    late.steps = {step(1)};
+    one_workflow it{{step(1)}};
+    auto const& table = it.state.workflows();
+    auto const ready = table.ready_count();
+    auto const at = wall_time{std::chrono::seconds{100}};
+    it.apply(cancel_workflow{late.id, at});
+    // A workflow that nobody has submitted is not shown.
+    EXPECT_EQ(table.state(late.id), std::nullopt);
+
+    state_machine restarted{it.state.snapshot()};
+    restarted.apply(submit_workflow{late, terms(), at}, log_index{50});
+    EXPECT_EQ(restarted.workflows().state(late.id), workflow_state::cancelled);
+
+    auto const submitted = at + std::chrono::seconds{20};
+    it.apply(submit_workflow{late, terms(), submitted});
+    EXPECT_EQ(table.ready_count(), ready);
+    EXPECT_EQ(table.find(late.id), nullptr);
+    EXPECT_EQ(table.waiting_count(queue_name{"q"}), 1U);
+    it.apply(expire_workflows{submitted});
+    EXPECT_EQ(table.state(late.id), workflow_state::cancelled);
+    it.apply(expire_workflows{submitted + std::chrono::seconds{1}});
+    EXPECT_EQ(table.state(late.id), std::nullopt);
+}
+
+// An unknown cancelling must not stay for ever, nor change what has ended.
+TEST(workflow_table, forgets_a_cancelling_without_a_submission)
+{
+    one_workflow it{{step(1)}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.end(one_workflow::run(0, 0, 1), run_end::finished);
+    it.apply(cancel_workflow{workflow_id{"a"}, {}});
+    EXPECT_EQ(it.shown(), workflow_state::completed);
+    auto const ended = it.state.workflows().ended_count();
+    auto const at = wall_time{std::chrono::seconds{100}};
+    it.apply(cancel_workflow{workflow_id{"b"}, at});
+    it.apply(cancel_workflow{workflow_id{"b"}, at + std::chrono::seconds{9}});
+    it.apply(expire_workflows{at + std::chrono::seconds{5}});
+    EXPECT_EQ(it.state.workflows().ended_count(), 1U);
+    it.apply(expire_workflows{at + std::chrono::seconds{10}});
+    EXPECT_EQ(it.state.workflows().ended_count(), ended - 1);
+}
+
 // One end of a gang stands for all members.
 TEST(workflow_table, ends_a_gang_with_one_of_its_members)
 {
