Send no orders through a relay whose clock is not known

An order through a relay names the time on the relay's clock until which it may be passed on, so that a relay that was frozen refuses what waited in its socket. An order to a relay whose clock the leader did not know had no such time, and was passed on at any age.

The reading leaves with a ping to the process that was the leader then. When that one does not answer, the ping is repeated to the next process without the reading, so that a new leader may know a relay, and use it, for up to 400 ms before it knows its clock. If the relay is frozen in that time, its orders reach the workers late; one that was restarted meanwhile knows neither the fence nor that the run was stopped, and starts a task of a cancelled job.

Such orders now go to the workers directly, where the request has a timeout of its own. Relays of versions that tell no clock get none.

relayed_workers_test.passes_no_order_to_a_relay_of_unknown_clock failed before (2 orders in the batch, 0 sent directly). The fixture of this test case now tells the clock with each ping, as entries do; its checks are unchanged.

--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -26,7 +26,8 @@
 {
 
 /// Sends the orders of one turn of the loop to each relay as one message.
-/// Without a live relay, orders go to the workers directly.
+/// Without a live relay, orders go to the workers directly. So do those whose
+/// relay has told no clock, as it could not refuse them once they are old.
 template <clock_port Clock, class Transport, run_worker_port Direct,
           metrics_port Metrics>
 class relayed_workers
@@ -164,7 +165,9 @@
         auto const now = clock_.now();
         auto const relay =
             relays_.relay_for(it.to.instance.id, it.to.zone, now);
-        if (!relay)
+        auto const deadline =
+            relay ? relays_.deadline_for(*relay, it.to.given) : std::nullopt;
+        if (!deadline)
         {
             metrics_.count(metric::order_routes, "direct");
             direct_.send(it, std::move(done));
@@ -178,18 +181,13 @@
                                  now + timeout + config::relay_answer_margin,
                                  std::move(done)});
         auto& batch = batches_[{*relay, in_term}];
-        auto const deadline = relays_.deadline_for(*relay, it.to.given);
-        auto const life =
-            deadline ? std::optional{deadline->life} : std::nullopt;
-        if (batch.life != life && !batch.orders.empty())
+        if (batch.life != deadline->life && !batch.orders.empty())
         {
             transport_.send(*relay, peer_message{std::exchange(batch, {})});
         }
         batch.leader_term = in_term;
-        batch.life = life;
-        batch.orders.push_back(
-            {number, it,
-             deadline ? std::optional{deadline->clock} : std::nullopt});
+        batch.life = deadline->life;
+        batch.orders.push_back({number, it, deadline->clock});
         if (batch.orders.size() >= config::max_orders_per_batch)
         {
             transport_.send(*relay, peer_message{std::exchange(batch, {})});
--- a/tests/relayed_workers_test.cpp
+++ b/tests/relayed_workers_test.cpp
@@ -38,6 +38,8 @@
             if (!silent.contains(name))
             {
                 it->on_ping(node_id{name}, leader_ping{zone_id{zone}, {}});
+                it->on_clock(node_id{name},
+                             {incarnation{1}, to_process_clock(clock.now())});
             }
         }
     }
@@ -148,6 +150,23 @@
               process_clock{10} + validity);
 }
 
+// A call to the former leader is repeated to the next one without the reading
+// that left with it. A relay that froze then would pass on orders of any age.
+TEST_F(relayed_workers_test, passes_no_order_to_a_relay_of_unknown_clock)
+{
+    it->on_ping(node_id{"r0"}, leader_ping{zone_id{"z0"}, {}});
+    send_start(target("w0"));
+    send_poll(target("w0"));
+    clock.advance(duration{0});
+    EXPECT_EQ(peers.sent.size(), 0U);
+    EXPECT_EQ(direct.to.size(), 2U);
+    ping_all();
+    send_start(target("w0"));
+    clock.advance(duration{0});
+    EXPECT_EQ(peers.sent.size(), 1U);
+    EXPECT_EQ(direct.to.size(), 2U);
+}
+
 // A reading that was held up on its way shows a clock that is too slow. The
 // validity that follows from it would end too early, never too late.
 TEST(relay_clock, is_never_ahead_of_the_relay)
