Don't wait for a late look-up of a worker's host name

A worker may announce a host name as its address. libcurl looks names up on a thread of its own, and waits for that thread when the request has timed out: a resolver that answers late stops the loop of the process, and a worker that announces such a name stops the leader or its relay.

CURLOPT_QUICK_EXIT leaves such a look-up to its thread. The test holds the look-up until the request has failed.

--- a/src/adapters/curl_requests.cpp
+++ b/src/adapters/curl_requests.cpp
@@ -325,6 +325,9 @@
     curl_easy_setopt(handle, CURLOPT_URL, it.to.value().c_str());
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    // Leaves a look-up that is late to its thread, which is waited for
+    // otherwise.
+    curl_easy_setopt(handle, CURLOPT_QUICK_EXIT, 1L);
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, made->headers);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, to_ms(it.timeout));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, take_bytes);
--- a/tests/curl_requests_test.cpp
+++ b/tests/curl_requests_test.cpp
@@ -5,11 +5,17 @@
 
 #include <gtest/gtest.h>
 
+#include <dlfcn.h>
+#include <fcntl.h>
 #include <glib.h>
+#include <netdb.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <array>
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -18,6 +24,40 @@
 namespace
 {
 
+/// Holds the look-up of `slow_host` until a byte comes through `go_on`, and
+/// says through `ended` that it has ended.
+struct held_resolver
+{
+    static constexpr std::string_view slow_host = "slow.invalid";
+    std::array<int, 2> go_on{-1, -1};
+    std::array<int, 2> ended{-1, -1};
+
+    auto open() -> void
+    {
+        ASSERT_EQ(::pipe(go_on.data()), 0);
+        ASSERT_EQ(::pipe2(ended.data(), O_NONBLOCK), 0);
+    }
+    /// Waits at most 10 s, so that a broken test ends.
+    auto hold() const -> int
+    {
+        pollfd it{go_on[0], POLLIN, 0};
+        poll(&it, 1, 10'000);
+        return ::write(ended[1], "x", 1) == 1 ? EAI_AGAIN : EAI_FAIL;
+    }
+    auto release() const -> bool
+    {
+        pollfd it{ended[0], POLLIN, 0};
+        return ::write(go_on[1], "x", 1) == 1 && poll(&it, 1, 10'000) == 1;
+    }
+    [[nodiscard]] auto has_ended() const -> bool
+    {
+        char byte{0};
+        return ::read(ended[0], &byte, 1) == 1;
+    }
+};
+
+held_resolver resolver;
+
 constexpr std::size_t per_host = 4; ///< connections that libcurl opens
 constexpr std::size_t hosts = 32;
 
@@ -210,5 +250,42 @@
     EXPECT_TRUE(run_until([&] { return ended; }));
 }
 
+// A worker may announce a host name. The loop stood still until its look-up had
+// ended, long after the request.
+TEST(curl_requests, does_not_wait_for_a_look_up_that_is_late)
+{
+    resolver.open();
+    curl_requests http;
+    outgoing_request it;
+    it.to = url{"http://" + std::string{held_resolver::slow_host} + ":80/"};
+    it.timeout = milliseconds{20};
+    it.repeatable = true;
+    auto answered = false;
+    auto ended_before = true;
+    http.send(it,
+              [&](result<http_answer> const& got)
+              {
+                  ended_before = resolver.has_ended();
+                  answered = true;
+                  EXPECT_TRUE(got.has_error());
+              });
+    EXPECT_TRUE(run_until([&] { return answered; }));
+    EXPECT_FALSE(ended_before);
+    EXPECT_TRUE(resolver.release());
+}
+
 } // namespace
 } // namespace apricotlb
+
+/// Called by libcurl in place of the C library's.
+extern "C" auto getaddrinfo(char const* node, char const* service,
+                            addrinfo const* hints, addrinfo** found) -> int
+{
+    if (node != nullptr && node == apricotlb::held_resolver::slow_host)
+    {
+        return apricotlb::resolver.hold();
+    }
+    auto* const next = reinterpret_cast<decltype(&getaddrinfo)>(
+        dlsym(RTLD_NEXT, "getaddrinfo"));
+    return next(node, service, hints, found);
+}
