Refuse a named pipe as a settings file without opening it

A process reads its settings file again at intervals. Files were opened before their type was checked, and opening a named pipe waits for its writer: a pipe in place of the settings or of a secret stopped the loop, or the start of the process, for as long as nobody wrote to it.

The type is checked first.

--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -391,15 +391,23 @@
 
 auto read_file(file_path const& path) -> result<std::string>
 {
-    std::ifstream in{path.value(), std::ios::binary};
+    auto const refuse = [&path]
+    {
+        return fail(error_kind::not_found,
+                    path.value() + ": cannot be read as a file");
+    };
+    // Opening a named pipe waits for its writer, so the type is checked first.
     struct stat info
     {
     };
-    if (!in || ::stat(path.value().c_str(), &info) != 0 ||
-        !S_ISREG(info.st_mode))
+    if (::stat(path.value().c_str(), &info) != 0 || !S_ISREG(info.st_mode))
     {
-        return fail(error_kind::not_found,
-                    path.value() + ": cannot be read as a file");
+        return refuse();
+    }
+    std::ifstream in{path.value(), std::ios::binary};
+    if (!in)
+    {
+        return refuse();
     }
     if (info.st_size > max_file_bytes.value())
     {
--- a/tests/yaml_test.cpp
+++ b/tests/yaml_test.cpp
@@ -162,6 +162,16 @@
               std::string::npos);
 }
 
+// A named pipe in place of the settings file stopped the loop.
+TEST(settings_file, is_refused_without_waiting_when_it_is_a_named_pipe)
+{
+    temporary_folder const folder;
+    auto const path = folder.path() + "/settings";
+    ASSERT_EQ(::mkfifo(path.c_str(), 0600), 0);
+    EXPECT_TRUE(read_file(file_path{path}).has_error());
+    EXPECT_TRUE(read_secret(file_path{path}).has_error());
+}
+
 // A secret that others can read is no secret.
 TEST(secret_file, is_refused_when_others_may_read_it)
 {
