Ignore SIGPIPE from the start of each role

GLib ignores SIGPIPE once it has made its first socket. A message to a reader that had gone before ended the process without an exit code: with standard error closed at the other end and a settings file that does not exist, each of the three roles ended by signal 13 (exit code -13 in Python's terms).

Commands for operators keep the default, so that they end in a shell's pipe.

--- a/src/adapters/unix_signals.cpp
+++ b/src/adapters/unix_signals.cpp
@@ -18,6 +18,11 @@
     std::optional<exit_code> code;
 };
 
+auto ignore_broken_pipes() -> void
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 unix_signals::unix_signals() : state_(std::make_unique<state>())
 {
     state_->loop = g_main_loop_new(nullptr, FALSE);
--- a/src/adapters/unix_signals.hpp
+++ b/src/adapters/unix_signals.hpp
@@ -10,6 +10,9 @@
 namespace apricotlb
 {
 
+/// Lets writes to a reader that has gone fail, which end the process otherwise.
+auto ignore_broken_pipes() -> void;
+
 /// Runs the default main context until quit. SIGTERM and SIGINT call a
 /// handler on the loop.
 class unix_signals
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -3,6 +3,7 @@
 #include "adapters/api_soup.hpp"
 #include "adapters/log.hpp"
 #include "adapters/sha256.hpp"
+#include "adapters/unix_signals.hpp"
 #include "adapters/yaml_settings.hpp"
 #include "app/roles.hpp"
 #include "app/settings_load.hpp"
@@ -43,6 +44,7 @@
 auto run_role(file_path const& path, process_role role,
               cli_output const& output) -> exit_code
 {
+    ignore_broken_pipes();
     auto const loaded = load_settings(path, role);
     if (loaded.has_error())
     {
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <cstdlib>
 #include <deque>
 #include <fstream>
 #include <sstream>
@@ -291,5 +293,22 @@
     }
 }
 
+// A line to a reader that has gone ended a process before its server listened.
+TEST(broken_pipe, ends_no_role)
+{
+    for (auto const* const role : {"control", "entry", "standalone"})
+    {
+        EXPECT_EXIT(
+            {
+                std::signal(SIGPIPE, SIG_DFL);
+                auto const code = run_cli({role, "/no/such/file"});
+                std::raise(SIGPIPE);
+                std::_Exit(code == exit_code::ok ? 1 : 0);
+            },
+            testing::ExitedWithCode(0), "")
+            << role;
+    }
+}
+
 } // namespace
 } // namespace apricotlb
