Never wait for the reader of the log

Log lines were written to standard error with a blocking write. A reader that is slow or stands still stops the loop once its pipe is full, with all sockets open. Five control and three entry processes whose standard error is a pipe that nobody reads: after 18 s none of the control processes answered within 1.5 s, two of five answered nothing at 74 s, three of five at 89 s.

A line is now written only as far as the descriptor takes it. Pipes, terminals and devices are opened anew without blocking, which leaves the flags of the description that other processes share; where that is refused, poll() comes before each write of at most PIPE_BUF bytes. Sockets are written to with MSG_DONTWAIT. Files, which have no reader, are written to as before. Lines that are not taken wait in a buffer of 64 KiB, which the loop empties, as whole lines of at most PIPE_BUF bytes where possible.

--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -6,9 +6,9 @@
 #include <boost/log/attributes/attribute_value_impl.hpp>
 #include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/basic_sink_frontend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/utility/formatting_ostream.hpp>
 #include <boost/make_shared.hpp>
@@ -17,8 +17,9 @@
 #include <algorithm>
 #include <chrono>
 #include <iomanip>
-#include <iostream>
 #include <map>
+#include <memory>
+#include <ostream>
 #include <sstream>
 #include <utility>
 
@@ -31,8 +32,33 @@
 namespace logging = boost::log;
 namespace ch = std::chrono;
 
-using sink =
-    logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+/// Passes formatted lines on to a stream or to the writer of a descriptor.
+class line_backend : public logging::sinks::basic_formatted_sink_backend<
+                         char, logging::sinks::synchronized_feeding>
+{
+public:
+    line_backend(std::ostream* out, line_writer* writer)
+        : out_(out), writer_(writer)
+    {
+    }
+
+    auto consume(logging::record_view const& /*record*/,
+                 std::string const& text) -> void
+    {
+        if (out_ != nullptr)
+        {
+            *out_ << text << std::flush;
+            return;
+        }
+        writer_->write(text);
+    }
+
+private:
+    std::ostream* out_;
+    line_writer* writer_;
+};
+
+using sink = logging::sinks::synchronous_sink<line_backend>;
 
 /// One line on its way to the sink.
 struct line
@@ -59,6 +85,7 @@
 struct state
 {
     log_options options;
+    std::unique_ptr<line_writer> writer; ///< none with a stream
     boost::shared_ptr<sink> out;
     std::map<std::string, event_rate, std::less<>> rates;
 };
@@ -137,6 +164,7 @@
     {
         format_text(out, *it);
     }
+    out << '\n';
 }
 
 /// Counts the line; false when the event is over its rate. On success, what
@@ -169,6 +197,35 @@
     return true;
 }
 
+auto push(line const& it) -> void
+{
+    logging::sources::logger source;
+    auto record = source.open_record();
+    if (record)
+    {
+        record.attribute_values().insert(
+            "Line", logging::attributes::make_attribute_value(it));
+        source.push_record(std::move(record));
+    }
+}
+
+auto time_of(state const& it) -> log_time
+{
+    return it.options.now ? it.options.now() : ch::system_clock::now();
+}
+
+/// Says where lines are missing, at any log level.
+auto report_dropped(state& it) -> void
+{
+    auto const n = it.writer ? it.writer->take_dropped() : 0;
+    if (n > 0)
+    {
+        std::vector<log_field> const fields{{"dropped", n}};
+        push(
+            {time_of(it), log_level::warning, "log", "lines_dropped", &fields});
+    }
+}
+
 } // namespace
 
 auto setup_log(log_options options) -> void
@@ -180,18 +237,24 @@
     {
         logging::core::get()->remove_sink(it.out);
     }
-    auto const backend =
-        boost::make_shared<logging::sinks::text_ostream_backend>();
-    auto* const stream =
-        it.options.out != nullptr ? it.options.out : &std::cerr;
-    auto const not_owned = [](std::ostream*) {};
-    backend->add_stream(boost::shared_ptr<std::ostream>{stream, not_owned});
-    backend->auto_flush(true);
-    it.out = boost::make_shared<sink>(backend);
+    it.writer.reset();
+    if (it.options.out == nullptr)
+    {
+        it.writer = std::make_unique<line_writer>(it.options.descriptor);
+        it.writer->on_writable([] { report_dropped(current()); });
+    }
+    it.out = boost::make_shared<sink>(
+        boost::make_shared<line_backend>(it.options.out, it.writer.get()));
     it.out->set_formatter(&format);
     logging::core::get()->add_sink(it.out);
 }
 
+auto log_counts() -> line_counts
+{
+    auto const& it = current();
+    return it.writer ? it.writer->counts() : line_counts{};
+}
+
 auto is_log_enabled(log_level level) -> bool
 {
     return level >= current().options.level;
@@ -209,7 +272,7 @@
     {
         setup_log(it.options);
     }
-    auto const at = it.options.now ? it.options.now() : ch::system_clock::now();
+    auto const at = time_of(it);
     std::uint64_t suppressed{0};
     if (!admit(it, event, at, suppressed))
     {
@@ -219,18 +282,11 @@
     {
         fields.emplace_back("suppressed", suppressed);
     }
-    // A full disk or a closed pipe must not end the process.
+    // A stream that throws must not end the process.
     try
     {
-        logging::sources::logger source;
-        auto record = source.open_record();
-        if (record)
-        {
-            record.attribute_values().insert(
-                "Line", logging::attributes::make_attribute_value(
-                            line{at, level, component_, event, &fields}));
-            source.push_record(std::move(record));
-        }
+        push({at, level, component_, event, &fields});
+        report_dropped(it);
     }
     catch (std::exception const&)
     {
--- a/src/adapters/log.hpp
+++ b/src/adapters/log.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_ADAPTERS_LOG_HPP
 #define APRICOTLB_ADAPTERS_LOG_HPP
 
+#include "adapters/line_writer.hpp"
 #include "app/settings.hpp"
 
 #include <chrono>
@@ -58,11 +59,15 @@
     std::ostream* out{nullptr};         ///< standard error when none
     std::function<log_time()> now{};    ///< the system clock when none
     std::uint32_t per_event_second{50}; ///< lines of one event per second
+    int descriptor{2};                  ///< written to when there is no `out`
 };
 
 /// Replaces the process's log options.
 auto setup_log(log_options options) -> void;
 
+/// Lines written to the descriptor and dropped since setup_log().
+[[nodiscard]] auto log_counts() -> line_counts;
+
 /// True when lines of this level are written; ask before costly fields.
 [[nodiscard]] auto is_log_enabled(log_level level) -> bool;
 
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -103,6 +103,7 @@
     families<std::int64_t> gauges;
     families<latency> latencies;
     family<description> described;
+    std::function<void()> on_read = [] {};
 
     /// Labels in braces, with le for a bucket's bound.
     [[nodiscard]] auto labels(std::string_view name, std::string_view label,
@@ -172,6 +173,9 @@
 {
     describe(metric::refusals, "reason", "Requests refused, by reason.");
     describe(metric::retries, "reason", "Attempts repeated, by reason.");
+    describe(metric::log_lines, "outcome",
+             "Log lines written, and dropped since nobody read them.");
+    describe(metric::log_time, "", "Time spent on writing log lines.");
     describe(metric::requests, "service", "Urgent requests accepted.");
     describe(metric::cut_answers, "service",
              "Answers that broke off after a part had been forwarded.");
@@ -204,6 +208,17 @@
     ++slot_of(impl_->counters, name, label);
 }
 
+auto metrics::set_total(std::string_view name, std::string_view label,
+                        std::uint64_t n) -> void
+{
+    slot_of(impl_->counters, name, label) = n;
+}
+
+auto metrics::on_read(std::function<void()> run) -> void
+{
+    impl_->on_read = std::move(run);
+}
+
 auto metrics::set(std::string_view name, std::string_view label, std::int64_t n)
     -> void
 {
@@ -231,6 +246,7 @@
 
 auto metrics::take_increments() -> std::vector<counter_increment>
 {
+    impl_->on_read();
     std::vector<counter_increment> out;
     for (auto const& [name, values] : impl_->counters)
     {
@@ -248,6 +264,7 @@
 
 auto metrics::text() const -> std::string
 {
+    impl_->on_read();
     std::ostringstream out;
     impl_->print(out, impl_->counters, "counter");
     impl_->print(out, impl_->gauges, "gauge");
--- a/src/adapters/metrics.hpp
+++ b/src/adapters/metrics.hpp
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -48,6 +49,13 @@
     /// Adds 1 to a counter.
     auto count(std::string_view name, std::string_view label) -> void;
 
+    /// Sets a counter that is kept elsewhere.
+    auto set_total(std::string_view name, std::string_view label,
+                   std::uint64_t n) -> void;
+
+    /// Called before the metrics are read, to set such counters.
+    auto on_read(std::function<void()> run) -> void;
+
     /// Sets a gauge.
     auto set(std::string_view name, std::string_view label, std::int64_t n)
         -> void;
--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -86,7 +86,10 @@
             name.remove_suffix(suffix.size());
         }
         names.emplace_back(name);
-        names.back().append(".").append(it.label);
+        if (!it.label.empty())
+        {
+            names.back().append(".").append(it.label);
+        }
         fields.emplace_back(names.back(), it.by);
     }
     if (!fields.empty())
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -47,6 +47,19 @@
     return shared_key{std::move(text)};
 }
 
+auto include_log_counts(metrics& counts) -> void
+{
+    counts.on_read(
+        [&counts]
+        {
+            auto const it = log_counts();
+            counts.set_total(metric::log_lines, "written", it.written);
+            counts.set_total(metric::log_lines, "dropped", it.dropped);
+            counts.set_total(metric::log_time, "",
+                             static_cast<std::uint64_t>(it.time.count()));
+        });
+}
+
 auto log_reload(result<settings> const& it) -> void
 {
     if (it.has_error())
--- a/src/app/process.hpp
+++ b/src/app/process.hpp
@@ -36,6 +36,9 @@
 /// with peer_trust::network.
 [[nodiscard]] auto peer_key(settings const& it) -> result<shared_key>;
 
+/// Adds the counts of log lines to the metrics of the process.
+auto include_log_counts(metrics& counts) -> void;
+
 /// Logs that settings were reloaded, or that invalid settings were refused.
 auto log_reload(result<settings> const& it) -> void;
 
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -231,6 +231,7 @@
     }
     glib_clock clock;
     metrics counts;
+    include_log_counts(counts);
     unix_signals loop;
     control_process process{own, std::move(key).value(), clock, counts, loop};
     if (auto const started = process.start(); started.has_error())
@@ -253,6 +254,7 @@
     }
     glib_clock clock;
     metrics counts;
+    include_log_counts(counts);
     unix_signals loop;
     entry_process process{own, std::move(key).value(), clock, counts, loop};
     if (auto const started = process.start(peer_url(own.peers_at.value()));
@@ -270,6 +272,7 @@
     auto const& loaded = start.own;
     glib_clock clock;
     metrics counts;
+    include_log_counts(counts);
     unix_signals loop;
     // Peer messages stay within this process, so the key is shared with no
     // other process and need not be read from a file.
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -39,6 +39,9 @@
 inline constexpr std::string_view forecast_errors =
     "apricotlb_forecast_error_seconds";
 inline constexpr std::string_view evacuations = "apricotlb_evacuations_total";
+inline constexpr std::string_view log_lines = "apricotlb_log_lines_total";
+inline constexpr std::string_view log_time =
+    "apricotlb_log_write_microseconds_total";
 inline constexpr std::string_view backend_latency =
     "apricotlb_backend_latency_seconds";
 } // namespace metric
