Keep answering on open connections until callers have closed them

After a SIGTERM an entry process ended 2.5 s later at the first turn of its loop without a request in flight. Callers that keep their connections had not been told to close them, so that all of them were cut in that moment: 16 to 20 of 20 callers, with one signal or two. A call that began late in the shutdown could also wait for a leader for longer than the process lasts.

From the first signal on every answer now carries "Connection: close". After the end of listening the process goes on to answer what arrives on open connections. 1.5 s later it closes those on which nothing has arrived, and none with an unread request, which would be reset. It exits with the last connection. Without the setting requests in flight are waited for as before. Requests in flight and open connections are counted together, so that the role needs no second state for answers that are not written yet. core/entry/drain decides; drain_driver executes, with one timer where each ended request had started a further one.

Seen to fail with the decisions of before: drain.waits_for_open_connections_and_closes_idle_ones_at_the_end ("due.exit || due.close_idle, Actual: true"), http_path.tells_callers_to_close_from_the_first_signal_on (no such header), http_path.answers_on_open_connections_until_it_ends ("cut.has_value(), Actual: true"), entry_role_test.closes_idle_connections_before_it_exits, front.answers_before_the_process_ends (no answer).

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -169,6 +169,16 @@
 inline constexpr duration caller_check_interval = 250ms;
 inline constexpr duration backend_idle_timeout = 10s;
 
+// Shutdown of a process that serves callers.
+/// How long connections without a request are kept after the end of listening,
+/// so that callers that pause learn with their next answer to move.
+inline constexpr duration drain_idle_wait = 1500ms;
+/// Interval at which a draining process looks at its open connections.
+inline constexpr duration drain_check_interval = 50ms;
+/// A process ends itself this part of the grace time before it is killed. The
+/// reserve covers timers that fire late on a machine that has become slow.
+inline constexpr int drain_reserve_divisor = 6;
+
 /// Multiple of the contract's urgent latency within which a request must end.
 /// A request waits in a queue for at most one urgent latency.
 inline constexpr int deadline_factor = 20;
--- a/src/adapters/soup_server.cpp
+++ b/src/adapters/soup_server.cpp
@@ -5,6 +5,7 @@
 #include <libsoup/soup.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -91,6 +92,12 @@
     return lengths + encodings > 1;
 }
 
+auto has_unread_bytes(GSocket* socket) -> bool
+{
+    char c{};
+    return recv(g_socket_get_fd(socket), &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /// libsoup 3.2 does not notice that a caller closed a connection between two
 /// requests, and its socket would stay open for good.
 auto has_peer_closed(GSocket* socket) -> bool
@@ -109,7 +116,7 @@
     handler run;
     std::function<void()> idle;
     std::function<void(error_kind)> refused;
-    bool listening{true};
+    bool closing{false}; ///< each connection after its next answer
     guint sweeper{0};
     std::unordered_map<SoupServerMessage*, exchange> exchanges;
     std::unordered_map<GSocket*, connection> connections;
@@ -117,7 +124,9 @@
     auto open(SoupServerMessage* message) -> void;
     auto take_head(SoupServerMessage* message) -> void;
     auto sweep() -> void;
-    auto close_idle(time_point now) -> void;
+    auto close_unused(time_point now) -> void;
+    template <class Unused>
+    auto close_if(Unused const& is_unused) -> void;
     auto tell_idle() -> void;
     auto refuse_early(soup_exchange& to, error const& why) -> void
     {
@@ -249,7 +258,7 @@
     g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), this);
     g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_written), this);
     g_signal_connect(message, "finished", G_CALLBACK(on_finished), this);
-    if (!listening)
+    if (closing)
     {
         it->close_after();
     }
@@ -299,7 +308,7 @@
     {
         tell_idle();
     }
-    close_idle(now);
+    close_unused(now);
 }
 
 auto soup_server::state::tell_idle() -> void
@@ -310,16 +319,24 @@
     }
 }
 
-auto soup_server::state::close_idle(time_point now) -> void
+auto soup_server::state::close_unused(time_point now) -> void
+{
+    close_if(
+        [now](GSocket* socket, connection const& it)
+        {
+            return it.reading_head &&
+                   (now - it.idle_since > config::caller_idle_timeout ||
+                    has_peer_closed(socket));
+        });
+}
+
+template <class Unused>
+auto soup_server::state::close_if(Unused const& is_unused) -> void
 {
     std::vector<GSocket*> over;
     for (auto const& [socket, it] : connections)
     {
-        auto const unused =
-            it.reading_head &&
-            (now - it.idle_since > config::caller_idle_timeout ||
-             has_peer_closed(socket));
-        if (unused || g_socket_is_closed(socket) != FALSE)
+        if (g_socket_is_closed(socket) != FALSE || is_unused(socket, it))
         {
             over.push_back(socket);
         }
@@ -394,23 +411,35 @@
 
 auto soup_server::connections() const -> connection_count
 {
-    return connection_count{
-        static_cast<std::int32_t>(state_->connections.size())};
+    return connection_count{static_cast<std::int32_t>(std::ranges::count_if(
+        state_->connections,
+        [](auto const& it) { return g_socket_is_closed(it.first) == FALSE; }))};
+}
+
+auto soup_server::close_after_answers() -> void
+{
+    state_->closing = true;
+    for (auto const& [message, it] : state_->exchanges)
+    {
+        it->close_after();
+    }
+}
+
+auto soup_server::close_idle() -> void
+{
+    state_->close_if([](GSocket* socket, connection const& it)
+                     { return it.reading_head && !has_unread_bytes(socket); });
 }
 
 auto soup_server::stop_listening() -> void
 {
-    state_->listening = false;
+    close_after_answers();
     auto* const listeners = soup_server_get_listeners(state_->server);
     for (auto* it = listeners; it != nullptr; it = it->next)
     {
         g_socket_close(static_cast<GSocket*>(it->data), nullptr);
     }
     g_slist_free(listeners);
-    for (auto const& [message, it] : state_->exchanges)
-    {
-        it->close_after();
-    }
 }
 
 auto soup_server::listen(std::string const& at) -> result<std::string>
--- a/src/adapters/soup_server.hpp
+++ b/src/adapters/soup_server.hpp
@@ -41,9 +41,16 @@
     /// Listens on "ip:port"; port 0 takes a free one. Returns the address.
     [[nodiscard]] auto listen(std::string const& at) -> result<std::string>;
 
+    /// Every open and later connection closes after its next answer.
+    auto close_after_answers() -> void;
+
     /// Accepts no new connection; open ones close after their next answer.
     auto stop_listening() -> void;
 
+    /// Closes the connections on which nothing has arrived since their last
+    /// answer. A request that has arrived but is not read keeps its connection.
+    auto close_idle() -> void;
+
     /// Exchanges whose answer is not written yet.
     [[nodiscard]] auto open() const -> request_count;
 
@@ -53,6 +60,7 @@
     /// Called for each request that is refused before it is handed on.
     auto on_refused(std::function<void(error_kind)> run) -> void;
 
+    /// Open connections, with or without a request.
     [[nodiscard]] auto connections() const -> connection_count;
 
 private:
--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -96,6 +96,7 @@
             field("platform_tokens", &settings::platform_tokens),
             field("guards", &settings::guards),
             field("balancer_wait", &settings::balancer_wait),
+            field("shutdown_grace", &settings::shutdown_grace),
             field("max_body", &settings::max_body),
             field("queue_per_customer", &settings::queue_per_customer),
             field("max_connections", &settings::max_connections),
--- a/src/app/entry_node.hpp
+++ b/src/app/entry_node.hpp
@@ -41,7 +41,8 @@
                                                         .build()),
           link_(clock, send_call{transport}, control_, own_incarnation),
           role_(clock, source, upstream, link_, metrics, view_,
-                {own_settings.balancer_wait, own_settings.queue_per_customer,
+                {own_settings.balancer_wait, own_settings.shutdown_grace,
+                 own_settings.queue_per_customer,
                  random_bits{own_incarnation.value()}}),
           api_(own_settings, view_, link_, metrics)
     {
--- a/src/app/entry_role.hpp
+++ b/src/app/entry_role.hpp
@@ -3,10 +3,10 @@
 #ifndef APRICOTLB_APP_ENTRY_ROLE_HPP
 #define APRICOTLB_APP_ENTRY_ROLE_HPP
 
+#include "app/drain_driver.hpp"
 #include "app/problem.hpp"
 #include "app/request_driver.hpp"
 #include "app/whole_body.hpp"
-#include "core/entry/drain.hpp"
 #include "core/entry/entry_request.hpp"
 #include "core/entry/entry_view.hpp"
 #include "core/entry/service_path.hpp"
@@ -29,6 +29,7 @@
 {
     /// Time between the failing health check and the end of listening.
     duration balancer_wait{seconds{5}};
+    duration shutdown_grace{};              ///< see drain_times::within
     request_count queue_per_customer{1024}; ///< maximum of waiting requests
     random_bits seed{1}; ///< of the random choice of backend servers
 };
@@ -44,28 +45,23 @@
     using exchange = typename Source::exchange;
     using reply = std::function<void(http_answer)>;
     using api_handler = std::function<void(http_request, reply)>;
-    using exit_handler = std::function<void(request_count interrupted)>;
+    using exit_handler = drain_driver<Clock, Source>::exit_handler;
 
     entry_role(Clock& clock, Source& source, Upstream& upstream, KeyLog& log,
                Metrics& metrics, entry_view& view, entry_options options)
         : clock_(clock), source_(source), metrics_(metrics), view_(view),
           driver_(clock, upstream, log, metrics, view,
                   options.queue_per_customer, options.seed),
-          drain_(options.balancer_wait)
+          drain_(clock, {&source},
+                 drain_times::within(options.balancer_wait,
+                                     options.shutdown_grace))
     {
         source_.on_request([this](exchange it) { handle(std::move(it)); });
-        driver_.on_end([this] { step_drain(); });
+        drain_.count_requests([this] { return driver_.in_flight(); });
+        driver_.on_end([this] { drain_.advance(); });
         source_.on_refused(
             [this](error_kind kind)
             { metrics_.count(metric::refusals, name_of(kind)); });
-        source_.on_idle(
-            [this]
-            {
-                if (is_exiting_)
-                {
-                    begin_exit(request_count{0});
-                }
-            });
     }
     entry_role(entry_role const&) = delete;
     auto operator=(entry_role const&) -> entry_role& = delete;
@@ -134,22 +130,11 @@
     /// Sets the handler that runs once, when the process may exit.
     auto on_exit(exit_handler handler) -> void
     {
-        exit_handler_ = std::move(handler);
+        drain_.on_exit(std::move(handler));
     }
 
     /// Starts the graceful shutdown, or ends it, as drain::signal decides.
-    auto begin_drain(stop_signal it) -> void
-    {
-        if (is_exiting_)
-        {
-            if (it == stop_signal::interrupt)
-            {
-                run_exit_handler(source_.open());
-            }
-            return;
-        }
-        execute(drain_.signal(it, clock_.now(), in_flight()));
-    }
+    auto begin_drain(stop_signal it) -> void { drain_.signal(it); }
 
 private:
     auto answer_health(typename exchange::element_type& it) -> void
@@ -214,60 +199,13 @@
         driver_.accept(std::move(request), parsed.value(), *limits);
     }
 
-    auto step_drain() -> void
-    {
-        if (drain_.is_draining())
-        {
-            execute(drain_.step(clock_.now(), in_flight()));
-        }
-    }
-
-    auto execute(drain_step const& step) -> void
-    {
-        if (step.stop_listening)
-        {
-            source_.stop_listening();
-        }
-        if (step.wake_after)
-        {
-            clock_.start_timer(*step.wake_after, [this] { step_drain(); });
-        }
-        if (step.exit)
-        {
-            begin_exit(step.interrupted);
-        }
-    }
-
-    /// Exits at once if requests were interrupted. Otherwise waits until the
-    /// source is idle, because an answer that is not fully written would be
-    /// cut by the exit.
-    auto begin_exit(request_count interrupted) -> void
-    {
-        is_exiting_ = true;
-        if (interrupted != request_count{0} ||
-            source_.open() == request_count{0})
-        {
-            run_exit_handler(interrupted);
-        }
-    }
-
-    auto run_exit_handler(request_count interrupted) -> void
-    {
-        if (exit_handler_)
-        {
-            std::exchange(exit_handler_, {})(interrupted);
-        }
-    }
-
     Clock& clock_;
     Source& source_;
     Metrics& metrics_;
     entry_view& view_;
     request_driver<Clock, Source, Upstream, KeyLog, Metrics> driver_;
-    drain drain_;
+    drain_driver<Clock, Source> drain_;
     api_handler api_handler_;
-    exit_handler exit_handler_;
-    bool is_exiting_{false};
 };
 
 } // namespace apricotlb
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -122,6 +122,9 @@
     /// Time between the start of a shutdown and the end of listening, in which
     /// load balancers take the process out of their rotation.
     duration balancer_wait{std::chrono::seconds{5}};
+    /// Time from SIGTERM until the process is killed; 0 if it is not. It ends
+    /// itself a sixth earlier, whatever is in flight.
+    duration shutdown_grace{};
     byte_count max_body{config::max_body};
     request_count queue_per_customer{1024};
     connection_count max_connections{4096};
--- a/src/app/settings_check.cpp
+++ b/src/app/settings_check.cpp
@@ -258,6 +258,13 @@
         return invalid_setting("balancer_wait", "0s to 10m",
                                std::to_string(it.balancer_wait.count()) + "us");
     }
+    if (it.shutdown_grace < duration{0} ||
+        it.shutdown_grace > std::chrono::hours{1})
+    {
+        return invalid_setting("shutdown_grace", "0s to 1h",
+                               std::to_string(it.shutdown_grace.count()) +
+                                   "us");
+    }
     if (it.max_body > config::max_body)
     {
         return invalid_setting("max_body", "at most 256MiB",
--- a/src/ports/http.hpp
+++ b/src/ports/http.hpp
@@ -58,7 +58,14 @@
         requires exchange_port<
             std::remove_reference_t<decltype(*typename T::exchange{})>>;
         it.on_request(std::move(handler));
+        /// Tells callers with each answer to close their connection.
+        it.close_after_answers();
         it.stop_listening();
+        /// Closes the connections on which no request has begun to arrive.
+        it.close_idle();
+        {
+            it.connections()
+        } -> std::same_as<connection_count>;
         /// Number of exchanges whose answer is not completely written.
         {
             it.open()
--- a/tests/entry_role_test.cpp
+++ b/tests/entry_role_test.cpp
@@ -53,7 +53,10 @@
     {
         run = std::move(it);
     }
+    auto close_after_answers() -> void {}
     auto stop_listening() -> void {}
+    auto close_idle() -> void { held = {}; }
+    [[nodiscard]] auto connections() const -> connection_count { return held; }
     [[nodiscard]] auto open() const -> request_count { return unwritten; }
     auto on_idle(std::function<void()> it) -> void { idle = std::move(it); }
     auto on_refused(std::function<void(error_kind)> it) -> void
@@ -62,6 +65,7 @@
     }
 
     request_count unwritten;
+    connection_count held;
     std::function<void()> idle;
     std::function<void(error_kind)> refused;
 };
@@ -190,6 +194,21 @@
     EXPECT_EQ(left, request_count{0});
 }
 
+// An exit while callers hold connections cuts what they are about to send; one
+// that waits for callers that never close is killed.
+TEST_F(entry_role_test, closes_idle_connections_before_it_exits)
+{
+    std::optional<request_count> left;
+    first.role.on_exit([&](request_count n) { left = n; });
+    first.source.held = connection_count{2};
+    first.role.begin_drain(stop_signal::terminate);
+    advance(entry_options{}.balancer_wait + milliseconds{100});
+    EXPECT_FALSE(left.has_value());
+    advance(config::drain_idle_wait);
+    EXPECT_EQ(first.source.held, connection_count{0});
+    EXPECT_EQ(left, request_count{0});
+}
+
 // A second interrupt must end the process at once and tell what it cut; a
 // repeated termination signal must not.
 TEST_F(entry_role_test, ends_at_once_with_the_second_interrupt_only)
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -54,5 +54,25 @@
     EXPECT_GE(metrics.of("apricotlb_refusals_total", "not_leader"), 2);
 }
 
+// A call that waits longer than the process lasts ends without an answer.
+TEST(front, answers_before_the_process_ends)
+{
+    silent_group group;
+    fake_metrics metrics;
+    platform::front<silent_group, fake_metrics> front{group, metrics};
+    std::optional<http_answer> got;
+    http_request request;
+    request.method = "DELETE";
+    request.path = "/q/a";
+    front.handle(
+        request, [&got](http_answer it) { got = std::move(it); },
+        milliseconds{500});
+    group.clock.advance(milliseconds{300});
+    EXPECT_FALSE(got);
+    group.clock.advance(milliseconds{200});
+    ASSERT_TRUE(got);
+    EXPECT_EQ(got->status, http_status{504});
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -288,6 +288,58 @@
     EXPECT_TRUE(entry->in_use().empty());
 }
 
+// Callers that are not told to close send their next request to a process that
+// is about to end.
+TEST_F(http_path, tells_callers_to_close_from_the_first_signal_on)
+{
+    auto caller = call("GET /healthz HTTP/1.1");
+    ASSERT_TRUE(read(caller, "ok\n"));
+    EXPECT_EQ(caller.text().find("Connection: close"), std::string::npos);
+    entry->begin_drain(stop_signal::terminate);
+    caller.send("GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n");
+    ASSERT_TRUE(run_until([&] { return caller.ended(); }));
+    EXPECT_NE(caller.text().find("503 Service Unavailable"), std::string::npos);
+    EXPECT_NE(caller.text().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(raw_socket::connect(entry_at).is_open());
+}
+
+// A process that ends while callers hold connections cuts what they send.
+TEST_F(http_path, answers_on_open_connections_until_it_ends)
+{
+    std::optional<request_count> cut;
+    auto const at_once = entry_options{.balancer_wait = duration{}};
+    entry = std::make_unique<role>(clock, source, upstream, log, metrics,
+                                   leader.view(), at_once);
+    entry->on_exit([&](request_count n) { cut = n; });
+    auto caller = call("GET /healthz HTTP/1.1");
+    ASSERT_TRUE(read(caller, "ok\n"));
+    entry->begin_drain(stop_signal::terminate);
+    EXPECT_FALSE(cut.has_value());
+    EXPECT_FALSE(caller.ended());
+    caller.send("GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n");
+    ASSERT_TRUE(run_until([&] { return caller.ended(); }));
+    EXPECT_NE(caller.text().find("503 Service Unavailable"), std::string::npos);
+    ASSERT_TRUE(run_until([&] { return cut.has_value(); }));
+    EXPECT_EQ(*cut, request_count{0});
+}
+
+// Closing a connection with an unread request resets it, so that the caller
+// gets no answer.
+TEST_F(http_path, closes_idle_connections_but_none_with_an_unread_request)
+{
+    auto idle = call("GET /healthz HTTP/1.1");
+    auto caller = call("GET /healthz HTTP/1.1");
+    ASSERT_TRUE(read(idle, "ok\n") && read(caller, "ok\n"));
+    auto const seen = caller.text().size();
+    ASSERT_TRUE(
+        caller.send_at_once("GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n"));
+    source.close_idle();
+    EXPECT_TRUE(idle.ended());
+    ASSERT_TRUE(run_until(
+        [&] { return caller.text().size() > seen || caller.ended(); }));
+    EXPECT_EQ(caller.text().find("HTTP/1.1 200", seen), seen);
+}
+
 // A process that stops while it answers would interrupt its callers.
 TEST_F(http_path, finishes_requests_in_flight_when_it_drains)
 {
--- a/tests/yaml_test.cpp
+++ b/tests/yaml_test.cpp
@@ -134,6 +134,7 @@
                        "operators:\n"
                        "  - {name: ann, hash: abc}\n"
                        "balancer_wait: 3s\n"
+                       "shutdown_grace: 6.0s\n"
                        "max_body: 8MiB\n"
                        "guards: disabled\n"
                        "log_format: json\n",
@@ -142,6 +143,7 @@
     EXPECT_EQ(it.value().control.at(node_id{"c2"}), endpoint{"127.0.0.1:2"});
     EXPECT_EQ(it.value().operators.at(0).name, operator_name{"ann"});
     EXPECT_EQ(it.value().balancer_wait, seconds{3});
+    EXPECT_EQ(it.value().shutdown_grace, seconds{6});
     EXPECT_EQ(it.value().max_body, byte_count{8 << 20});
     EXPECT_EQ(it.value().guards, guard_mode::disabled);
     EXPECT_EQ(it.value().format, log_format::json);
