Accept waiting connections before listening ends

A process that stops listening closed its socket at once.

The listening socket now stays open until no connection waits in it, for 40 checks of 5 ms at most, and connections that wait count as open, so that the process does not end before.

http_path.accepts_waiting_connections_before_it_stops_listening failed with a close at the first check: no answer, connection reset, for the callers that had connected before the loop turned.

--- a/src/adapters/soup_server.cpp
+++ b/src/adapters/soup_server.cpp
@@ -3,6 +3,7 @@
 #include "adapters/json_codec.hpp"
 
 #include <libsoup/soup.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -37,6 +38,17 @@
     g_slist_free(sockets);
 }
 
+/// Closing a listening socket resets the connections that wait in it, so it
+/// stays open for so many checks while there are any.
+constexpr guint accept_check_ms = 5;
+constexpr int max_accept_checks = 40;
+
+auto has_waiting_connection(GSocket* listener) -> bool
+{
+    pollfd it{g_socket_get_fd(listener), POLLIN, 0};
+    return ::poll(&it, 1, 0) == 1;
+}
+
 auto refuse(soup_exchange& to, error const& why) -> void
 {
     http_answer it;
@@ -118,12 +130,15 @@
     std::function<void(error_kind)> refused;
     bool closing{false}; ///< each connection after its next answer
     guint sweeper{0};
+    guint closer{0}; ///< of the listening sockets
+    int accept_checks{0};
     std::unordered_map<SoupServerMessage*, exchange> exchanges;
     std::unordered_map<GSocket*, connection> connections;
 
     auto open(SoupServerMessage* message) -> void;
     auto take_head(SoupServerMessage* message) -> void;
     auto sweep() -> void;
+    auto close_listeners() -> bool;
     auto close_unused(time_point now) -> void;
     template <class Unused>
     auto close_if(Unused const& is_unused) -> void;
@@ -319,6 +334,30 @@
     }
 }
 
+/// True if all are closed.
+auto soup_server::state::close_listeners() -> bool
+{
+    auto const is_last = ++accept_checks > max_accept_checks;
+    auto all_closed = true;
+    auto* const listeners = soup_server_get_listeners(server);
+    for (auto* it = listeners; it != nullptr; it = it->next)
+    {
+        auto* const socket = static_cast<GSocket*>(it->data);
+        if (g_socket_is_closed(socket) != FALSE)
+        {
+            continue;
+        }
+        if (!is_last && has_waiting_connection(socket))
+        {
+            all_closed = false;
+            continue;
+        }
+        g_socket_close(socket, nullptr);
+    }
+    g_slist_free(listeners);
+    return all_closed;
+}
+
 auto soup_server::state::close_unused(time_point now) -> void
 {
     close_if(
@@ -374,6 +413,10 @@
 soup_server::~soup_server()
 {
     g_source_remove(state_->sweeper);
+    if (state_->closer != 0)
+    {
+        g_source_remove(state_->closer);
+    }
     g_signal_handlers_disconnect_by_data(state_->server, state_.get());
     for (auto const& [message, it] : state_->exchanges)
     {
@@ -411,9 +454,21 @@
 
 auto soup_server::connections() const -> connection_count
 {
-    return connection_count{static_cast<std::int32_t>(std::ranges::count_if(
+    auto open = std::ranges::count_if(
         state_->connections,
-        [](auto const& it) { return g_socket_is_closed(it.first) == FALSE; }))};
+        [](auto const& it) { return g_socket_is_closed(it.first) == FALSE; });
+    auto* const listeners = soup_server_get_listeners(state_->server);
+    for (auto* it = listeners; it != nullptr; it = it->next)
+    {
+        auto* const socket = static_cast<GSocket*>(it->data);
+        if (g_socket_is_closed(socket) == FALSE &&
+            has_waiting_connection(socket))
+        {
+            ++open;
+        }
+    }
+    g_slist_free(listeners);
+    return connection_count{static_cast<std::int32_t>(open)};
 }
 
 auto soup_server::close_after_answers() -> void
@@ -434,12 +489,21 @@
 auto soup_server::stop_listening() -> void
 {
     close_after_answers();
-    auto* const listeners = soup_server_get_listeners(state_->server);
-    for (auto* it = listeners; it != nullptr; it = it->next)
+    if (state_->closer != 0 || state_->close_listeners())
     {
-        g_socket_close(static_cast<GSocket*>(it->data), nullptr);
+        return;
     }
-    g_slist_free(listeners);
+    auto const again = [](gpointer data) -> gboolean
+    {
+        auto& it = *static_cast<state*>(data);
+        if (!it.close_listeners())
+        {
+            return G_SOURCE_CONTINUE;
+        }
+        it.closer = 0;
+        return G_SOURCE_REMOVE;
+    };
+    state_->closer = g_timeout_add(accept_check_ms, again, state_.get());
 }
 
 auto soup_server::listen(std::string const& at) -> result<std::string>
--- a/src/adapters/soup_server.hpp
+++ b/src/adapters/soup_server.hpp
@@ -60,7 +60,8 @@
     /// Called for each request that is refused before it is handed on.
     auto on_refused(std::function<void(error_kind)> run) -> void;
 
-    /// Open connections, with or without a request.
+    /// Open connections, with or without a request; those that wait to be
+    /// accepted count as one.
     [[nodiscard]] auto connections() const -> connection_count;
 
 private:
--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -340,6 +340,24 @@
     EXPECT_EQ(caller.text().find("HTTP/1.1 200", seen), seen);
 }
 
+// Callers whose connections wait to be accepted were reset with the socket.
+TEST_F(http_path, accepts_waiting_connections_before_it_stops_listening)
+{
+    std::vector<raw_socket> callers;
+    for (auto n = 0; n < 10; ++n)
+    {
+        callers.push_back(raw_socket::connect(entry_at));
+        ASSERT_TRUE(callers.back().send_at_once(
+            "GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n"));
+    }
+    source.stop_listening();
+    for (auto& it : callers)
+    {
+        EXPECT_TRUE(run_until([&] { return it.ended(); }));
+        EXPECT_TRUE(it.text().starts_with("HTTP/1.1 ")) << it.was_reset();
+    }
+}
+
 // A process that stops while it answers would interrupt its callers.
 TEST_F(http_path, finishes_requests_in_flight_when_it_drains)
 {
