--- a/src/adapters/soup_server.cpp
+++ b/src/adapters/soup_server.cpp
@@ -3,8 +3,10 @@
 #include "adapters/json_codec.hpp"
 
 #include <libsoup/soup.h>
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +38,17 @@
     g_slist_free(sockets);
 }
 
+/// Closing a listening socket resets the connections that wait in it, so it
+/// stays open for so many checks while there are any.
+constexpr guint accept_check_ms = 5;
+constexpr int max_accept_checks = 40;
+
+auto has_waiting_connection(GSocket* listener) -> bool
+{
+    pollfd it{g_socket_get_fd(listener), POLLIN, 0};
+    return ::poll(&it, 1, 0) == 1;
+}
+
 auto refuse(soup_exchange& to, error const& why) -> void
 {
     http_answer it;
@@ -91,6 +104,12 @@
     return lengths + encodings > 1;
 }
 
+auto has_unread_bytes(GSocket* socket) -> bool
+{
+    char c{};
+    return recv(g_socket_get_fd(socket), &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /// libsoup 3.2 does not notice that a caller closed a connection between two
 /// requests, and its socket would stay open for good.
 auto has_peer_closed(GSocket* socket) -> bool
@@ -109,15 +128,20 @@
     handler run;
     std::function<void()> idle;
     std::function<void(error_kind)> refused;
-    bool listening{true};
+    bool closing{false}; ///< each connection after its next answer
     guint sweeper{0};
+    guint closer{0}; ///< of the listening sockets
+    int accept_checks{0};
     std::unordered_map<SoupServerMessage*, exchange> exchanges;
     std::unordered_map<GSocket*, connection> connections;
 
     auto open(SoupServerMessage* message) -> void;
     auto take_head(SoupServerMessage* message) -> void;
     auto sweep() -> void;
-    auto close_idle(time_point now) -> void;
+    auto close_listeners() -> bool;
+    auto close_unused(time_point now) -> void;
+    template <class Unused>
+    auto close_if(Unused const& is_unused) -> void;
     auto tell_idle() -> void;
     auto refuse_early(soup_exchange& to, error const& why) -> void
     {
@@ -249,7 +273,7 @@
     g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), this);
     g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_written), this);
     g_signal_connect(message, "finished", G_CALLBACK(on_finished), this);
-    if (!listening)
+    if (closing)
     {
         it->close_after();
     }
@@ -299,7 +323,7 @@
     {
         tell_idle();
     }
-    close_idle(now);
+    close_unused(now);
 }
 
 auto soup_server::state::tell_idle() -> void
@@ -310,16 +334,48 @@
     }
 }
 
-auto soup_server::state::close_idle(time_point now) -> void
+/// True if all are closed.
+auto soup_server::state::close_listeners() -> bool
+{
+    auto const is_last = ++accept_checks > max_accept_checks;
+    auto all_closed = true;
+    auto* const listeners = soup_server_get_listeners(server);
+    for (auto* it = listeners; it != nullptr; it = it->next)
+    {
+        auto* const socket = static_cast<GSocket*>(it->data);
+        if (g_socket_is_closed(socket) != FALSE)
+        {
+            continue;
+        }
+        if (!is_last && has_waiting_connection(socket))
+        {
+            all_closed = false;
+            continue;
+        }
+        g_socket_close(socket, nullptr);
+    }
+    g_slist_free(listeners);
+    return all_closed;
+}
+
+auto soup_server::state::close_unused(time_point now) -> void
+{
+    close_if(
+        [now](GSocket* socket, connection const& it)
+        {
+            return it.reading_head &&
+                   (now - it.idle_since > config::caller_idle_timeout ||
+                    has_peer_closed(socket));
+        });
+}
+
+template <class Unused>
+auto soup_server::state::close_if(Unused const& is_unused) -> void
 {
     std::vector<GSocket*> over;
     for (auto const& [socket, it] : connections)
     {
-        auto const unused =
-            it.reading_head &&
-            (now - it.idle_since > config::caller_idle_timeout ||
-             has_peer_closed(socket));
-        if (unused || g_socket_is_closed(socket) != FALSE)
+        if (g_socket_is_closed(socket) != FALSE || is_unused(socket, it))
         {
             over.push_back(socket);
         }
@@ -357,6 +413,10 @@
 soup_server::~soup_server()
 {
     g_source_remove(state_->sweeper);
+    if (state_->closer != 0)
+    {
+        g_source_remove(state_->closer);
+    }
     g_signal_handlers_disconnect_by_data(state_->server, state_.get());
     for (auto const& [message, it] : state_->exchanges)
     {
@@ -394,25 +454,58 @@
 
 auto soup_server::connections() const -> connection_count
 {
-    return connection_count{
-        static_cast<std::int32_t>(state_->connections.size())};
-}
-
-auto soup_server::stop_listening() -> void
-{
-    state_->listening = false;
+    auto open = std::ranges::count_if(
+        state_->connections,
+        [](auto const& it) { return g_socket_is_closed(it.first) == FALSE; });
     auto* const listeners = soup_server_get_listeners(state_->server);
     for (auto* it = listeners; it != nullptr; it = it->next)
     {
-        g_socket_close(static_cast<GSocket*>(it->data), nullptr);
+        auto* const socket = static_cast<GSocket*>(it->data);
+        if (g_socket_is_closed(socket) == FALSE &&
+            has_waiting_connection(socket))
+        {
+            ++open;
+        }
     }
     g_slist_free(listeners);
+    return connection_count{static_cast<std::int32_t>(open)};
+}
+
+auto soup_server::close_after_answers() -> void
+{
+    state_->closing = true;
     for (auto const& [message, it] : state_->exchanges)
     {
         it->close_after();
     }
 }
 
+auto soup_server::close_idle() -> void
+{
+    state_->close_if([](GSocket* socket, connection const& it)
+                     { return it.reading_head && !has_unread_bytes(socket); });
+}
+
+auto soup_server::stop_listening() -> void
+{
+    close_after_answers();
+    if (state_->closer != 0 || state_->close_listeners())
+    {
+        return;
+    }
+    auto const again = [](gpointer data) -> gboolean
+    {
+        auto& it = *static_cast<state*>(data);
+        if (!it.close_listeners())
+        {
+            return G_SOURCE_CONTINUE;
+        }
+        it.closer = 0;
+        return G_SOURCE_REMOVE;
+    };
+    state_->closer = g_timeout_add(accept_check_ms, again, state_.get());
+}
+
 auto soup_server::listen(std::string const& at) -> result<std::string>
 {
     GError* ec{nullptr};
