Test that a cancelled submission holds no room in the forecast

A submission that the leader admits between a cancellation of its id and its own commit is recorded as cancelled, and the forecast has to drop it. Otherwise later submissions would be told of work that nobody places.

--- a/tests/admission_overload_test.cpp
+++ b/tests/admission_overload_test.cpp
@@ -236,6 +236,38 @@
     EXPECT_TRUE(it.refused.empty());
 }
 
+// A submission that is applied after its cancelling has nothing to place, and
+// must not count as work that others wait for.
+TEST(admission_overload, forgets_a_submission_that_was_cancelled_before)
+{
+    fake_fleet fleet{1};
+    fleet.add_worker("w", 4000);
+    auto terms = fleet.state.contract_sets().current()->queues[0];
+    terms.stretch = permille{2000};
+    terms.target = seconds{500};
+    auto const workflow = [](std::string const& id, std::int64_t tasks)
+    {
+        workflow_spec it;
+        it.id = workflow_id{id};
+        it.steps = {fake_fleet::step(tasks)};
+        it.steps[0].estimate = milliseconds{1000};
+        return it;
+    };
+    fleet.apply(submit_workflow{workflow("busy", 160), terms});
+    fleet.run(seconds{20});
+    auto const wait = [&] {
+        return fleet.leader->admit(workflow("other", 1), terms, fleet.now).wait;
+    };
+    auto const before = wait();
+    EXPECT_GT(before, seconds{10});
+    auto const late = workflow("late", 80);
+    fleet.apply(cancel_workflow{late.id, {}});
+    fleet.leader->on_submission_proposed(late, terms, {}, fleet.now);
+    EXPECT_GT(wait(), before + seconds{10});
+    fleet.apply(submit_workflow{late, terms});
+    EXPECT_EQ(wait(), before);
+}
+
 // After a burst the count of waiting work must return to zero: a remainder
 // would refuse work for ever.
 TEST(admission_overload, refuses_nothing_after_the_crest)
