End a process without closing its message sockets

nng_close() of a receiver (nng 1.5.2) can wait for ever while a connected peer has sent messages that were not taken. The destructor of nng_link calls it, so that a process that had answered everything might not end on SIGTERM, until it was killed after its grace.

The end of a process closes all its sockets anyway, so a peer_node now abandons its link instead of closing it.

--- a/src/adapters/nng_link.cpp
+++ b/src/adapters/nng_link.cpp
@@ -160,6 +160,15 @@
     return true;
 }
 
+auto nng_link::abandon() -> void
+{
+    if (state_->source != 0)
+    {
+        g_source_remove(std::exchange(state_->source, 0));
+    }
+    state_->peers.clear();
+}
+
 auto nng_link::on_bytes(std::function<void(std::string_view)> run) -> void
 {
     state_->run = std::move(run);
--- a/src/adapters/nng_link.hpp
+++ b/src/adapters/nng_link.hpp
@@ -33,6 +33,11 @@
     auto send(node_id const& peer, std::string_view bytes) -> bool;
     auto on_bytes(std::function<void(std::string_view)> run) -> void;
 
+    /// Leaves all sockets to the end of the process, which closes them. For the
+    /// end itself: nng 1.5.2 can wait for ever when it closes a receiver whose
+    /// peers have sent messages that were not taken.
+    auto abandon() -> void;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -66,6 +66,11 @@
 {
 }
 
+peer_node::~peer_node()
+{
+    link_.abandon();
+}
+
 auto peer_node::listen(url const& at, std::uint32_t ports) -> result<url>
 {
     auto bound = link_.listen(at);
--- a/src/app/process.hpp
+++ b/src/app/process.hpp
@@ -44,6 +44,10 @@
 {
 public:
     peer_node(node_id self, shared_key key, glib_clock& clock, metrics& counts);
+    peer_node(peer_node const&) = delete;
+    auto operator=(peer_node const&) -> peer_node& = delete;
+    /// A node ends with its process and closes no socket.
+    ~peer_node();
 
     /// Listens on the given address and adds the control processes of the
     /// settings as peers. If listening fails, tries the following ports in
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -379,6 +379,31 @@
     EXPECT_EQ(got, (std::vector<std::string>{large, "second"}));
 }
 
+// Closing a receiver with messages that were not taken could wait for ever, so
+// that a process did not end on SIGTERM. A failure shows as a test that hangs.
+TEST(nng_link, ends_without_closing_while_messages_wait)
+{
+    constexpr auto processes = 100;
+    for (auto n = 0; n < processes; ++n)
+    {
+        nng_link sender;
+        nng_link receiver;
+        std::size_t got = 0;
+        receiver.on_bytes([&](std::string_view) { ++got; });
+        auto const at = receiver.listen(url{"tcp://127.0.0.1:0"});
+        ASSERT_TRUE(at.has_value()) << at.error().detail;
+        node_id const peer{"r"};
+        sender.open(peer, at.value());
+        std::string const bytes(1000, 'y');
+        for (auto sent = 0; sent < 100; ++sent)
+        {
+            ASSERT_TRUE(sender.send(peer, bytes));
+        }
+        ASSERT_TRUE(run_until([&] { return got > 0; }));
+        receiver.abandon();
+    }
+}
+
 // The rest of a turn that ended at its bound must not wait for another message.
 TEST(nng_link, takes_a_bounded_number_of_messages_per_turn_and_goes_on)
 {
