Match hosts regardless of case and of a final dot

Clients got 404 for a queue that exists when they wrote its host as H.EXAMPLE or h.example. instead of h.example. Two queues whose hosts differ only by case were accepted, and each got a part of the requests.

A host has no case (RFC 9110, 4.2.3; RFC 3986, 6.2.2.1), and a final dot only says that a name is complete (RFC 3986, 3.2.2), but hosts were compared byte by byte.

The table of queues and the check of a set compare places (queue_place), whose host is in lower case and without the dot. Two queues at one place share host and prefix, so the set is refused. The stored set and the text that is returned keep the operator's spelling.

The two new tests failed before the change: three spellings of a host matched nothing, and sets with one place written in two ways were accepted. They pass now.

--- a/src/core/state/contract_set_registry.cpp
+++ b/src/core/state/contract_set_registry.cpp
@@ -16,12 +16,12 @@
 auto contract_set_registry::rebuild_index() -> void
 {
     queue_by_name_.clear();
-    queue_by_prefix_.clear();
+    queue_by_place_.clear();
     for (std::size_t n = 0; current_ && n < current_->queues.size(); ++n)
     {
         auto const& it = current_->queues[n];
         queue_by_name_[it.name] = n;
-        queue_by_prefix_[{it.host, it.prefix}] = n;
+        queue_by_place_[place_of(it.host, it.prefix)] = n;
     }
 }
 
@@ -61,11 +61,12 @@
                                   std::string_view path) const
     -> std::optional<queue_match>
 {
+    queue_place place{canonical_host(host), {}};
     for (auto n = path.size() + 1; n-- > 0;)
     {
-        auto const it = queue_by_prefix_.find(
-            {host, queue_path{std::string{path.substr(0, n)}}});
-        if (it != queue_by_prefix_.end())
+        place.prefix = queue_path{std::string{path.substr(0, n)}};
+        auto const it = queue_by_place_.find(place);
+        if (it != queue_by_place_.end())
         {
             return queue_match{&current_->queues[it->second], path.substr(n)};
         }
--- a/src/core/state/contract_set_registry.hpp
+++ b/src/core/state/contract_set_registry.hpp
@@ -3,6 +3,7 @@
 #define APRICOTLB_CORE_STATE_CONTRACT_SET_REGISTRY_HPP
 
 #include "core/state/commands.hpp"
+#include "core/workflow/queue_place.hpp"
 
 #include <apricotlb/workflow.hpp>
 
@@ -42,7 +43,8 @@
         -> queue_contract const*;
     [[nodiscard]] auto pool(pool_name const& name) const
         -> pool_contract const*;
-    /// The queue of a host that has the longest matching prefix of a path.
+    /// The queue of a host that has the longest matching prefix of a path; the
+    /// path is not percent-encoded.
     [[nodiscard]] auto match(host_name const& host, std::string_view path) const
         -> std::optional<queue_match>;
 
@@ -51,7 +53,7 @@
 
     std::optional<contract_set> current_;
     std::map<queue_name, std::size_t> queue_by_name_;
-    std::map<std::pair<host_name, queue_path>, std::size_t> queue_by_prefix_;
+    std::map<queue_place, std::size_t> queue_by_place_;
 };
 
 } // namespace apricotlb
--- a/src/core/workflow/check_workflow.cpp
+++ b/src/core/workflow/check_workflow.cpp
@@ -1,3 +1,5 @@
+#include "core/workflow/queue_place.hpp"
+
 #include <apricotlb/config.hpp>
 #include <apricotlb/workflow.hpp>
 
@@ -99,7 +101,7 @@
                 pool.name.value());
         }
     }
-    std::set<std::pair<host_name, queue_path>> places;
+    std::set<queue_place> places;
     for (auto const& queue : it.queues)
     {
         if (!pools.contains(queue.pool))
@@ -108,7 +110,7 @@
                 "queue " + queue.name.value() +
                 " refers to an unknown pool: " + queue.pool.value());
         }
-        if (!places.emplace(queue.host, queue.prefix).second)
+        if (!places.insert(place_of(queue.host, queue.prefix)).second)
         {
             return refuse_set("two queues have the host " + queue.host.value() +
                               " and the prefix " + queue.prefix.value());
--- /dev/null
+++ b/src/core/workflow/queue_place.cpp
@@ -0,0 +1,28 @@
+#include "core/workflow/queue_place.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace apricotlb
+{
+
+auto canonical_host(host_name const& host) -> host_name
+{
+    auto text = host.value();
+    if (text.ends_with('.'))
+    {
+        text.pop_back();
+    }
+    auto const to_lower = [](char c)
+    { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    std::ranges::transform(text, text.begin(), to_lower);
+    return host_name{std::move(text)};
+}
+
+auto place_of(host_name const& host, queue_path const& prefix) -> queue_place
+{
+    return {canonical_host(host), prefix};
+}
+
+} // namespace apricotlb
--- /dev/null
+++ b/src/core/workflow/queue_place.hpp
@@ -0,0 +1,29 @@
+/// The place of a queue in the form in which places are compared.
+#ifndef APRICOTLB_CORE_WORKFLOW_QUEUE_PLACE_HPP
+#define APRICOTLB_CORE_WORKFLOW_QUEUE_PLACE_HPP
+
+#include <apricotlb/workflow.hpp>
+
+namespace apricotlb
+{
+
+/// Host in canonical form, and prefix.
+struct queue_place
+{
+    host_name host;
+    queue_path prefix;
+
+    auto operator<=>(queue_place const&) const = default;
+};
+
+/// The host in lower case and without the dot that ends a fully qualified name
+/// (RFC 3986, 3.2.2).
+[[nodiscard]] auto canonical_host(host_name const& host) -> host_name;
+
+/// The place of a queue.
+[[nodiscard]] auto place_of(host_name const& host, queue_path const& prefix)
+    -> queue_place;
+
+} // namespace apricotlb
+
+#endif
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -364,6 +364,45 @@
     EXPECT_FALSE(it.match(host_name{"other"}, "/a/b/c"));
 }
 
+// Hosts have no case, and a client may end a full name with a dot; such
+// requests got 404 for a queue that exists.
+TEST(contract_sets, match_a_host_in_any_case)
+{
+    auto set = set_of(1, "/a/");
+    set.queues[0].host = host_name{"H.Example"};
+    contract_set_registry it;
+    it.apply(apply_contract_set{set}, {});
+    for (auto const* host :
+         {"H.Example", "h.example", "H.EXAMPLE", "h.example."})
+    {
+        EXPECT_TRUE(it.match(host_name{host}, "/a/x")) << host;
+    }
+    for (auto const* host : {"", ".", "h.example..", "h.example.org", "h"})
+    {
+        EXPECT_FALSE(it.match(host_name{host}, "/a/x")) << host;
+    }
+    EXPECT_FALSE(it.match(host_name{"h.example"}, "/A/x"));
+    EXPECT_EQ(it.current()->queues[0].host, host_name{"H.Example"});
+}
+
+// Of two queues at the same place one would get no requests.
+TEST(contract_sets, are_refused_with_one_place_written_in_two_ways)
+{
+    auto const is_valid = [](char const* host, char const* prefix)
+    {
+        auto set = set_of(1, "/a/");
+        set.queues.push_back(set.queues[0]);
+        set.queues[1].host = host_name{host};
+        set.queues[1].prefix = queue_path{prefix};
+        return check(set).has_value();
+    };
+    EXPECT_FALSE(is_valid("H", "/a/"));
+    EXPECT_FALSE(is_valid("h.", "/a/"));
+    EXPECT_TRUE(is_valid("h", "/A/"));
+    EXPECT_TRUE(is_valid("h", "//a/"));
+    EXPECT_TRUE(is_valid("i", "/a/"));
+}
+
 // A set with a mistake must never come into force.
 TEST(contract_sets, are_refused_with_a_reason)
 {
