Match prefixes that are written with percent-encoding

Clients got 404 for each request to a queue whose prefix has an encoded byte, such as /a%20b/, however they wrote the path.

The HTTP library decodes the paths of requests, the prefix was compared as the operator wrote it. Both spellings name the same path (RFC 3986, 6.2.2.2).

Places hold the decoded prefix; a prefix with malformed encoding is compared as it is. Two prefixes that differ only by their encoding are refused as one place, since requests cannot be told apart.

The new test match_a_percent_encoded_prefix and the row /%61/ of are_refused_with_one_place_written_in_two_ways failed before the change and pass now. Query, dot segments and encoded bytes of requests were matched already; // and the case of a path stay significant.

--- a/src/core/workflow/queue_place.cpp
+++ b/src/core/workflow/queue_place.cpp
@@ -1,5 +1,7 @@
 #include "core/workflow/queue_place.hpp"
 
+#include "core/entry/api_route.hpp"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -22,7 +24,9 @@
 
 auto place_of(host_name const& host, queue_path const& prefix) -> queue_place
 {
-    return {canonical_host(host), prefix};
+    return {
+        canonical_host(host),
+        queue_path{decode_path_part(prefix.value()).value_or(prefix.value())}};
 }
 
 } // namespace apricotlb
--- a/src/core/workflow/queue_place.hpp
+++ b/src/core/workflow/queue_place.hpp
@@ -7,7 +7,7 @@
 namespace apricotlb
 {
 
-/// Host in canonical form, and prefix.
+/// Host in canonical form, and prefix without percent-encoding.
 struct queue_place
 {
     host_name host;
@@ -20,7 +20,8 @@
 /// (RFC 3986, 3.2.2).
 [[nodiscard]] auto canonical_host(host_name const& host) -> host_name;
 
-/// The place of a queue.
+/// The place of a queue. Requests come with decoded paths, so the prefix is
+/// decoded too; malformed encoding is kept.
 [[nodiscard]] auto place_of(host_name const& host, queue_path const& prefix)
     -> queue_place;
 
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -385,6 +385,19 @@
     EXPECT_EQ(it.current()->queues[0].host, host_name{"H.Example"});
 }
 
+// Request paths come decoded, so a prefix with an encoded byte matched none.
+TEST(contract_sets, match_a_percent_encoded_prefix)
+{
+    contract_set_registry it;
+    it.apply(apply_contract_set{set_of(1, "/a%20b/%71/")}, {});
+    auto const found = it.match(host_name{"h"}, "/a b/q/x");
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->rest, "x");
+    EXPECT_FALSE(it.match(host_name{"h"}, "/a%20b/%71/x"));
+    it.apply(apply_contract_set{set_of(2, "/100%/")}, {});
+    EXPECT_TRUE(it.match(host_name{"h"}, "/100%/x"));
+}
+
 // Of two queues at the same place one would get no requests.
 TEST(contract_sets, are_refused_with_one_place_written_in_two_ways)
 {
@@ -398,6 +411,7 @@
     };
     EXPECT_FALSE(is_valid("H", "/a/"));
     EXPECT_FALSE(is_valid("h.", "/a/"));
+    EXPECT_FALSE(is_valid("h", "/%61/"));
     EXPECT_TRUE(is_valid("h", "/A/"));
     EXPECT_TRUE(is_valid("h", "//a/"));
     EXPECT_TRUE(is_valid("i", "/a/"));
