Read IPv6 addresses from Host headers

A request with the header Host: [::1]:80 was looked up under the host "[" and answered 404.

The front cut the header at its first colon. The colons of an IPv6 address are inside of brackets (RFC 3986, 3.2.2), so the port now begins at the first colon after the closing bracket (host_of_authority).

The new test failed before the change for [::1] with and without a port, and passes now with the forms that worked before.

--- a/src/core/workflow/queue_place.cpp
+++ b/src/core/workflow/queue_place.cpp
@@ -29,4 +29,13 @@
         queue_path{decode_path_part(prefix.value()).value_or(prefix.value())}};
 }
 
+auto host_of_authority(std::string_view authority) -> host_name
+{
+    // Colons before the bracket belong to an IPv6 address.
+    auto const bracket = authority.rfind(']');
+    auto const port =
+        authority.find(':', bracket == std::string_view::npos ? 0 : bracket);
+    return host_name{std::string{authority.substr(0, port)}};
+}
+
 } // namespace apricotlb
--- a/src/core/workflow/queue_place.hpp
+++ b/src/core/workflow/queue_place.hpp
@@ -4,6 +4,8 @@
 
 #include <apricotlb/workflow.hpp>
 
+#include <string_view>
+
 namespace apricotlb
 {
 
@@ -25,6 +27,9 @@
 [[nodiscard]] auto place_of(host_name const& host, queue_path const& prefix)
     -> queue_place;
 
+/// The host of a Host header, without its port.
+[[nodiscard]] auto host_of_authority(std::string_view authority) -> host_name;
+
 } // namespace apricotlb
 
 #endif
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -8,6 +8,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace apricotlb
 {
@@ -54,5 +56,43 @@
     EXPECT_GE(metrics.of("apricotlb_refusals_total", "not_leader"), 2);
 }
 
+struct recording_group
+{
+    std::vector<workflow_call> sent;
+
+    auto calls() -> auto& { return *this; }
+    template <class Callback>
+    auto start(workflow_call it, Callback const&, duration) -> void
+    {
+        sent.push_back(std::move(it));
+    }
+};
+
+// A port or an address in brackets in the Host header led to a 404.
+TEST(front, forwards_the_host_without_its_port)
+{
+    recording_group group;
+    fake_metrics metrics;
+    platform::front<recording_group, fake_metrics> front{group, metrics};
+    for (auto const& [authority, host] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"h.example", "h.example"},
+             {"h.example:80", "h.example"},
+             {"h.example:", "h.example"},
+             {"10.0.0.1:8080", "10.0.0.1"},
+             {"[::1]", "[::1]"},
+             {"[::1]:80", "[::1]"},
+             {"", ""},
+             {"]", "]"}})
+    {
+        http_request request;
+        request.method = "GET";
+        request.path = "/q/";
+        request.headers.push_back({"host", authority});
+        front.handle(request, [](http_answer const&) {});
+        EXPECT_EQ(group.sent.back().host, host_name{host}) << authority;
+    }
+}
+
 } // namespace
 } // namespace apricotlb
