Let a group commit while one founder is lost

A control process that was killed in its first moments, before it had stored its identity, came back as a new process, and the group never served: configurations and reads were answered 503 for good, also after all processes were back (seen with processes on loopback, all killed 0.36 s after their first start).

The three founders are the first voters, and an entry needs f + 1 copies. With f = 2 that is all three, one of which is gone for good, so nothing was committed, not even the changes that add voters or remove the lost one.

The copies are there for f losses. A voter that has been silent for config::voter_removal_delay is one of them, so one copy less is needed then. A majority of voters is always needed. Only groups with fewer than 2 f + 1 voters are concerned, since in others the copies are a majority.

--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -295,8 +295,8 @@
 public:
     auto self(node_id it) -> builder&;
     /// Minimum number of voters on which an entry must be durable before it is
-    /// committed; all voters, if there are fewer. A majority is always
-    /// required.
+    /// committed; all voters, if there are fewer. A voter that is silent for
+    /// config::voter_removal_delay reduces it. A majority is always required.
     auto copies(std::size_t n) -> builder&;
     /// The leader promotes a learner that has caught up while the group has
     /// fewer voters than this.
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -247,18 +247,33 @@
 auto raft::advance_commit(time_point now) -> void
 {
     std::vector<log_index> matches;
+    std::size_t lost{0};
     for (auto const& member : log_.members())
     {
-        if (member.role == member_role::voter)
+        if (member.role != member_role::voter)
         {
-            auto const found = peers_.find(member.id);
-            matches.push_back(member.id == self_      ? durable_index_
-                              : found != peers_.end() ? found->second.match
-                                                      : log_index{});
+            continue;
+        }
+        if (member.id == self_)
+        {
+            matches.push_back(durable_index_);
+            continue;
+        }
+        auto const found = peers_.find(member.id);
+        auto const is_known = found != peers_.end();
+        matches.push_back(is_known ? found->second.match : log_index{});
+        if (is_known &&
+            now - found->second.last_contact >= config::voter_removal_delay)
+        {
+            ++lost;
         }
     }
     std::ranges::sort(matches, std::greater{});
-    auto const needed = std::min(std::max(quorum(), copies_), matches.size());
+    // A lost voter is one of the losses that the copies are for. Without it, a
+    // group that has not yet all its voters could commit nothing, not even the
+    // change that replaces the lost one.
+    auto const needed = std::max(quorum(), std::min(copies_, matches.size()) -
+                                               std::min(copies_, lost));
     auto const index = std::min(matches[needed - 1], log_.last().index);
     // Entries of earlier terms are committed only together with an entry of the
     // current term (section 5.4.2 of the Raft paper).
--- a/tests/disk_loss_test.cpp
+++ b/tests/disk_loss_test.cpp
@@ -32,12 +32,15 @@
 class machine_group
 {
 public:
-    explicit machine_group(std::uint64_t seed)
-        : group{machines, seed, tolerated_losses + 1, machines}
+    explicit machine_group(std::uint64_t seed, std::size_t founders = machines)
+        : group{founders, seed, tolerated_losses + 1, machines}
     {
         for (std::size_t n = 0; n < machines; ++n)
         {
-            node_of.push_back(n);
+            node_of.push_back(n < founders ? n
+                                           : group.add_empty(member_id(
+                                                 "n" + std::to_string(n),
+                                                 std::to_string(++lives))));
         }
         group.elect();
     }
@@ -387,5 +390,20 @@
     }
 }
 
+// A founder killed before it had stored its identity came back under a new one,
+// and the two others never had enough copies to commit anything.
+TEST(disk_loss, founds_a_group_while_one_founder_loses_its_disk)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        machine_group it{seed, 3};
+        auto const lost = (it.leader().value_or(0) + 1) % 3;
+        it.wipe(lost);
+        it.run(seconds{1});
+        it.start(lost);
+        it.expect_recovered();
+    }
+}
+
 } // namespace
 } // namespace apricotlb
