--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -139,6 +139,7 @@
     replace(text, "{{fault_tolerance.machines}}", "2");
     replace(text, "{{bounds.max_hold_ms}}", "10000");
     replace(text, "{{limits.disk_mb}}", "128");
+    replace(text, "{{bounds.grace_s}}", "6");
     std::ofstream{options_.folder / (it.name + ".yaml")} << text;
 }
 
