--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -277,7 +277,8 @@
                 disturbed_.mark(name, clock_.now());
                 system_.remove(name);
                 auto const added = system_.add_control();
-                log_(name + " is replaced by " + added);
+                std::string line{name};
+                log_(line.append(" is replaced by ").append(added));
                 disturbed_.mark(added, clock_.now());
                 break;
             }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -138,8 +138,10 @@
             place.id = "i" + std::to_string(n);
             place.zone = "z" + zone;
             place.rack = "r" + std::to_string(n / zones / rack) + "-" + zone;
-            place.listen_at = net + ".1" + zone + "." + host + ":8000";
-            place.proxy_at = net + ".1" + zone + "." + host + ":8001";
+            auto ip = net;
+            ip.append(".1").append(zone).append(".").append(host);
+            place.listen_at = ip + ":8000";
+            place.proxy_at = ip + ":8001";
             workers_.push_back(
                 std::make_unique<worker>(clock_, seen_, options_.seed + n,
                                          place, system_.addresses('c')));
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -214,7 +214,7 @@
                      std::function<void()> done) -> void
 {
     auto const names = system_.names('c');
-    auto const node = names[random_() % names.size()];
+    auto const& node = names[random_() % names.size()];
     auto const to =
         std::make_shared<http_connection>(clock_, system_.at(node).served_at());
     constexpr std::size_t bytes_per_ms = 200;
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -87,6 +87,7 @@
     holds_requests_ = requests;
     holds_answers_ = answers;
     std::vector<std::uint64_t> ids;
+    ids.reserve(pipes_.size());
     for (auto const& [id, it] : pipes_)
     {
         ids.push_back(id);
