Leave the copies of lost voters out of a reduced commit

Where a lost voter makes one copy less enough, its own copy does not count any more. Groups with all their voters are not concerned, since they need a majority in any case.

The new test failed before (committed up to 2, expected 1) and passes now.

--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -231,6 +231,7 @@
     /// member a follower.
     auto answering_peer(time_point now, node_id const& from, term in_term,
                         time_point sent_at) -> peer*;
+    [[nodiscard]] auto required_copies(std::size_t lost) const -> std::size_t;
     auto advance_commit(time_point now) -> void;
     auto promote_if_caught_up(time_point now, node_id const& id, peer& follower)
         -> void;
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -244,36 +244,47 @@
     }
 }
 
+/// Number of voters on which an entry must be durable. A lost voter is one of
+/// the losses that the copies are for. Without it, a group that has not yet all
+/// its voters could commit nothing, not even the change that replaces it.
+auto raft::required_copies(std::size_t lost) const -> std::size_t
+{
+    return std::max(quorum(), std::min(copies_, voter_count()) -
+                                  std::min(copies_, lost));
+}
+
 auto raft::advance_commit(time_point now) -> void
 {
-    std::vector<log_index> matches;
-    std::size_t lost{0};
+    auto const is_lost = [this, now](node_id const& id)
+    {
+        auto const found = peers_.find(id);
+        return found != peers_.end() &&
+               now - found->second.last_contact >= config::voter_removal_delay;
+    };
+    std::vector<node_id> voters;
     for (auto const& member : log_.members())
     {
-        if (member.role != member_role::voter)
-        {
-            continue;
-        }
-        if (member.id == self_)
-        {
-            matches.push_back(durable_index_);
-            continue;
-        }
-        auto const found = peers_.find(member.id);
-        auto const is_known = found != peers_.end();
-        matches.push_back(is_known ? found->second.match : log_index{});
-        if (is_known &&
-            now - found->second.last_contact >= config::voter_removal_delay)
+        if (member.role == member_role::voter)
         {
-            ++lost;
+            voters.push_back(member.id);
         }
     }
+    auto const lost =
+        static_cast<std::size_t>(std::ranges::count_if(voters, is_lost));
+    auto const needed = required_copies(lost);
+    // The copy of a voter that makes one copy less enough may be lost with it.
+    auto const leaves_out_lost = needed < required_copies(0);
+    std::vector<log_index> matches;
+    for (auto const& id : voters)
+    {
+        auto const found = peers_.find(id);
+        auto const counts = found != peers_.end() &&
+                            !(leaves_out_lost && is_lost(id));
+        matches.push_back(id == self_ ? durable_index_
+                          : counts    ? found->second.match
+                                      : log_index{});
+    }
     std::ranges::sort(matches, std::greater{});
-    // A lost voter is one of the losses that the copies are for. Without it, a
-    // group that has not yet all its voters could commit nothing, not even the
-    // change that replaces the lost one.
-    auto const needed = std::max(quorum(), std::min(copies_, matches.size()) -
-                                               std::min(copies_, lost));
     auto const index = std::min(matches[needed - 1], log_.last().index);
     // Entries of earlier terms are committed only together with an entry of the
     // current term (section 5.4.2 of the Raft paper).
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -416,5 +416,35 @@
     EXPECT_EQ(it.status().members.back().member.role, member_role::voter);
 }
 
+// A copy of a voter that is lost must not make an entry durable: its disk may
+// be gone.
+TEST(raft, a_lost_voter_neither_holds_up_commits_nor_counts_as_a_copy)
+{
+    auto it = raft::builder{}
+                  .self(node_id{"a"})
+                  .copies(3)
+                  .snapshot({{{}, members({"a", "b", "c"})}, ""})
+                  .started(start, random_bits{0})
+                  .build()
+                  .value();
+    lead(it, late);
+    accept(it, "b", late, 1, late);
+    accept(it, "c", late, 1, late);
+    ASSERT_TRUE(it.propose("x"));
+    it.flush(late);
+    it.persisted(late);
+    accept(it, "c", late, 2, late);
+    EXPECT_EQ(it.commit_index(), log_index{1});
+    auto const lost = late + config::voter_removal_delay;
+    for (auto now = late; now <= lost; now += config::raft_heartbeat)
+    {
+        it.tick(now, random_bits{0});
+        accept(it, "b", now, 1, now);
+    }
+    EXPECT_EQ(it.commit_index(), log_index{1});
+    accept(it, "b", lost, 2, lost);
+    EXPECT_EQ(it.commit_index(), log_index{2});
+}
+
 } // namespace
 } // namespace apricotlb
