Bound the cancellations kept for workflows that never arrive

At most 16,384 such cancellations are kept; further ones are refused with queue_full, so that the caller gets 503 and sends them again. The field is written for them only, and other records have the bytes that they had.

The first test does not compile without the bound; the second was not run without the change.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -224,6 +224,9 @@
 inline constexpr std::size_t max_payload_bytes = 16 * kib;
 inline constexpr std::size_t max_tokens = 16; ///< of one customer
 inline constexpr std::size_t max_workflow_steps = 64;
+/// Cancellings of workflows that have not arrived, kept as long as ended ones.
+/// 3 MB with the longest ids.
+inline constexpr std::size_t max_early_cancellations = 16 * kib;
 /// Tasks of a workflow over all its steps and occurrences.
 inline constexpr std::int64_t max_workflow_tasks = 100'000;
 inline constexpr task_count max_tasks_per_job{10'000};
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -642,13 +642,25 @@
         replica_.propose(Codec::encode(request),
                          [this, caller, id](result<log_index> const& done)
                          {
-                             if (done &&
-                                 !machine_.state().workflows().state(id))
+                             if (!done)
                              {
-                                 refuse_unknown(caller, id);
+                                 answer_proposal(caller, done);
                                  return;
                              }
-                             answer_proposal(caller, done);
+                             auto const& applied = machine_.last_result();
+                             if (applied.refused)
+                             {
+                                 refuse(caller.node, caller.id,
+                                        *applied.refused, applied.detail);
+                             }
+                             else if (!machine_.state().workflows().state(id))
+                             {
+                                 refuse_unknown(caller, id);
+                             }
+                             else
+                             {
+                                 answer(caller, applied);
+                             }
                          });
     }
 
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -249,8 +249,8 @@
 /// its voters could commit nothing, not even the change that replaces it.
 auto raft::required_copies(std::size_t lost) const -> std::size_t
 {
-    return std::max(quorum(), std::min(copies_, voter_count()) -
-                                  std::min(copies_, lost));
+    return std::max(quorum(),
+                    std::min(copies_, voter_count()) - std::min(copies_, lost));
 }
 
 auto raft::advance_commit(time_point now) -> void
@@ -278,8 +278,8 @@
     for (auto const& id : voters)
     {
         auto const found = peers_.find(id);
-        auto const counts = found != peers_.end() &&
-                            !(leaves_out_lost && is_lost(id));
+        auto const counts =
+            found != peers_.end() && !(leaves_out_lost && is_lost(id));
         matches.push_back(id == self_ ? durable_index_
                           : counts    ? found->second.match
                                       : log_index{});
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -146,6 +146,7 @@
     for (auto& it : from.ended)
     {
         auto const id = it.id;
+        early_cancellations_ += it.is_submitted() ? 0 : 1;
         ended_.emplace(id, std::move(it));
     }
 }
@@ -160,7 +161,8 @@
     if (auto const early = ended_.find(it.spec.id); early != ended_.end())
     {
         auto& cancelled = early->second;
-        cancelled.submitted = true;
+        cancelled.submitted.reset();
+        --early_cancellations_;
         cancelled.queue = it.terms.name;
         cancelled.at = std::max(cancelled.at, it.submitted);
         return answer_at(at);
@@ -187,19 +189,9 @@
     auto const found = live_.find(it.id);
     if (found == live_.end())
     {
-        auto& ended =
-            ended_
-                .try_emplace(
-                    it.id,
-                    ended_workflow{
-                        it.id, {}, workflow_state::cancelled, it.at, false})
-                .first->second;
-        if (!ended.submitted)
-        {
-            ended.at = std::max(ended.at, it.at);
-        }
+        return cancel_unknown(it, at);
     }
-    else if (found->second.is_open())
+    if (found->second.is_open())
     {
         count_waiting(found->second, -1);
         remove_ready(found->second);
@@ -209,6 +201,32 @@
     return answer_at(at);
 }
 
+/// Keeps the cancelling of a workflow that is not live: its submission may
+/// still be under way.
+auto workflow_table::cancel_unknown(cancel_workflow const& it, revision at)
+    -> apply_result
+{
+    if (auto const known = ended_.find(it.id); known != ended_.end())
+    {
+        if (!known->second.is_submitted())
+        {
+            known->second.at = std::max(known->second.at, it.at);
+        }
+        return answer_at(at);
+    }
+    if (early_cancellations_ >= config::max_early_cancellations)
+    {
+        return apply_result::refuse(
+            error_kind::queue_full,
+            "too many workflows were cancelled before they arrived");
+    }
+    ++early_cancellations_;
+    ended_.emplace(
+        it.id,
+        ended_workflow{it.id, {}, workflow_state::cancelled, it.at, false});
+    return answer_at(at);
+}
+
 auto workflow_table::apply(start_runs const& it, revision at) -> apply_result
 {
     for (auto const& placed : it.runs)
@@ -265,8 +283,16 @@
 auto workflow_table::apply(expire_workflows const& it, revision at)
     -> apply_result
 {
-    std::erase_if(ended_, [&it](auto const& each)
-                  { return each.second.at < it.before; });
+    std::erase_if(ended_,
+                  [&](auto const& each)
+                  {
+                      auto const is_over = each.second.at < it.before;
+                      if (is_over && !each.second.is_submitted())
+                      {
+                          --early_cancellations_;
+                      }
+                      return is_over;
+                  });
     return answer_at(at);
 }
 
@@ -504,7 +530,7 @@
         return it->state();
     }
     auto const it = ended_.find(id);
-    if (it == ended_.end() || !it->second.submitted)
+    if (it == ended_.end() || !it->second.is_submitted())
     {
         return std::nullopt;
     }
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -153,7 +153,14 @@
     queue_name queue;
     workflow_state state{workflow_state::completed};
     wall_time at;
-    bool submitted{true};
+    /// False until the submission arrives. Empty otherwise, so that members of
+    /// earlier versions read the records that they know.
+    std::optional<bool> submitted{};
+
+    [[nodiscard]] auto is_submitted() const -> bool
+    {
+        return submitted.value_or(true);
+    }
 
     static constexpr auto fields()
     {
@@ -274,6 +281,7 @@
         -> void;
     auto record_crash(workflow_record& record, task_run const& run) -> void;
     auto set_failed(workflow_record& record) -> void;
+    auto cancel_unknown(cancel_workflow const& it, revision at) -> apply_result;
     auto count_waiting(workflow_record const& it, int sign) -> void;
     /// Moves a workflow to the ended ones if it has no tasks left to run and no
     /// active runs.
@@ -281,6 +289,7 @@
 
     std::unordered_map<workflow_id, workflow_record> live_;
     std::map<workflow_id, ended_workflow> ended_;
+    std::size_t early_cancellations_{0}; ///< in ended_, not submitted yet
     std::map<ready_step, ready_tasks> ready_;
     std::size_t ready_count_{0};
     std::map<queue_name, std::size_t> waiting_;
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -308,6 +308,45 @@
     EXPECT_EQ(table.state(late.id), std::nullopt);
 }
 
+// Cancellings of workflows that never arrive must not fill the memory.
+TEST(workflow_table, bounds_the_cancellings_without_a_submission)
+{
+    one_workflow it{{step(1)}};
+    auto const at = wall_time{std::chrono::seconds{100}};
+    auto const cancel = [&it, at](std::size_t n)
+    {
+        return it.state.apply(
+            cancel_workflow{workflow_id{"n" + std::to_string(n)}, at},
+            log_index{1000 + n});
+    };
+    for (std::size_t n = 0; n < config::max_early_cancellations; ++n)
+    {
+        ASSERT_FALSE(cancel(n).refused);
+    }
+    EXPECT_FALSE(cancel(0).refused);
+    auto const one_more = config::max_early_cancellations;
+    EXPECT_EQ(cancel(one_more).refused, error_kind::queue_full);
+    state_machine restarted{it.state.snapshot()};
+    EXPECT_EQ(
+        restarted
+            .apply(cancel_workflow{workflow_id{"x"}, at}, log_index{100'000})
+            .refused,
+        error_kind::queue_full);
+    it.apply(expire_workflows{at + std::chrono::seconds{1}});
+    EXPECT_FALSE(cancel(one_more).refused);
+}
+
+// Members of earlier versions refuse records with a field that they don't know.
+TEST(workflow_table, writes_ended_workflows_as_earlier_versions_do)
+{
+    ended_workflow const ended{workflow_id{"a"}, queue_name{"q"},
+                               workflow_state::completed, wall_time{},
+                               std::nullopt};
+    auto const bytes = msgpack_codec::encode(ended);
+    constexpr char array_of_four{'\x94'};
+    EXPECT_EQ(bytes.front(), array_of_four);
+}
+
 // An unknown cancelling must not stay for ever, nor change what has ended.
 TEST(workflow_table, forgets_a_cancelling_without_a_submission)
 {
