--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -430,7 +430,9 @@
     }
     if (with_disks)
     {
-        for (auto const& name : pick(random, control, 2))
+        // With a disk that was lost shortly before, no more than two.
+        auto const is_recent = clock_.now() - last_disk_loss_ < catch_up;
+        for (auto const& name : pick(random, control, is_recent ? 1 : 2))
         {
             system_.wipe(name);
         }
