Look for the members of the log as well as for the seeds

A process that was killed under load can't listen on its port for up to a minute, since its connections stay in TIME_WAIT, and takes the next one. Others learn that from its node view, whose address they have from the views of the seeds. Seeds that come back with empty disks know no members, and the members whose logs name each other, with the former ports, never looked for each other under the addresses in their own logs.

The test of the discovery uses the new call and does not compile without it. A name of the same scope is renamed, which kept a benchmark from compiling. The final fault of the soak counts disks as the deployment does: a new machine 4 s after its start.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -37,7 +37,7 @@
      {fault_kind::reset_links, "reset_links"}});
 
 /// Time until a machine that lost its disk, or is new, counts again.
-constexpr auto catch_up = seconds{9};
+constexpr auto catch_up = seconds{4};
 constexpr auto grace = seconds{6};
 
 auto chance(std::mt19937_64& random, std::uint64_t of) -> bool
@@ -265,11 +265,11 @@
         break;
     case fault_kind::lose_disk:
     case fault_kind::replace_control:
-        if (clock_.now() - last_disk_loss_ < catch_up)
+        if (clock_.now() < disk_counts_from_)
         {
             break;
         }
-        last_disk_loss_ = clock_.now();
+        disk_counts_from_ = clock_.now() + catch_up;
         for (auto const& name : pick(random, control, 1))
         {
             if (it.kind == fault_kind::replace_control)
@@ -284,6 +284,7 @@
             }
             kill(name, down);
             system_.wipe(name);
+            disk_counts_from_ += down;
         }
         break;
     case fault_kind::kill_entry:
@@ -431,7 +432,7 @@
     if (with_disks)
     {
         // With a disk that was lost shortly before, no more than two.
-        auto const is_recent = clock_.now() - last_disk_loss_ < catch_up;
+        auto const is_recent = clock_.now() < disk_counts_from_;
         for (auto const& name : pick(random, control, is_recent ? 1 : 2))
         {
             system_.wipe(name);
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -94,7 +94,7 @@
     disturbances& disturbed_;
     std::function<void(std::string const&)> log_;
     std::map<std::string, std::function<void()>> on_ended_;
-    time_point last_disk_loss_{};
+    time_point disk_counts_from_{}; ///< the last machine that lost its disk
 };
 
 } // namespace apricotlb::soak
--- a/src/app/group_discovery.hpp
+++ b/src/app/group_discovery.hpp
@@ -75,6 +75,24 @@
         }
     }
 
+    /// Adds processes that are known in another way, such as the members of a
+    /// stored log, unless they are known already.
+    auto add_members(std::vector<node_id> const& members) -> void
+    {
+        auto const has_address = [](node_id const& id)
+        { return is_socket_address(served_address(id)); };
+        for (auto const& id : members | std::views::filter(has_address) |
+                                  std::views::take(config::max_members))
+        {
+            auto const [it, added] = addresses_.try_emplace(served_address(id));
+            if (added)
+            {
+                it->second.added = clock_.now();
+                request_view(it->first, it->second);
+            }
+        }
+    }
+
     /// While settled (a leader answers), polls are less frequent.
     auto set_settled(bool settled) -> void
     {
@@ -194,20 +212,7 @@
         source.node = view.value().node;
         source.last_response = clock_.now();
         introduce_(view.value().node, view.value().peers_at);
-        auto const has_address = [](node_id const& id)
-        { return is_socket_address(served_address(id)); };
-        for (auto const& id : view.value().members |
-                                  std::views::filter(has_address) |
-                                  std::views::take(config::max_members))
-        {
-            auto const [other, added] =
-                addresses_.try_emplace(served_address(id));
-            if (added)
-            {
-                other->second.added = source.last_response;
-                request_view(other->first, other->second);
-            }
-        }
+        add_members(view.value().members);
         std::vector<node_id> nodes;
         for (auto const& [other_address, known] : addresses_)
         {
--- a/src/core/state/contract_set_registry.cpp
+++ b/src/core/state/contract_set_registry.cpp
@@ -21,7 +21,7 @@
     {
         auto const& it = current_->queues[n];
         queue_by_name_[it.name] = n;
-        queue_by_place_[place_of(it.host, it.prefix)] = n;
+        queue_by_place_[queue_place_of(it.host, it.prefix)] = n;
     }
 }
 
--- a/src/core/workflow/check_workflow.cpp
+++ b/src/core/workflow/check_workflow.cpp
@@ -110,7 +110,7 @@
                 "queue " + queue.name.value() +
                 " refers to an unknown pool: " + queue.pool.value());
         }
-        if (!places.insert(place_of(queue.host, queue.prefix)).second)
+        if (!places.insert(queue_place_of(queue.host, queue.prefix)).second)
         {
             return refuse_set("two queues have the host " + queue.host.value() +
                               " and the prefix " + queue.prefix.value());
--- a/src/core/workflow/queue_place.cpp
+++ b/src/core/workflow/queue_place.cpp
@@ -22,7 +22,8 @@
     return host_name{std::move(text)};
 }
 
-auto place_of(host_name const& host, queue_path const& prefix) -> queue_place
+auto queue_place_of(host_name const& host, queue_path const& prefix)
+    -> queue_place
 {
     return {
         canonical_host(host),
--- a/src/core/workflow/queue_place.hpp
+++ b/src/core/workflow/queue_place.hpp
@@ -24,8 +24,8 @@
 
 /// The place of a queue. Requests come with decoded paths, so the prefix is
 /// decoded too; malformed encoding is kept.
-[[nodiscard]] auto place_of(host_name const& host, queue_path const& prefix)
-    -> queue_place;
+[[nodiscard]] auto queue_place_of(host_name const& host,
+                                  queue_path const& prefix) -> queue_place;
 
 /// The host of a Host header, without its port.
 [[nodiscard]] auto host_of_authority(std::string_view authority) -> host_name;
--- a/tests/group_discovery_test.cpp
+++ b/tests/group_discovery_test.cpp
@@ -49,7 +49,9 @@
                     {
                         view.members.emplace_back(id);
                     }
-                    for (auto const& id : this_test->members)
+                    for (auto const& id : this_test->empty
+                                              ? std::set<std::string>{}
+                                              : this_test->members)
                     {
                         view.members.emplace_back(id);
                     }
@@ -92,6 +94,7 @@
     std::set<std::string> const members{"c1:80", "c2:80", "c3:80", "c4:80",
                                         "c5:80"};
     std::set<std::string> up{members};
+    bool empty{false}; ///< no process knows members
     std::vector<std::string> odd_members;
     std::map<std::string, std::string> odd_urls; ///< by the answering process
     std::map<std::string, std::string> introduced;
@@ -169,6 +172,22 @@
     EXPECT_EQ(polled, members);
 }
 
+// After seeds that lost their disks had come back, members that had taken other
+// ports meanwhile never found each other, and elected no leader.
+TEST_F(group_discovery_test, finds_the_members_of_the_log_beside_empty_seeds)
+{
+    empty = true;
+    clock.advance(seconds{1});
+    EXPECT_FALSE(introduced.contains("c3:80"));
+    for (auto n = 0; n < 40; ++n)
+    {
+        it.add_members({node_id{"c3:80"}, node_id{"c4:80"}});
+        clock.advance(seconds{1});
+    }
+    EXPECT_EQ(introduced["c3:80"], "tcp://c3:80");
+    EXPECT_EQ(introduced["c4:80"], "tcp://c4:80");
+}
+
 // A view of another program must not make this process poll without bound.
 TEST_F(group_discovery_test, polls_a_bounded_number_of_members)
 {
