Report started runs whose order has no answer

The leader now logs a line `unanswered` a second for each of the four starts that were first ordered longest ago, once that is more than 1 s: time, number of start orders, whether one is in flight, for how long the worker has answered nothing, and the age of its last contact. `starts_unanswered` in the line `fleet` counts all of them. No decision reads the new counter of orders.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -406,8 +406,8 @@
 /// Events of runs that are logged in one report interval. A rack that is lost
 /// ends hundreds of runs at once, and each line costs the leader time.
 inline constexpr std::size_t max_logged_run_events = 64;
-/// Wait of a permanent task for another run above which it is reported, and
-/// the waits in one report.
+/// Wait of a permanent task for another run, of a step for a first one or of a
+/// start for an answer above which it is reported, and the waits in one report.
 inline constexpr duration reported_wait = 1s;
 inline constexpr std::size_t max_reported_waits = 4;
 /// Steps with waiting tasks that a report looks at, in order of acceptance.
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -212,6 +212,7 @@
         {
             out.inherited += held.phase == run_phase::inherited ? 1 : 0;
             out.unconfirmed += held.phase == run_phase::ordered ? 1 : 0;
+            out.starts_unanswered += held.is_start_overdue(now) ? 1 : 0;
             out.copies += held.is_copy ? 1 : 0;
             if (held.phase == run_phase::running)
             {
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -249,6 +249,7 @@
     held.order_in_flight = true;
     held.sent = now;
     held.start_sent = now;
+    ++held.starts_sent;
     actions_.emplace_back(
         start_order{target_of(worker, now), run, record->spec.payload,
                     record->find(run.task)->checkpoint,
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -102,9 +102,11 @@
     std::int64_t held{0}; ///< workers held for restarts of permanent tasks
     /// Workers with runs whose last contact is too old for new runs.
     std::int64_t silent{0};
-    std::int64_t fenced{0};         ///< workers that refuse the leader's token
-    std::int64_t inherited{0};      ///< runs not yet seen under this leader
-    std::int64_t unconfirmed{0};    ///< starts without an answer so far
+    std::int64_t fenced{0};      ///< workers that refuse the leader's token
+    std::int64_t inherited{0};   ///< runs not yet seen under this leader
+    std::int64_t unconfirmed{0}; ///< starts without an answer so far
+    /// Of these, first ordered longer than config::reported_wait ago.
+    std::int64_t starts_unanswered{0};
     std::int64_t polls{0};          ///< that wait for their answers
     std::int64_t evacuated{0};      ///< data centres
     std::int64_t evacuated_runs{0}; ///< left on their workers
@@ -190,8 +192,9 @@
     }
     [[nodiscard]] auto summary(time_point now) -> fleet_summary;
     /// Permanent tasks that have waited for another run for longer than
-    /// config::reported_wait, and steps of which nothing has run for as long;
-    /// the longest waits first, and config::max_reported_waits of each at most.
+    /// config::reported_wait, steps of which nothing has run for as long, and
+    /// started runs whose first order is older and not confirmed; the longest
+    /// waits first, and config::max_reported_waits of each at most.
     /// To be called at regular intervals (run_waits.cpp).
     [[nodiscard]] auto longest_waiting(time_point now, wall_time wall)
         -> waiting_work;
@@ -621,6 +624,8 @@
         -> std::vector<wait_report>;
     [[nodiscard]] auto longest_stalls(time_point now, wall_time wall)
         -> std::vector<stalled_step>;
+    [[nodiscard]] auto longest_unanswered(time_point now) const
+        -> std::vector<unanswered_start>;
     auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
                          obstacle_counts& counts,
                          millicores& largest_free) const -> void;
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -188,6 +188,37 @@
     return out;
 }
 
+auto run_scheduler::longest_unanswered(time_point now) const
+    -> std::vector<unanswered_start>
+{
+    std::vector<unanswered_start> out;
+    for (auto const& [id, worker] : workers_)
+    {
+        for (auto const& [run, held] : worker.runs)
+        {
+            if (!held.is_start_overdue(now))
+            {
+                continue;
+            }
+            unanswered_start found;
+            found.run = run;
+            found.worker = {id, worker.incarnation};
+            found.waited = now - *held.ordered_at;
+            found.orders = held.starts_sent;
+            found.order_in_flight = held.order_in_flight;
+            if (worker.unanswered_since)
+            {
+                found.worker_unanswered = now - *worker.unanswered_since;
+            }
+            found.contact_age = now - worker.last_contact;
+            out.push_back(std::move(found));
+        }
+    }
+    std::ranges::stable_sort(out, std::greater{}, &unanswered_start::waited);
+    out.resize(std::min(out.size(), config::max_reported_waits));
+    return out;
+}
+
 auto run_scheduler::stall_cause_of(candidate_run const& candidate,
                                    bool has_worker) const -> stall_cause
 {
@@ -220,7 +251,8 @@
 auto run_scheduler::longest_waiting(time_point now, wall_time wall)
     -> waiting_work
 {
-    waiting_work out{longest_waits(now), longest_stalls(now, wall)};
+    waiting_work out{longest_waits(now), longest_stalls(now, wall),
+                     longest_unanswered(now)};
     if (out.restarts.empty() && out.steps.empty())
     {
         return out;
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -1,5 +1,5 @@
-/// Work that waits for a run: restarts of permanent tasks, and steps of which
-/// nothing runs.
+/// Work that waits for a run: restarts of permanent tasks, steps of which
+/// nothing runs, and starts without an answer.
 #ifndef APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
 
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -150,11 +151,27 @@
     obstacle_counts workers;
 };
 
+/// A run whose start is ordered and not confirmed. It keeps its task from other
+/// workers until its start cannot be carried out any more.
+struct unanswered_start
+{
+    task_run run;
+    worker_instance worker;
+    duration waited{};           ///< since the first order of this leader
+    std::int64_t orders{0};      ///< of the start, sent by this leader
+    bool order_in_flight{false}; ///< one of them waits for its answer
+    /// For how long the worker has answered no order and no poll; none if it
+    /// answers.
+    std::optional<duration> worker_unanswered;
+    duration contact_age{}; ///< since the last contact of the worker
+};
+
 /// What has waited for longest, as of one report.
 struct waiting_work
 {
     std::vector<wait_report> restarts;
     std::vector<stalled_step> steps;
+    std::vector<unanswered_start> unanswered;
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -85,7 +85,8 @@
     /// When it was first confirmed as running; none for a run of an earlier
     /// leader, which may have started at any time before.
     std::optional<time_point> started_at;
-    time_point start_sent{}; ///< last start order of this leader
+    time_point start_sent{};     ///< last start order of this leader
+    std::int64_t starts_sent{0}; ///< start orders of this leader
     run_end closed_as{run_end::not_started}; ///< end to record once closed
     time_point sent{};                       ///< when the last order was sent
     time_point settled_at{}; ///< when it was confirmed as running, or closed
@@ -137,6 +138,14 @@
         return std::min(pace, possible_pace.value_or(pace));
     }
 
+    /// True if its start has been ordered for longer than config::reported_wait
+    /// and is not confirmed.
+    [[nodiscard]] auto is_start_overdue(time_point now) const -> bool
+    {
+        return phase == run_phase::ordered && ordered_at &&
+               now - *ordered_at > config::reported_wait;
+    }
+
     /// True while a crash of its worker would count as caused by it and another
     /// worker has crashed under its task before.
     [[nodiscard]] auto is_unproven_suspect(time_point now) const -> bool
--- /dev/null
+++ b/tests/unanswered_orders_test.cpp
@@ -0,0 +1,177 @@
+#include "adapters/log.hpp"
+#include "fake_fleet.hpp"
+#include "platform/fleet_log.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace apricotlb
+{
+namespace
+{
+
+/// Worker "w1" is known; its tasks run for 30 s.
+class unanswered_orders : public testing::Test
+{
+protected:
+    unanswered_orders()
+    {
+        fleet.behaviour = [](std::string const&) {
+            return platform_worker::run{0, time_point{seconds{30}}, "done",
+                                        1000};
+        };
+        fleet.add_worker("w1", 16'000);
+        fleet.announce_now();
+        fleet.run(milliseconds{5});
+    }
+
+    [[nodiscard]] auto entry() const -> worker_entry const&
+    {
+        return fleet.leader->workers().at(worker_id{"w1"});
+    }
+    auto starts() -> std::vector<unanswered_start>
+    {
+        return fleet.leader->longest_waiting(fleet.now, wall_time{}).unanswered;
+    }
+    auto count() -> std::int64_t
+    {
+        return fleet.leader->summary(fleet.now).starts_unanswered;
+    }
+    /// Submits tasks, and runs until their starts are ordered.
+    auto order(std::string const& workflow, std::int64_t tasks) -> void
+    {
+        auto const before = fleet.starts;
+        fleet.submit(workflow, {fake_fleet::step(tasks)});
+        auto const n = static_cast<std::size_t>(tasks);
+        for (auto left = 100; left > 0 && fleet.starts < before + n; --left)
+        {
+            fleet.run(milliseconds{5});
+        }
+        ASSERT_EQ(fleet.starts, before + n);
+    }
+
+    fake_fleet fleet{1};
+};
+
+// A task whose start gets no answer is not ready, so that no line shows it.
+TEST_F(unanswered_orders, shows_a_start_to_a_worker_that_answers_nothing)
+{
+    fleet.deaf.insert("w1");
+    order("a", 1);
+    auto const ordered = fleet.now;
+    fleet.run(seconds{1});
+    EXPECT_TRUE(starts().empty());
+    EXPECT_EQ(count(), 0);
+
+    fleet.run(milliseconds{500});
+    auto const all = starts();
+    ASSERT_EQ(all.size(), 1U);
+    auto const& it = all.front();
+    EXPECT_EQ(it.run.task.workflow, workflow_id{"a"});
+    EXPECT_EQ(it.run.number, run_number{1});
+    EXPECT_EQ(it.worker,
+              (worker_instance{worker_id{"w1"}, entry().incarnation}));
+    EXPECT_EQ(it.waited, fleet.now - ordered);
+    EXPECT_EQ(it.orders, 2);
+    EXPECT_TRUE(it.order_in_flight);
+    EXPECT_EQ(it.worker_unanswered,
+              fleet.now - ordered - config::order_timeout);
+    EXPECT_EQ(it.contact_age, fleet.now - entry().last_contact);
+    EXPECT_EQ(count(), 1);
+
+    fleet.deaf.clear();
+    fleet.run(seconds{2});
+    ASSERT_EQ(fleet.workers["w1"]->running().size(), 1U);
+    EXPECT_TRUE(starts().empty());
+    EXPECT_EQ(count(), 0);
+}
+
+// Lost orders to a worker that answers polls would look like a dead worker.
+TEST_F(unanswered_orders, shows_that_the_worker_answers_polls)
+{
+    fleet.faults.lost = 100;
+    order("a", 1);
+    fleet.run(config::order_timeout + milliseconds{200});
+    auto const all = starts();
+    ASSERT_EQ(all.size(), 1U);
+    EXPECT_EQ(all.front().orders, 1);
+    EXPECT_FALSE(all.front().order_in_flight);
+    EXPECT_EQ(all.front().worker_unanswered, std::nullopt);
+}
+
+// Hundreds of lost starts would use up the log's limit per event.
+TEST_F(unanswered_orders, shows_a_bounded_number_of_the_oldest_starts)
+{
+    fleet.deaf.insert("w1");
+    order("late", 3);
+    fleet.run(milliseconds{300});
+    order("a", 3);
+    fleet.run(milliseconds{1400});
+    auto const all = starts();
+    ASSERT_EQ(all.size(), config::max_reported_waits);
+    EXPECT_EQ(std::ranges::count(all, workflow_id{"late"},
+                                 [](unanswered_start const& it)
+                                 { return it.run.task.workflow; }),
+              3);
+    EXPECT_EQ(all.back().run.task.workflow, workflow_id{"a"});
+    EXPECT_GT(all.front().waited, all.back().waited);
+    EXPECT_EQ(count(), 6);
+}
+
+class unanswered_orders_log : public testing::Test
+{
+protected:
+    unanswered_orders_log()
+    {
+        setup_log({log_level::info, log_format::text, &out,
+                   [] { return log_time{}; }});
+    }
+    ~unanswered_orders_log() override { setup_log({}); }
+
+    [[nodiscard]] auto has(std::string const& text) const -> bool
+    {
+        return out.str().find(text) != std::string::npos;
+    }
+
+    task_run const run{{workflow_id{"a"}, {}, {}, task_index{2}},
+                       run_number{3}};
+    worker_instance const worker{worker_id{"w1"}, worker_incarnation{7}};
+    std::ostringstream out;
+};
+
+// A worker that answers would have the same line as one that has just stopped.
+TEST_F(unanswered_orders_log, tells_whether_the_worker_answers)
+{
+    unanswered_start it;
+    it.run = run;
+    it.worker = worker;
+    it.waited = milliseconds{1500};
+    it.orders = 2;
+    it.order_in_flight = true;
+    it.contact_age = milliseconds{400};
+    platform::log_unanswered({it});
+    EXPECT_TRUE(has(" unanswered task=a.0.0.2 number=3 worker=w1 born=7 "
+                    "waited_ms=1500 orders=2 in_flight=1 "
+                    "worker_unanswered_ms=\"\" contact_age_ms=400\n"))
+        << out.str();
+    it.worker_unanswered = milliseconds{0};
+    platform::log_unanswered({it});
+    EXPECT_TRUE(has("worker_unanswered_ms=0 ")) << out.str();
+}
+
+// The four lines of a second would hide how many starts have no answer.
+TEST_F(unanswered_orders_log, tells_the_number_of_all_starts)
+{
+    fleet_summary it;
+    it.starts_unanswered = 23;
+    platform::log_fleet(it);
+    EXPECT_TRUE(has(" starts_unanswered=23 ")) << out.str();
+}
+
+} // namespace
+} // namespace apricotlb
