Report lapsed runs with the age of the lists before

A new event `lapsed` in the line `run` and in apricotlb_run_events_total tells the time since the worker's lists before those with the end, as `age_ms`; absent if this leader has had no lists of the worker before.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -115,7 +115,8 @@
     }
 
     /// Called on the leader for ends and stops of runs that no list of a worker
-    /// explains; config::max_logged_run_events bounds them.
+    /// explains, and for the other kinds of run_event;
+    /// config::max_logged_run_events bounds them.
     auto on_run_event(std::function<void(run_event const&)> callback) -> void
     {
         workflows_.on_run_event(std::move(callback));
--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -1,13 +1,16 @@
-/// Ends and stops of runs that no list of a worker explains, decisions on
-/// copies of straggling runs, and workers that refuse a fencing token.
+/// Ends and stops of runs that no list of a worker explains, runs that lapsed,
+/// decisions on copies of straggling runs, and workers that refuse a fencing
+/// token.
 #ifndef APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 
+#include <apricotlb/time.hpp>
 #include <apricotlb/workflow.hpp>
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace apricotlb
@@ -37,17 +40,28 @@
     exceeds_headroom,
     fenced, ///< its worker has refused the leader's fencing token; of no run if
             ///< it refused a poll
+    lapsed, ///< ended: its worker lists that its lease was over
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 16> names{
-        "lease_over",    "worker_gone",      "missing",
-        "withdrawn",     "unrecorded",       "copied",
-        "copy_won",      "copy_lost",        "copy_others_wait",
-        "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
-        "copy_failures", "relocated",        "exceeds_headroom",
-        "fenced"};
+    constexpr std::array<std::string_view, 17> names{"lease_over",
+                                                     "worker_gone",
+                                                     "missing",
+                                                     "withdrawn",
+                                                     "unrecorded",
+                                                     "copied",
+                                                     "copy_won",
+                                                     "copy_lost",
+                                                     "copy_others_wait",
+                                                     "copy_no_room",
+                                                     "copy_no_evidence",
+                                                     "copy_ends_soon",
+                                                     "copy_failures",
+                                                     "relocated",
+                                                     "exceeds_headroom",
+                                                     "fenced",
+                                                     "lapsed"};
     return names.at(static_cast<std::size_t>(it));
 }
 
@@ -56,6 +70,9 @@
     run_event_kind kind;
     task_run run;
     worker_instance worker;
+    /// Of a lapsed run: since this leader received the lists of the worker
+    /// before those that tell the end; none if they are the first ones.
+    std::optional<duration> age{};
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -3,6 +3,7 @@
 #include "core/fleet/pace_control.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace apricotlb
@@ -498,6 +499,9 @@
     -> void
 {
     auto const poll_sent_at = worker.second.poll_sent_at;
+    auto const list_age = worker.second.last_list > sequence{}
+                              ? std::optional{now - worker.second.listed_at}
+                              : std::nullopt;
     worker.second.are_shares_stale = true;
     ++worker.second.last_list;
     worker.second.listed_at = now;
@@ -505,7 +509,7 @@
     {
         process_running(worker, row, now);
     }
-    process_ended(worker, lists.ended, now);
+    process_ended(worker, lists.ended, list_age, now);
     if (lists.ended.size() < config::max_listed_ends)
     {
         process_absent(worker, poll_sent_at, now);
@@ -602,6 +606,7 @@
 
 auto run_scheduler::process_ended(identified_worker& worker,
                                   std::vector<ended_row> const& rows,
+                                  std::optional<duration> list_age,
                                   time_point now) -> void
 {
     propose_ends proposal;
@@ -617,6 +622,13 @@
         it->second.last_list = worker.second.last_list;
         if (it->second.phase != run_phase::ending)
         {
+            if (row.run.outcome == run_end::lapsed)
+            {
+                events_.push_back({run_event_kind::lapsed,
+                                   row.run.run,
+                                   {worker.first, worker.second.incarnation},
+                                   list_age});
+            }
             learn_run_time(row.run, it->second, now);
             it->second.phase = run_phase::ending;
             proposal.runs.push_back(row.run);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -349,8 +349,10 @@
                          time_point now) -> void;
     auto process_absent(identified_worker& worker, time_point sent,
                         time_point now) -> void;
+    /// `list_age` is the age of the lists before; none if there were none.
     auto process_ended(identified_worker& worker,
-                       std::vector<ended_row> const& rows, time_point now)
+                       std::vector<ended_row> const& rows,
+                       std::optional<duration> list_age, time_point now)
         -> void;
     auto set_running(identified_worker& worker, task_run const& run,
                      held_run& held, time_point now) -> void;
--- a/tests/unanswered_orders_test.cpp
+++ b/tests/unanswered_orders_test.cpp
@@ -54,6 +54,34 @@
         }
         ASSERT_EQ(fleet.starts, before + n);
     }
+    /// Lets the lease of a running task end on its worker, which the leader
+    /// does not reach.
+    auto lapse() -> void
+    {
+        order("a", 1);
+        fleet.run(seconds{1});
+        ASSERT_EQ(fleet.workers["w1"]->running().size(), 1U);
+        fleet.deaf.insert("w1");
+        fleet.run(milliseconds{5500});
+        ASSERT_TRUE(fleet.workers["w1"]->running().empty());
+    }
+    auto lapsed() -> std::vector<run_event>
+    {
+        auto events = fleet.leader->take_events();
+        std::erase_if(events, [](run_event const& it)
+                      { return it.kind != run_event_kind::lapsed; });
+        return events;
+    }
+    /// Runs until the leader has got new lists of the worker.
+    auto run_until_listed() -> void
+    {
+        auto const before = entry().listed_at;
+        for (auto left = 400; left > 0 && entry().listed_at == before; --left)
+        {
+            fleet.run(milliseconds{5});
+        }
+        ASSERT_GT(entry().listed_at, before);
+    }
 
     fake_fleet fleet{1};
 };
@@ -123,6 +151,37 @@
     EXPECT_EQ(count(), 6);
 }
 
+// The age of the lists that tell an end would be taken from these lists, as 0.
+TEST_F(unanswered_orders, tells_the_age_of_the_lists_before_a_lapsed_end)
+{
+    ASSERT_NO_FATAL_FAILURE(lapse());
+    auto const before = entry().listed_at;
+    EXPECT_TRUE(lapsed().empty());
+    fleet.deaf.clear();
+    ASSERT_NO_FATAL_FAILURE(run_until_listed());
+    auto const events = lapsed();
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events.front().run.task.workflow, workflow_id{"a"});
+    EXPECT_EQ(events.front().worker.id, worker_id{"w1"});
+    EXPECT_EQ(events.front().age, entry().listed_at - before);
+    EXPECT_GE(events.front().age, milliseconds{5500});
+    fleet.run(seconds{1});
+    EXPECT_TRUE(lapsed().empty());
+}
+
+// A new leader, which has no lists yet, would tell the age of its clock.
+TEST_F(unanswered_orders, tells_no_age_if_there_were_no_lists_before)
+{
+    ASSERT_NO_FATAL_FAILURE(lapse());
+    fleet.lead();
+    fleet.deaf.clear();
+    ASSERT_TRUE(fleet.run_until_known("w1"));
+    ASSERT_NO_FATAL_FAILURE(run_until_listed());
+    auto const events = lapsed();
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events.front().age, std::nullopt);
+}
+
 class unanswered_orders_log : public testing::Test
 {
 protected:
@@ -173,5 +232,16 @@
     EXPECT_TRUE(has(" starts_unanswered=23 ")) << out.str();
 }
 
+// An age of 0 beside events that have none would read as a measurement.
+TEST_F(unanswered_orders_log, tells_the_age_of_events_that_have_one)
+{
+    platform::log_run_event({run_event_kind::lapsed, run, worker});
+    EXPECT_TRUE(has("what=lapsed ")) << out.str();
+    EXPECT_FALSE(has("age_ms")) << out.str();
+    platform::log_run_event(
+        {run_event_kind::lapsed, run, worker, milliseconds{6700}});
+    EXPECT_TRUE(has(" born=7 age_ms=6700\n")) << out.str();
+}
+
 } // namespace
 } // namespace apricotlb
