Keep the waits of steps that a pass has not reached

Callers would see a scavenging step not start for as long as urgent work keeps coming, on a mostly idle fleet: in the new test, with 1,024 urgent tasks every 400 ms, it has no run after 3.2 s.

A pass also ends before it has reached all steps once config::max_unconfirmed_starts is met. It then counted as one that had reached them, so that the waits, failed searches and failed gangs of the steps behind were dropped and config::max_latency_wait was never over.

They are now dropped only after a pass that has reached all steps. While passes end early, a wait is dropped once its step is not ready, runs or finds its pool in use, and a search or gang after 60 s without use, so that a leader that is behind for long does not collect them. A pass that is cut drops by the same rules; before, it kept everything.

That searches and gangs are dropped after 60 s has no test.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -477,6 +477,10 @@
 /// than one worker is not repeated, while passes are cut. The latencies that
 /// decide on scavenging tasks are read twice a second.
 inline constexpr duration failed_search_validity = 500ms;
+/// Time since its last use after which a failed search is dropped although
+/// passes do not reach all steps. It bounds what a leader that is behind for
+/// long keeps, and costs one more search of a pool.
+inline constexpr duration unused_search_validity = 60s;
 /// Share of the workers of a pool that may be held at once for restarts of
 /// permanent tasks. A held worker leaves room unused until enough runs there
 /// have ended, so most of the pool stays open to other work.
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -68,17 +68,16 @@
                                              candidate_run const& candidate,
                                              plan_pass& pass) -> bool
 {
-    if (!is_mostly_idle(pass, pool_of(*step.record)))
-    {
-        return false;
-    }
+    ready_step const key{step.record->accepted, step.first.occurrence,
+                         step.first.step};
     // Each permanent task counts by itself.
-    if (!candidate.step->permanent && step.record->has_active_run(step.first))
+    auto const has_run =
+        !candidate.step->permanent && step.record->has_active_run(step.first);
+    if (has_run || !is_mostly_idle(pass, pool_of(*step.record)))
     {
+        latency_waits_.erase(key);
         return false;
     }
-    ready_step const key{step.record->accepted, step.first.occurrence,
-                         step.first.step};
     auto& wait =
         latency_waits_.try_emplace(key, latency_wait{pass.now}).first->second;
     wait.seen_at = pass.now;
@@ -381,6 +380,24 @@
     return true;
 }
 
+auto run_scheduler::drop_unused_searches(bool is_complete, time_point now)
+    -> void
+{
+    auto const oldest_use =
+        is_complete ? now : now - config::unused_search_validity;
+    std::erase_if(failed_searches_, [oldest_use](auto const& each)
+                  { return each.second.used_at < oldest_use; });
+    std::erase_if(failed_gangs_, [oldest_use](auto const& each)
+                  { return each.second < oldest_use; });
+    auto const& ready = state_.workflows().ready();
+    std::erase_if(latency_waits_,
+                  [&](auto const& each)
+                  {
+                      return (is_complete && each.second.seen_at < now) ||
+                             !ready.contains(each.first);
+                  });
+}
+
 auto run_scheduler::plan(time_point now, wall_time wall) -> void
 {
     needs_plan_ = false;
@@ -390,6 +407,8 @@
     {
         held_.clear();
         failed_searches_.clear();
+        failed_gangs_.clear();
+        latency_waits_.clear();
         forecast_.on_pass({}, {}, now);
     }
     auto const stragglers = check_stragglers(now);
@@ -419,15 +438,7 @@
     was_cut_ = pass.is_cut;
     repeats_until_ = pass.newest_put_off.value_or(time_point::max());
     needs_plan_ = pass.is_cut;
-    if (!pass.is_cut)
-    {
-        std::erase_if(failed_searches_, [now](auto const& each)
-                      { return each.second.used_at < now; });
-        std::erase_if(failed_gangs_,
-                      [now](auto const& each) { return each.second < now; });
-        std::erase_if(latency_waits_, [now](auto const& each)
-                      { return each.second.seen_at < now; });
-    }
+    drop_unused_searches(is_complete, now);
     unconfirmed_ += pass.placed.size();
     for (std::size_t begin = 0; begin < pass.placed.size();
          begin += config::max_runs_per_command)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -461,6 +461,9 @@
         -> std::vector<ranked_step>;
     /// Places tasks of a step; returns false at a limit of the pass.
     auto place_step(ranked_step const& step, plan_pass& pass) -> bool;
+    /// Drops the failed searches, gangs and waits that no pass uses any more.
+    /// Steps that a pass has not reached may still use theirs.
+    auto drop_unused_searches(bool is_complete, time_point now) -> void;
     /// Records that a task of the step found no worker.
     auto note_shortage(ranked_step const& step, plan_pass& pass) const -> void;
     auto make_pass(time_point now) -> plan_pass;
--- a/tests/measured_fleet.hpp
+++ b/tests/measured_fleet.hpp
@@ -35,6 +35,7 @@
         queue.name = queue_name{"q"};
         queue.pool = pool_name{"pool"};
         queue.timeout = milliseconds{3000};
+        queue.priority = queue_priority{1};
         set.queues.push_back(queue);
         apply(apply_contract_set{set});
         for (std::size_t n = 0; n < workers; ++n)
@@ -130,8 +131,9 @@
         return found == runs_.end() ? 0 : found->second.size();
     }
 
-    /// Ends the runs of a workflow as finished.
-    auto finish(std::string const& workflow) -> void
+    /// Ends the runs of a workflow.
+    auto finish(std::string const& workflow,
+                run_end outcome = run_end::finished) -> void
     {
         end_runs ends;
         for (auto& [worker, runs] : runs_)
@@ -144,7 +146,7 @@
                               {
                                   return false;
                               }
-                              ends.runs.push_back({run, run_end::finished, {}});
+                              ends.runs.push_back({run, outcome, {}});
                               return true;
                           });
         }
@@ -177,8 +179,9 @@
 
     time_point now{seconds{100}};
     state_machine state;
-    double idle_latency{20}; ///< in ms
-    std::size_t stops{0};    ///< orders
+    std::map<std::string, worker_phase> phases; ///< `ready` for the others
+    double idle_latency{20};                    ///< in ms
+    std::size_t stops{0};                       ///< orders
     /// Of the runs of a workflow, as time at full pace.
     std::map<std::string, duration> work;
     std::function<double(std::string const&)> effect = [](std::string const&)
@@ -203,6 +206,9 @@
             it.pool = pool_name{"pool"};
             it.capacity = {millicores{16'000}, byte_count{64'000}, {}};
             it.number = sequence{announcements_};
+            auto const phase = phases.find(name);
+            it.phase =
+                phase == phases.end() ? worker_phase::ready : phase->second;
             it.clock = clock();
             scheduler_.on_announcement(it, now);
         }
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace apricotlb
 {
@@ -137,9 +138,62 @@
         return step;
     }
 
+    /// As many tasks without reservations as one pass may start.
+    auto submit_bulk(std::string const& id, queue_priority priority) -> void
+    {
+        workflow_spec spec;
+        spec.id = workflow_id{id};
+        spec.steps.emplace_back();
+        spec.steps[0].tasks = task_count{
+            static_cast<std::int64_t>(config::max_unconfirmed_starts)};
+        auto terms = fleet->state.contract_sets().current()->queues[0];
+        terms.name = queue_name{id};
+        terms.priority = priority;
+        fleet->apply(submit_workflow{std::move(spec), std::move(terms)});
+    }
+
     std::optional<measured_fleet> fleet;
 };
 
+// Passes that ended before they reached the step began its wait anew.
+TEST_F(strained_fleet, starts_work_behind_urgent_work_that_ends_passes_early)
+{
+    auto& it = strain(4);
+    it.submit("a", {measured_fleet::scavenging_step("harmless", 1)});
+    for (auto n = 0; n < 8; ++n)
+    {
+        auto const id = "urgent" + std::to_string(n);
+        submit_bulk(id, queue_priority{0});
+        it.run(milliseconds{400});
+        ASSERT_EQ(it.running(id), config::max_unconfirmed_starts);
+        it.finish(id);
+    }
+    EXPECT_EQ(it.running("a"), 1U);
+}
+
+// A wait that is over, kept while passes end early, would count for the next.
+TEST_F(strained_fleet, counts_the_wait_anew_after_work_has_run)
+{
+    auto& it = strain(4);
+    it.submit("a", {measured_fleet::scavenging_step("harmless", 1)});
+    it.run(milliseconds{300});
+    ASSERT_EQ(it.running("a"), 0U);
+    it.add_worker("free");
+    for (auto n = 0; n < 12 && it.running("a") == 0; ++n)
+    {
+        auto const id = "later" + std::to_string(n);
+        submit_bulk(id, queue_priority{2});
+        it.run(milliseconds{50});
+        it.apply(cancel_workflow{workflow_id{id}, wall_time{}});
+    }
+    ASSERT_EQ(it.running("a"), 1U);
+    it.phases["free"] = worker_phase::draining;
+    it.run(seconds{1});
+    it.finish("a", run_end::lost);
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.running("a"), 0U);
+}
+
 // Steps that no worker can take used up all searches of each pass.
 TEST_F(strained_fleet, starts_work_behind_steps_that_no_worker_can_take)
 {
