Count the workers that take no runs for a while as room of their pool

Callers would see scavenging work not start on a service of which under half is in use. In the new tests two of six workers drain, or have not answered orders for 3 s; the other four are reserved to 56 %, all six to 38 %, and a scavenging step has no run after 3 s.

A start above the headroom asks for a pool that is mostly idle. That was taken over the workers that take new runs at that moment, without those that are paused, refuse the token, answer no orders or drain. Users count the capacity of the service.

Now all workers of the pool count that have announced themselves and whose incarnation has not ended, while they are in contact or have runs. Those in evacuated data centres stay left out.

Before, partly_closed_fleet.starts_work_while_workers_drain and .starts_work_while_workers_answer_no_orders failed (started() is 0, expected 1); keeps_the_headroom_once_workers_have_left passes before and after. The 17 tests of scavenging_start_test pass now, as do 134 others of the planner. Evacuated, silent and paused workers have no test of their own here.

--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -142,14 +142,17 @@
                 gain_room(entry);
             }
             pass.pools[entry.info->pool].push_back(&worker);
-            auto& use = pass.uses[entry.info->pool];
-            use.reserved += entry.reserved.cores;
-            use.capacity += entry.info->capacity.cores;
             if (entry.are_shares_stale || now >= entry.shares_valid_until)
             {
                 update_shares(entry, now);
             }
         }
+        if (entry.is_up(now) && !is_evacuated(entry))
+        {
+            auto& use = pass.uses[entry.info->pool];
+            use.reserved += entry.reserved.cores;
+            use.capacity += entry.info->capacity.cores;
+        }
         entry.was_usable = usable;
         entry.held_for_restart = relocations_.is_target(worker.first, now);
         if (entry.held_for_restart)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -423,7 +423,9 @@
         time_point now;
         /// Workers that may get new runs, the last one that gained room first.
         std::map<pool_name, std::vector<identified_worker*>> pools;
-        /// Processors of these workers.
+        /// Processors of the workers of a pool that are up and not evacuated.
+        /// Callers count the room of a service by its whole capacity, with the
+        /// workers that take no new runs for a while.
         struct pool_use
         {
             millicores reserved;
@@ -467,7 +469,7 @@
     /// Records that a task of the step found no worker.
     auto note_shortage(ranked_step const& step, plan_pass& pass) const -> void;
     auto make_pass(time_point now) -> plan_pass;
-    /// True if most processors of the usable workers of a pool are not
+    /// True if most processors of the workers of a pool that are up are not
     /// reserved.
     [[nodiscard]] static auto is_mostly_idle(plan_pass const& pass,
                                              pool_name const& pool) -> bool;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -511,6 +511,14 @@
                now >= paused_until && lease.is_sampled() &&
                !is_unresponsive(now);
     }
+    /// True if its incarnation is up as far as known, whether it takes new runs
+    /// or not.
+    [[nodiscard]] auto is_up(time_point now) const -> bool
+    {
+        return info && !incarnation_ended &&
+               (!runs.empty() ||
+                now - last_contact < config::worker_contact_timeout);
+    }
     /// True if a serving task is over its latency target.
     [[nodiscard]] auto is_strained() const -> bool
     {
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -249,6 +250,69 @@
     EXPECT_EQ(it.running("a"), 0U);
 }
 
+/// Six workers of which two take no new runs. The other four are reserved to
+/// over half, all six to under half.
+class partly_closed_fleet : public strained_fleet
+{
+protected:
+    static constexpr std::array<char const*, 2> closed{"w4", "w5"};
+
+    auto announce_closed_as(worker_phase phase) -> void
+    {
+        for (auto const* const name : closed)
+        {
+            it.phases[name] = phase;
+        }
+    }
+
+    /// Runs of a scavenging step 3 s after it was submitted.
+    auto started() -> std::size_t
+    {
+        it.idle_latency = 95;
+        it.run(seconds{3});
+        it.submit("serving", {measured_fleet::serving_step(4)});
+        it.submit("other", {reserved_step()});
+        it.run(seconds{3});
+        EXPECT_EQ(it.running("serving"), 4U);
+        EXPECT_EQ(it.running("other"), 4U);
+        for (auto const* const name : closed)
+        {
+            EXPECT_EQ(it.running_on(name), 0U);
+        }
+        it.submit("a", {measured_fleet::scavenging_step("harmless", 1)});
+        it.run(seconds{3});
+        return it.running("a");
+    }
+
+    measured_fleet& it{fleet.emplace(6)};
+};
+
+// Workers that drain are in use until they have left.
+TEST_F(partly_closed_fleet, starts_work_while_workers_drain)
+{
+    announce_closed_as(worker_phase::draining);
+    EXPECT_EQ(started(), 1U);
+}
+
+// Workers that answer no orders for a while still are part of the service.
+TEST_F(partly_closed_fleet, starts_work_while_workers_answer_no_orders)
+{
+    for (auto const* const name : closed)
+    {
+        poll_order order;
+        order.to.instance = {worker_id{name}, worker_incarnation{1}};
+        it.scheduler().on_answer(order, poll_answer{}, it.now);
+    }
+    EXPECT_EQ(started(), 1U);
+}
+
+// What has left is no room; the workers that remain are in use.
+TEST_F(partly_closed_fleet, keeps_the_headroom_once_workers_have_left)
+{
+    announce_closed_as(worker_phase::left);
+    EXPECT_EQ(started(), 0U);
+}
+
 // Work beyond the processors would slow down all work of the worker.
 TEST(scavenging_fleet, starts_nothing_beyond_its_processors)
 {
