Refuse a program that the soak cannot run

Seen: with a binary that is missing, the soak reports each of its processes as ended, waits 20.0 s for a configuration and ends with "nothing was served".

Cause: an exec that fails shows only as exit code 127 of a child.

An error of the exec, a signal or an exit code ends the soak with exit code 2 and a line with the path and the reason.

By hand: a missing file, a file without the right to be executed, one of another format and a script that ends with 127 are refused, each at once.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -378,6 +378,7 @@
     try
     {
         auto const chosen = apricotlb::soak::parse(argc, argv);
+        apricotlb::soak::check_program(chosen.binary);
         return apricotlb::soak::soak_run{chosen}.run();
     }
     catch (std::exception const& it)
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <glib.h>
+#include <spawn.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -11,6 +12,7 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <stdexcept>
 #include <system_error>
 #include <utility>
 
@@ -43,6 +45,35 @@
 
 } // namespace
 
+auto check_program(std::filesystem::path const& program) -> void
+{
+    auto path = program.string();
+    std::string argument{"--version"};
+    std::array<char*, 3> arguments{path.data(), argument.data(), nullptr};
+    posix_spawn_file_actions_t files{};
+    ::posix_spawn_file_actions_init(&files);
+    ::posix_spawn_file_actions_addopen(&files, 1, "/dev/null", O_WRONLY, 0);
+    pid_t pid{-1};
+    auto const error = ::posix_spawn(&pid, path.c_str(), &files, nullptr,
+                                     arguments.data(), environ);
+    ::posix_spawn_file_actions_destroy(&files);
+    if (error != 0)
+    {
+        throw std::runtime_error("cannot run " + path + ": " +
+                                 std::generic_category().message(error));
+    }
+    // A program whose libraries are missing ends only after it was executed.
+    int status{0};
+    if (::waitpid(pid, &status, 0) != pid || status != 0)
+    {
+        throw std::runtime_error(
+            "cannot run " + path + ": --version ended with " +
+            (WIFEXITED(status)
+                 ? "exit code " + std::to_string(WEXITSTATUS(status))
+                 : "signal " + std::to_string(WTERMSIG(status))));
+    }
+}
+
 auto machine::served_at() const -> std::string
 {
     return ip + (is_control() ? control_port : front_port);
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -51,6 +51,10 @@
     bool unread_logs{false}; ///< logs go to pipes that nobody reads
 };
 
+/// Throws std::runtime_error with the path and the reason if the program can't
+/// be run. A soak without its program finds nothing but ended processes.
+auto check_program(std::filesystem::path const& program) -> void;
+
 class processes
 {
 public:
