Check runs after a cancel on workers that were disturbed

Seen: by reading. A run that outlives its cancel on a worker that is frozen, cut off or late when the check is due was never found.

Cause: each workflow was checked once, and that check left out disturbed workers.

Change: each run at work is checked until it ends. A disturbance of its worker puts the check off until a span of the whole bound is calm, as one of the control processes does.

The new test failed before and passes now, with the other tests of the ledger.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -263,6 +263,8 @@
 {
     // Ends are listed up to a tenth of a second after they happen.
     constexpr auto listing_time = std::chrono::milliseconds{100};
+    auto const stretch = limits_.cancel + limits_.stop + listing_time;
+    auto const all_calm = is_calm(now - stretch);
     for (auto& [id, it] : workflows_)
     {
         if (it.cancel_sent && !it.cancelled_at &&
@@ -271,24 +273,19 @@
         {
             report(promise::unacknowledged, "the cancel of " + id, now);
         }
-        auto const due = it.cancelled_at.value_or(time_point::max() -
-                                                  std::chrono::hours{1}) +
-                         limits_.cancel + limits_.stop + listing_time;
-        if (it.cancel_checked || now < due)
-        {
-            continue;
-        }
         // A disturbance puts the check off; it is never left out.
-        if (!is_calm(now - limits_.cancel - limits_.stop - listing_time))
+        if (!it.cancelled_at || !all_calm)
         {
             continue;
         }
-        it.cancel_checked = true;
         for (auto const& [name, all] : it.tasks)
         {
             for (auto const& each : all.runs)
             {
-                if (each.at_work && disturbed_.is_calm(each.key.worker, due))
+                auto const due = *it.cancelled_at + stretch;
+                if (each.at_work && now >= due &&
+                    disturbed_.is_calm(each.key.worker,
+                                       std::max(due, now - stretch)))
                 {
                     report(promise::unasked,
                            name + " run " + std::to_string(each.key.number) +
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -211,7 +211,6 @@
         std::optional<time_point> accepted_at;
         std::optional<time_point> cancelled_at; ///< acknowledged
         std::optional<time_point> cancel_sent;
-        bool cancel_checked{false};
         time_point last_run_end{};
         std::string shown; ///< the last state that was answered
     };
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -117,6 +117,21 @@
     EXPECT_EQ(broken(), (found{promise::unasked, promise::twice}));
 }
 
+// A worker that was disturbed when the check was due was never checked again.
+TEST_F(soak_ledger, finds_a_run_that_outlives_its_cancel_on_a_disturbed_worker)
+{
+    start("f1.0.0.0", 1, "w1", 100);
+    seen.on_cancel_sent("f1", at(900));
+    seen.on_cancel_answer("f1", at(1000));
+    disturbed.begin("w1", at(4000));
+    seen.check_cancelled(at(4600));
+    disturbed.end("w1", at(5000));
+    seen.check_cancelled(at(8400));
+    EXPECT_EQ(broken(), found{});
+    seen.check_cancelled(at(8600));
+    EXPECT_EQ(broken(), found{promise::unasked});
+}
+
 TEST_F(soak_ledger, finds_a_run_that_outlives_its_cancel_once_all_is_calm)
 {
     start("f1.0.0.0", 1, "w1", 100);
