Allow a start that a frozen worker carries out after a cancel

The order left 722 ms before the cancel was acknowledged, so no process started the task too late.

Cause: the check is stricter than the rule. The check knew workers that hold orders back, but not frozen ones, and counted late starts from the cancel.

Change: the proxy of a worker notes when an order for a start is sent. If the worker holds it back or was frozen after that, the time of the last order for the run decides in place of the start, and the run has to be gone within the stop time from contact_ms after its start. An order that is sent too late is now found at late workers too, which were excused wholly. The check of draining workers is unchanged.

On the former ledger the tests of the allowed case and of the late stop failed; all tests of the ledger pass now. A late start on a worker that was not frozen is still found (finds_a_start_after_a_cancel).

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -135,7 +135,8 @@
 
 auto ledger::on_start(run_key const& key, std::string const& spec,
                       std::string const& checkpoint, bool is_late,
-                      time_point now) -> void
+                      time_point now, std::optional<time_point> held_since)
+    -> void
 {
     ++starts_;
     auto const where = key.task + " run " + std::to_string(key.number) +
@@ -165,8 +166,9 @@
                where + ": checkpoint " + checkpoint + " is not the task's",
                now);
     }
-    if (it.cancelled_at && !is_late &&
-        now > *it.cancelled_at + limits_.cancel &&
+    // The bound holds for the order, not for a worker that was late with it.
+    if (it.cancelled_at &&
+        held_since.value_or(now) > *it.cancelled_at + limits_.cancel &&
         is_calm(now - limits_.contact))
     {
         report(promise::unasked, where + ": starts after its cancel", now);
@@ -206,7 +208,8 @@
     {
         report(promise::drain, where + ": the worker is leaving", now);
     }
-    all.runs.push_back({key, true, false, {}});
+    all.runs.push_back(
+        {key, true, false, {}, held_since ? std::optional{now} : std::nullopt});
 }
 
 auto ledger::on_checkpoint(std::string const& of, std::string const& it) -> void
@@ -282,7 +285,10 @@
         {
             for (auto const& each : all.runs)
             {
-                auto const due = *it.cancelled_at + stretch;
+                auto const from = std::max(
+                    *it.cancelled_at + limits_.cancel,
+                    each.late_start.value_or(time_point{}) + limits_.contact);
+                auto const due = from + limits_.stop + listing_time;
                 if (each.at_work && now >= due &&
                     disturbed_.is_calm(each.key.worker,
                                        std::max(due, now - stretch)))
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -136,9 +136,11 @@
                 time_point sent_at, time_point now) -> void;
 
     // Runs, as workers see them. `is_late`: the worker held the order back.
+    /// `held_since`: when the order was sent, if the worker held it back or was
+    /// frozen.
     auto on_start(run_key const& run, std::string const& spec,
-                  std::string const& checkpoint, bool is_late, time_point now)
-        -> void;
+                  std::string const& checkpoint, bool is_late, time_point now,
+                  std::optional<time_point> held_since = {}) -> void;
     auto on_checkpoint(std::string const& task, std::string const& it) -> void;
     auto on_end(run_key const& run, std::string const& how, time_point now)
         -> void;
@@ -194,6 +196,7 @@
         bool at_work{true};
         bool recorded{false};
         std::string how;
+        std::optional<time_point> late_start; ///< of an order held back
     };
     struct task
     {
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -26,13 +26,29 @@
     it.caller = std::make_unique<stream>(fd);
     it.server = std::make_unique<stream>(to);
     it.caller->on_bytes = [this, id](std::string_view bytes)
-    { pass(id, true, std::string{bytes}); };
+    {
+        note(id, bytes);
+        pass(id, true, std::string{bytes});
+    };
     it.server->on_bytes = [this, id](std::string_view bytes)
     { pass(id, false, std::string{bytes}); };
     it.caller->on_closed = [this, id] { end(id); };
     it.server->on_closed = [this, id] { end(id); };
 }
 
+auto proxy::note(std::uint64_t id, std::string_view bytes) -> void
+{
+    auto& requests = pipes_.at(id).requests;
+    requests.add(bytes);
+    while (auto const it = requests.next())
+    {
+        if (on_request)
+        {
+            on_request(*it);
+        }
+    }
+}
+
 auto proxy::pass(std::uint64_t id, bool is_request, std::string bytes) -> void
 {
     auto const move_on =
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -38,6 +38,9 @@
     auto set_silent(bool requests, bool answers) -> void;
     auto reset_connections() -> void;
 
+    /// Called with each request when its caller has sent it.
+    std::function<void(http_text const&)> on_request;
+
 private:
     struct pipe
     {
@@ -45,11 +48,13 @@
         std::unique_ptr<stream> server;
         std::string held_requests;
         std::string held_answers;
+        message_reader requests;
     };
 
     auto accept(int fd) -> void;
     auto pass(std::uint64_t id, bool is_request, std::string bytes) -> void;
     auto release(std::uint64_t id) -> void;
+    auto note(std::uint64_t id, std::string_view bytes) -> void;
     auto end(std::uint64_t id) -> void;
 
     glib_clock& clock_;
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -35,6 +35,7 @@
               { serve(request, reply); }),
       proxy_(clock, place_.proxy_at, place_.listen_at), id_(place_.id)
 {
+    proxy_.on_request = [this](http_text const& it) { note_order(it); };
     (void)proxy_.open();
     check_lease();
 }
@@ -65,6 +66,8 @@
     late_ = {};
     slowness_ = 1;
     closed_.clear();
+    ordered_.clear();
+    thawed_at_ = {};
     ends_.clear();
     beat_to_.clear();
     next_control_ = random_() % control_.size();
@@ -96,6 +99,10 @@
 
 auto worker::freeze(bool frozen) -> void
 {
+    if (is_frozen_ && !frozen)
+    {
+        thawed_at_ = clock_.now();
+    }
     is_frozen_ = frozen;
     server_.pause(frozen);
 }
@@ -204,6 +211,16 @@
                  [](call_result const&) {});
 }
 
+auto worker::note_order(http_text const& request) -> void
+{
+    auto const body = json::parse(request.body, nullptr, false);
+    if (request.first_line.starts_with("POST /run-start ") && body.is_object())
+    {
+        ordered_[{body.value("task", std::string{}),
+                  body.value("run_id", std::int64_t{0})}] = clock_.now();
+    }
+}
+
 auto worker::serve(http_text const& request, http_server::reply const& reply)
     -> void
 {
@@ -332,8 +349,14 @@
                    (luck >= 1000 - stragglers ? straggler_factor : 1) *
                    slowness_;
     it.since = clock_.now();
+    auto const order = ordered_.find({task, number});
+    std::optional<time_point> held_since;
+    if (order != ordered_.end() && (is_late || order->second < thawed_at_))
+    {
+        held_since = order->second;
+    }
     ledger_.on_start(it.key, body.value("spec", std::string{}), it.checkpoint,
-                     is_late, clock_.now());
+                     is_late, clock_.now(), held_since);
     auto& added = runs_[task] = std::move(it);
     arm_end(added);
     reply(200, json{{"clock_ms", clock_ms()}}.dump());
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace apricotlb::soak
@@ -93,6 +94,8 @@
     auto leave() -> void;
     auto end_life(std::string const& how, bool dark) -> void;
 
+    /// Notes when a start was ordered, also while the worker is frozen.
+    auto note_order(http_text const& request) -> void;
     auto serve(http_text const& request, http_server::reply const& reply)
         -> void;
     auto carry_out(std::string const& path, json const& body,
@@ -137,6 +140,9 @@
     int slowness_{1};
     std::map<std::string, run> runs_;
     std::map<std::string, std::int64_t> closed_;
+    /// Task and number of a run, and when its last order was sent.
+    std::map<std::pair<std::string, std::int64_t>, time_point> ordered_;
+    time_point thawed_at_{};
     std::deque<ended> ends_;
     std::vector<std::function<void()>> holds_;
 };
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -57,6 +57,13 @@
         seen.on_start({task, number, worker, 1}, "spec of f1", "", false,
                       at(ms));
     }
+    /// The worker holds the order back between the two times.
+    auto start_late(std::string const& task, std::int64_t number,
+                    std::string const& worker, int ordered_ms, int ms) -> void
+    {
+        seen.on_start({task, number, worker, 1}, "spec of f1", "", false,
+                      at(ms), at(ordered_ms));
+    }
     auto end(std::string const& task, std::int64_t number,
              std::string const& worker, std::string const& how, int ms) -> void
     {
@@ -117,6 +124,38 @@
     EXPECT_EQ(broken(), (found{promise::unasked, promise::twice}));
 }
 
+// A start order may lie in the socket of a frozen worker beyond the bound.
+TEST_F(soak_ledger, allows_a_late_start_on_an_order_that_was_sent_in_time)
+{
+    seen.on_cancel_sent("f1", at(900));
+    seen.on_cancel_answer("f1", at(1000));
+    start_late("f1.0.0.0", 1, "w1", 3900, 6000);
+    seen.check_cancelled(at(9400));
+    end("f1.0.0.0", 1, "w1", "stopped", 9450);
+    seen.check_cancelled(at(9600));
+    seen.check_cancelled(at(20000));
+    EXPECT_EQ(broken(), found{});
+}
+
+TEST_F(soak_ledger, finds_a_late_start_on_an_order_that_was_sent_too_late)
+{
+    seen.on_cancel_sent("f1", at(900));
+    seen.on_cancel_answer("f1", at(1000));
+    start_late("f1.0.0.0", 1, "w1", 4001, 6000);
+    EXPECT_EQ(broken(), found{promise::unasked});
+}
+
+TEST_F(soak_ledger, finds_a_late_start_that_is_not_stopped_in_time)
+{
+    seen.on_cancel_sent("f1", at(900));
+    seen.on_cancel_answer("f1", at(1000));
+    start_late("f1.0.0.0", 1, "w1", 900, 6000);
+    seen.check_cancelled(at(9499));
+    EXPECT_EQ(broken(), found{});
+    seen.check_cancelled(at(9500));
+    EXPECT_EQ(broken(), found{promise::unasked});
+}
+
 // A worker that was disturbed when the check was due was never checked again.
 TEST_F(soak_ledger, finds_a_run_that_outlives_its_cancel_on_a_disturbed_worker)
 {
