Repeat orders beside a try that has no answer

One try of an order was open at a time, and each took its whole second, so that a start waited for over 3 s in one case of five, and leases lapsed because their renewals were lost in the same way. At most four connections of a process to a worker held back further orders while some hung.

A start that is refused beside an open try is stopped before its task may run elsewhere; repeated polls acknowledge no ends, and ends count as acknowledged once they are not listed any more.

--- a/src/adapters/curl_requests.cpp
+++ b/src/adapters/curl_requests.cpp
@@ -24,8 +24,10 @@
 {
 
 constexpr long max_connections = 4096; ///< kept open while idle
-/// One for a request whose answer waits, the others for short requests.
-constexpr long max_connections_per_host = 4;
+/// One for a request whose answer waits, the others for short requests and for
+/// repetitions of those that get no answer, which keep theirs until their time
+/// is over.
+constexpr long max_connections_per_host = 10;
 constexpr std::size_t max_idle_handles = 256;
 /// An answer beyond this is cut off and counts as failed.
 constexpr std::size_t max_answer_bytes = config::max_message_bytes;
--- a/src/adapters/run_workers.hpp
+++ b/src/adapters/run_workers.hpp
@@ -6,10 +6,11 @@
 #include "core/fleet/worker_messages.hpp"
 #include "ports/run_worker.hpp"
 
-#include <apricotlb/config.hpp>
 #include <apricotlb/result.hpp>
+#include <apricotlb/time.hpp>
 
 #include <functional>
+#include <type_traits>
 #include <utility>
 
 namespace apricotlb
@@ -47,28 +48,38 @@
     explicit run_workers(curl_requests& http) : http_(http) {}
 
     template <class Order>
-    auto send(Order const& it, std::function<void(order_answer)> done) -> void
+    auto send(Order const& it, std::function<void(answer_to<Order>)> done)
+        -> void
     {
-        auto request = Codec::encode(it);
-        request.timeout = config::order_timeout;
-        request.repeatable = true;
-        http_.send(
-            request, [done = std::move(done)](result<http_answer> got)
-            { done(got ? Codec::decode_order(got.value()) : order_answer{}); });
+        send(it, std::move(done), answer_time(it));
     }
 
-    auto send(poll_order const& it, std::function<void(poll_answer)> done)
-        -> void
+    template <class Order>
+    auto send(Order const& it, std::function<void(answer_to<Order>)> done,
+              duration timeout) -> void
     {
         auto request = Codec::encode(it);
-        request.timeout = config::order_timeout + it.wait;
+        request.timeout = timeout;
         request.repeatable = true;
         http_.send(
             request, [done = std::move(done)](result<http_answer> got)
-            { done(got ? Codec::decode_poll(got.value()) : poll_answer{}); });
+            { done(got ? decode<Order>(got.value()) : answer_to<Order>{}); });
     }
 
 private:
+    template <class Order>
+    [[nodiscard]] static auto decode(http_answer const& it) -> answer_to<Order>
+    {
+        if constexpr (std::is_same_v<Order, poll_order>)
+        {
+            return Codec::decode_poll(it);
+        }
+        else
+        {
+            return Codec::decode_order(it);
+        }
+    }
+
     curl_requests& http_;
 };
 
--- a/src/app/order_relay.hpp
+++ b/src/app/order_relay.hpp
@@ -23,7 +23,7 @@
 namespace apricotlb
 {
 
-/// Sends each order once and returns exactly one answer for it. Answers within
+/// Passes each order on and returns exactly one answer for it. Answers within
 /// config::answer_batch_delay go back as one message, and messages follow each
 /// other at config::answer_interval at least. It refuses orders that are past
 /// their validity or for an earlier life of this process, as they are after it
@@ -84,10 +84,6 @@
     /// The process to answer, and the term of its leadership.
     using origin = std::pair<node_id, term>;
 
-    template <class Order>
-    using answer_to = std::conditional_t<std::is_same_v<Order, poll_order>,
-                                         poll_answer, order_answer>;
-
     template <class Order>
     auto refuse(origin const& from, sequence number, Order const& /*order*/)
         -> void
--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -52,14 +52,10 @@
     }
 
     template <class Order>
-    auto send(Order const& it, std::function<void(order_answer)> done) -> void
-    {
-        pass_on(it, std::move(done), config::order_timeout);
-    }
-    auto send(poll_order const& it, std::function<void(poll_answer)> done)
+    auto send(Order const& it, std::function<void(answer_to<Order>)> done)
         -> void
     {
-        pass_on(it, std::move(done), config::order_timeout + it.wait);
+        pass_on(it, std::move(done), answer_time(it));
     }
 
     /// Records that a process passes orders on, or does so no longer. Orders
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -42,6 +42,15 @@
                        set->pools.end();
 }
 
+/// True if the worker still lists ends that were to be acknowledged: a repeated
+/// poll acknowledges none.
+auto lists_any_up_to(end_number last, std::vector<ended_row> const& rows)
+    -> bool
+{
+    return std::ranges::any_of(rows, [last](ended_row const& row)
+                               { return row.number <= last; });
+}
+
 } // namespace
 
 auto run_scheduler::on_announcement(worker_announcement const& announcement,
@@ -312,6 +321,9 @@
         return;
     }
     held->order_in_flight = false;
+    held->start_unconfirmed =
+        held->start_unconfirmed ||
+        answer.unanswered_tries.value_or(try_count{}) > try_count{};
     record_answer(*worker, order.to, answer, now);
     switch (answer.outcome)
     {
@@ -462,6 +474,8 @@
     {
         entry.record_response(is_response(answer.outcome), now);
     }
+    auto const lists_acknowledged =
+        lists_any_up_to(order.recorded, answer.lists.ended);
     switch (answer.outcome)
     {
     case order_outcome::done:
@@ -472,11 +486,14 @@
             return;
         }
         entry.is_answering = true;
-        entry.next_poll_at = order.wait > milliseconds{0}
+        if (!lists_acknowledged)
+        {
+            entry.acknowledged = std::max(entry.acknowledged, order.recorded);
+        }
+        entry.next_poll_at = order.wait > milliseconds{0} || lists_acknowledged
                                  ? now + config::min_poll_interval
                                  : now;
         record_contact(worker, answer.lists.clock, now);
-        entry.acknowledged = std::max(entry.acknowledged, order.recorded);
         process_lists(worker, answer.lists, now);
         send_poll(worker, now);
         break;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -293,8 +293,8 @@
     {
         return;
     }
-    // Ends are acknowledged once, soon after the worker has listed them: a
-    // later poll may reach its next life, which numbers its ends anew.
+    // Ends are acknowledged soon after the worker has listed them: a later poll
+    // may reach its next life, which numbers its ends anew.
     auto const is_release_due = entry.acknowledged < entry.recorded;
     auto urgent = !is_needed || entry.unanswered_since ||
                   (is_release_due && !entry.is_answering);
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -75,7 +75,8 @@
     /// A scavenging task that was placed although a serving task of the worker
     /// was expected above its headroom.
     bool exceeds_headroom{false};
-    /// A start order got no answer, so that it may still be executed later.
+    /// A try of a start order has no answer, so that it may still be executed
+    /// later.
     bool start_unconfirmed{false};
     bool order_in_flight{false};
     /// A worker has crashed soon after the start of a run of its task.
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -181,18 +181,29 @@
 [[nodiscard]] auto name_of(order_outcome it) -> std::string_view;
 [[nodiscard]] auto name_of(run_end it) -> std::string_view;
 
+using try_count = quantity<struct try_count_tag, std::uint32_t>;
+
 struct order_answer
 {
     order_outcome outcome{order_outcome::no_answer};
     std::optional<worker_clock> clock;
+    /// Further tries of a start order that may still be carried out; absent if
+    /// there is none.
+    std::optional<try_count> unanswered_tries{std::nullopt};
 
     static constexpr auto fields()
     {
-        return field_list(field("outcome", &order_answer::outcome),
-                          field("clock", &order_answer::clock));
+        return field_list(
+            field("outcome", &order_answer::outcome),
+            field("clock", &order_answer::clock),
+            field("unanswered_tries", &order_answer::unanswered_tries));
     }
 };
 
+/// Relays of earlier versions send each order once.
+template <>
+inline constexpr std::size_t optional_fields<order_answer> = 1;
+
 /// A run that a worker lists as running.
 struct running_row
 {
