Ask for the lists at once after a lost poll

Only the lists of a poll tell that runs have ended. Now the next poll asks for them at once until one is answered.

lost_order.asks_for_the_lists_at_once_after_a_lost_poll failed without the change (a wait of 1800 ms instead of 0) and passes with it.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -177,6 +177,7 @@
     entry.acknowledged = {};
     entry.recording_ends = false;
     entry.poll_in_flight = false;
+    entry.has_lost_poll = false;
     entry.is_answering = false;
     entry.is_replaced = false;
     entry.is_fenced = false;
@@ -469,6 +470,9 @@
     auto& worker = *found;
     auto& entry = worker.second;
     entry.poll_in_flight = false;
+    entry.has_lost_poll =
+        answer.outcome != order_outcome::done &&
+        (entry.has_lost_poll || answer.outcome == order_outcome::no_answer);
     entry.next_poll_at = now + config::poll_retry_delay;
     if (answer.outcome != order_outcome::not_sent)
     {
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -296,7 +296,9 @@
     // Ends are acknowledged soon after the worker has listed them: a later poll
     // may reach its next life, which numbers its ends anew.
     auto const is_release_due = entry.acknowledged < entry.recorded;
-    auto urgent = !is_needed || entry.unanswered_since ||
+    // After a lost poll, runs may have lapsed. An order that was answered since
+    // tells nothing of them.
+    auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
                   (is_release_due && !entry.is_answering);
     auto serves = false;
     auto scavenges = false;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -392,6 +392,7 @@
     /// A suspect task waits until then for a recent contact of the worker.
     time_point contact_wanted_until{};
     bool poll_in_flight{false};
+    bool has_lost_poll{false}; ///< the last poll got no answer
     /// Since when orders and polls got no answer, or one of a worker that does
     /// not carry them out; announcements prove nothing of the kind.
     std::optional<time_point> unanswered_since;
--- a/tests/lost_order_test.cpp
+++ b/tests/lost_order_test.cpp
@@ -140,6 +140,39 @@
     EXPECT_EQ(take<propose_ends>().size(), 1U);
 }
 
+// Polls that waited for an end after a lost one told the leader seconds later
+// that runs had lapsed.
+TEST_F(lost_order, asks_for_the_lists_at_once_after_a_lost_poll)
+{
+    auto const first = start("a");
+    scheduler.on_answer(first, order_answer{order_outcome::done, clock()}, now);
+    auto polls = take<poll_order>();
+    ASSERT_EQ(polls.size(), 1U);
+    auto const second = start("b");
+    now += milliseconds{100};
+    scheduler.on_answer(polls[0], poll_answer{}, now);
+    scheduler.on_answer(second, order_answer{order_outcome::done, clock()},
+                        now);
+    now += config::poll_retry_delay;
+    scheduler.tick(now);
+    polls = take<poll_order>();
+    ASSERT_EQ(polls.size(), 1U);
+    poll_answer not_sent;
+    not_sent.outcome = order_outcome::not_sent;
+    scheduler.on_answer(polls[0], not_sent, now);
+    now += config::poll_retry_delay;
+    scheduler.tick(now);
+    polls = take<poll_order>();
+    ASSERT_EQ(polls.size(), 1U);
+    EXPECT_EQ(polls[0].wait, milliseconds{0});
+    scheduler.on_answer(polls[0], lists({}, {}), now);
+    now += config::min_poll_interval;
+    scheduler.tick(now);
+    polls = take<poll_order>();
+    ASSERT_EQ(polls.size(), 1U);
+    EXPECT_GT(polls[0].wait, milliseconds{0});
+}
+
 // A repeated poll acknowledges no ends. They would have been listed for ever.
 TEST_F(lost_order, acknowledges_ends_again_that_are_still_listed)
 {
@@ -153,6 +186,8 @@
     ASSERT_EQ(ends.size(), 1U);
     apply(end_runs{ends[0].runs, {}});
     scheduler.on_recorded(ends[0], now);
+    now += config::min_poll_interval;
+    scheduler.tick(now);
     polls = take<poll_order>();
     ASSERT_EQ(polls.size(), 1U);
     ASSERT_EQ(polls[0].recorded, end_number{1});
