Record where the workers of runs are reached

Callers saw accepted work that nothing ran for as long as a lease, and cancelled work that went on, after a change of leader. The log named the id and the incarnation of a worker; its address was in the memory of the leader. A worker that had left or was replaced at its address meanwhile held its tasks until the lease that the new leader assumed was over, and stops waited for the next announcement.

Starts now record the place of each worker that has none in the log: its address, its data centre and the longest lease that it is granted. A new leader asks there for its runs at once, in bounded portions, sends stops there, and takes a later worker at the address as the proof that the former one has ended. A run that an unheard worker does not list is placed anew. A line 'unheard' names the workers that are left.

Four of the new tests fail if the recorded places are not used: change_of_leader.*; with them they pass. Members of earlier versions refuse entries with places, so that all control processes are replaced together where workflows run.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -116,6 +116,9 @@
 
 // Periodic work of the control leader.
 inline constexpr duration scheduler_tick = 50ms;
+/// First polls of a new leader in one tick, to workers that have not announced
+/// themselves yet: 1,800 workers are polled within 400 ms, in short turns.
+inline constexpr int max_first_polls_per_tick = 256;
 inline constexpr duration key_expiry_interval = 60s;
 /// A leader whose periodic work is late by the first time refuses new
 /// workflows, until it has been on time, to within the second, for the third.
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -446,9 +446,11 @@
     {
         auto const end =
             std::min(begin + config::max_runs_per_command, pass.placed.size());
-        actions_.emplace_back(propose_starts{
-            {{pass.placed.begin() + static_cast<std::ptrdiff_t>(begin),
-              pass.placed.begin() + static_cast<std::ptrdiff_t>(end)}}});
+        start_runs starts{
+            {pass.placed.begin() + static_cast<std::ptrdiff_t>(begin),
+             pass.placed.begin() + static_cast<std::ptrdiff_t>(end)}};
+        starts.places = unrecorded_places(starts.runs);
+        actions_.emplace_back(propose_starts{std::move(starts)});
     }
 }
 
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -33,6 +33,11 @@
            a.labels == b.labels && a.phase == b.phase;
 }
 
+auto place_of(worker_announcement const& it) -> worker_place
+{
+    return {it.instance, it.address, it.zone, {}};
+}
+
 /// True if the contracts in force name the pool, or if there are none yet.
 auto may_be_pool(contract_set_registry const& contracts, pool_name const& name)
     -> bool
@@ -124,7 +129,8 @@
         auto const former = workers_.find(known_address->second);
         if (former != workers_.end() &&
             (former->second.incarnation > announcement.instance.incarnation ||
-             former->second.last_contact > now - age))
+             (former->second.is_heard() &&
+              former->second.last_contact > now - age)))
         {
             return;
         }
@@ -145,6 +151,7 @@
         gain_room(entry);
     }
     entry.info = announcement;
+    entry.place = place_of(announcement);
     entry.warm_up.announce(announcement.warm_up, now - age);
     entry.is_replaced = false;
     entry.described = announcement.number;
@@ -183,8 +190,10 @@
     entry.is_fenced = false;
     entry.unanswered_since.reset();
     entry.lease = {};
+    entry.recorded_lease.reset();
     entry.warm_up = {};
     entry.info = announcement;
+    entry.place = place_of(announcement);
     gain_room(entry);
     entry.lease.sample(announcement.clock, now);
     auto const blamed =
@@ -608,7 +617,15 @@
             // poll, so that no order of an earlier leader can start the run.
             // Runs start at full speed.
             held.possible_pace.reset();
-            start_or_withdraw(worker, run, held, now);
+            if (worker.second.info)
+            {
+                start_or_withdraw(worker, run, held, now);
+            }
+            else
+            {
+                // Whether it may start there is known with the announcement.
+                withdraw(worker, run, held, now);
+            }
         }
         else if (held.phase == run_phase::closed &&
                  held.settled_at < poll_sent_at)
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -78,12 +78,21 @@
 {
     auto const [entry, is_unknown] = workers_.try_emplace(run.worker.id);
     auto& worker = entry->second;
-    worker.incarnation = std::max(worker.incarnation, run.worker.incarnation);
     if (is_unknown)
     {
         worker.last_contact = now;
-        worker.lease.assume_until(now +
-                                  worker_lease::max_duration(policy_.lease));
+    }
+    auto const* const place = state_.workflows().places().find(run.worker);
+    worker.lease.assume_until(
+        now + worker_lease::max_duration(place != nullptr ? place->longest_lease
+                                                          : policy_.lease));
+    if (is_unknown || run.worker.incarnation > worker.incarnation)
+    {
+        worker.incarnation = run.worker.incarnation;
+        if (place != nullptr)
+        {
+            inherit_place(*place);
+        }
     }
     auto const& step = record.step(name.task);
     auto held =
@@ -98,6 +107,62 @@
     worker_of_run_[name] = &*entry;
 }
 
+/// Lets the worker be asked for its runs at once, and be replaced by a later
+/// one at its address.
+auto run_scheduler::inherit_place(worker_place const& place) -> void
+{
+    auto const& id = place.worker.id;
+    auto& worker = workers_.at(id);
+    worker.place = place;
+    worker.recorded_lease = place.longest_lease;
+    // Without an incarnation nothing tells which of two workers is the later.
+    if (place.worker.incarnation == worker_incarnation{})
+    {
+        return;
+    }
+    auto const [known, is_new] = addresses_.try_emplace(place.address, id);
+    if (!is_new &&
+        workers_.at(known->second).incarnation < place.worker.incarnation)
+    {
+        known->second = id;
+    }
+}
+
+auto run_scheduler::unrecorded_places(std::vector<placed_run> const& runs) const
+    -> std::optional<std::vector<worker_place>>
+{
+    std::vector<worker_place> out;
+    std::set<worker_id> seen;
+    for (auto const& each : runs)
+    {
+        auto const worker = workers_.find(each.worker.id);
+        if (worker == workers_.end() || !worker->second.place ||
+            !seen.insert(each.worker.id).second)
+        {
+            continue;
+        }
+        auto place = *worker->second.place;
+        place.longest_lease =
+            std::chrono::duration_cast<milliseconds>(policy_.granted_lease());
+        auto const* const known = state_.workflows().places().find(each.worker);
+        if (known == nullptr || known->address != place.address ||
+            known->zone != place.zone ||
+            known->longest_lease < place.longest_lease)
+        {
+            out.push_back(std::move(place));
+        }
+    }
+    return out.empty() ? std::nullopt : std::optional{std::move(out)};
+}
+
+auto run_scheduler::granted_lease(worker_entry const& worker) const -> duration
+{
+    auto const granted = policy_.granted_lease();
+    return worker.recorded_lease
+               ? std::min(granted, duration{*worker.recorded_lease})
+               : granted;
+}
+
 /// A lone leader whose disk is full reports a proposal as not applied, and may
 /// commit it later.
 auto run_scheduler::inherit_unexpected(task_run const& run, time_point now)
@@ -159,8 +224,8 @@
                               time_point now) const -> order_target
 {
     return {{worker.first, worker.second.incarnation},
-            worker.second.info->address,
-            worker.second.info->zone,
+            worker.second.place->address,
+            worker.second.place->zone,
             fence_,
             now};
 }
@@ -250,10 +315,10 @@
     held.sent = now;
     held.start_sent = now;
     ++held.starts_sent;
-    actions_.emplace_back(
-        start_order{target_of(worker, now), run, record->spec.payload,
-                    record->find(run.task)->checkpoint,
-                    worker.second.lease.grant(now, policy_.lease)});
+    actions_.emplace_back(start_order{
+        target_of(worker, now), run, record->spec.payload,
+        record->find(run.task)->checkpoint,
+        worker.second.lease.grant(now, granted_lease(worker.second))});
 }
 
 auto run_scheduler::send_stop(identified_worker& worker, task_run const& run,
@@ -266,7 +331,7 @@
         (held.phase == run_phase::ordered && held.order_in_flight);
     held.phase = run_phase::stopping;
     worker.second.has_open_orders = true;
-    if (!worker.second.info || worker.second.is_fenced)
+    if (!worker.second.place || worker.second.is_fenced)
     {
         return;
     }
@@ -280,7 +345,7 @@
     auto& entry = worker.second;
     if (entry.poll_in_flight || entry.recording_ends ||
         entry.incarnation_ended || entry.is_replaced || entry.is_fenced ||
-        !entry.info || !entry.lease.is_sampled() || now < entry.next_poll_at)
+        !entry.place || now < entry.next_poll_at)
     {
         return;
     }
@@ -322,9 +387,9 @@
                      wait};
     // A poll that arrives late must not extend the lease of a worker whose runs
     // may already count as lost.
-    if (entry.may_extend_lease(now))
+    if (entry.lease.is_sampled() && entry.may_extend_lease(now))
     {
-        order.lease_end = entry.lease.grant(now, policy_.lease);
+        order.lease_end = entry.lease.grant(now, granted_lease(entry));
     }
     actions_.emplace_back(std::move(order));
 }
@@ -368,6 +433,7 @@
     unconfirmed_ = 0;
     std::int64_t in_contact{0};
     std::int64_t refusing{0};
+    auto first_polls = config::max_first_polls_per_tick;
     for (auto worker = workers_.begin(); worker != workers_.end();)
     {
         auto& entry = worker->second;
@@ -410,7 +476,11 @@
             ++in_contact;
             refusing += entry.is_fenced ? 1 : 0;
         }
-        send_poll(*worker, now);
+        if (entry.info || !entry.place || entry.poll_sent_at != time_point{} ||
+            first_polls-- > 0)
+        {
+            send_poll(*worker, now);
+        }
         ++worker;
     }
     is_fenced_ = refusing >= config::fenced_workers_to_resign ||
@@ -442,6 +512,14 @@
     update_forecast(applied, now);
     if (auto const* const starts = std::get_if<start_runs>(&applied))
     {
+        for (auto const& place :
+             starts->places.value_or(std::vector<worker_place>{}))
+        {
+            if (auto* const entry = find(place.worker))
+            {
+                entry->recorded_lease = place.longest_lease;
+            }
+        }
         for (auto const& placed : starts->runs)
         {
             proposed_.erase(placed.run.task);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -31,6 +31,7 @@
 #include <apricotlb/config.hpp>
 #include <apricotlb/time.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -54,6 +55,8 @@
     duration lease{seconds{10}};
     /// Submissions that cannot end in time are refused.
     bool refuses_late_work{false};
+
+    [[nodiscard]] auto granted_lease() const -> duration { return lease; }
 };
 
 /// Proposes the start of placed runs to the log.
@@ -212,6 +215,14 @@
     auto inherit_run(workflow_record const& record, task_run const& name,
                      task_progress const& progress, active_run const& run,
                      time_point now) -> void;
+    auto inherit_place(worker_place const& place) -> void;
+    /// Places of the workers of new runs that the log has not, or otherwise.
+    [[nodiscard]] auto
+    unrecorded_places(std::vector<placed_run> const& runs) const
+        -> std::optional<std::vector<worker_place>>;
+    /// Length of the leases that the worker is granted.
+    [[nodiscard]] auto granted_lease(worker_entry const& worker) const
+        -> duration;
     /// Holds a run that is recorded although its proposal had been given up.
     auto inherit_unexpected(task_run const& run, time_point now) -> void;
     auto inherit_ages(submission_times const& submitted, time_point now,
@@ -633,6 +644,8 @@
         -> std::vector<stalled_step>;
     [[nodiscard]] auto longest_unanswered(time_point now) const
         -> std::vector<unanswered_start>;
+    [[nodiscard]] auto unheard_workers(time_point now) const
+        -> std::vector<unheard_worker>;
     auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
                          obstacle_counts& counts,
                          millicores& largest_free) const -> void;
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -219,6 +219,30 @@
     return out;
 }
 
+auto run_scheduler::unheard_workers(time_point now) const
+    -> std::vector<unheard_worker>
+{
+    std::vector<unheard_worker> out;
+    auto const waited = now - leading_since_;
+    if (waited < config::reported_wait)
+    {
+        return out;
+    }
+    for (auto const& [id, it] : workers_)
+    {
+        if (!it.runs.empty() && !it.is_heard())
+        {
+            out.push_back({{id, it.incarnation},
+                           std::ssize(it.runs),
+                           it.place.has_value(),
+                           waited});
+        }
+    }
+    std::ranges::stable_sort(out, std::greater{}, &unheard_worker::runs);
+    out.resize(std::min(out.size(), config::max_reported_waits));
+    return out;
+}
+
 auto run_scheduler::stall_cause_of(candidate_run const& candidate,
                                    bool has_worker) const -> stall_cause
 {
@@ -252,7 +276,7 @@
     -> waiting_work
 {
     waiting_work out{longest_waits(now), longest_stalls(now, wall),
-                     longest_unanswered(now)};
+                     longest_unanswered(now), unheard_workers(now)};
     if (out.restarts.empty() && out.steps.empty())
     {
         return out;
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -166,12 +166,23 @@
     duration contact_age{}; ///< since the last contact of the worker
 };
 
+/// A worker with runs of an earlier leader that this leader has got neither an
+/// announcement nor a list of. Its tasks wait until its lease is over.
+struct unheard_worker
+{
+    worker_instance worker;
+    std::int64_t runs{0};
+    bool is_place_known{false}; ///< it is asked for its lists
+    duration waited{};          ///< since this leader was elected
+};
+
 /// What has waited for longest, as of one report.
 struct waiting_work
 {
     std::vector<wait_report> restarts;
     std::vector<stalled_step> steps;
     std::vector<unanswered_start> unanswered;
+    std::vector<unheard_worker> unheard; ///< those with the most runs first
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -356,6 +356,11 @@
     static constexpr duration usual_contact_interval = milliseconds{1500};
 
     std::optional<worker_announcement> info; ///< none before the first one
+    /// Where its orders go: from the log until this leader has heard of it.
+    std::optional<worker_place> place;
+    /// The longest lease of its place in the log, which bounds what a later
+    /// leader assumes. Leases are not granted for longer.
+    std::optional<milliseconds> recorded_lease;
     worker_incarnation incarnation;
     sequence described; ///< number of the announcement in `info`
     worker_lease lease;
@@ -412,6 +417,11 @@
     bool was_usable{false};       ///< for new runs, in the last pass of plan()
     bool held_for_restart{false}; ///< in the current pass
 
+    /// True if this leader has got an announcement or a list of it.
+    [[nodiscard]] auto is_heard() const -> bool
+    {
+        return info || last_list > sequence{};
+    }
     /// True if it has carried out no order for config::lease_extension_timeout.
     /// Its lease is not extended then, so that its runs end with it.
     [[nodiscard]] auto is_unresponsive(time_point now) const -> bool
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -373,17 +373,45 @@
     }
 };
 
+/// Where a life of a worker is reached. A new leader asks there for its runs
+/// before the worker has announced itself.
+struct worker_place
+{
+    worker_instance worker;
+    url address;
+    zone_id zone;
+    /// The longest lease that the leader which records the place grants.
+    milliseconds longest_lease{};
+
+    auto operator==(worker_place const&) const -> bool = default;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("life", &worker_place::worker),
+                          field("address", &worker_place::address),
+                          field("zone", &worker_place::zone),
+                          field("longest_lease", &worker_place::longest_lease));
+    }
+};
+
 /// Records runs before they are sent to their workers.
 struct start_runs
 {
     std::vector<placed_run> runs;
+    /// Of workers of these runs whose places are not recorded, or differ.
+    std::optional<std::vector<worker_place>> places{};
 
     static constexpr auto fields()
     {
-        return field_list(field("runs", &start_runs::runs));
+        return field_list(field("runs", &start_runs::runs),
+                          field("places", &start_runs::places));
     }
 };
 
+/// Entries of earlier versions have no places.
+template <>
+inline constexpr std::size_t optional_fields<start_runs> = 1;
+
 struct ended_run
 {
     task_run run;
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -142,6 +142,13 @@
         {
             add_ready(kept, occurrence_index{n});
         }
+        kept.for_each_active(
+            [this](auto const&, auto const&, active_run const& run)
+            { places_.add_run(run.worker); });
+    }
+    if (from.places)
+    {
+        places_.record(*from.places);
     }
     for (auto& it : from.ended)
     {
@@ -249,8 +256,13 @@
                              .tasks[task.index.value()];
         progress.last = placed.run.number;
         progress.active.push_back({placed.run.number, placed.worker});
+        places_.add_run(placed.worker);
         erase_ready(record, task);
     }
+    if (it.places)
+    {
+        places_.record(*it.places);
+    }
     return answer_at(at);
 }
 
@@ -305,8 +317,10 @@
                       .steps[task.step.value()]
                       .tasks;
     auto& progress = tasks[task.index.value()];
-    std::erase_if(progress.active, [&ended](active_run const& each)
-                  { return each.number == ended.run.number; });
+    auto const active = std::ranges::find(progress.active, ended.run.number,
+                                          &active_run::number);
+    places_.remove_run(active->worker);
+    progress.active.erase(active);
     if (!ended.checkpoint.value().empty())
     {
         // A checkpoint of one task is valid for all tasks of its gang.
@@ -567,6 +581,7 @@
     {
         out.ended.push_back(it);
     }
+    out.places = places_.snapshot();
     return out;
 }
 
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -4,6 +4,7 @@
 
 #include "core/state/commands.hpp"
 #include "core/state/contract_set_registry.hpp"
+#include "core/state/worker_places.hpp"
 
 #include <apricotlb/workflow.hpp>
 
@@ -180,14 +181,20 @@
 {
     std::vector<workflow_record> live;
     std::vector<ended_workflow> ended;
+    std::optional<std::vector<worker_place>> places{};
 
     static constexpr auto fields()
     {
         return field_list(field("live", &workflows_snapshot::live),
-                          field("ended", &workflows_snapshot::ended));
+                          field("ended", &workflows_snapshot::ended),
+                          field("places", &workflows_snapshot::places));
     }
 };
 
+/// Snapshots of earlier versions have no places.
+template <>
+inline constexpr std::size_t optional_fields<workflows_snapshot> = 1;
+
 /// A step with tasks that may be started. Ordered by the acceptance of
 /// workflows.
 struct ready_step
@@ -263,6 +270,12 @@
         return ended_.size();
     }
 
+    /// Places of the workers that have active runs.
+    [[nodiscard]] auto places() const -> worker_places const&
+    {
+        return places_;
+    }
+
     [[nodiscard]] auto snapshot() const -> workflows_snapshot;
 
 private:
@@ -293,6 +306,7 @@
     std::map<ready_step, ready_tasks> ready_;
     std::size_t ready_count_{0};
     std::map<queue_name, std::size_t> waiting_;
+    worker_places places_;
 };
 
 } // namespace apricotlb
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -51,9 +51,11 @@
         lead();
     }
 
-    auto add_worker(std::string const& name, std::int64_t cpu) -> void
+    auto add_worker(std::string const& name, std::int64_t cpu,
+                    std::int64_t incarnation_number = 1) -> void
     {
-        auto it = std::make_unique<platform_worker>(worker_id{name}, cpu, 1);
+        auto it = std::make_unique<platform_worker>(worker_id{name}, cpu,
+                                                    incarnation_number);
         it->behaviour = [this](std::string const& task)
         { return behaviour(task); };
         workers[name] = std::move(it);
@@ -98,7 +100,7 @@
         log_.clear();
         ++epoch_;
         leader = std::make_unique<run_scheduler>(state, fence_token{++fence_},
-                                                 now, fleet_policy{seconds{5}});
+                                                 now, policy);
     }
 
     /// Orders pass through relays once there are some.
@@ -181,6 +183,7 @@
     }
 
     time_point now{};
+    fleet_policy policy{seconds{5}}; ///< of the leaders that follow
     state_machine state;
     std::unique_ptr<run_scheduler> leader;
     std::map<std::string, std::unique_ptr<platform_worker>> workers;
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -58,6 +58,7 @@
 
     std::string rack{"r1"};
     std::string pool{"pool"};
+    std::string address; ///< follows from its id if it is empty
 
     /// Starts also what exceeds the capacity.
     bool accepts_everything{false};
@@ -157,6 +158,7 @@
         auto in_zone = zone;
         auto reported_load = std::move(load);
         auto in_pool = pool;
+        auto at = address;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         accepts_everything = accepts;
@@ -164,6 +166,7 @@
         zone = std::move(in_zone);
         load = std::move(reported_load);
         pool = std::move(in_pool);
+        address = std::move(at);
         started_ = now;
     }
 
@@ -172,7 +175,7 @@
     {
         return print_json({json_value::object{
             {"service", {pool}},
-            {"address", {id_.value() + ":1"}},
+            {"address", {address.empty() ? id_.value() + ":1" : address}},
             {"zone", {zone}},
             {"cold_remaining_ms",
              {std::max<std::int64_t>(
--- /dev/null
+++ b/tests/unreached_workers_test.cpp
@@ -0,0 +1,174 @@
+#include "adapters/msgpack_codec.hpp"
+#include "fake_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+/// Two workers and a task that runs for as long as it may.
+struct change_of_leader : testing::Test
+{
+    change_of_leader()
+    {
+        fleet.behaviour = [](std::string const&)
+        {
+            return platform_worker::run{0, time_point{std::chrono::hours{1}},
+                                        "done", 1000};
+        };
+        fleet.policy.lease = seconds{10};
+        fleet.lead();
+        fleet.add_worker("w1", 4000);
+        EXPECT_TRUE(fleet.run_until_known("w1"));
+        fleet.submit("a", {lasting()});
+        fleet.run(seconds{2});
+        EXPECT_TRUE(is_on("w1"));
+    }
+
+    static auto lasting() -> step_spec
+    {
+        auto it = fake_fleet::step(1);
+        it.permanent = true;
+        return it;
+    }
+
+    [[nodiscard]] auto is_on(std::string const& worker) const -> bool
+    {
+        return fleet.workers.at(worker)->running().contains("a.0.0.0");
+    }
+
+    auto expect_no_violation() -> void
+    {
+        EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front();
+    }
+
+    fake_fleet fleet{55};
+};
+
+TEST_F(change_of_leader, a_successor_at_the_address_frees_the_tasks_at_once)
+{
+    fleet.workers.erase("w1");
+    fleet.add_worker("w2", 4000, 2);
+    fleet.workers.at("w2")->address = "w1:1";
+    fleet.lead();
+    fleet.run(seconds{4});
+    EXPECT_TRUE(is_on("w2"));
+    expect_no_violation();
+}
+
+TEST_F(change_of_leader, stops_cancelled_work_of_a_worker_that_is_not_heard)
+{
+    fleet.unheard.insert("w1");
+    fleet.lead();
+    fleet.apply(cancel_workflow{workflow_id{"a"}, {}});
+    fleet.run(milliseconds{500});
+    EXPECT_FALSE(is_on("w1"));
+    EXPECT_EQ(fleet.live_workflows(), 0U);
+}
+
+TEST_F(change_of_leader, keeps_the_runs_that_a_worker_lists_before_it_is_heard)
+{
+    fleet.add_worker("w2", 4000);
+    fleet.unheard.insert("w1");
+    fleet.lead();
+    fleet.run(seconds{20});
+    EXPECT_TRUE(is_on("w1"));
+    EXPECT_EQ(fleet.starts, 1U);
+    expect_no_violation();
+}
+
+TEST_F(change_of_leader, places_elsewhere_what_an_unheard_worker_does_not_run)
+{
+    fleet.deaf.insert("w1");
+    fleet.submit("b", {lasting()});
+    fleet.run(milliseconds{300});
+    fleet.deaf.clear();
+    fleet.unheard.insert("w1");
+    fleet.add_worker("w2", 4000);
+    fleet.lead();
+    fleet.run(seconds{3});
+    EXPECT_TRUE(fleet.workers.at("w2")->running().contains("b.0.0.0"));
+    EXPECT_TRUE(is_on("w1"));
+    expect_no_violation();
+}
+
+// A longer one would outlast what a successor assumes.
+TEST(granted_lease, is_not_longer_than_the_one_in_the_log)
+{
+    fake_fleet fleet{57};
+    fleet.policy.lease = seconds{3};
+    fleet.lead();
+    fleet.add_worker("w1", 4000);
+    ASSERT_TRUE(fleet.run_until_known("w1"));
+    fleet.submit("a", {change_of_leader::lasting()});
+    fleet.run(seconds{2});
+    fleet.policy.lease = seconds{10};
+    fleet.lead();
+    fleet.run(seconds{2});
+    auto const& worker = fleet.leader->workers().at(worker_id{"w1"});
+    EXPECT_LE(worker.lease.latest_end(),
+              fleet.now + worker_lease::max_duration(seconds{3}));
+}
+
+TEST(worker_places, are_kept_for_as_long_as_runs_need_them)
+{
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    worker_place const place{w1, url{"w1:1"}, zone_id{"z"}, milliseconds{6000}};
+    worker_places it;
+    it.record({place});
+    EXPECT_EQ(it.find(w1), nullptr);
+    it.add_run(w1);
+    it.add_run(w1);
+    it.record({place});
+    it.remove_run(w1);
+    ASSERT_NE(it.find(w1), nullptr);
+    EXPECT_EQ(*it.find(w1), place);
+    EXPECT_EQ(it.snapshot(), std::vector{place});
+    it.remove_run(w1);
+    EXPECT_EQ(it.find(w1), nullptr);
+    EXPECT_EQ(it.snapshot(), std::nullopt);
+}
+
+TEST(worker_places, survive_a_snapshot)
+{
+    fake_fleet fleet{56};
+    fleet.add_worker("w1", 4000);
+    ASSERT_TRUE(fleet.run_until_known("w1"));
+    fleet.submit("a", {fake_fleet::step(1)});
+    fleet.run(milliseconds{300});
+    auto const bytes = msgpack_codec::encode(fleet.state.snapshot());
+    auto const copy =
+        state_machine{msgpack_codec::decode<state_snapshot>(bytes).value()};
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    auto const* const kept = copy.workflows().places().find(w1);
+    ASSERT_NE(kept, nullptr);
+    EXPECT_EQ(kept->address, fleet.leader->workers().at(w1.id).info->address);
+}
+
+// Members of earlier versions refuse entries with fields that they don't know.
+TEST(worker_places, leave_entries_without_them_as_they_were)
+{
+    struct former_start_runs
+    {
+        std::vector<placed_run> runs;
+
+        static constexpr auto fields()
+        {
+            return field_list(field("runs", &former_start_runs::runs));
+        }
+    };
+    std::vector<placed_run> const runs{
+        {{{workflow_id{"a"}, {}, {}, {}}, run_number{1}},
+         {worker_id{"w1"}, worker_incarnation{1}}}};
+    auto const former = msgpack_codec::encode(former_start_runs{runs});
+    auto const present = msgpack_codec::encode(start_runs{runs});
+    EXPECT_EQ(present, former);
+    EXPECT_EQ(msgpack_codec::decode<start_runs>(former).value().runs, runs);
+}
+
+} // namespace
+} // namespace apricotlb
