Grant leases of six seconds at most

Callers saw work stand still for more than ten seconds after a change of leader: a worker that is gone without a successor holds its tasks until the lease that the new leader assumes is over, and the leader granted the longest lease that workers accept.

change_of_leader.a_worker_that_is_gone_frees_its_tasks_within_seconds fails with whole leases of 10 s.

--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -51,7 +51,14 @@
 /// Settings of the workers that take pushed orders.
 struct fleet_policy
 {
-    /// Longest lease that workers accept; they shorten longer ones.
+    /// Longest lease that is granted, whatever workers accept. A worker that is
+    /// gone without a trace holds its tasks for so long after a change of
+    /// leader. Renewals are up to 2 s apart, and runs have to outlast 3 s
+    /// without a leader.
+    static constexpr duration max_granted_lease{seconds{6}};
+
+    /// Longest lease that workers accept; they shorten longer ones. Earlier
+    /// versions grant it whole.
     duration lease{seconds{10}};
     /// Submissions that cannot end in time are refused.
     bool refuses_late_work{false};
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -60,6 +60,16 @@
     expect_no_violation();
 }
 
+TEST_F(change_of_leader, a_worker_that_is_gone_frees_its_tasks_within_seconds)
+{
+    fleet.add_worker("w2", 4000);
+    fleet.workers.erase("w1");
+    fleet.lead();
+    fleet.run(milliseconds{6600});
+    EXPECT_TRUE(is_on("w2"));
+    expect_no_violation();
+}
+
 TEST_F(change_of_leader, stops_cancelled_work_of_a_worker_that_is_not_heard)
 {
     fleet.unheard.insert("w1");
