--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -31,6 +31,7 @@
 #include <apricotlb/config.hpp>
 #include <apricotlb/time.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -50,10 +51,19 @@
 /// Settings of the workers that take pushed orders.
 struct fleet_policy
 {
-    /// Longest lease that workers accept; they shorten longer ones.
+    /// Longest lease that is granted, whatever workers accept. A worker that is
+    /// gone without a trace holds its tasks for so long after a change of
+    /// leader. Renewals are up to 2 s apart, and runs have to outlast 3 s
+    /// without a leader.
+    static constexpr duration max_granted_lease{seconds{6}};
+
+    /// Longest lease that workers accept; they shorten longer ones. Earlier
+    /// versions grant it whole.
     duration lease{seconds{10}};
     /// Submissions that cannot end in time are refused.
     bool refuses_late_work{false};
+
+    [[nodiscard]] auto granted_lease() const -> duration { return lease; }
 };
 
 /// Proposes the start of placed runs to the log.
@@ -212,6 +222,14 @@
     auto inherit_run(workflow_record const& record, task_run const& name,
                      task_progress const& progress, active_run const& run,
                      time_point now) -> void;
+    auto inherit_place(worker_place const& place) -> void;
+    /// Places of the workers of new runs that the log has not, or otherwise.
+    [[nodiscard]] auto
+    unrecorded_places(std::vector<placed_run> const& runs) const
+        -> std::optional<std::vector<worker_place>>;
+    /// Length of the leases that the worker is granted.
+    [[nodiscard]] auto granted_lease(worker_entry const& worker) const
+        -> duration;
     /// Holds a run that is recorded although its proposal had been given up.
     auto inherit_unexpected(task_run const& run, time_point now) -> void;
     auto inherit_ages(submission_times const& submitted, time_point now,
@@ -633,6 +651,8 @@
         -> std::vector<stalled_step>;
     [[nodiscard]] auto longest_unanswered(time_point now) const
         -> std::vector<unanswered_start>;
+    [[nodiscard]] auto unheard_workers(time_point now) const
+        -> std::vector<unheard_worker>;
     auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
                          obstacle_counts& counts,
                          millicores& largest_free) const -> void;
