Tell a new leader which workers have left

Callers saw tasks stand still for a whole lease after a change of leader, although their worker had left in order.

A departure that names a life cannot end a later one. At most 64 are kept beyond the timeout of their acknowledgement. One that names no life is dropped as before, and the worker's own reply keeps its timeout. A leader that does not know the worker records the departure, so that an announcement which another process has kept does not bring the worker back.

--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -69,22 +69,36 @@
             intake_ticket{{kept.value.instance.id, false}, last_ticket_}};
 }
 
-auto announcement_intake::take_departure(worker_id const& worker,
-                                         time_point now) -> intake_decision
+auto announcement_intake::leaving_life(worker_id const& worker,
+                                       time_point now) const -> worker_instance
 {
-    auto& leaving = leaving_[worker];
     if (auto const found = kept_.find(worker); found != kept_.end())
     {
         // The request names no life. It may have waited in a socket while the
         // next life announced itself here, which then has not drained.
-        if (found->second.value.phase == worker_phase::draining)
-        {
-            leaving.incarnation = found->second.value.instance.incarnation;
-        }
-        kept_.erase(found);
+        auto const& it = found->second.value;
+        return it.phase == worker_phase::draining ? it.instance
+                                                  : worker_instance{worker, {}};
     }
-    leaving.since = now;
-    leaving.last_ticket = ++last_ticket_;
+    // A repeated request is of the same life. After longer, the worker may have
+    // drained once more and told another process.
+    auto const repeated = std::ranges::find_if(
+        leaving_,
+        [&](auto const& each)
+        {
+            return each.first.id == worker &&
+                   now - each.second.since < acknowledgement_timeout;
+        });
+    return repeated == leaving_.end() ? worker_instance{worker, {}}
+                                      : repeated->first;
+}
+
+auto announcement_intake::take_departure(worker_id const& worker,
+                                         time_point now) -> intake_decision
+{
+    auto& leaving = leaving_[leaving_life(worker, now)];
+    kept_.erase(worker);
+    leaving = {now, ++last_ticket_, {}, {}};
     return {intake_reason::forwarded,
             intake_ticket{{worker, true}, last_ticket_}};
 }
@@ -136,11 +150,39 @@
     std::erase_if(
         kept_, [now](auto const& each)
         { return now - each.second.received >= config::worker_removal_delay; });
-    // A departure that were sent later could end the next life of the worker.
+    drop_old_departures(now);
+}
+
+auto announcement_intake::drop_old_departures(time_point now) -> void
+{
+    auto const is_old = [now](departure const& it)
+    { return now - it.since >= acknowledgement_timeout; };
     std::erase_if(leaving_,
-                  [now](auto const& each) {
-                      return now - each.second.since >= acknowledgement_timeout;
+                  [&](auto const& each)
+                  {
+                      auto const& [left, it] = each;
+                      // Without a life it could end the next one of the worker.
+                      if (left.incarnation == worker_incarnation{})
+                      {
+                          return is_old(it);
+                      }
+                      return now - it.since >= departure_retention ||
+                             (it.taken_in != term{} &&
+                              now - it.taken_at >= taken_departure_retention);
                   });
+    std::vector<std::pair<time_point, worker_instance>> old;
+    for (auto const& [left, it] : leaving_)
+    {
+        if (is_old(it))
+        {
+            old.emplace_back(it.since, left);
+        }
+    }
+    std::ranges::sort(old, std::ranges::greater{});
+    for (auto n = max_kept_departures; n < old.size(); ++n)
+    {
+        leaving_.erase(old[n].second);
+    }
 }
 
 auto announcement_intake::next_calls(time_point now) -> std::vector<intake_call>
@@ -167,15 +209,22 @@
         calls.back().batch.announcements.push_back({it, age_of(received, now)});
         return true;
     };
-    for (auto const& [worker, it] : leaving_)
+    for (auto const& [left, it] : leaving_)
     {
+        if (it.taken_in != term{} && it.taken_in == leader_term_)
+        {
+            continue;
+        }
         worker_announcement message;
-        message.instance = {worker, it.incarnation};
+        message.instance = left;
         message.phase = worker_phase::left;
         if (add_announcement(message, it.since))
         {
-            calls.back().entries.push_back(
-                {{{worker, true}, it.last_ticket}, {}, 0, true});
+            calls.back().entries.push_back({{{left.id, true}, it.last_ticket},
+                                            {},
+                                            0,
+                                            true,
+                                            left.incarnation});
         }
     }
     std::optional<worker_id> left_out;
@@ -187,7 +236,8 @@
         intake_call::entry entry{{{worker, false}, it.last_ticket},
                                  it.value.number,
                                  it.change,
-                                 !is_accepted(it)};
+                                 !is_accepted(it),
+                                 it.value.instance.incarnation};
         if (!entry.is_full && !it.contact_due)
         {
             continue;
@@ -250,12 +300,19 @@
         if (entry.up_to.subject.leaves)
         {
             acknowledged.push_back(entry.up_to);
-            auto const left = leaving_.find(worker);
-            if (left != leaving_.end() &&
-                left->second.last_ticket == entry.up_to.number)
+            auto const left = leaving_.find({worker, entry.life});
+            if (left == leaving_.end() ||
+                left->second.last_ticket != entry.up_to.number)
+            {
+                continue;
+            }
+            if (entry.life == worker_incarnation{})
             {
                 leaving_.erase(left);
+                continue;
             }
+            left->second.taken_in = answer.leader_term;
+            left->second.taken_at = to.sent_at;
             continue;
         }
         auto const found = kept_.find(worker);
--- a/src/core/fleet/announcement_intake.hpp
+++ b/src/core/fleet/announcement_intake.hpp
@@ -66,6 +66,7 @@
         sequence number;      ///< of the announcement
         std::uint64_t change; ///< see announcement_intake::kept_worker
         bool is_full{false};
+        worker_incarnation life;
     };
 
     contact_batch batch;
@@ -87,6 +88,18 @@
     static constexpr std::size_t max_announcements_per_call = 64;
     static constexpr std::size_t max_contacts_per_call = 1024;
     static constexpr std::size_t max_calls_per_round = 4;
+    /// How long a departure that no leader has taken is kept, if it names the
+    /// life that it ends.
+    static constexpr duration departure_retention =
+        config::worker_removal_delay;
+    /// How long one that a leader has taken is kept for its successors. The
+    /// leader may die before it has recorded the ends of the runs, which it
+    /// does after config::max_order_age.
+    static constexpr duration taken_departure_retention = seconds{10};
+    /// Departures beyond their timeout. They fill one call to a new leader and
+    /// leave the others of the round to the workers that are up.
+    static constexpr std::size_t max_kept_departures =
+        max_announcements_per_call;
 
     auto take(worker_announcement it, time_point now) -> intake_decision;
 
@@ -132,17 +145,21 @@
     };
     struct departure
     {
-        /// The life that drained before, as far as this process knows it; 0 if
-        /// it does not.
-        worker_incarnation incarnation;
         time_point since{};
         sequence last_ticket;
+        term taken_in; ///< term of the leader that has taken it; 0: none
+        time_point taken_at{};
     };
 
     auto take_departure(worker_id const& worker, time_point now)
         -> intake_decision;
     auto wait(kept_worker& kept, intake_reason reason) -> intake_decision;
+    /// The life that a departure received now ends: the one that has drained,
+    /// as far as this process knows it, or otherwise incarnation 0.
+    [[nodiscard]] auto leaving_life(worker_id const& worker,
+                                    time_point now) const -> worker_instance;
     auto drop_old(time_point now) -> void;
+    auto drop_old_departures(time_point now) -> void;
     [[nodiscard]] auto is_accepted(kept_worker const& it) const -> bool
     {
         return it.accepted_in != term{} && it.accepted_in == leader_term_;
@@ -152,7 +169,7 @@
     /// The first worker that the last round left out; the next one begins
     /// there.
     worker_id resume_at_;
-    std::map<worker_id, departure> leaving_;
+    std::map<worker_instance, departure> leaving_;
     sequence last_ticket_;
     term leader_term_;                        ///< highest seen
     std::optional<time_point> last_answered_; ///< when that call was sent
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -75,13 +75,18 @@
 auto run_scheduler::on_departure(worker_instance const& left, time_point now)
     -> bool
 {
+    auto const is_named = left.incarnation != worker_incarnation{};
     auto const found = workers_.find(left.id);
     if (found == workers_.end())
     {
+        // Another process may still give a new leader an announcement of it.
+        if (is_named && !has_departed(left, now))
+        {
+            record_departure(left, now);
+        }
         return true;
     }
     auto& entry = found->second;
-    auto const is_named = left.incarnation != worker_incarnation{};
     auto const is_current =
         is_named ? left.incarnation == entry.incarnation : entry.is_leaving();
     if (!is_current)
--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -48,8 +48,48 @@
         round(first);
     }
 
+    static auto life(std::string const& id) -> worker_instance
+    {
+        return {worker_id{id}, worker_incarnation{1}};
+    }
+
+    /// A worker drains and leaves.
+    auto leave(std::string const& id) -> void
+    {
+        auto it = announcement(id, 1);
+        it.phase = worker_phase::draining;
+        intake.take(it, now);
+        it.phase = worker_phase::left;
+        it.instance.incarnation = {};
+        intake.take(it, now);
+    }
+
+    /// The lives whose departures a round tells the leader of `in_term`.
+    auto departures(term in_term) -> std::vector<worker_instance>
+    {
+        round(in_term);
+        return sent_departures();
+    }
+
+    [[nodiscard]] auto sent_departures() const -> std::vector<worker_instance>
+    {
+        std::vector<worker_instance> out;
+        for (auto const& call : calls)
+        {
+            for (auto const& it : call.batch.announcements)
+            {
+                if (it.value.phase == worker_phase::left)
+                {
+                    out.push_back(it.value.instance);
+                }
+            }
+        }
+        return out;
+    }
+
     static constexpr term first{1};
     static constexpr term second{2};
+    static constexpr term third{3};
     time_point now{seconds{100}};
     announcement_intake intake;
     std::vector<intake_call> calls;
@@ -188,6 +228,57 @@
     }
 }
 
+// A worker that left while there was no leader, or whose leader died before it
+// recorded the ends, would hold its tasks for a lease under the next one.
+TEST_F(announcement_intake_test, tells_each_new_leader_who_has_left)
+{
+    leave("w");
+    (void)intake.next_calls(now);
+    now += seconds{3};
+    intake.on_leader(first);
+    EXPECT_EQ(departures(first), std::vector{life("w")});
+    EXPECT_TRUE(departures(first).empty());
+    now += seconds{5};
+    intake.on_leader(second);
+    EXPECT_EQ(departures(second), std::vector{life("w")});
+    now += announcement_intake::taken_departure_retention;
+    EXPECT_TRUE(departures(third).empty());
+}
+
+// Memory, and the calls to a new leader, must not grow with each worker that
+// has left.
+TEST_F(announcement_intake_test, bounds_the_departures_that_it_keeps)
+{
+    for (auto n = 0U; n < 2 * announcement_intake::max_kept_departures; ++n)
+    {
+        leave("w" + std::to_string(n));
+        now += milliseconds{1};
+    }
+    now += announcement_intake::acknowledgement_timeout;
+    auto const kept = departures(first);
+    EXPECT_EQ(kept.size(), announcement_intake::max_kept_departures);
+    EXPECT_EQ(std::ranges::count(kept, life("w0")), 0);
+    leave("w");
+    now += announcement_intake::departure_retention;
+    EXPECT_TRUE(departures(first).empty());
+}
+
+// Its next departure, which may be of a life that drained elsewhere, must not
+// be taken for that of the life which left before.
+TEST_F(announcement_intake_test, names_no_earlier_life_in_a_later_departure)
+{
+    leave("w");
+    now += announcement_intake::acknowledgement_timeout;
+    auto leaving = announcement("w", 0);
+    leaving.phase = worker_phase::left;
+    auto const taken = intake.take(leaving, now);
+    ASSERT_TRUE(taken.ticket);
+    auto const acknowledged = round(first);
+    EXPECT_EQ(std::ranges::count(acknowledged, *taken.ticket), 1);
+    EXPECT_EQ(sent_departures(),
+              (std::vector{worker_instance{worker_id{"w"}, {}}, life("w")}));
+}
+
 // A departure that is sent much later could end the next life of the worker.
 TEST_F(announcement_intake_test, gives_up_a_departure_with_its_acknowledgement)
 {
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -36,6 +36,14 @@
         return it;
     }
 
+    static auto departure_of(std::string const& worker) -> worker_announcement
+    {
+        worker_announcement it;
+        it.instance = {worker_id{worker}, worker_incarnation{1}};
+        it.phase = worker_phase::left;
+        return it;
+    }
+
     [[nodiscard]] auto is_on(std::string const& worker) const -> bool
     {
         return fleet.workers.at(worker)->running().contains("a.0.0.0");
@@ -70,6 +78,30 @@
     expect_no_violation();
 }
 
+TEST_F(change_of_leader, a_departure_frees_the_tasks_of_an_unheard_worker)
+{
+    fleet.add_worker("w2", 4000);
+    fleet.workers.erase("w1");
+    fleet.lead();
+    EXPECT_TRUE(fleet.leader->on_announcement(departure_of("w1"), fleet.now));
+    fleet.run(config::max_order_age + seconds{1});
+    EXPECT_TRUE(is_on("w2"));
+    expect_no_violation();
+}
+
+// Another process may keep an announcement from before the worker drained.
+TEST(new_leader, takes_no_announcement_of_a_worker_that_has_left)
+{
+    fake_fleet fleet{58};
+    fleet.add_worker("w1", 4000);
+    auto const known = fleet.announcement_of("w1");
+    fleet.workers.clear();
+    fleet.leader->on_announcement(change_of_leader::departure_of("w1"),
+                                  fleet.now);
+    fleet.leader->on_announcement(known, fleet.now);
+    EXPECT_TRUE(fleet.leader->workers().empty());
+}
+
 TEST_F(change_of_leader, stops_cancelled_work_of_a_worker_that_is_not_heard)
 {
     fleet.unheard.insert("w1");
