Send to peers over connections of the loop

Callers saw: a process that sends to a peer whose connections are reset ends with SIGSEGV inside nng_sendmsg (code 139). nng 1.5.2 puts the pipe of a push socket back among those ready to send after it was freed.

nng_link keeps nng's pull socket to receive and sends by push_connection: a non-blocking socket of the GLib loop that speaks the SP mapping for TCP as nng's push socket does, so that members of both versions talk to each other.

--- a/src/adapters/nng_link.cpp
+++ b/src/adapters/nng_link.cpp
@@ -1,11 +1,12 @@
 #include "adapters/nng_link.hpp"
 
+#include "adapters/push_connection.hpp"
+
 #include <apricotlb/config.hpp>
 
 #include <glib-unix.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
 
 #include <unordered_map>
 #include <utility>
@@ -13,19 +14,11 @@
 namespace apricotlb
 {
 
-namespace
-{
-
-constexpr nng_duration reconnect_min_ms = 50;
-constexpr nng_duration reconnect_max_ms = 500;
-
-} // namespace
-
 struct nng_link::state
 {
     nng_socket receiver = NNG_SOCKET_INITIALIZER;
     guint source{0};
-    std::unordered_map<node_id, nng_socket> peers;
+    std::unordered_map<node_id, push_connection> peers;
     std::function<void(std::string_view)> run;
 
     auto receive() -> void
@@ -56,10 +49,6 @@
         g_source_remove(state_->source);
         nng_close(state_->receiver);
     }
-    for (auto const& [peer, socket] : state_->peers)
-    {
-        nng_close(socket);
-    }
 }
 
 auto nng_link::listen(url const& at) -> result<url>
@@ -112,52 +101,21 @@
 auto nng_link::open(node_id const& peer, url const& at) -> void
 {
     close(peer);
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    if (nng_push0_open(&socket) != 0)
-    {
-        return;
-    }
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF,
-                       static_cast<int>(config::peer_queue_messages));
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
-    if (nng_dial(socket, at.value().c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0)
+    if (auto to = parse_endpoint(at))
     {
-        nng_close(socket);
-        return;
+        state_->peers.try_emplace(peer, std::move(*to));
     }
-    state_->peers[peer] = socket;
 }
 
 auto nng_link::close(node_id const& peer) -> void
 {
-    auto const it = state_->peers.find(peer);
-    if (it != state_->peers.end())
-    {
-        nng_close(it->second);
-        state_->peers.erase(it);
-    }
+    state_->peers.erase(peer);
 }
 
 auto nng_link::send(node_id const& peer, std::string_view bytes) -> bool
 {
     auto const it = state_->peers.find(peer);
-    if (it == state_->peers.end())
-    {
-        return false;
-    }
-    nng_msg* message{nullptr};
-    if (nng_msg_alloc(&message, 0) != 0)
-    {
-        return false;
-    }
-    if (nng_msg_append(message, bytes.data(), bytes.size()) != 0 ||
-        nng_sendmsg(it->second, message, NNG_FLAG_NONBLOCK) != 0)
-    {
-        nng_msg_free(message);
-        return false;
-    }
-    return true;
+    return it != state_->peers.end() && it->second.send(bytes);
 }
 
 auto nng_link::abandon() -> void
--- a/src/adapters/nng_link.hpp
+++ b/src/adapters/nng_link.hpp
@@ -1,4 +1,5 @@
-/// Peer link port by nng: one pull socket to receive, one push socket a peer.
+/// Peer link port: one pull socket of nng to receive, one push_connection a
+/// peer to send.
 #ifndef APRICOTLB_ADAPTERS_NNG_LINK_HPP
 #define APRICOTLB_ADAPTERS_NNG_LINK_HPP
 
@@ -33,9 +34,10 @@
     auto send(node_id const& peer, std::string_view bytes) -> bool;
     auto on_bytes(std::function<void(std::string_view)> run) -> void;
 
-    /// Leaves all sockets to the end of the process, which closes them. For the
-    /// end itself: nng 1.5.2 can wait for ever when it closes a receiver whose
-    /// peers have sent messages that were not taken.
+    /// Leaves the receiver to the end of the process, which closes it, and
+    /// closes the connections to peers. For the end itself: nng 1.5.2 can wait
+    /// for ever when it closes a receiver whose peers have sent messages that
+    /// were not taken.
     auto abandon() -> void;
 
 private:
