Try the addresses of a peer's name in turn

Callers saw: a peer named localhost is never reached if it listens on IPv4 only, because each attempt of push_connection took the first address, ::1. Attempts now take the addresses in turn.

--- a/src/adapters/push_connection.cpp
+++ b/src/adapters/push_connection.cpp
@@ -84,9 +84,7 @@
         if (g_cancellable_is_cancelled(it->cancelled) == FALSE)
         {
             g_object_unref(std::exchange(it->owner->lookup_, nullptr));
-            found == nullptr ? it->owner->pause()
-                             : it->owner->connect_to(
-                                   static_cast<GInetAddress*>(found->data));
+            it->owner->take_addresses(found);
         }
         g_resolver_free_addresses(found);
         g_object_unref(it->cancelled);
@@ -151,6 +149,18 @@
     g_object_unref(resolver);
 }
 
+auto push_connection::take_addresses(GList* found) -> void
+{
+    if (found == nullptr)
+    {
+        pause();
+        return;
+    }
+    // Attempts take turns, as a peer may listen on one of its addresses only.
+    auto const n = attempts_++ % g_list_length(found);
+    connect_to(static_cast<GInetAddress*>(g_list_nth_data(found, n)));
+}
+
 auto push_connection::connect_to(GInetAddress* address) -> void
 {
     auto* const at = g_inet_socket_address_new(address, to_.port);
--- a/src/adapters/push_connection.hpp
+++ b/src/adapters/push_connection.hpp
@@ -62,6 +62,7 @@
 
     auto start() -> void;
     auto look_up() -> void;
+    auto take_addresses(GList* found) -> void;
     auto connect_to(GInetAddress* address) -> void;
     auto pause() -> void;
     auto end_attempt() -> void;
@@ -80,6 +81,7 @@
     guint timer_{0};
     guint pause_ms_;
     GCancellable* lookup_{nullptr};
+    guint attempts_{0}; ///< by name
     std::array<char, 8> greeting_{};
     std::size_t greeting_bytes_{0};
     std::deque<std::string> queue_; ///< messages with their length in front
