Stop unrecorded runs on workers without recorded ones

What callers saw: a run of a cancelled workflow goes on for seconds on a reachable worker, and is stopped by an order in the end.

Cause: workers without recorded runs were not polled, so a start that was carried out late there was seen only after the next start. The stop of a run that the log does not have was sent once, and repeated only by the next list. No line showed stops without an answer.

Change: each life of a worker is polled once, which also makes it refuse orders of earlier leaders. A worker is polled on, with long polls, until the lease of an unanswered start whose run has ended is over. Stops of unrecorded runs are owed until a list shows the run gone. Polls of a worker without recorded runs grant no lease. Lines `unstopped`, counts `stops_unanswered` and `unrecorded`. The event `unrecorded` counts a run once, not once a list.

The fixture unanswered_orders lets the first poll end before the worker goes deaf, as that poll would count as its first unanswered one.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -207,11 +207,16 @@
                           ? 1
                           : 0;
         out.fenced += worker.is_fenced && !worker.incarnation_ended ? 1 : 0;
+        out.unrecorded += std::ssize(worker.unrecorded);
+        out.stops_unanswered += std::ranges::count_if(
+            worker.unrecorded, [now](auto const& each)
+            { return now - each.second.since > config::reported_wait; });
         for (auto const& [run, held] : worker.runs)
         {
             out.inherited += held.phase == run_phase::inherited ? 1 : 0;
             out.unconfirmed += held.phase == run_phase::ordered ? 1 : 0;
             out.starts_unanswered += held.is_start_overdue(now) ? 1 : 0;
+            out.stops_unanswered += held.is_stop_overdue(now) ? 1 : 0;
             out.copies += held.is_copy ? 1 : 0;
             if (held.phase == run_phase::running)
             {
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -188,6 +188,8 @@
     entry.is_answering = false;
     entry.is_replaced = false;
     entry.is_fenced = false;
+    entry.is_listed = false;
+    entry.unrecorded.clear();
     entry.unanswered_since.reset();
     entry.lease = {};
     entry.recorded_lease.reset();
@@ -401,15 +403,30 @@
                               order_answer const& answer, time_point now)
     -> void
 {
-    auto const [worker, held] = find(order.run);
-    if (held == nullptr ||
+    auto const worker = workers_.find(order.to.instance.id);
+    if (worker == workers_.end() ||
         worker->second.incarnation != order.to.instance.incarnation)
     {
         return;
     }
-    held->order_in_flight = false;
-    held->sent = now;
+    auto& entry = worker->second;
+    auto const at = entry.runs.find(order.run);
+    auto* const held = at == entry.runs.end() ? nullptr : &at->second;
+    auto const owed = entry.unrecorded.find(order.run);
+    if (held == nullptr && owed == entry.unrecorded.end())
+    {
+        return;
+    }
+    if (held != nullptr)
+    {
+        held->order_in_flight = false;
+        held->sent = now;
+    }
     record_answer(*worker, order.to, answer, now);
+    if (owed != entry.unrecorded.end())
+    {
+        on_owed_stop(*worker, owed->second, answer.outcome, now);
+    }
     if (answer.outcome == order_outcome::fenced)
     {
         on_fenced(*worker, order.run);
@@ -420,7 +437,7 @@
     }
     else if ((answer.outcome == order_outcome::done ||
               answer.outcome == order_outcome::superseded) &&
-             held->phase == run_phase::stopping)
+             held != nullptr && held->phase == run_phase::stopping)
     {
         if (held->closed_as == run_end::not_started && !held->start_unconfirmed)
         {
@@ -539,6 +556,9 @@
     {
         process_running(worker, row, now);
     }
+    worker.second.is_listed = true;
+    std::erase_if(worker.second.unrecorded, [&worker](auto const& each)
+                  { return each.second.last_list != worker.second.last_list; });
     process_ended(worker, lists.ended, list_age, now);
     if (lists.ended.size() < config::max_listed_ends)
     {
@@ -554,14 +574,7 @@
     auto const it = worker.second.runs.find(row.run);
     if (it == worker.second.runs.end())
     {
-        // A run that is not recorded: a late order of an earlier leader.
-        if (!worker.second.is_fenced)
-        {
-            events_.push_back({run_event_kind::unrecorded,
-                               row.run,
-                               {worker.first, worker.second.incarnation}});
-            actions_.emplace_back(stop_order{target_of(worker, now), row.run});
-        }
+        process_unrecorded(worker, row.run, now);
         return;
     }
     auto& held = it->second;
@@ -598,6 +611,40 @@
     }
 }
 
+auto run_scheduler::process_unrecorded(identified_worker& worker,
+                                       task_run const& run, time_point now)
+    -> void
+{
+    auto const [at, is_new] = worker.second.unrecorded.try_emplace(run);
+    auto& stop = at->second;
+    stop.last_list = worker.second.last_list;
+    if (is_new)
+    {
+        stop.since = now;
+        events_.push_back({run_event_kind::unrecorded,
+                           run,
+                           {worker.first, worker.second.incarnation}});
+    }
+    if (!stop.order_in_flight &&
+        (is_new || now - stop.sent >= config::order_retry_interval))
+    {
+        send_owed_stop(worker, run, stop, now);
+    }
+}
+
+auto run_scheduler::on_owed_stop(identified_worker& worker, owed_stop& stop,
+                                 order_outcome outcome, time_point now) -> void
+{
+    stop.order_in_flight = false;
+    stop.sent = now;
+    stop.is_confirmed =
+        outcome == order_outcome::done || outcome == order_outcome::superseded;
+    if (stop.is_confirmed)
+    {
+        send_poll(worker, now);
+    }
+}
+
 /// Handles the runs that are missing from the last lists. `poll_sent_at` is
 /// when the poll for these lists was sent. Lists prove nothing about a run that
 /// was confirmed or closed after that.
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -329,7 +329,11 @@
     held.start_unconfirmed =
         held.start_unconfirmed ||
         (held.phase == run_phase::ordered && held.order_in_flight);
-    held.phase = run_phase::stopping;
+    if (std::exchange(held.phase, run_phase::stopping) != run_phase::stopping)
+    {
+        held.stopping_since = now;
+        held.stops_sent = 0;
+    }
     worker.second.has_open_orders = true;
     if (!worker.second.place || worker.second.is_fenced)
     {
@@ -337,6 +341,23 @@
     }
     held.order_in_flight = true;
     held.sent = now;
+    ++held.stops_sent;
+    actions_.emplace_back(stop_order{target_of(worker, now), run});
+}
+
+auto run_scheduler::send_owed_stop(identified_worker& worker,
+                                   task_run const& run, owed_stop& stop,
+                                   time_point now) -> void
+{
+    worker.second.has_open_orders = true;
+    if (worker.second.is_fenced)
+    {
+        return;
+    }
+    stop.order_in_flight = true;
+    stop.is_confirmed = false;
+    stop.sent = now;
+    ++stop.orders;
     actions_.emplace_back(stop_order{target_of(worker, now), run});
 }
 
@@ -352,8 +373,9 @@
     auto const is_sent = [](auto const& each)
     { return each.second.phase != run_phase::proposed; };
     auto const is_contact_wanted = now < entry.contact_wanted_until;
+    auto const has_runs = std::ranges::any_of(entry.runs, is_sent);
     auto const is_needed = is_contact_wanted || entry.unanswered_since ||
-                           std::ranges::any_of(entry.runs, is_sent);
+                           has_runs || may_run_unrecorded(worker, now);
     if (!is_needed && entry.acknowledged >= entry.recorded)
     {
         return;
@@ -364,7 +386,7 @@
     // After a lost poll, runs may have lapsed. An order that was answered since
     // tells nothing of them.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
-                  (is_release_due && !entry.is_answering);
+                  !entry.is_listed || (is_release_due && !entry.is_answering);
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : entry.runs)
@@ -374,8 +396,9 @@
         serves = serves || held.is_serving();
         scavenges = scavenges || held.scavenges;
     }
+    auto const is_contact_due = is_contact_wanted || !entry.unrecorded.empty();
     auto const wait = urgent                ? milliseconds{0}
-                      : is_contact_wanted   ? config::poll_wait_for_contact
+                      : is_contact_due      ? config::poll_wait_for_contact
                       : serves && scavenges ? config::poll_wait_shared
                                             : config::poll_wait;
     entry.poll_in_flight = true;
@@ -386,8 +409,9 @@
                      {},
                      wait};
     // A poll that arrives late must not extend the lease of a worker whose runs
-    // may already count as lost.
-    if (entry.lease.is_sampled() && entry.may_extend_lease(now))
+    // may already count as lost. Without recorded runs, it would only prolong
+    // those that the log has not.
+    if (has_runs && entry.lease.is_sampled() && entry.may_extend_lease(now))
     {
         order.lease_end = entry.lease.grant(now, granted_lease(entry));
     }
@@ -425,6 +449,15 @@
             send_stop(worker, run, held, now);
         }
     }
+    for (auto& [run, stop] : entry.unrecorded)
+    {
+        entry.has_open_orders = true;
+        if (!stop.order_in_flight && !stop.is_confirmed &&
+            now - stop.sent >= config::order_retry_interval)
+        {
+            send_owed_stop(worker, run, stop, now);
+        }
+    }
 }
 
 auto run_scheduler::tick(time_point now) -> void
@@ -499,6 +532,8 @@
             lasting_suspects_, [this](workflow_task const& each)
             { return state_.workflows().find(each.workflow) == nullptr; });
     }
+    std::erase_if(late_starts_until_,
+                  [now](auto const& each) { return now >= each.second; });
     if (has_removed)
     {
         std::erase_if(addresses_, [this](auto const& each)
@@ -715,6 +750,14 @@
     {
         auto& [id, worker] = *found->second;
         interference_.ended(id, run, now);
+        auto const& held = worker.runs.at(run);
+        if (held.start_unconfirmed || held.order_in_flight)
+        {
+            auto& until = late_starts_until_[id];
+            until =
+                std::max(until, held.start_sent + worker_lease::max_duration(
+                                                      policy_.granted_lease()));
+        }
         watch_.remove(run);
         auto reported = reported_no_copy_.lower_bound({run, {}});
         while (reported != reported_no_copy_.end() && reported->first == run)
@@ -742,6 +785,16 @@
     return is_unanswered && now - given < config::max_order_age;
 }
 
+/// Each life of a worker is polled once, so that it refuses the orders of
+/// earlier leaders from then on.
+auto run_scheduler::may_run_unrecorded(identified_worker const& worker,
+                                       time_point now) const -> bool
+{
+    auto const until = late_starts_until_.find(worker.first);
+    return !worker.second.is_listed || !worker.second.unrecorded.empty() ||
+           (until != late_starts_until_.end() && now < until->second);
+}
+
 auto run_scheduler::end_runs_as_lost(identified_worker& worker,
                                      run_event_kind why, time_point now) -> void
 {
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -117,8 +117,11 @@
     std::int64_t unconfirmed{0}; ///< starts without an answer so far
     /// Of these, first ordered longer than config::reported_wait ago.
     std::int64_t starts_unanswered{0};
-    std::int64_t polls{0};          ///< that wait for their answers
-    std::int64_t evacuated{0};      ///< data centres
+    /// Runs whose stop has not been confirmed for config::reported_wait.
+    std::int64_t stops_unanswered{0};
+    std::int64_t unrecorded{0}; ///< runs that workers list and the log has not
+    std::int64_t polls{0};      ///< that wait for their answers
+    std::int64_t evacuated{0};  ///< data centres
     std::int64_t evacuated_runs{0}; ///< left on their workers
     std::int64_t relocating{0}; ///< tasks stopped for a move a short time ago
     std::int64_t cold{0};       ///< workers
@@ -202,9 +205,10 @@
     }
     [[nodiscard]] auto summary(time_point now) -> fleet_summary;
     /// Permanent tasks that have waited for another run for longer than
-    /// config::reported_wait, steps of which nothing has run for as long, and
-    /// started runs whose first order is older and not confirmed; the longest
-    /// waits first, and config::max_reported_waits of each at most.
+    /// config::reported_wait, steps of which nothing has run for as long,
+    /// started runs whose first order is older and not confirmed, and stops
+    /// that have not been confirmed for as long; the longest waits first, and
+    /// config::max_reported_waits of each at most.
     /// To be called at regular intervals (run_waits.cpp).
     [[nodiscard]] auto longest_waiting(time_point now, wall_time wall)
         -> waiting_work;
@@ -278,6 +282,9 @@
                     held_run& held, time_point now) -> void;
     auto send_stop(identified_worker& worker, task_run const& run,
                    held_run& held, time_point now) -> void;
+    /// Sends the stop of a run that the log has not.
+    auto send_owed_stop(identified_worker& worker, task_run const& run,
+                        owed_stop& stop, time_point now) -> void;
     auto send_poll(identified_worker& worker, time_point now) -> void;
     auto review_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
@@ -300,6 +307,10 @@
     /// carried out by the next life of its worker.
     [[nodiscard]] auto may_start_late(held_run const& held,
                                       time_point now) const -> bool;
+    /// True while the worker may carry out a start order whose run has ended
+    /// in the log, or runs what this leader has not heard of.
+    [[nodiscard]] auto may_run_unrecorded(identified_worker const& worker,
+                                          time_point now) const -> bool;
     /// Leaves out runs that may start late; they are ended by a later call.
     auto end_runs_as_lost(identified_worker& worker, run_event_kind why,
                           time_point now) -> void;
@@ -365,6 +376,12 @@
                        time_point now) -> void;
     auto process_running(identified_worker& worker, running_row const& row,
                          time_point now) -> void;
+    /// A run that is not recorded: a late order, of an earlier leader or for
+    /// the former life of the worker.
+    auto process_unrecorded(identified_worker& worker, task_run const& run,
+                            time_point now) -> void;
+    auto on_owed_stop(identified_worker& worker, owed_stop& stop,
+                      order_outcome outcome, time_point now) -> void;
     auto process_absent(identified_worker& worker, time_point sent,
                         time_point now) -> void;
     /// `list_age` is the age of the lists before; none if there were none.
@@ -651,6 +668,8 @@
         -> std::vector<stalled_step>;
     [[nodiscard]] auto longest_unanswered(time_point now) const
         -> std::vector<unanswered_start>;
+    [[nodiscard]] auto longest_unstopped(time_point now) const
+        -> std::vector<unanswered_stop>;
     [[nodiscard]] auto unheard_workers(time_point now) const
         -> std::vector<unheard_worker>;
     auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
@@ -668,6 +687,8 @@
     std::unordered_map<task_run, identified_worker*, task_run_hash>
         worker_of_run_;
     std::map<url, worker_id> addresses_;
+    /// Until when start orders may be carried out whose runs have ended.
+    std::map<worker_id, time_point> late_starts_until_;
     /// Tasks under which a worker has crashed, and which have lasted since.
     std::set<workflow_task> lasting_suspects_;
     /// Workers that have left within config::worker_removal_delay.
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -219,6 +219,48 @@
     return out;
 }
 
+auto run_scheduler::longest_unstopped(time_point now) const
+    -> std::vector<unanswered_stop>
+{
+    std::vector<unanswered_stop> out;
+    for (auto const& [id, worker] : workers_)
+    {
+        auto const silence = worker.unanswered_since
+                                 ? std::optional{now - *worker.unanswered_since}
+                                 : std::nullopt;
+        for (auto const& [run, held] : worker.runs)
+        {
+            if (held.is_stop_overdue(now))
+            {
+                out.push_back({run,
+                               {id, worker.incarnation},
+                               now - held.stopping_since,
+                               held.stops_sent,
+                               held.order_in_flight,
+                               silence,
+                               now - worker.last_contact});
+            }
+        }
+        for (auto const& [run, stop] : worker.unrecorded)
+        {
+            if (now - stop.since > config::reported_wait)
+            {
+                out.push_back({run,
+                               {id, worker.incarnation},
+                               now - stop.since,
+                               stop.orders,
+                               stop.order_in_flight,
+                               silence,
+                               now - worker.last_contact,
+                               false});
+            }
+        }
+    }
+    std::ranges::stable_sort(out, std::greater{}, &unanswered_stop::waited);
+    out.resize(std::min(out.size(), config::max_reported_waits));
+    return out;
+}
+
 auto run_scheduler::unheard_workers(time_point now) const
     -> std::vector<unheard_worker>
 {
@@ -276,7 +318,8 @@
     -> waiting_work
 {
     waiting_work out{longest_waits(now), longest_stalls(now, wall),
-                     longest_unanswered(now), unheard_workers(now)};
+                     longest_unanswered(now), longest_unstopped(now),
+                     unheard_workers(now)};
     if (out.restarts.empty() && out.steps.empty())
     {
         return out;
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -1,5 +1,5 @@
 /// Work that waits for a run: restarts of permanent tasks, steps of which
-/// nothing runs, and starts without an answer.
+/// nothing runs, and starts and stops without an answer.
 #ifndef APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_WAITS_HPP
 
@@ -166,6 +166,20 @@
     duration contact_age{}; ///< since the last contact of the worker
 };
 
+/// A run that has to stop and whose stop is not confirmed. It may go on.
+struct unanswered_stop
+{
+    task_run run;
+    worker_instance worker;
+    duration waited{};           ///< since it was decided to stop it
+    std::int64_t orders{0};      ///< of the stop, since then
+    bool order_in_flight{false}; ///< one of them waits for its answer
+    /// As in unanswered_start.
+    std::optional<duration> worker_unanswered;
+    duration contact_age{}; ///< since the last contact of the worker
+    bool is_recorded{true}; ///< the log has the run
+};
+
 /// A worker with runs of an earlier leader that this leader has got neither an
 /// announcement nor a list of. Its tasks wait until its lease is over.
 struct unheard_worker
@@ -182,6 +196,7 @@
     std::vector<wait_report> restarts;
     std::vector<stalled_step> steps;
     std::vector<unanswered_start> unanswered;
+    std::vector<unanswered_stop> unstopped;
     std::vector<unheard_worker> unheard; ///< those with the most runs first
 };
 
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -88,6 +88,8 @@
     std::optional<time_point> started_at;
     time_point start_sent{};     ///< last start order of this leader
     std::int64_t starts_sent{0}; ///< start orders of this leader
+    time_point stopping_since{}; ///< when it was last decided to stop it
+    std::int64_t stops_sent{0};  ///< stop orders since then
     run_end closed_as{run_end::not_started}; ///< end to record once closed
     time_point sent{};                       ///< when the last order was sent
     time_point settled_at{}; ///< when it was confirmed as running, or closed
@@ -147,6 +149,14 @@
                now - *ordered_at > config::reported_wait;
     }
 
+    /// True if it has been in phase `stopping` for longer than
+    /// config::reported_wait.
+    [[nodiscard]] auto is_stop_overdue(time_point now) const -> bool
+    {
+        return phase == run_phase::stopping &&
+               now - stopping_since > config::reported_wait;
+    }
+
     /// True while a crash of its worker would count as caused by it and another
     /// worker has crashed under its task before.
     [[nodiscard]] auto is_unproven_suspect(time_point now) const -> bool
@@ -349,6 +359,18 @@
     permille expected;
 };
 
+/// Stop of a run that a worker lists and the log does not have. It is owed
+/// until lists show the run gone.
+struct owed_stop
+{
+    time_point since{};
+    time_point sent{}; ///< when the last order was sent, or its answer came
+    std::int64_t orders{0}; ///< that were sent
+    bool order_in_flight{false};
+    bool is_confirmed{false}; ///< the last order was carried out
+    sequence last_list;       ///< worker_entry::last_list when it was listed
+};
+
 /// A worker with its current incarnation, lease and runs.
 struct worker_entry
 {
@@ -366,7 +388,8 @@
     worker_lease lease;
     warm_up_progress warm_up;
     std::map<task_run, held_run> runs;
-    resources reserved;         ///< by all runs
+    std::map<task_run, owed_stop> unrecorded; ///< runs that the log has not
+    resources reserved;                       ///< by all runs
     resources finite_reserved;  ///< by runs that end by themselves
     millicores scavenged_cores; ///< by all scavenging runs
     /// Runs with a latency target, by image.
@@ -391,7 +414,10 @@
     /// blame if it turns out to have crashed.
     std::vector<task_run> possible_crashes;
     time_point poll_sent_at{};
-    sequence last_list;        ///< number of the last lists from the worker
+    sequence last_list; ///< number of the last lists from the worker
+    /// This leader has lists of this incarnation, which refuses orders of
+    /// earlier leaders since then.
+    bool is_listed{false};
     time_point listed_at{};    ///< when they were received
     time_point next_poll_at{}; ///< earliest time of the next poll
     /// A suspect task waits until then for a recent contact of the worker.
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -194,6 +194,7 @@
     /// Age of announcements when the leader gets them.
     duration announcement_age{};
     duration announcement_interval{seconds{1}};
+    std::size_t lost_stops{0};   ///< of the stop orders that follow
     bool loses_proposals{false}; ///< nothing that is proposed is applied
     order_faults faults;
     bool polls_wait{false}; ///< for as long as they ask, whatever ends
@@ -323,16 +324,18 @@
             hold_back(it, *relay, deliver);
             return;
         }
+        if constexpr (std::is_same_v<Order, stop_order>)
+        {
+            if (lost_stops > 0)
+            {
+                --lost_stops;
+                lose(it);
+                return;
+            }
+        }
         if (!is_poll && faults.lost > 0 && happens(faults.lost))
         {
-            events_.emplace(now + config::order_timeout,
-                            [this, it, epoch = epoch_]
-                            {
-                                if (epoch == epoch_)
-                                {
-                                    answer(it, platform::json_answer(500, ""));
-                                }
-                            });
+            lose(it);
             return;
         }
         auto const late = !is_poll && happens(faults.late);
@@ -367,6 +370,19 @@
             });
     }
 
+    template <class Order>
+    auto lose(Order const& it) -> void
+    {
+        events_.emplace(now + config::order_timeout,
+                        [this, it, epoch = epoch_]
+                        {
+                            if (epoch == epoch_)
+                            {
+                                answer(it, platform::json_answer(500, ""));
+                            }
+                        });
+    }
+
     /// An order to a frozen relay: carried out when the relay goes on, while
     /// the leader has no answer and uses another relay.
     template <class Order>
--- a/tests/unanswered_orders_test.cpp
+++ b/tests/unanswered_orders_test.cpp
@@ -27,7 +27,7 @@
         };
         fleet.add_worker("w1", 16'000);
         fleet.announce_now();
-        fleet.run(milliseconds{5});
+        fleet.run(milliseconds{100});
     }
 
     [[nodiscard]] auto entry() const -> worker_entry const&
@@ -38,6 +38,10 @@
     {
         return fleet.leader->longest_waiting(fleet.now, wall_time{}).unanswered;
     }
+    auto stops() -> std::vector<unanswered_stop>
+    {
+        return fleet.leader->longest_waiting(fleet.now, wall_time{}).unstopped;
+    }
     auto count() -> std::int64_t
     {
         return fleet.leader->summary(fleet.now).starts_unanswered;
@@ -182,6 +186,28 @@
     EXPECT_EQ(events.front().age, std::nullopt);
 }
 
+// A run that goes on after its cancel would be in no line.
+TEST_F(unanswered_orders, shows_a_stop_without_an_answer)
+{
+    order("a", 1);
+    fleet.run(seconds{1});
+    fleet.deaf.insert("w1");
+    fleet.apply(cancel_workflow{workflow_id{"a"}, {}});
+    fleet.run(seconds{1});
+    EXPECT_TRUE(stops().empty());
+    fleet.run(milliseconds{500});
+    auto const all = stops();
+    ASSERT_EQ(all.size(), 1U);
+    EXPECT_EQ(all.front().run.task.workflow, workflow_id{"a"});
+    EXPECT_EQ(all.front().waited, milliseconds{1500});
+    EXPECT_EQ(all.front().orders, 2);
+    EXPECT_TRUE(all.front().worker_unanswered);
+    EXPECT_EQ(fleet.leader->summary(fleet.now).stops_unanswered, 1);
+    fleet.deaf.clear();
+    fleet.run(seconds{2});
+    EXPECT_TRUE(stops().empty());
+}
+
 class unanswered_orders_log : public testing::Test
 {
 protected:
@@ -228,8 +254,9 @@
 {
     fleet_summary it;
     it.starts_unanswered = 23;
+    it.stops_unanswered = 24;
     platform::log_fleet(it);
-    EXPECT_TRUE(has(" starts_unanswered=23 ")) << out.str();
+    EXPECT_TRUE(has(" starts_unanswered=23 stops_unanswered=24 ")) << out.str();
 }
 
 // An age of 0 beside events that have none would read as a measurement.
