--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -135,8 +135,8 @@
 
 auto ledger::on_start(run_key const& key, std::string const& spec,
                       std::string const& checkpoint, bool is_late,
-                      time_point now, std::optional<time_point> held_since)
-    -> void
+                      time_point now, std::optional<time_point> held_since,
+                      order_origin const& origin) -> void
 {
     ++starts_;
     auto const where = key.task + " run " + std::to_string(key.number) +
@@ -173,9 +173,12 @@
     {
         report(promise::unasked, where + ": starts after its cancel", now);
     }
+    // A copy may already be on its way when the first end is recorded.
+    constexpr auto copies_end = std::chrono::seconds{1};
+    auto const has_copies = it.plan.steps[step].allow_duplicates;
     for (auto const& other : all.runs)
     {
-        if (other.at_work)
+        if (other.at_work && !has_copies)
         {
             report(promise::twice,
                    where + ": starts beside run " +
@@ -183,7 +186,10 @@
                        other.key.worker,
                    now);
         }
-        else if (other.how == "done" && other.recorded)
+        else if (other.how == "done" && other.recorded &&
+                 (!has_copies ||
+                  (now > other.recorded_at + copies_end && !held_since &&
+                   is_calm(now - limits_.contact))))
         {
             report(promise::twice,
                    where + ": starts after its recorded end on " +
@@ -208,8 +214,27 @@
     {
         report(promise::drain, where + ": the worker is leaving", now);
     }
-    all.runs.push_back(
-        {key, true, false, {}, held_since ? std::optional{now} : std::nullopt});
+    run added{.key = key,
+              .at_work = true,
+              .recorded = false,
+              .recorded_at = {},
+              .how = {},
+              .late_start = held_since ? std::optional{now} : std::nullopt,
+              .started = now,
+              .origin = origin,
+              .reported = false};
+    all.runs.push_back(std::move(added));
+    ++all.at_work;
+    ++it.at_work;
+    for (auto& [other, each] : it.tasks)
+    {
+        auto const moves = other == key.task || !it.plan.steps[step].permanent;
+        if (moves && std::exchange(each.standing, {}).reported)
+        {
+            notes_.push_back(where + ": starts at " + time_of(now) + " after " +
+                             other + " stood still");
+        }
+    }
 }
 
 auto ledger::on_checkpoint(std::string const& of, std::string const& it) -> void
@@ -229,21 +254,31 @@
     {
         return;
     }
-    workflows_.at(name->workflow).last_run_end = now;
-    auto& all = workflows_.at(name->workflow).tasks[key.task];
+    auto& workflow = workflows_.at(name->workflow);
+    workflow.last_run_end = now;
+    auto& all = workflow.tasks[key.task];
+    all.last_end = now;
     for (auto& it : all.runs)
     {
-        if (it.key == key)
+        if (it.key == key && it.at_work)
         {
             it.at_work = false;
             it.how = how;
+            --all.at_work;
+            --workflow.at_work;
+            if (it.reported)
+            {
+                notes_.push_back(
+                    key.task + " run " + std::to_string(key.number) + " on " +
+                    key.worker + ": ended at " + time_of(now) + " as " + how);
+            }
         }
     }
     all.failures += how == "failed" ? 1 : 0;
     all.done = all.done || how == "done";
 }
 
-auto ledger::on_end_recorded(run_key const& key) -> void
+auto ledger::on_end_recorded(run_key const& key, time_point now) -> void
 {
     auto const name = task_name::parse(key.task);
     if (!name || !workflows_.contains(name->workflow))
@@ -252,7 +287,10 @@
     }
     for (auto& it : workflows_.at(name->workflow).tasks[key.task].runs)
     {
-        it.recorded = it.recorded || it.key == key;
+        if (it.key == key && !std::exchange(it.recorded, true))
+        {
+            it.recorded_at = now;
+        }
     }
 }
 
@@ -275,15 +313,21 @@
             is_calm(now - limits_.acknowledge - limits_.contact))
         {
             report(promise::unacknowledged, "the cancel of " + id, now);
+            // It counts as acknowledged once it has waited for so long.
+            it.cancelled_at = now;
         }
         // A disturbance puts the check off; it is never left out.
         if (!it.cancelled_at || !all_calm)
         {
             continue;
         }
-        for (auto const& [name, all] : it.tasks)
+        for (auto& [name, all] : it.tasks)
         {
-            for (auto const& each : all.runs)
+            if (all.at_work == 0)
+            {
+                continue;
+            }
+            for (auto& each : all.runs)
             {
                 auto const from = std::max(
                     *it.cancelled_at + limits_.cancel,
@@ -293,10 +337,21 @@
                     disturbed_.is_calm(each.key.worker,
                                        std::max(due, now - stretch)))
                 {
+                    each.reported = true;
                     report(promise::unasked,
                            name + " run " + std::to_string(each.key.number) +
-                               " on " + each.key.worker +
-                               ": is at work after its cancel",
+                               " on " + each.key.worker + " life " +
+                               std::to_string(each.key.life) +
+                               ": is at work after its cancel (order from " +
+                               (name_of_peer ? name_of_peer(each.origin.relay)
+                                             : each.origin.relay) +
+                               " at " +
+                               (each.origin.sent_at
+                                    ? time_of(*each.origin.sent_at)
+                                    : "?") +
+                               ", start at " + time_of(each.started) +
+                               ", cancel acknowledged at " +
+                               time_of(*it.cancelled_at) + ")",
                            now);
                 }
             }
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -8,6 +8,7 @@
 #include <apricotlb/time.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,10 @@
     duration drain{std::chrono::milliseconds{2000}};
     duration loss_slack{std::chrono::milliseconds{200}};
     duration grace{std::chrono::milliseconds{6000}};
+    duration stand{std::chrono::milliseconds{3000}};
+    duration calm_before{std::chrono::milliseconds{4000}};
+    duration after_last_run{std::chrono::milliseconds{6000}};
+    int attempts{4}; ///< of the queues that operators configure
 };
 
 enum class promise : std::uint8_t
@@ -72,6 +77,8 @@
     std::string image;
     std::int64_t target_ms{0};
     int max_unavailable{0};
+    int anti_affinity{0}; ///< 0: any number of tasks on a worker
+    bool allow_duplicates{false};
 };
 
 struct workflow_plan
@@ -80,6 +87,25 @@
     std::string queue_path; ///< with the slash at its end
     std::string spec;
     std::vector<step_plan> steps;
+    bool is_kept{false}; ///< never cancelled
+};
+
+/// What is not reserved on a worker that takes starts.
+struct worker_room
+{
+    std::string worker;
+    std::int64_t cpu{0};
+    std::int64_t mem_mb{0};
+    std::int64_t cpu_free{0};
+    std::int64_t mem_free_mb{0};
+    bool takes_starts{true};
+};
+
+/// How the order of a start came.
+struct order_origin
+{
+    std::string relay; ///< peer of the connection
+    std::optional<time_point> sent_at;
 };
 
 /// Name of a task as on the wire: ID.OCCURRENCE.STEP.INDEX.
@@ -140,16 +166,22 @@
     /// frozen.
     auto on_start(run_key const& run, std::string const& spec,
                   std::string const& checkpoint, bool is_late, time_point now,
-                  std::optional<time_point> held_since = {}) -> void;
+                  std::optional<time_point> held_since = {},
+                  order_origin const& origin = {}) -> void;
     auto on_checkpoint(std::string const& task, std::string const& it) -> void;
     auto on_end(run_key const& run, std::string const& how, time_point now)
         -> void;
     /// The system has taken note of an end.
-    auto on_end_recorded(run_key const& run) -> void;
+    auto on_end_recorded(run_key const& run, time_point now = {}) -> void;
     auto on_drain_acknowledged(std::string const& worker, int life,
                                time_point now) -> void;
     /// Checks what holds at a point of time after a cancel.
     auto check_cancelled(time_point now) -> void;
+    /// Reports work that could run and stands still. By day, all has to be calm
+    /// for the time that it stands and a while before; after the end of the
+    /// traffic it counts from that end on.
+    auto check_standing(time_point now, std::vector<worker_room> const& rooms,
+                        std::optional<time_point> traffic_end = {}) -> void;
 
     /// True if nothing has harmed a node, or the control processes, for long
     /// enough before a request.
@@ -176,6 +208,15 @@
     [[nodiscard]] auto describe(std::string const& id) const -> std::string;
     [[nodiscard]] auto is_shown_as_ended(std::string const& id) const -> bool;
     auto report(promise broken, std::string text, time_point now) -> void;
+    /// How cases that were reported went on. No findings of their own.
+    [[nodiscard]] auto notes() const -> std::vector<std::string> const&
+    {
+        return notes_;
+    }
+    /// The process at the other end of a connection, asked for findings only.
+    std::function<std::string(std::string const&)> name_of_peer;
+    /// Times in texts count from here.
+    auto set_origin(time_point it) -> void { origin_ = it; }
     auto check_refused(time_point now) -> void;
 
     [[nodiscard]] auto findings() const -> std::vector<finding> const&
@@ -195,12 +236,25 @@
         run_key key;
         bool at_work{true};
         bool recorded{false};
+        time_point recorded_at{};
         std::string how;
         std::optional<time_point> late_start; ///< of an order held back
+        time_point started{};
+        order_origin origin;
+        bool reported{false}; ///< at work after its cancel
+    };
+    /// Since when a task that could run stands still.
+    struct stand
+    {
+        std::optional<time_point> fits_since;
+        bool reported{false};
     };
     struct task
     {
         std::vector<run> runs;
+        int at_work{0};
+        time_point last_end{};
+        stand standing;
         std::set<std::string> checkpoints;
         int failures{0};
         bool done{false};
@@ -215,14 +269,36 @@
         std::optional<time_point> cancelled_at; ///< acknowledged
         std::optional<time_point> cancel_sent;
         time_point last_run_end{};
+        int at_work{0};
+        bool over{false};  ///< has ended, or can't be done
         std::string shown; ///< the last state that was answered
     };
+    struct standing_task
+    {
+        std::string name;
+        int step{0};
+        time_point since{};
+        bool is_permanent{false};
+    };
 
     [[nodiscard]] auto is_step_done(workflow const& it, int occurrence,
                                     int step) const -> bool;
 
+    [[nodiscard]] auto time_of(time_point it) const -> std::string;
+    [[nodiscard]] auto is_over(workflow const& it) const -> bool;
+    [[nodiscard]] auto is_turn_of(workflow const& it, int step) const -> bool;
+    /// Tasks whose turn has come and that hold their workflow up.
+    [[nodiscard]] auto standing_of(workflow const& it) const
+        -> std::vector<standing_task>;
+    [[nodiscard]] auto fits_twice(workflow const& it, int step,
+                                  std::vector<worker_room> const& rooms) const
+        -> bool;
+
     bounds limits_;
     disturbances const& disturbed_;
+    time_point origin_{};
+    std::optional<time_point> half_free_since_;
+    std::vector<std::string> notes_;
     std::map<std::string, workflow> workflows_;
     std::map<std::string, time_point> draining_; ///< worker and life
     std::vector<finding> findings_;
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -183,6 +184,115 @@
     EXPECT_EQ(broken(), found{promise::unasked});
 }
 
+// A worker that shuts down gracefully still stops what it is told to stop.
+TEST_F(soak_ledger, finds_a_run_that_outlives_its_cancel_on_a_draining_worker)
+{
+    start("f1.0.0.0", 1, "w1", 100);
+    seen.on_cancel_sent("f1", at(900));
+    seen.on_cancel_answer("f1", at(1000));
+    disturbed.mark_planned("w1", at(4000));
+    seen.check_cancelled(at(4499));
+    EXPECT_EQ(broken(), found{});
+    seen.check_cancelled(at(4500));
+    EXPECT_EQ(broken(), found{promise::unasked});
+    end("f1.0.0.0", 1, "w1", "stopped", 9000);
+    ASSERT_EQ(seen.notes().size(), 1U);
+    EXPECT_TRUE(seen.notes()[0].ends_with("as stopped")) << seen.notes()[0];
+}
+
+/// Adds a workflow with two lasting tasks, and room on two workers.
+class standing_work : public soak_ledger
+{
+protected:
+    standing_work()
+    {
+        auto it = plan("f2");
+        it.spec = "spec of f1";
+        it.steps.resize(1);
+        it.steps[0].tasks = 2;
+        it.steps[0].permanent = true;
+        it.steps[0].anti_affinity = 1;
+        seen.on_submission(it);
+        start("f1.0.0.0", 1, "w1", 0);
+    }
+    auto accept_lasting() -> void
+    {
+        seen.on_submission_answer("f2", submission_answer::accepted, at(0));
+        start("f2.0.0.0", 1, "w1", 0);
+        start("f2.0.0.1", 1, "w2", 0);
+    }
+    /// Checks ten times a second.
+    auto check(int from_ms, int to_ms,
+               std::optional<time_point> traffic_end = {}) -> void
+    {
+        for (auto ms = from_ms; ms <= to_ms; ms += 100)
+        {
+            seen.check_standing(at(ms), rooms, traffic_end);
+        }
+    }
+
+    std::vector<worker_room> rooms{{"w1", 4000, 4096, 3000, 4096},
+                                   {"w2", 4000, 4096, 3000, 4096},
+                                   {"w3", 4000, 4096, 3000, 4096}};
+};
+
+TEST_F(standing_work, finds_a_workflow_with_nothing_running)
+{
+    end("f1.0.0.0", 1, "w1", "lapsed", 1000);
+    check(0, 3900);
+    EXPECT_EQ(broken(), found{});
+    check(4000, 5000);
+    EXPECT_EQ(broken(), found{promise::lost});
+    start("f1.0.0.0", 2, "w1", 5100);
+    EXPECT_EQ(seen.notes().size(), 1U);
+}
+
+TEST_F(standing_work, allows_what_is_busy_has_no_room_or_is_cancelled)
+{
+    check(0, 5000); // f1 runs
+    end("f1.0.0.0", 1, "w1", "lapsed", 5000);
+    rooms[0].cpu_free = rooms[1].cpu_free = 900;
+    check(5000, 10000);
+    rooms[0].cpu_free = rooms[1].cpu_free = 3000;
+    check(10100, 13000); // room for less than 3 s
+    seen.on_cancel_sent("f1", at(13050));
+    check(13100, 20000);
+    EXPECT_EQ(broken(), found{});
+}
+
+TEST_F(standing_work, finds_a_lasting_task_beside_others_of_its_workflow)
+{
+    accept_lasting();
+    end("f2.0.0.0", 1, "w1", "left", 1000);
+    check(0, 3900);
+    EXPECT_EQ(broken(), found{});
+    check(4000, 4000);
+    EXPECT_EQ(broken(), found{promise::lost});
+}
+
+TEST_F(standing_work, counts_by_day_after_calm_and_at_the_end_from_its_time)
+{
+    accept_lasting();
+    end("f2.0.0.0", 1, "w1", "left", 1000);
+    disturbed.mark("w9", at(1000));
+    check(0, 8000);
+    EXPECT_EQ(broken(), found{});
+    disturbed.mark("c0", at(7500));
+    check(8100, 8900, at(6000));
+    EXPECT_EQ(broken(), found{});
+    check(9000, 9100, at(6000));
+    EXPECT_EQ(broken(), found{promise::lost});
+}
+
+TEST_F(standing_work, leaves_out_workers_that_anti_affinity_bars)
+{
+    accept_lasting();
+    rooms.resize(2);
+    end("f2.0.0.0", 1, "w1", "left", 1000);
+    check(0, 9000); // only w1 is open to the task
+    EXPECT_EQ(broken(), found{});
+}
+
 TEST_F(soak_ledger, finds_a_task_in_two_places_and_after_its_recorded_end)
 {
     start("f1.0.0.0", 1, "w1", 100);
