Give the soak the traffic and the departures of the reported sites

The soak could not show the reported form of LOST: all of its permanent work was cancelled within 16 s, its workers all came back under the ids they had or after all was over, and none left while no control process was up.

Half of the permanent work now stays to the end, steps have anti_affinity or allow_duplicates, many workflows are cancelled at once, and in a third of the seeds serving tasks list more latency beside scavenging ones. Workers leave or crash while all control processes are down, some without a successor, others with one under a new id, and half of them drain or crash just before the final fault of some seeds.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -46,6 +46,14 @@
         {
             row["checkpointing"] = true;
         }
+        if (step.anti_affinity > 0)
+        {
+            row["anti_affinity"] = step.anti_affinity;
+        }
+        if (step.allow_duplicates)
+        {
+            row["allow_duplicates"] = true;
+        }
         if (!step.image.empty())
         {
             row["image"] = step.image;
@@ -224,6 +232,15 @@
         step.max_unavailable = 1;
         step.target_ms = 125;
         step.image = "image-" + std::to_string(random_() % 3);
+        step.anti_affinity = random_() % 3 == 0 ? 1 : 0;
+        std::uniform_real_distribution<double> luck{0, 1};
+        out.is_kept = luck(random_) < rate_.kept;
+        if (out.is_kept)
+        {
+            // What stays must leave most of the room free in a long run.
+            step.cpu = 1000;
+            step.mem_mb = 1000;
+        }
         out.steps.push_back(step);
         return out;
     }
@@ -238,6 +255,8 @@
         step.run_time = milliseconds{300 + random_() % 1200};
         step.scavenges = step.checkpoints = scavenges;
         step.image = scavenges ? "fill-" + std::to_string(random_() % 4) : "";
+        step.anti_affinity = random_() % 6 == 0 ? 1 : 0;
+        step.allow_duplicates = random_() % 8 == 0;
         if (n > 0)
         {
             step.prerequisites.push_back(static_cast<int>(n) - 1);
@@ -312,13 +331,15 @@
          });
 }
 
-/// Permanent work stays for a while; of the rest a share is cancelled early.
+/// Permanent work stays for a while, a share of it for good; of the rest a
+/// share is cancelled early.
 auto clients::cancel_later(workflow_plan const& plan) -> void
 {
     constexpr int attempts = 20;
     auto const stays = ledger_.is_permanent(plan.id);
     std::uniform_real_distribution<double> luck{0, 1};
-    if (stopped_ || (!stays && luck(random_) >= rate_.cancelled))
+    if (stopped_ || plan.is_kept ||
+        (!stays && luck(random_) >= rate_.cancelled))
     {
         return;
     }
@@ -327,6 +348,24 @@
     clock_.start_timer(after, [this, id = plan.id] { cancel(id, attempts); });
 }
 
+auto clients::cancel_wave(std::uint64_t seed) -> void
+{
+    constexpr int attempts = 20;
+    constexpr std::size_t recent = 150;
+    constexpr std::size_t share = 3;
+    std::mt19937_64 random{seed};
+    auto const n = std::min(recent, submitted_.size());
+    for (auto const& id : std::vector<std::string>{
+             submitted_.end() - static_cast<std::ptrdiff_t>(n),
+             submitted_.end()})
+    {
+        if (random() % share == 0 && !ledger_.plan_of(id)->is_kept)
+        {
+            cancel(id, attempts);
+        }
+    }
+}
+
 auto clients::cancel(std::string const& id, int attempts_left) -> void
 {
     auto const* const plan = ledger_.plan_of(id);
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -49,6 +49,7 @@
     double submissions_per_s{6};
     std::size_t callers_per_entry{8};
     double cancelled{0.15}; ///< share of the workflows
+    double kept{0.5};       ///< share of permanent ones that stay to the end
 };
 
 class clients
@@ -63,6 +64,8 @@
     auto start() -> void;
     /// Submits and cancels no more; calls under way go on.
     auto stop() -> void { stopped_ = true; }
+    /// Cancels many workflows at once.
+    auto cancel_wave(std::uint64_t seed) -> void;
     /// Asks for the state of all accepted workflows until each is answered.
     auto ask_for_all() -> void;
     [[nodiscard]] auto unanswered() const -> std::vector<std::string>;
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -35,10 +35,23 @@
      {fault_kind::cut_links, "cut_links"},
      {fault_kind::slow_links, "slow_links"},
      {fault_kind::reset_links, "reset_links"}});
+/// Come beside those above, from a second sequence of random numbers.
+constexpr auto added_kinds =
+    std::to_array<std::pair<fault_kind, std::string_view>>(
+        {{fault_kind::cancel_wave, "cancel_wave"},
+         {fault_kind::leave_workers, "leave_workers"},
+         {fault_kind::leave_unheard, "leave_unheard"},
+         {fault_kind::crash_unheard, "crash_unheard"}});
 
 /// Time until a machine that lost its disk, or is new, counts again.
 constexpr auto catch_up = seconds{4};
 constexpr auto grace = seconds{6};
+/// From the drain of workers to the loss of those who hear that they leave.
+constexpr auto drain_lead = milliseconds{2300};
+constexpr auto crash_lead = milliseconds{100};
+/// An address is used again after two seconds at the earliest.
+constexpr auto first_reuse = milliseconds{2000};
+constexpr auto last_reuse = milliseconds{3500};
 
 auto chance(std::mt19937_64& random, std::uint64_t of) -> bool
 {
@@ -56,8 +69,13 @@
 
 auto name_of(fault_kind it) -> std::string_view
 {
-    return std::ranges::find(kinds, it, &decltype(kinds)::value_type::first)
-        ->second;
+    auto const first =
+        std::ranges::find(kinds, it, &decltype(kinds)::value_type::first);
+    return first != kinds.end()
+               ? first->second
+               : std::ranges::find(added_kinds, it,
+                                   &decltype(added_kinds)::value_type::first)
+                     ->second;
 }
 
 auto make_schedule(std::uint64_t seed, duration length) -> std::vector<fault>
@@ -75,6 +93,19 @@
         }
         at += between(random, milliseconds{1000}, milliseconds{12000});
     }
+    // Beside the others, so that the calm spans between series stay.
+    std::mt19937_64 second{~seed};
+    for (std::size_t n = out.size(); n > 0; --n)
+    {
+        constexpr std::uint64_t share = 2;
+        if (chance(second, share))
+        {
+            out.push_back({out[n - 1].at + between(second, milliseconds{0},
+                                                   milliseconds{1200}),
+                           added_kinds[second() % added_kinds.size()].first,
+                           second()});
+        }
+    }
     std::erase_if(out, [&](fault const& it) { return it.at >= length; });
     return out;
 }
@@ -243,10 +274,7 @@
         }
         break;
     case fault_kind::kill_all_control:
-        for (auto const& name : control)
-        {
-            kill(name, milliseconds{600});
-        }
+        kill_all(control, milliseconds{600});
         break;
     case fault_kind::freeze_control:
         for (auto const& name : pick(random, control, one_or_two))
@@ -328,9 +356,144 @@
     case fault_kind::reset_links:
         harm_links(it.kind, random);
         break;
+    case fault_kind::cancel_wave:
+        if (on_cancel_wave)
+        {
+            on_cancel_wave(random());
+        }
+        break;
+    case fault_kind::leave_workers:
+    case fault_kind::leave_unheard:
+        for (auto* const each : pick_workers(random))
+        {
+            send_away(*each, random);
+        }
+        if (it.kind == fault_kind::leave_unheard)
+        {
+            after(drain_lead,
+                  [this, down] { kill_all(system_.names('c'), down); });
+        }
+        break;
+    case fault_kind::crash_unheard:
+        kill_all(control, down);
+        after(between(random, milliseconds{0}, milliseconds{500}),
+              [this, it, of = pick_workers(random)]
+              {
+                  std::mt19937_64 later{it.seed};
+                  for (auto* const each : of)
+                  {
+                      crash(*each, later);
+                  }
+              });
+        break;
+    }
+}
+
+auto fault_injector::kill_all(names const& of, duration down) -> void
+{
+    for (auto const& name : of)
+    {
+        kill(name, down);
     }
 }
 
+auto fault_injector::is_last_life(worker& it, std::mt19937_64& random) -> bool
+{
+    constexpr std::size_t most = 6; ///< a share of the workers
+    constexpr std::uint64_t share = 4;
+    auto const is_last =
+        chance(random, share) && gone_.size() < workers_.size() / most;
+    if (is_last)
+    {
+        gone_.insert(&it);
+    }
+    return is_last;
+}
+
+auto fault_injector::send_away(worker& it, std::mt19937_64& random) -> void
+{
+    if (!it.is_up())
+    {
+        return;
+    }
+    auto const back = between(random, first_reuse, last_reuse);
+    auto const is_last = is_last_life(it, random);
+    disturbed_.mark_planned(it.name(), clock_.now());
+    it.on_left = [this, &it, back, is_last]
+    {
+        disturbed_.mark_planned(it.name(), clock_.now());
+        if (!is_last)
+        {
+            after(back,
+                  [&it]
+                  {
+                      if (!it.is_up())
+                      {
+                          it.start(false);
+                      }
+                  });
+        }
+    };
+    it.drain();
+}
+
+auto fault_injector::crash(worker& it, std::mt19937_64& random) -> void
+{
+    if (!it.is_up())
+    {
+        return;
+    }
+    auto const back = between(random, first_reuse, last_reuse);
+    auto const keeps_id = chance(random, 2);
+    disturbed_.begin(it.name(), clock_.now());
+    it.crash(chance(random, 2));
+    if (is_last_life(it, random))
+    {
+        disturbed_.end(it.name(), clock_.now());
+        return;
+    }
+    after(back,
+          [this, &it, keeps_id]
+          {
+              if (!it.is_up())
+              {
+                  it.start(keeps_id);
+              }
+              disturbed_.end(it.name(), clock_.now());
+          });
+}
+
+auto fault_injector::begin_farewell(farewell how, std::uint64_t seed)
+    -> duration
+{
+    if (how == farewell::none)
+    {
+        return {};
+    }
+    auto const drains = how == farewell::drains;
+    log_(drains ? "half of the workers drain" : "half of the workers crash");
+    std::mt19937_64 random{seed};
+    std::vector<worker*> of;
+    for (auto const& it : workers_)
+    {
+        of.push_back(it.get());
+    }
+    std::ranges::shuffle(of, random);
+    of.resize(of.size() / 2);
+    for (auto* const it : of)
+    {
+        if (drains)
+        {
+            send_away(*it, random);
+        }
+        else
+        {
+            crash(*it, random);
+        }
+    }
+    return drains ? drain_lead : crash_lead;
+}
+
 auto fault_injector::harm_workers(fault_kind kind, std::mt19937_64& random)
     -> void
 {
@@ -343,6 +506,11 @@
         {
             continue;
         }
+        if (kind == fault_kind::drain_workers)
+        {
+            send_away(*it, random);
+            continue;
+        }
         auto const name = it->name();
         disturbed_.begin(name, clock_.now());
         auto const life = it->life();
@@ -354,14 +522,10 @@
         case fault_kind::late_workers:
             it->set_late(time / 2);
             break;
-        case fault_kind::freeze_workers:
-            it->freeze(true);
-            break;
         default:
-            it->drain();
+            it->freeze(true);
         }
-        constexpr auto leaving_time = seconds{7};
-        after(kind == fault_kind::drain_workers ? duration{leaving_time} : time,
+        after(time,
               [this, it, name, life, kind, keeps_id]
               {
                   if (it->life() == life && kind == fault_kind::late_workers)
@@ -373,7 +537,7 @@
                   {
                       it->freeze(false);
                   }
-                  else if (!it->is_up())
+                  else if (!it->is_up() && !gone_.contains(it))
                   {
                       it->start(keeps_id);
                   }
@@ -422,13 +586,8 @@
     auto const control = system_.names('c');
     constexpr auto down = milliseconds{1000};
     auto const entries = system_.names('e');
-    for (auto const* const each : {&control, &entries})
-    {
-        for (auto const& name : *each)
-        {
-            kill(name, down);
-        }
-    }
+    kill_all(control, down);
+    kill_all(entries, down);
     if (with_disks)
     {
         // With a disk that was lost shortly before, no more than two.
@@ -456,7 +615,7 @@
         it->links().set_delay({});
         it->set_late({});
         it->freeze(false);
-        if (!it->is_up())
+        if (!it->is_up() && !gone_.contains(it.get()))
         {
             it->start(true);
         }
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,10 @@
     cut_links, ///< between entries and workers, one way or both
     slow_links,
     reset_links,
+    cancel_wave,   ///< many workflows at once
+    leave_workers, ///< drain; some have no successor at their address
+    leave_unheard, ///< drain, and leave while no control process is up
+    crash_unheard, ///< crash while no control process is up
 };
 
 [[nodiscard]] auto name_of(fault_kind it) -> std::string_view;
@@ -50,6 +55,14 @@
     std::uint64_t seed{0}; ///< of the choices that it needs
 };
 
+/// What precedes the loss of all processes.
+enum class farewell : std::uint8_t
+{
+    none,
+    drains,  ///< half of the workers drain, and leave while nobody hears it
+    crashes, ///< half of the workers crash just before
+};
+
 /// The same seed gives the same schedule. Faults come in series and overlap,
 /// with calm spans between in which promises with a time bound are checked.
 [[nodiscard]] auto make_schedule(std::uint64_t seed, duration length)
@@ -69,9 +82,14 @@
     /// Ends the soak with the loss of all processes; two control processes also
     /// lose their disks if `with_disks`.
     auto lose_all(bool with_disks, std::uint64_t seed) -> void;
+    /// Harms half of the workers; the time until all processes are to be lost.
+    auto begin_farewell(farewell how, std::uint64_t seed) -> duration;
     /// Starts what is down, lets frozen processes go on and repairs links.
     auto repair() -> void;
 
+    /// Called to cancel many workflows at once.
+    std::function<void(std::uint64_t seed)> on_cancel_wave;
+
 private:
     using names = std::vector<std::string>;
 
@@ -86,6 +104,12 @@
     auto restart(std::string const& name, duration down, bool planned) -> void;
     auto harm_workers(fault_kind kind, std::mt19937_64& random) -> void;
     auto harm_links(fault_kind kind, std::mt19937_64& random) -> void;
+    auto kill_all(names const& of, duration down) -> void;
+    /// Drains a worker. A successor at its address has a new id.
+    auto send_away(worker& it, std::mt19937_64& random) -> void;
+    auto crash(worker& it, std::mt19937_64& random) -> void;
+    /// True if a worker that ends now is to have no successor.
+    auto is_last_life(worker& it, std::mt19937_64& random) -> bool;
     auto restart_in_series(std::string const& name, int times) -> void;
 
     glib_clock& clock_;
@@ -94,6 +118,7 @@
     disturbances& disturbed_;
     std::function<void(std::string const&)> log_;
     std::map<std::string, std::function<void()>> on_ended_;
+    std::set<worker*> gone_;        ///< for good
     time_point disk_counts_from_{}; ///< the last machine that lost its disk
 };
 
--- a/soak/http.cpp
+++ b/soak/http.cpp
@@ -60,6 +60,19 @@
 
 } // namespace
 
+auto peer_of(int fd) -> std::string
+{
+    sockaddr_in it{};
+    socklen_t size{sizeof it};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (::getpeername(fd, reinterpret_cast<sockaddr*>(&it), &size) != 0 ||
+        inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size()) == nullptr)
+    {
+        return {};
+    }
+    return std::string{text.data()} + ":" + std::to_string(ntohs(it.sin_port));
+}
+
 auto http_text::header(std::string const& name) const -> std::string
 {
     auto const it = headers.find(name);
--- a/soak/http.hpp
+++ b/soak/http.hpp
@@ -77,6 +77,9 @@
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
+/// Address of the other end of a socket.
+[[nodiscard]] auto peer_of(int fd) -> std::string;
+
 /// Begins to connect; a socket below 0 if that fails at once.
 [[nodiscard]] auto connect_to(std::string const& address) -> int;
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -21,6 +21,7 @@
 #include <iomanip>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
     std::size_t entries{6};
     std::size_t workers{24};
     double submissions_per_s{6};
+    int cores{0};
     bool unread_logs{false};
     bool keep{false};
     std::filesystem::path binary;
@@ -76,6 +78,11 @@
         auto* const loop = g_main_loop_new(nullptr, FALSE);
         loop_ = loop;
         began_ = clock_.now();
+        seen_.set_origin(began_);
+        seen_.name_of_peer = [this](std::string const& it)
+        { return system_.owner_of(it); };
+        faults_.on_cancel_wave = [this](std::uint64_t seed)
+        { clients_.cancel_wave(seed); };
         log("seed " + std::to_string(options_.seed) + ", logs in " +
             folder_.string());
         system_.start_all();
@@ -121,6 +128,7 @@
         out.folder = folder_;
         out.first_octets = first + ::getpid() % octets;
         out.entries = options_.entries;
+        out.cores = options_.cores;
         out.unread_logs = options_.unread_logs;
         return out;
     }
@@ -145,6 +153,13 @@
             workers_.push_back(
                 std::make_unique<worker>(clock_, seen_, options_.seed + n,
                                          place, system_.addresses('c')));
+            // In a part of the seeds serving tasks suffer from others.
+            constexpr std::uint64_t share = 3;
+            constexpr std::int64_t disturbance_ms{25};
+            if (options_.seed % share == 1)
+            {
+                workers_.back()->set_disturbance_ms(disturbance_ms);
+            }
             workers_.back()->start(true);
         }
     }
@@ -164,25 +179,26 @@
     /// which excuses them as a slow machine does.
     auto watch() -> void
     {
-        clock_.start_timer(poll,
-                           [this, due = clock_.now() + poll]
-                           {
-                               watch();
-                               if (clock_.now() - due > late_loop)
-                               {
-                                   ++late_turns_;
-                                   for (auto const kind : {'c', 'e'})
-                                   {
-                                       for (auto const& it :
-                                            system_.names(kind))
-                                       {
-                                           disturbed_.mark(it, clock_.now());
-                                       }
-                                   }
-                               }
-                               seen_.check_cancelled(clock_.now());
-                               configs_.check(clock_.now());
-                           });
+        clock_.start_timer(
+            poll,
+            [this, due = clock_.now() + poll]
+            {
+                watch();
+                if (clock_.now() - due > late_loop)
+                {
+                    ++late_turns_;
+                    for (auto const kind : {'c', 'e'})
+                    {
+                        for (auto const& it : system_.names(kind))
+                        {
+                            disturbed_.mark(it, clock_.now());
+                        }
+                    }
+                }
+                seen_.check_cancelled(clock_.now());
+                seen_.check_standing(clock_.now(), rooms(), ended_);
+                configs_.check(clock_.now());
+            });
     }
 
     /// The final fault comes while changes and work are under way.
@@ -190,11 +206,17 @@
     {
         auto const how = options_.seed % 3;
         faults_.repair();
+        auto delay = duration{};
         if (how != 0)
         {
-            faults_.lose_all(how == 2, options_.seed);
+            constexpr std::uint64_t forms = 3;
+            delay = faults_.begin_farewell(
+                static_cast<farewell>(options_.seed / forms % forms),
+                options_.seed);
+            clock_.start_timer(delay, [this, how]
+                               { faults_.lose_all(how == 2, options_.seed); });
         }
-        clock_.start_timer(recovery,
+        clock_.start_timer(delay + recovery,
                            [this]
                            {
                                clients_.stop();
@@ -209,7 +231,7 @@
     /// Asks until all is answered, or the time for that is over.
     auto ask() -> void
     {
-        if (clock_.now() - ended_ < finish)
+        if (clock_.now() - *ended_ < finish)
         {
             clients_.ask_for_all();
             clock_.start_timer(seconds{2}, [this] { ask(); });
@@ -255,22 +277,42 @@
     {
         std::int64_t all{0};
         std::int64_t free{0};
-        for (auto const& it : workers_)
+        for (auto const& it : rooms())
         {
-            all += it->cpu();
-            free += it->is_up() ? it->free_cpu() : 0;
+            all += it.cpu;
+            free += it.takes_starts ? it.cpu_free : 0;
         }
         return free * 2 > all;
     }
 
+    [[nodiscard]] auto rooms() const -> std::vector<worker_room>
+    {
+        std::vector<worker_room> out;
+        out.reserve(workers_.size());
+        for (auto const& it : workers_)
+        {
+            out.push_back(it->room());
+        }
+        return out;
+    }
+
     auto print_findings_later() -> void
     {
         clock_.start_timer(poll, [this] { print_findings_later(); });
+        print_findings();
+    }
+
+    auto print_findings() -> void
+    {
         for (; printed_ < seen_.findings().size(); ++printed_)
         {
             auto const& it = seen_.findings()[printed_];
             log("BROKEN " + std::string{name_of(it.broken)} + ": " + it.text);
         }
+        for (; printed_notes_ < seen_.notes().size(); ++printed_notes_)
+        {
+            log("then " + seen_.notes()[printed_notes_]);
+        }
     }
 
     auto log(std::string const& line) -> void
@@ -282,11 +324,7 @@
 
     auto conclude() -> int
     {
-        for (; printed_ < seen_.findings().size(); ++printed_)
-        {
-            auto const& it = seen_.findings()[printed_];
-            log("BROKEN " + std::string{name_of(it.broken)} + ": " + it.text);
-        }
+        print_findings();
         std::string calls;
         for (auto const& [outcome, n] : clients_.calls())
         {
@@ -327,8 +365,9 @@
     fault_injector faults_;
     GMainLoop* loop_{nullptr};
     time_point began_{};
-    time_point ended_{};
+    std::optional<time_point> ended_; ///< the traffic
     std::size_t printed_{0};
+    std::size_t printed_notes_{0};
     std::size_t late_turns_{0};
     bool configured_{false};
 };
@@ -345,6 +384,8 @@
         "entries", "entry processes", cxxopts::value<std::size_t>())(
         "workers", "workers", cxxopts::value<std::size_t>())(
         "rate", "submissions a second", cxxopts::value<double>())(
+        "cores", "of this machine, for all processes together",
+        cxxopts::value<int>())(
         "unread-logs", "logs go to pipes that nobody reads")("keep",
                                                              "keep the logs");
     auto const got = table.parse(argc, argv);
@@ -363,6 +404,7 @@
         got.count("workers") > 0 ? got["workers"].as<std::size_t>() : 24;
     out.submissions_per_s =
         got.count("rate") > 0 ? got["rate"].as<double>() : 6;
+    out.cores = got.count("cores") > 0 ? got["cores"].as<int>() : 0;
     out.unread_logs = got.count("unread-logs") > 0;
     out.keep = got.count("keep") > 0;
     return out;
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <glib.h>
+#include <sched.h>
 #include <spawn.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -9,6 +10,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -43,6 +45,55 @@
     }
 }
 
+/// Binds the calling process to the last cores of those that it may use, so
+/// that the soak keeps others for itself.
+auto bind_to_cores(int count) -> void
+{
+    cpu_set_t allowed;
+    cpu_set_t chosen;
+    CPU_ZERO(&chosen);
+    if (count <= 0 || ::sched_getaffinity(0, sizeof allowed, &allowed) != 0)
+    {
+        return;
+    }
+    for (auto n = CPU_SETSIZE - 1; n >= 0 && CPU_COUNT(&chosen) < count; --n)
+    {
+        if (CPU_ISSET(n, &allowed))
+        {
+            CPU_SET(n, &chosen);
+        }
+    }
+    (void)::sched_setaffinity(0, sizeof chosen, &chosen);
+}
+
+/// Inode of the socket that is bound to an address; empty if there is none.
+auto socket_at(std::string const& address) -> std::string
+{
+    auto const colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return {};
+    }
+    std::array<char, 8> port{};
+    std::snprintf(port.data(), port.size(), ":%04X",
+                  static_cast<unsigned>(std::stoul(address.substr(colon + 1))) &
+                      0xffffU);
+    std::ifstream in{"/proc/net/tcp"};
+    for (std::string line; std::getline(in, line);)
+    {
+        std::istringstream columns{line};
+        std::vector<std::string> row{
+            std::istream_iterator<std::string>{columns}, {}};
+        constexpr std::size_t inode = 9;
+        if (row.size() > inode && row[1].ends_with(port.data()) &&
+            row[inode] != "0")
+        {
+            return row[inode];
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 auto check_program(std::filesystem::path const& program) -> void
@@ -205,6 +256,7 @@
     if (pid == 0)
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        bind_to_cores(options_.cores);
         auto const out =
             options_.unread_logs
                 ? unread[1]
@@ -315,4 +367,24 @@
     return out;
 }
 
+auto processes::owner_of(std::string const& address) const -> std::string
+{
+    auto const inode = socket_at(address);
+    for (auto const& [name, it] : machines_)
+    {
+        std::error_code ec;
+        auto const files =
+            std::filesystem::path{"/proc"} / std::to_string(it.pid) / "fd";
+        for (auto const& file : std::filesystem::directory_iterator{files, ec})
+        {
+            if (!inode.empty() && std::filesystem::read_symlink(file, ec) ==
+                                      "socket:[" + inode + "]")
+            {
+                return name;
+            }
+        }
+    }
+    return address.empty() ? "?" : address;
+}
+
 } // namespace apricotlb::soak
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -48,6 +48,7 @@
     int first_octets{10}; ///< addresses are 127.first_octets.zone.number
     std::size_t control{5};
     std::size_t entries{6};
+    int cores{0};            ///< of the machine, for all processes; 0: all
     bool unread_logs{false}; ///< logs go to pipes that nobody reads
 };
 
@@ -84,6 +85,11 @@
     [[nodiscard]] auto names(char kind) const -> std::vector<std::string>;
     [[nodiscard]] auto addresses(char kind) const -> std::vector<std::string>;
 
+    /// The machine whose process has a connection from this address, as long as
+    /// it is open; the address itself otherwise.
+    [[nodiscard]] auto owner_of(std::string const& address) const
+        -> std::string;
+
     /// Called when a process has ended, expected or not.
     std::function<void(std::string const&)> on_end;
 
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -23,6 +23,7 @@
     }
     auto const id = ++last_id_;
     auto& it = pipes_[id];
+    it.peer = peer_of(fd);
     it.caller = std::make_unique<stream>(fd);
     it.server = std::make_unique<stream>(to);
     it.caller->on_bytes = [this, id](std::string_view bytes)
@@ -38,13 +39,13 @@
 
 auto proxy::note(std::uint64_t id, std::string_view bytes) -> void
 {
-    auto& requests = pipes_.at(id).requests;
-    requests.add(bytes);
-    while (auto const it = requests.next())
+    auto& pipe = pipes_.at(id);
+    pipe.requests.add(bytes);
+    while (auto const it = pipe.requests.next())
     {
         if (on_request)
         {
-            on_request(*it);
+            on_request(*it, pipe.peer);
         }
     }
 }
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -38,14 +38,16 @@
     auto set_silent(bool requests, bool answers) -> void;
     auto reset_connections() -> void;
 
-    /// Called with each request when its caller has sent it.
-    std::function<void(http_text const&)> on_request;
+    /// Called with each request when its caller has sent it, and the address of
+    /// the caller's end of the connection.
+    std::function<void(http_text const&, std::string const&)> on_request;
 
 private:
     struct pipe
     {
         std::unique_ptr<stream> caller;
         std::unique_ptr<stream> server;
+        std::string peer;
         std::string held_requests;
         std::string held_answers;
         message_reader requests;
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -17,6 +17,8 @@
 constexpr auto lease_check = milliseconds{20};
 constexpr auto stop_time = milliseconds{60};
 constexpr auto drain_time = milliseconds{2000};
+/// A worker whose drain nobody acknowledges leaves all the same.
+constexpr auto unheard_drain = milliseconds{5000};
 constexpr std::int64_t max_hold_ms = 10'000;
 constexpr std::int64_t checkpoint_ms = 1000;
 constexpr std::size_t max_listed = 500;
@@ -35,7 +37,8 @@
               { serve(request, reply); }),
       proxy_(clock, place_.proxy_at, place_.listen_at), id_(place_.id)
 {
-    proxy_.on_request = [this](http_text const& it) { note_order(it); };
+    proxy_.on_request = [this](http_text const& it, std::string const& from)
+    { note_order(it, from); };
     (void)proxy_.open();
     check_lease();
 }
@@ -49,6 +52,7 @@
 auto worker::start(bool keeps_id) -> void
 {
     ++life_;
+    on_left = {};
     server_.close();
     if (!keeps_id)
     {
@@ -114,6 +118,14 @@
         state_ = "draining";
         beats_.reset();
         beat();
+        clock_.start_timer(unheard_drain,
+                           [this, life = life_]
+                           {
+                               if (life == life_ && is_up_ && !is_leaving_)
+                               {
+                                   leave();
+                               }
+                           });
     }
 }
 
@@ -209,15 +221,21 @@
     beats_ = std::make_unique<http_connection>(clock_, target);
     beats_->call({"DELETE", "/instances/" + id_, target, "", beat_timeout},
                  [](call_result const&) {});
+    if (on_left)
+    {
+        std::exchange(on_left, {})();
+    }
 }
 
-auto worker::note_order(http_text const& request) -> void
+auto worker::note_order(http_text const& request, std::string const& from)
+    -> void
 {
     auto const body = json::parse(request.body, nullptr, false);
     if (request.first_line.starts_with("POST /run-start ") && body.is_object())
     {
         ordered_[{body.value("task", std::string{}),
-                  body.value("run_id", std::int64_t{0})}] = clock_.now();
+                  body.value("run_id", std::int64_t{0})}] = {from,
+                                                             clock_.now()};
     }
 }
 
@@ -351,23 +369,31 @@
     it.since = clock_.now();
     auto const order = ordered_.find({task, number});
     std::optional<time_point> held_since;
-    if (order != ordered_.end() && (is_late || order->second < thawed_at_))
+    auto const origin =
+        order == ordered_.end() ? order_origin{} : order->second;
+    if (origin.sent_at && (is_late || *origin.sent_at < thawed_at_))
     {
-        held_since = order->second;
+        held_since = origin.sent_at;
     }
     ledger_.on_start(it.key, body.value("spec", std::string{}), it.checkpoint,
-                     is_late, clock_.now(), held_since);
+                     is_late, clock_.now(), held_since, origin);
     auto& added = runs_[task] = std::move(it);
     arm_end(added);
     reply(200, json{{"clock_ms", clock_ms()}}.dump());
 }
 
-auto worker::free_cpu() const -> std::int64_t
+auto worker::room() const -> worker_room
 {
-    auto out = place_.cpu;
+    worker_room out{.worker = name(),
+                    .cpu = place_.cpu,
+                    .mem_mb = place_.mem_mb,
+                    .cpu_free = place_.cpu,
+                    .mem_free_mb = place_.mem_mb,
+                    .takes_starts = is_up_ && !is_frozen_ && state_ == "ready"};
     for (auto const& [task, it] : runs_)
     {
-        out -= it.step.scavenges ? 0 : it.step.cpu;
+        out.cpu_free -= it.step.scavenges ? 0 : it.step.cpu;
+        out.mem_free_mb -= it.step.mem_mb;
     }
     return out;
 }
@@ -472,7 +498,7 @@
     auto const seen = body.value("ack_cursor", std::int64_t{0});
     while (!ends_.empty() && ends_.front().number <= seen)
     {
-        ledger_.on_end_recorded(ends_.front().key);
+        ledger_.on_end_recorded(ends_.front().key, clock_.now());
         ends_.pop_front();
     }
     auto const is_answered = std::make_shared<bool>(false);
@@ -496,12 +522,20 @@
 auto worker::lists() const -> std::string
 {
     auto rows = json::array();
+    std::int64_t paces{0};
+    for (auto const& [task, it] : runs_)
+    {
+        paces += it.step.scavenges ? it.pace : 0;
+    }
     for (auto const& [task, it] : runs_)
     {
         // A serving task lists its tail latency in ms, another its processors.
         constexpr std::int64_t usual_tail{40};
+        constexpr std::int64_t full_pace{100};
         rows.push_back({task, it.key.number, it.checkpoint, it.pace,
-                        it.step.permanent ? usual_tail : it.step.cpu});
+                        it.step.permanent
+                            ? usual_tail + paces * disturbance_ms_ / full_pace
+                            : it.step.cpu});
     }
     auto ended_rows = json::array();
     for (auto const& it : ends_)
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -48,8 +48,14 @@
     auto start(bool keeps_id) -> void;
     /// Ends at once; connections stay open without an answer if `dark`.
     auto crash(bool dark) -> void;
-    /// Announces that it drains, and leaves once that is acknowledged.
+    /// Announces that it drains, and leaves once that is acknowledged, or a
+    /// while later if nobody acknowledges it.
     auto drain() -> void;
+    /// Called when a worker that drained has left.
+    std::function<void()> on_left;
+    /// Tail latency that a serving task lists for each task that scavenges
+    /// beside it.
+    auto set_disturbance_ms(std::int64_t it) -> void { disturbance_ms_ = it; }
     /// Carries orders out only after a delay, and answers none meanwhile.
     auto set_late(duration delay) -> void { late_ = delay; }
     /// Stops reading and sending, as a suspended machine.
@@ -60,9 +66,7 @@
     [[nodiscard]] auto name() const -> std::string { return "w" + place_.id; }
     [[nodiscard]] auto is_up() const -> bool { return is_up_; }
     [[nodiscard]] auto life() const -> int { return life_; }
-    /// Processors in thousandths, and how many of them are not reserved.
-    [[nodiscard]] auto cpu() const -> std::int64_t { return place_.cpu; }
-    [[nodiscard]] auto free_cpu() const -> std::int64_t;
+    [[nodiscard]] auto room() const -> worker_room;
 
 private:
     using json = nlohmann::json;
@@ -95,7 +99,7 @@
     auto end_life(std::string const& how, bool dark) -> void;
 
     /// Notes when a start was ordered, also while the worker is frozen.
-    auto note_order(http_text const& request) -> void;
+    auto note_order(http_text const& request, std::string const& from) -> void;
     auto serve(http_text const& request, http_server::reply const& reply)
         -> void;
     auto carry_out(std::string const& path, json const& body,
@@ -138,10 +142,11 @@
     std::int64_t checkpoints_{0};
     duration late_{};
     int slowness_{1};
+    std::int64_t disturbance_ms_{0};
     std::map<std::string, run> runs_;
     std::map<std::string, std::int64_t> closed_;
-    /// Task and number of a run, and when its last order was sent.
-    std::map<std::pair<std::string, std::int64_t>, time_point> ordered_;
+    /// Task and number of a run, and how its last order came.
+    std::map<std::pair<std::string, std::int64_t>, order_origin> ordered_;
     time_point thawed_at_{};
     std::deque<ended> ends_;
     std::vector<std::function<void()>> holds_;
