--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -474,6 +474,7 @@
     log_(drains ? "half of the workers drain" : "half of the workers crash");
     std::mt19937_64 random{seed};
     std::vector<worker*> of;
+    of.reserve(workers_.size());
     for (auto const& it : workers_)
     {
         of.push_back(it.get());
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -231,8 +231,10 @@
         auto const moves = other == key.task || !it.plan.steps[step].permanent;
         if (moves && std::exchange(each.standing, {}).reported)
         {
-            notes_.push_back(where + ": starts at " + time_of(now) + " after " +
-                             other + " stood still");
+            auto line = where;
+            line.append(": starts at ").append(time_of(now));
+            notes_.push_back(
+                line.append(" after ").append(other).append(" stood still"));
         }
     }
 }
