Record the place of a worker whose last run is ending

Found by review: a start that is proposed while the end of the only other run of its worker is proposed carries no place, since the log still has one. The end is applied first and drops it, so that the worker is again known by its id only for as long as the new run lasts. Places are now proposed unless a run keeps them in the log whatever is proposed.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -128,6 +128,17 @@
     }
 }
 
+auto run_scheduler::keeps_place(worker_entry const& worker) const -> bool
+{
+    return std::ranges::any_of(
+        worker.runs,
+        [](auto const& each)
+        {
+            return each.second.phase != run_phase::proposed &&
+                   each.second.phase != run_phase::ending;
+        });
+}
+
 auto run_scheduler::unrecorded_places(std::vector<placed_run> const& runs) const
     -> std::optional<std::vector<worker_place>>
 {
@@ -144,7 +155,12 @@
         auto place = *worker->second.place;
         place.longest_lease =
             std::chrono::duration_cast<milliseconds>(policy_.granted_lease());
-        auto const* const known = state_.workflows().places().find(each.worker);
+        // The place is dropped with the last run, whose end may come before
+        // these starts in the log.
+        auto const* const known =
+            keeps_place(worker->second)
+                ? state_.workflows().places().find(each.worker)
+                : nullptr;
         if (known == nullptr || known->address != place.address ||
             known->zone != place.zone ||
             known->longest_lease < place.longest_lease)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -230,7 +230,10 @@
                      task_progress const& progress, active_run const& run,
                      time_point now) -> void;
     auto inherit_place(worker_place const& place) -> void;
-    /// Places of the workers of new runs that the log has not, or otherwise.
+    /// True if the log keeps the place of the worker whatever is proposed now.
+    [[nodiscard]] auto keeps_place(worker_entry const& worker) const -> bool;
+    /// Places of the workers of new runs that are missing from the log or
+    /// differ there.
     [[nodiscard]] auto
     unrecorded_places(std::vector<placed_run> const& runs) const
         -> std::optional<std::vector<worker_place>>;
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace apricotlb
@@ -139,6 +140,29 @@
     expect_no_violation();
 }
 
+// Its end would drop the place from the log before the start is recorded.
+TEST_F(change_of_leader, records_the_place_beside_the_end_of_the_last_run)
+{
+    fleet.apply(cancel_workflow{workflow_id{"a"}, {}});
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    auto const ends = [&]
+    {
+        auto const& runs = fleet.leader->workers().at(w1.id).runs;
+        return std::ranges::any_of(
+            runs, [](auto const& each)
+            { return each.second.phase == run_phase::ending; });
+    };
+    for (auto n = 0; n < 400 && !ends(); ++n)
+    {
+        fleet.run(milliseconds{5});
+    }
+    ASSERT_TRUE(ends());
+    fleet.submit("c", {lasting()});
+    fleet.run(milliseconds{500});
+    EXPECT_TRUE(fleet.workers.at("w1")->running().contains("c.0.0.0"));
+    EXPECT_NE(fleet.state.workflows().places().find(w1), nullptr);
+}
+
 // A longer one would outlast what a successor assumes.
 TEST(granted_lease, is_not_longer_than_the_one_in_the_log)
 {
