Hold runs that an unheard worker does not list while they may start

Found by review: a run of an earlier leader that is missing from the first list of a worker without an announcement was ended at once. Its start may be under way for max_order_age after the election, and be carried out by the next life of the worker under its id, beside the run that replaces it. Such runs are held for this time, as those of workers that have gone.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -673,11 +673,15 @@
             {
                 start_or_withdraw(worker, run, held, now);
             }
-            else
+            else if (!may_start_late(held, now))
             {
-                // Whether it may start there is known with the announcement.
                 withdraw(worker, run, held, now);
             }
+            else
+            {
+                // A held up start may reach the next life of the worker.
+                worker.second.next_poll_at = now + config::poll_retry_delay;
+            }
         }
         else if (held.phase == run_phase::closed &&
                  held.settled_at < poll_sent_at)
