Let a successor at an address end only the worker that is there

Found by review: a worker that starts again under its id at another address stayed entered under its former one. A later worker there was taken for its successor, so that the runs of a live worker were started elsewhere. Likewise the place of an earlier life was kept for a later one without a place, whose polls would have met the successor.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -131,7 +131,13 @@
     if (known_address != addresses_.end() &&
         known_address->second != announcement.instance.id)
     {
-        auto const former = workers_.find(known_address->second);
+        // The former worker may have started again at another address.
+        auto former = workers_.find(known_address->second);
+        if (former != workers_.end() && former->second.place &&
+            former->second.place->address != announcement.address)
+        {
+            former = workers_.end();
+        }
         if (former != workers_.end() &&
             (former->second.incarnation > announcement.instance.incarnation ||
              (former->second.is_heard() &&
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -89,6 +89,8 @@
     if (is_unknown || run.worker.incarnation > worker.incarnation)
     {
         worker.incarnation = run.worker.incarnation;
+        worker.place.reset();
+        worker.recorded_lease.reset();
         if (place != nullptr)
         {
             inherit_place(*place);
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -140,6 +140,23 @@
     expect_no_violation();
 }
 
+// A task would run on both lives of what are two workers by then.
+TEST_F(change_of_leader, a_worker_that_has_moved_is_not_ended_by_its_successor)
+{
+    auto& worker = *fleet.workers.at("w1");
+    worker.address = "elsewhere:1";
+    worker.restart(2, fleet.now);
+    fleet.run(seconds{4});
+    ASSERT_TRUE(is_on("w1"));
+    auto const starts = fleet.starts;
+    fleet.add_worker("w2", 4000, 3);
+    fleet.workers.at("w2")->address = "w1:1";
+    fleet.run(seconds{4});
+    EXPECT_TRUE(is_on("w1"));
+    EXPECT_EQ(fleet.starts, starts);
+    expect_no_violation();
+}
+
 // Its end would drop the place from the log before the start is recorded.
 TEST_F(change_of_leader, records_the_place_beside_the_end_of_the_last_run)
 {
