Record a lease that is longer than the ones of this leader

Found by review: a worker may still hold a lease of up to run_lease that a leader of the former version, or a late start, has given it. A place recorded with 6 s let a successor end its runs before that lease was over, beside runs that went on. The place now carries what is left of it.

--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -454,7 +454,7 @@
         start_runs starts{
             {pass.placed.begin() + static_cast<std::ptrdiff_t>(begin),
              pass.placed.begin() + static_cast<std::ptrdiff_t>(end)}};
-        starts.places = unrecorded_places(starts.runs);
+        starts.places = unrecorded_places(starts.runs, now);
         actions_.emplace_back(propose_starts{std::move(starts)});
     }
 }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -141,7 +141,8 @@
         });
 }
 
-auto run_scheduler::unrecorded_places(std::vector<placed_run> const& runs) const
+auto run_scheduler::unrecorded_places(std::vector<placed_run> const& runs,
+                                      time_point now) const
     -> std::optional<std::vector<worker_place>>
 {
     std::vector<worker_place> out;
@@ -155,8 +156,11 @@
             continue;
         }
         auto place = *worker->second.place;
-        place.longest_lease =
-            std::chrono::duration_cast<milliseconds>(policy_.granted_lease());
+        // A lease of an earlier leader may be longer, and covers all runs.
+        auto const granted = policy_.granted_lease();
+        auto const left = worker->second.lease.latest_end() - now;
+        place.longest_lease = std::chrono::ceil<milliseconds>(
+            left > worker_lease::max_duration(granted) ? left : granted);
         // The place is dropped with the last run, whose end may come before
         // these starts in the log.
         auto const* const known =
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -234,8 +234,8 @@
     [[nodiscard]] auto keeps_place(worker_entry const& worker) const -> bool;
     /// Places of the workers of new runs that are missing from the log or
     /// differ there.
-    [[nodiscard]] auto
-    unrecorded_places(std::vector<placed_run> const& runs) const
+    [[nodiscard]] auto unrecorded_places(std::vector<placed_run> const& runs,
+                                         time_point now) const
         -> std::optional<std::vector<worker_place>>;
     /// Length of the leases that the worker is granted.
     [[nodiscard]] auto granted_lease(worker_entry const& worker) const
