Spend first polls on workers that are polled, and drop taken departures first

Found by review: workers that are not polled any more used up the polls of a tick, and departures that no leader has taken were dropped before those that one has.

--- a/src/adapters/push_connection.cpp
+++ b/src/adapters/push_connection.cpp
@@ -22,7 +22,8 @@
 
 constexpr guint min_pause_ms = 50;
 constexpr guint max_pause_ms = 500;
-/// Bounds a connect and its handshake; leaves time to repeat one lost packet.
+/// Bounds a connect and its handshake for a caller that does not itself open
+/// the connection to a silent peer anew.
 constexpr guint attempt_ms = 2000;
 /// Ends a connection whose peer acknowledges nothing, as behind a partition.
 constexpr unsigned unacknowledged_ms = 5000;
@@ -225,7 +226,14 @@
     {
         auto& it = *static_cast<push_connection*>(data);
         it.timer_ = 0;
-        it.phase_ == phase::pausing ? it.start() : it.pause();
+        if (it.phase_ == phase::pausing)
+        {
+            it.start();
+        }
+        else
+        {
+            it.pause();
+        }
         return G_SOURCE_REMOVE;
     };
     remove_source(timer_);
--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace apricotlb
@@ -170,18 +171,19 @@
                              (it.taken_in != term{} &&
                               now - it.taken_at >= taken_departure_retention);
                   });
-    std::vector<std::pair<time_point, worker_instance>> old;
+    // Those that a leader has taken go first, and then the oldest ones.
+    std::vector<std::tuple<bool, time_point, worker_instance>> old;
     for (auto const& [left, it] : leaving_)
     {
         if (is_old(it))
         {
-            old.emplace_back(it.since, left);
+            old.emplace_back(it.taken_in == term{}, it.since, left);
         }
     }
     std::ranges::sort(old, std::ranges::greater{});
     for (auto n = max_kept_departures; n < old.size(); ++n)
     {
-        leaving_.erase(old[n].second);
+        leaving_.erase(std::get<worker_instance>(old[n]));
     }
 }
 
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -531,10 +531,11 @@
             ++in_contact;
             refusing += entry.is_fenced ? 1 : 0;
         }
-        if (entry.info || !entry.place || entry.poll_sent_at != time_point{} ||
-            first_polls-- > 0)
+        auto const is_first = !entry.info && entry.poll_sent_at == time_point{};
+        if (!is_first || first_polls > 0)
         {
             send_poll(*worker, now);
+            first_polls -= is_first && entry.poll_in_flight ? 1 : 0;
         }
         ++worker;
     }
