--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -140,7 +140,7 @@
         }
         if (former != workers_.end() &&
             (former->second.incarnation > announcement.instance.incarnation ||
-             (former->second.is_heard() &&
+             (former->second.is_contacted() &&
               former->second.last_contact > now - age)))
         {
             return;
@@ -436,7 +436,7 @@
     record_answer(*worker, order.to, answer, now);
     if (owed != entry.unrecorded.end())
     {
-        on_owed_stop(*worker, owed->second, answer.outcome, now);
+        on_pending_stop(*worker, owed->second, answer.outcome, now);
     }
     if (answer.outcome == order_outcome::fenced)
     {
@@ -639,12 +639,13 @@
     if (!stop.order_in_flight &&
         (is_new || now - stop.sent >= config::order_retry_interval))
     {
-        send_owed_stop(worker, run, stop, now);
+        send_pending_stop(worker, run, stop, now);
     }
 }
 
-auto run_scheduler::on_owed_stop(identified_worker& worker, owed_stop& stop,
-                                 order_outcome outcome, time_point now) -> void
+auto run_scheduler::on_pending_stop(identified_worker& worker,
+                                    pending_stop& stop, order_outcome outcome,
+                                    time_point now) -> void
 {
     stop.order_in_flight = false;
     stop.sent = now;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -367,9 +367,9 @@
     actions_.emplace_back(stop_order{target_of(worker, now), run});
 }
 
-auto run_scheduler::send_owed_stop(identified_worker& worker,
-                                   task_run const& run, owed_stop& stop,
-                                   time_point now) -> void
+auto run_scheduler::send_pending_stop(identified_worker& worker,
+                                      task_run const& run, pending_stop& stop,
+                                      time_point now) -> void
 {
     worker.second.has_open_orders = true;
     if (worker.second.is_fenced)
@@ -477,7 +477,7 @@
         if (!stop.order_in_flight && !stop.is_confirmed &&
             now - stop.sent >= config::order_retry_interval)
         {
-            send_owed_stop(worker, run, stop, now);
+            send_pending_stop(worker, run, stop, now);
         }
     }
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -289,8 +289,8 @@
     auto send_stop(identified_worker& worker, task_run const& run,
                    held_run& held, time_point now) -> void;
     /// Sends the stop of a run that the log has not.
-    auto send_owed_stop(identified_worker& worker, task_run const& run,
-                        owed_stop& stop, time_point now) -> void;
+    auto send_pending_stop(identified_worker& worker, task_run const& run,
+                           pending_stop& stop, time_point now) -> void;
     auto send_poll(identified_worker& worker, time_point now) -> void;
     auto review_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
@@ -386,8 +386,8 @@
     /// the former life of the worker.
     auto process_unrecorded(identified_worker& worker, task_run const& run,
                             time_point now) -> void;
-    auto on_owed_stop(identified_worker& worker, owed_stop& stop,
-                      order_outcome outcome, time_point now) -> void;
+    auto on_pending_stop(identified_worker& worker, pending_stop& stop,
+                         order_outcome outcome, time_point now) -> void;
     auto process_absent(identified_worker& worker, time_point sent,
                         time_point now) -> void;
     /// `list_age` is the age of the lists before; none if there were none.
@@ -676,8 +676,8 @@
         -> std::vector<unanswered_start>;
     [[nodiscard]] auto longest_unstopped(time_point now) const
         -> std::vector<unanswered_stop>;
-    [[nodiscard]] auto unheard_workers(time_point now) const
-        -> std::vector<unheard_worker>;
+    [[nodiscard]] auto uncontacted_workers(time_point now) const
+        -> std::vector<uncontacted_worker>;
     auto count_obstacles(candidate_run const& candidate, plan_pass& pass,
                          obstacle_counts& counts,
                          millicores& largest_free) const -> void;
--- a/src/core/fleet/run_waits.cpp
+++ b/src/core/fleet/run_waits.cpp
@@ -261,10 +261,10 @@
     return out;
 }
 
-auto run_scheduler::unheard_workers(time_point now) const
-    -> std::vector<unheard_worker>
+auto run_scheduler::uncontacted_workers(time_point now) const
+    -> std::vector<uncontacted_worker>
 {
-    std::vector<unheard_worker> out;
+    std::vector<uncontacted_worker> out;
     auto const waited = now - leading_since_;
     if (waited < config::reported_wait)
     {
@@ -272,7 +272,7 @@
     }
     for (auto const& [id, it] : workers_)
     {
-        if (!it.runs.empty() && !it.is_heard())
+        if (!it.runs.empty() && !it.is_contacted())
         {
             out.push_back({{id, it.incarnation},
                            std::ssize(it.runs),
@@ -280,7 +280,7 @@
                            waited});
         }
     }
-    std::ranges::stable_sort(out, std::greater{}, &unheard_worker::runs);
+    std::ranges::stable_sort(out, std::greater{}, &uncontacted_worker::runs);
     out.resize(std::min(out.size(), config::max_reported_waits));
     return out;
 }
@@ -319,7 +319,7 @@
 {
     waiting_work out{longest_waits(now), longest_stalls(now, wall),
                      longest_unanswered(now), longest_unstopped(now),
-                     unheard_workers(now)};
+                     uncontacted_workers(now)};
     if (out.restarts.empty() && out.steps.empty())
     {
         return out;
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -182,7 +182,7 @@
 
 /// A worker with runs of an earlier leader that this leader has got neither an
 /// announcement nor a list of. Its tasks wait until its lease is over.
-struct unheard_worker
+struct uncontacted_worker
 {
     worker_instance worker;
     std::int64_t runs{0};
@@ -197,7 +197,8 @@
     std::vector<stalled_step> steps;
     std::vector<unanswered_start> unanswered;
     std::vector<unanswered_stop> unstopped;
-    std::vector<unheard_worker> unheard; ///< those with the most runs first
+    std::vector<uncontacted_worker>
+        uncontacted; ///< those with the most runs first
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -361,7 +361,7 @@
 
 /// Stop of a run that a worker lists and the log does not have. It is owed
 /// until lists show the run gone.
-struct owed_stop
+struct pending_stop
 {
     time_point since{};
     time_point sent{}; ///< when the last order was sent, or its answer came
@@ -388,8 +388,8 @@
     worker_lease lease;
     warm_up_progress warm_up;
     std::map<task_run, held_run> runs;
-    std::map<task_run, owed_stop> unrecorded; ///< runs that the log has not
-    resources reserved;                       ///< by all runs
+    std::map<task_run, pending_stop> unrecorded; ///< runs that the log has not
+    resources reserved;                          ///< by all runs
     resources finite_reserved;  ///< by runs that end by themselves
     millicores scavenged_cores; ///< by all scavenging runs
     /// Runs with a latency target, by image.
@@ -444,7 +444,7 @@
     bool held_for_restart{false}; ///< in the current pass
 
     /// True if this leader has got an announcement or a list of it.
-    [[nodiscard]] auto is_heard() const -> bool
+    [[nodiscard]] auto is_contacted() const -> bool
     {
         return info || last_list > sequence{};
     }
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -80,7 +80,7 @@
     expect_no_violation();
 }
 
-TEST_F(change_of_leader, a_departure_frees_the_tasks_of_an_unheard_worker)
+TEST_F(change_of_leader, a_departure_frees_the_tasks_of_an_uncontacted_worker)
 {
     fleet.add_worker("w2", 4000);
     fleet.workers.erase("w1");
@@ -125,7 +125,8 @@
     expect_no_violation();
 }
 
-TEST_F(change_of_leader, places_elsewhere_what_an_unheard_worker_does_not_run)
+TEST_F(change_of_leader,
+       places_elsewhere_what_an_uncontacted_worker_does_not_run)
 {
     fleet.deaf.insert("w1");
     fleet.submit("b", {lasting()});
