--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -256,9 +256,9 @@
     {
         return;
     }
-    auto& workflow = workflows_.at(name->workflow);
-    workflow.last_run_end = now;
-    auto& all = workflow.tasks[key.task];
+    auto& owner = workflows_.at(name->workflow);
+    owner.last_run_end = now;
+    auto& all = owner.tasks[key.task];
     all.last_end = now;
     for (auto& it : all.runs)
     {
@@ -267,7 +267,7 @@
             it.at_work = false;
             it.how = how;
             --all.at_work;
-            --workflow.at_work;
+            --owner.at_work;
             if (it.reported)
             {
                 notes_.push_back(
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -39,13 +39,13 @@
 
 auto proxy::note(std::uint64_t id, std::string_view bytes) -> void
 {
-    auto& pipe = pipes_.at(id);
-    pipe.requests.add(bytes);
-    while (auto const it = pipe.requests.next())
+    auto& from = pipes_.at(id);
+    from.requests.add(bytes);
+    while (auto const it = from.requests.next())
     {
         if (on_request)
         {
-            on_request(*it, pipe.peer);
+            on_request(*it, from.peer);
         }
     }
 }
--- a/soak/standing.cpp
+++ b/soak/standing.cpp
@@ -187,8 +187,8 @@
     for (auto const& [each, from] : found)
     {
         auto& it = workflows_.at(task_name::parse(each.name)->workflow);
-        auto& task = it.tasks[each.name];
-        if (std::exchange(task.standing.reported, true))
+        auto& seen = it.tasks[each.name];
+        if (std::exchange(seen.standing.reported, true))
         {
             continue;
         }
@@ -197,7 +197,7 @@
                    (each.is_permanent ? "it has no run"
                                       : "its workflow has nothing running") +
                    " from " + time_of(each.since) + " to " + time_of(now) +
-                   " (" + std::to_string(task.runs.size()) + " runs so far; " +
+                   " (" + std::to_string(seen.runs.size()) + " runs so far; " +
                    std::to_string(standing.size() - 1) + " more stand so, " +
                    std::to_string(moving) + " move)",
                now);
