--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -190,7 +190,7 @@
     std::set<std::string> cut; ///< workers that nothing reaches
     std::set<std::string> draining;
     std::set<std::string> unheard; ///< workers whose announcements are lost
-    std::set<std::string> deaf;        ///< workers whose orders are lost
+    std::set<std::string> deaf;    ///< workers whose orders are lost
     /// Age of announcements when the leader gets them.
     duration announcement_age{};
     duration announcement_interval{seconds{1}};
