Prolong no lease of a worker before it has listed its runs

Callers saw work stand still for up to 8.8 s after a change of leader. Polls of a new leader granted leases for 2.5 s to a worker that was gone and of which another process still passed on an announcement, and each grant moves the end of its runs.

A poll now carries a lease only once this leader has lists of the worker. change_of_leader.a_worker_without_lists_gets_no_longer_lease fails without the change; all 857 tests pass with it.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -432,8 +432,9 @@
                      wait};
     // A poll that arrives late must not extend the lease of a worker whose runs
     // may already count as lost. Without recorded runs, it would only prolong
-    // those that the log has not.
-    if (has_runs && entry.lease.is_sampled() && entry.may_extend_lease(now))
+    // those that the log has not, and before the first lists the doubt about a
+    // worker that is gone.
+    if (has_runs && entry.is_listed && entry.may_extend_lease(now))
     {
         order.lease_end = entry.lease.grant(now, granted_lease(entry));
     }
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -104,6 +104,21 @@
     EXPECT_TRUE(fleet.leader->workers().empty());
 }
 
+// Announcements that other processes keep may be all that is left of it.
+TEST_F(change_of_leader, a_worker_without_lists_gets_no_longer_lease)
+{
+    fleet.add_worker("w2", 4000);
+    ASSERT_TRUE(fleet.run_until_known("w2"));
+    auto const last = fleet.announcement_of("w1");
+    fleet.workers.erase("w1");
+    fleet.lead();
+    fleet.run(milliseconds{300});
+    fleet.leader->on_announcement(last, fleet.now, milliseconds{800});
+    fleet.run(milliseconds{6500});
+    EXPECT_TRUE(is_on("w2"));
+    expect_no_violation();
+}
+
 TEST_F(change_of_leader, stops_cancelled_work_of_a_worker_that_is_not_heard)
 {
     fleet.unheard.insert("w1");
