--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -263,6 +263,22 @@
     EXPECT_TRUE(departures(first).empty());
 }
 
+// A new leader would wait a lease for the workers of those it was not told of.
+TEST_F(announcement_intake_test, keeps_departures_that_no_leader_has_taken)
+{
+    leave("z");
+    now += milliseconds{1};
+    for (auto n = 0U; n < announcement_intake::max_kept_departures; ++n)
+    {
+        leave("w" + std::to_string(n));
+    }
+    auto const told = intake.next_calls(now);
+    ASSERT_EQ(told.size(), 2U);
+    (void)intake.on_answer(told[0], {first, {}, {}});
+    now += announcement_intake::acknowledgement_timeout;
+    EXPECT_EQ(std::ranges::count(departures(second), life("z")), 1);
+}
+
 // Its next departure, which may be of a life that drained elsewhere, must not
 // be taken for that of the life which left before.
 TEST_F(announcement_intake_test, names_no_earlier_life_in_a_later_departure)
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
+#include <variant>
 
 namespace apricotlb
 {
@@ -156,6 +158,95 @@
     expect_no_violation();
 }
 
+// A start that was sent before the election may reach the next life of the
+// worker, beside the run that replaces it.
+TEST_F(change_of_leader, an_unlisted_run_is_not_replaced_while_it_may_start)
+{
+    fleet.deaf.insert("w1");
+    fleet.submit("b", {lasting()});
+    fleet.run(milliseconds{300});
+    fleet.deaf.clear();
+    fleet.unheard.insert("w1");
+    fleet.add_worker("w2", 4000);
+    fleet.lead();
+    fleet.run(milliseconds{1200});
+    auto& worker = *fleet.workers.at("w1");
+    worker.restart(2, fleet.now);
+    start_order const late{{{worker_id{"w1"}, worker_incarnation{1}},
+                            url{"w1:1"},
+                            zone_id{"z1"},
+                            fence_token{2},
+                            fleet.now},
+                           {{workflow_id{"b"}, {}, {}, {}}, run_number{1}},
+                           {},
+                           {},
+                           worker_clock{4000}};
+    worker.serve(platform::run_codec::encode(late), fleet.now);
+    ASSERT_TRUE(worker.running().contains("b.0.0.0"));
+    fleet.unheard.clear();
+    fleet.run(seconds{4});
+    expect_no_violation();
+}
+
+// A successor would end runs that go on until that lease is over.
+TEST_F(change_of_leader, records_a_longer_lease_of_an_earlier_version)
+{
+    fleet.submit("b", {lasting()});
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{1}};
+    fleet.apply(start_runs{{{{{workflow_id{"b"}, {}, {}, {}}, run_number{1}},
+                             {worker_id{"w2"}, worker_incarnation{1}}}}});
+    worker_instance const w2{worker_id{"w2"}, worker_incarnation{1}};
+    fleet.lead();
+    fleet.add_worker("w2", 4000);
+    fleet.workers.erase("w1");
+    fleet.submit("c", {lasting()});
+    ASSERT_TRUE(fleet.run_until_known("w2"));
+    fleet.run(milliseconds{500});
+    ASSERT_TRUE(fleet.workers.at("w2")->running().contains("c.0.0.0"));
+    auto const* const place = fleet.state.workflows().places().find(w2);
+    ASSERT_NE(place, nullptr);
+    EXPECT_GT(place->longest_lease, milliseconds{7000});
+}
+
+// Workers that have left before their first poll would hold up all others.
+TEST_F(change_of_leader, polls_a_worker_behind_hundreds_that_have_left)
+{
+    constexpr std::size_t gone = 300;
+    fleet.submit("b", {fake_fleet::step(gone + 1)});
+    start_runs starts;
+    starts.places.emplace();
+    for (std::size_t n = 0; n <= gone; ++n)
+    {
+        worker_instance const on{
+            worker_id{n < gone ? "v" + std::to_string(n) : "z"},
+            worker_incarnation{1}};
+        starts.runs.push_back({{{workflow_id{"b"},
+                                 {},
+                                 {},
+                                 task_index{static_cast<std::uint32_t>(n)}},
+                                run_number{1}},
+                               on});
+        starts.places->push_back(
+            {on, url{on.id.value() + ":1"}, zone_id{"z1"}, milliseconds{6000}});
+    }
+    fleet.apply(starts);
+    fleet.lead();
+    for (std::size_t n = 0; n < gone; ++n)
+    {
+        fleet.leader->on_announcement(departure_of("v" + std::to_string(n)),
+                                      fleet.now);
+    }
+    fleet.leader->tick(fleet.now);
+    auto const actions = fleet.leader->take_actions();
+    EXPECT_TRUE(std::ranges::any_of(
+        actions,
+        [](fleet_action const& it)
+        {
+            auto const* const poll = std::get_if<poll_order>(&it);
+            return poll != nullptr && poll->to.instance.id == worker_id{"z"};
+        }));
+}
+
 // A task would run on both lives of what are two workers by then.
 TEST_F(change_of_leader, a_worker_that_has_moved_is_not_ended_by_its_successor)
 {
