Keep the stand-in of the soak to its lease

The soak stood still for over 4 s; the leader had ended the runs as lease_over, and the stand-in then ended them as done although its lease was over. The platform kills what runs at that time, and its rule takes no note of an end that is acknowledged after the lease has lapsed.

Leases are now brought up to date before an end, an order and, for all workers, a start. soak_worker.ends_nothing_as_done_after_its_lease fails if the check is 700 ms late and passes now.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -160,6 +160,13 @@
             {
                 workers_.back()->set_disturbance_ms(disturbance_ms);
             }
+            workers_.back()->before_start = [this]
+            {
+                for (auto const& it : workers_)
+                {
+                    it->end_if_lapsed();
+                }
+            };
             workers_.back()->start(true);
         }
     }
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -277,6 +277,7 @@
 auto worker::carry_out(std::string const& path, json const& body,
                        http_server::reply const& reply, bool is_late) -> void
 {
+    end_if_lapsed();
     auto const fence = body.value("fencing_token", std::int64_t{0});
     if (fence < fence_)
     {
@@ -375,6 +376,10 @@
     {
         held_since = origin.sent_at;
     }
+    if (before_start)
+    {
+        before_start();
+    }
     ledger_.on_start(it.key, body.value("spec", std::string{}), it.checkpoint,
                      is_late, clock_.now(), held_since, origin);
     auto& added = runs_[task] = std::move(it);
@@ -426,7 +431,12 @@
                 found->second.key.number == number)
             {
                 found->second.end_timer.reset();
-                end_run(task, found->second.fails ? "failed" : "done");
+                end_if_lapsed();
+            }
+            if (runs_.contains(task) && life == life_ &&
+                runs_.at(task).key.number == number)
+            {
+                end_run(task, runs_.at(task).fails ? "failed" : "done");
             }
         });
 }
@@ -481,7 +491,7 @@
     }
     closed_[task] = std::max(closed_[task], it.key.number);
     ledger_.on_end(it.key, how, clock_.now());
-    ends_.push_back({++last_end_, it.key, how, it.checkpoint});
+    ends_.push_back({++last_end_, it.key, how, it.checkpoint, false});
     answer_holds();
 }
 
@@ -498,7 +508,10 @@
     auto const seen = body.value("ack_cursor", std::int64_t{0});
     while (!ends_.empty() && ends_.front().number <= seen)
     {
-        ledger_.on_end_recorded(ends_.front().key, clock_.now());
+        if (!ends_.front().lapsed_since)
+        {
+            ledger_.on_end_recorded(ends_.front().key, clock_.now());
+        }
         ends_.pop_front();
     }
     auto const is_answered = std::make_shared<bool>(false);
@@ -561,7 +574,6 @@
     {
         return;
     }
-    std::vector<std::string> lapsed;
     for (auto& [task, it] : runs_)
     {
         auto const age =
@@ -574,14 +586,23 @@
                             std::to_string(++checkpoints_);
             ledger_.on_checkpoint(task, it.checkpoint);
         }
-        if (clock_ms() > deadline_)
-        {
-            lapsed.push_back(task);
-        }
     }
-    for (auto const& task : lapsed)
+    end_if_lapsed();
+}
+
+auto worker::end_if_lapsed() -> void
+{
+    if (!is_up_ || clock_ms() <= deadline_)
+    {
+        return;
+    }
+    for (auto& it : ends_)
+    {
+        it.lapsed_since = true;
+    }
+    while (!runs_.empty())
     {
-        end_run(task, "lapsed");
+        end_run(std::string{runs_.begin()->first}, "lapsed");
     }
 }
 
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -56,6 +56,11 @@
     /// Tail latency that a serving task lists for each task that scavenges
     /// beside it.
     auto set_disturbance_ms(std::int64_t it) -> void { disturbance_ms_ = it; }
+    /// Ends what runs if the lease is over. The soak may have stood still since
+    /// then; on a worker of its own the time would not have been missed.
+    auto end_if_lapsed() -> void;
+    /// Called before a start is carried out.
+    std::function<void()> before_start;
     /// Carries orders out only after a delay, and answers none meanwhile.
     auto set_late(duration delay) -> void { late_ = delay; }
     /// Stops reading and sending, as a suspended machine.
@@ -88,6 +93,9 @@
         run_key key;
         std::string how;
         std::string checkpoint;
+        /// The lease has lapsed since, so that it doesn't count as taken note
+        /// of any more.
+        bool lapsed_since{false};
     };
 
     [[nodiscard]] auto clock_ms() const -> std::int64_t;
