Claim the addresses of a soak for one run

A run now holds a bound socket in its block of addresses and takes the next block if it is taken. soak_addresses.are_claimed_by_one_run_only fails if the first block is taken unseen.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -116,17 +116,13 @@
         return out;
     }
 
-    /// The second octet of the loopback addresses, so that runs side by side do
-    /// not meet.
     [[nodiscard]] auto deployment() const -> deployment_options
     {
-        constexpr int first{16};
-        constexpr int octets{200};
         deployment_options out;
         out.binary = options_.binary;
         out.templates = options_.templates;
         out.folder = folder_;
-        out.first_octets = first + ::getpid() % octets;
+        out.first_octets = octet_;
         out.entries = options_.entries;
         out.cores = options_.cores;
         out.unread_logs = options_.unread_logs;
@@ -359,6 +355,8 @@
     }
 
     options options_;
+    /// The second octet of the loopback addresses.
+    int octet_{claim_octet(::getpid())};
     std::filesystem::path folder_;
     glib_clock clock_;
     disturbances disturbed_;
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -2,14 +2,17 @@
 
 #include <fcntl.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <sched.h>
 #include <spawn.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
@@ -135,6 +138,29 @@
     return ip + ready_port;
 }
 
+auto claim_octet(int hint) -> int
+{
+    constexpr int first{16};
+    constexpr int octets{200};
+    constexpr std::uint16_t port{7999};
+    for (auto n = 0; n < octets; ++n)
+    {
+        auto const octet = first + (hint + n) % octets;
+        auto const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(port);
+        at.sin_addr.s_addr =
+            htonl(0x7f00fffeU | static_cast<unsigned>(octet) << 16U);
+        if (::bind(fd, reinterpret_cast<sockaddr const*>(&at), sizeof at) == 0)
+        {
+            return octet;
+        }
+        ::close(fd);
+    }
+    throw std::runtime_error("no loopback addresses are free");
+}
+
 processes::processes(glib_clock& clock, ledger& seen, disturbances& disturbed,
                      deployment_options options)
     : clock_(clock), ledger_(seen), disturbed_(disturbed),
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -56,6 +56,10 @@
 /// be run. A soak without its program finds nothing but ended processes.
 auto check_program(std::filesystem::path const& program) -> void;
 
+/// Claims a second octet of the loopback addresses until this process ends, so
+/// that runs side by side do not meet; tries the one of `hint` first.
+[[nodiscard]] auto claim_octet(int hint) -> int;
+
 class processes
 {
 public:
--- a/tests/soak_program_test.cpp
+++ b/tests/soak_program_test.cpp
@@ -56,6 +56,13 @@
 
 } // namespace
 
+// Two runs on the same addresses mix their deployments.
+TEST(soak_addresses, are_claimed_by_one_run_only)
+{
+    auto const first = claim_octet(100);
+    EXPECT_NE(claim_octet(100), first);
+}
+
 TEST_F(soak_program, is_taken_if_it_runs)
 {
     EXPECT_EQ(refusal("/bin/true"), "");
