--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -469,19 +469,6 @@
                                &step_plan::permanent);
 }
 
-auto ledger::is_done(std::string const& id) const -> bool
-{
-    auto const& it = workflows_.at(id);
-    for (std::size_t n = 0; n < it.plan.steps.size(); ++n)
-    {
-        if (!is_step_done(it, 0, static_cast<int>(n)))
-        {
-            return false;
-        }
-    }
-    return true;
-}
-
 auto ledger::is_idle_since(std::string const& id, time_point since) const
     -> bool
 {
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -200,7 +200,6 @@
     [[nodiscard]] auto plan_of(std::string const& id) const
         -> workflow_plan const*;
     [[nodiscard]] auto is_permanent(std::string const& id) const -> bool;
-    [[nodiscard]] auto is_done(std::string const& id) const -> bool;
     /// True if none of its runs has been at work since a point of time.
     [[nodiscard]] auto is_idle_since(std::string const& id,
                                      time_point since) const -> bool;
