--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -1,6 +1,7 @@
 #include "soak/ledger.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -9,38 +10,11 @@
 
 auto name_of(promise it) -> std::string_view
 {
-    switch (it)
-    {
-    case promise::unasked:
-        return "unasked";
-    case promise::twice:
-        return "twice";
-    case promise::order:
-        return "order";
-    case promise::refused:
-        return "refused";
-    case promise::drain:
-        return "drain";
-    case promise::lost:
-        return "lost";
-    case promise::cut:
-        return "cut";
-    case promise::shown:
-        return "shown";
-    case promise::config_order:
-        return "config_order";
-    case promise::config_refused:
-        return "config_refused";
-    case promise::config_invalid:
-        return "config_invalid";
-    case promise::config_missing:
-        return "config_missing";
-    case promise::unacknowledged:
-        return "unacknowledged";
-    case promise::process:
-        break;
-    }
-    return "process";
+    constexpr auto names = std::to_array<std::string_view>(
+        {"unasked", "twice", "order", "refused", "drain", "lost", "cut",
+         "shown", "config_order", "config_refused", "config_invalid",
+         "config_missing", "unacknowledged", "process"});
+    return names.at(static_cast<std::size_t>(it));
 }
 
 auto task_name::parse(std::string const& text) -> std::optional<task_name>
