Give each test of the soak's worker its own addresses

The two tests of the fixture listened on the same fixed ports, and ctest runs them in separate processes at the same time. The process that could not listen called the worker of the other one, which ended before the second call.

The fixture now claims a block of loopback addresses for its process, as the soak does.

--- a/tests/soak_worker_test.cpp
+++ b/tests/soak_worker_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/glib_clock.hpp"
 #include "soak/http.hpp"
 #include "soak/ledger.hpp"
+#include "soak/processes.hpp"
 #include "soak/worker.hpp"
 
 #include <glib.h>
@@ -67,8 +68,9 @@
     glib_clock clock;
     disturbances disturbed;
     ledger seen{bounds{}, disturbed};
-    worker_place place{"i0", "z0", "r0", "127.0.0.1:18431", "127.0.0.1:18432"};
-    worker it{clock, seen, 1, place, {"127.0.0.1:18433"}};
+    std::string ip{"127." + std::to_string(claim_octet(0)) + ".0.1"};
+    worker_place place{"i0", "z0", "r0", ip + ":8001", ip + ":8002"};
+    worker it{clock, seen, 1, place, {ip + ":8003"}};
 };
 
 // A soak that stands still would report what a real worker can't do.
