Keep the lease of the HTTP tests for longer than their waits

The entry of the fixture has a lease of 2 s, renewed when a test sends a request. A process that does not run for 2 s between that and the dispatch of the request refuses it, as it should, and the test waits for a backend call that never comes.

Traced with 120 copies that were stopped by SIGSTOP for up to 2.4 s after every half millisecond: 82 passed, 32 failed, 6 were given up after 200 s; the answers of the entry say lease_lapsed. No test of the file is about leases. The fixture now renews them for five minutes, and the first wait prints the answer of the entry. Again with 120 copies: all passed, the longest in 135 s.

--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,9 +33,7 @@
         // Long enough that no test depends on how fast the machine is.
         leader.add_customer("acme", seconds{30});
         leader.add_backend("b1", "acme", "reports", "http://" + listener.at());
-        leader.renew(clock.now());
-        // A second lease keeps a slow run from lapsing in the middle.
-        leader.renew(clock.now());
+        renew();
         entry = std::make_unique<role>(clock, source, upstream, log, metrics,
                                        leader.view(), entry_options{});
         auto const at = source.listen("127.0.0.1:0");
@@ -42,10 +41,17 @@
         entry_at = at.value();
     }
 
+    /// Grants a lease that outlasts the longest wait, so that no test depends
+    /// on how fast the machine is.
+    auto renew() -> void
+    {
+        leader.renew(clock.now() + std::chrono::minutes{5});
+    }
+
     auto call(std::string const& head, std::string const& body = {})
         -> raw_socket
     {
-        leader.renew(clock.now());
+        renew();
         auto it = raw_socket::connect(entry_at);
         it.send(head + "\r\nHost: e\r\nAuthorization: Bearer acme-token\r\n" +
                 "\r\n" + body);
@@ -173,7 +179,7 @@
 {
     auto first = call("GET /s/reports/a HTTP/1.1");
     auto kept = accept();
-    ASSERT_TRUE(read(kept, "\r\n\r\n"));
+    ASSERT_TRUE(read(kept, "\r\n\r\n")) << first.text();
     kept.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     ASSERT_TRUE(read(first, "ok"));
     ASSERT_TRUE(run_until([&] { return entry->in_use().empty(); }));
