Log why and after how long a leader left its office

A leader that became a follower left no line that says why, so that elections that follow each other over a lossy link could not be told from followers that depose their leader.

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -37,6 +37,9 @@
 }
 
 // Replicated log.
+/// An office of a leader that ends within this time counts as short: a series
+/// of them shows elections that follow each other.
+inline constexpr duration short_office = 1s;
 inline constexpr duration election_timeout_min = 400ms;
 inline constexpr duration election_timeout_max = 800ms;
 inline constexpr duration raft_heartbeat = 100ms;
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -71,6 +71,7 @@
             { on_command_applied(it, result); });
         replica_.on_leadership([this](bool is_leading, term in_term)
                                { change_leadership(is_leading, in_term); });
+        replica_.on_role([this](role_change const& it) { report_role(it); });
         replica_.on_disk_event(
             [this](disk_event it, std::string const& cause)
             {
@@ -145,7 +146,7 @@
     /// Called after each change of the role, the term or the known leader.
     auto on_role(std::function<void(role_change const&)> callback) -> void
     {
-        replica_.on_role(std::move(callback));
+        on_role_ = std::move(callback);
     }
     /// Returns the load of the replica since the last call.
     [[nodiscard]] auto take_load() -> replica_load
@@ -349,6 +350,23 @@
 
     // Leadership.
 
+    auto report_role(role_change const& it) -> void
+    {
+        if (it.office)
+        {
+            metrics_.count(metric::office_ends, name_of(it.office->reason));
+            if (it.office->length < config::short_office)
+            {
+                metrics_.count(metric::short_offices,
+                               name_of(it.office->reason));
+            }
+        }
+        if (on_role_)
+        {
+            on_role_(it);
+        }
+    }
+
     auto change_leadership(bool is_leading, term in_term) -> void
     {
         metrics_.count("apricotlb_leadership_changes_total",
@@ -999,6 +1017,7 @@
     replica<Clock, raft_link<Transport>, Store, machine_type> replica_;
     std::optional<leader_state> leader_;
     std::function<void(term)> on_leading_;
+    std::function<void(role_change const&)> on_role_;
     std::function<void(read_report const&)> on_reads_;
     read_report reads_;             ///< since the last report
     time_point next_read_report_{}; ///< not before
--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -37,10 +37,26 @@
 
 auto log_role(role_change const& it) -> void
 {
-    load_logger.info("role", {{"role", name_of(it.role)},
-                              {"term", it.in_term},
-                              {"leader", it.leader ? it.leader->value() : ""},
-                              {"leader_silent_ms", to_ms(it.leader_silence)}});
+    std::vector<log_field> fields{
+        {"role", name_of(it.role)},
+        {"term", it.in_term},
+        {"leader", it.leader ? it.leader->value() : ""},
+        {"leader_silent_ms", to_ms(it.leader_silence)}};
+    if (it.office)
+    {
+        fields.emplace_back("office_end", name_of(it.office->reason));
+        fields.emplace_back("office_ms", to_ms(it.office->length));
+        fields.emplace_back("majority_silent_ms",
+                            to_ms(it.office->majority_silence));
+        std::string silent;
+        for (auto const& id : it.office->silent)
+        {
+            silent += silent.empty() ? "" : " ";
+            silent += id.value();
+        }
+        fields.emplace_back("silent", std::move(silent));
+    }
+    load_logger.info("role", fields);
 }
 
 auto log_disk(disk_event it, std::string const& cause) -> void
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -140,6 +140,7 @@
     term in_term;
     std::optional<node_id> leader;
     duration leader_silence{}; ///< time since the last message of a leader
+    std::optional<ended_office> office; ///< of this replica, if it has ended
 };
 
 /// One member of the group with its store and its state.
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -456,7 +456,8 @@
         return;
     }
     reported_role_ = {core_->role(), core_->current_term(), core_->leader(),
-                      clock_.now() - core_->last_leader_contact()};
+                      clock_.now() - core_->last_leader_contact(),
+                      core_->take_ended_office()};
     on_role_(reported_role_);
 }
 
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -22,6 +22,24 @@
 
 } // namespace
 
+auto name_of(office_end it) -> std::string_view
+{
+    switch (it)
+    {
+    case office_end::no_majority:
+        return "no_majority";
+    case office_end::higher_term:
+        return "higher_term";
+    case office_end::removed:
+        return "removed";
+    case office_end::disk_full:
+        return "disk_full";
+    case office_end::resigned:
+        break;
+    }
+    return "resigned";
+}
+
 auto raft::builder::self(node_id it) -> builder&
 {
     self_ = std::move(it);
@@ -118,7 +136,8 @@
     {
         if (now >= quorum_deadline())
         {
-            become_follower(now, term_and_vote_.current, std::nullopt);
+            become_follower(now, term_and_vote_.current, std::nullopt,
+                            office_end::no_majority);
         }
         else if (now >= next_heartbeat_)
         {
@@ -264,7 +283,8 @@
     auto const is_sole_leader = role_ == raft_role::leader && quorum() == 1;
     if (!is_writable && role_ != raft_role::follower && !is_sole_leader)
     {
-        become_follower(now, term_and_vote_.current, std::nullopt);
+        become_follower(now, term_and_vote_.current, std::nullopt,
+                        office_end::disk_full);
     }
     return take_actions();
 }
@@ -273,7 +293,8 @@
 {
     if (role_ == raft_role::leader)
     {
-        become_follower(now, term_and_vote_.current, std::nullopt);
+        become_follower(now, term_and_vote_.current, std::nullopt,
+                        office_end::resigned);
     }
     return take_actions();
 }
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -27,6 +27,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace apricotlb
@@ -40,6 +42,29 @@
     leader,
 };
 
+/// Why a leader has left its office.
+enum class office_end : std::uint8_t
+{
+    no_majority, ///< no majority of the voters has answered for too long
+    higher_term, ///< another member has a higher term
+    removed,     ///< the group has removed this member
+    disk_full,
+    resigned,
+};
+
+[[nodiscard]] auto name_of(office_end it) -> std::string_view;
+
+/// Describes an office that has ended.
+struct ended_office
+{
+    office_end reason{office_end::resigned};
+    duration length{};
+    /// Time since the sending of the newest message that a majority answered.
+    duration majority_silence{};
+    /// Voters that have answered nothing sent within election_timeout_min.
+    std::vector<node_id> silent;
+};
+
 struct addressed_message
 {
     node_id to;
@@ -148,6 +173,11 @@
     {
         return last_leader_contact_;
     }
+    /// Returns the office that has ended since the last call, if any.
+    [[nodiscard]] auto take_ended_office() -> std::optional<ended_office>
+    {
+        return std::exchange(ended_office_, std::nullopt);
+    }
     [[nodiscard]] auto commit_index() const -> log_index { return commit_; }
     [[nodiscard]] auto log() const -> raft_log const& { return log_; }
     [[nodiscard]] auto status() const -> raft_status;
@@ -200,7 +230,10 @@
     auto start_election(time_point now) -> void;
     auto become_leader(time_point now) -> void;
     auto become_follower(time_point now, term in_term,
-                         std::optional<node_id> leader) -> void;
+                         std::optional<node_id> leader,
+                         office_end reason = office_end::higher_term) -> void;
+    [[nodiscard]] auto describe_office(time_point now, office_end reason) const
+        -> ended_office;
     auto record_leader_contact(time_point now, node_id const& leader) -> void;
     auto handle(time_point now, node_id const& from,
                 request_vote const& request) -> void;
@@ -240,6 +273,10 @@
     template <class TimeOf>
     [[nodiscard]] auto majority_time(time_point own, TimeOf time_of) const
         -> time_point;
+    /// When a majority of the voters last answered: the sending time of the
+    /// newest message that each of them has answered, or the start of the
+    /// office.
+    [[nodiscard]] auto last_majority_answer(time_point own) const -> time_point;
     [[nodiscard]] auto quorum_deadline() const -> time_point;
 
     // raft_follower.cpp
@@ -285,6 +322,7 @@
     // Used on the leader only, except durable_index_.
     std::map<node_id, peer> peers_;
     time_point leader_since_{};
+    std::optional<ended_office> ended_office_;
     time_point next_heartbeat_{};
     log_index durable_index_; ///< last entry that is durable on this member
     log_index first_index_of_term_; ///< the no-op entry of the current term
--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -83,10 +83,12 @@
 }
 
 auto raft::become_follower(time_point now, term in_term,
-                           std::optional<node_id> leader) -> void
+                           std::optional<node_id> leader, office_end reason)
+    -> void
 {
     if (role_ == raft_role::leader)
     {
+        ended_office_ = describe_office(now, reason);
         election_deadline_ = now + election_timeout_;
     }
     if (in_term > term_and_vote_.current)
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -295,7 +295,8 @@
     commit_to(index);
     if (!is_voter(self_) && log_.members_index() <= commit_)
     {
-        become_follower(now, term_and_vote_.current, std::nullopt);
+        become_follower(now, term_and_vote_.current, std::nullopt,
+                        office_end::removed);
     }
 }
 
@@ -351,19 +352,42 @@
     return since != time_point::min() && now < since + config::leader_lease;
 }
 
-/// Check-quorum: the leader steps down at this time unless more answers arrive.
-/// It lies election_timeout_min after the send time of the newest message that
-/// a majority of the voters has answered.
-auto raft::quorum_deadline() const -> time_point
+auto raft::last_majority_answer(time_point own) const -> time_point
 {
     auto const since = majority_time(
-        time_point::max() - config::election_timeout_min,
+        own,
         [this](peer const& it)
         {
             return std::max(it.acked_send_time.value_or(leader_since_),
                             leader_since_);
         });
-    return std::max(since, leader_since_) + config::election_timeout_min;
+    return std::max(since, leader_since_);
+}
+
+/// Check-quorum: the leader steps down at this time unless more answers arrive.
+auto raft::quorum_deadline() const -> time_point
+{
+    return last_majority_answer(time_point::max() -
+                                config::election_timeout_min) +
+           config::election_timeout_min;
+}
+
+auto raft::describe_office(time_point now, office_end reason) const
+    -> ended_office
+{
+    ended_office out{
+        reason, now - leader_since_, now - last_majority_answer(now), {}};
+    for (auto const& member : log_.members())
+    {
+        auto const found = peers_.find(member.id);
+        if (member.role == member_role::voter && found != peers_.end() &&
+            now - found->second.acked_send_time.value_or(leader_since_) >=
+                config::election_timeout_min)
+        {
+            out.silent.push_back(member.id);
+        }
+    }
+    return out;
 }
 
 } // namespace apricotlb
--- a/src/ports/metrics.hpp
+++ b/src/ports/metrics.hpp
@@ -30,6 +30,11 @@
     "apricotlb_peer_messages_total";
 inline constexpr std::string_view calls_without_leader =
     "apricotlb_calls_without_leader_total";
+/// Offices of this process as the leader that have ended, by the reason.
+inline constexpr std::string_view office_ends = "apricotlb_office_ends_total";
+/// Those of them that ended within config::short_office.
+inline constexpr std::string_view short_offices =
+    "apricotlb_short_offices_total";
 inline constexpr std::string_view disk_events = "apricotlb_disk_events_total";
 inline constexpr std::string_view run_ends = "apricotlb_run_ends_total";
 inline constexpr std::string_view run_events = "apricotlb_run_events_total";
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -227,6 +227,29 @@
     EXPECT_EQ(it.propose("x").error().kind, error_kind::not_leader);
 }
 
+// Elections that follow each other could not be told apart by their causes.
+TEST(raft, describes_the_office_that_has_ended)
+{
+    auto it = make({"a", "b", "c"});
+    lead(it, late);
+    accept(it, "b", late + milliseconds{30}, 1, late + milliseconds{20});
+    EXPECT_FALSE(it.take_ended_office());
+    auto const end = it.next_tick() + seconds{10};
+    it.tick(end, random_bits{0});
+    ASSERT_EQ(it.role(), raft_role::follower);
+    auto const office = it.take_ended_office();
+    ASSERT_TRUE(office);
+    EXPECT_EQ(office->reason, office_end::no_majority);
+    EXPECT_EQ(office->length, end - late);
+    EXPECT_EQ(office->majority_silence, end - late - milliseconds{20});
+    EXPECT_EQ(office->silent, (std::vector{node_id{"b"}, node_id{"c"}}));
+    EXPECT_FALSE(it.take_ended_office()) << "reported twice";
+
+    lead(it, end + seconds{1});
+    answer(it, end + seconds{1}, "c", append_entries{term{99}, {}, {}, {}, {}});
+    EXPECT_EQ(it.take_ended_office()->reason, office_end::higher_term);
+}
+
 // A leader that resigns must lose its lease at once, and only a higher term
 // may follow, also if it is the only voter.
 TEST(raft, a_leader_that_resigns_is_followed_by_a_higher_term)
