Send no stop or pace order without the leader's lease

A leader whose lease is over may have a successor. Starts and polls were held back then, stops and paces were not, so that a stop could end a run that the successor keeps. The time was 20 ms at most, as the leader resigned soon after; it becomes longer with an office that outlasts the lease.

driver_fixture.sends_no_stop_without_the_leader_lease fails on (one stop was sent) and passes now.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -461,9 +461,7 @@
             });
         // A process without the leader's lease may have a successor, which may
         // have cancelled the run or counted the worker's lease as over.
-        constexpr auto extends_work = std::is_same_v<Order, start_order> ||
-                                      std::is_same_v<Order, poll_order>;
-        if (extends_work && !log_.is_current())
+        if (!log_.is_current())
         {
             answer refused;
             refused.outcome = order_outcome::not_sent;
--- a/tests/workflow_driver_test.cpp
+++ b/tests/workflow_driver_test.cpp
@@ -192,6 +192,21 @@
     EXPECT_EQ(workers.polls, 2);
 }
 
+// A leader without its lease may have a successor that keeps the run.
+TEST_F(driver_fixture, sends_no_stop_without_the_leader_lease)
+{
+    announce();
+    holds_lease = false;
+    command const cancel{cancel_workflow{workflow_id{"a"}, {}}};
+    state.apply(std::get<cancel_workflow>(cancel), log_index{4});
+    driver.on_applied(cancel, state);
+    clock.advance(milliseconds{500});
+    EXPECT_EQ(workers.stops, 0);
+    holds_lease = true;
+    clock.advance(config::order_retry_interval + milliseconds{500});
+    EXPECT_GT(workers.stops, 0);
+}
+
 // A leader whose fleet is full planned without a pause and read the answers of
 // its followers too late to keep its leadership.
 TEST(workflow_driver,
