Let the office of a leader outlast its lease

Callers saw accepted work stand still and calls without an answer: over a link that loses packets, leaders followed each other for as long as the loss lasted. A leader resigned once no majority had answered for 400 ms, and one lost packet stalls a TCP connection for a retransmission of 200 ms, the next for 400 ms more. Where the majority needs such a link, each office ended within a second, and an election over the same link followed.

The lease still ends 381 ms after the newest answered message, and with it what rests on it: reads, orders, and callers, who are told at that moment that the outcome of their proposals is unknown. The office ends after 2 s without an answer of a majority. Meanwhile the leader goes on sending and keeps its own proposals, so that a late answer renews the lease without an election.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -236,7 +236,8 @@
                 {
                     done(got ? result<void>{outcome::success()}
                              : result<void>{outcome::failure(got.error())});
-                });
+                },
+                proposal_origin::leader);
         }
         auto resign() const -> void
         {
@@ -424,14 +425,16 @@
     auto propose_own(command it) -> void
     {
         auto bytes = Codec::encode(it);
-        replica_.propose(std::move(bytes),
-                         [this, it = std::move(it)](result<log_index> done)
-                         {
-                             if (done.has_error() && leader_)
-                             {
-                                 leader_->on_not_applied(it, clock_.now());
-                             }
-                         });
+        replica_.propose(
+            std::move(bytes),
+            [this, it = std::move(it)](result<log_index> done)
+            {
+                if (done.has_error() && leader_)
+                {
+                    leader_->on_not_applied(it, clock_.now());
+                }
+            },
+            proposal_origin::leader);
     }
 
     auto execute_actions() -> void
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -118,6 +118,7 @@
 {
     caller,
     system_operator, ///< may use the reserved places of the queue
+    leader,          ///< waits for its outcome while this replica leads
 };
 
 /// What a replica does because its disk is full, or nearly so.
@@ -194,7 +195,8 @@
 
     /// Proposes a command. The callback runs once: with the index after the
     /// command was applied on this replica; with no_leader if the outcome is
-    /// unknown; or immediately with another error if the command was not
+    /// unknown, for a caller or an operator once the lease is over; or
+    /// immediately with another error if the command was not
     /// proposed.
     auto propose(encoded payload, completion callback,
                  proposal_origin origin = proposal_origin::caller) -> void;
@@ -233,6 +235,7 @@
         term in_term;
         std::size_t bytes{0};
         completion callback;
+        proposal_origin origin{proposal_origin::caller};
     };
 
     auto open() -> result<void>;
@@ -244,7 +247,7 @@
     auto apply_committed() -> void;
     auto apply(log_entry const& entry) -> void;
     auto add_pending(result<log_index> index, std::size_t bytes,
-                     completion callback) -> void;
+                     completion callback, proposal_origin origin) -> void;
     auto schedule_flush() -> void;
     [[nodiscard]] auto next_flush() const -> time_point;
     auto flush() -> void;
@@ -256,6 +259,8 @@
     auto report_role() -> void;
     auto sync() -> result<void>;
     auto fail_pending(error const& it) -> void;
+    /// Tells callers that the outcome of their proposals is unknown.
+    auto fail_callers() -> void;
     auto arm_timer() -> void;
     auto stop(error const& it) -> void;
     /// Stops the replica unless the disk is only full.
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -120,7 +120,8 @@
         }
     }
     auto const bytes = payload.size();
-    add_pending(core_->propose(std::move(payload)), bytes, std::move(callback));
+    add_pending(core_->propose(std::move(payload)), bytes, std::move(callback),
+                origin);
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -141,7 +142,8 @@
         callback(outcome::failure(*disk_full_));
         return;
     }
-    add_pending(core_->change_member(change), 0, std::move(callback));
+    add_pending(core_->change_member(change), 0, std::move(callback),
+                proposal_origin::caller);
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -159,7 +161,8 @@
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::add_pending(
-    result<log_index> index, std::size_t bytes, completion callback) -> void
+    result<log_index> index, std::size_t bytes, completion callback,
+    proposal_origin origin) -> void
 {
     if (!index)
     {
@@ -167,7 +170,7 @@
         return;
     }
     pending_[index.value()] = {core_->current_term(), bytes,
-                               std::move(callback)};
+                               std::move(callback), origin};
     pending_bytes_ += bytes;
     schedule_flush();
 }
@@ -493,6 +496,10 @@
             {error_kind::no_leader,
              "this replica stepped down before the proposal was committed"});
     }
+    else if (leading_term_ && !core_->has_lease(clock_.now()))
+    {
+        fail_callers();
+    }
     else if (!leading_term_ && committed_.empty() &&
              core_->has_lease(clock_.now()))
     {
@@ -517,6 +524,30 @@
     }
 }
 
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::fail_callers() -> void
+{
+    std::vector<completion> callers;
+    for (auto it = pending_.begin(); it != pending_.end();)
+    {
+        if (it->second.origin == proposal_origin::leader)
+        {
+            ++it;
+            continue;
+        }
+        pending_bytes_ -= it->second.bytes;
+        callers.push_back(std::move(it->second.callback));
+        it = pending_.erase(it);
+    }
+    for (auto const& callback : callers)
+    {
+        callback(fail(error_kind::no_leader,
+                      "no majority of the group answers the leader"));
+    }
+}
+
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -132,6 +132,7 @@
 
 auto raft::tick(time_point now, random_bits random) -> raft_actions
 {
+    last_tick_ = now;
     if (role_ == raft_role::leader)
     {
         if (now >= quorum_deadline())
@@ -159,9 +160,14 @@
 
 auto raft::next_tick() const -> time_point
 {
-    return role_ == raft_role::leader
-               ? std::min(next_heartbeat_, quorum_deadline())
-               : election_deadline_;
+    if (role_ != raft_role::leader)
+    {
+        return election_deadline_;
+    }
+    auto const next = std::min(next_heartbeat_, quorum_deadline());
+    // The driver refuses callers once the lease is over.
+    auto const end = lease_end();
+    return end > last_tick_ ? std::min(next, end) : next;
 }
 
 auto raft::receive(time_point now, node_id const& from, raft_message message)
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -127,6 +127,12 @@
 public:
     class builder;
 
+    /// Time without an answer of a majority after which a leader resigns. Its
+    /// lease ends earlier, with config::leader_lease. Three packets in a row
+    /// that are lost stall a TCP connection for 1.4 s (retransmissions after
+    /// 200, 400 and 800 ms); an election over the same link takes no less.
+    static constexpr duration max_majority_silence = seconds{2};
+
     /// Handles expired timeouts. random determines the next election timeout.
     auto tick(time_point now, random_bits random) -> raft_actions;
     /// The time at which tick is due next.
@@ -277,6 +283,9 @@
     /// newest message that each of them has answered, or the start of the
     /// office.
     [[nodiscard]] auto last_majority_answer(time_point own) const -> time_point;
+    /// When the lease ends unless more answers arrive; time_point::min()
+    /// without a majority.
+    [[nodiscard]] auto lease_end() const -> time_point;
     [[nodiscard]] auto quorum_deadline() const -> time_point;
 
     // raft_follower.cpp
@@ -322,6 +331,7 @@
     // Used on the leader only, except durable_index_.
     std::map<node_id, peer> peers_;
     time_point leader_since_{};
+    time_point last_tick_{};
     std::optional<ended_office> ended_office_;
     time_point next_heartbeat_{};
     log_index durable_index_; ///< last entry that is durable on this member
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -340,16 +340,18 @@
     return times.empty() ? time_point::min() : times[quorum() - 1];
 }
 
-auto raft::has_lease(time_point now) const -> bool
+auto raft::lease_end() const -> time_point
 {
-    if (role_ != raft_role::leader || commit_ < first_index_of_term_)
-    {
-        return false;
-    }
     auto const since = majority_time(
-        now, [](peer const& it)
+        time_point::max() - config::leader_lease, [](peer const& it)
         { return it.acked_send_time.value_or(time_point{time_point::min()}); });
-    return since != time_point::min() && now < since + config::leader_lease;
+    return since == time_point::min() ? since : since + config::leader_lease;
+}
+
+auto raft::has_lease(time_point now) const -> bool
+{
+    return role_ == raft_role::leader && commit_ >= first_index_of_term_ &&
+           now < lease_end();
 }
 
 auto raft::last_majority_answer(time_point own) const -> time_point
@@ -367,9 +369,8 @@
 /// Check-quorum: the leader steps down at this time unless more answers arrive.
 auto raft::quorum_deadline() const -> time_point
 {
-    return last_majority_answer(time_point::max() -
-                                config::election_timeout_min) +
-           config::election_timeout_min;
+    return last_majority_answer(time_point::max() - max_majority_silence) +
+           max_majority_silence;
 }
 
 auto raft::describe_office(time_point now, office_end reason) const
--- a/tests/lost_disk_term_test.cpp
+++ b/tests/lost_disk_term_test.cpp
@@ -251,7 +251,7 @@
         machines it{seed};
         it.run(seconds{2});
         auto& links = it.group.links;
-        for (auto n = 0; n < 40; ++n)
+        for (auto n = 0; n < 60; ++n)
         {
             auto const machine = links.below(machines::count);
             switch (links.below(7))
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -212,13 +212,16 @@
     EXPECT_FALSE(it.has_lease(late + config::leader_lease));
 }
 
-// A leader without a majority must step down by itself.
+// A leader without a majority must answer nothing once another one may have
+// been elected, and must step down by itself.
 TEST(raft, a_leader_steps_down_without_a_majority)
 {
     auto it = make({"a", "b", "c"});
     lead(it, late);
     accept(it, "b", late, 1, late);
-    auto const end = late + config::election_timeout_min;
+    EXPECT_TRUE(it.has_lease(late + config::leader_lease - duration{1}));
+    EXPECT_FALSE(it.has_lease(late + config::leader_lease));
+    auto const end = late + raft::max_majority_silence;
     it.tick(end - duration{1}, random_bits{0});
     EXPECT_EQ(it.role(), raft_role::leader);
     EXPECT_LE(it.next_tick(), end);
@@ -227,6 +230,28 @@
     EXPECT_EQ(it.propose("x").error().kind, error_kind::not_leader);
 }
 
+// A leader that gave its office up during a retransmission made everyone wait
+// for an election over the same link.
+TEST(raft, a_leader_goes_on_after_answers_that_come_late)
+{
+    auto it = make({"a", "b", "c"});
+    auto const in_term = lead(it, late);
+    accept(it, "b", late, 1, late);
+    auto const sent_at = late + config::raft_heartbeat;
+    it.tick(sent_at, random_bits{0});
+    auto const now = late + milliseconds{1400};
+    it.tick(now, random_bits{0});
+    ASSERT_FALSE(it.has_lease(now));
+    ASSERT_TRUE(it.propose("x"));
+    it.flush(now);
+    it.persisted(now);
+    accept(it, "b", now, 1, sent_at);
+    EXPECT_FALSE(it.has_lease(now)) << "the answer is as old as its request";
+    EXPECT_EQ(accept(it, "b", now, 2, now).committed_entries.size(), 1);
+    EXPECT_TRUE(it.has_lease(now));
+    EXPECT_EQ(it.current_term(), in_term);
+}
+
 // Elections that follow each other could not be told apart by their causes.
 TEST(raft, describes_the_office_that_has_ended)
 {
--- a/tests/replica_group.hpp
+++ b/tests/replica_group.hpp
@@ -21,9 +21,13 @@
 namespace apricotlb
 {
 
-/// Links that lose, double, delay and hence reorder messages.
+/// Links that lose, double, delay and hence reorder messages. The links of a
+/// member with packet loss keep the order and stall as TCP connections do.
 struct test_links
 {
+    static constexpr duration min_retransmission = milliseconds{200};
+    static constexpr duration max_stall = seconds{60};
+
     paused_clock& clock;
     std::mt19937_64 random;
     permille loss;
@@ -32,6 +36,8 @@
     std::set<std::pair<node_id, node_id>> cuts; ///< from, to
     std::map<node_id, std::function<void(node_id const&, raft_message)>>
         handlers;
+    std::map<node_id, permille> packet_loss{}; ///< of all links of a member
+    std::map<std::pair<node_id, node_id>, time_point> last_arrival{};
 
     auto below(std::uint64_t n) -> std::uint64_t { return random() % n; }
     auto happens(permille it) -> bool
@@ -42,6 +48,11 @@
     auto send(node_id const& from, node_id const& to, raft_message const& it)
         -> void
     {
+        if (packet_loss.contains(from) || packet_loss.contains(to))
+        {
+            send_over_lossy_link(from, to, it);
+            return;
+        }
         auto const copies = happens(loss) ? 0 : happens(duplicates) ? 2 : 1;
         for (auto n = 0; n < copies && !cuts.contains({from, to}); ++n)
         {
@@ -49,16 +60,37 @@
                 duration{1000} +
                 duration{static_cast<std::int64_t>(
                     below(static_cast<std::uint64_t>(max_delay.count())))};
-            clock.start_timer(
-                delay,
-                [this, from, to, it]
-                {
-                    if (!cuts.contains({from, to}) && handlers[to])
-                    {
-                        handlers[to](from, it);
-                    }
-                });
+            deliver(from, to, it, delay);
+        }
+    }
+
+private:
+    auto deliver(node_id const& from, node_id const& to, raft_message const& it,
+                 duration delay) -> void
+    {
+        clock.start_timer(delay,
+                          [this, from, to, it]
+                          {
+                              if (!cuts.contains({from, to}) && handlers[to])
+                              {
+                                  handlers[to](from, it);
+                              }
+                          });
+    }
+
+    auto send_over_lossy_link(node_id const& from, node_id const& to,
+                              raft_message const& it) -> void
+    {
+        auto const share = std::max(packet_loss[from], packet_loss[to]);
+        auto delay = max_delay;
+        for (auto wait = min_retransmission;
+             happens(share) && delay < max_stall; wait *= 2)
+        {
+            delay += wait;
         }
+        auto& last = last_arrival[{from, to}];
+        last = std::max(last, clock.now() + delay);
+        deliver(from, to, it, last - clock.now());
     }
 };
 
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -225,6 +225,29 @@
     }
 }
 
+// A proposal of the leader itself that was reported as failed, and committed
+// after a retransmission, would be made twice.
+TEST(replica, a_leader_without_its_lease_keeps_its_own_proposals)
+{
+    replica_group group{3, 7};
+    auto const n = group.elect();
+    group.isolate(n);
+    std::optional<result<log_index>> own;
+    std::optional<result<log_index>> of_caller;
+    group.nodes[n]->it->propose(
+        "own", [&own](result<log_index> it) { own = std::move(it); },
+        proposal_origin::leader);
+    group.nodes[n]->it->propose("caller", [&of_caller](result<log_index> it)
+                                { of_caller = std::move(it); });
+    group.run(config::election_timeout_min);
+    ASSERT_TRUE(of_caller);
+    EXPECT_EQ(of_caller->error().kind, error_kind::no_leader);
+    EXPECT_FALSE(own);
+    group.run(raft::max_majority_silence);
+    ASSERT_TRUE(own);
+    EXPECT_EQ(own->error().kind, error_kind::no_leader);
+}
+
 // A leader that others hear but that hears nobody must not keep the others
 // from electing one that works.
 TEST(replica, a_leader_that_hears_nobody_is_replaced)
