Keep a connection to a peer until a fresh one is ready

Callers saw no leader for 22 and 36 s after a power loss of all machines while a zone's links lost packets. A peer that is silent for a second is dialled anew, and the link closed the connection that it had, with all that waited in it, before the new one was there. Over a lossy link a lost SYN is repeated after 1 s, so that handshakes were given up one after the other, and a connection that did work was closed since the other direction did not: 4 to 6 reconnects a second on the member behind such links, and pre-votes that reached nobody for 15 s.

A fresh connection to the same address is now opened beside the present one and takes over, with the messages that wait, once its handshake is over. A handshake in progress goes on; the first that is ready is used.

nng_link.sends_over_the_open_connection_until_the_fresh_one_is_ready and goes_on_with_a_handshake_when_the_peer_is_opened_again time out before.

--- a/src/adapters/nng_link.cpp
+++ b/src/adapters/nng_link.cpp
@@ -8,17 +8,76 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 
+#include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
 namespace apricotlb
 {
 
+namespace
+{
+
+/// Sends to one peer. A connection that is opened again carries messages until
+/// a fresh one is ready: over a link that loses packets, a handshake may take
+/// seconds.
+class peer_sender
+{
+public:
+    explicit peer_sender(peer_endpoint to)
+        : to_(std::move(to)), current_(connect())
+    {
+    }
+    peer_sender(peer_sender const&) = delete;
+    auto operator=(peer_sender const&) -> peer_sender& = delete;
+    ~peer_sender() = default;
+
+    [[nodiscard]] auto endpoint() const -> peer_endpoint const& { return to_; }
+
+    auto send(std::string_view bytes) -> bool { return current_->send(bytes); }
+
+    auto reopen() -> void
+    {
+        is_current_suspect_ = current_->is_ready();
+        if (!fresh_)
+        {
+            fresh_ = connect();
+        }
+    }
+
+private:
+    auto connect() -> std::unique_ptr<push_connection>
+    {
+        return std::make_unique<push_connection>(to_, [this] { choose(); });
+    }
+
+    auto choose() -> void
+    {
+        if (fresh_ && fresh_->is_ready())
+        {
+            fresh_->adopt(*current_);
+            current_ = std::move(fresh_);
+        }
+        else if (!is_current_suspect_)
+        {
+            fresh_.reset();
+        }
+    }
+
+    peer_endpoint to_;
+    std::unique_ptr<push_connection> fresh_;
+    std::unique_ptr<push_connection> current_;
+    bool is_current_suspect_{false}; ///< it was ready when reopen() was called
+};
+
+} // namespace
+
 struct nng_link::state
 {
     nng_socket receiver = NNG_SOCKET_INITIALIZER;
     guint source{0};
-    std::unordered_map<node_id, push_connection> peers;
+    std::unordered_map<node_id, peer_sender> peers;
     std::function<void(std::string_view)> run;
 
     auto receive() -> void
@@ -100,8 +159,15 @@
 
 auto nng_link::open(node_id const& peer, url const& at) -> void
 {
+    auto to = parse_endpoint(at);
+    auto const it = state_->peers.find(peer);
+    if (to && it != state_->peers.end() && it->second.endpoint() == *to)
+    {
+        it->second.reopen();
+        return;
+    }
     close(peer);
-    if (auto to = parse_endpoint(at))
+    if (to)
     {
         state_->peers.try_emplace(peer, std::move(*to));
     }
--- a/src/adapters/nng_link.hpp
+++ b/src/adapters/nng_link.hpp
@@ -28,7 +28,8 @@
     /// Listens on tcp://ip:port; port 0 takes a free one. Returns the address.
     [[nodiscard]] auto listen(url const& at) -> result<url>;
 
-    /// Opens a connection to a peer; an open one is replaced by a fresh one.
+    /// Opens a connection to a peer; one to the same address is replaced once
+    /// the fresh one is ready.
     auto open(node_id const& peer, url const& at) -> void;
     auto close(node_id const& peer) -> void;
     auto send(node_id const& peer, std::string_view bytes) -> bool;
--- a/src/adapters/push_connection.cpp
+++ b/src/adapters/push_connection.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -22,8 +23,7 @@
 
 constexpr guint min_pause_ms = 50;
 constexpr guint max_pause_ms = 500;
-/// Bounds a connect and its handshake for a caller that does not itself open
-/// the connection to a silent peer anew.
+/// Bounds a connect and its handshake. A lost SYN is repeated after 1 s.
 constexpr guint attempt_ms = 2000;
 /// Ends a connection whose peer acknowledges nothing, as behind a partition.
 constexpr unsigned unacknowledged_ms = 5000;
@@ -92,8 +92,10 @@
     }
 };
 
-push_connection::push_connection(peer_endpoint to)
-    : to_(std::move(to)), pause_ms_(min_pause_ms)
+push_connection::push_connection(peer_endpoint to,
+                                 std::function<void()> on_ready)
+    : to_(std::move(to)), on_ready_(std::move(on_ready)),
+      pause_ms_(min_pause_ms)
 {
     start();
 }
@@ -124,6 +126,15 @@
     return true;
 }
 
+auto push_connection::adopt(push_connection& former) -> void
+{
+    queue_.insert(queue_.begin(),
+                  std::make_move_iterator(former.queue_.begin()),
+                  std::make_move_iterator(former.queue_.end()));
+    waiting_bytes_ += std::exchange(former.waiting_bytes_, 0);
+    former.queue_.clear();
+}
+
 auto push_connection::start() -> void
 {
     phase_ = phase::connecting;
@@ -322,6 +333,7 @@
     remove_source(timer_);
     pause_ms_ = min_pause_ms;
     phase_ = phase::ready;
+    on_ready_();
     write_queue();
 }
 
--- a/src/adapters/push_connection.hpp
+++ b/src/adapters/push_connection.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
 {
     std::string host;
     std::uint16_t port{0};
+
+    auto operator==(peer_endpoint const&) const -> bool = default;
 };
 
 /// Host and port of "tcp://host:port"; nothing if the text has another form.
@@ -41,7 +44,8 @@
     static constexpr std::size_t max_waiting_bytes =
         config::peer_queue_messages * 64 * config::kib;
 
-    explicit push_connection(peer_endpoint to);
+    /// Calls on_ready each time that the handshake with the peer is over.
+    push_connection(peer_endpoint to, std::function<void()> on_ready);
     push_connection(push_connection const&) = delete;
     auto operator=(push_connection const&) -> push_connection& = delete;
     ~push_connection();
@@ -49,6 +53,13 @@
     /// Writes what the socket takes at once and queues the rest. False if the
     /// queue is full or the message is larger than receivers take.
     auto send(std::string_view bytes) -> bool;
+    /// True while messages are written rather than queued for a handshake.
+    [[nodiscard]] auto is_ready() const -> bool
+    {
+        return phase_ == phase::ready;
+    }
+    /// Takes over the messages that another connection has not written in full.
+    auto adopt(push_connection& former) -> void;
 
 private:
     enum class phase
@@ -74,6 +85,7 @@
     auto write_queue() -> void;
 
     peer_endpoint to_;
+    std::function<void()> on_ready_;
     phase phase_{phase::pausing};
     int fd_{-1};
     guint readable_{0};
--- a/tests/nng_link_test.cpp
+++ b/tests/nng_link_test.cpp
@@ -89,6 +89,66 @@
         link.send(peer, std::string(config::max_message_bytes + 1, 'x')));
 }
 
+// A working connection was closed for a fresh one whose handshake, over a link
+// that loses packets, took seconds or failed.
+TEST(nng_link, sends_over_the_open_connection_until_the_fresh_one_is_ready)
+{
+    raw_listener listener;
+    nng_link link;
+    node_id const peer{"p"};
+    url const at{"tcp://" + listener.at()};
+    link.open(peer, at);
+    auto first = accept_push(listener);
+    auto const one = "\0\0\0\0\0\0\0\x3one"s;
+    auto const two = "\0\0\0\0\0\0\0\x3two"s;
+    ASSERT_TRUE(link.send(peer, "one"));
+    ASSERT_TRUE(run_until([&] { return first.text().size() >= 8 + 11; }));
+
+    link.open(peer, at);
+    raw_socket fresh;
+    ASSERT_TRUE(run_until(
+        [&]
+        {
+            fresh = listener.accept();
+            return fresh.is_open();
+        }));
+    ASSERT_TRUE(link.send(peer, "two"));
+    EXPECT_TRUE(run_until([&] { return first.text().size() >= 8 + 22; }));
+    EXPECT_EQ(first.text().substr(8), one + two);
+
+    fresh.send(pull_header);
+    EXPECT_TRUE(run_until(
+        [&]
+        {
+            (void)link.send(peer, "two");
+            return fresh.text().size() >= 8 + 11;
+        }));
+    EXPECT_EQ(fresh.text().substr(8, 11), two);
+}
+
+// A handshake in progress was given up each time that the peer stayed silent
+// for a second, less than a lost SYN takes.
+TEST(nng_link, goes_on_with_a_handshake_when_the_peer_is_opened_again)
+{
+    raw_listener listener;
+    nng_link link;
+    node_id const peer{"p"};
+    url const at{"tcp://" + listener.at()};
+    link.open(peer, at);
+    ASSERT_TRUE(link.send(peer, "one"));
+    raw_socket first;
+    ASSERT_TRUE(run_until(
+        [&]
+        {
+            first = listener.accept();
+            return first.is_open();
+        }));
+    link.open(peer, at);
+    first.send(pull_header);
+    EXPECT_TRUE(run_until([&] { return first.text().size() >= 8 + 11; }));
+    EXPECT_EQ(first.text().substr(8), "\0\0\0\0\0\0\0\x3one"s);
+}
+
 // Half a message must not be continued on the next connection.
 TEST(nng_link, repeats_a_message_that_a_reset_cut)
 {
