Give a candidate a full timeout for its votes

The timeout now begins anew with the candidacy.

raft.a_candidate_waits_for_votes_as_long_as_for_pre_votes fails before.

--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -49,6 +49,7 @@
 auto raft::start_election(time_point now) -> void
 {
     role_ = raft_role::candidate;
+    election_deadline_ = now + election_timeout_;
     ++term_and_vote_.current;
     term_and_vote_.vote = self_;
     actions_.term_and_vote = term_and_vote_;
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -275,6 +275,23 @@
     EXPECT_EQ(it.take_ended_office()->reason, office_end::higher_term);
 }
 
+// A candidate that had to wait for its pre-votes gave its candidacy up before
+// the votes could arrive.
+TEST(raft, a_candidate_waits_for_votes_as_long_as_for_pre_votes)
+{
+    auto it = make({"a", "b", "c"});
+    it.tick(late, random_bits{0});
+    ASSERT_EQ(it.role(), raft_role::pre_candidate);
+    auto const next = it.current_term() + term{1};
+    auto const granted = it.next_tick() - duration{1};
+    answer(it, granted, "b", vote_answer{next, true, true});
+    ASSERT_EQ(it.role(), raft_role::candidate);
+    EXPECT_GE(it.next_tick(), granted + config::election_timeout_min);
+    it.tick(granted + config::election_timeout_min - duration{1},
+            random_bits{0});
+    EXPECT_EQ(it.role(), raft_role::candidate);
+}
+
 // A leader that resigns must lose its lease at once, and only a higher term
 // may follow, also if it is the only voter.
 TEST(raft, a_leader_that_resigns_is_followed_by_a_higher_term)
