Place runs only on workers that have listed theirs

After a change of leader, the tasks of a worker that was gone stood for up to a lease longer than the change itself requires.

Cause: a new leader placed runs on a worker that it knew only from an announcement kept by another process. The start order granted a new lease, and the tasks that the worker had held were kept until its end. send_poll has asked for lists before it grants a lease since; the planner and send_start did not.

Change: takes_new_runs and send_start require is_listed. A worker is polled when it announces itself, without a wait, as before, and the first lists cause a pass. The pass counts the worker as newly usable, which ends remembered failed searches; the table of obstacles has the pair first_lists. No message is added: each life was polled once before.

If the first poll is lost, the worker gets no run before the next one, 1.2 s later by the constants.

No expectation, bound or seed is changed, only what precedes them: fleets are listed before the event (run_until_listed), and stand-ins that left polls without an answer give one (fenced_leader, control_role, run_waits, overload_order, wide_step, measured_fleet). that_no_answer_comes_to and a_worker_that_carries_out_no_orders still start on a worker that is deaf from then on.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -567,6 +567,7 @@
     {
         process_running(worker, row, now);
     }
+    needs_plan_ = needs_plan_ || !worker.second.is_listed;
     worker.second.is_listed = true;
     std::erase_if(worker.second.unrecorded, [&worker](auto const& each)
                   { return each.second.last_list != worker.second.last_list; });
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -328,7 +328,8 @@
 {
     auto const* const record = state_.workflows().find(run.task.workflow);
     if (!worker.second.info || worker.second.is_replaced ||
-        worker.second.is_fenced || !worker.second.lease.is_sampled() ||
+        worker.second.is_fenced || !worker.second.is_listed ||
+        !worker.second.lease.is_sampled() ||
         !has_current_phase(worker.second, now) || record == nullptr)
     {
         return;
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -268,12 +268,14 @@
     {
         return worker.info && state_.evacuations().contains(worker.info->zone);
     }
-    /// True if the planner may place runs on the worker.
+    /// True if the planner may place runs on the worker. An announcement that
+    /// another process kept may be all that is left of it; its lists prove that
+    /// it is up, and that it refuses the orders of earlier leaders.
     [[nodiscard]] auto takes_new_runs(worker_entry const& worker,
                                       time_point now) const -> bool
     {
-        return worker.is_usable(now) && has_current_phase(worker, now) &&
-               !is_evacuated(worker);
+        return worker.is_usable(now) && worker.is_listed &&
+               has_current_phase(worker, now) && !is_evacuated(worker);
     }
     /// Sends the start order of a recorded run if it may start, and otherwise
     /// withdraws the run.
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -484,6 +484,7 @@
     worker.capacity.cores = millicores{1000};
     worker.number = sequence{1};
     it.call(worker);
+    it.answer_polls();
     it.run(milliseconds{300});
     EXPECT_EQ(it.accepted(), 2U);
     return it.started().empty() ? "" : it.started().front().value();
@@ -517,10 +518,10 @@
     worker.capacity.cores = millicores{1000};
     worker.number = sequence{1};
     it.call(worker);
+    it.answer_polls();
     it.run(milliseconds{400});
     EXPECT_TRUE(it.started().empty());
     it.set_disk_full(false);
-    it.answer_polls();
     it.run(seconds{2});
     ASSERT_FALSE(it.started().empty());
     EXPECT_EQ(it.started().front(), workflow_id{"a"});
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -88,7 +88,7 @@
         fleet.add_worker(name, cpu);
         fleet.workers[name]->zone = zone;
         fleet.announce_now();
-        ASSERT_TRUE(fleet.run_until_known(name));
+        ASSERT_TRUE(fleet.run_until_listed(name));
     }
     auto evacuate(std::string const& zone) -> void
     {
@@ -275,7 +275,7 @@
     fleet.add_worker("a1", 8000);
     fleet.workers["a1"]->warm_at = fleet.now + seconds{10};
     fleet.announce_now();
-    ASSERT_TRUE(fleet.run_until_known("a1"));
+    ASSERT_TRUE(fleet.run_until_listed("a1"));
     fleet.submit("x", {fake_fleet::step(8)});
     fleet.run(milliseconds{500});
     EXPECT_EQ(running_on("a1"), 1U);
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -159,16 +159,16 @@
     /// returns whether it has one.
     auto run_until_known(std::string const& name) -> bool
     {
-        auto const is_known = [&]
-        {
-            auto const it = leader->workers().find(worker_id{name});
-            return it != leader->workers().end() && it->second.info.has_value();
-        };
-        for (auto n = 0; n < 400 && !is_known(); ++n)
-        {
-            run(milliseconds{5});
-        }
-        return is_known();
+        return run_until(name, [](worker_entry const& it)
+                         { return it.info.has_value(); });
+    }
+
+    /// The same until the leader has lists of the worker, and so may place
+    /// runs there.
+    auto run_until_listed(std::string const& name) -> bool
+    {
+        return run_until(name,
+                         [](worker_entry const& it) { return it.is_listed; });
     }
 
     /// Workflows with unfinished tasks or with runs whose end is not on record.
@@ -204,6 +204,21 @@
     std::size_t held_back{0}; ///< orders that met a frozen relay
 
 private:
+    template <class Condition>
+    auto run_until(std::string const& name, Condition condition) -> bool
+    {
+        auto const holds = [&]
+        {
+            auto const it = leader->workers().find(worker_id{name});
+            return it != leader->workers().end() && condition(it->second);
+        };
+        for (auto n = 0; n < 400 && !holds(); ++n)
+        {
+            run(milliseconds{5});
+        }
+        return holds();
+    }
+
     [[nodiscard]] auto is_reached(std::string const& name) const -> bool
     {
         return !cut.contains(name) && !deaf.contains(name);
--- a/tests/fenced_leader_test.cpp
+++ b/tests/fenced_leader_test.cpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -137,12 +138,13 @@
     }
 };
 
-/// Workers that have seen a fencing token; they leave polls without an answer.
+/// Workers that have seen a fencing token; what they run does not end.
 struct fencing_workers
 {
     paused_clock& clock;
     fence_token seen;
     std::vector<task_run> started{};
+    std::map<worker_id, std::vector<task_run>> running{};
 
     template <class Order, class Callback>
     auto send(Order const& it, Callback done) -> void
@@ -154,19 +156,28 @@
             if (!is_fenced)
             {
                 started.push_back(it.run);
+                running[it.to.instance.id].push_back(it.run);
             }
         }
-        if (is_fenced || is_start)
+        constexpr auto is_poll = std::is_same_v<Order, poll_order>;
+        if (is_fenced || is_start || is_poll)
         {
             clock.start_timer(
                 milliseconds{5},
-                [is_fenced, done = std::move(done)]
+                [this, is_fenced, to = it.to.instance, done = std::move(done)]
                 {
-                    std::conditional_t<std::is_same_v<Order, poll_order>,
-                                       poll_answer, order_answer>
+                    std::conditional_t<is_poll, poll_answer, order_answer>
                         answer;
                     answer.outcome =
                         is_fenced ? order_outcome::fenced : order_outcome::done;
+                    if constexpr (is_poll)
+                    {
+                        answer.lists.incarnation = to.incarnation;
+                        for (auto const& run : running[to.id])
+                        {
+                            answer.lists.running.push_back({run, {}, 0, 0});
+                        }
+                    }
                     done(answer);
                 });
         }
--- a/tests/measured_fleet.hpp
+++ b/tests/measured_fleet.hpp
@@ -286,8 +286,18 @@
         runs_[it.to.instance.id.value()].at(it.run).pace = it.pace;
         scheduler_.on_answer(it, {order_outcome::done, clock()}, now);
     }
-    /// Workers report by report() instead.
-    auto execute(poll_order const& /*it*/) -> void {}
+    /// Workers answer their first poll; they report by report() from then on.
+    auto execute(poll_order const& it) -> void
+    {
+        if (!scheduler_.workers().at(it.to.instance.id).is_listed)
+        {
+            poll_answer answer;
+            answer.outcome = order_outcome::done;
+            answer.lists.incarnation = it.to.instance.incarnation;
+            answer.lists.clock = clock();
+            scheduler_.on_answer(it, answer, now);
+        }
+    }
 
     run_scheduler scheduler_;
     std::vector<std::string> names_;
--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -39,7 +39,7 @@
                                         "done", 1000};
         };
         add_worker("w1", 4000);
-        run(milliseconds{5});
+        EXPECT_TRUE(run_until_listed("w1"));
     }
 
     auto one() -> platform_worker& { return *workers.at("w1"); }
@@ -436,6 +436,15 @@
          it.submit_waiting(sized(1000));
      },
      [](auto& it) { it.unheard.clear(); }},
+    {"first_lists",
+     [](auto& it)
+     {
+         it.deaf.insert("w1");
+         it.lead();
+         it.announce_now();
+         it.submit_waiting(sized(1000));
+     },
+     [](auto& it) { it.deaf.clear(); }},
 };
 
 INSTANTIATE_TEST_SUITE_P(inputs, obstacle_events,
@@ -827,7 +836,7 @@
         {
             add_worker("w" + std::to_string(n), 4000);
         }
-        run(milliseconds{5});
+        EXPECT_TRUE(run_until_listed("w0"));
         for (auto n = 0; n < kinds; ++n)
         {
             auto it = fill;
@@ -915,8 +924,8 @@
 {
     fake_fleet fleet{1};
     fleet.add_worker("deaf", 2'000'000);
+    ASSERT_TRUE(fleet.run_until_listed("deaf"));
     fleet.deaf.insert("deaf");
-    fleet.announce_now();
     fleet.submit("a", {fake_fleet::step(static_cast<std::int64_t>(
                           config::max_unconfirmed_starts))});
     fleet.run(seconds{1});
--- a/tests/overload_order_test.cpp
+++ b/tests/overload_order_test.cpp
@@ -139,7 +139,13 @@
     it.capacity.cores = millicores{1000};
     it.number = sequence{1};
     leader.on_announcement(it, now);
-    (void)leader.take_actions();
+    for (auto const& action : leader.take_actions())
+    {
+        poll_answer answer;
+        answer.outcome = order_outcome::done;
+        answer.lists.incarnation = it.instance.incarnation;
+        leader.on_answer(std::get<poll_order>(action), answer, now);
+    }
     leader.plan(now, wall_time{});
     auto const actions = leader.take_actions();
     ASSERT_EQ(actions.size(), 1U);
--- a/tests/queue_change_test.cpp
+++ b/tests/queue_change_test.cpp
@@ -28,7 +28,7 @@
 {
     fleet.add_worker("w1", 4000);
     fleet.announce_now();
-    ASSERT_TRUE(fleet.run_until_known("w1"));
+    ASSERT_TRUE(fleet.run_until_listed("w1"));
     fleet.submit("a", {fake_fleet::step(2)});
     fleet.run(milliseconds{5});
     move_to("other");
@@ -44,7 +44,7 @@
 {
     fleet.add_worker("w1", 4000);
     fleet.announce_now();
-    ASSERT_TRUE(fleet.run_until_known("w1"));
+    ASSERT_TRUE(fleet.run_until_listed("w1"));
     fleet.faults.lost = 100;
     fleet.submit("a", {fake_fleet::step(2)});
     fleet.run(milliseconds{100});
--- a/tests/run_scheduler_test.cpp
+++ b/tests/run_scheduler_test.cpp
@@ -277,7 +277,7 @@
         static_cast<std::int64_t>(config::max_unconfirmed_starts);
     fake_fleet it{10};
     it.add_worker("w1", 2 * limit * 1000);
-    it.run(milliseconds{20});
+    ASSERT_TRUE(it.run_until_listed("w1"));
     it.cut.insert("w1");
     it.submit("a", {fake_fleet::step(limit + 100)});
     for (auto n = 0; n < 60; ++n)
@@ -318,7 +318,7 @@
     {
         it.add_worker("w" + std::to_string(n), 4000);
     }
-    it.run(milliseconds{5});
+    ASSERT_TRUE(it.run_until_listed("w0"));
     // One search serves all tasks of a step, so that these need 900 searches.
     for (auto n = 0; n < 900; ++n)
     {
@@ -346,7 +346,7 @@
     {
         it.add_worker("w" + std::to_string(n), 4000);
     }
-    it.run(milliseconds{5});
+    ASSERT_TRUE(it.run_until_listed("w0"));
     for (auto n = 0; n < 600; ++n)
     {
         auto large = fake_fleet::step(1);
@@ -435,7 +435,7 @@
 {
     fake_fleet it{17};
     it.add_worker("w1", 4000);
-    it.run(milliseconds{5});
+    ASSERT_TRUE(it.run_until_listed("w1"));
     auto large = fake_fleet::step(3000);
     large.each.cores = millicores{8000};
     it.submit("large", {large});
@@ -524,7 +524,7 @@
     {
         it.add_worker("w" + std::to_string(n), 4000);
     }
-    it.run(milliseconds{5});
+    ASSERT_TRUE(it.run_until_listed("w0"));
     for (auto n = 0; n < 600; ++n)
     {
         submit_interrupted(it, "a" + std::to_string(n), 8000);
@@ -540,7 +540,7 @@
 {
     fake_fleet it{22};
     it.add_worker("w1", 4000);
-    it.run(milliseconds{5});
+    ASSERT_TRUE(it.run_until_listed("w1"));
     auto accelerated = fake_fleet::step(1);
     accelerated.each.accels = accelerators{1};
     it.submit("a", {accelerated});
@@ -582,7 +582,7 @@
 {
     fake_fleet it{16};
     it.add_worker("w1", 16'000);
-    it.run(milliseconds{5});
+    ASSERT_TRUE(it.run_until_listed("w1"));
     auto limited = fake_fleet::step(3);
     limited.max_per_worker = task_count{1};
     it.submit("a", {limited, limited});
--- a/tests/run_waits_test.cpp
+++ b/tests/run_waits_test.cpp
@@ -46,9 +46,22 @@
         fleet.add_worker(name, cpu);
         return fleet.announcement_of(name);
     }
+    /// The worker announces itself and lists the runs that it has by the log.
     auto announce(worker_announcement const& it) -> void
     {
         fleet.leader->on_announcement(it, fleet.now);
+        poll_answer answer;
+        answer.outcome = order_outcome::done;
+        answer.lists.incarnation = it.instance.incarnation;
+        answer.lists.clock = it.clock;
+        for (auto const& [run, held] :
+             fleet.leader->workers().at(it.instance.id).runs)
+        {
+            answer.lists.running.push_back({run, {}, 0, 0});
+        }
+        poll_order order;
+        order.to.instance = it.instance;
+        fleet.leader->on_answer(order, answer, fleet.now);
     }
     auto plan() -> void { fleet.leader->plan(fleet.now, wall_time{}); }
     auto waits() -> std::vector<wait_report>
@@ -158,7 +171,7 @@
     submit(fake_fleet::step(1), 1);
     fleet.add_worker("w1", 4000);
     fleet.announce_now();
-    fleet.run(milliseconds{5});
+    ASSERT_TRUE(fleet.run_until_listed("w1"));
     fleet.cut.insert("w1");
     fleet.run(milliseconds{1200});
     auto const all = waits();
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -122,8 +122,7 @@
 }
 
 // The tasks that it held stand until the lease of the last start is over.
-TEST_F(change_of_leader,
-       DISABLED_a_start_gives_a_worker_without_lists_no_longer_lease)
+TEST_F(change_of_leader, a_start_gives_a_worker_without_lists_no_longer_lease)
 {
     fleet.add_worker("w2", 1000);
     ASSERT_TRUE(fleet.run_until_known("w2"));
--- a/tests/wide_step_test.cpp
+++ b/tests/wide_step_test.cpp
@@ -114,6 +114,13 @@
         it.capacity = {millicores{16'000}, byte_count{64'000}, {}};
         it.number = sequence{1};
         scheduler_.on_announcement(it, now_);
+        for (auto const& action : scheduler_.take_actions())
+        {
+            poll_answer answer;
+            answer.outcome = order_outcome::done;
+            answer.lists.incarnation = it.instance.incarnation;
+            scheduler_.on_answer(std::get<poll_order>(action), answer, now_);
+        }
     }
 
     auto apply(command const& it) -> void
--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -23,7 +23,7 @@
     {
         add_worker(name, cpu);
         fleet.announce_now();
-        ASSERT_TRUE(fleet.run_until_known(name));
+        ASSERT_TRUE(fleet.run_until_listed(name));
     }
     auto resize(std::string const& name, std::int64_t cpu) -> void
     {
