Count leases from the last sign of the worker

Cause: each grant counted from the order that carried it. Orders go to a worker until it has been silent for 2.5 s, and first starts until it has been silent for 3.5 s, so that starts and polls that no one received moved the end of the lease on.

Change: a grant counts from the last contact, an answer or an announcement. The leader's bound of the lease is then 6.3 s after the last sign of the worker, whatever is sent to it. A worker that answers is polled within 0.1 s of its answer (by the constants), so that its leases hardly change.

The worker now announces itself every 0.5 s, so that the last grant is later; the 5.5 s without orders and the bound of the age are as before.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -35,6 +35,14 @@
     return std::ranges::find(task.active, number, &active_run::number);
 }
 
+/// Grants a lease that counts from the last sign of the worker, not from the
+/// order: an order to a worker that is gone must not prolong the time for which
+/// its tasks are held.
+auto grant_lease(worker_entry& worker, duration length) -> worker_clock
+{
+    return worker.lease.grant(worker.last_contact, length);
+}
+
 } // namespace
 
 run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
@@ -338,10 +346,10 @@
     held.sent = now;
     held.start_sent = now;
     ++held.starts_sent;
-    actions_.emplace_back(start_order{
-        target_of(worker, now), run, record->spec.payload,
-        record->find(run.task)->checkpoint,
-        worker.second.lease.grant(now, granted_lease(worker.second))});
+    actions_.emplace_back(
+        start_order{target_of(worker, now), run, record->spec.payload,
+                    record->find(run.task)->checkpoint,
+                    grant_lease(worker.second, granted_lease(worker.second))});
 }
 
 auto run_scheduler::send_stop(identified_worker& worker, task_run const& run,
@@ -437,7 +445,7 @@
     // worker that is gone.
     if (has_runs && entry.is_listed && entry.may_extend_lease(now))
     {
-        order.lease_end = entry.lease.grant(now, granted_lease(entry));
+        order.lease_end = grant_lease(entry, granted_lease(entry));
     }
     actions_.emplace_back(std::move(order));
 }
--- a/tests/unanswered_orders_test.cpp
+++ b/tests/unanswered_orders_test.cpp
@@ -59,9 +59,11 @@
         ASSERT_EQ(fleet.starts, before + n);
     }
     /// Lets the lease of a running task end on its worker, which the leader
-    /// does not reach.
+    /// does not reach, but hears often enough to reach it again before the
+    /// lease counts as over.
     auto lapse() -> void
     {
+        fleet.announcement_interval = milliseconds{500};
         order("a", 1);
         fleet.run(seconds{1});
         ASSERT_EQ(fleet.workers["w1"]->running().size(), 1U);
