Count the age of orders to a former life of a worker

Callers saw tasks stand still for up to 12.4 s after a worker had restarted under its id and gone: for each run that might have an unanswered start, the leader assumed that a start order was given at that moment.

No start order reaches a worker once it is older than max_order_age. The lease that a late start may give the new life is now counted from when the start was given, and not assumed at all once the order is too old, as for a worker that restarts 2 s after a change of leader.

Not changed: the length of that lease stays the longest one that workers accept, and not the 6 s that are granted. The end of a lease is on the clock of the life that it was granted to, and a new life, whose clock begins anew, takes the order for one far ahead and shortens it to what it accepts. With 6 s the task runs twice, which the second test shows.

change_of_leader.a_new_life_that_is_gone_is_not_held_for_old_orders failed before: after 6.6 s the task did not run elsewhere. change_of_leader.a_late_start_is_not_replaced_before_its_whole_lease passed before, and fails with the granted lease in place of the accepted one ("runs twice").

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -224,9 +224,14 @@
         if (held.start_unconfirmed || held.phase == run_phase::ordered ||
             held.phase == run_phase::inherited)
         {
-            // A late start order may give the new life a lease.
-            entry.lease.assume_until(now + config::max_order_age +
-                                     worker_lease::max_duration(policy_.lease));
+            // A late start order may give the new life the longest lease that
+            // workers accept, since its end is on the clock of the former one.
+            if (may_start_late(held, now))
+            {
+                entry.lease.assume_until(
+                    start_given_at(held) + config::max_order_age +
+                    worker_lease::max_duration(policy_.lease));
+            }
             send_stop(worker, run, held, now);
         }
         else
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -804,9 +804,13 @@
 {
     auto const is_unanswered =
         is_unconfirmed(held.phase) || held.start_unconfirmed;
-    // An earlier leader gave its last orders before this one was elected.
-    auto const given = std::max(held.start_sent, leading_since_);
-    return is_unanswered && now - given < config::max_order_age;
+    return is_unanswered && now - start_given_at(held) < config::max_order_age;
+}
+
+/// An earlier leader gave its last orders before this one was elected.
+auto run_scheduler::start_given_at(held_run const& held) const -> time_point
+{
+    return std::max(held.start_sent, leading_since_);
 }
 
 /// Each life of a worker is polled once, so that it refuses the orders of
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -313,6 +313,8 @@
     /// carried out by the next life of its worker.
     [[nodiscard]] auto may_start_late(held_run const& held,
                                       time_point now) const -> bool;
+    /// When the last start order of the run was given, at the latest.
+    [[nodiscard]] auto start_given_at(held_run const& held) const -> time_point;
     /// True while the worker may carry out a start order whose run has ended
     /// in the log, or runs what this leader has not heard of.
     [[nodiscard]] auto may_run_unrecorded(identified_worker const& worker,
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -306,6 +306,49 @@
     EXPECT_NE(fleet.state.workflows().places().find(w1), nullptr);
 }
 
+// No start order reaches a worker once it is older than max_order_age.
+TEST_F(change_of_leader, a_new_life_that_is_gone_is_not_held_for_old_orders)
+{
+    fleet.add_worker("w2", 4000);
+    fleet.cut.insert("w1");
+    fleet.lead();
+    fleet.run(config::max_order_age);
+    fleet.workers.at("w1")->restart(2, fleet.now);
+    fleet.leader->on_announcement(fleet.announcement_of("w1"), fleet.now);
+    fleet.workers.erase("w1");
+    fleet.run(milliseconds{6600});
+    EXPECT_TRUE(is_on("w2"));
+    expect_no_violation();
+}
+
+// The end of the lease in a late start is on the clock of the former life, so
+// that the new one may accept more than was granted.
+TEST_F(change_of_leader, a_late_start_is_not_replaced_before_its_whole_lease)
+{
+    fleet.deaf.insert("w1");
+    fleet.submit("b", {lasting()});
+    fleet.run(milliseconds{300});
+    auto& worker = *fleet.workers.at("w1");
+    worker.restart(2, fleet.now);
+    start_order const late{{{worker_id{"w1"}, worker_incarnation{1}},
+                            url{"w1:1"},
+                            zone_id{"z1"},
+                            fence_token{2},
+                            fleet.now},
+                           {{workflow_id{"b"}, {}, {}, {}}, run_number{1}},
+                           {},
+                           {},
+                           worker_clock{10'000}};
+    worker.serve(platform::run_codec::encode(late), fleet.now);
+    ASSERT_TRUE(worker.running().contains("b.0.0.0"));
+    fleet.leader->on_announcement(fleet.announcement_of("w1"), fleet.now);
+    fleet.cut.insert("w1");
+    fleet.add_worker("w2", 4000);
+    fleet.run(seconds{13});
+    EXPECT_TRUE(fleet.workers.at("w2")->running().contains("b.0.0.0"));
+    expect_no_violation();
+}
+
 // A longer one would outlast what a successor assumes.
 TEST(granted_lease, is_not_longer_than_the_one_in_the_log)
 {
