Repeat polls of workers with inherited leases after 0.3 s

Runs of healthy workers lapsed after a change of leader: at the end of 3 s without a leader a lease of 6 s may have 1.2 s left, and a lost first poll was repeated after 1.2 s only. The first poll that carries a lease waited at the worker for the next end, so that its loss was known after 2.8 s.

Until a worker with inherited runs has answered a poll with a lease of this leader, its polls ask for the lists at once, and one that has no answer is sent again after order_retry_interval beside the open one. The first answer of the two counts. At most two polls of a worker are open, repetitions share the bound of first polls in a tick, and end with the inherited lease. They grant no lease, so that they prolong no doubt about a worker that is gone. The cost is one poll more for each worker with runs after a change of leader.

driver_fixture.sends_no_start_and_no_poll_without_the_leader_lease expects one poll more: its stand-in leaves the second poll unanswered for 0.5 s, which is repeated now. The count is exact as before.

The other tests there guard the handling of two open polls and the workers that answer none.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -195,6 +195,9 @@
     entry.acknowledged = {};
     entry.recording_ends = false;
     entry.poll_in_flight = false;
+    entry.repeated_poll_at.reset();
+    entry.outdated_poll_at.reset();
+    entry.has_inherited_lease = false;
     entry.has_lost_poll = false;
     entry.is_answering = false;
     entry.is_replaced = false;
@@ -511,7 +514,10 @@
     }
     auto& worker = *found;
     auto& entry = worker.second;
-    entry.poll_in_flight = false;
+    if (!entry.end_poll(order.to.given, answer.outcome, now))
+    {
+        return;
+    }
     entry.has_lost_poll =
         answer.outcome != order_outcome::done &&
         (entry.has_lost_poll || answer.outcome == order_outcome::no_answer);
@@ -539,6 +545,8 @@
         entry.next_poll_at = order.wait > milliseconds{0} || lists_acknowledged
                                  ? now + config::min_poll_interval
                                  : now;
+        entry.has_inherited_lease =
+            entry.has_inherited_lease && !order.lease_end;
         record_contact(worker, answer.lists.clock, now);
         process_lists(worker, answer.lists, now);
         send_poll(worker, now);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -83,6 +83,7 @@
         worker.last_contact = now;
     }
     auto const* const place = state_.workflows().places().find(run.worker);
+    worker.has_inherited_lease = true;
     worker.lease.assume_until(
         now + worker_lease::max_duration(place != nullptr ? place->longest_lease
                                                           : policy_.lease));
@@ -408,7 +409,8 @@
     // After a lost poll, runs may have lapsed. An order that was answered since
     // tells nothing of them.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
-                  !entry.is_listed || (is_release_due && !entry.is_answering);
+                  !entry.is_listed || (is_release_due && !entry.is_answering) ||
+                  (has_runs && entry.has_inherited_lease);
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : entry.runs)
@@ -441,6 +443,28 @@
     actions_.emplace_back(std::move(order));
 }
 
+/// At the end of 3 s without a leader, a lease of 6 s may have 1.2 s left, and
+/// a lost poll is known after 1 s at the earliest. The repetition grants
+/// nothing, so that it prolongs no doubt about a worker that is gone; the poll
+/// after its answer does.
+auto run_scheduler::repeat_poll(identified_worker& worker, time_point now)
+    -> bool
+{
+    auto& entry = worker.second;
+    if (!entry.poll_in_flight || !entry.has_inherited_lease ||
+        entry.repeated_poll_at || entry.outdated_poll_at ||
+        entry.incarnation_ended || entry.is_replaced || entry.is_fenced ||
+        !entry.place || now >= entry.lease.latest_end() ||
+        now < entry.next_poll_at ||
+        now - entry.poll_sent_at < config::order_retry_interval)
+    {
+        return false;
+    }
+    entry.repeated_poll_at = std::exchange(entry.poll_sent_at, now);
+    actions_.emplace_back(poll_order{target_of(worker, now), {}, {}, {}});
+    return true;
+}
+
 /// Repeats the orders of a worker that are due, and counts its runs that wait
 /// for a sign of it.
 auto run_scheduler::review_orders(identified_worker& worker, time_point now)
@@ -538,6 +562,10 @@
             send_poll(*worker, now);
             first_polls -= is_first && entry.poll_in_flight ? 1 : 0;
         }
+        if (first_polls > 0 && repeat_poll(*worker, now))
+        {
+            --first_polls;
+        }
         ++worker;
     }
     is_fenced_ = refusing >= config::fenced_workers_to_resign ||
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -292,6 +292,9 @@
     auto send_pending_stop(identified_worker& worker, task_run const& run,
                            pending_stop& stop, time_point now) -> void;
     auto send_poll(identified_worker& worker, time_point now) -> void;
+    /// Repeats an open poll if the lease of the worker may be about to end.
+    /// Returns true if it was sent.
+    auto repeat_poll(identified_worker& worker, time_point now) -> bool;
     auto review_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
     /// Stops the runs of a workflow that are not wanted any more.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -413,7 +413,14 @@
     /// Runs that ended as lost because the worker was silent, and that are to
     /// blame if it turns out to have crashed.
     std::vector<task_run> possible_crashes;
-    time_point poll_sent_at{};
+    time_point poll_sent_at{}; ///< the last poll
+    /// When the open poll was sent that the last one repeats.
+    std::optional<time_point> repeated_poll_at;
+    /// When the open poll was sent whose answer does not count any more.
+    std::optional<time_point> outdated_poll_at;
+    /// An earlier leader granted its lease, which may be about to end: it has
+    /// answered no poll with a lease of this leader.
+    bool has_inherited_lease{false};
     sequence last_list; ///< number of the last lists from the worker
     /// This leader has lists of this incarnation, which refuses orders of
     /// earlier leaders since then.
@@ -469,6 +476,37 @@
                                ? std::nullopt
                                : std::optional{unanswered_since.value_or(now)};
     }
+    /// Records that a poll was answered or is lost. Returns false if that does
+    /// not count, since the other one of two polls is open or was answered.
+    auto end_poll(time_point sent, order_outcome outcome, time_point now)
+        -> bool
+    {
+        if (outdated_poll_at == sent)
+        {
+            outdated_poll_at.reset();
+            return false;
+        }
+        if (auto const first = std::exchange(repeated_poll_at, std::nullopt))
+        {
+            auto const is_first = sent == *first;
+            auto const other = is_first ? poll_sent_at : *first;
+            if (outcome == order_outcome::no_answer ||
+                outcome == order_outcome::not_sent)
+            {
+                poll_sent_at = other;
+                next_poll_at = now + config::poll_retry_delay;
+                if (outcome == order_outcome::no_answer)
+                {
+                    record_response(false, now);
+                }
+                return false;
+            }
+            poll_sent_at = is_first ? *first : poll_sent_at;
+            outdated_poll_at = other;
+        }
+        poll_in_flight = false;
+        return true;
+    }
     /// True if its last announcement said that it drains.
     [[nodiscard]] auto is_leaving() const -> bool
     {
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -7,6 +7,7 @@
 #include "core/random.hpp"
 #include "platform/run_codec.hpp"
 #include "platform_worker.hpp"
+#include "ports/run_worker.hpp"
 
 #include <apricotlb/config.hpp>
 
@@ -195,6 +196,7 @@
     duration announcement_age{};
     duration announcement_interval{seconds{1}};
     std::size_t lost_stops{0};   ///< of the stop orders that follow
+    std::size_t lost_polls{0};   ///< of the polls that follow
     bool loses_proposals{false}; ///< nothing that is proposed is applied
     order_faults faults;
     bool polls_wait{false}; ///< for as long as they ask, whatever ends
@@ -333,6 +335,15 @@
                 return;
             }
         }
+        if constexpr (is_poll)
+        {
+            if (lost_polls > 0)
+            {
+                --lost_polls;
+                lose(it);
+                return;
+            }
+        }
         if (!is_poll && faults.lost > 0 && happens(faults.lost))
         {
             lose(it);
@@ -373,7 +384,7 @@
     template <class Order>
     auto lose(Order const& it) -> void
     {
-        events_.emplace(now + config::order_timeout,
+        events_.emplace(now + answer_time(it),
                         [this, it, epoch = epoch_]
                         {
                             if (epoch == epoch_)
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace apricotlb
 {
@@ -349,6 +350,140 @@
     expect_no_violation();
 }
 
+/// A leader takes over 3 s after the former one was lost, which had renewed the
+/// lease as long ago as usual polls let it.
+struct late_change_of_leader : change_of_leader
+{
+    auto take_over() -> void
+    {
+        fleet.polls_wait = true;
+        auto const sent = [this] { return known().poll_sent_at; };
+        fleet.run(seconds{2});
+        for (auto const last = sent(); sent() == last;)
+        {
+            fleet.run(milliseconds{5});
+        }
+        fleet.deaf.insert("w1");
+        fleet.run(seconds{3});
+        ASSERT_TRUE(is_on("w1"));
+        fleet.deaf.clear();
+        fleet.polls_wait = false;
+        fleet.lead();
+    }
+
+    auto expect_same_run() -> void
+    {
+        fleet.run(seconds{3});
+        EXPECT_TRUE(is_on("w1"));
+        EXPECT_EQ(fleet.starts, 1U);
+        expect_no_violation();
+    }
+
+    /// The polls of the next tick and those that were due before.
+    auto next_polls() -> std::vector<poll_order>
+    {
+        fleet.leader->tick(fleet.now);
+        std::vector<poll_order> out;
+        for (auto const& it : fleet.leader->take_actions())
+        {
+            if (auto const* const poll = std::get_if<poll_order>(&it))
+            {
+                out.push_back(*poll);
+            }
+        }
+        return out;
+    }
+
+    [[nodiscard]] auto known() const -> worker_entry const&
+    {
+        return fleet.leader->workers().at(worker_id{"w1"});
+    }
+};
+
+TEST_F(late_change_of_leader, keeps_the_runs_of_a_worker)
+{
+    take_over();
+    expect_same_run();
+}
+
+TEST_F(late_change_of_leader, a_lost_first_poll_ends_no_runs)
+{
+    take_over();
+    fleet.lost_polls = 1;
+    expect_same_run();
+}
+
+TEST_F(late_change_of_leader, a_lost_first_renewal_ends_no_runs)
+{
+    take_over();
+    fleet.run(milliseconds{5});
+    fleet.lost_polls = 1;
+    expect_same_run();
+}
+
+// The other answer would start a third poll or take the next one for lost.
+TEST_F(late_change_of_leader, only_the_first_answer_of_two_polls_counts)
+{
+    for (auto const takes_first : {true, false})
+    {
+        SCOPED_TRACE(takes_first);
+        fleet.lead();
+        auto const first = next_polls();
+        ASSERT_EQ(first.size(), 1U);
+        fleet.now += config::order_retry_interval;
+        auto const second = next_polls();
+        ASSERT_EQ(second.size(), 1U);
+        EXPECT_FALSE(second[0].lease_end);
+        poll_answer lists;
+        lists.outcome = order_outcome::done;
+        lists.lists.incarnation = worker_incarnation{1};
+        lists.lists.clock = worker_clock{5000};
+        lists.lists.running.push_back(
+            {{{workflow_id{"a"}, {}, {}, {}}, run_number{1}}, {}, 0, 0});
+        fleet.now += milliseconds{10};
+        fleet.leader->on_answer((takes_first ? first : second)[0], lists,
+                                fleet.now);
+        auto const third = next_polls();
+        ASSERT_EQ(third.size(), 1U);
+        EXPECT_TRUE(third[0].lease_end);
+        fleet.leader->on_answer((takes_first ? second : first)[0],
+                                poll_answer{}, fleet.now);
+        EXPECT_TRUE(known().poll_in_flight);
+        EXPECT_FALSE(known().unanswered_since);
+        EXPECT_TRUE(next_polls().empty());
+    }
+}
+
+// A busy relay would be sent one with each tick.
+TEST_F(late_change_of_leader, a_refused_repetition_of_a_poll_is_paced)
+{
+    fleet.lead();
+    ASSERT_EQ(next_polls().size(), 1U);
+    fleet.now += config::order_retry_interval;
+    auto const repeated = next_polls();
+    ASSERT_EQ(repeated.size(), 1U);
+    poll_answer busy;
+    busy.outcome = order_outcome::not_sent;
+    fleet.leader->on_answer(repeated[0], busy, fleet.now);
+    EXPECT_TRUE(next_polls().empty());
+    fleet.now += config::poll_retry_delay;
+    EXPECT_EQ(next_polls().size(), 1U);
+}
+
+// A worker that announces itself but answers no poll would keep its runs.
+TEST_F(late_change_of_leader, a_worker_that_answers_no_poll_is_unresponsive)
+{
+    fleet.add_worker("w2", 4000);
+    fleet.deaf.insert("w1");
+    fleet.lead();
+    fleet.run(config::order_timeout + config::lease_extension_timeout +
+              milliseconds{100});
+    EXPECT_TRUE(known().is_unresponsive(fleet.now));
+    fleet.run(seconds{4});
+    EXPECT_TRUE(is_on("w2"));
+    expect_no_violation();
+}
+
 // A longer one would outlast what a successor assumes.
 TEST(granted_lease, is_not_longer_than_the_one_in_the_log)
 {
--- a/tests/workflow_driver_test.cpp
+++ b/tests/workflow_driver_test.cpp
@@ -189,7 +189,8 @@
     holds_lease = true;
     clock.advance(milliseconds{500});
     EXPECT_EQ(workers.starts, 1);
-    EXPECT_EQ(workers.polls, 2);
+    // The second poll has no answer, and is repeated once.
+    EXPECT_EQ(workers.polls, 3);
 }
 
 // A leader whose fleet is full planned without a pause and read the answers of
