End no life without a known place for a successor at an address

A new leader that has a run on a later life of a worker without its place, and the place of the former life, took the later life as ended as soon as another worker announced itself at that place. Its tasks would have run twice. The place of a life is missing in entries of earlier versions.

A successor now ends the worker that was at the address only if the place of its present life is there.

change_of_leader.a_life_without_a_place_is_not_ended_by_its_successor failed before.

A life that moves while it is up is not covered.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -131,10 +131,12 @@
     if (known_address != addresses_.end() &&
         known_address->second != announcement.instance.id)
     {
-        // The former worker may have started again at another address.
+        // The former worker may have started again at another address, which
+        // is not known if the log has no place of its present life.
         auto former = workers_.find(known_address->second);
-        if (former != workers_.end() && former->second.place &&
-            former->second.place->address != announcement.address)
+        if (former != workers_.end() &&
+            (!former->second.place ||
+             former->second.place->address != announcement.address))
         {
             former = workers_.end();
         }
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -484,6 +484,51 @@
     expect_no_violation();
 }
 
+// Nothing tells where a life without a place in the log is.
+TEST_F(change_of_leader, a_life_without_a_place_is_not_ended_by_its_successor)
+{
+    worker_instance const former{worker_id{"w1"}, worker_incarnation{1}};
+    worker_instance const next{worker_id{"w1"}, worker_incarnation{2}};
+    fleet.submit("b", {fake_fleet::step(2)});
+    fleet.apply(start_runs{
+        {{{{workflow_id{"b"}, {}, {}, task_index{0}}, run_number{1}}, former},
+         {{{workflow_id{"b"}, {}, {}, task_index{1}}, run_number{1}}, next}},
+        {}});
+    fleet.lead();
+    fleet.add_worker("w2", 4000, 3);
+    fleet.workers.at("w2")->address = "w1:1";
+    fleet.leader->on_announcement(fleet.announcement_of("w2"), fleet.now);
+    EXPECT_FALSE(fleet.leader->workers().at(next.id).incarnation_ended);
+}
+
+// The task would run at both addresses.
+TEST_F(change_of_leader,
+       DISABLED_a_life_that_moves_is_not_ended_by_its_successor)
+{
+    fleet.workers.at("w1")->address = "elsewhere:1";
+    fleet.add_worker("w2", 4000, 2);
+    fleet.workers.at("w2")->address = "w1:1";
+    fleet.leader->on_announcement(fleet.announcement_of("w2"), fleet.now);
+    fleet.run(seconds{4});
+    EXPECT_TRUE(is_on("w1"));
+    expect_no_violation();
+}
+
+// The address in the log is the one of the last start.
+TEST_F(change_of_leader,
+       DISABLED_a_life_that_moved_before_is_not_ended_by_its_successor)
+{
+    fleet.workers.at("w1")->address = "elsewhere:1";
+    fleet.run(seconds{2});
+    fleet.add_worker("w2", 4000, 2);
+    fleet.workers.at("w2")->address = "w1:1";
+    fleet.lead();
+    fleet.leader->on_announcement(fleet.announcement_of("w2"), fleet.now);
+    fleet.run(seconds{4});
+    EXPECT_TRUE(is_on("w1"));
+    expect_no_violation();
+}
+
 // A longer one would outlast what a successor assumes.
 TEST(granted_lease, is_not_longer_than_the_one_in_the_log)
 {
