Forget the former life when a run of a later one is recorded late

A proposal that was given up may be committed later. If it names a later life of a worker than the leader knows, the place was reset, but not what the leader had of the former life: its announcement, the reading of its clock and the fact that it was listed. The new life counted as usable without a place to send orders to, its polls would have carried leases before its first lists and by the clock of the former life; from the code, its first announcement is dropped if its number is lower.

worker_entry::begin_incarnation resets all that is of one life, for this case and for announcements of a new life.

change_of_leader.a_run_recorded_late_is_of_a_life_without_lists failed before in all three checks.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -190,26 +190,8 @@
     {
         report_late_crashes(entry);
     }
-    entry.incarnation = announcement.instance.incarnation;
-    entry.info.reset();
-    entry.incarnation_ended = false;
-    entry.recorded = {};
-    entry.acknowledged = {};
-    entry.recording_ends = false;
-    entry.poll_in_flight = false;
-    entry.repeated_poll_at.reset();
-    entry.outdated_poll_at.reset();
-    entry.has_inherited_lease = false;
-    entry.has_lost_poll = false;
-    entry.is_answering = false;
-    entry.is_replaced = false;
-    entry.is_fenced = false;
-    entry.is_listed = false;
-    entry.unrecorded.clear();
-    entry.unanswered_since.reset();
+    entry.begin_incarnation(announcement.instance.incarnation);
     entry.lease = {};
-    entry.recorded_lease.reset();
-    entry.warm_up = {};
     entry.info = announcement;
     entry.place = place_of(announcement);
     gain_room(entry);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -83,20 +83,18 @@
         worker.last_contact = now;
     }
     auto const* const place = state_.workflows().places().find(run.worker);
-    worker.has_inherited_lease = true;
     worker.lease.assume_until(
         now + worker_lease::max_duration(place != nullptr ? place->longest_lease
                                                           : policy_.lease));
     if (is_unknown || run.worker.incarnation > worker.incarnation)
     {
-        worker.incarnation = run.worker.incarnation;
-        worker.place.reset();
-        worker.recorded_lease.reset();
+        worker.begin_incarnation(run.worker.incarnation);
         if (place != nullptr)
         {
             inherit_place(*place);
         }
     }
+    worker.has_inherited_lease = true;
     auto const& step = record.step(name.task);
     auto held =
         make_held_run(step, images_.ref(step.image), run_phase::inherited);
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -549,6 +549,35 @@
                last_contact - run.settled_at >= config::crash_blame_time;
     }
 
+    /// Forgets what is true of the present incarnation only. Its runs stay, and
+    /// so does the bound on its lease.
+    auto begin_incarnation(worker_incarnation next) -> void
+    {
+        incarnation = next;
+        info.reset();
+        place.reset();
+        recorded_lease.reset();
+        auto const lease_end = lease.latest_end();
+        lease = {};
+        lease.assume_until(lease_end);
+        warm_up = {};
+        unrecorded.clear();
+        recorded = {};
+        acknowledged = {};
+        unanswered_since.reset();
+        poll_in_flight = false;
+        repeated_poll_at.reset();
+        outdated_poll_at.reset();
+        has_inherited_lease = false;
+        has_lost_poll = false;
+        recording_ends = false;
+        is_answering = false;
+        is_listed = false;
+        is_replaced = false;
+        is_fenced = false;
+        incarnation_ended = false;
+    }
+
     auto add(task_run const& name, held_run run) -> void
     {
         are_shares_stale = true;
--- a/tests/unreached_workers_test.cpp
+++ b/tests/unreached_workers_test.cpp
@@ -529,6 +529,20 @@
     expect_no_violation();
 }
 
+// A poll with a lease would prolong the doubt about a life that is gone.
+TEST_F(change_of_leader, a_run_recorded_late_is_of_a_life_without_lists)
+{
+    fleet.submit("b", {lasting()});
+    fleet.apply(start_runs{{{{{workflow_id{"b"}, {}, {}, {}}, run_number{1}},
+                             {worker_id{"w1"}, worker_incarnation{2}}}},
+                           {}});
+    auto const& known = fleet.leader->workers().at(worker_id{"w1"});
+    ASSERT_EQ(known.incarnation, worker_incarnation{2});
+    EXPECT_FALSE(known.is_listed);
+    EXPECT_FALSE(known.lease.is_sampled());
+    EXPECT_FALSE(known.info);
+}
+
 // A longer one would outlast what a successor assumes.
 TEST(granted_lease, is_not_longer_than_the_one_in_the_log)
 {
