--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -131,10 +131,12 @@
     if (known_address != addresses_.end() &&
         known_address->second != announcement.instance.id)
     {
-        // The former worker may have started again at another address.
+        // The former worker may have started again at another address, which
+        // is not known if the log has no place of its present life.
         auto former = workers_.find(known_address->second);
-        if (former != workers_.end() && former->second.place &&
-            former->second.place->address != announcement.address)
+        if (former != workers_.end() &&
+            (!former->second.place ||
+             former->second.place->address != announcement.address))
         {
             former = workers_.end();
         }
@@ -188,23 +190,8 @@
     {
         report_late_crashes(entry);
     }
-    entry.incarnation = announcement.instance.incarnation;
-    entry.info.reset();
-    entry.incarnation_ended = false;
-    entry.recorded = {};
-    entry.acknowledged = {};
-    entry.recording_ends = false;
-    entry.poll_in_flight = false;
-    entry.has_lost_poll = false;
-    entry.is_answering = false;
-    entry.is_replaced = false;
-    entry.is_fenced = false;
-    entry.is_listed = false;
-    entry.unrecorded.clear();
-    entry.unanswered_since.reset();
+    entry.begin_incarnation(announcement.instance.incarnation);
     entry.lease = {};
-    entry.recorded_lease.reset();
-    entry.warm_up = {};
     entry.info = announcement;
     entry.place = place_of(announcement);
     gain_room(entry);
@@ -224,9 +211,14 @@
         if (held.start_unconfirmed || held.phase == run_phase::ordered ||
             held.phase == run_phase::inherited)
         {
-            // A late start order may give the new life a lease.
-            entry.lease.assume_until(now + config::max_order_age +
-                                     worker_lease::max_duration(policy_.lease));
+            // A late start order may give the new life the longest lease that
+            // workers accept, since its end is on the clock of the former one.
+            if (may_start_late(held, now))
+            {
+                entry.lease.assume_until(
+                    start_given_at(held) + config::max_order_age +
+                    worker_lease::max_duration(policy_.lease));
+            }
             send_stop(worker, run, held, now);
         }
         else
@@ -506,7 +498,10 @@
     }
     auto& worker = *found;
     auto& entry = worker.second;
-    entry.poll_in_flight = false;
+    if (!entry.end_poll(order.to.given, answer.outcome, now))
+    {
+        return;
+    }
     entry.has_lost_poll =
         answer.outcome != order_outcome::done &&
         (entry.has_lost_poll || answer.outcome == order_outcome::no_answer);
@@ -534,6 +529,8 @@
         entry.next_poll_at = order.wait > milliseconds{0} || lists_acknowledged
                                  ? now + config::min_poll_interval
                                  : now;
+        entry.has_inherited_lease =
+            entry.has_inherited_lease && !order.lease_end;
         record_contact(worker, answer.lists.clock, now);
         process_lists(worker, answer.lists, now);
         send_poll(worker, now);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -96,14 +96,13 @@
                                                           : policy_.lease));
     if (is_unknown || run.worker.incarnation > worker.incarnation)
     {
-        worker.incarnation = run.worker.incarnation;
-        worker.place.reset();
-        worker.recorded_lease.reset();
+        worker.begin_incarnation(run.worker.incarnation);
         if (place != nullptr)
         {
             inherit_place(*place);
         }
     }
+    worker.has_inherited_lease = true;
     auto const& step = record.step(name.task);
     auto held =
         make_held_run(step, images_.ref(step.image), run_phase::inherited);
@@ -417,7 +416,8 @@
     // After a lost poll, runs may have lapsed. An order that was answered since
     // tells nothing of them.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
-                  !entry.is_listed || (is_release_due && !entry.is_answering);
+                  !entry.is_listed || (is_release_due && !entry.is_answering) ||
+                  (has_runs && entry.has_inherited_lease);
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : entry.runs)
@@ -450,6 +450,28 @@
     actions_.emplace_back(std::move(order));
 }
 
+/// At the end of 3 s without a leader, a lease of 6 s may have 1.2 s left, and
+/// a lost poll is known after 1 s at the earliest. The repetition grants
+/// nothing, so that it prolongs no doubt about a worker that is gone; the poll
+/// after its answer does.
+auto run_scheduler::repeat_poll(identified_worker& worker, time_point now)
+    -> bool
+{
+    auto& entry = worker.second;
+    if (!entry.poll_in_flight || !entry.has_inherited_lease ||
+        entry.repeated_poll_at || entry.outdated_poll_at ||
+        entry.incarnation_ended || entry.is_replaced || entry.is_fenced ||
+        !entry.place || now >= entry.lease.latest_end() ||
+        now < entry.next_poll_at ||
+        now - entry.poll_sent_at < config::order_retry_interval)
+    {
+        return false;
+    }
+    entry.repeated_poll_at = std::exchange(entry.poll_sent_at, now);
+    actions_.emplace_back(poll_order{target_of(worker, now), {}, {}, {}});
+    return true;
+}
+
 /// Repeats the orders of a worker that are due, and counts its runs that wait
 /// for a sign of it.
 auto run_scheduler::review_orders(identified_worker& worker, time_point now)
@@ -547,6 +569,10 @@
             send_poll(*worker, now);
             first_polls -= is_first && entry.poll_in_flight ? 1 : 0;
         }
+        if (first_polls > 0 && repeat_poll(*worker, now))
+        {
+            --first_polls;
+        }
         ++worker;
     }
     is_fenced_ = refusing >= config::fenced_workers_to_resign ||
@@ -813,9 +839,13 @@
 {
     auto const is_unanswered =
         is_unconfirmed(held.phase) || held.start_unconfirmed;
-    // An earlier leader gave its last orders before this one was elected.
-    auto const given = std::max(held.start_sent, leading_since_);
-    return is_unanswered && now - given < config::max_order_age;
+    return is_unanswered && now - start_given_at(held) < config::max_order_age;
+}
+
+/// An earlier leader gave its last orders before this one was elected.
+auto run_scheduler::start_given_at(held_run const& held) const -> time_point
+{
+    return std::max(held.start_sent, leading_since_);
 }
 
 /// Each life of a worker is polled once, so that it refuses the orders of
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -294,6 +294,9 @@
     auto send_pending_stop(identified_worker& worker, task_run const& run,
                            pending_stop& stop, time_point now) -> void;
     auto send_poll(identified_worker& worker, time_point now) -> void;
+    /// Repeats an open poll if the lease of the worker may be about to end.
+    /// Returns true if it was sent.
+    auto repeat_poll(identified_worker& worker, time_point now) -> bool;
     auto review_orders(identified_worker& worker, time_point now) -> void;
     auto request_stop(task_run const& run, time_point now) -> void;
     /// Stops the runs of a workflow that are not wanted any more.
@@ -315,6 +318,8 @@
     /// carried out by the next life of its worker.
     [[nodiscard]] auto may_start_late(held_run const& held,
                                       time_point now) const -> bool;
+    /// When the last start order of the run was given, at the latest.
+    [[nodiscard]] auto start_given_at(held_run const& held) const -> time_point;
     /// True while the worker may carry out a start order whose run has ended
     /// in the log, or runs what this leader has not heard of.
     [[nodiscard]] auto may_run_unrecorded(identified_worker const& worker,
