Stall connections in the soak's proxy as TCP does

Cause: over a link that loses packets a TCP connection stalls for a retransmission of 200 ms, then 400 and 800 ms. The proxy could delay, reset and cut, and no fault stalled one connection.

Change: each direction of a connection is a lane. With a loss set, a chunk waits for its retransmissions, drawn from a seed, and what is behind it waits too; the bytes keep their order and none are lost. Bytes that came after the end of a delay overtook those that were delayed; the lane keeps their order as well. One link_harm takes the place of the separate setters. Names of the faults, the command line and two setters that nothing called take fewer lines.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -15,33 +15,24 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto kinds = std::to_array<std::pair<fault_kind, std::string_view>>(
-    {{fault_kind::kill_control, "kill_control"},
-     {fault_kind::kill_all_control, "kill_all_control"},
-     {fault_kind::freeze_control, "freeze_control"},
-     {fault_kind::end_control, "end_control"},
-     {fault_kind::restart_series, "restart_series"},
-     {fault_kind::lose_disk, "lose_disk"},
-     {fault_kind::replace_control, "replace_control"},
-     {fault_kind::kill_entry, "kill_entry"},
-     {fault_kind::freeze_entry, "freeze_entry"},
-     {fault_kind::end_entry, "end_entry"},
-     {fault_kind::end_entries, "end_entries"},
-     {fault_kind::hang_up, "hang_up"},
-     {fault_kind::crash_workers, "crash_workers"},
-     {fault_kind::late_workers, "late_workers"},
-     {fault_kind::freeze_workers, "freeze_workers"},
-     {fault_kind::drain_workers, "drain_workers"},
-     {fault_kind::cut_links, "cut_links"},
-     {fault_kind::slow_links, "slow_links"},
-     {fault_kind::reset_links, "reset_links"}});
-/// Come beside those above, from a second sequence of random numbers.
-constexpr auto added_kinds =
-    std::to_array<std::pair<fault_kind, std::string_view>>(
-        {{fault_kind::cancel_wave, "cancel_wave"},
-         {fault_kind::leave_workers, "leave_workers"},
-         {fault_kind::leave_unheard, "leave_unheard"},
-         {fault_kind::crash_unheard, "crash_unheard"}});
+/// In the order of fault_kind.
+constexpr auto names_of_kinds = std::to_array<std::string_view>(
+    {"kill_control",   "kill_all_control", "freeze_control",  "end_control",
+     "restart_series", "lose_disk",        "replace_control", "kill_entry",
+     "freeze_entry",   "end_entry",        "end_entries",     "hang_up",
+     "crash_workers",  "late_workers",     "freeze_workers",  "drain_workers",
+     "cut_links",      "slow_links",       "reset_links",     "cancel_wave",
+     "leave_workers",  "leave_unheard",    "crash_unheard"});
+/// Those from here on come beside the others, from a second sequence of random
+/// numbers.
+constexpr auto first_added = static_cast<std::size_t>(fault_kind::cancel_wave);
+
+/// Any of the kinds from `first` up to `end`.
+auto any_kind(std::uint64_t random, std::size_t first, std::size_t end)
+    -> fault_kind
+{
+    return static_cast<fault_kind>(first + random % (end - first));
+}
 
 /// Time until a machine that lost its disk, or is new, counts again.
 constexpr auto catch_up = seconds{4};
@@ -69,13 +60,7 @@
 
 auto name_of(fault_kind it) -> std::string_view
 {
-    auto const first =
-        std::ranges::find(kinds, it, &decltype(kinds)::value_type::first);
-    return first != kinds.end()
-               ? first->second
-               : std::ranges::find(added_kinds, it,
-                                   &decltype(added_kinds)::value_type::first)
-                     ->second;
+    return names_of_kinds.at(static_cast<std::size_t>(it));
 }
 
 auto make_schedule(std::uint64_t seed, duration length) -> std::vector<fault>
@@ -88,7 +73,7 @@
         // A series, then a calm span that is longer than any bound.
         for (auto n = 1 + random() % 4; n > 0; --n)
         {
-            out.push_back({at, kinds[random() % kinds.size()].first, random()});
+            out.push_back({at, any_kind(random(), 0, first_added), random()});
             at += between(random, milliseconds{0}, milliseconds{2500});
         }
         at += between(random, milliseconds{1000}, milliseconds{12000});
@@ -100,10 +85,11 @@
         constexpr std::uint64_t share = 2;
         if (chance(second, share))
         {
-            out.push_back({out[n - 1].at + between(second, milliseconds{0},
-                                                   milliseconds{1200}),
-                           added_kinds[second() % added_kinds.size()].first,
-                           second()});
+            out.push_back(
+                {out[n - 1].at +
+                     between(second, milliseconds{0}, milliseconds{1200}),
+                 any_kind(second(), first_added, names_of_kinds.size()),
+                 second()});
         }
     }
     std::erase_if(out, [&](fault const& it) { return it.at >= length; });
@@ -553,27 +539,30 @@
     auto const time = between(random, milliseconds{300}, milliseconds{5000});
     auto const requests = !chance(random, 3);
     auto const answers = !requests || !chance(random, 3);
+    link_harm harm;
     auto const delay = between(random, milliseconds{50}, milliseconds{900});
+    if (kind == fault_kind::cut_links)
+    {
+        harm.holds_requests = requests;
+        harm.holds_answers = answers;
+    }
+    else if (kind == fault_kind::slow_links)
+    {
+        harm.delay = delay;
+    }
     for (auto* const it : pick_workers(random))
     {
         auto const name = it->name();
         disturbed_.begin(name, clock_.now());
-        switch (kind)
+        it->links().set_harm(harm);
+        if (kind == fault_kind::reset_links)
         {
-        case fault_kind::cut_links:
-            it->links().set_silent(requests, answers);
-            break;
-        case fault_kind::slow_links:
-            it->links().set_delay(delay);
-            break;
-        default:
             it->links().reset_connections();
         }
         after(time,
               [this, it, name]
               {
-                  it->links().set_silent(false, false);
-                  it->links().set_delay({});
+                  it->links().set_harm({});
                   disturbed_.end(name, clock_.now());
               });
     }
@@ -612,8 +601,7 @@
     }
     for (auto const& it : workers_)
     {
-        it->links().set_silent(false, false);
-        it->links().set_delay({});
+        it->links().set_harm({});
         it->set_late({});
         it->freeze(false);
         if (!it->is_up() && !gone_.contains(it.get()))
--- a/soak/http.cpp
+++ b/soak/http.cpp
@@ -460,15 +460,6 @@
     paused_ = false;
 }
 
-auto http_server::reset_connections() -> void
-{
-    for (auto& [id, it] : connections_)
-    {
-        it.socket->close(true);
-    }
-    connections_.clear();
-}
-
 auto http_server::pause(bool paused) -> void
 {
     paused_ = paused;
--- a/soak/http.hpp
+++ b/soak/http.hpp
@@ -196,7 +196,6 @@
     }
     /// Leaves connections open, and unread, if `silent`.
     auto close(bool silent = false) -> void;
-    auto reset_connections() -> void;
     auto pause(bool paused) -> void;
 
 private:
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -379,39 +379,28 @@
 
 auto parse(int argc, char** argv) -> options
 {
+    options out;
+    std::string binary;
+    auto templates = out.templates.string();
+    auto length = static_cast<int>(out.length.count());
     cxxopts::Options table{"soak", "Randomized soak of real processes"};
-    table.add_options()("binary", "program under test",
-                        cxxopts::value<std::string>())(
+    table.add_options()("binary", "program under test", cxxopts::value(binary))(
         "templates", "folder with the templates of the settings files",
-        cxxopts::value<std::string>())("seed", "of the schedule",
-                                       cxxopts::value<std::uint64_t>())(
-        "seconds", "of traffic with faults", cxxopts::value<int>())(
-        "entries", "entry processes", cxxopts::value<std::size_t>())(
-        "workers", "workers", cxxopts::value<std::size_t>())(
-        "rate", "submissions a second", cxxopts::value<double>())(
+        cxxopts::value(templates))("seed", "of the schedule",
+                                   cxxopts::value(out.seed))(
+        "seconds", "of traffic with faults", cxxopts::value(length))(
+        "entries", "entry processes", cxxopts::value(out.entries))(
+        "workers", "workers", cxxopts::value(out.workers))(
+        "rate", "submissions a second", cxxopts::value(out.submissions_per_s))(
         "cores", "of this machine, for all processes together",
-        cxxopts::value<int>())(
-        "unread-logs", "logs go to pipes that nobody reads")("keep",
-                                                             "keep the logs");
-    auto const got = table.parse(argc, argv);
-    options out;
-    out.binary = got["binary"].as<std::string>();
-    if (got.count("templates") > 0)
-    {
-        out.templates = got["templates"].as<std::string>();
-    }
-    out.seed = got.count("seed") > 0 ? got["seed"].as<std::uint64_t>() : 1;
-    out.length =
-        seconds{got.count("seconds") > 0 ? got["seconds"].as<int>() : 60};
-    out.entries =
-        got.count("entries") > 0 ? got["entries"].as<std::size_t>() : 6;
-    out.workers =
-        got.count("workers") > 0 ? got["workers"].as<std::size_t>() : 24;
-    out.submissions_per_s =
-        got.count("rate") > 0 ? got["rate"].as<double>() : 6;
-    out.cores = got.count("cores") > 0 ? got["cores"].as<int>() : 0;
-    out.unread_logs = got.count("unread-logs") > 0;
-    out.keep = got.count("keep") > 0;
+        cxxopts::value(out.cores))("unread-logs",
+                                   "logs go to pipes that nobody reads",
+                                   cxxopts::value(out.unread_logs))(
+        "keep", "keep the logs", cxxopts::value(out.keep));
+    table.parse(argc, argv);
+    out.binary = binary;
+    out.templates = templates;
+    out.length = seconds{length};
     return out;
 }
 
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -29,10 +29,10 @@
     it.caller->on_bytes = [this, id](std::string_view bytes)
     {
         note(id, bytes);
-        pass(id, true, std::string{bytes});
+        pass(id, true, bytes);
     };
     it.server->on_bytes = [this, id](std::string_view bytes)
-    { pass(id, false, std::string{bytes}); };
+    { pass(id, false, bytes); };
     it.caller->on_closed = [this, id] { end(id); };
     it.server->on_closed = [this, id] { end(id); };
 }
@@ -40,8 +40,8 @@
 auto proxy::note(std::uint64_t id, std::string_view bytes) -> void
 {
     auto& from = pipes_.at(id);
-    from.requests.add(bytes);
-    while (auto const it = from.requests.next())
+    from.reader.add(bytes);
+    while (auto const it = from.reader.next())
     {
         if (on_request)
         {
@@ -50,36 +50,42 @@
     }
 }
 
-auto proxy::pass(std::uint64_t id, bool is_request, std::string bytes) -> void
+auto proxy::pass(std::uint64_t id, bool is_request, std::string_view bytes)
+    -> void
 {
-    auto const move_on =
-        [this, id, is_request, bytes = std::move(bytes), alive = alive_]
-    {
-        if (!*alive || !pipes_.contains(id))
-        {
-            return;
-        }
-        auto& it = pipes_.at(id);
-        auto& held = is_request ? it.held_requests : it.held_answers;
-        held += bytes;
-        release(id);
-    };
-    if (delay_ == duration{})
+    auto& it = pipes_.at(id);
+    auto const wait = (is_request ? it.requests : it.answers)
+                          .add(bytes, clock_.now(), harm_, random_);
+    if (wait <= duration{})
     {
-        move_on();
+        move_on(id, is_request);
         return;
     }
-    clock_.start_timer(delay_, move_on);
+    clock_.start_timer(wait,
+                       [this, id, is_request, alive = alive_]
+                       {
+                           if (*alive && pipes_.contains(id))
+                           {
+                               move_on(id, is_request);
+                           }
+                       });
 }
 
-auto proxy::release(std::uint64_t id) -> void
+auto proxy::move_on(std::uint64_t id, bool is_request) -> void
 {
     auto& it = pipes_.at(id);
-    if (!holds_requests_ && !it.held_requests.empty())
+    (is_request ? it.held_requests : it.held_answers) +=
+        (is_request ? it.requests : it.answers).take();
+    release(it);
+}
+
+auto proxy::release(pipe& it) -> void
+{
+    if (!harm_.holds_requests && !it.held_requests.empty())
     {
         it.server->write(std::exchange(it.held_requests, {}));
     }
-    if (!holds_answers_ && !it.held_answers.empty())
+    if (!harm_.holds_answers && !it.held_answers.empty())
     {
         it.caller->write(std::exchange(it.held_answers, {}));
     }
@@ -96,22 +102,20 @@
         }
     };
     constexpr auto send_time = std::chrono::milliseconds{20};
-    clock_.start_timer(delay_ + send_time, close);
+    auto const& it = pipes_.at(id);
+    auto const free_at =
+        std::max({clock_.now() + harm_.delay, it.requests.free_at(),
+                  it.answers.free_at()});
+    clock_.start_timer(free_at - clock_.now() + send_time, close);
 }
 
-auto proxy::set_silent(bool requests, bool answers) -> void
+auto proxy::set_harm(link_harm const& it) -> void
 {
-    holds_requests_ = requests;
-    holds_answers_ = answers;
-    std::vector<std::uint64_t> ids;
-    ids.reserve(pipes_.size());
-    for (auto const& [id, it] : pipes_)
-    {
-        ids.push_back(id);
-    }
-    for (auto const id : ids)
+    harm_ = it;
+    random_.seed(it.seed);
+    for (auto& [id, each] : pipes_)
     {
-        release(id);
+        release(each);
     }
 }
 
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -6,16 +6,68 @@
 
 #include <apricotlb/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
+#include <utility>
 
 namespace apricotlb::soak
 {
 
-/// Passes bytes on in order. While it is silent in a direction, bytes are held
-/// and arrive late, unless the connection ends before.
+/// What a proxy does to the bytes that pass.
+struct link_harm
+{
+    duration delay{};
+    /// Share of the packets that are lost, below 1.
+    double loss{0};
+    /// Bytes are held and arrive late, unless the connection ends before.
+    bool holds_requests{false};
+    bool holds_answers{false};
+    std::uint64_t seed{0}; ///< of the losses
+};
+
+/// One direction of a connection. Bytes behind a lost packet wait until it has
+/// arrived, as with TCP; none are lost or overtaken.
+class lane
+{
+public:
+    /// The first retransmission of TCP; each further one takes twice as long.
+    static constexpr auto retransmission = std::chrono::milliseconds{200};
+
+    /// Takes bytes in, and returns the time after which take() is due.
+    auto add(std::string_view bytes, time_point now, link_harm const& harm,
+             std::mt19937_64& random) -> duration
+    {
+        auto arrival = now + harm.delay;
+        std::bernoulli_distribution is_lost{harm.loss};
+        for (duration wait = retransmission; is_lost(random); wait *= 2)
+        {
+            arrival += wait;
+        }
+        free_at_ = std::max(free_at_, arrival);
+        under_way_.emplace_back(bytes);
+        return free_at_ - now;
+    }
+    /// The bytes that were taken in first.
+    auto take() -> std::string
+    {
+        auto out = std::move(under_way_.front());
+        under_way_.pop_front();
+        return out;
+    }
+    /// When all that is under way has arrived.
+    [[nodiscard]] auto free_at() const -> time_point { return free_at_; }
+
+private:
+    std::deque<std::string> under_way_;
+    time_point free_at_{};
+};
+
+/// Passes bytes on in order.
 class proxy
 {
 public:
@@ -34,8 +86,7 @@
         return listen_at_;
     }
 
-    auto set_delay(duration it) -> void { delay_ = it; }
-    auto set_silent(bool requests, bool answers) -> void;
+    auto set_harm(link_harm const& it) -> void;
     auto reset_connections() -> void;
 
     /// Called with each request when its caller has sent it, and the address of
@@ -48,14 +99,18 @@
         std::unique_ptr<stream> caller;
         std::unique_ptr<stream> server;
         std::string peer;
+        lane requests;
+        lane answers;
         std::string held_requests;
         std::string held_answers;
-        message_reader requests;
+        message_reader reader;
     };
 
     auto accept(int fd) -> void;
-    auto pass(std::uint64_t id, bool is_request, std::string bytes) -> void;
-    auto release(std::uint64_t id) -> void;
+    auto release(pipe& it) -> void;
+    auto pass(std::uint64_t id, bool is_request, std::string_view bytes)
+        -> void;
+    auto move_on(std::uint64_t id, bool is_request) -> void;
     auto note(std::uint64_t id, std::string_view bytes) -> void;
     auto end(std::uint64_t id) -> void;
 
@@ -66,9 +121,8 @@
     std::map<std::uint64_t, pipe> pipes_;
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
     std::uint64_t last_id_{0};
-    duration delay_{};
-    bool holds_requests_{false};
-    bool holds_answers_{false};
+    link_harm harm_;
+    std::mt19937_64 random_;
 };
 
 } // namespace apricotlb::soak
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -68,7 +68,6 @@
                 .count();
     sequence_ = fence_ = deadline_ = last_end_ = 0;
     late_ = {};
-    slowness_ = 1;
     closed_.clear();
     ordered_.clear();
     thawed_at_ = {};
@@ -364,9 +363,8 @@
     }
     auto const luck = random_() % 1000;
     it.fails = luck < failing;
-    it.work_left = it.step.run_time *
-                   (luck >= 1000 - stragglers ? straggler_factor : 1) *
-                   slowness_;
+    it.work_left =
+        it.step.run_time * (luck >= 1000 - stragglers ? straggler_factor : 1);
     it.since = clock_.now();
     auto const order = ordered_.find({task, number});
     std::optional<time_point> held_since;
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -65,7 +65,6 @@
     auto set_late(duration delay) -> void { late_ = delay; }
     /// Stops reading and sending, as a suspended machine.
     auto freeze(bool frozen) -> void;
-    auto set_slowness(int factor) -> void { slowness_ = factor; }
 
     [[nodiscard]] auto links() -> proxy& { return proxy_; }
     [[nodiscard]] auto name() const -> std::string { return "w" + place_.id; }
@@ -149,7 +148,6 @@
     std::int64_t last_end_{0};
     std::int64_t checkpoints_{0};
     duration late_{};
-    int slowness_{1};
     std::int64_t disturbance_ms_{0};
     std::map<std::string, run> runs_;
     std::map<std::string, std::int64_t> closed_;
--- /dev/null
+++ b/tests/soak_proxy_test.cpp
@@ -0,0 +1,197 @@
+/// The proxy of the soak stalls a connection as TCP does over a link that loses
+/// packets, and passes each byte on once and in order.
+#include "adapters/glib_clock.hpp"
+#include "soak/http.hpp"
+#include "soak/processes.hpp"
+#include "soak/proxy.hpp"
+
+#include <glib.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace apricotlb::soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto start = time_point{} + std::chrono::hours{1};
+
+auto lossy(double share) -> link_harm
+{
+    link_harm out;
+    out.loss = share;
+    return out;
+}
+
+/// Waits of chunks that each have a connection of their own.
+auto single_waits(std::uint64_t seed, int chunks) -> std::vector<duration>
+{
+    std::mt19937_64 random{seed};
+    std::vector<duration> out(static_cast<std::size_t>(chunks));
+    for (auto& it : out)
+    {
+        it = lane{}.add("a", start, lossy(0.4), random);
+    }
+    return out;
+}
+
+} // namespace
+
+// Stalls of another length than those of TCP show faults that no link causes,
+// or hide those that time-outs near a retransmission cause.
+TEST(soak_lane, waits_for_each_retransmission_twice_as_long_as_for_the_last)
+{
+    constexpr auto chunks = 10'000;
+    std::map<duration, int> count;
+    for (auto const it : single_waits(1, chunks))
+    {
+        ++count[it];
+    }
+    auto left = 1.0;
+    duration wait{};
+    for (duration step = milliseconds{200}; step <= milliseconds{800};
+         step *= 2)
+    {
+        EXPECT_NEAR(count[wait], chunks * left * 0.6, 200);
+        left *= 0.4;
+        wait += step;
+    }
+    EXPECT_EQ(wait, milliseconds{1400});
+}
+
+// A run that can't be repeated by its seed can't be traced.
+TEST(soak_lane, loses_the_same_packets_with_the_same_seed)
+{
+    EXPECT_EQ(single_waits(7, 100), single_waits(7, 100));
+    EXPECT_NE(single_waits(7, 100), single_waits(8, 100));
+}
+
+// A chunk that overtakes a lost one breaks the framing of the messages.
+TEST(soak_lane, keeps_what_is_behind_a_stalled_chunk_in_order)
+{
+    std::mt19937_64 random{1};
+    lane it;
+    auto last = start;
+    auto behind = 0;
+    for (auto n = 0; n < 1000; ++n)
+    {
+        auto const now = start + milliseconds{n};
+        auto const due =
+            now + it.add(std::to_string(n), now, lossy(0.1), random);
+        EXPECT_GE(due, last);
+        behind += due == last ? 1 : 0;
+        last = due;
+    }
+    EXPECT_GT(behind, 500);
+    for (auto n = 0; n < 1000; ++n)
+    {
+        EXPECT_EQ(it.take(), std::to_string(n));
+    }
+}
+
+// Bytes that come after the end of a delay overtook those that were delayed.
+TEST(soak_lane, keeps_the_order_when_its_delay_ends)
+{
+    std::mt19937_64 random;
+    link_harm slow;
+    slow.delay = milliseconds{900};
+    lane it;
+    EXPECT_EQ(it.add("a", start, slow, random), milliseconds{900});
+    EXPECT_EQ(it.add("b", start + milliseconds{100}, {}, random),
+              milliseconds{800});
+}
+
+namespace
+{
+
+/// A caller, the proxy and a server on loopback.
+class soak_proxy : public testing::Test
+{
+protected:
+    soak_proxy()
+    {
+        EXPECT_TRUE(server.open(ip + ":8001"));
+        EXPECT_TRUE(link.open());
+        caller = std::make_unique<stream>(connect_to(ip + ":8002"));
+        caller->on_bytes = [this](std::string_view it) { answers += it; };
+    }
+
+    auto run_for(duration time) -> void
+    {
+        auto is_over = false;
+        clock.start_timer(time, [&] { is_over = true; });
+        while (!is_over)
+        {
+            g_main_context_iteration(nullptr, TRUE);
+        }
+    }
+
+    glib_clock clock;
+    std::string ip{"127." + std::to_string(claim_octet(0)) + ".0.1"};
+    std::string requests;
+    std::string answers;
+    std::unique_ptr<stream> served;
+    listener server{[this](int fd)
+                    {
+                        served = std::make_unique<stream>(fd);
+                        served->on_bytes = [this](std::string_view it)
+                        {
+                            requests += it;
+                            served->write(it);
+                        };
+                    }};
+    proxy link{clock, ip + ":8002", ip + ":8001"};
+    std::unique_ptr<stream> caller;
+};
+
+} // namespace
+
+// A harmed link must be late, and nothing else: lost or exchanged bytes would
+// be faults of the soak itself.
+TEST_F(soak_proxy, passes_all_bytes_on_in_order_over_a_link_that_loses_packets)
+{
+    link.set_harm(lossy(0.3));
+    auto const began = clock.now();
+    std::string sent;
+    for (auto n = 0; n < 40; ++n)
+    {
+        auto const chunk = std::to_string(n) + ",";
+        sent += chunk;
+        caller->write(chunk);
+        run_for(milliseconds{5});
+    }
+    EXPECT_NE(requests, sent);
+    while (answers.size() < sent.size() &&
+           clock.now() < began + std::chrono::seconds{30})
+    {
+        run_for(milliseconds{20});
+    }
+    EXPECT_EQ(requests, sent);
+    EXPECT_EQ(answers, sent);
+    EXPECT_GE(clock.now() - began, milliseconds{200});
+}
+
+// What a caller sent before it closed is lost with the connection only if the
+// link is cut.
+TEST_F(soak_proxy, delivers_what_is_under_way_when_one_side_closes)
+{
+    link_harm slow;
+    slow.delay = milliseconds{100};
+    link.set_harm(slow);
+    caller->write("last");
+    run_for(milliseconds{20});
+    caller.reset();
+    run_for(milliseconds{200});
+    EXPECT_EQ(requests, "last");
+}
+
+} // namespace apricotlb::soak
