--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -16,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr auto queue_host = "q.example";
+constexpr int cancel_attempts = 20;
 
 auto body_of(workflow_plan const& it) -> std::string
 {
@@ -38,22 +39,20 @@
             row["target_ms"] = step.target_ms;
             row["miss_allowed"] = step.max_unavailable;
         }
-        if (step.scavenges)
+        for (auto const& [key, is_set] :
+             {std::pair{"fills", step.scavenges},
+              {"checkpointing", step.checkpoints},
+              {"allow_duplicates", step.allow_duplicates}})
         {
-            row["fills"] = true;
-        }
-        if (step.checkpoints)
-        {
-            row["checkpointing"] = true;
+            if (is_set)
+            {
+                row[key] = true;
+            }
         }
         if (step.anti_affinity > 0)
         {
             row["anti_affinity"] = step.anti_affinity;
         }
-        if (step.allow_duplicates)
-        {
-            row["allow_duplicates"] = true;
-        }
         if (!step.image.empty())
         {
             row["image"] = step.image;
@@ -65,18 +64,10 @@
 
 auto name_of(call_result const& it) -> std::string
 {
-    switch (it.how)
-    {
-    case call_end::answered:
-        return std::to_string(it.status);
-    case call_end::cut:
-        return "cut";
-    case call_end::timed_out:
-        return "timed out";
-    case call_end::not_connected:
-        break;
-    }
-    return "not connected";
+    return it.how == call_end::answered    ? std::to_string(it.status)
+           : it.how == call_end::cut       ? "cut"
+           : it.how == call_end::timed_out ? "timed out"
+                                           : "not connected";
 }
 
 } // namespace
@@ -149,9 +140,35 @@
 
 auto clients::start() -> void
 {
-    submit_later();
-    read_later();
-    count_later();
+    constexpr int attempts = 4;
+    constexpr double second_ms = 1000;
+    repeat(
+        [this]
+        {
+            std::exponential_distribution<double> gap{rate_.submissions_per_s /
+                                                      second_ms};
+            return milliseconds{static_cast<std::int64_t>(gap(random_))};
+        },
+        [this] { submit(new_plan(), attempts); });
+    repeat([this] { return milliseconds{10 + random_() % 60}; },
+           [this] { read(); });
+    repeat([this] { return milliseconds{10 + random_() % 50}; },
+           [this] { count(); });
+}
+
+auto clients::repeat(std::function<duration()> gap, std::function<void()> run)
+    -> void
+{
+    auto const wait = gap();
+    clock_.start_timer(wait,
+                       [this, gap = std::move(gap), run = std::move(run)]
+                       {
+                           if (!stopped_)
+                           {
+                               repeat(gap, run);
+                               run();
+                           }
+                       });
 }
 
 auto clients::idle_caller() -> caller*
@@ -266,30 +283,14 @@
     return out;
 }
 
-auto clients::submit_later() -> void
-{
-    auto const mean = 1000.0 / rate_.submissions_per_s;
-    std::exponential_distribution<double> gap{1.0 / mean};
-    clock_.start_timer(milliseconds{static_cast<std::int64_t>(gap(random_))},
-                       [this]
-                       {
-                           if (stopped_)
-                           {
-                               return;
-                           }
-                           submit_later();
-                           constexpr int attempts = 4;
-                           submit(new_plan(), attempts);
-                       });
-}
-
 auto clients::submit(workflow_plan const& plan, int attempts_left) -> void
 {
     ledger_.on_submission(plan);
-    call({"POST", plan.queue_path + plan.id, queue_host, body_of(plan),
-          std::chrono::seconds{3}},
-         [this, plan, attempts_left](std::string const& node,
-                                     call_result const& it)
+    http_call const post{"POST", plan.queue_path + plan.id, queue_host,
+                         body_of(plan), std::chrono::seconds{3}};
+    call(post,
+         [this, plan, post, attempts_left](std::string const&,
+                                           call_result const& it)
          {
              auto const is_refused = it.status == 429 || it.status == 503 ||
                                      it.status == 404 ||
@@ -301,23 +302,16 @@
              if (answer == submission_answer::accepted)
              {
                  submitted_.push_back(plan.id);
-                 if (on_accepted)
-                 {
-                     on_accepted(node);
-                 }
                  cancel_later(plan);
                  // A copy of the request that was held up on its way.
                  if (random_() % 20 == 0)
                  {
                      clock_.start_timer(
                          milliseconds{1000 + random_() % 4000},
-                         [this, plan]
+                         [this, plan, post]
                          {
                              ledger_.on_submission(plan);
-                             call(
-                                 {"POST", plan.queue_path + plan.id, queue_host,
-                                  body_of(plan), std::chrono::seconds{3}},
-                                 [](std::string const&, call_result const&) {});
+                             call(post, [](auto const&, auto const&) {});
                          });
                  }
                  return;
@@ -335,7 +329,6 @@
 /// share is cancelled early.
 auto clients::cancel_later(workflow_plan const& plan) -> void
 {
-    constexpr int attempts = 20;
     auto const stays = ledger_.is_permanent(plan.id);
     std::uniform_real_distribution<double> luck{0, 1};
     if (stopped_ || plan.is_kept ||
@@ -345,12 +338,12 @@
     }
     auto const after = stays ? milliseconds{4000 + random_() % 12000}
                              : milliseconds{random_() % 3000};
-    clock_.start_timer(after, [this, id = plan.id] { cancel(id, attempts); });
+    clock_.start_timer(after,
+                       [this, id = plan.id] { cancel(id, cancel_attempts); });
 }
 
 auto clients::cancel_wave(std::uint64_t seed) -> void
 {
-    constexpr int attempts = 20;
     constexpr std::size_t recent = 150;
     constexpr std::size_t share = 3;
     std::mt19937_64 random{seed};
@@ -361,7 +354,7 @@
     {
         if (random() % share == 0 && !ledger_.plan_of(id)->is_kept)
         {
-            cancel(id, attempts);
+            cancel(id, cancel_attempts);
         }
     }
 }
@@ -404,70 +397,48 @@
     }
 }
 
-auto clients::read_later() -> void
+auto clients::read() -> void
 {
-    clock_.start_timer(
-        milliseconds{10 + random_() % 60},
-        [this]
-        {
-            if (stopped_)
-            {
-                return;
-            }
-            read_later();
-            if (submitted_.empty())
-            {
-                return;
-            }
-            constexpr std::size_t recent = 200;
-            auto const most = std::min(recent, submitted_.size());
-            auto const id =
-                submitted_[submitted_.size() - 1 - random_() % most];
-            call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
-                  std::chrono::seconds{2}},
-                 [this, id](std::string const& node, call_result const& it)
-                 { take_state(id, node, it); });
-        });
+    if (submitted_.empty())
+    {
+        return;
+    }
+    constexpr std::size_t recent = 200;
+    auto const most = std::min(recent, submitted_.size());
+    auto const id = submitted_[submitted_.size() - 1 - random_() % most];
+    call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
+          std::chrono::seconds{2}},
+         [this, id](std::string const& node, call_result const& it)
+         { take_state(id, node, it); });
 }
 
 /// Counts are asked of each entry directly.
-auto clients::count_later() -> void
+auto clients::count() -> void
 {
-    clock_.start_timer(
-        milliseconds{10 + random_() % 50},
-        [this]
-        {
-            if (stopped_)
-            {
-                return;
-            }
-            count_later();
-            auto const names = system_.names('e');
-            auto const& node = names[random_() % names.size()];
-            auto& it = counts_[node];
-            if (counted_prefixes.empty() || (it && it->is_busy()))
-            {
-                return;
-            }
-            if (!it)
-            {
-                it = std::make_unique<http_connection>(
-                    clock_, system_.at(node).served_at());
-            }
-            auto const prefix =
-                counted_prefixes[random_() % counted_prefixes.size()];
-            it->call({"GET", prefix, queue_host, "", std::chrono::seconds{2}},
-                     [this, node, prefix](call_result const& got)
-                     {
-                         configs_.on_count(node, prefix, got.status,
-                                           got.sent_at, clock_.now());
-                         if (got.how == call_end::cut)
-                         {
-                             ledger_.on_cut(node, "GET " + prefix, got.sent_at,
-                                            got.ended_at);
-                         }
-                     });
-        });
+    auto const names = system_.names('e');
+    auto const& node = names[random_() % names.size()];
+    auto& it = counts_[node];
+    if (counted_prefixes.empty() || (it && it->is_busy()))
+    {
+        return;
+    }
+    if (!it)
+    {
+        it = std::make_unique<http_connection>(clock_,
+                                               system_.at(node).served_at());
+    }
+    auto const prefix = counted_prefixes[random_() % counted_prefixes.size()];
+    it->call({"GET", prefix, queue_host, "", std::chrono::seconds{2}},
+             [this, node, prefix](call_result const& got)
+             {
+                 configs_.on_count(node, prefix, got.status, got.sent_at,
+                                   clock_.now());
+                 if (got.how == call_end::cut)
+                 {
+                     ledger_.on_cut(node, "GET " + prefix, got.sent_at,
+                                    got.ended_at);
+                 }
+             });
 }
 
 auto clients::ask_for_all() -> void
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -70,14 +70,7 @@
     auto ask_for_all() -> void;
     [[nodiscard]] auto unanswered() const -> std::vector<std::string>;
 
-    /// Called with the time of an answer that accepts work.
-    std::function<void(std::string const& node)> on_accepted;
-
-    [[nodiscard]] auto calls() const
-        -> std::map<std::string, std::size_t> const&
-    {
-        return calls_;
-    }
+    [[nodiscard]] auto calls() const -> auto const& { return calls_; }
 
 private:
     /// One connection, which takes the next call that is due.
@@ -93,12 +86,14 @@
 
     auto call(http_call const& it, callback done) -> void;
     auto idle_caller() -> caller*;
-    auto submit_later() -> void;
+    /// Until the callers stop, with a new gap each time.
+    auto repeat(std::function<duration()> gap, std::function<void()> run)
+        -> void;
     auto submit(workflow_plan const& plan, int attempts_left) -> void;
     auto cancel_later(workflow_plan const& plan) -> void;
     auto cancel(std::string const& id, int attempts_left) -> void;
-    auto read_later() -> void;
-    auto count_later() -> void;
+    auto read() -> void;
+    auto count() -> void;
     auto take_state(std::string const& id, std::string const& node,
                     call_result const& it) -> void;
     [[nodiscard]] auto new_plan() -> workflow_plan;
--- a/soak/config_ledger.hpp
+++ b/soak/config_ledger.hpp
@@ -38,10 +38,7 @@
     /// Reports what should have been acknowledged by now.
     auto check(time_point now) -> void;
 
-    [[nodiscard]] auto acknowledged() const -> std::size_t
-    {
-        return acknowledged_.size();
-    }
+    [[nodiscard]] auto acknowledged() const { return acknowledged_.size(); }
     [[nodiscard]] auto reads() const -> std::size_t { return reads_; }
     [[nodiscard]] auto counts() const -> std::size_t { return counts_; }
 
--- a/soak/disturbances.hpp
+++ b/soak/disturbances.hpp
@@ -62,11 +62,11 @@
         -> bool
     {
         return are_calm(kind, since) &&
-               std::ranges::all_of(planned_,
-                                   [&](auto const& it) {
-                                       return it.first.front() != kind ||
-                                              it.second.back() < since;
-                                   });
+               std::ranges::none_of(planned_,
+                                    [&](auto const& it) {
+                                        return it.first.front() == kind &&
+                                               it.second.back() >= since;
+                                    });
     }
     [[nodiscard]] auto is_undisturbed(std::string const& who,
                                       time_point since) const -> bool
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -26,6 +26,8 @@
 /// Those from here on come beside the others, from a second sequence of random
 /// numbers.
 constexpr auto first_added = static_cast<std::size_t>(fault_kind::cancel_wave);
+static_assert(names_of_kinds.size() ==
+              static_cast<std::size_t>(fault_kind::crash_unheard) + 1);
 
 /// Any of the kinds from `first` up to `end`.
 auto any_kind(std::uint64_t random, std::size_t first, std::size_t end)
@@ -49,6 +51,15 @@
     return random() % of == 0;
 }
 
+template <class Item>
+auto pick(std::mt19937_64& random, std::vector<Item> from, std::size_t n)
+    -> std::vector<Item>
+{
+    std::ranges::shuffle(from, random);
+    from.resize(std::min(n, from.size()));
+    return from;
+}
+
 auto between(std::mt19937_64& random, milliseconds least, milliseconds most)
     -> duration
 {
@@ -129,14 +140,6 @@
     }
 }
 
-auto fault_injector::pick(std::mt19937_64& random, names from,
-                          std::size_t n) const -> names
-{
-    std::ranges::shuffle(from, random);
-    from.resize(std::min(n, from.size()));
-    return from;
-}
-
 auto fault_injector::pick_workers(std::mt19937_64& random)
     -> std::vector<worker*>
 {
@@ -153,22 +156,19 @@
 auto fault_injector::restart(std::string const& name, duration down,
                              bool planned) -> void
 {
-    on_ended_[name] = [this, name, down, planned]
+    auto const back = [this, name, planned]
     {
-        after(down,
-              [this, name, planned]
-              {
-                  system_.start(name);
-                  if (planned)
-                  {
-                      disturbed_.mark_planned(name, clock_.now());
-                  }
-                  else
-                  {
-                      disturbed_.end(name, clock_.now());
-                  }
-              });
+        system_.start(name);
+        if (planned)
+        {
+            disturbed_.mark_planned(name, clock_.now());
+        }
+        else
+        {
+            disturbed_.end(name, clock_.now());
+        }
     };
+    on_ended_[name] = [this, down, back] { after(down, back); };
 }
 
 auto fault_injector::kill(std::string const& name, duration down) -> void
@@ -191,45 +191,49 @@
     }
     disturbed_.mark_planned(name, clock_.now());
     restart(name, milliseconds{300}, true);
-    auto const pid = system_.at(name).pid;
+    auto const signal = [this, name, pid = system_.at(name).pid](int number)
+    {
+        if (system_.at(name).pid == pid)
+        {
+            system_.signal(name, number);
+        }
+        return system_.at(name).pid == pid;
+    };
     for (std::uint64_t n = 0; n < signals; ++n)
     {
-        after(milliseconds{700} * n,
-              [this, name, pid]
-              {
-                  if (system_.at(name).pid == pid)
-                  {
-                      system_.signal(name, SIGTERM);
-                  }
-              });
+        after(milliseconds{700} * n, [signal] { signal(SIGTERM); });
     }
     after(grace,
-          [this, name, pid]
+          [this, name, signal]
           {
-              if (system_.at(name).pid == pid)
+              if (signal(SIGKILL))
               {
                   log_(name + " is still there at the end of its grace time");
-                  system_.signal(name, SIGKILL);
               }
           });
 }
 
-auto fault_injector::freeze(std::string const& name, duration time) -> void
+auto fault_injector::disturb(std::string const& name, duration time,
+                             std::function<void()> end) -> void
 {
-    if (!system_.at(name).is_running())
-    {
-        return;
-    }
     disturbed_.begin(name, clock_.now());
-    system_.signal(name, SIGSTOP);
     after(time,
-          [this, name]
+          [this, name, end = std::move(end)]
           {
-              system_.signal(name, SIGCONT);
+              end();
               disturbed_.end(name, clock_.now());
           });
 }
 
+auto fault_injector::freeze(std::string const& name, duration time) -> void
+{
+    if (system_.at(name).is_running())
+    {
+        system_.signal(name, SIGSTOP);
+        disturb(name, time, [this, name] { system_.signal(name, SIGCONT); });
+    }
+}
+
 auto fault_injector::restart_in_series(std::string const& name, int times)
     -> void
 {
@@ -254,10 +258,7 @@
     switch (it.kind)
     {
     case fault_kind::kill_control:
-        for (auto const& name : pick(random, control, one_or_two))
-        {
-            kill(name, down);
-        }
+        kill_all(pick(random, control, one_or_two), down);
         break;
     case fault_kind::kill_all_control:
         kill_all(control, milliseconds{600});
@@ -284,22 +285,21 @@
             break;
         }
         disk_counts_from_ = clock_.now() + catch_up;
-        for (auto const& name : pick(random, control, 1))
+        if (auto const name = pick(random, control, 1).front();
+            it.kind == fault_kind::lose_disk)
         {
-            if (it.kind == fault_kind::replace_control)
-            {
-                disturbed_.mark(name, clock_.now());
-                system_.remove(name);
-                auto const added = system_.add_control();
-                std::string line{name};
-                log_(line.append(" is replaced by ").append(added));
-                disturbed_.mark(added, clock_.now());
-                break;
-            }
             kill(name, down);
             system_.wipe(name);
             disk_counts_from_ += down;
         }
+        else
+        {
+            disturbed_.mark(name, clock_.now());
+            system_.remove(name);
+            auto const added = system_.add_control();
+            log_(name + " is replaced by " + added);
+            disturbed_.mark(added, clock_.now());
+        }
         break;
     case fault_kind::kill_entry:
         kill(pick(random, entries, 1).front(), down);
@@ -321,14 +321,11 @@
         break;
     }
     case fault_kind::hang_up:
-        for (auto const* const each : {&control, &entries})
+        for (auto const& name : system_.names())
         {
-            for (auto const& name : *each)
-            {
-                disturbed_.mark_planned(name, clock_.now());
-                system_.rewrite_settings(name);
-                system_.signal(name, SIGHUP);
-            }
+            disturbed_.mark_planned(name, clock_.now());
+            system_.rewrite_settings(name);
+            system_.signal(name, SIGHUP);
         }
         break;
     case fault_kind::crash_workers:
@@ -431,22 +428,20 @@
     }
     auto const back = between(random, first_reuse, last_reuse);
     auto const keeps_id = chance(random, 2);
-    disturbed_.begin(it.name(), clock_.now());
     it.crash(chance(random, 2));
     if (is_last_life(it, random))
     {
-        disturbed_.end(it.name(), clock_.now());
+        disturbed_.mark(it.name(), clock_.now());
         return;
     }
-    after(back,
-          [this, &it, keeps_id]
-          {
-              if (!it.is_up())
-              {
-                  it.start(keeps_id);
-              }
-              disturbed_.end(it.name(), clock_.now());
-          });
+    disturb(it.name(), back,
+            [&it, keeps_id]
+            {
+                if (!it.is_up())
+                {
+                    it.start(keeps_id);
+                }
+            });
 }
 
 auto fault_injector::begin_farewell(farewell how, std::uint64_t seed)
@@ -465,8 +460,7 @@
     {
         of.push_back(it.get());
     }
-    std::ranges::shuffle(of, random);
-    of.resize(of.size() / 2);
+    of = pick(random, of, of.size() / 2);
     for (auto* const it : of)
     {
         if (drains)
@@ -498,9 +492,6 @@
             send_away(*it, random);
             continue;
         }
-        auto const name = it->name();
-        disturbed_.begin(name, clock_.now());
-        auto const life = it->life();
         switch (kind)
         {
         case fault_kind::crash_workers:
@@ -512,24 +503,23 @@
         default:
             it->freeze(true);
         }
-        after(time,
-              [this, it, name, life, kind, keeps_id]
-              {
-                  if (it->life() == life && kind == fault_kind::late_workers)
-                  {
-                      it->set_late({});
-                  }
-                  else if (it->life() == life &&
-                           kind == fault_kind::freeze_workers)
-                  {
-                      it->freeze(false);
-                  }
-                  else if (!it->is_up() && !gone_.contains(it))
-                  {
-                      it->start(keeps_id);
-                  }
-                  disturbed_.end(name, clock_.now());
-              });
+        disturb(it->name(), time,
+                [this, it, life = it->life(), kind, keeps_id]
+                {
+                    if (it->life() == life && kind == fault_kind::late_workers)
+                    {
+                        it->set_late({});
+                    }
+                    else if (it->life() == life &&
+                             kind == fault_kind::freeze_workers)
+                    {
+                        it->freeze(false);
+                    }
+                    else if (!it->is_up() && !gone_.contains(it))
+                    {
+                        it->start(keeps_id);
+                    }
+                });
     }
 }
 
@@ -552,19 +542,12 @@
     }
     for (auto* const it : pick_workers(random))
     {
-        auto const name = it->name();
-        disturbed_.begin(name, clock_.now());
         it->links().set_harm(harm);
         if (kind == fault_kind::reset_links)
         {
             it->links().reset_connections();
         }
-        after(time,
-              [this, it, name]
-              {
-                  it->links().set_harm({});
-                  disturbed_.end(name, clock_.now());
-              });
+        disturb(it->name(), time, [it] { it->links().set_harm({}); });
     }
 }
 
@@ -573,16 +556,13 @@
     std::mt19937_64 random{seed};
     log_(with_disks ? "all processes are killed, two disks are lost"
                     : "all processes are killed");
-    auto const control = system_.names('c');
-    constexpr auto down = milliseconds{1000};
-    auto const entries = system_.names('e');
-    kill_all(control, down);
-    kill_all(entries, down);
+    kill_all(system_.names(), milliseconds{1000});
     if (with_disks)
     {
         // With a disk that was lost shortly before, no more than two.
         auto const is_recent = clock_.now() < disk_counts_from_;
-        for (auto const& name : pick(random, control, is_recent ? 1 : 2))
+        for (auto const& name :
+             pick(random, system_.names('c'), is_recent ? 1 : 2))
         {
             system_.wipe(name);
         }
@@ -591,13 +571,10 @@
 
 auto fault_injector::repair() -> void
 {
-    for (auto const kind : {'c', 'e'})
+    for (auto const& name : system_.names())
     {
-        for (auto const& name : system_.names(kind))
-        {
-            system_.signal(name, SIGCONT);
-            system_.start(name);
-        }
+        system_.signal(name, SIGCONT);
+        system_.start(name);
     }
     for (auto const& it : workers_)
     {
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -94,10 +94,11 @@
     using names = std::vector<std::string>;
 
     auto begin(fault const& it) -> void;
-    auto pick(std::mt19937_64& random, names from, std::size_t n) const
-        -> names;
     auto pick_workers(std::mt19937_64& random) -> std::vector<worker*>;
     auto after(duration delay, std::function<void()> run) -> void;
+    /// Disturbs a process or a worker until the end, which is then called.
+    auto disturb(std::string const& name, duration time,
+                 std::function<void()> end) -> void;
     auto kill(std::string const& name, duration down) -> void;
     auto end(std::string const& name, std::uint64_t signals) -> void;
     auto freeze(std::string const& name, duration time) -> void;
--- a/soak/http.cpp
+++ b/soak/http.cpp
@@ -298,10 +298,7 @@
 
 auto http_connection::close() -> void
 {
-    if (timeout_)
-    {
-        clock_.cancel_timer(*std::exchange(timeout_, std::nullopt));
-    }
+    clock_.cancel_timer(std::exchange(timeout_, {}));
     stream_.reset();
     reader_ = {};
 }
@@ -366,10 +363,7 @@
 {
     result_.how = how;
     result_.ended_at = clock_.now();
-    if (timeout_)
-    {
-        clock_.cancel_timer(*std::exchange(timeout_, std::nullopt));
-    }
+    clock_.cancel_timer(std::exchange(timeout_, {}));
     if (how != call_end::answered ||
         lower_case(result_.answer.header("connection")) == "close")
     {
--- a/soak/http.hpp
+++ b/soak/http.hpp
@@ -155,10 +155,7 @@
     auto call(http_call const& it, callback done) -> void;
     [[nodiscard]] auto is_busy() const -> bool { return done_ != nullptr; }
     [[nodiscard]] auto is_open() const -> bool { return stream_ != nullptr; }
-    [[nodiscard]] auto address() const -> std::string const&
-    {
-        return address_;
-    }
+    [[nodiscard]] auto address() const -> auto const& { return address_; }
     auto close() -> void;
 
 private:
@@ -171,7 +168,7 @@
     message_reader reader_;
     callback done_;
     call_result result_;
-    std::optional<timer_id> timeout_;
+    timer_id timeout_; ///< none: no timer
     bool got_bytes_{false};
 };
 
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -36,13 +36,33 @@
     return out;
 }
 
+auto text_of(run_key const& it) -> std::string
+{
+    return it.task + " run " + std::to_string(it.number) + " on " + it.worker +
+           " life " + std::to_string(it.life);
+}
+
 auto ledger::report(promise broken, std::string text, time_point now) -> void
 {
     // One fault may be seen by each read that follows.
-    if (reported_.insert(text).second)
+    if (!reported_.insert(text).second)
+    {
+        return;
+    }
+    if (on_line)
     {
-        findings_.push_back({broken, now, std::move(text)});
+        on_line("BROKEN " + std::string{name_of(broken)} + ": " + text);
     }
+    findings_.push_back({broken, now, std::move(text)});
+}
+
+auto ledger::note(std::string text) -> void
+{
+    if (on_line)
+    {
+        on_line("then " + text);
+    }
+    notes_.push_back(std::move(text));
 }
 
 /// All control and entry processes have been left alone since then.
@@ -113,39 +133,36 @@
                       order_origin const& origin) -> void
 {
     ++starts_;
-    auto const where = key.task + " run " + std::to_string(key.number) +
-                       " on " + key.worker + " life " +
-                       std::to_string(key.life);
+    auto const where = text_of(key);
+    auto const broken = [&](promise it, std::string const& what)
+    { report(it, where + ": " + what, now); };
     auto const name = task_name::parse(key.task);
-    auto const found =
-        name ? workflows_.find(name->workflow) : workflows_.end();
-    if (found == workflows_.end())
+    auto* const owner = owner_of(key.task);
+    if (owner == nullptr)
     {
-        report(promise::unasked, where + ": no caller sent this workflow", now);
+        broken(promise::unasked, "no caller sent this workflow");
         return;
     }
-    auto& it = found->second;
+    auto& it = *owner;
     auto const step = static_cast<std::size_t>(name->step);
     if (spec != it.plan.spec || step >= it.plan.steps.size() ||
         name->index >= it.plan.steps[step].tasks || name->occurrence != 0)
     {
-        report(promise::unasked,
-               where + ": the order differs from what was sent", now);
+        broken(promise::unasked, "the order differs from what was sent");
         return;
     }
     auto& all = it.tasks[key.task];
     if (!checkpoint.empty() && !all.checkpoints.contains(checkpoint))
     {
-        report(promise::unasked,
-               where + ": checkpoint " + checkpoint + " is not the task's",
-               now);
+        broken(promise::unasked,
+               "checkpoint " + checkpoint + " is not the task's");
     }
     // The bound holds for the order, not for a worker that was late with it.
     if (it.cancelled_at &&
         held_since.value_or(now) > *it.cancelled_at + limits_.cancel &&
         is_calm(now - limits_.contact))
     {
-        report(promise::unasked, where + ": starts after its cancel", now);
+        broken(promise::unasked, "starts after its cancel");
     }
     // A copy may already be on its way when the first end is recorded.
     constexpr auto copies_end = std::chrono::seconds{1};
@@ -154,30 +171,25 @@
     {
         if (other.at_work && !has_copies)
         {
-            report(promise::twice,
-                   where + ": starts beside run " +
-                       std::to_string(other.key.number) + " on " +
-                       other.key.worker,
-                   now);
+            broken(promise::twice, "starts beside run " +
+                                       std::to_string(other.key.number) +
+                                       " on " + other.key.worker);
         }
         else if (other.how == "done" && other.recorded &&
                  (!has_copies ||
                   (now > other.recorded_at + copies_end && !held_since &&
                    is_calm(now - limits_.contact))))
         {
-            report(promise::twice,
-                   where + ": starts after its recorded end on " +
-                       other.key.worker,
-                   now);
+            broken(promise::twice,
+                   "starts after its recorded end on " + other.key.worker);
         }
     }
     for (auto const before : it.plan.steps[step].prerequisites)
     {
         if (!is_step_done(it, name->occurrence, before))
         {
-            report(promise::order,
-                   where + ": step " + std::to_string(before) + " is not done",
-                   now);
+            broken(promise::order,
+                   "step " + std::to_string(before) + " is not done");
         }
     }
     auto const draining =
@@ -186,18 +198,12 @@
         now > draining->second + limits_.drain &&
         is_calm(now - limits_.contact))
     {
-        report(promise::drain, where + ": the worker is leaving", now);
+        broken(promise::drain, "the worker is leaving");
     }
-    run added{.key = key,
-              .at_work = true,
-              .recorded = false,
-              .recorded_at = {},
-              .how = {},
-              .late_start = held_since ? std::optional{now} : std::nullopt,
-              .started = now,
-              .origin = origin,
-              .reported = false};
-    all.runs.push_back(std::move(added));
+    auto& added = all.runs.emplace_back(key);
+    added.late_start = held_since ? std::optional{now} : std::nullopt;
+    added.started = now;
+    added.origin = origin;
     ++all.at_work;
     ++it.at_work;
     for (auto& [other, each] : it.tasks)
@@ -207,32 +213,37 @@
         {
             auto line = where;
             line.append(": starts at ").append(time_of(now));
-            notes_.push_back(
-                line.append(" after ").append(other).append(" stood still"));
+            note(line.append(" after ").append(other).append(" stood still"));
         }
     }
 }
 
 auto ledger::on_checkpoint(std::string const& of, std::string const& it) -> void
 {
-    if (auto const name = task_name::parse(of);
-        name && workflows_.contains(name->workflow))
+    if (auto* const owner = owner_of(of))
     {
-        workflows_.at(name->workflow).tasks[of].checkpoints.insert(it);
+        owner->tasks[of].checkpoints.insert(it);
     }
 }
 
+auto ledger::owner_of(std::string const& of) -> workflow*
+{
+    auto const name = task_name::parse(of);
+    auto const found =
+        name ? workflows_.find(name->workflow) : workflows_.end();
+    return found == workflows_.end() ? nullptr : &found->second;
+}
+
 auto ledger::on_end(run_key const& key, std::string const& how, time_point now)
     -> void
 {
-    auto const name = task_name::parse(key.task);
-    if (!name || !workflows_.contains(name->workflow))
+    auto* const owner = owner_of(key.task);
+    if (owner == nullptr)
     {
         return;
     }
-    auto& owner = workflows_.at(name->workflow);
-    owner.last_run_end = now;
-    auto& all = owner.tasks[key.task];
+    owner->last_run_end = now;
+    auto& all = owner->tasks[key.task];
     all.last_end = now;
     for (auto& it : all.runs)
     {
@@ -241,12 +252,11 @@
             it.at_work = false;
             it.how = how;
             --all.at_work;
-            --owner.at_work;
+            --owner->at_work;
             if (it.reported)
             {
-                notes_.push_back(
-                    key.task + " run " + std::to_string(key.number) + " on " +
-                    key.worker + ": ended at " + time_of(now) + " as " + how);
+                note(text_of(key) + ": ended at " + time_of(now) + " as " +
+                     how);
             }
         }
     }
@@ -256,12 +266,12 @@
 
 auto ledger::on_end_recorded(run_key const& key, time_point now) -> void
 {
-    auto const name = task_name::parse(key.task);
-    if (!name || !workflows_.contains(name->workflow))
+    auto* const owner = owner_of(key.task);
+    if (owner == nullptr)
     {
         return;
     }
-    for (auto& it : workflows_.at(name->workflow).tasks[key.task].runs)
+    for (auto& it : owner->tasks[key.task].runs)
     {
         if (it.key == key && !std::exchange(it.recorded, true))
         {
@@ -315,9 +325,7 @@
                 {
                     each.reported = true;
                     report(promise::unasked,
-                           name + " run " + std::to_string(each.key.number) +
-                               " on " + each.key.worker + " life " +
-                               std::to_string(each.key.life) +
+                           text_of(each.key) +
                                ": is at work after its cancel (order from " +
                                (name_of_peer ? name_of_peer(each.origin.relay)
                                              : each.origin.relay) +
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -101,6 +101,9 @@
     bool takes_starts{true};
 };
 
+/// Waiting work is a fault only while most of the room is free.
+[[nodiscard]] auto is_half_free(std::vector<worker_room> const& rooms) -> bool;
+
 /// How the order of a start came.
 struct order_origin
 {
@@ -130,6 +133,7 @@
 
     auto operator<=>(run_key const&) const = default;
 };
+[[nodiscard]] auto text_of(run_key const& it) -> std::string;
 
 enum class submission_answer : std::uint8_t
 {
@@ -208,30 +212,25 @@
     [[nodiscard]] auto is_shown_as_ended(std::string const& id) const -> bool;
     auto report(promise broken, std::string text, time_point now) -> void;
     /// How cases that were reported went on. No findings of their own.
-    [[nodiscard]] auto notes() const -> std::vector<std::string> const&
-    {
-        return notes_;
-    }
+    [[nodiscard]] auto notes() const -> auto const& { return notes_; }
+    /// Called with each finding and note.
+    std::function<void(std::string const&)> on_line;
     /// The process at the other end of a connection, asked for findings only.
     std::function<std::string(std::string const&)> name_of_peer;
     /// Times in texts count from here.
     auto set_origin(time_point it) -> void { origin_ = it; }
     auto check_refused(time_point now) -> void;
 
-    [[nodiscard]] auto findings() const -> std::vector<finding> const&
-    {
-        return findings_;
-    }
+    [[nodiscard]] auto findings() const -> auto const& { return findings_; }
     [[nodiscard]] auto starts() const -> std::size_t { return starts_; }
     [[nodiscard]] auto cancels() const -> std::size_t { return cancels_; }
-    [[nodiscard]] auto accepted_count() const -> std::size_t
-    {
-        return accepted_count_;
-    }
+    [[nodiscard]] auto accepted_count() const { return accepted_count_; }
 
 private:
     struct run
     {
+        explicit run(run_key of) : key(std::move(of)) {}
+
         run_key key;
         bool at_work{true};
         bool recorded{false};
@@ -280,9 +279,12 @@
         bool is_permanent{false};
     };
 
+    /// The workflow of a task; null if no caller sent it.
+    auto owner_of(std::string const& of) -> workflow*;
     [[nodiscard]] auto is_step_done(workflow const& it, int occurrence,
                                     int step) const -> bool;
 
+    auto note(std::string text) -> void;
     [[nodiscard]] auto time_of(time_point it) const -> std::string;
     [[nodiscard]] auto is_over(workflow const& it) const -> bool;
     [[nodiscard]] auto is_turn_of(workflow const& it, int step) const -> bool;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -38,14 +38,10 @@
 {
     std::uint64_t seed{1};
     seconds length{60};
-    std::size_t entries{6};
     std::size_t workers{24};
     double submissions_per_s{6};
-    int cores{0};
-    bool unread_logs{false};
     bool keep{false};
-    std::filesystem::path binary;
-    std::filesystem::path templates{"deploy"};
+    deployment_options deployment;
 };
 
 /// Steady state before the first fault, and what is allowed after the last.
@@ -63,7 +59,7 @@
     explicit soak_run(options chosen)
         : options_(std::move(chosen)), folder_(make_folder()),
           seen_(bounds{}, disturbed_), configs_(bounds{}, disturbed_, seen_),
-          system_(clock_, seen_, disturbed_, deployment()),
+          system_(clock_, seen_, disturbed_, options_.deployment),
           balancer_(clock_, system_),
           clients_(clock_, system_, balancer_, seen_, configs_,
                    options_.seed + 1, traffic{options_.submissions_per_s}),
@@ -79,6 +75,7 @@
         loop_ = loop;
         began_ = clock_.now();
         seen_.set_origin(began_);
+        seen_.on_line = [this](std::string const& line) { log(line); };
         seen_.name_of_peer = [this](std::string const& it)
         { return system_.owner_of(it); };
         faults_.on_cancel_wave = [this](std::uint64_t seed)
@@ -87,7 +84,6 @@
             folder_.string());
         system_.start_all();
         add_workers();
-        print_findings_later();
         operators_.start([this] { begin(); });
         clock_.start_timer(seconds{20},
                            [this]
@@ -107,31 +103,21 @@
     }
 
 private:
-    [[nodiscard]] auto make_folder() const -> std::filesystem::path
+    [[nodiscard]] auto make_folder() -> std::filesystem::path
     {
         auto out = std::filesystem::temp_directory_path() /
                    ("apricotlb-soak-" + std::to_string(options_.seed) + "-" +
                     std::to_string(::getpid()));
         std::filesystem::create_directories(out);
-        return out;
-    }
-
-    [[nodiscard]] auto deployment() const -> deployment_options
-    {
-        deployment_options out;
-        out.binary = options_.binary;
-        out.templates = options_.templates;
-        out.folder = folder_;
-        out.first_octets = octet_;
-        out.entries = options_.entries;
-        out.cores = options_.cores;
-        out.unread_logs = options_.unread_logs;
+        options_.deployment.folder = out;
+        options_.deployment.first_octets = claim_octet(::getpid());
         return out;
     }
 
     auto add_workers() -> void
     {
-        auto const net = "127." + std::to_string(deployment().first_octets);
+        auto const net =
+            "127." + std::to_string(options_.deployment.first_octets);
         constexpr std::size_t zones = 3;
         constexpr std::size_t rack = 8;
         for (std::size_t n = 0; n < options_.workers; ++n)
@@ -182,26 +168,23 @@
     /// which excuses them as a slow machine does.
     auto watch() -> void
     {
-        clock_.start_timer(
-            poll,
-            [this, due = clock_.now() + poll]
-            {
-                watch();
-                if (clock_.now() - due > late_loop)
-                {
-                    ++late_turns_;
-                    for (auto const kind : {'c', 'e'})
-                    {
-                        for (auto const& it : system_.names(kind))
-                        {
-                            disturbed_.mark(it, clock_.now());
-                        }
-                    }
-                }
-                seen_.check_cancelled(clock_.now());
-                seen_.check_standing(clock_.now(), rooms(), ended_);
-                configs_.check(clock_.now());
-            });
+        clock_.start_timer(poll,
+                           [this, due = clock_.now() + poll]
+                           {
+                               watch();
+                               if (clock_.now() - due > late_loop)
+                               {
+                                   ++late_turns_;
+                                   for (auto const& it : system_.names())
+                                   {
+                                       disturbed_.mark(it, clock_.now());
+                                   }
+                               }
+                               seen_.check_cancelled(clock_.now());
+                               seen_.check_standing(clock_.now(), rooms(),
+                                                    ended_);
+                               configs_.check(clock_.now());
+                           });
     }
 
     /// The final fault comes while changes and work are under way.
@@ -246,8 +229,9 @@
             seen_.report(promise::lost,
                          id + ": accepted, and its state is not answered", now);
         }
-        for (auto const& id :
-             has_room() ? seen_.accepted() : std::vector<std::string>{})
+        for (auto const& id : is_half_free(rooms())
+                                  ? seen_.accepted()
+                                  : std::vector<std::string>{})
         {
             if (!seen_.is_shown_as_ended(id) &&
                 seen_.is_idle_since(id, now - idle))
@@ -275,19 +259,6 @@
         g_main_loop_quit(loop_);
     }
 
-    /// Waiting work is a fault only while most of the room is free.
-    [[nodiscard]] auto has_room() const -> bool
-    {
-        std::int64_t all{0};
-        std::int64_t free{0};
-        for (auto const& it : rooms())
-        {
-            all += it.cpu;
-            free += it.takes_starts ? it.cpu_free : 0;
-        }
-        return free * 2 > all;
-    }
-
     [[nodiscard]] auto rooms() const -> std::vector<worker_room>
     {
         std::vector<worker_room> out;
@@ -299,25 +270,6 @@
         return out;
     }
 
-    auto print_findings_later() -> void
-    {
-        clock_.start_timer(poll, [this] { print_findings_later(); });
-        print_findings();
-    }
-
-    auto print_findings() -> void
-    {
-        for (; printed_ < seen_.findings().size(); ++printed_)
-        {
-            auto const& it = seen_.findings()[printed_];
-            log("BROKEN " + std::string{name_of(it.broken)} + ": " + it.text);
-        }
-        for (; printed_notes_ < seen_.notes().size(); ++printed_notes_)
-        {
-            log("then " + seen_.notes()[printed_notes_]);
-        }
-    }
-
     auto log(std::string const& line) -> void
     {
         auto const ms =
@@ -327,7 +279,6 @@
 
     auto conclude() -> int
     {
-        print_findings();
         std::string calls;
         for (auto const& [outcome, n] : clients_.calls())
         {
@@ -355,8 +306,6 @@
     }
 
     options options_;
-    /// The second octet of the loopback addresses.
-    int octet_{claim_octet(::getpid())};
     std::filesystem::path folder_;
     glib_clock clock_;
     disturbances disturbed_;
@@ -371,8 +320,6 @@
     GMainLoop* loop_{nullptr};
     time_point began_{};
     std::optional<time_point> ended_; ///< the traffic
-    std::size_t printed_{0};
-    std::size_t printed_notes_{0};
     std::size_t late_turns_{0};
     bool configured_{false};
 };
@@ -380,26 +327,28 @@
 auto parse(int argc, char** argv) -> options
 {
     options out;
+    auto& processes = out.deployment;
     std::string binary;
-    auto templates = out.templates.string();
+    auto templates = processes.templates.string();
     auto length = static_cast<int>(out.length.count());
     cxxopts::Options table{"soak", "Randomized soak of real processes"};
-    table.add_options()("binary", "program under test", cxxopts::value(binary))(
-        "templates", "folder with the templates of the settings files",
-        cxxopts::value(templates))("seed", "of the schedule",
-                                   cxxopts::value(out.seed))(
-        "seconds", "of traffic with faults", cxxopts::value(length))(
-        "entries", "entry processes", cxxopts::value(out.entries))(
-        "workers", "workers", cxxopts::value(out.workers))(
-        "rate", "submissions a second", cxxopts::value(out.submissions_per_s))(
-        "cores", "of this machine, for all processes together",
-        cxxopts::value(out.cores))("unread-logs",
-                                   "logs go to pipes that nobody reads",
-                                   cxxopts::value(out.unread_logs))(
-        "keep", "keep the logs", cxxopts::value(out.keep));
+    auto add = table.add_options();
+    add("binary", "program under test", cxxopts::value(binary));
+    add("templates", "folder with the templates of the settings files",
+        cxxopts::value(templates));
+    add("seed", "of the schedule", cxxopts::value(out.seed));
+    add("seconds", "of traffic with faults", cxxopts::value(length));
+    add("entries", "entry processes", cxxopts::value(processes.entries));
+    add("workers", "workers", cxxopts::value(out.workers));
+    add("rate", "submissions a second", cxxopts::value(out.submissions_per_s));
+    add("cores", "of this machine, for all processes together",
+        cxxopts::value(processes.cores));
+    add("unread-logs", "logs go to pipes that nobody reads",
+        cxxopts::value(processes.unread_logs));
+    add("keep", "keep the logs", cxxopts::value(out.keep));
     table.parse(argc, argv);
-    out.binary = binary;
-    out.templates = templates;
+    processes.binary = binary;
+    processes.templates = templates;
     out.length = seconds{length};
     return out;
 }
@@ -414,7 +363,7 @@
     try
     {
         auto const chosen = apricotlb::soak::parse(argc, argv);
-        apricotlb::soak::check_program(chosen.binary);
+        apricotlb::soak::check_program(chosen.deployment.binary);
         return apricotlb::soak::soak_run{chosen}.run();
     }
     catch (std::exception const& it)
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -118,51 +118,46 @@
 {
     constexpr std::array gaps{milliseconds{40}, milliseconds{300},
                               milliseconds{1000}, milliseconds{2500}};
-    clock_.start_timer(gaps[random_() % gaps.size()],
-                       [this]
-                       {
-                           if (stopped_)
-                           {
-                               return;
-                           }
-                           next_round();
-                           constexpr std::array bursts{1, 1, 2, 3, 5};
-                           for (auto n = bursts[random_() % bursts.size()];
-                                n > 0 && open_ < max_open; --n)
-                           {
-                               version_ +=
-                                   1 + static_cast<std::int64_t>(random_() % 5);
-                               change_routes();
-                               auto const mine = document(version_);
-                               send_change(mine, true);
-                               if (random_() % 6 == 0)
-                               {
-                                   // Another operator sends other content as
-                                   // this version.
-                                   change_routes();
-                                   send_change(document(version_), true);
-                               }
-                               if (random_() % 4 == 0)
-                               {
-                                   send_invalid();
-                               }
-                           }
-                       });
+    clock_.start_timer(gaps[random_() % gaps.size()], [this] { change(); });
 }
 
-auto operators::send_change(json const& it, bool is_valid) -> void
+auto operators::change() -> void
 {
-    auto const number = it["version"].get<std::int64_t>();
-    if (is_valid)
+    if (stopped_)
     {
-        configs_.on_sent(number, it, clock_.now());
+        return;
     }
+    next_round();
+    constexpr std::array bursts{1, 1, 2, 3, 5};
+    for (auto n = bursts[random_() % bursts.size()]; n > 0 && open_ < max_open;
+         --n)
+    {
+        version_ += 1 + static_cast<std::int64_t>(random_() % 5);
+        change_routes();
+        send_change(document(version_));
+        if (random_() % 6 == 0)
+        {
+            // Another operator sends other content as this version.
+            change_routes();
+            send_change(document(version_));
+        }
+        if (random_() % 4 == 0)
+        {
+            send_invalid();
+        }
+    }
+}
+
+auto operators::send_change(json const& it) -> void
+{
+    auto const number = it["version"].get<std::int64_t>();
+    configs_.on_sent(number, it, clock_.now());
     ++open_;
-    auto body = std::make_shared<std::string const>(it.dump());
-    send(body, number, is_valid, many_attempts,
-         [this, body, number, is_valid]
+    auto const body = std::make_shared<std::string const>(it.dump());
+    send(body, number, true, many_attempts,
+         [this, body, number]
          {
-             if (is_valid && random_() % 3 == 0)
+             if (random_() % 3 == 0)
              {
                  // The acknowledgement was lost on its way: sent again.
                  ++open_;
@@ -175,38 +170,32 @@
 {
     auto it = document(version_ + static_cast<std::int64_t>(random_() % 40));
     auto const number = it["version"].get<std::int64_t>();
-    auto text = std::string{};
-    switch (random_() % 8)
+    auto twin = it["routes"][0];
+    twin["name"] = "twin";
+    std::vector<std::pair<char const*, json>> const wrong{
+        {"/routes/0/service", "unknown"},
+        {"/routes/-", twin},
+        {"/routes/1/timeout_ms", 0},
+        {"/limits", "none"},
+        {"/services/0/max_conns", "many"},
+        {"/version", std::to_string(number)}};
+    auto const what = random_() % (wrong.size() + 2);
+    if (what < wrong.size())
+    {
+        it[json::json_pointer{wrong[what].first}] = wrong[what].second;
+    }
+    auto text = it.dump();
+    if (what == wrong.size())
     {
-    case 0:
-        text = it.dump();
         text.resize(text.size() - 1 - random_() % 200);
-        break;
-    case 1:
-        it["routes"][0]["service"] = "unknown";
-        break;
-    case 2:
-        it["routes"].push_back(it["routes"][0]);
-        it["routes"].back()["name"] = "twin";
-        break;
-    case 3:
-        it["routes"][1]["timeout_ms"] = 0;
-        break;
-    case 4:
-        it["limits"] = "none";
-        break;
-    case 5:
-        it["services"][0]["max_conns"] = "many";
-        break;
-    case 6:
-        it["version"] = std::to_string(number);
-        break;
-    default:
-        text = it.dump() + std::string(1, '\0');
+    }
+    else if (what > wrong.size())
+    {
+        text.push_back('\0');
     }
     ++open_;
-    send(std::make_shared<std::string const>(text.empty() ? it.dump() : text),
-         number, false, many_attempts, [] {});
+    send(std::make_shared<std::string const>(std::move(text)), number, false,
+         many_attempts, [] {});
 }
 
 auto operators::send(std::shared_ptr<std::string const> body,
@@ -231,10 +220,6 @@
                  auto const is_final = it.status == 200 || it.status == 400 ||
                                        it.status == 409 || it.status == 412 ||
                                        it.status == 413 || it.status == 422;
-                 if (it.status == 200 && on_acknowledged)
-                 {
-                     on_acknowledged(node);
-                 }
                  if (is_final || attempts_left <= 1)
                  {
                      --open_;
@@ -272,7 +257,7 @@
         milliseconds{100 + random_() % 100},
         [this, node]
         {
-            if (!reading_ || system_.at(node).removed)
+            if (system_.at(node).removed)
             {
                 return;
             }
--- a/soak/operators.hpp
+++ b/soak/operators.hpp
@@ -34,16 +34,9 @@
     auto start(std::function<void()> configured) -> void;
     /// Sends no new configuration; those under way go on.
     auto stop() -> void { stopped_ = true; }
-    auto end_reads() -> void { reading_ = false; }
     [[nodiscard]] auto has_open_changes() const -> bool { return open_ > 0; }
     /// Nodes that have answered a read since the last call.
-    auto take_answering() -> std::set<std::string>
-    {
-        return std::exchange(answering_, {});
-    }
-
-    /// Called with the node that has acknowledged a change.
-    std::function<void(std::string const& node)> on_acknowledged;
+    auto take_answering() { return std::exchange(answering_, {}); }
 
 private:
     using json = nlohmann::json;
@@ -51,7 +44,8 @@
     [[nodiscard]] auto document(std::int64_t version) const -> json;
     auto change_routes() -> void;
     auto next_round() -> void;
-    auto send_change(json const& document, bool is_valid) -> void;
+    auto change() -> void;
+    auto send_change(json const& document) -> void;
     auto send(std::shared_ptr<std::string const> body, std::int64_t version,
               bool is_valid, int attempts_left, std::function<void()> done)
         -> void;
@@ -71,7 +65,6 @@
     std::set<std::string> answering_;
     int open_{0};
     bool stopped_{false};
-    bool reading_{true};
 };
 
 } // namespace apricotlb::soak
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdint>
@@ -300,37 +301,25 @@
     }
     it.pid = pid;
     it.ending = false;
-    struct watched
-    {
-        processes* owner;
-        std::string name;
-    };
-    it.watch = g_child_watch_add_full(
-        G_PRIORITY_DEFAULT, pid,
-        [](GPid, gint status, gpointer data)
-        {
-            auto const& got = *static_cast<watched*>(data);
-            got.owner->reap(got.name, status);
-        },
-        new watched{this, name},
-        [](gpointer data)
-        { std::default_delete<watched>{}(static_cast<watched*>(data)); });
+    it.watch = g_child_watch_add(
+        pid,
+        [](GPid ended, gint status, gpointer self)
+        { static_cast<processes*>(self)->reap(ended, status); },
+        this);
 }
 
 auto processes::start_all() -> void
 {
-    for (auto const kind : {'c', 'e'})
+    for (auto const& name : names())
     {
-        for (auto const& name : names(kind))
-        {
-            start(name, true);
-        }
+        start(name, true);
     }
 }
 
-auto processes::reap(std::string const& name, int status) -> void
+auto processes::reap(pid_t pid, int status) -> void
 {
-    auto& it = machines_.at(name);
+    auto& [name, it] = *std::ranges::find(
+        machines_, pid, [](auto const& each) { return each.second.pid; });
     it.pid = -1;
     it.watch = 0;
     if (!std::exchange(it.ending, false))
@@ -375,7 +364,7 @@
     std::vector<std::string> out;
     for (auto const& [name, it] : machines_)
     {
-        if (name.front() == kind && !it.removed)
+        if ((kind == 0 || name.front() == kind) && !it.removed)
         {
             out.push_back(name);
         }
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace apricotlb::soak
@@ -42,8 +43,8 @@
 struct deployment_options
 {
     std::filesystem::path binary;
-    std::filesystem::path
-        templates; ///< folder of control.yaml.in, entry.yaml.in
+    /// Folder of control.yaml.in and entry.yaml.in.
+    std::filesystem::path templates{"deploy"};
     std::filesystem::path folder;
     int first_octets{10}; ///< addresses are 127.first_octets.zone.number
     std::size_t control{5};
@@ -85,8 +86,8 @@
     {
         return machines_.at(name);
     }
-    /// Machines that were not removed; kind is `c` or `e`.
-    [[nodiscard]] auto names(char kind) const -> std::vector<std::string>;
+    /// Machines that were not removed; kind is `c` or `e`, or 0 for all.
+    [[nodiscard]] auto names(char kind = 0) const -> std::vector<std::string>;
     [[nodiscard]] auto addresses(char kind) const -> std::vector<std::string>;
 
     /// The machine whose process has a connection from this address, as long as
@@ -100,7 +101,7 @@
 private:
     auto add(char kind) -> std::string;
     auto write_settings(machine const& it, bool first) -> void;
-    auto reap(std::string const& name, int status) -> void;
+    auto reap(pid_t pid, int status) -> void;
 
     glib_clock& clock_;
     ledger& ledger_;
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -81,10 +81,7 @@
     ~proxy();
 
     [[nodiscard]] auto open() -> bool { return listener_.open(listen_at_); }
-    [[nodiscard]] auto address() const -> std::string const&
-    {
-        return listen_at_;
-    }
+    [[nodiscard]] auto address() const -> auto const& { return listen_at_; }
 
     auto set_harm(link_harm const& it) -> void;
     auto reset_connections() -> void;
--- a/soak/standing.cpp
+++ b/soak/standing.cpp
@@ -8,6 +8,18 @@
 namespace apricotlb::soak
 {
 
+auto is_half_free(std::vector<worker_room> const& rooms) -> bool
+{
+    std::int64_t all{0};
+    std::int64_t free{0};
+    for (auto const& it : rooms)
+    {
+        all += it.cpu;
+        free += it.takes_starts ? it.cpu_free : 0;
+    }
+    return free * 2 > all;
+}
+
 auto ledger::time_of(time_point it) const -> std::string
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -126,14 +138,7 @@
                             std::vector<worker_room> const& rooms,
                             std::optional<time_point> traffic_end) -> void
 {
-    std::int64_t all{0};
-    std::int64_t free{0};
-    for (auto const& it : rooms)
-    {
-        all += it.cpu;
-        free += it.takes_starts ? it.cpu_free : 0;
-    }
-    half_free_since_ = free * 2 > all
+    half_free_since_ = is_half_free(rooms)
                            ? std::optional{half_free_since_.value_or(now)}
                            : std::nullopt;
     auto const calm_since = now - limits_.stand - limits_.calm_before;
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -90,10 +90,7 @@
     holds_.clear();
     for (auto& [task, it] : runs_)
     {
-        if (it.end_timer)
-        {
-            clock_.cancel_timer(*it.end_timer);
-        }
+        clock_.cancel_timer(it.end_timer);
         ledger_.on_end(it.key, how, clock_.now());
     }
     runs_.clear();
@@ -117,25 +114,25 @@
         state_ = "draining";
         beats_.reset();
         beat();
-        clock_.start_timer(unheard_drain,
-                           [this, life = life_]
-                           {
-                               if (life == life_ && is_up_ && !is_leaving_)
-                               {
-                                   leave();
-                               }
-                           });
+        in_life(unheard_drain,
+                [this]
+                {
+                    if (!is_leaving_)
+                    {
+                        leave();
+                    }
+                });
     }
 }
 
-auto worker::schedule_beat(duration after) -> void
+auto worker::in_life(duration after, std::function<void()> act) -> void
 {
     clock_.start_timer(after,
-                       [this, life = life_]
+                       [this, life = life_, act = std::move(act)]
                        {
                            if (life == life_ && is_up_)
                            {
-                               beat();
+                               act();
                            }
                        });
 }
@@ -144,7 +141,7 @@
 {
     if (is_frozen_ || (beats_ && beats_->is_busy()))
     {
-        schedule_beat(heartbeat);
+        in_life(heartbeat, [this] { beat(); });
         return;
     }
     auto const target =
@@ -170,10 +167,9 @@
     {
         body["drain_remaining_ms"] = milliseconds{drain_time}.count();
     }
-    auto const life = life_;
     beats_->call(
         {"PUT", "/instances/" + id_, target, body.dump(), beat_timeout},
-        [this, life, state = state_](call_result const& it)
+        [this, life = life_, state = state_](call_result const& it)
         {
             if (life == life_ && is_up_)
             {
@@ -190,7 +186,7 @@
     {
         beat_to_.clear();
         ++next_control_;
-        schedule_beat(retry_delay);
+        in_life(retry_delay, [this] { beat(); });
         return;
     }
     auto const got = json::parse(it.answer.body, nullptr, false);
@@ -201,16 +197,10 @@
     if (state == "draining" && !std::exchange(is_leaving_, true))
     {
         ledger_.on_drain_acknowledged(name(), life_, clock_.now());
-        clock_.start_timer(drain_time + milliseconds{random_() % 2000},
-                           [this, life = life_]
-                           {
-                               if (life == life_ && is_up_)
-                               {
-                                   leave();
-                               }
-                           });
+        in_life(drain_time + milliseconds{random_() % 2000},
+                [this] { leave(); });
     }
-    schedule_beat(heartbeat);
+    in_life(heartbeat, [this] { beat(); });
 }
 
 auto worker::leave() -> void
@@ -261,16 +251,12 @@
         carry_out(path, body, reply, false);
         return;
     }
-    clock_.start_timer(late_,
-                       [this, path, body, life = life_]
-                       {
-                           if (is_up_ && life == life_)
-                           {
-                               carry_out(
-                                   path, body, [](int, std::string const&) {},
-                                   true);
-                           }
-                       });
+    in_life(late_,
+            [this, path, body]
+            {
+                carry_out(
+                    path, body, [](int, std::string const&) {}, true);
+            });
 }
 
 auto worker::carry_out(std::string const& path, json const& body,
@@ -328,14 +314,10 @@
         reply(200, json{{"clock_ms", clock_ms()}}.dump());
         return;
     }
-    if (known != runs_.end() || number <= closed_[task])
-    {
-        reject(reply, "old");
-        return;
-    }
-    if (body.value("deadline_ms", std::int64_t{0}) <= clock_ms())
+    auto const is_old = known != runs_.end() || number <= closed_[task];
+    if (is_old || body.value("deadline_ms", std::int64_t{0}) <= clock_ms())
     {
-        reject(reply, "late");
+        reject(reply, is_old ? "old" : "late");
         return;
     }
     run it;
@@ -349,14 +331,9 @@
     {
         it.step = plan->steps[static_cast<std::size_t>(parsed->step)];
     }
-    std::int64_t cpu{it.step.scavenges ? 0 : it.step.cpu};
-    std::int64_t mem_mb{it.step.mem_mb};
-    for (auto const& [name, other] : runs_)
-    {
-        cpu += other.step.scavenges ? 0 : other.step.cpu;
-        mem_mb += other.step.mem_mb;
-    }
-    if (cpu > place_.cpu || mem_mb > place_.mem_mb)
+    auto const left = room();
+    if ((it.step.scavenges ? 0 : it.step.cpu) > left.cpu_free ||
+        it.step.mem_mb > left.mem_free_mb)
     {
         reject(reply, "room");
         return;
@@ -411,10 +388,7 @@
 
 auto worker::arm_end(run& it) -> void
 {
-    if (it.end_timer)
-    {
-        clock_.cancel_timer(*std::exchange(it.end_timer, std::nullopt));
-    }
+    clock_.cancel_timer(std::exchange(it.end_timer, {}));
     if (it.step.permanent || it.pace == 0)
     {
         return;
@@ -422,19 +396,21 @@
     auto const after = std::max(duration{}, it.work_left * 100 / it.pace);
     it.end_timer = clock_.start_timer(
         after,
-        [this, task = it.key.task, number = it.key.number, life = life_]
+        [this, key = it.key]
         {
-            auto const found = runs_.find(task);
-            if (life == life_ && found != runs_.end() &&
-                found->second.key.number == number)
+            auto const is_it = [this, &key]
+            {
+                auto const found = runs_.find(key.task);
+                return found != runs_.end() && found->second.key == key;
+            };
+            if (is_it())
             {
-                found->second.end_timer.reset();
+                runs_.at(key.task).end_timer = {};
                 end_if_lapsed();
             }
-            if (runs_.contains(task) && life == life_ &&
-                runs_.at(task).key.number == number)
+            if (is_it())
             {
-                end_run(task, runs_.at(task).fails ? "failed" : "done");
+                end_run(key.task, runs_.at(key.task).fails ? "failed" : "done");
             }
         });
 }
@@ -477,15 +453,10 @@
 {
     auto node = runs_.extract(task);
     auto& it = node.mapped();
-    if (it.end_timer)
-    {
-        clock_.cancel_timer(*it.end_timer);
-    }
+    clock_.cancel_timer(it.end_timer);
     if (it.step.checkpoints && (how == "stopped" || it.step.permanent))
     {
-        it.checkpoint = id_ + "-" + std::to_string(born_) + "-" +
-                        std::to_string(++checkpoints_);
-        ledger_.on_checkpoint(task, it.checkpoint);
+        save(it);
     }
     closed_[task] = std::max(closed_[task], it.key.number);
     ledger_.on_end(it.key, how, clock_.now());
@@ -493,6 +464,13 @@
     answer_holds();
 }
 
+auto worker::save(run& it) -> void
+{
+    it.checkpoint = id_ + "-" + std::to_string(born_) + "-" +
+                    std::to_string(++checkpoints_);
+    ledger_.on_checkpoint(it.key.task, it.checkpoint);
+}
+
 auto worker::answer_holds() -> void
 {
     for (auto const& answer : std::exchange(holds_, {}))
@@ -580,9 +558,7 @@
         if (it.step.checkpoints && age >= checkpoint_ms)
         {
             advance(it);
-            it.checkpoint = id_ + "-" + std::to_string(born_) + "-" +
-                            std::to_string(++checkpoints_);
-            ledger_.on_checkpoint(task, it.checkpoint);
+            save(it);
         }
     }
     end_if_lapsed();
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -84,7 +84,7 @@
         time_point since{};
         int pace{100}; ///< percent
         bool fails{false};
-        std::optional<timer_id> end_timer;
+        timer_id end_timer;
     };
     struct ended
     {
@@ -101,7 +101,8 @@
     auto beat() -> void;
     auto take_beat_answer(std::string const& state, call_result const& it)
         -> void;
-    auto schedule_beat(duration after) -> void;
+    /// Runs it later unless the life that asks for it has ended by then.
+    auto in_life(duration after, std::function<void()> act) -> void;
     auto leave() -> void;
     auto end_life(std::string const& how, bool dark) -> void;
 
@@ -119,6 +120,7 @@
     auto hold(json const& body, http_server::reply const& reply) -> void;
     auto arm_end(run& it) -> void;
     auto advance(run& it) -> void;
+    auto save(run& it) -> void;
     auto end_run(std::string const& task, std::string const& how) -> void;
     auto answer_holds() -> void;
     auto check_lease() -> void;
