Print how long work stands after a loss in the soak

Change: the ledger takes the time that work which could run stood, if its last run ended with its worker, or a control process was lost or ended up to 3 s before or meanwhile. What stands at the end counts, what is cancelled does not. The line is printed before the verdict and is none itself.

Result: 4 new tests.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -209,7 +209,12 @@
     for (auto& [other, each] : it.tasks)
     {
         auto const moves = other == key.task || !it.plan.steps[step].permanent;
-        if (moves && std::exchange(each.standing, {}).reported)
+        auto const stood = moves ? std::exchange(each.standing, {}) : stand{};
+        if (auto const time = recovery_of(stood, now))
+        {
+            recoveries_.push_back(*time);
+        }
+        if (stood.reported)
         {
             auto line = where;
             line.append(": starts at ").append(time_of(now));
@@ -245,6 +250,8 @@
     owner->last_run_end = now;
     auto& all = owner->tasks[key.task];
     all.last_end = now;
+    all.is_lost = how == "crashed" || how == "left" || how == "lapsed";
+    owner->is_lost = all.is_lost;
     for (auto& it : all.runs)
     {
         if (it.key == key && it.at_work)
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -187,6 +187,10 @@
     auto check_standing(time_point now, std::vector<worker_room> const& rooms,
                         std::optional<time_point> traffic_end = {}) -> void;
 
+    /// How long work that could run stood after the loss of a worker or of
+    /// control processes, in ms; with what still stands.
+    [[nodiscard]] auto recovery(time_point now) const -> std::string;
+
     /// True if nothing has harmed a node, or the control processes, for long
     /// enough before a request.
     [[nodiscard]] auto is_undisturbed(std::string const& node,
@@ -245,6 +249,8 @@
     struct stand
     {
         std::optional<time_point> fits_since;
+        std::optional<time_point> could_since; ///< with room as for a finding
+        bool is_lost{false}; ///< its last run ended with the worker
         bool reported{false};
     };
     struct task
@@ -256,6 +262,7 @@
         std::set<std::string> checkpoints;
         int failures{0};
         bool done{false};
+        bool is_lost{false}; ///< the last run, with its worker
     };
     struct workflow
     {
@@ -268,8 +275,9 @@
         std::optional<time_point> cancel_sent;
         time_point last_run_end{};
         int at_work{0};
-        bool over{false};  ///< has ended, or can't be done
-        std::string shown; ///< the last state that was answered
+        bool is_lost{false}; ///< the last run, with its worker
+        bool over{false};    ///< has ended, or can't be done
+        std::string shown;   ///< the last state that was answered
     };
     struct standing_task
     {
@@ -287,6 +295,9 @@
     auto note(std::string text) -> void;
     [[nodiscard]] auto time_of(time_point it) const -> std::string;
     [[nodiscard]] auto is_over(workflow const& it) const -> bool;
+    /// The time that work stood, if a loss is the cause.
+    [[nodiscard]] auto recovery_of(stand const& it, time_point now) const
+        -> std::optional<duration>;
     [[nodiscard]] auto is_turn_of(workflow const& it, int step) const -> bool;
     /// Tasks whose turn has come and that hold their workflow up.
     [[nodiscard]] auto standing_of(workflow const& it) const
@@ -299,6 +310,7 @@
     disturbances const& disturbed_;
     time_point origin_{};
     std::optional<time_point> half_free_since_;
+    std::vector<duration> recoveries_;
     std::vector<std::string> notes_;
     std::map<std::string, workflow> workflows_;
     std::map<std::string, time_point> draining_; ///< worker and life
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -291,6 +291,7 @@
             std::to_string(configs_.reads()) + ", counts " +
             std::to_string(configs_.counts()) + ", late turns " +
             std::to_string(late_turns_) + calls);
+        log(seen_.recovery(clock_.now()));
         auto const n = seen_.findings().size();
         // A run in which nothing was served shows nothing.
         auto const is_idle = seen_.starts() == 0 || configs_.reads() == 0;
--- a/soak/standing.cpp
+++ b/soak/standing.cpp
@@ -134,6 +134,45 @@
     return places >= 2;
 }
 
+/// Without a leader work stands that became due a little later, too.
+auto ledger::recovery_of(stand const& it, time_point now) const
+    -> std::optional<duration>
+{
+    auto const is_counted =
+        it.could_since &&
+        (it.is_lost ||
+         !disturbed_.are_undisturbed('c', *it.could_since - limits_.contact));
+    return is_counted ? std::optional{now - *it.could_since} : std::nullopt;
+}
+
+auto ledger::recovery(time_point now) const -> std::string
+{
+    auto all = recoveries_;
+    for (auto const& [id, it] : workflows_)
+    {
+        for (auto const& [name, each] : it.tasks)
+        {
+            if (auto const time = recovery_of(each.standing, now);
+                time && !is_over(it))
+            {
+                all.push_back(*time);
+            }
+        }
+    }
+    std::ranges::sort(all);
+    auto const rank = [&](std::size_t percent)
+    {
+        constexpr std::size_t whole = 100;
+        auto const n = (all.size() * percent + whole - 1) / whole;
+        auto const time = n == 0 ? duration{} : all[n - 1];
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time)
+                .count());
+    };
+    return "recovery p50 " + rank(50) + " p99 " + rank(99) + " longest " +
+           rank(100) + " of " + std::to_string(all.size());
+}
+
 auto ledger::check_standing(time_point now,
                             std::vector<worker_room> const& rooms,
                             std::optional<time_point> traffic_end) -> void
@@ -172,10 +211,17 @@
             auto const needs_half = !each.is_permanent || traffic_end;
             if (!state.fits_since || (needs_half && !half_free_since_))
             {
+                state.could_since = std::nullopt;
                 continue;
             }
             auto from = std::max(each.since, *state.fits_since);
             from = needs_half ? std::max(from, *half_free_since_) : from;
+            // What fits when it is first seen has fitted all along.
+            constexpr auto seen_late = std::chrono::milliseconds{200};
+            state.could_since = state.could_since.value_or(
+                from - each.since < seen_late ? each.since : from);
+            state.is_lost =
+                each.is_permanent ? it.tasks[each.name].is_lost : it.is_lost;
             auto const by_day = is_all_calm && now - from >= limits_.stand;
             auto const at_end =
                 traffic_end &&
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -394,6 +394,57 @@
               (found{promise::unacknowledged, promise::unacknowledged}));
 }
 
+// Without the time that work stands after a loss, a fault shows only once it
+// has broken a promise.
+TEST_F(standing_work,
+       measures_the_time_without_a_run_after_the_loss_of_a_worker)
+{
+    accept_lasting();
+    end("f1.0.0.0", 1, "w1", "crashed", 1000);
+    end("f2.0.0.1", 1, "w2", "lapsed", 1000);
+    check(1050, 1750);
+    start("f2.0.0.1", 2, "w3", 1800);
+    check(1850, 2450);
+    start("f1.0.0.0", 2, "w3", 2500);
+    EXPECT_EQ(seen.recovery(at(2500)),
+              "recovery p50 800 p99 1500 longest 1500 of 2");
+}
+
+TEST_F(standing_work,
+       measures_the_time_without_a_run_after_the_loss_of_a_leader)
+{
+    end("f1.0.0.0", 1, "w1", "done", 1000);
+    disturbed.mark("c0", at(500));
+    check(1050, 1850);
+    start("f1.0.1.0", 1, "w1", 1900);
+    EXPECT_EQ(seen.recovery(at(1900)),
+              "recovery p50 900 p99 900 longest 900 of 1");
+}
+
+// Work that never starts again would make the figure better.
+TEST_F(standing_work, measures_what_still_stands_in_the_end)
+{
+    end("f1.0.0.0", 1, "w1", "crashed", 1000);
+    check(1050, 1850);
+    EXPECT_EQ(seen.recovery(at(8000)),
+              "recovery p50 7000 p99 7000 longest 7000 of 1");
+    seen.on_cancel_sent("f1", at(8000));
+    EXPECT_EQ(seen.recovery(at(8000)), "recovery p50 0 p99 0 longest 0 of 0");
+}
+
+// Waits that no loss has caused would make the figure better.
+TEST_F(standing_work, measures_no_wait_without_a_loss_or_without_room)
+{
+    end("f1.0.0.0", 1, "w1", "done", 5000);
+    check(5050, 5450);
+    start("f1.0.1.0", 1, "w1", 5500);
+    end("f1.0.1.0", 1, "w1", "crashed", 6000);
+    rooms[0].cpu_free = rooms[1].cpu_free = 900;
+    check(6050, 6950);
+    start("f1.0.1.0", 2, "w2", 7000);
+    EXPECT_EQ(seen.recovery(at(7000)), "recovery p50 0 p99 0 longest 0 of 0");
+}
+
 TEST(soak_schedule, is_the_same_for_the_same_seed)
 {
     auto const length = std::chrono::seconds{60};
