Bound the stalls of the soak's proxy

Cause: each chunk behind a lost packet drew losses of its own, and any number in a row. At 40 % a connection could stall for tens of seconds, long after the end of the fault. The end of one side also waited for bytes that only went the other way.

Change: what is behind a lost packet leaves with its retransmission; after 200, 400 and 800 ms a packet arrives. An end waits for its own direction.

--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -33,8 +33,8 @@
     };
     it.server->on_bytes = [this, id](std::string_view bytes)
     { pass(id, false, bytes); };
-    it.caller->on_closed = [this, id] { end(id); };
-    it.server->on_closed = [this, id] { end(id); };
+    it.caller->on_closed = [this, id] { end(id, true); };
+    it.server->on_closed = [this, id] { end(id, false); };
 }
 
 auto proxy::note(std::uint64_t id, std::string_view bytes) -> void
@@ -92,7 +92,7 @@
 }
 
 /// One side has closed: what was passed on for the other one is sent first.
-auto proxy::end(std::uint64_t id) -> void
+auto proxy::end(std::uint64_t id, bool is_caller) -> void
 {
     auto const close = [this, id, alive = alive_]
     {
@@ -104,8 +104,8 @@
     constexpr auto send_time = std::chrono::milliseconds{20};
     auto const& it = pipes_.at(id);
     auto const free_at =
-        std::max({clock_.now() + harm_.delay, it.requests.free_at(),
-                  it.answers.free_at()});
+        std::max(clock_.now() + harm_.delay,
+                 is_caller ? it.requests.free_at() : it.answers.free_at());
     clock_.start_timer(free_at - clock_.now() + send_time, close);
 }
 
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -37,14 +37,17 @@
 public:
     /// The first retransmission of TCP; each further one takes twice as long.
     static constexpr auto retransmission = std::chrono::milliseconds{200};
+    static constexpr auto last_retransmission = std::chrono::milliseconds{800};
 
     /// Takes bytes in, and returns the time after which take() is due.
     auto add(std::string_view bytes, time_point now, link_harm const& harm,
              std::mt19937_64& random) -> duration
     {
         auto arrival = now + harm.delay;
-        std::bernoulli_distribution is_lost{harm.loss};
-        for (duration wait = retransmission; is_lost(random); wait *= 2)
+        // What comes behind a lost packet leaves with its retransmission.
+        std::bernoulli_distribution is_lost{free_at_ > now ? 0 : harm.loss};
+        for (duration wait = retransmission;
+             wait <= last_retransmission && is_lost(random); wait *= 2)
         {
             arrival += wait;
         }
@@ -109,7 +112,7 @@
         -> void;
     auto move_on(std::uint64_t id, bool is_request) -> void;
     auto note(std::uint64_t id, std::string_view bytes) -> void;
-    auto end(std::uint64_t id) -> void;
+    auto end(std::uint64_t id, bool is_caller) -> void;
 
     glib_clock& clock_;
     std::string listen_at_;
