Shorten the last report and the addresses of the soak

Change: the report is written to one stream, the addresses of a machine are formed where they are declared, and a run is looked up in one place.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -22,6 +22,7 @@
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -85,18 +86,7 @@
         system_.start_all();
         add_workers();
         operators_.start([this] { begin(); });
-        clock_.start_timer(seconds{20},
-                           [this]
-                           {
-                               if (!configured_)
-                               {
-                                   seen_.report(promise::config_missing,
-                                                "the first configuration was "
-                                                "not acknowledged in 20 s",
-                                                clock_.now());
-                                   g_main_loop_quit(loop_);
-                               }
-                           });
+        clock_.start_timer(seconds{20}, [this] { expect_configured(); });
         g_main_loop_run(loop);
         g_main_loop_unref(loop);
         return conclude();
@@ -153,6 +143,17 @@
         }
     }
 
+    auto expect_configured() -> void
+    {
+        if (!configured_)
+        {
+            seen_.report(promise::config_missing,
+                         "the first configuration was not acknowledged in 20 s",
+                         clock_.now());
+            g_main_loop_quit(loop_);
+        }
+    }
+
     auto begin() -> void
     {
         configured_ = true;
@@ -279,18 +280,17 @@
 
     auto conclude() -> int
     {
-        std::string calls;
+        std::ostringstream line;
+        line << "starts " << seen_.starts() << ", accepted "
+             << seen_.accepted_count() << ", cancelled " << seen_.cancels()
+             << ", configurations " << configs_.acknowledged() << ", reads "
+             << configs_.reads() << ", counts " << configs_.counts()
+             << ", late turns " << late_turns_;
         for (auto const& [outcome, n] : clients_.calls())
         {
-            calls += ", " + outcome + " " + std::to_string(n);
+            line << ", " << outcome << " " << n;
         }
-        log("starts " + std::to_string(seen_.starts()) + ", accepted " +
-            std::to_string(seen_.accepted_count()) + ", cancelled " +
-            std::to_string(seen_.cancels()) + ", configurations " +
-            std::to_string(configs_.acknowledged()) + ", reads " +
-            std::to_string(configs_.reads()) + ", counts " +
-            std::to_string(configs_.counts()) + ", late turns " +
-            std::to_string(late_turns_) + calls);
+        log(line.str());
         log(seen_.recovery(clock_.now()));
         auto const n = seen_.findings().size();
         // A run in which nothing was served shows nothing.
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -29,9 +29,6 @@
 {
 
 constexpr std::size_t zones = 3;
-constexpr auto front_port = ":8161";
-constexpr auto ready_port = ":8167";
-constexpr auto control_port = ":8166";
 
 auto read_text(std::filesystem::path const& path) -> std::string
 {
@@ -129,16 +126,6 @@
     }
 }
 
-auto machine::served_at() const -> std::string
-{
-    return ip + (is_control() ? control_port : front_port);
-}
-
-auto machine::ready_at() const -> std::string
-{
-    return ip + ready_port;
-}
-
 auto claim_octet(int hint) -> int
 {
     constexpr int first{16};
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -36,8 +36,11 @@
     [[nodiscard]] auto is_running() const -> bool { return pid > 0; }
     /// Address at which callers (entry) or operators and workers (control)
     /// are served.
-    [[nodiscard]] auto served_at() const -> std::string;
-    [[nodiscard]] auto ready_at() const -> std::string;
+    [[nodiscard]] auto served_at() const
+    {
+        return ip + (is_control() ? ":8166" : ":8161");
+    }
+    [[nodiscard]] auto ready_at() const { return ip + ":8167"; }
 };
 
 struct deployment_options
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -398,23 +398,24 @@
         after,
         [this, key = it.key]
         {
-            auto const is_it = [this, &key]
-            {
-                auto const found = runs_.find(key.task);
-                return found != runs_.end() && found->second.key == key;
-            };
-            if (is_it())
+            if (is_running(key))
             {
                 runs_.at(key.task).end_timer = {};
                 end_if_lapsed();
             }
-            if (is_it())
+            if (is_running(key))
             {
                 end_run(key.task, runs_.at(key.task).fails ? "failed" : "done");
             }
         });
 }
 
+auto worker::is_running(run_key const& it) const -> bool
+{
+    auto const found = runs_.find(it.task);
+    return found != runs_.end() && found->second.key == it;
+}
+
 auto worker::stop_run(json const& body, http_server::reply const& reply) -> void
 {
     auto const task = body.value("task", std::string{});
@@ -426,8 +427,7 @@
         clock_.start_timer(stop_time,
                            [this, key = known->second.key]
                            {
-                               auto const it = runs_.find(key.task);
-                               if (it != runs_.end() && it->second.key == key)
+                               if (is_running(key))
                                {
                                    end_run(key.task, "stopped");
                                }
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -118,6 +118,7 @@
     auto stop_run(json const& body, http_server::reply const& reply) -> void;
     auto pace_run(json const& body, http_server::reply const& reply) -> void;
     auto hold(json const& body, http_server::reply const& reply) -> void;
+    [[nodiscard]] auto is_running(run_key const& it) const -> bool;
     auto arm_end(run& it) -> void;
     auto advance(run& it) -> void;
     auto save(run& it) -> void;
