Leave cancelled work out of the recovery of the soak

Cause: work that had stood, was cancelled and then got an order that was on its way counted with the whole time.

Change: a start counts only for a workflow that is not over.

Result: a test has the case; the 47 tests of the soak pass.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -210,7 +210,7 @@
     {
         auto const moves = other == key.task || !it.plan.steps[step].permanent;
         auto const stood = moves ? std::exchange(each.standing, {}) : stand{};
-        if (auto const time = recovery_of(stood, now))
+        if (auto const time = recovery_of(stood, now); time && !is_over(it))
         {
             recoveries_.push_back(*time);
         }
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -430,6 +430,8 @@
               "recovery p50 7000 p99 7000 longest 7000 of 1");
     seen.on_cancel_sent("f1", at(8000));
     EXPECT_EQ(seen.recovery(at(8000)), "recovery p50 0 p99 0 longest 0 of 0");
+    start("f1.0.0.0", 2, "w1", 8100); // an order under way
+    EXPECT_EQ(seen.recovery(at(8200)), "recovery p50 0 p99 0 longest 0 of 0");
 }
 
 // Waits that no loss has caused would make the figure better.
