Serve nothing before the outcome of refused proposals shows

A caller that had proposed something was told that the outcome is unknown when the lease ended, and the lease returned before the entry was committed: heartbeats are answered before the sync, entries after it. A later caller was then answered by the state before the entry, for instance that a data centre is in use whose evacuation commits next, or that a submission is refused whose first copy runs.

--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -210,10 +210,11 @@
 
     /// True while the leader lease is valid. The applied state is current then,
     /// once on_leadership() has reported the leadership: later entries are
-    /// acknowledged when they are applied.
+    /// acknowledged when they are applied, or before the lease returns.
     [[nodiscard]] auto is_leader() const -> bool
     {
-        return core_ && !failure_ && core_->has_lease(clock_.now());
+        return core_ && !failure_ && core_->has_lease(clock_.now()) &&
+               applied_ >= last_unknown_;
     }
     /// The leader of the current term, if this replica has received its id.
     [[nodiscard]] auto leader() const -> std::optional<node_id>
@@ -291,6 +292,9 @@
     std::optional<raft> core_;
     std::map<log_index, pending> pending_;
     std::size_t pending_bytes_{0};
+    /// Last proposal of this office whose caller was told that its outcome is
+    /// unknown. What is answered later has to show the outcome.
+    log_index last_unknown_;
     std::deque<log_entry> committed_;              ///< not applied yet
     std::vector<addressed_message> held_messages_; ///< sent after the next sync
     bool unsynced_{false};
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -492,6 +492,7 @@
     }
     if (core_->role() != raft_role::leader)
     {
+        last_unknown_ = {};
         fail_pending(
             {error_kind::no_leader,
              "this replica stepped down before the proposal was committed"});
@@ -538,6 +539,7 @@
             continue;
         }
         pending_bytes_ -= it->second.bytes;
+        last_unknown_ = std::max(last_unknown_, it->first);
         callers.push_back(std::move(it->second.callback));
         it = pending_.erase(it);
     }
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -248,6 +248,36 @@
     EXPECT_EQ(own->error().kind, error_kind::no_leader);
 }
 
+// A caller was told that the outcome is unknown, and another one was answered
+// by the state before it, once the lease had returned.
+TEST(replica, a_lease_that_returns_shows_the_outcome_of_earlier_proposals)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        replica_group group{3, seed};
+        auto const n = group.elect();
+        auto& leader = *group.nodes[n];
+        group.isolate(n);
+        bool is_refused{false};
+        leader.it->propose("late", [&is_refused](result<log_index> it)
+                           { is_refused = it.has_error(); });
+        group.run(config::election_timeout_min);
+        ASSERT_TRUE(is_refused);
+        group.links.cuts.clear();
+        auto const is_applied = [&leader]
+        {
+            return std::ranges::any_of(leader.machine->applied,
+                                       [](auto const& it)
+                                       { return it.second == "late"; });
+        };
+        for (auto ms = 0; ms < 500; ++ms)
+        {
+            group.run(milliseconds{1});
+            EXPECT_TRUE(is_applied() || !leader.it->is_leader());
+        }
+    }
+}
+
 // A leader that others hear but that hears nobody must not keep the others
 // from electing one that works.
 TEST(replica, a_leader_that_hears_nobody_is_replaced)
