Count a vote as long as its term is current

An election over a lossy link took several rounds: a vote that a retransmission delayed past the timeout of the candidacy was dropped, since the candidate was asking for pre-votes of the next term by then. The voter had to vote again, over the same link.

Votes and pre-votes are kept apart now, and a vote for the own candidacy in the current term counts until the term changes. raft. a_vote_counts_as_long_as_its_term_is_current covers it, and that a member that has voted for another one takes no vote. Found by a reviewer.

--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -325,7 +325,8 @@
     time_point last_leader_contact_{};
     time_point election_deadline_{};
     duration election_timeout_{}; ///< drawn at random
-    std::set<node_id> votes_;
+    std::set<node_id> pre_votes_;
+    std::set<node_id> votes_; ///< in the current term
     std::optional<incoming_snapshot> incoming_;
 
     // Used on the leader only, except durable_index_.
--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -30,8 +30,8 @@
 auto raft::start_pre_vote(time_point now) -> void
 {
     role_ = raft_role::pre_candidate;
-    votes_ = {self_};
-    if (votes_.size() >= quorum())
+    pre_votes_ = {self_};
+    if (pre_votes_.size() >= quorum())
     {
         start_election(now);
         return;
@@ -100,6 +100,7 @@
     role_ = raft_role::follower;
     leader_ = std::move(leader);
     peers_.clear();
+    pre_votes_.clear();
     votes_.clear();
 }
 
@@ -165,27 +166,36 @@
         become_follower(now, answer.in_term, std::nullopt);
         return;
     }
-    auto const expected =
-        answer.is_pre_vote ? raft_role::pre_candidate : raft_role::candidate;
-    auto const in_term = answer.is_pre_vote ? term_and_vote_.current + term{1}
-                                            : term_and_vote_.current;
-    if (!answer.granted || role_ != expected || answer.in_term != in_term ||
-        !is_voter(from))
-    {
-        return;
-    }
-    votes_.insert(from);
-    if (votes_.size() < quorum())
+    if (!answer.granted || !is_voter(from))
     {
         return;
     }
     if (answer.is_pre_vote)
     {
-        start_election(now);
+        if (role_ != raft_role::pre_candidate ||
+            answer.in_term != term_and_vote_.current + term{1})
+        {
+            return;
+        }
+        pre_votes_.insert(from);
+        if (pre_votes_.size() >= quorum())
+        {
+            start_election(now);
+        }
+        return;
     }
-    else
-    {
-        become_leader(now);
+    // A vote may arrive after the candidacy has timed out. It counts as long as
+    // its term is the current one.
+    auto const is_standing =
+        role_ == raft_role::candidate || role_ == raft_role::pre_candidate;
+    if (is_standing && answer.in_term == term_and_vote_.current &&
+        term_and_vote_.vote == self_)
+    {
+        votes_.insert(from);
+        if (votes_.size() >= quorum())
+        {
+            become_leader(now);
+        }
     }
 }
 
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -292,6 +292,32 @@
     EXPECT_EQ(it.role(), raft_role::candidate);
 }
 
+// A vote that a retransmission delayed past the candidacy was dropped, and its
+// voter had to vote again, over the same link.
+TEST(raft, a_vote_counts_as_long_as_its_term_is_current)
+{
+    auto it = make({"a", "b", "c"});
+    it.tick(late, random_bits{0});
+    auto const stood_in = it.current_term() + term{1};
+    answer(it, late, "b", vote_answer{stood_in, true, true});
+    ASSERT_EQ(it.role(), raft_role::candidate);
+    auto const after = it.next_tick();
+    it.tick(after, random_bits{0});
+    ASSERT_EQ(it.role(), raft_role::pre_candidate);
+    answer(it, after, "b", vote_answer{stood_in, false, true});
+    EXPECT_EQ(it.role(), raft_role::leader);
+    EXPECT_EQ(it.current_term(), stood_in);
+
+    auto voter = make({"a", "b", "c"});
+    voter.tick(late, random_bits{0});
+    answer(voter, late, "c", request_vote{term{3}, false, {}});
+    ASSERT_EQ(voter.current_term(), term{3});
+    voter.tick(late + config::election_timeout_max, random_bits{0});
+    answer(voter, late + config::election_timeout_max, "b",
+           vote_answer{term{3}, false, true});
+    EXPECT_NE(voter.role(), raft_role::leader) << "it has voted for c";
+}
+
 // A leader that resigns must lose its lease at once, and only a higher term
 // may follow, also if it is the only voter.
 TEST(raft, a_leader_that_resigns_is_followed_by_a_higher_term)
