Resign after 4 s without a lease

Answers that always arrive later than the lease lasts, but within 2 s, kept an office for ever in which no call is served, no order is sent and the leases of all workers run out.

A leader that has held no lease for 4 s resigns with the reason no_lease. raft.a_leader_resigns_after_a_time_without_a_lease covers it: without the bound it would lead on.

--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -28,6 +28,8 @@
     {
     case office_end::no_majority:
         return "no_majority";
+    case office_end::no_lease:
+        return "no_lease";
     case office_end::higher_term:
         return "higher_term";
     case office_end::removed:
@@ -140,6 +142,12 @@
             become_follower(now, term_and_vote_.current, std::nullopt,
                             office_end::no_majority);
         }
+        else if (last_lease_ = has_lease(now) ? now : last_lease_;
+                 now >= lease_deadline())
+        {
+            become_follower(now, term_and_vote_.current, std::nullopt,
+                            office_end::no_lease);
+        }
         else if (now >= next_heartbeat_)
         {
             send_heartbeats(now);
@@ -164,7 +172,8 @@
     {
         return election_deadline_;
     }
-    auto const next = std::min(next_heartbeat_, quorum_deadline());
+    auto const next =
+        std::min({next_heartbeat_, quorum_deadline(), lease_deadline()});
     // The driver refuses callers once the lease is over.
     auto const end = lease_end();
     return end > last_tick_ ? std::min(next, end) : next;
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -46,6 +46,7 @@
 enum class office_end : std::uint8_t
 {
     no_majority, ///< no majority of the voters has answered for too long
+    no_lease,    ///< a majority has answered too late for a lease for too long
     higher_term, ///< another member has a higher term
     removed,     ///< the group has removed this member
     disk_full,
@@ -132,6 +133,10 @@
     /// that are lost stall a TCP connection for 1.4 s (retransmissions after
     /// 200, 400 and 800 ms); an election over the same link takes no less.
     static constexpr duration max_majority_silence = seconds{2};
+    /// Time without a lease after which a leader resigns although a majority
+    /// answers, late: nothing is served meanwhile, and the leases of workers
+    /// run out.
+    static constexpr duration max_time_without_lease = seconds{4};
 
     /// Handles expired timeouts. random determines the next election timeout.
     auto tick(time_point now, random_bits random) -> raft_actions;
@@ -287,6 +292,7 @@
     /// without a majority.
     [[nodiscard]] auto lease_end() const -> time_point;
     [[nodiscard]] auto quorum_deadline() const -> time_point;
+    [[nodiscard]] auto lease_deadline() const -> time_point;
 
     // raft_follower.cpp
     auto handle(time_point now, node_id const& from, append_entries request)
@@ -333,6 +339,7 @@
     std::map<node_id, peer> peers_;
     time_point leader_since_{};
     time_point last_tick_{};
+    time_point last_lease_{}; ///< when this leader was last seen to hold it
     std::optional<ended_office> ended_office_;
     time_point next_heartbeat_{};
     log_index durable_index_; ///< last entry that is durable on this member
--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -77,6 +77,7 @@
     role_ = raft_role::leader;
     leader_ = self_;
     leader_since_ = now;
+    last_lease_ = now;
     peers_.clear();
     update_peers(now);
     first_index_of_term_ = add_entry(entry_kind::noop, {}, {});
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -160,6 +160,7 @@
     follower.last_contact = now;
     follower.acked_send_time =
         std::max(follower.acked_send_time.value_or(sent_at), sent_at);
+    last_lease_ = has_lease(now) ? now : last_lease_;
     return &follower;
 }
 
@@ -373,6 +374,11 @@
            max_majority_silence;
 }
 
+auto raft::lease_deadline() const -> time_point
+{
+    return last_lease_ + max_time_without_lease;
+}
+
 auto raft::describe_office(time_point now, office_end reason) const
     -> ended_office
 {
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -318,6 +318,27 @@
     EXPECT_NE(voter.role(), raft_role::leader) << "it has voted for c";
 }
 
+// Answers that are always late kept an office for ever in which nothing was
+// served and the leases of all workers ran out.
+TEST(raft, a_leader_resigns_after_a_time_without_a_lease)
+{
+    auto it = make({"a", "b", "c"});
+    lead(it, late);
+    auto const end = late + raft::max_time_without_lease;
+    constexpr auto way = milliseconds{500};
+    for (auto now = late; now < end; now += config::raft_heartbeat)
+    {
+        it.tick(now, random_bits{0});
+        accept(it, "b", now, 1, now - way);
+        ASSERT_EQ(it.role(), raft_role::leader);
+        ASSERT_FALSE(it.has_lease(now));
+    }
+    EXPECT_LE(it.next_tick(), end);
+    it.tick(end, random_bits{0});
+    EXPECT_EQ(it.role(), raft_role::follower);
+    EXPECT_EQ(it.take_ended_office()->reason, office_end::no_lease);
+}
+
 // A leader that resigns must lose its lease at once, and only a higher term
 // may follow, also if it is the only voter.
 TEST(raft, a_leader_that_resigns_is_followed_by_a_higher_term)
