Keep backend servers over a time without the lease

A leader refuses announcements while it has no lease.

After a gap of more than an announcement interval the present backend servers are kept for one lifetime, and an incomplete table stays so. backend_table.keeps_backend_servers_that_could_not_announce_themselves covers the table; that the role calls it has no test.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -175,6 +175,7 @@
         {
             return;
         }
+        resume_after_gap();
         if (auto answer = leader_->on_heartbeat(it, clock_.now()))
         {
             transport_.send(from, peer_message{std::move(*answer)});
@@ -190,6 +191,7 @@
                    "this process is not the leader");
             return;
         }
+        resume_after_gap();
         std::visit(
             [&](auto& body) {
                 serve({from, it.id}, std::move(body));
@@ -202,6 +204,11 @@
     {
         return leader_.has_value() && replica_.is_leader();
     }
+    /// True for the leader of the current term, with or without its lease.
+    [[nodiscard]] auto is_in_office() const -> bool
+    {
+        return leader_.has_value();
+    }
     [[nodiscard]] auto status() const -> replica_status
     {
         return replica_.status();
@@ -287,6 +294,7 @@
         {
             return;
         }
+        resume_after_gap();
         leader_->tick(now, next_random());
         auto const wall = clock_.wall_now();
         auto const is_expiry_due =
@@ -351,6 +359,18 @@
 
     // Leadership.
 
+    /// Announcements are refused without the lease, so that nothing may expire
+    /// by their absence when it returns.
+    auto resume_after_gap() -> void
+    {
+        auto const now = clock_.now();
+        if (now - last_lease_ > config::announce_interval)
+        {
+            leader_->resume(now);
+        }
+        last_lease_ = now;
+    }
+
     auto report_role(role_change const& it) -> void
     {
         if (it.office)
@@ -378,6 +398,7 @@
         if (is_leading)
         {
             leader_.emplace(machine_.state(), in_term, clock_.now(), policy_);
+            last_lease_ = clock_.now();
             workflows_.start(machine_.state(), in_term);
             if (on_leading_)
             {
@@ -1029,6 +1050,7 @@
     std::map<call_origin, revision> waiting_callers_;
     overload_guard overload_;
     time_point tick_due_{};
+    time_point last_lease_{}; ///< when the lease was last seen
     /// Callers to answer once a proposed workflow has been committed.
     std::map<workflow_id, std::set<call_origin>> pending_submissions_;
     std::map<call_origin, refused_submission> refused_submissions_;
--- a/src/core/leader/backend_table.cpp
+++ b/src/core/leader/backend_table.cpp
@@ -141,6 +141,22 @@
     return delta;
 }
 
+auto backend_table::keep_until(time_point end) -> void
+{
+    for (auto& [id, row] : rows_)
+    {
+        if (row.present && row.expires_at < end)
+        {
+            row.expires_at = end;
+            expiries_.emplace_back(end, id);
+        }
+    }
+    if (!was_complete_)
+    {
+        complete_at_ = std::max(complete_at_, end);
+    }
+}
+
 auto backend_table::is_complete(time_point now) const -> bool
 {
     return now >= complete_at_;
--- a/src/core/leader/backend_table.hpp
+++ b/src/core/leader/backend_table.hpp
@@ -54,6 +54,9 @@
     /// Removes the backend servers whose lifetime has ended and returns them.
     /// The cost is proportional to the announcements since the last call.
     auto expire(time_point now) -> std::vector<backend_id>;
+    /// Keeps the present backend servers until then, and later than any expiry
+    /// before, since their announcements were refused for a while.
+    auto keep_until(time_point end) -> void;
 
     /// Changes that a reader with revision `since` of term `known_term` needs.
     /// The reader gets the full table if the term differs, if removals after
--- a/src/core/leader/leader_state.cpp
+++ b/src/core/leader/leader_state.cpp
@@ -226,6 +226,11 @@
     scheduler_.proposal_refused(it, now);
 }
 
+auto leader_state::resume(time_point now) -> void
+{
+    backends_.keep_until(now + config::announce_lifetime);
+}
+
 auto leader_state::tick(time_point now, random_bits random) -> void
 {
     for (auto const& id : backends_.expire(now))
--- a/src/core/leader/leader_state.hpp
+++ b/src/core/leader/leader_state.hpp
@@ -58,6 +58,8 @@
     auto on_not_applied(command const& it, time_point now) -> void;
 
     auto tick(time_point now, random_bits random) -> void;
+    /// To be called when the lease returns after a while without it.
+    auto resume(time_point now) -> void;
 
     /// Returns and clears the commands to propose and the messages to send to
     /// workers.
--- a/tests/backend_table_test.cpp
+++ b/tests/backend_table_test.cpp
@@ -79,6 +79,26 @@
               announce_effect::updated);
 }
 
+// All backend servers expired at once when a leader that had refused their
+// announcements got its lease back.
+TEST(backend_table, keeps_backend_servers_that_could_not_announce_themselves)
+{
+    backend_table it{term{1}, elected};
+    it.record_announcement({backend_of("a")}, elected);
+    it.record_announcement({backend_of("b")}, elected + 100ms);
+    it.record_announcement({backend_of("c"), true}, elected + 200ms);
+    auto const back = elected + lifetime + 400ms;
+    it.keep_until(back + lifetime);
+    EXPECT_FALSE(it.is_complete(back));
+    EXPECT_TRUE(it.expire(back).empty());
+    EXPECT_EQ(it.find(backend_id{"c"}), nullptr);
+    it.record_announcement({backend_of("b")}, back + 100ms);
+    auto const removed = it.expire(back + lifetime);
+    ASSERT_EQ(removed.size(), 1U);
+    EXPECT_EQ(removed[0], backend_id{"a"});
+    EXPECT_TRUE(it.is_complete(back + lifetime));
+}
+
 // A backend server that vanished would keep receiving requests.
 TEST(backend_table, removes_what_is_no_longer_announced)
 {
