--- a/tests/fenced_leader_test.cpp
+++ b/tests/fenced_leader_test.cpp
@@ -146,6 +146,19 @@
     std::vector<task_run> started{};
     std::map<worker_id, std::vector<task_run>> running{};
 
+    static auto add_lists(order_answer& /*to*/, worker_instance const& /*of*/)
+        -> void
+    {
+    }
+    auto add_lists(poll_answer& to, worker_instance const& of) -> void
+    {
+        to.lists.incarnation = of.incarnation;
+        for (auto const& run : running[of.id])
+        {
+            to.lists.running.push_back({run, {}, 0, 0});
+        }
+    }
+
     template <class Order, class Callback>
     auto send(Order const& it, Callback done) -> void
     {
@@ -170,14 +183,7 @@
                         answer;
                     answer.outcome =
                         is_fenced ? order_outcome::fenced : order_outcome::done;
-                    if constexpr (is_poll)
-                    {
-                        answer.lists.incarnation = to.incarnation;
-                        for (auto const& run : running[to.id])
-                        {
-                            answer.lists.running.push_back({run, {}, 0, 0});
-                        }
-                    }
+                    this->add_lists(answer, to);
                     done(answer);
                 });
         }
