Report the bound of a lease with the runs that it ends

When the leader ended runs as lease_over, nothing told what its upper bound for the end of the worker's lease rested on, nor how long it had been without the worker. A bound that was too long or too short could not be traced, and a worker that polls did not reach looked like one that was gone.

worker_lease keeps the cause of its bound: granted, inherited or late_order, always that of the latest end. A lease_over event carries the cause, the time since the bound, and the ages of the last lists and of the last announcement of that life of the worker.

--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -4,6 +4,8 @@
 #ifndef APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 #define APRICOTLB_CORE_FLEET_RUN_EVENTS_HPP
 
+#include "core/fleet/lease_bound.hpp"
+
 #include <apricotlb/time.hpp>
 #include <apricotlb/workflow.hpp>
 
@@ -73,6 +75,7 @@
     /// Of a lapsed run: since this leader received the lists of the worker
     /// before those that tell the end; none if they are the first ones.
     std::optional<duration> age{};
+    std::optional<lease_report> lease{}; ///< of a run that ended as lease_over
 };
 
 } // namespace apricotlb
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -217,7 +217,8 @@
             {
                 entry.lease.assume_until(
                     start_given_at(held) + config::max_order_age +
-                    worker_lease::max_duration(policy_.lease));
+                        worker_lease::max_duration(policy_.lease),
+                    lease_bound_cause::late_order);
             }
             send_stop(worker, run, held, now);
         }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -93,7 +93,8 @@
     auto const* const place = state_.workflows().places().find(run.worker);
     worker.lease.assume_until(
         now + worker_lease::max_duration(place != nullptr ? place->longest_lease
-                                                          : policy_.lease));
+                                                          : policy_.lease),
+        lease_bound_cause::inherited);
     if (is_unknown || run.worker.incarnation > worker.incarnation)
     {
         worker.begin_incarnation(run.worker.incarnation);
@@ -795,10 +796,13 @@
 
 auto run_scheduler::propose_end(identified_worker const& worker,
                                 task_run const& run, held_run& held,
-                                run_end outcome, run_event_kind why) -> void
+                                run_end outcome, run_event_kind why,
+                                std::optional<lease_report> const& lease)
+    -> void
 {
     held.phase = run_phase::ending;
-    events_.push_back({why, run, {worker.first, worker.second.incarnation}});
+    events_.push_back(
+        {why, run, {worker.first, worker.second.incarnation}, {}, lease});
     pending_ends_.push_back({run, outcome, held.checkpoint});
 }
 
@@ -861,12 +865,15 @@
 auto run_scheduler::end_runs_as_lost(identified_worker& worker,
                                      run_event_kind why, time_point now) -> void
 {
+    auto const lease = why == run_event_kind::lease_over
+                           ? std::optional{worker.second.report_lease(now)}
+                           : std::nullopt;
     for (auto& [run, held] : worker.second.runs)
     {
         if (held.phase != run_phase::ending &&
             held.phase != run_phase::proposed && !may_start_late(held, now))
         {
-            propose_end(worker, run, held, run_end::lost, why);
+            propose_end(worker, run, held, run_end::lost, why, lease);
         }
     }
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -306,8 +306,8 @@
     /// gang has finished.
     auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
     auto propose_end(identified_worker const& worker, task_run const& run,
-                     held_run& held, run_end outcome, run_event_kind why)
-        -> void;
+                     held_run& held, run_end outcome, run_event_kind why,
+                     std::optional<lease_report> const& lease = {}) -> void;
     auto release(task_run const& run, time_point now) -> void;
     /// Records that the worker may take runs that it could not take before, so
     /// that failed searches do not hold for it any more.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -3,6 +3,7 @@
 #define APRICOTLB_CORE_FLEET_WORKER_ENTRY_HPP
 
 #include "core/fleet/disturbance.hpp"
+#include "core/fleet/lease_bound.hpp"
 #include "core/fleet/worker_messages.hpp"
 
 #include <apricotlb/config.hpp>
@@ -237,9 +238,13 @@
     }
 
     /// Raises the bound to `end`: the lease may have been granted until then.
-    auto assume_until(time_point end) -> void
+    auto assume_until(time_point end, lease_bound_cause cause) -> void
     {
-        latest_end_ = std::max(latest_end_, end);
+        if (end > latest_end_)
+        {
+            latest_end_ = end;
+            cause_ = cause;
+        }
     }
 
     /// Adds a reading: at `now` the worker's clock showed at least `clock`.
@@ -260,7 +265,8 @@
     {
         auto const end = worker_now(now) + to_worker_clock(length);
         auto const left = milliseconds{(end - clock_).value()};
-        assume_until(sampled_at_ + max_duration(left));
+        assume_until(sampled_at_ + max_duration(left),
+                     lease_bound_cause::granted);
         return end;
     }
 
@@ -280,6 +286,8 @@
 
     /// From this time on every granted lease has ended on the worker's clock.
     [[nodiscard]] auto latest_end() const -> time_point { return latest_end_; }
+    /// What latest_end() rests on.
+    [[nodiscard]] auto cause() const -> lease_bound_cause { return cause_; }
 
 private:
     /// Permille of the leader's clock rate.
@@ -302,6 +310,7 @@
     worker_clock clock_;
     time_point sampled_at_{};
     time_point latest_end_{};
+    lease_bound_cause cause_{lease_bound_cause::none};
     bool sampled_{false};
 };
 
@@ -468,6 +477,16 @@
         return now - last_contact < config::lease_extension_timeout &&
                !is_unresponsive(now);
     }
+    /// What the leader knows about its lease when it ends runs by that.
+    [[nodiscard]] auto report_lease(time_point now) const -> lease_report
+    {
+        auto const since = [now](bool is_known, time_point at)
+        { return is_known ? std::optional{now - at} : std::nullopt; };
+        auto const has_bound = lease.cause() != lease_bound_cause::none;
+        return {lease.cause(), since(has_bound, lease.latest_end()),
+                since(is_listed, listed_at),
+                since(info.has_value(), announced_at)};
+    }
     /// Records whether it has carried out an order or poll, or has rejected it
     /// for good reason.
     auto record_response(bool is_response, time_point now) -> void
@@ -557,9 +576,8 @@
         info.reset();
         place.reset();
         recorded_lease.reset();
-        auto const lease_end = lease.latest_end();
-        lease = {};
-        lease.assume_until(lease_end);
+        auto const former = std::exchange(lease, {});
+        lease.assume_until(former.latest_end(), former.cause());
         warm_up = {};
         unrecorded.clear();
         recorded = {};
--- a/tests/run_contacts_test.cpp
+++ b/tests/run_contacts_test.cpp
@@ -233,5 +233,20 @@
     EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front();
 }
 
+// A smaller bound would hide what the one that ends runs rests on.
+TEST(worker_lease, keeps_the_cause_of_the_latest_end)
+{
+    using enum lease_bound_cause;
+    worker_entry it;
+    EXPECT_FALSE(it.report_lease(time_point{}).bound_age);
+    it.lease.assume_until(time_point{seconds{5}}, inherited);
+    it.lease.assume_until(time_point{seconds{3}}, late_order);
+    it.begin_incarnation(worker_incarnation{2});
+    EXPECT_EQ(it.lease.cause(), inherited);
+    EXPECT_EQ(it.report_lease(time_point{seconds{6}}).bound_age, seconds{1});
+    it.lease.assume_until(time_point{seconds{9}}, late_order);
+    EXPECT_EQ(it.lease.cause(), late_order);
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/unanswered_orders_test.cpp
+++ b/tests/unanswered_orders_test.cpp
@@ -272,5 +272,21 @@
     EXPECT_TRUE(has(" born=7 age_ms=6700\n")) << out.str();
 }
 
+// An operator could not tell what the end of a lease rested on.
+TEST_F(unanswered_orders_log, tells_the_bound_of_a_lease_that_is_over)
+{
+    run_event it{run_event_kind::lease_over, run, worker};
+    it.lease = lease_report{lease_bound_cause::granted, milliseconds{10},
+                            milliseconds{6700}, milliseconds{300}};
+    platform::log_run_event(it);
+    EXPECT_TRUE(has(" born=7 bound=granted bound_age_ms=10 list_age_ms=6700 "
+                    "announced_age_ms=300\n"))
+        << out.str();
+    it.lease =
+        lease_report{lease_bound_cause::inherited, milliseconds{20}, {}, {}};
+    platform::log_run_event(it);
+    EXPECT_TRUE(has(" bound=inherited bound_age_ms=20\n")) << out.str();
+}
+
 } // namespace
 } // namespace apricotlb
