Count runs that go on after their lease counted as over

A run that is still alive after the leader ended it as lease_over proves that the bound on the lease was too short, and that its task may have run twice at the same time. Such a run was reported as unrecorded, like any late order.

A worker's entry keeps the runs that were ended as lease_over until lists show what became of them, config::max_listed_ends at most and for the present life only. A run that these lists show as running is reported once as alive_after_lease, in the log and in apricotlb_run_events_total. Only the answers to polls that were sent after the end count: an earlier one may show the time before the lease was over, so that its rows are no proof. Rows of ended runs are none either, since they have no time.

In the new tests, a worker that keeps a longer lease than was granted gives one such event, although its run is listed several times, and one whose lease is over in time gives none. The first one does not compile before this change.

--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -43,27 +43,20 @@
     fenced, ///< its worker has refused the leader's fencing token; of no run if
             ///< it refused a poll
     lapsed, ///< ended: its worker lists that its lease was over
+    /// Its worker lists it as running when asked after this leader had ended it
+    /// as lease_over: the lease has outlasted the leader's bound.
+    alive_after_lease,
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 17> names{"lease_over",
-                                                     "worker_gone",
-                                                     "missing",
-                                                     "withdrawn",
-                                                     "unrecorded",
-                                                     "copied",
-                                                     "copy_won",
-                                                     "copy_lost",
-                                                     "copy_others_wait",
-                                                     "copy_no_room",
-                                                     "copy_no_evidence",
-                                                     "copy_ends_soon",
-                                                     "copy_failures",
-                                                     "relocated",
-                                                     "exceeds_headroom",
-                                                     "fenced",
-                                                     "lapsed"};
+    constexpr std::array<std::string_view, 18> names{
+        "lease_over",    "worker_gone",      "missing",
+        "withdrawn",     "unrecorded",       "copied",
+        "copy_won",      "copy_lost",        "copy_others_wait",
+        "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
+        "copy_failures", "relocated",        "exceeds_headroom",
+        "fenced",        "lapsed",           "alive_after_lease"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -561,6 +561,7 @@
     worker.second.are_shares_stale = true;
     ++worker.second.last_list;
     worker.second.listed_at = now;
+    report_alive_after_lease(worker, lists.running, poll_sent_at);
     for (auto const& row : lists.running)
     {
         process_running(worker, row, now);
@@ -577,6 +578,27 @@
     adjust_pace(worker, now);
 }
 
+/// Only lists that were asked for after the end count: the answer to an earlier
+/// poll may show the time before the lease was over.
+auto run_scheduler::report_alive_after_lease(
+    identified_worker& worker, std::vector<running_row> const& rows,
+    time_point poll_sent_at) -> void
+{
+    auto& ended = worker.second.ended_by_lease;
+    for (auto const& row : rows)
+    {
+        auto const it = ended.find(row.run);
+        if (it != ended.end() && it->second <= poll_sent_at)
+        {
+            events_.push_back({run_event_kind::alive_after_lease,
+                               row.run,
+                               {worker.first, worker.second.incarnation}});
+        }
+    }
+    std::erase_if(ended, [poll_sent_at](auto const& each)
+                  { return each.second <= poll_sent_at; });
+}
+
 auto run_scheduler::process_running(identified_worker& worker,
                                     running_row const& row, time_point now)
     -> void
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -865,15 +865,21 @@
 auto run_scheduler::end_runs_as_lost(identified_worker& worker,
                                      run_event_kind why, time_point now) -> void
 {
+    auto& entry = worker.second;
     auto const lease = why == run_event_kind::lease_over
-                           ? std::optional{worker.second.report_lease(now)}
+                           ? std::optional{entry.report_lease(now)}
                            : std::nullopt;
-    for (auto& [run, held] : worker.second.runs)
+    for (auto& [run, held] : entry.runs)
     {
-        if (held.phase != run_phase::ending &&
-            held.phase != run_phase::proposed && !may_start_late(held, now))
+        if (held.phase == run_phase::ending ||
+            held.phase == run_phase::proposed || may_start_late(held, now))
+        {
+            continue;
+        }
+        propose_end(worker, run, held, run_end::lost, why, lease);
+        if (lease && entry.ended_by_lease.size() < config::max_listed_ends)
         {
-            propose_end(worker, run, held, run_end::lost, why, lease);
+            entry.ended_by_lease.insert_or_assign(run, now);
         }
     }
 }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -387,6 +387,10 @@
         -> void;
     auto process_lists(identified_worker& worker, worker_lists const& lists,
                        time_point now) -> void;
+    /// Reports the runs that go on although they were ended as lease_over.
+    auto report_alive_after_lease(identified_worker& worker,
+                                  std::vector<running_row> const& rows,
+                                  time_point poll_sent_at) -> void;
     auto process_running(identified_worker& worker, running_row const& row,
                          time_point now) -> void;
     /// A run that is not recorded: a late order, of an earlier leader or for
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -398,7 +398,11 @@
     warm_up_progress warm_up;
     std::map<task_run, held_run> runs;
     std::map<task_run, pending_stop> unrecorded; ///< runs that the log has not
-    resources reserved;                          ///< by all runs
+    /// Runs that this leader ended as lease_over and when, until lists show
+    /// what became of them. A worker without lists gets few other runs;
+    /// config::max_listed_ends bounds them in any case.
+    std::map<task_run, time_point> ended_by_lease;
+    resources reserved;         ///< by all runs
     resources finite_reserved;  ///< by runs that end by themselves
     millicores scavenged_cores; ///< by all scavenging runs
     /// Runs with a latency target, by image.
@@ -580,6 +584,7 @@
         lease.assume_until(former.latest_end(), former.cause());
         warm_up = {};
         unrecorded.clear();
+        ended_by_lease.clear();
         recorded = {};
         acknowledged = {};
         unanswered_since.reset();
--- a/tests/lease_events_test.cpp
+++ b/tests/lease_events_test.cpp
@@ -1,5 +1,5 @@
 /// What the leader reports of runs that it ends when the lease of their worker
-/// is over.
+/// is over, and of those that go on after that.
 #include "fake_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -44,6 +44,20 @@
         return ended.at(0).lease.value();
     }
 
+    /// Cuts the worker off for longer than its lease, while another one may
+    /// take the task, and returns the reports of runs that went on.
+    auto alive_after_cut() -> std::vector<run_event>
+    {
+        fleet.cut.insert("w1");
+        fleet.add_worker("w2", 4000);
+        fleet.run(seconds{8});
+        fleet.cut.clear();
+        fleet.lost_stops = 2; // so that a run would be listed several times
+        fleet.run(seconds{8});
+        EXPECT_TRUE(fleet.workers.at("w1")->running().empty());
+        return events(run_event_kind::alive_after_lease);
+    }
+
     fake_fleet fleet{61};
 };
 
@@ -77,5 +91,28 @@
     EXPECT_FALSE(lease.announced_age);
 }
 
+// Two runs of a task at the same time were not counted.
+TEST_F(lease_events, a_run_that_outlasts_the_bound_is_reported_once)
+{
+    poll_order poll;
+    poll.to.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    poll.to.address = url{"w1:1"};
+    poll.to.fence = fence_token{1};
+    poll.lease_end = worker_clock{60'000};
+    auto const request = platform::run_codec::encode(poll);
+    fleet.workers.at("w1")->serve(request, fleet.now);
+    auto const alive = alive_after_cut();
+    EXPECT_FALSE(fleet.violations.empty()); // the task runs twice
+    ASSERT_EQ(alive.size(), 1U);
+    EXPECT_EQ(alive.front().run.number, run_number{1});
+    EXPECT_EQ(alive.front().worker.id, worker_id{"w1"});
+}
+
+TEST_F(lease_events, a_run_that_lapsed_is_not_reported_as_alive)
+{
+    EXPECT_TRUE(alive_after_cut().empty());
+    EXPECT_TRUE(fleet.violations.empty());
+}
+
 } // namespace
 } // namespace apricotlb
