--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -306,8 +306,8 @@
     /// gang has finished.
     auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
     auto propose_end(identified_worker const& worker, task_run const& run,
-                     held_run& held, run_end outcome, run_event_kind why)
-        -> void;
+                     held_run& held, run_end outcome, run_event_kind why,
+                     std::optional<lease_report> const& lease = {}) -> void;
     auto release(task_run const& run, time_point now) -> void;
     /// Records that the worker may take runs that it could not take before, so
     /// that failed searches do not hold for it any more.
@@ -387,6 +387,10 @@
         -> void;
     auto process_lists(identified_worker& worker, worker_lists const& lists,
                        time_point now) -> void;
+    /// Reports the runs that go on although they were ended as lease_over.
+    auto report_alive_after_lease(identified_worker& worker,
+                                  std::vector<running_row> const& rows,
+                                  time_point poll_sent_at) -> void;
     auto process_running(identified_worker& worker, running_row const& row,
                          time_point now) -> void;
     /// A run that is not recorded: a late order, of an earlier leader or for
