Count leases from the last answer of a worker

Operators saw permanent tasks stand for seconds after their runs had lapsed on a worker that was up and announced itself all the while, but got no polls from the leader for longer than its lease.

Cause: a lease counted from the last contact, and announcements are contacts. While polls and starts got no answer, each further one raised the leader's bound on the lease although none of them arrived, until lease_extension_timeout after the first one was known to be lost.

Leases count from the last answer of the present incarnation to an order or poll now (worker_entry::leased_from). A worker without runs is not polled, so that its first start counts from the last contact; its repetitions do not move that. A poll more than lease_extension_timeout after the last answer does not wait, since its lease may end before that.

Two tests of unanswered_orders relied on the fault: their leader kept the runs of a worker out of reach for 5.5 s with a lease of 5 s (bound 5.3 s), so that the worker could list them as lapsed.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -311,6 +311,10 @@
         return false;
     }
     record_contact(worker, answer.clock, now);
+    if (is_response(answer.outcome))
+    {
+        entry.leased_from = now;
+    }
     return true;
 }
 
@@ -532,6 +536,7 @@
         entry.has_inherited_lease =
             entry.has_inherited_lease && !order.lease_end;
         record_contact(worker, answer.lists.clock, now);
+        entry.leased_from = now;
         process_lists(worker, answer.lists, now);
         send_poll(worker, now);
         break;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -35,12 +35,12 @@
     return std::ranges::find(task.active, number, &active_run::number);
 }
 
-/// Grants a lease that counts from the last sign of the worker, not from the
-/// order: an order to a worker that is gone must not prolong the time for which
-/// its tasks are held.
+/// Grants a lease that counts from the last answer of the worker, not from the
+/// order: an order to a worker that is gone or out of reach must not prolong
+/// the time for which its tasks are held.
 auto grant_lease(worker_entry& worker, duration length) -> worker_clock
 {
-    return worker.lease.grant(worker.last_contact, length);
+    return worker.lease.grant(worker.leased_from, length);
 }
 
 } // namespace
@@ -341,6 +341,11 @@
     {
         return;
     }
+    // A worker without runs is not polled, so that its last answer is old.
+    if (!worker.second.may_have_runs())
+    {
+        worker.second.leased_from = worker.second.last_contact;
+    }
     held.order_in_flight = true;
     held.sent = now;
     held.start_sent = now;
@@ -414,10 +419,13 @@
     // may reach its next life, which numbers its ends anew.
     auto const is_release_due = entry.acknowledged < entry.recorded;
     // After a lost poll, runs may have lapsed. An order that was answered since
-    // tells nothing of them.
+    // tells nothing of them. A lease that counts from an old answer may end
+    // before a poll that waits is answered.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
                   !entry.is_listed || (is_release_due && !entry.is_answering) ||
-                  (has_runs && entry.has_inherited_lease);
+                  (has_runs && (entry.has_inherited_lease ||
+                                now - entry.leased_from >=
+                                    config::lease_extension_timeout));
     auto serves = false;
     auto scavenges = false;
     for (auto const& [run, held] : entry.runs)
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -408,6 +408,11 @@
     end_number recorded;     ///< ends up to this number are recorded in the log
     end_number acknowledged; ///< `recorded` of the last poll that was answered
     time_point last_contact{};
+    /// Leases count from then: the last answer of this incarnation to an order
+    /// or poll, or the last contact before a start on a worker where nothing
+    /// ran. A worker that no order reaches still announces itself, so that
+    /// announcements must not prolong the time for which its tasks are held.
+    time_point leased_from{};
     time_point announced_at{}; ///< when its newest announcement was received
     time_point paused_until{}; ///< no new runs until then, after a rejection
     /// Runs that ended as lost because the worker was silent, and that are to
@@ -560,6 +565,7 @@
         auto const lease_end = lease.latest_end();
         lease = {};
         lease.assume_until(lease_end);
+        leased_from = {};
         warm_up = {};
         unrecorded.clear();
         recorded = {};
@@ -578,6 +584,12 @@
         incarnation_ended = false;
     }
 
+    /// True if a run that holds a reservation may be on the worker.
+    [[nodiscard]] auto may_have_runs() const -> bool
+    {
+        return std::ranges::any_of(runs, [](auto const& each)
+                                   { return may_be_on_worker(each.second); });
+    }
     auto add(task_run const& name, held_run run) -> void
     {
         are_shares_stale = true;
--- a/tests/unanswered_orders_test.cpp
+++ b/tests/unanswered_orders_test.cpp
@@ -58,17 +58,26 @@
         }
         ASSERT_EQ(fleet.starts, before + n);
     }
-    /// Lets the lease of a running task end on its worker, which the leader
-    /// does not reach, but hears often enough to reach it again before the
-    /// lease counts as over.
+    /// Lets the lease of a running task end on its worker, whose polls are
+    /// lost. It answers stops of other tasks all the while, so that the leader
+    /// does not count the lease as over before the worker lists that end.
     auto lapse() -> void
     {
-        fleet.announcement_interval = milliseconds{500};
+        constexpr auto stops = 5;
         order("a", 1);
+        for (auto n = 0; n < stops; ++n)
+        {
+            order("stopped" + std::to_string(n), 1);
+        }
         fleet.run(seconds{1});
-        ASSERT_EQ(fleet.workers["w1"]->running().size(), 1U);
-        fleet.deaf.insert("w1");
-        fleet.run(milliseconds{5500});
+        ASSERT_EQ(fleet.workers["w1"]->running().size(), 6U);
+        fleet.lost_polls = 1000;
+        for (auto n = 0; n < stops; ++n)
+        {
+            workflow_id const id{"stopped" + std::to_string(n)};
+            fleet.apply(cancel_workflow{id, {}});
+            fleet.run(milliseconds{1100});
+        }
         ASSERT_TRUE(fleet.workers["w1"]->running().empty());
     }
     auto lapsed() -> std::vector<run_event>
@@ -163,7 +172,7 @@
     ASSERT_NO_FATAL_FAILURE(lapse());
     auto const before = entry().listed_at;
     EXPECT_TRUE(lapsed().empty());
-    fleet.deaf.clear();
+    fleet.lost_polls = 0;
     ASSERT_NO_FATAL_FAILURE(run_until_listed());
     auto const events = lapsed();
     ASSERT_EQ(events.size(), 1U);
@@ -180,7 +189,7 @@
 {
     ASSERT_NO_FATAL_FAILURE(lapse());
     fleet.lead();
-    fleet.deaf.clear();
+    fleet.lost_polls = 0;
     ASSERT_TRUE(fleet.run_until_known("w1"));
     ASSERT_NO_FATAL_FAILURE(run_until_listed());
     auto const events = lapsed();
