Test that a leader heard again leads without an election

A candidate needs the answer of the leader, and a link that carries it carries the heartbeats too, so that the member follows and does not stand. If nothing arrives, no vote does.

--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -294,6 +294,48 @@
     group.settle();
 }
 
+// A leader that grants pre-votes once its lease is over is deposed when its
+// messages arrive again, and callers wait for an election instead of for its
+// next heartbeat.
+TEST(replica, a_leader_whose_messages_were_lost_leads_again_without_an_election)
+{
+    constexpr auto longest_loss =
+        raft::max_majority_silence - 2 * config::raft_heartbeat;
+    constexpr auto step = milliseconds{100};
+    for (auto lost = config::election_timeout_min; lost <= longest_loss;
+         lost += step)
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        {
+            SCOPED_TRACE("seed " + std::to_string(seed) + ", lost for " +
+                         std::to_string(lost.count()) + " us");
+            auto pre_votes = 0;
+            replica_group group{5, seed};
+            auto const old = group.elect();
+            std::vector<std::size_t> const others{(old + 1) % 5, (old + 2) % 5};
+            group.crash((old + 3) % 5);
+            group.crash((old + 4) % 5);
+            group.load(20);
+            for (auto const n : others)
+            {
+                group.cut(old, n);
+                group.nodes[n]->it->on_role(
+                    [&pre_votes](role_change const& it)
+                    { pre_votes += it.role == raft_role::pre_candidate; });
+            }
+            group.run(lost);
+            EXPECT_FALSE(group.leader());
+            EXPECT_TRUE(pre_votes > 0 || lost < config::election_timeout_max);
+            group.links.cuts.clear();
+            auto const way = milliseconds{1} + group.links.max_delay;
+            group.run(config::raft_heartbeat + 2 * way);
+            EXPECT_EQ(group.leader(), old);
+            group.run(config::election_timeout_max);
+            EXPECT_EQ(group.leader(), old);
+        }
+    }
+}
+
 // A resignation must lose nothing that was acknowledged, and answer what was
 // proposed before it.
 TEST(replica, a_leader_that_resigns_makes_way_for_a_higher_term)
