Refuse what was sent to the former life of a worker

Callers saw the task of a worker that had restarted under its id and was cut off soon after run twice (TWICE).

Cause: the wire cannot name a life. The leader grants 6 s and forgot all grants at the restart.

The fencing token now rises with each life of a worker as well as with each term, so that a life refuses all that was sent to former ones once it has got an order of its own. What arrived before is in its first lists (starts) or bounded: from these lists on the leader assumes the longest lease, and records it with the runs that it places there, for later leaders. While that lease may last longer than a granted one (4 s), the worker takes no permanent tasks, which would stand too long if it were lost (LOST). The log gets the granted length again once the long one is over.

A start that was confirmed within 2 s of a restart may have been confirmed by the next life; its lease is assumed as well.

--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -45,7 +45,7 @@
 {
 public:
     explicit crest(std::size_t workers)
-        : scheduler(state, fence_token{1}, elected, fleet_policy{})
+        : scheduler(state, term{1}, elected, fleet_policy{})
     {
         contract_set set;
         set.version = contract_set_version{1};
--- a/bench/plan_bench.cpp
+++ b/bench/plan_bench.cpp
@@ -33,7 +33,7 @@
 {
 public:
     explicit plan_world(std::size_t workers)
-        : scheduler_(state_, fence_token{1}, now, fleet_policy{})
+        : scheduler_(state_, term{1}, now, fleet_policy{})
     {
         contract_set set;
         set.version = contract_set_version{1};
--- a/include/apricotlb/workflow.hpp
+++ b/include/apricotlb/workflow.hpp
@@ -9,6 +9,7 @@
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -42,10 +43,35 @@
 /// lower number than one that it has received.
 using run_number = quantity<struct run_tag, std::uint32_t>;
 
-/// Fencing token. It rises with each change of leader, and a worker rejects
-/// orders with a lower one.
+/// Terms below 2^33 keep the tokens exact as JSON numbers. Lives from the
+/// millionth of a term on share a token.
+inline constexpr unsigned fence_life_bits = 20;
+inline constexpr std::uint64_t max_fenced_life =
+    (std::uint64_t{1} << fence_life_bits) - 1;
+
+/// Fencing token; a worker rejects orders with a lower one than it has seen.
 using fence_token = quantity<struct fence_tag, std::uint64_t>;
 
+/// Numbers the lives of workers that a leader has met; a worker's next life has
+/// a higher one.
+using life_number = quantity<struct life_tag, std::uint64_t>;
+
+/// The token of the orders to one life of a worker. It rises with each change
+/// of leader and, for each worker, with each of its lives: a worker that was
+/// restarted under its id rejects what was sent to its former life.
+[[nodiscard]] constexpr auto make_fence(term leader, life_number life)
+    -> fence_token
+{
+    return fence_token{(leader.value() << fence_life_bits) |
+                       std::min(life.value(), max_fenced_life)};
+}
+
+/// The term of the leader that gave the orders with a token.
+[[nodiscard]] constexpr auto leader_of(fence_token it) -> term
+{
+    return term{it.value() >> fence_life_bits};
+}
+
 /// Priority of a queue. Tasks of priority 0 start first and may preempt others.
 using queue_priority = quantity<struct queue_priority_tag, std::int32_t>;
 using contract_set_version =
--- a/src/app/relayed_workers.hpp
+++ b/src/app/relayed_workers.hpp
@@ -171,7 +171,7 @@
         }
         metrics_.count(metric::order_routes, "relay");
         auto const number = ++last_number_;
-        term const in_term{it.to.fence.value()};
+        auto const in_term = leader_of(it.to.fence);
         pending_.emplace(number,
                          pending{it.to.instance.id, it.to.zone, *relay, in_term,
                                  now + timeout + config::relay_answer_margin,
--- a/src/app/repeating_workers.hpp
+++ b/src/app/repeating_workers.hpp
@@ -68,7 +68,7 @@
         end_outdated_repeats(it);
         auto const now = clock_.now();
         auto const number = ++last_number_;
-        newest_fence_ = std::max(newest_fence_, it.to.fence);
+        newest_term_ = std::max(newest_term_, leader_of(it.to.fence));
         pending_.emplace(number, pending{call<Order>{it, std::move(done)},
                                          now + answer_time(it)});
         by_worker_.emplace(it.to.instance.id, number);
@@ -310,7 +310,8 @@
         auto const& to = target_of(it);
         // The order of an earlier leader would be refused, or carried out
         // beside those of its successor.
-        if (to.fence < newest_fence_ || it.deadline - now < min_answer_time)
+        if (leader_of(to.fence) < newest_term_ ||
+            it.deadline - now < min_answer_time)
         {
             return;
         }
@@ -354,7 +355,7 @@
     Direct& direct_;
     Metrics& metrics_;
     sequence last_number_;
-    fence_token newest_fence_;
+    term newest_term_; ///< of the leaders that gave orders
     std::map<sequence, pending> pending_;
     std::set<std::pair<worker_id, sequence>> by_worker_; ///< of pending_
     /// When the next try of each order is due.
--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -56,15 +56,15 @@
     auto operator=(workflow_driver const&) -> workflow_driver& = delete;
     ~workflow_driver() { stop(); }
 
-    /// Starts a scheduler from the replicated state. The term is the fencing
-    /// token of its orders.
+    /// Starts a scheduler from the replicated state. The fencing tokens of its
+    /// orders rise with the term.
     auto start(state_machine const& state, term in_term) -> void
     {
         stop();
         leader_term_ = in_term;
         leading_since_ = clock_.now();
-        scheduler_.emplace(state, fence_token{in_term.value()}, clock_.now(),
-                           policy_, submitted_, clock_.wall_now());
+        scheduler_.emplace(state, in_term, clock_.now(), policy_, submitted_,
+                           clock_.wall_now());
         arm();
     }
 
--- a/src/core/fleet/lease_bound.hpp
+++ b/src/core/fleet/lease_bound.hpp
@@ -20,12 +20,15 @@
     granted,    ///< an order or poll of this leader
     inherited,  ///< the longest lease that an earlier leader may have granted
     late_order, ///< a start order that a later life of the worker may have got
+    /// Any order to a former life that this one may have got before its first
+    /// lists.
+    former_life,
 };
 
 [[nodiscard]] inline auto name_of(lease_bound_cause it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 4> names{"none", "granted",
-                                                    "inherited", "late_order"};
+    constexpr std::array<std::string_view, 5> names{
+        "none", "granted", "inherited", "late_order", "former_life"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_placement.cpp
+++ b/src/core/fleet/run_placement.cpp
@@ -113,6 +113,7 @@
             step.requires_label,
             step.scavenges ? step.image : image_name{},
             step.scavenges,
+            step.permanent,
             candidate.is_restart,
             candidate.is_suspect,
             step.each.cores.value(),
@@ -128,6 +129,13 @@
     return queue != nullptr ? queue->pool : record.terms.pool;
 }
 
+auto run_scheduler::has_long_lease(worker_entry const& worker,
+                                   time_point now) const -> bool
+{
+    return worker.lease.latest_end() >
+           now + worker_lease::max_duration(policy_.granted_lease());
+}
+
 auto run_scheduler::make_pass(time_point now) -> plan_pass
 {
     plan_pass pass{interference_, now};
@@ -137,7 +145,12 @@
         auto const usable = takes_new_runs(entry, now);
         if (usable)
         {
-            if (entry.warm_up.take_step(now) || !entry.was_usable)
+            auto const had_long_lease =
+                std::exchange(entry.has_long_lease, has_long_lease(entry, now));
+            auto const has_short_lease_again =
+                had_long_lease && !entry.has_long_lease;
+            if (entry.warm_up.take_step(now) || !entry.was_usable ||
+                has_short_lease_again)
             {
                 gain_room(entry);
             }
@@ -345,6 +358,12 @@
     {
         return placement_obstacle::worker_limit;
     }
+    // A loss of the worker would hold the task for as long, which has to be
+    // available again soon.
+    if (step.permanent && entry.has_long_lease)
+    {
+        return placement_obstacle::lease;
+    }
     if (lacks_contact(entry, candidate, pass.now) ||
         has_other_suspect(entry, candidate, pass.now))
     {
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -178,8 +178,9 @@
 /// A worker was restarted under its id. Runs of the former incarnation have
 /// ended there. The new one may run starts that it received before its
 /// announcement; its lists show them. A start order without an answer may still
-/// arrive there, so that its run has to be stopped. The former incarnation has
-/// crashed unless it had announced that it drains.
+/// arrive there until the new one has got an order with its own fencing token,
+/// so that its run has to be stopped. The former incarnation has crashed unless
+/// it had announced that it drains.
 auto run_scheduler::replace_incarnation(identified_worker& worker,
                                         worker_announcement const& announcement,
                                         time_point now) -> void
@@ -190,7 +191,9 @@
     {
         report_late_crashes(entry);
     }
-    entry.begin_incarnation(announcement.instance.incarnation);
+    auto const is_known = entry.incarnation != worker_incarnation{};
+    entry.begin_incarnation(announcement.instance.incarnation, ++last_life_);
+    entry.follows_former_life = is_known;
     entry.lease = {};
     entry.info = announcement;
     entry.place = place_of(announcement);
@@ -208,18 +211,18 @@
         held.order_in_flight = false;
         held.closed_as =
             blamed.contains(run) ? run_end::crashed : run_end::lost;
+        // A late start order may give the new life the longest lease that
+        // workers accept, since its end is on the clock of the former one. The
+        // new life may also be the one that has confirmed a recent start.
+        auto const arrives_until = start_given_at(held) + config::max_order_age;
+        if (now < arrives_until)
+        {
+            entry.lease.assume_until(arrives_until + longest_lease(),
+                                     lease_bound_cause::late_order);
+        }
         if (held.start_unconfirmed || held.phase == run_phase::ordered ||
             held.phase == run_phase::inherited)
         {
-            // A late start order may give the new life the longest lease that
-            // workers accept, since its end is on the clock of the former one.
-            if (may_start_late(held, now))
-            {
-                entry.lease.assume_until(
-                    start_given_at(held) + config::max_order_age +
-                        worker_lease::max_duration(policy_.lease),
-                    lease_bound_cause::late_order);
-            }
             send_stop(worker, run, held, now);
         }
         else
@@ -571,8 +574,10 @@
     {
         process_running(worker, row, now);
     }
-    needs_plan_ = needs_plan_ || !worker.second.is_listed;
-    worker.second.is_listed = true;
+    if (!worker.second.is_listed)
+    {
+        accept_first_lists(worker.second, now);
+    }
     std::erase_if(worker.second.unrecorded, [&worker](auto const& each)
                   { return each.second.last_list != worker.second.last_list; });
     process_ended(worker, lists.ended, list_age, now);
@@ -604,6 +609,21 @@
                   { return each.second <= poll_sent_at; });
 }
 
+/// From the poll for these lists on, the worker refuses what was sent to its
+/// former lives. Until then such an order may have given it the longest lease
+/// that workers accept.
+auto run_scheduler::accept_first_lists(worker_entry& worker, time_point now)
+    -> void
+{
+    worker.is_listed = true;
+    needs_plan_ = true;
+    if (worker.follows_former_life)
+    {
+        worker.lease.assume_until(now + longest_lease(),
+                                  lease_bound_cause::former_life);
+    }
+}
+
 auto run_scheduler::process_running(identified_worker& worker,
                                     running_row const& row, time_point now)
     -> void
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -45,11 +45,11 @@
 
 } // namespace
 
-run_scheduler::run_scheduler(state_machine const& state, fence_token fence,
+run_scheduler::run_scheduler(state_machine const& state, term leading_in,
                              time_point now, fleet_policy policy,
                              submission_times const& submitted, wall_time wall)
-    : state_(state), fence_(fence), leading_since_(now), policy_(policy),
-      forecast_(now)
+    : state_(state), leading_in_(leading_in), leading_since_(now),
+      policy_(policy), forecast_(now)
 {
     inherit_runs(now);
     inherit_ages(submitted, now, wall);
@@ -97,7 +97,7 @@
         lease_bound_cause::inherited);
     if (is_unknown || run.worker.incarnation > worker.incarnation)
     {
-        worker.begin_incarnation(run.worker.incarnation);
+        worker.begin_incarnation(run.worker.incarnation, ++last_life_);
         if (place != nullptr)
         {
             inherit_place(*place);
@@ -164,11 +164,13 @@
             continue;
         }
         auto place = *worker->second.place;
-        // A lease of an earlier leader may be longer, and covers all runs.
+        // A lease of an earlier leader or of a former life may be longer, and
+        // covers all runs. Once it is over, later leaders need not wait for it.
         auto const granted = policy_.granted_lease();
         auto const left = worker->second.lease.latest_end() - now;
-        place.longest_lease = std::chrono::ceil<milliseconds>(
-            left > worker_lease::max_duration(granted) ? left : granted);
+        auto const is_long = has_long_lease(worker->second, now);
+        place.longest_lease =
+            std::chrono::ceil<milliseconds>(is_long ? left : granted);
         // The place is dropped with the last run, whose end may come before
         // these starts in the log.
         auto const* const known =
@@ -177,7 +179,8 @@
                 : nullptr;
         if (known == nullptr || known->address != place.address ||
             known->zone != place.zone ||
-            known->longest_lease < place.longest_lease)
+            known->longest_lease < place.longest_lease ||
+            (known->longest_lease > place.longest_lease && !is_long))
         {
             out.push_back(std::move(place));
         }
@@ -256,7 +259,7 @@
     return {{worker.first, worker.second.incarnation},
             worker.second.place->address,
             worker.second.place->zone,
-            fence_,
+            make_fence(leading_in_, worker.second.life),
             now};
 }
 
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -145,7 +145,7 @@
     /// Takes over the runs that the log records. Leases granted by an earlier
     /// leader may last for one more lease length, as the workers' clocks count
     /// it.
-    run_scheduler(state_machine const& state, fence_token fence, time_point now,
+    run_scheduler(state_machine const& state, term leading_in, time_point now,
                   fleet_policy policy, submission_times const& submitted = {},
                   wall_time wall = {});
 
@@ -240,6 +240,15 @@
     /// Length of the leases that the worker is granted.
     [[nodiscard]] auto granted_lease(worker_entry const& worker) const
         -> duration;
+    /// Longest time, on the leader's clock, for which an order to a former life
+    /// may prolong the lease of a worker that carries it out.
+    [[nodiscard]] auto longest_lease() const -> duration
+    {
+        return worker_lease::max_duration(policy_.lease);
+    }
+    /// True if the worker's lease may last longer than one that is granted now.
+    [[nodiscard]] auto has_long_lease(worker_entry const& worker,
+                                      time_point now) const -> bool;
     /// Holds a run that is recorded although its proposal had been given up.
     auto inherit_unexpected(task_run const& run, time_point now) -> void;
     auto inherit_ages(submission_times const& submitted, time_point now,
@@ -391,6 +400,7 @@
     auto report_alive_after_lease(identified_worker& worker,
                                   std::vector<running_row> const& rows,
                                   time_point poll_sent_at) -> void;
+    auto accept_first_lists(worker_entry& worker, time_point now) -> void;
     auto process_running(identified_worker& worker, running_row const& row,
                          time_point now) -> void;
     /// A run that is not recorded: a late order, of an earlier leader or for
@@ -428,7 +438,7 @@
     /// part of the key only if it limits its tasks per worker. Restarts have
     /// keys of their own, since held workers are open to them.
     using placement_key =
-        std::tuple<pool_name, worker_label, image_name, bool, bool, bool,
+        std::tuple<pool_name, worker_label, image_name, bool, bool, bool, bool,
                    std::int64_t, std::int64_t, std::int32_t,
                    std::optional<workflow_task>>;
     auto placement_key_of(candidate_run const& candidate) const
@@ -696,7 +706,8 @@
                                       bool has_worker) const -> stall_cause;
 
     state_machine const& state_;
-    fence_token fence_;
+    term leading_in_;
+    life_number last_life_;
     time_point leading_since_;
     fleet_policy policy_;
     std::map<worker_id, worker_entry> workers_;
--- a/src/core/fleet/run_waits.hpp
+++ b/src/core/fleet/run_waits.hpp
@@ -28,7 +28,10 @@
     accels,
     label,
     worker_limit, ///< step_spec::max_per_worker is reached
-    suspect,      ///< as the task, another one there may crash its worker
+    /// A permanent task: the lease of the worker may last longer than one that
+    /// is granted now.
+    lease,
+    suspect, ///< as the task, another one there may crash its worker
     /// A scavenging task: latency of the serving tasks, or processor use.
     latency,
 };
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -393,6 +393,10 @@
     /// leader assumes. Leases are not granted for longer.
     std::optional<milliseconds> recorded_lease;
     worker_incarnation incarnation;
+    life_number life; ///< of this incarnation, for its fencing token
+    /// Orders to a former life may have reached this one before it refused
+    /// them.
+    bool follows_former_life{false};
     sequence described; ///< number of the announcement in `info`
     worker_lease lease;
     warm_up_progress warm_up;
@@ -464,8 +468,11 @@
     bool is_fenced{false};
     /// Nothing of this incarnation runs any more.
     bool incarnation_ended{false};
-    room_change gained_room;      ///< the last one of this worker
-    bool was_usable{false};       ///< for new runs, in the last pass of plan()
+    room_change gained_room; ///< the last one of this worker
+    bool was_usable{false};  ///< for new runs, in the last pass of plan()
+    /// Its lease may last longer than one that is granted now, as of the last
+    /// pass of plan().
+    bool has_long_lease{false};
     bool held_for_restart{false}; ///< in the current pass
 
     /// True if this leader has got an announcement or a list of it.
@@ -579,9 +586,11 @@
 
     /// Forgets what is true of the present incarnation only. Its runs stay, and
     /// so does the bound on its lease.
-    auto begin_incarnation(worker_incarnation next) -> void
+    auto begin_incarnation(worker_incarnation next, life_number number) -> void
     {
         incarnation = next;
+        life = number;
+        follows_former_life = false;
         info.reset();
         place.reset();
         recorded_lease.reset();
--- /dev/null
+++ b/tests/former_life_test.cpp
@@ -0,0 +1,163 @@
+#include "fake_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotlb
+{
+namespace
+{
+
+/// Worker "w1" has run for longer than any lease lasts, so that deadlines on
+/// its clock are far ahead for the clock of its next life.
+struct former_life : testing::Test
+{
+    former_life()
+    {
+        fleet.behaviour = [](std::string const& /*task*/)
+        {
+            return platform_worker::run{0, time_point{std::chrono::hours{1}},
+                                        "done", 1000};
+        };
+        fleet.policy.lease = seconds{10};
+        fleet.lead();
+        fleet.add_worker("w1", 4000);
+        EXPECT_TRUE(fleet.run_until_listed("w1"));
+        fleet.submit("old", {fake_fleet::step(1)});
+        fleet.run(seconds{20});
+    }
+
+    /// Polls that are sent while the worker is down reach its next life, which
+    /// is asked for its runs only after that.
+    auto restart() -> void
+    {
+        fleet.cut.insert("w1");
+        fleet.unheard.insert("w1");
+        fleet.run(milliseconds{600});
+        fleet.cut.erase("w1");
+        fleet.workers.at("w1")->restart(2, fleet.now);
+        fleet.run(milliseconds{1200});
+        fleet.unheard.erase("w1");
+        fleet.announce_now();
+        fleet.run(milliseconds{10});
+        EXPECT_TRUE(fleet.run_until_listed("w1"));
+    }
+
+    auto submit(std::string const& id, bool permanent) -> void
+    {
+        auto step = fake_fleet::step(1);
+        step.permanent = permanent;
+        fleet.submit(id, {step});
+        fleet.run(milliseconds{500});
+    }
+
+    [[nodiscard]] auto runs_on(std::string const& worker,
+                               std::string const& id) const -> bool
+    {
+        return fleet.workers.at(worker)->running().contains(id + ".0.0.0");
+    }
+
+    /// Cuts the worker off until all leases are over, with another one that
+    /// takes its tasks.
+    auto cut_off(duration after) -> void
+    {
+        fleet.run(after);
+        fleet.cut.insert("w1");
+        fleet.add_worker("w2", 8000);
+        fleet.run(seconds{14});
+    }
+
+    auto expect_no_violation() -> void
+    {
+        EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front();
+    }
+
+    fake_fleet fleet{61};
+};
+
+// The lease of a poll to the former life outlasted the leader's bound by 4 s.
+TEST_F(former_life, its_leases_do_not_let_a_task_run_twice)
+{
+    restart();
+    submit("a", false);
+    ASSERT_TRUE(runs_on("w1", "a"));
+    cut_off(seconds{1});
+    EXPECT_TRUE(runs_on("w2", "a"));
+    expect_no_violation();
+}
+
+// A leader that had not given these leases granted them 6 s.
+TEST_F(former_life, its_leases_are_known_to_the_next_leader)
+{
+    restart();
+    submit("a", false);
+    ASSERT_TRUE(runs_on("w1", "a"));
+    fleet.cut.insert("w1");
+    fleet.run(milliseconds{300});
+    fleet.lead();
+    cut_off(duration{});
+    EXPECT_TRUE(runs_on("w2", "a"));
+    expect_no_violation();
+}
+
+// The next life knew no token, and took late orders of the former one.
+TEST_F(former_life, its_orders_are_refused_after_the_first_list_of_the_next)
+{
+    restart();
+    auto& worker = *fleet.workers.at("w1");
+    auto const refused = worker.fenced_requests();
+    poll_order const late{{{worker_id{"w1"}, worker_incarnation{1}},
+                           url{"w1:1"},
+                           zone_id{"z1"},
+                           make_fence(term{2}, life_number{1}),
+                           fleet.now},
+                          {},
+                          worker_clock{40'000},
+                          {}};
+    worker.serve(platform::run_codec::encode(late), fleet.now);
+    EXPECT_EQ(worker.fenced_requests(), refused + 1);
+}
+
+// A permanent task may stand for 7 s at most after the loss of its worker.
+TEST_F(former_life, permanent_tasks_wait_for_the_end_of_its_leases)
+{
+    restart();
+    submit("a", true);
+    EXPECT_FALSE(runs_on("w1", "a"));
+    fleet.run(seconds{4});
+    EXPECT_TRUE(runs_on("w1", "a"));
+    fleet.cut.insert("w1");
+    fleet.workers.erase("w1");
+    fleet.add_worker("w2", 8000);
+    fleet.run(milliseconds{6900});
+    EXPECT_TRUE(runs_on("w2", "a"));
+}
+
+// The record of a long lease outlived the lease itself.
+TEST_F(former_life, permanent_tasks_wait_no_longer_after_a_change_of_leader)
+{
+    restart();
+    submit("long", false);
+    submit("a", true);
+    fleet.run(seconds{6});
+    ASSERT_TRUE(runs_on("w1", "a"));
+    fleet.workers.erase("w1");
+    fleet.add_worker("w2", 8000);
+    fleet.lead();
+    fleet.run(milliseconds{6900});
+    EXPECT_TRUE(runs_on("w2", "a"));
+}
+
+// Leaders of later terms have higher tokens whatever lives came before.
+TEST(fencing, tokens_rise_with_terms_and_lives)
+{
+    EXPECT_LT(make_fence(term{1}, life_number{1}),
+              make_fence(term{1}, life_number{2}));
+    EXPECT_LT(make_fence(term{1}, life_number{~std::uint64_t{}}),
+              make_fence(term{2}, {}));
+    EXPECT_EQ(leader_of(make_fence(term{9}, life_number{3})), term{9});
+}
+
+} // namespace
+} // namespace apricotlb
