Hand calls to a lost worker to its next life in the soak

The soak could not see that a worker which is back under its id takes calls that were meant for its former life. Connections to a worker that had crashed without closing them ended when the next life began, new ones were refused, and the clock of each life began at 0.

The proxy in front of a worker now keeps the callers while its target is lost. Requests that the former life has not received are carried out by the next one at once or up to a second later, also if the caller has given up, or the connection is reset, by seed. Answers of the former life are dropped. A call that was received is reset at the crash or stays without an answer. The clock of a life begins anywhere below 10,000 s, and its first announcement comes up to a heartbeat after its start, as on the platform. A start from before the life counts as held up. http_server::close has no silent form any more.

--- a/soak/http.cpp
+++ b/soak/http.cpp
@@ -442,14 +442,9 @@
             });
 }
 
-auto http_server::close(bool silent) -> void
+auto http_server::close() -> void
 {
     listener_.close();
-    if (silent)
-    {
-        pause(true);
-        return;
-    }
     connections_.clear();
     paused_ = false;
 }
--- a/soak/http.hpp
+++ b/soak/http.hpp
@@ -191,8 +191,7 @@
     {
         return listener_.open(address);
     }
-    /// Leaves connections open, and unread, if `silent`.
-    auto close(bool silent = false) -> void;
+    auto close() -> void;
     auto pause(bool paused) -> void;
 
 private:
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -1,7 +1,5 @@
 #include "soak/proxy.hpp"
 
-#include <unistd.h>
-
 #include <utility>
 #include <vector>
 
@@ -15,26 +13,40 @@
 
 auto proxy::accept(int fd) -> void
 {
-    auto const to = connect_to(target_);
-    if (to < 0)
-    {
-        ::close(fd);
-        return;
-    }
     auto const id = ++last_id_;
     auto& it = pipes_[id];
     it.peer = peer_of(fd);
     it.caller = std::make_unique<stream>(fd);
-    it.server = std::make_unique<stream>(to);
     it.caller->on_bytes = [this, id](std::string_view bytes)
     {
         note(id, bytes);
         pass(id, true, bytes);
     };
+    it.caller->on_closed = [this, id] { end(id, true); };
+    if (!is_target_lost_)
+    {
+        connect(id);
+    }
+}
+
+auto proxy::connect(std::uint64_t id) -> void
+{
+    auto const fd = connect_to(target_);
+    if (fd < 0)
+    {
+        pipes_.erase(id);
+        return;
+    }
+    auto& it = pipes_.at(id);
+    it.server = std::make_unique<stream>(fd);
     it.server->on_bytes = [this, id](std::string_view bytes)
     { pass(id, false, bytes); };
-    it.caller->on_closed = [this, id] { end(id, true); };
     it.server->on_closed = [this, id] { end(id, false); };
+    release(it);
+    if (!it.caller->is_open())
+    {
+        end(id, true);
+    }
 }
 
 auto proxy::note(std::uint64_t id, std::string_view bytes) -> void
@@ -81,12 +93,14 @@
 
 auto proxy::release(pipe& it) -> void
 {
-    if (!harm_.holds_requests && !it.held_requests.empty())
+    if (it.server && !harm_.holds_requests && !it.held_requests.empty())
     {
+        it.is_unanswered = true;
         it.server->write(std::exchange(it.held_requests, {}));
     }
     if (!harm_.holds_answers && !it.held_answers.empty())
     {
+        it.is_unanswered = false;
         it.caller->write(std::exchange(it.held_answers, {}));
     }
 }
@@ -103,6 +117,11 @@
     };
     constexpr auto send_time = std::chrono::milliseconds{20};
     auto const& it = pipes_.at(id);
+    if (!it.server && !it.is_unanswered && !it.held_requests.empty())
+    {
+        // A call that nobody waits for any more may be carried out later too.
+        return;
+    }
     auto const free_at =
         std::max(clock_.now() + harm_.delay,
                  is_caller ? it.requests.free_at() : it.answers.free_at());
@@ -121,12 +140,72 @@
 
 auto proxy::reset_connections() -> void
 {
-    for (auto& [id, it] : pipes_)
+    while (!pipes_.empty())
     {
-        it.caller->close(true);
-        it.server->close(true);
+        reset(pipes_.begin());
+    }
+}
+
+auto proxy::reset(std::map<std::uint64_t, pipe>::iterator it) -> void
+{
+    it->second.caller->close(true);
+    if (it->second.server)
+    {
+        it->second.server->close(true);
+    }
+    pipes_.erase(it);
+}
+
+auto proxy::lose_target(std::uint64_t seed) -> void
+{
+    is_target_lost_ = true;
+    std::mt19937_64 random{seed};
+    for (auto next = pipes_.begin(); next != pipes_.end();)
+    {
+        auto const each = next++;
+        auto& it = each->second;
+        it.server.reset();
+        it.answers = {};
+        it.held_answers.clear();
+        if (it.is_unanswered && random() % 2 == 0)
+        {
+            reset(each);
+        }
+    }
+}
+
+auto proxy::regain_target(std::uint64_t seed) -> void
+{
+    if (!std::exchange(is_target_lost_, false))
+    {
+        return;
+    }
+    std::mt19937_64 random{seed};
+    constexpr std::uint64_t share = 3; ///< of each case
+    constexpr std::uint64_t longest_ms = 1000;
+    for (auto next = pipes_.begin(); next != pipes_.end();)
+    {
+        auto const each = next++;
+        auto const how = random() % share;
+        auto const late = milliseconds{random() % longest_ms};
+        if (how == 0)
+        {
+            reset(each);
+        }
+        else if (!each->second.is_unanswered)
+        {
+            clock_.start_timer(how == 1 ? duration{} : late,
+                               [this, id = each->first, alive = alive_]
+                               {
+                                   if (*alive && !is_target_lost_ &&
+                                       pipes_.contains(id) &&
+                                       !pipes_.at(id).server)
+                                   {
+                                       connect(id);
+                                   }
+                               });
+        }
     }
-    pipes_.clear();
 }
 
 } // namespace apricotlb::soak
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -27,6 +27,8 @@
     /// Bytes are held and arrive late, unless the connection ends before.
     bool holds_requests{false};
     bool holds_answers{false};
+    /// What the target announces of itself is held too; it does so elsewhere.
+    bool holds_announcements{false};
     std::uint64_t seed{0}; ///< of the losses
 };
 
@@ -55,9 +57,13 @@
         under_way_.emplace_back(bytes);
         return free_at_ - now;
     }
-    /// The bytes that were taken in first.
+    /// The bytes that were taken in first; none if they were dropped since.
     auto take() -> std::string
     {
+        if (under_way_.empty())
+        {
+            return {};
+        }
         auto out = std::move(under_way_.front());
         under_way_.pop_front();
         return out;
@@ -87,7 +93,17 @@
     [[nodiscard]] auto address() const -> auto const& { return listen_at_; }
 
     auto set_harm(link_harm const& it) -> void;
+    [[nodiscard]] auto harm() const -> auto const& { return harm_; }
     auto reset_connections() -> void;
+    /// The target is gone. Its answers under way are lost, and what is sent to
+    /// it waits. By seed, connections with a call that it has received are
+    /// reset, or stay without an answer.
+    auto lose_target(std::uint64_t seed) -> void;
+    /// Another process listens at the address of the target. It gets the
+    /// requests that the former one has not received, as with a retransmission
+    /// by TCP: at once, or up to a second later. By seed, connections are reset
+    /// instead.
+    auto regain_target(std::uint64_t seed) -> void;
 
     /// Called with each request when its caller has sent it, and the address of
     /// the caller's end of the connection.
@@ -97,7 +113,8 @@
     struct pipe
     {
         std::unique_ptr<stream> caller;
-        std::unique_ptr<stream> server;
+        std::unique_ptr<stream> server; ///< null: the target is lost
+        bool is_unanswered{false};      ///< bytes of a request were passed on
         std::string peer;
         lane requests;
         lane answers;
@@ -107,12 +124,14 @@
     };
 
     auto accept(int fd) -> void;
+    auto connect(std::uint64_t id) -> void;
     auto release(pipe& it) -> void;
     auto pass(std::uint64_t id, bool is_request, std::string_view bytes)
         -> void;
     auto move_on(std::uint64_t id, bool is_request) -> void;
     auto note(std::uint64_t id, std::string_view bytes) -> void;
     auto end(std::uint64_t id, bool is_caller) -> void;
+    auto reset(std::map<std::uint64_t, pipe>::iterator it) -> void;
 
     glib_clock& clock_;
     std::string listen_at_;
@@ -121,6 +140,7 @@
     std::map<std::uint64_t, pipe> pipes_;
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
     std::uint64_t last_id_{0};
+    bool is_target_lost_{false};
     link_harm harm_;
     std::mt19937_64 random_;
 };
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -19,6 +19,9 @@
 constexpr auto drain_time = milliseconds{2000};
 /// A worker whose drain nobody acknowledges leaves all the same.
 constexpr auto unheard_drain = milliseconds{5000};
+/// The clock of a life begins anywhere below this, so that deadlines of a
+/// former one lie ahead of it or behind.
+constexpr std::uint64_t last_clock_begin_ms = 10'000'000;
 constexpr std::int64_t max_hold_ms = 10'000;
 constexpr std::int64_t checkpoint_ms = 1000;
 constexpr std::size_t max_listed = 500;
@@ -45,7 +48,7 @@
 
 auto worker::clock_ms() const -> std::int64_t
 {
-    return std::chrono::duration_cast<milliseconds>(clock_.now() - started_)
+    return std::chrono::duration_cast<milliseconds>(clock_.now() - clock_zero_)
         .count();
 }
 
@@ -62,31 +65,36 @@
     is_frozen_ = false;
     is_leaving_ = false;
     state_ = "ready";
-    started_ = clock_.now();
+    clock_zero_ = clock_.now() - milliseconds{random_() % last_clock_begin_ms};
     born_ = std::chrono::duration_cast<milliseconds>(
                 std::chrono::system_clock::now().time_since_epoch())
                 .count();
     sequence_ = fence_ = deadline_ = last_end_ = 0;
     late_ = {};
     closed_.clear();
-    ordered_.clear();
-    thawed_at_ = {};
+    reads_since_ = clock_.now();
     ends_.clear();
     beat_to_.clear();
     next_control_ = random_() % control_.size();
     beats_.reset();
-    beat();
+    proxy_.regain_target(random_());
+    // Until it is heard, calls are meant for its former life.
+    in_life(milliseconds{random_() % heartbeat.count()}, [this] { beat(); });
 }
 
 auto worker::crash(bool dark) -> void
 {
-    end_life("crashed", dark);
+    if (dark)
+    {
+        proxy_.lose_target(random_());
+    }
+    end_life("crashed");
 }
 
-auto worker::end_life(std::string const& how, bool dark) -> void
+auto worker::end_life(std::string const& how) -> void
 {
     is_up_ = false;
-    server_.close(dark);
+    server_.close();
     holds_.clear();
     for (auto& [task, it] : runs_)
     {
@@ -101,7 +109,7 @@
 {
     if (is_frozen_ && !frozen)
     {
-        thawed_at_ = clock_.now();
+        reads_since_ = clock_.now();
     }
     is_frozen_ = frozen;
     server_.pause(frozen);
@@ -139,7 +147,8 @@
 
 auto worker::beat() -> void
 {
-    if (is_frozen_ || (beats_ && beats_->is_busy()))
+    if (is_frozen_ || proxy_.harm().holds_announcements ||
+        (beats_ && beats_->is_busy()))
     {
         in_life(heartbeat, [this] { beat(); });
         return;
@@ -206,7 +215,7 @@
 auto worker::leave() -> void
 {
     auto const target = beat_to_.empty() ? control_.front() : beat_to_;
-    end_life("left", false);
+    end_life("left");
     beats_ = std::make_unique<http_connection>(clock_, target);
     beats_->call({"DELETE", "/instances/" + id_, target, "", beat_timeout},
                  [](call_result const&) {});
@@ -347,7 +356,7 @@
     std::optional<time_point> held_since;
     auto const origin =
         order == ordered_.end() ? order_origin{} : order->second;
-    if (origin.sent_at && (is_late || *origin.sent_at < thawed_at_))
+    if (origin.sent_at && (is_late || *origin.sent_at < reads_since_))
     {
         held_since = origin.sent_at;
     }
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -46,7 +46,8 @@
     /// Begins a life, under the same id or a new one, that knows nothing of
     /// before.
     auto start(bool keeps_id) -> void;
-    /// Ends at once; connections stay open without an answer if `dark`.
+    /// Ends at once. If `dark`, connections stay open without an answer, and
+    /// the next life may get the calls that are sent meanwhile.
     auto crash(bool dark) -> void;
     /// Announces that it drains, and leaves once that is acknowledged, or a
     /// while later if nobody acknowledges it.
@@ -68,6 +69,7 @@
 
     [[nodiscard]] auto links() -> proxy& { return proxy_; }
     [[nodiscard]] auto name() const -> std::string { return "w" + place_.id; }
+    [[nodiscard]] auto zone() const -> auto const& { return place_.zone; }
     [[nodiscard]] auto is_up() const -> bool { return is_up_; }
     [[nodiscard]] auto life() const -> int { return life_; }
     [[nodiscard]] auto room() const -> worker_room;
@@ -104,7 +106,7 @@
     /// Runs it later unless the life that asks for it has ended by then.
     auto in_life(duration after, std::function<void()> act) -> void;
     auto leave() -> void;
-    auto end_life(std::string const& how, bool dark) -> void;
+    auto end_life(std::string const& how) -> void;
 
     /// Notes when a start was ordered, also while the worker is frozen.
     auto note_order(http_text const& request, std::string const& from) -> void;
@@ -143,7 +145,7 @@
     bool is_frozen_{false};
     bool is_leaving_{false};
     std::string state_{"ready"};
-    time_point started_{};
+    time_point clock_zero_{}; ///< where the clock of this life reads 0
     std::int64_t born_{0};
     std::int64_t sequence_{0};
     std::int64_t fence_{0};
@@ -156,7 +158,8 @@
     std::map<std::string, std::int64_t> closed_;
     /// Task and number of a run, and how its last order came.
     std::map<std::pair<std::string, std::int64_t>, order_origin> ordered_;
-    time_point thawed_at_{};
+    /// The worker began, or was no longer frozen. Orders from before are late.
+    time_point reads_since_{};
     std::deque<ended> ends_;
     std::vector<std::function<void()>> holds_;
 };
--- a/tests/soak_proxy_test.cpp
+++ b/tests/soak_proxy_test.cpp
@@ -208,4 +208,152 @@
     EXPECT_EQ(requests, "last");
 }
 
+namespace
+{
+
+/// Callers of a server that is lost, and its successor at the same address.
+class soak_lost_target : public testing::Test
+{
+protected:
+    struct call
+    {
+        std::unique_ptr<stream> connection;
+        std::string answer;
+        time_point answered_at{};
+        bool is_cut{false};
+    };
+
+    soak_lost_target()
+    {
+        EXPECT_TRUE(server.open(ip + ":8001"));
+        EXPECT_TRUE(link.open());
+        for (auto& it : calls)
+        {
+            it.connection = std::make_unique<stream>(connect_to(ip + ":8002"));
+            it.connection->on_bytes = [this, &it](std::string_view bytes)
+            {
+                it.answer += bytes;
+                it.answered_at = clock.now();
+            };
+            it.connection->on_closed = [&it] { it.is_cut = true; };
+        }
+        run_for(milliseconds{50});
+    }
+
+    auto send_all() -> void
+    {
+        for (std::size_t n = 0; n < calls.size(); ++n)
+        {
+            calls[n].connection->write("call " + std::to_string(n) + ".");
+        }
+        run_for(milliseconds{50});
+    }
+    auto end_life() -> void
+    {
+        link.lose_target(1);
+        server.close();
+        served.clear();
+        requests.clear();
+    }
+    auto begin_life(std::uint64_t seed) -> void
+    {
+        EXPECT_TRUE(server.open(ip + ":8001"));
+        link.regain_target(seed);
+        begun_at = clock.now();
+        run_for(milliseconds{1200});
+    }
+    auto run_for(duration time) -> void
+    {
+        auto is_over = false;
+        clock.start_timer(time, [&] { is_over = true; });
+        while (!is_over)
+        {
+            g_main_context_iteration(nullptr, TRUE);
+        }
+    }
+
+    glib_clock clock;
+    std::string ip{"127." + std::to_string(claim_octet(0)) + ".0.1"};
+    std::string requests;
+    std::vector<std::unique_ptr<stream>> served;
+    listener server{[this](int fd)
+                    {
+                        served.push_back(std::make_unique<stream>(fd));
+                        auto& it = *served.back();
+                        it.on_bytes = [this, &it](std::string_view bytes)
+                        {
+                            requests += bytes;
+                            it.write(bytes);
+                        };
+                    }};
+    proxy link{clock, ip + ":8002", ip + ":8001"};
+    std::vector<call> calls{30};
+    time_point begun_at{};
+};
+
+} // namespace
+
+// The soak could not see a lease that an order to a former life sets: such
+// orders never reached the next one.
+TEST_F(soak_lost_target,
+       hands_calls_of_its_absence_to_the_next_one_or_cuts_them)
+{
+    end_life();
+    send_all();
+    EXPECT_EQ(requests, "");
+    begin_life(1);
+    auto at_once = 0;
+    auto late = 0;
+    auto cut = 0;
+    for (std::size_t n = 0; n < calls.size(); ++n)
+    {
+        auto const& it = calls[n];
+        auto const text = "call " + std::to_string(n) + ".";
+        EXPECT_EQ(it.answer, it.is_cut ? "" : text);
+        EXPECT_EQ(requests.find(text) == std::string::npos, it.is_cut) << text;
+        cut += it.is_cut ? 1 : 0;
+        auto const wait = it.answered_at - begun_at;
+        at_once += !it.is_cut && wait < milliseconds{50} ? 1 : 0;
+        late += !it.is_cut && wait >= milliseconds{50} ? 1 : 0;
+    }
+    EXPECT_GT(at_once, 3);
+    EXPECT_GT(late, 3);
+    EXPECT_GT(cut, 3);
+}
+
+// An answer of a life that has crashed would acknowledge what nobody holds; a
+// call that it has received isn't sent again by TCP.
+TEST_F(soak_lost_target, passes_on_no_answer_and_no_received_call_after_a_crash)
+{
+    link_harm slow;
+    slow.delay = milliseconds{100};
+    link.set_harm(slow);
+    send_all();
+    run_for(milliseconds{80});
+    EXPECT_FALSE(requests.empty());
+    end_life();
+    link.set_harm({});
+    run_for(milliseconds{200});
+    auto const cut = std::ranges::count_if(calls, &call::is_cut);
+    EXPECT_GT(cut, 5);
+    EXPECT_LT(cut, 25);
+    begin_life(1);
+    EXPECT_EQ(requests, "");
+    for (auto const& it : calls)
+    {
+        EXPECT_EQ(it.answer, "");
+    }
+}
+
+// A call whose caller has given up may be carried out later all the same.
+TEST_F(soak_lost_target, hands_over_calls_that_nobody_waits_for)
+{
+    end_life();
+    send_all();
+    calls.clear();
+    run_for(milliseconds{50});
+    begin_life(1);
+    EXPECT_NE(requests, "");
+}
+
 } // namespace apricotlb::soak
--- a/tests/soak_worker_test.cpp
+++ b/tests/soak_worker_test.cpp
@@ -11,7 +11,10 @@
 #include <poll.h>
 
 #include <chrono>
+#include <cstdint>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace apricotlb::soak
 {
@@ -56,21 +59,58 @@
         return out;
     }
 
-    static auto start_with_lease(std::int64_t ms) -> json
+    auto start_with_lease(std::int64_t ms) -> json
     {
+        auto const lists = call("/hold", {{"fencing_token", 1}});
         return {{"task", "f1.0.0.0"},
                 {"run_id", 1},
                 {"spec", "text"},
-                {"deadline_ms", ms},
+                {"deadline_ms", lists.value("clock_ms", std::int64_t{0}) + ms},
                 {"fencing_token", 1}};
     }
 
+    /// Polls with the longest lease, sent through the proxy.
+    auto poll_life() -> void
+    {
+        constexpr auto far_ahead = std::int64_t{1} << 40;
+        for (auto& poll : polls)
+        {
+            poll = std::make_unique<http_connection>(clock, place.proxy_at);
+            poll->call(
+                {"POST", "/hold", place.proxy_at,
+                 json{{"fencing_token", 1}, {"deadline_ms", far_ahead}}.dump()},
+                [](call_result const&) {});
+        }
+        run_for(milliseconds{50});
+    }
+    auto run_for(duration time) -> void
+    {
+        auto is_over = false;
+        clock.start_timer(time, [&] { is_over = true; });
+        while (!is_over)
+        {
+            g_main_context_iteration(nullptr, TRUE);
+        }
+    }
+    /// How a run with a lease of 300 ms ends that is started now.
+    auto end_of_short_lease() -> std::string
+    {
+        EXPECT_TRUE(
+            call("/run-start", start_with_lease(300)).contains("clock_ms"));
+        run_for(milliseconds{800});
+        auto const lists =
+            call("/hold", {{"fencing_token", 1}, {"ack_cursor", 0}});
+        EXPECT_EQ(lists["finished"].size(), 1U) << lists;
+        return lists["finished"][0][3];
+    }
+
     glib_clock clock;
     disturbances disturbed;
     ledger seen{bounds{}, disturbed};
     std::string ip{"127." + std::to_string(claim_octet(0)) + ".0.1"};
     worker_place place{"i0", "z0", "r0", ip + ":8001", ip + ":8002"};
     worker it{clock, seen, 1, place, {ip + ":8003"}};
+    std::vector<std::unique_ptr<http_connection>> polls{8};
 };
 
 // A soak that stands still would report what a real worker can't do.
@@ -93,6 +133,67 @@
     EXPECT_NE(lists["finished"][0][3], "lapsed");
 }
 
+// The lease of a poll that was meant for the former life outlasts the one that
+// the leader knows of, so that a task runs twice; the soak has to show it.
+TEST_F(soak_worker, carries_out_a_poll_of_its_former_life)
+{
+    it.crash(true);
+    poll_life();
+    it.start(true);
+    EXPECT_NE(end_of_short_lease(), "lapsed");
+}
+
+TEST_F(soak_worker, knows_nothing_of_a_poll_that_was_reset)
+{
+    it.crash(true);
+    poll_life();
+    it.links().reset_connections();
+    it.start(true);
+    EXPECT_EQ(end_of_short_lease(), "lapsed");
+}
+
+// Deadlines of a former life would always lie ahead.
+TEST_F(soak_worker, begins_each_life_anywhere_on_its_clock)
+{
+    auto const clock_ms = [this]
+    {
+        return call("/hold", {{"fencing_token", 1}})
+            .value("clock_ms", std::int64_t{0});
+    };
+    auto last = clock_ms();
+    auto steps_back = 0;
+    for (auto n = 0; n < 20; ++n)
+    {
+        it.crash(false);
+        it.start(true);
+        auto const now = clock_ms();
+        steps_back += now < last ? 1 : 0;
+        last = now;
+    }
+    EXPECT_GT(steps_back, 3);
+    EXPECT_LT(steps_back, 17);
+}
+
+// A worker that can be heard, while no call reaches it, is not cut off.
+TEST_F(soak_worker, announces_nothing_while_it_is_cut_off)
+{
+    auto heard = 0;
+    http_server control{[&](http_text const&, http_server::reply const& reply)
+                        {
+                            ++heard;
+                            reply(200, "{}");
+                        }};
+    ASSERT_TRUE(control.open(ip + ":8003"));
+    it.links().set_harm({.holds_announcements = true});
+    run_for(milliseconds{1300});
+    heard = 0;
+    run_for(milliseconds{1500});
+    EXPECT_EQ(heard, 0);
+    it.links().set_harm({});
+    run_for(milliseconds{1500});
+    EXPECT_GT(heard, 0);
+}
+
 } // namespace
 
 } // namespace apricotlb::soak
