Restart workers and cut them off in the soak

No fault of the soak cut a worker off, announcements included, for longer than the leader's lease, and links were cut for 5 s at most. So a lease that an order to a former life had set could not outlast the one that the leader counts.

restart_and_cut crashes a worker, or three times in four all of its zone, starts it again under its id after 0.4 to 1 s, and lets nothing pass 1 to 3 s later for 8 to 10 s. It has a sequence of random numbers of its own: the other faults of a seed stay as they were. Other harm to links neither replaces nor ends such a cut.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -17,17 +17,20 @@
 
 /// In the order of fault_kind.
 constexpr auto names_of_kinds = std::to_array<std::string_view>(
-    {"kill_control",   "kill_all_control", "freeze_control",  "end_control",
-     "restart_series", "lose_disk",        "replace_control", "kill_entry",
-     "freeze_entry",   "end_entry",        "end_entries",     "hang_up",
-     "crash_workers",  "late_workers",     "freeze_workers",  "drain_workers",
-     "cut_links",      "slow_links",       "reset_links",     "cancel_wave",
-     "leave_workers",  "leave_unheard",    "crash_unheard"});
+    {"kill_control",    "kill_all_control", "freeze_control",
+     "end_control",     "restart_series",   "lose_disk",
+     "replace_control", "kill_entry",       "freeze_entry",
+     "end_entry",       "end_entries",      "hang_up",
+     "crash_workers",   "late_workers",     "freeze_workers",
+     "drain_workers",   "cut_links",        "slow_links",
+     "reset_links",     "cancel_wave",      "leave_workers",
+     "leave_unheard",   "crash_unheard",    "restart_and_cut"});
 /// Those from here on come beside the others, from a second sequence of random
 /// numbers.
 constexpr auto first_added = static_cast<std::size_t>(fault_kind::cancel_wave);
-static_assert(names_of_kinds.size() ==
-              static_cast<std::size_t>(fault_kind::crash_unheard) + 1);
+constexpr auto end_added =
+    static_cast<std::size_t>(fault_kind::restart_and_cut);
+static_assert(names_of_kinds.size() == end_added + 1);
 
 /// Any of the kinds from `first` up to `end`.
 auto any_kind(std::uint64_t random, std::size_t first, std::size_t end)
@@ -96,13 +99,19 @@
         constexpr std::uint64_t share = 2;
         if (chance(second, share))
         {
-            out.push_back(
-                {out[n - 1].at +
-                     between(second, milliseconds{0}, milliseconds{1200}),
-                 any_kind(second(), first_added, names_of_kinds.size()),
-                 second()});
+            out.push_back({out[n - 1].at + between(second, milliseconds{0},
+                                                   milliseconds{1200}),
+                           any_kind(second(), first_added, end_added),
+                           second()});
         }
     }
+    // Rare, as it takes up to 14 s without a calm span.
+    std::mt19937_64 third{seed ^ (seed << 32U)};
+    for (at = between(third, seconds{0}, seconds{12}); at < length;
+         at += between(third, seconds{20}, seconds{40}))
+    {
+        out.push_back({at, fault_kind::restart_and_cut, third()});
+    }
     std::erase_if(out, [&](fault const& it) { return it.at >= length; });
     return out;
 }
@@ -369,6 +378,9 @@
                   }
               });
         break;
+    case fault_kind::restart_and_cut:
+        restart_and_cut(random);
+        break;
     }
 }
 
@@ -523,6 +535,41 @@
     }
 }
 
+auto fault_injector::restart_and_cut(std::mt19937_64& random) -> void
+{
+    auto const down = between(random, milliseconds{400}, milliseconds{1000});
+    auto const lead = between(random, seconds{1}, seconds{3});
+    auto const time = between(random, seconds{8}, seconds{10});
+    auto const has_zone = !chance(random, 4);
+    auto* const first = workers_[random() % workers_.size()].get();
+    for (auto const& each : workers_)
+    {
+        auto* const it = each.get();
+        if (!it->is_up() ||
+            (it != first && !(has_zone && it->zone() == first->zone())))
+        {
+            continue;
+        }
+        it->crash(true);
+        disturb(it->name(), down,
+                [this, it]
+                {
+                    if (!it->is_up() && !gone_.contains(it))
+                    {
+                        it->start(true);
+                    }
+                });
+        after(down + lead,
+              [this, it, time]
+              {
+                  it->links().set_harm({.holds_requests = true,
+                                        .holds_answers = true,
+                                        .holds_announcements = true});
+                  disturb(it->name(), time, [it] { it->links().set_harm({}); });
+              });
+    }
+}
+
 auto fault_injector::harm_links(fault_kind kind, std::mt19937_64& random)
     -> void
 {
@@ -542,12 +589,24 @@
     }
     for (auto* const it : pick_workers(random))
     {
+        // The end of a shorter fault would end a cut that outlasts leases.
+        if (it->links().harm().holds_announcements)
+        {
+            continue;
+        }
         it->links().set_harm(harm);
         if (kind == fault_kind::reset_links)
         {
             it->links().reset_connections();
         }
-        disturb(it->name(), time, [it] { it->links().set_harm({}); });
+        disturb(it->name(), time,
+                [it]
+                {
+                    if (!it->links().harm().holds_announcements)
+                    {
+                        it->links().set_harm({});
+                    }
+                });
     }
 }
 
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -44,6 +44,9 @@
     leave_workers, ///< drain; some have no successor at their address
     leave_unheard, ///< drain, and leave while no control process is up
     crash_unheard, ///< crash while no control process is up
+    /// One, or all of a zone, crash, are back under their ids within a second,
+    /// and are cut off before the lease of an order to their former lives ends.
+    restart_and_cut,
 };
 
 [[nodiscard]] auto name_of(fault_kind it) -> std::string_view;
@@ -104,6 +107,7 @@
     auto freeze(std::string const& name, duration time) -> void;
     auto restart(std::string const& name, duration down, bool planned) -> void;
     auto harm_workers(fault_kind kind, std::mt19937_64& random) -> void;
+    auto restart_and_cut(std::mt19937_64& random) -> void;
     auto harm_links(fault_kind kind, std::mt19937_64& random) -> void;
     auto kill_all(names const& of, duration down) -> void;
     /// Drains a worker. A successor at its address has a new id.
