Bound the leases of lives that answer before they are known

- A start that the next life confirms before its announcement runs under the longest lease; the leader counted one of the former life.
- A worker that comes back under its id after an orderly end was taken for one without a former life.
- A late refusal of a token that the leader has replaced by a higher one marked the worker as fenced for the rest of the term.
- The bound of recent starts lasted beyond the first lists, which rule these starts out: after an election permanent tasks waited for up to 2 s more.
- Workers without incarnations had a lower token after they had been removed.

Permanent tasks are back within 7 s if all workers of a pool restart, and within 7 s of an election after that.

--- a/include/apricotlb/workflow.hpp
+++ b/include/apricotlb/workflow.hpp
@@ -43,8 +43,8 @@
 /// lower number than one that it has received.
 using run_number = quantity<struct run_tag, std::uint32_t>;
 
-/// Terms below 2^33 keep the tokens exact as JSON numbers. Lives from the
-/// millionth of a term on share a token.
+/// Terms below 2^33 keep the tokens exact as JSON numbers. From the millionth
+/// life of all workers in a term on, lives share a token.
 inline constexpr unsigned fence_life_bits = 20;
 inline constexpr std::uint64_t max_fenced_life =
     (std::uint64_t{1} << fence_life_bits) - 1;
--- a/src/core/fleet/lease_bound.hpp
+++ b/src/core/fleet/lease_bound.hpp
@@ -19,7 +19,7 @@
     none,
     granted,    ///< an order or poll of this leader
     inherited,  ///< the longest lease that an earlier leader may have granted
-    late_order, ///< a start order that a later life of the worker may have got
+    late_order, ///< a recent start that a later life of the worker may have got
     /// Any order to a former life that this one may have got before its first
     /// lists.
     former_life,
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -106,8 +106,14 @@
     {
         return;
     }
-    auto& worker = *workers_.try_emplace(announcement.instance.id).first;
+    auto const [at, is_new] = workers_.try_emplace(announcement.instance.id);
+    auto& worker = *at;
     auto& entry = worker.second;
+    // Others are numbered as they replace the life before.
+    if (is_new && announcement.instance.incarnation == worker_incarnation{})
+    {
+        entry.life = ++last_life_;
+    }
     if (announcement.instance.incarnation < entry.incarnation)
     {
         return;
@@ -193,7 +199,7 @@
     }
     auto const is_known = entry.incarnation != worker_incarnation{};
     entry.begin_incarnation(announcement.instance.incarnation, ++last_life_);
-    entry.follows_former_life = is_known;
+    entry.follows_former_life = is_known || departed_.contains(worker.first);
     entry.lease = {};
     entry.info = announcement;
     entry.place = place_of(announcement);
@@ -256,9 +262,14 @@
     on_leave(worker, now);
 }
 
-auto run_scheduler::on_fenced(identified_worker& worker, task_run const& run)
-    -> void
+/// A token that this leader has replaced by a higher one is refused as well.
+auto run_scheduler::on_fenced(identified_worker& worker, order_target const& to,
+                              task_run const& run) -> void
 {
+    if (to.fence != make_fence(leading_in_, worker.second.life))
+    {
+        return;
+    }
     if (!std::exchange(worker.second.is_fenced, true))
     {
         events_.push_back({run_event_kind::fenced,
@@ -309,9 +320,12 @@
     }
     if (answer.clock && entry.lease.is_of_other_life(*answer.clock, to.given))
     {
-        // Its announcement follows and replaces this one.
+        // Its announcement follows and replaces this one. It may have got the
+        // longest lease with the order that it has answered.
         entry.is_answering = false;
         entry.is_replaced = true;
+        entry.lease.assume_until(now + longest_lease(),
+                                 lease_bound_cause::former_life);
         return false;
     }
     record_contact(worker, answer.clock, now);
@@ -358,7 +372,7 @@
         }
         break;
     case order_outcome::fenced:
-        on_fenced(*worker, order.run);
+        on_fenced(*worker, order.to, order.run);
         if (held->phase == run_phase::ordered)
         {
             withdraw(*worker, order.run, *held, now);
@@ -440,7 +454,7 @@
     }
     if (answer.outcome == order_outcome::fenced)
     {
-        on_fenced(*worker, order.run);
+        on_fenced(*worker, order.to, order.run);
     }
     else if (answer.outcome == order_outcome::other_incarnation)
     {
@@ -474,7 +488,7 @@
     auto const is_current = record_answer(*worker, order.to, answer, now);
     if (answer.outcome == order_outcome::fenced)
     {
-        on_fenced(*worker, order.run);
+        on_fenced(*worker, order.to, order.run);
     }
     else if (answer.outcome == order_outcome::done && is_current)
     {
@@ -545,7 +559,7 @@
         send_poll(worker, now);
         break;
     case order_outcome::fenced:
-        on_fenced(worker, {});
+        on_fenced(worker, order.to, {});
         break;
     case order_outcome::other_incarnation:
         on_incarnation_end(worker, now);
@@ -610,8 +624,8 @@
 }
 
 /// From the poll for these lists on, the worker refuses what was sent to its
-/// former lives. Until then such an order may have given it the longest lease
-/// that workers accept.
+/// former lives, late starts included. Until then such an order may have given
+/// it the longest lease that workers accept.
 auto run_scheduler::accept_first_lists(worker_entry& worker, time_point now)
     -> void
 {
@@ -619,8 +633,8 @@
     needs_plan_ = true;
     if (worker.follows_former_life)
     {
-        worker.lease.assume_until(now + longest_lease(),
-                                  lease_bound_cause::former_life);
+        worker.lease.replace_bound(now + longest_lease(),
+                                   lease_bound_cause::former_life);
     }
 }
 
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -375,7 +375,8 @@
     /// The worker has left in order.
     auto on_leave(identified_worker& worker, time_point now) -> void;
     /// The worker has refused the leader's fencing token.
-    auto on_fenced(identified_worker& worker, task_run const& run) -> void;
+    auto on_fenced(identified_worker& worker, order_target const& to,
+                   task_run const& run) -> void;
     /// Another worker or incarnation took the place of this one.
     auto on_incarnation_end(identified_worker& worker, time_point now) -> void;
     /// The runs that may have caused the crash of their worker.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -247,6 +247,13 @@
         }
     }
 
+    /// Sets the bound: nothing that was granted before counts any more.
+    auto replace_bound(time_point end, lease_bound_cause cause) -> void
+    {
+        latest_end_ = end;
+        cause_ = cause;
+    }
+
     /// Adds a reading: at `now` the worker's clock showed at least `clock`.
     auto sample(worker_clock clock, time_point now) -> void
     {
--- a/src/core/fleet/worker_messages.hpp
+++ b/src/core/fleet/worker_messages.hpp
@@ -162,7 +162,7 @@
 enum class order_outcome : std::uint8_t
 {
     done,       ///< executed now or by an earlier send
-    fenced,     ///< rejected: a later leader has sent orders to the worker
+    fenced,     ///< rejected: the worker has seen a higher token
     superseded, ///< a run of the task with this number or a higher one has
                 ///< ended
     late,       ///< rejected: `lease_end` has passed on the worker's clock
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -380,7 +380,8 @@
     worker_instance worker;
     url address;
     zone_id zone;
-    /// The longest lease that the leader which records the place grants.
+    /// The longest lease that the leader which records the place grants, or
+    /// what is left of a longer one that the worker may have.
     milliseconds longest_lease{};
 
     auto operator==(worker_place const&) const -> bool = default;
--- a/tests/former_life_test.cpp
+++ b/tests/former_life_test.cpp
@@ -119,6 +119,86 @@
     EXPECT_EQ(worker.fenced_requests(), refused + 1);
 }
 
+// The next life took a start before it had announced itself; the leader counted
+// a lease of its former life.
+TEST_F(former_life, a_start_that_the_next_one_confirms_runs_under_its_lease)
+{
+    fleet.unheard.insert("w1");
+    fleet.workers.at("w1")->restart(2, fleet.now);
+    submit("a", false);
+    ASSERT_TRUE(runs_on("w1", "a"));
+    cut_off(duration{});
+    EXPECT_TRUE(runs_on("w2", "a"));
+    expect_no_violation();
+}
+
+// Its entry is dropped after an orderly end, and with it that it had lived.
+TEST_F(former_life, its_leases_are_bounded_after_an_orderly_end)
+{
+    worker_announcement left;
+    left.instance = {worker_id{"w1"}, worker_incarnation{1}};
+    left.phase = worker_phase::left;
+    fleet.unheard.insert("w1");
+    fleet.leader->on_announcement(left, fleet.now);
+    fleet.run(milliseconds{500});
+    auto& worker = *fleet.workers.at("w1");
+    worker.restart(2, fleet.now);
+    poll_order late;
+    late.to.instance = left.instance;
+    late.to.address = url{"w1:1"};
+    late.lease_end = worker_clock{40'000};
+    worker.serve(platform::run_codec::encode(late), fleet.now);
+    fleet.unheard.erase("w1");
+    fleet.announce_now();
+    fleet.run(milliseconds{10});
+    ASSERT_TRUE(fleet.run_until_listed("w1"));
+    submit("a", false);
+    ASSERT_TRUE(runs_on("w1", "a"));
+    cut_off(duration{});
+    EXPECT_TRUE(runs_on("w2", "a"));
+    expect_no_violation();
+}
+
+// A late refusal of the former token marked the worker for the whole term.
+TEST_F(former_life, a_refusal_of_its_token_leaves_the_next_one_its_orders)
+{
+    restart();
+    poll_order poll;
+    poll.to.instance = {worker_id{"w1"}, worker_incarnation{2}};
+    poll.to.fence = make_fence(term{2}, life_number{1});
+    poll.to.given = fleet.leader->workers().at(worker_id{"w1"}).poll_sent_at;
+    fleet.leader->on_answer(poll, {order_outcome::fenced, {}}, fleet.now);
+    EXPECT_FALSE(fleet.leader->workers().at(worker_id{"w1"}).is_fenced);
+}
+
+// A pool whose workers all restart has nowhere else to go: its permanent tasks
+// may stand for 7 s.
+TEST_F(former_life, permanent_tasks_are_back_in_time_if_all_workers_restart)
+{
+    submit("p", true);
+    auto const lost = fleet.now;
+    restart();
+    while (!runs_on("w1", "p") && fleet.now - lost < seconds{10})
+    {
+        fleet.run(milliseconds{50});
+    }
+    EXPECT_LT(fleet.now - lost, seconds{7});
+}
+
+// The bound of recent starts is over with the first lists.
+TEST_F(former_life, permanent_tasks_are_back_in_time_after_an_election_too)
+{
+    submit("p", true);
+    restart();
+    auto const elected = fleet.now;
+    fleet.lead();
+    while (!runs_on("w1", "p") && fleet.now - elected < seconds{10})
+    {
+        fleet.run(milliseconds{50});
+    }
+    EXPECT_LT(fleet.now - elected, seconds{7});
+}
+
 // A permanent task may stand for 7 s at most after the loss of its worker.
 TEST_F(former_life, permanent_tasks_wait_for_the_end_of_its_leases)
 {
