Keep the port of the receiver that starts later from other tests

Cause: the test takes a free port of 127.0.0.1, gives it back, and listens there 200 ms later. Tests run side by side, and in between the system may give the port to another one, or to the sender as the port that it connects from.

Change: the port is of a loopback address that is of this process alone, made of its process id. Connections to it come from 127.0.0.1, so that the sender cannot take the port either. What the test expects is unchanged.

--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -196,9 +196,9 @@
 class raw_listener
 {
 public:
-    raw_listener()
+    explicit raw_listener(std::string const& host = "127.0.0.1") : at_(host)
     {
-        auto to = raw_socket::address("127.0.0.1:0");
+        auto to = raw_socket::address(host + ":0");
         fd_ = socket(AF_INET, SOCK_STREAM, 0);
         auto const ok =
             bind(fd_, reinterpret_cast<sockaddr const*>(&to), sizeof to) == 0 &&
@@ -211,7 +211,7 @@
         fcntl(fd_, F_SETFL, O_NONBLOCK);
         socklen_t size = sizeof to;
         getsockname(fd_, reinterpret_cast<sockaddr*>(&to), &size);
-        at_ = "127.0.0.1:" + std::to_string(ntohs(to.sin_port));
+        at_ += ":" + std::to_string(ntohs(to.sin_port));
     }
     raw_listener(raw_listener const&) = delete;
     auto operator=(raw_listener const&) -> raw_listener& = delete;
@@ -219,6 +219,15 @@
 
     [[nodiscard]] auto at() const -> std::string const& { return at_; }
 
+    /// A loopback host of this process alone: no other process takes its ports.
+    static auto own_host() -> std::string
+    {
+        auto const n = static_cast<unsigned>(getpid());
+        return "127." + std::to_string(1 + ((n >> 16U) & 0x7fU)) + "." +
+               std::to_string((n >> 8U) & 0xffU) + "." +
+               std::to_string(n & 0xffU);
+    }
+
     /// A connection that arrived, if any.
     auto accept() -> raw_socket
     {
--- a/tests/nng_link_test.cpp
+++ b/tests/nng_link_test.cpp
@@ -194,12 +194,13 @@
     EXPECT_EQ(again.text().substr(8), frame);
 }
 
-// What waits for a peer that starts later must arrive, in order.
+// What waits for a peer that starts later must arrive, in order. The port stays
+// free meanwhile: on 127.0.0.1 another test may be given it.
 TEST(nng_link, reaches_a_receiver_that_starts_later)
 {
     std::string at;
     {
-        raw_listener const free_port;
+        raw_listener const free_port{raw_listener::own_host()};
         at = "tcp://" + free_port.at();
     }
     nng_link sender;
