Record long leases without adding drift and margin again

Cause: the log records the length of a lease, and a leader that reads it adds the drift of the worker's clock and the margin. What was recorded for a long lease was the time left of the leader's bound, which has both in it already, so that each election within the lease added them once more.

Change: worker_lease::lease_of gives the shortest lease that covers the time left; that is recorded.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -169,8 +169,9 @@
         auto const granted = policy_.granted_lease();
         auto const left = worker->second.lease.latest_end() - now;
         auto const is_long = has_long_lease(worker->second, now);
-        place.longest_lease =
-            std::chrono::ceil<milliseconds>(is_long ? left : granted);
+        place.longest_lease = is_long
+                                  ? worker_lease::lease_of(left)
+                                  : std::chrono::ceil<milliseconds>(granted);
         // The place is dropped with the last run, whose end may come before
         // these starts in the log.
         auto const* const known =
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -237,6 +237,14 @@
         return lease * 1000 / slowest_rate + config::lease_margin;
     }
 
+    /// The shortest lease whose longest duration is at least `left`.
+    [[nodiscard]] static auto lease_of(duration left) -> milliseconds
+    {
+        return std::chrono::ceil<milliseconds>((left - config::lease_margin) *
+                                               slowest_rate / 1000) +
+               milliseconds{1};
+    }
+
     /// Raises the bound to `end`: the lease may have been granted until then.
     auto assume_until(time_point end, lease_bound_cause cause) -> void
     {
--- a/tests/former_life_test.cpp
+++ b/tests/former_life_test.cpp
@@ -229,6 +229,19 @@
     EXPECT_TRUE(runs_on("w2", "a"));
 }
 
+// Each election added drift and margin to what was left of the lease.
+TEST(worker_lease, a_lease_of_the_time_left_covers_it_and_hardly_more)
+{
+    for (auto left = milliseconds{6500}; left < milliseconds{10500};
+         left += milliseconds{7})
+    {
+        auto const covered =
+            worker_lease::max_duration(worker_lease::lease_of(left));
+        EXPECT_GE(covered, left);
+        EXPECT_LT(covered, left + milliseconds{4});
+    }
+}
+
 // Leaders of later terms have higher tokens whatever lives came before.
 TEST(fencing, tokens_rise_with_terms_and_lives)
 {
