Record the end of long leases

What callers would see, by a reading of the review and not in a run: a later leader waits up to 10.4 s for the tasks of a lost worker that had restarted long before.

Cause: the log kept the length of a long lease until the next start on that worker, though the lease was over after 10 s.

Change: every fleet_report_interval the leader records the granted length again for workers with runs whose long lease is over.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -189,6 +189,35 @@
     return out.empty() ? std::nullopt : std::optional{std::move(out)};
 }
 
+/// A later leader would wait for a long lease that is over by then.
+auto run_scheduler::shorten_recorded_leases(time_point now) -> void
+{
+    if (now - recorded_leases_reviewed_at_ < config::fleet_report_interval)
+    {
+        return;
+    }
+    recorded_leases_reviewed_at_ = now;
+    auto const granted =
+        std::chrono::ceil<milliseconds>(policy_.granted_lease());
+    std::vector<worker_place> places;
+    for (auto const& [id, worker] : workers_)
+    {
+        auto const* const known =
+            state_.workflows().places().find({id, worker.incarnation});
+        if (known != nullptr && known->longest_lease > granted &&
+            !has_long_lease(worker, now) &&
+            places.size() < config::max_runs_per_command)
+        {
+            places.push_back(*known);
+            places.back().longest_lease = granted;
+        }
+    }
+    if (!places.empty())
+    {
+        actions_.emplace_back(propose_starts{{{}, std::move(places)}});
+    }
+}
+
 auto run_scheduler::granted_lease(worker_entry const& worker) const -> duration
 {
     auto const granted = policy_.granted_lease();
@@ -606,6 +635,7 @@
     }
     std::erase_if(late_starts_until_,
                   [now](auto const& each) { return now >= each.second; });
+    shorten_recorded_leases(now);
     if (has_removed)
     {
         std::erase_if(addresses_, [this](auto const& each)
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -237,6 +237,8 @@
     [[nodiscard]] auto unrecorded_places(std::vector<placed_run> const& runs,
                                          time_point now) const
         -> std::optional<std::vector<worker_place>>;
+    /// Records that long leases of workers with runs are over.
+    auto shorten_recorded_leases(time_point now) -> void;
     /// Length of the leases that the worker is granted.
     [[nodiscard]] auto granted_lease(worker_entry const& worker) const
         -> duration;
@@ -729,6 +731,7 @@
     /// the submission as a follower, or else from its election.
     std::map<std::pair<revision, occurrence_index>, time_point> ready_since_;
     time_point ready_since_pruned_at_{};
+    time_point recorded_leases_reviewed_at_{};
     interner<image_name, image_ref> images_;
     image_interference interference_;
     std::vector<fleet_action> actions_;
--- a/tests/former_life_test.cpp
+++ b/tests/former_life_test.cpp
@@ -229,6 +229,23 @@
     EXPECT_TRUE(runs_on("w2", "a"));
 }
 
+// The log kept the length of a lease that was over until the next start there.
+TEST_F(former_life, the_record_of_a_long_lease_ends_with_the_lease)
+{
+    worker_instance const w1{worker_id{"w1"}, worker_incarnation{2}};
+    restart();
+    submit("a", false);
+    ASSERT_TRUE(runs_on("w1", "a"));
+    auto const* place = fleet.state.workflows().places().find(w1);
+    ASSERT_NE(place, nullptr);
+    EXPECT_GT(place->longest_lease, milliseconds{9000});
+    EXPECT_LE(place->longest_lease, milliseconds{10000});
+    fleet.run(seconds{6});
+    place = fleet.state.workflows().places().find(w1);
+    ASSERT_NE(place, nullptr);
+    EXPECT_EQ(place->longest_lease, milliseconds{6000});
+}
+
 // Each election added drift and margin to what was left of the lease.
 TEST(worker_lease, a_lease_of_the_time_left_covers_it_and_hardly_more)
 {
