End leases of workers whose polls are not sent

Cause: a poll that is answered `not_sent` (a busy relay, or a leader without its lease) is neither answered nor lost, so that the worker never counted as unresponsive, and its announcements kept it from being silent.

Change: once a lease is over, a worker with runs that has listed none since and has no poll open is treated as one without answers.

Result: lease_grants.end_with_the_bound_if_polls_are_not_sent: the task was on no other worker 3 s after its runs had ended there before; it is now.

--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -577,7 +577,8 @@
         {
             end_runs_as_lost(*worker, run_event_kind::lease_over, now);
         }
-        else if (has_lapsed && (is_silent || entry.is_unresponsive(now)))
+        else if (has_lapsed && (is_silent || entry.is_unresponsive(now) ||
+                                entry.is_unpolled_after_lease(now)))
         {
             end_runs_of_silent(*worker, now);
         }
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -557,6 +557,14 @@
         poll_in_flight = false;
         return true;
     }
+    /// True if no list has told the ends of its runs since its lease is over,
+    /// and no poll is open that might: polls are held back or not sent.
+    [[nodiscard]] auto is_unpolled_after_lease(time_point now) const -> bool
+    {
+        return lease.cause() != lease_bound_cause::none && may_have_runs() &&
+               !poll_in_flight && now >= lease.latest_end() &&
+               listed_at < lease.latest_end();
+    }
     /// True if its last announcement said that it drains.
     [[nodiscard]] auto is_leaving() const -> bool
     {
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -193,6 +193,7 @@
     std::set<std::string> draining;
     std::set<std::string> unheard; ///< workers whose announcements are lost
     std::set<std::string> deaf;    ///< workers whose orders are lost
+    std::set<std::string> unsent;  ///< workers whose polls are not sent
     /// Age of announcements when the leader gets them.
     duration announcement_age{};
     duration announcement_interval{seconds{1}};
@@ -353,6 +354,20 @@
         }
         if constexpr (is_poll)
         {
+            if (unsent.contains(name))
+            {
+                events_.emplace(now + milliseconds{5},
+                                [this, it, epoch = epoch_]
+                                {
+                                    if (epoch == epoch_)
+                                    {
+                                        leader->on_answer(
+                                            it, {order_outcome::not_sent, {}},
+                                            now);
+                                    }
+                                });
+                return;
+            }
             if (lost_polls > 0)
             {
                 --lost_polls;
--- a/tests/lease_grants_test.cpp
+++ b/tests/lease_grants_test.cpp
@@ -205,5 +205,24 @@
     EXPECT_EQ(next[0].wait, milliseconds{});
 }
 
+// Polls that a busy relay does not send got no answer, and were not lost
+// either: the tasks stood for as long as the worker announced itself.
+TEST_F(lease_grants, end_with_the_bound_if_polls_are_not_sent)
+{
+    submit_lasting();
+    fleet.run(seconds{2});
+    ASSERT_TRUE(is_on("w1"));
+    add_second_worker();
+    fleet.unsent.insert("w1");
+    while (is_on("w1"))
+    {
+        fleet.run(milliseconds{50});
+    }
+    // A task that could run may have nothing running for 3 s.
+    fleet.run(seconds{3});
+    EXPECT_TRUE(is_on("w2"));
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations.front();
+}
+
 } // namespace
 } // namespace apricotlb
