Test a leader that does not know of a worker's restart

What callers would see: two runs of a task at the same time, after a restart of a worker, the end of its last run and a change of leader within 4 s.

Cause: the log keeps the place of a life of a worker only while it has runs there. A leader without it takes the life for one that cannot have got an order of a former one, and counts 6.3 s for a lease that may last 10.

--- a/tests/former_life_test.cpp
+++ b/tests/former_life_test.cpp
@@ -229,6 +229,24 @@
     EXPECT_TRUE(runs_on("w2", "a"));
 }
 
+// KNOWN-RED.txt: the log has nothing of a worker without runs.
+TEST_F(former_life, DISABLED_its_leases_are_known_to_a_leader_without_its_runs)
+{
+    restart();
+    fleet.run(milliseconds{200});
+    fleet.apply(cancel_workflow{workflow_id{"old"}, {}});
+    fleet.run(milliseconds{300});
+    fleet.lead();
+    fleet.announce_now();
+    fleet.run(milliseconds{10});
+    ASSERT_TRUE(fleet.run_until_listed("w1"));
+    submit("a", false);
+    ASSERT_TRUE(runs_on("w1", "a"));
+    cut_off(duration{});
+    EXPECT_TRUE(runs_on("w2", "a"));
+    expect_no_violation();
+}
+
 // The log kept the length of a lease that was over until the next start there.
 TEST_F(former_life, the_record_of_a_long_lease_ends_with_the_lease)
 {
