Name the task with the longest time in the line `recovery` of the soak

Change: the line ends with the task that stood for longest and the time of the run from which on it stood. Two checks of the ledger use the count of runs at work instead of walking the runs; what they find is the same.

The 28 tests of tests/soak_ledger_test.cpp pass; three of them expect the task.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -210,7 +210,8 @@
     {
         auto const moves = other == key.task || !it.plan.steps[step].permanent;
         auto const stood = moves ? std::exchange(each.standing, {}) : stand{};
-        if (auto const time = recovery_of(stood, now); time && !is_over(it))
+        if (auto const time = recovery_of(other, stood, now);
+            time && !is_over(it))
         {
             recoveries_.push_back(*time);
         }
@@ -316,10 +317,6 @@
         }
         for (auto& [name, all] : it.tasks)
         {
-            if (all.at_work == 0)
-            {
-                continue;
-            }
             for (auto& each : all.runs)
             {
                 auto const from = std::max(
@@ -462,12 +459,7 @@
     -> bool
 {
     auto const& it = workflows_.at(id);
-    return it.last_run_end < since &&
-           std::ranges::none_of(it.tasks,
-                                [](auto const& each) {
-                                    return std::ranges::any_of(each.second.runs,
-                                                               &run::at_work);
-                                });
+    return it.last_run_end < since && it.at_work == 0;
 }
 
 auto ledger::is_shown_as_ended(std::string const& id) const -> bool
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -279,6 +279,7 @@
         bool over{false};    ///< has ended, or can't be done
         std::string shown;   ///< the last state that was answered
     };
+    using recovery_time = std::pair<duration, std::string>; ///< and its task
     struct standing_task
     {
         std::string name;
@@ -296,8 +297,9 @@
     [[nodiscard]] auto time_of(time_point it) const -> std::string;
     [[nodiscard]] auto is_over(workflow const& it) const -> bool;
     /// The time that work stood, if a loss is the cause.
-    [[nodiscard]] auto recovery_of(stand const& it, time_point now) const
-        -> std::optional<duration>;
+    [[nodiscard]] auto recovery_of(std::string const& name, stand const& it,
+                                   time_point now) const
+        -> std::optional<recovery_time>;
     [[nodiscard]] auto is_turn_of(workflow const& it, int step) const -> bool;
     /// Tasks whose turn has come and that hold their workflow up.
     [[nodiscard]] auto standing_of(workflow const& it) const
@@ -310,7 +312,7 @@
     disturbances const& disturbed_;
     time_point origin_{};
     std::optional<time_point> half_free_since_;
-    std::vector<duration> recoveries_;
+    std::vector<recovery_time> recoveries_;
     std::vector<std::string> notes_;
     std::map<std::string, workflow> workflows_;
     std::map<std::string, time_point> draining_; ///< worker and life
--- a/soak/standing.cpp
+++ b/soak/standing.cpp
@@ -135,14 +135,17 @@
 }
 
 /// Without a leader work stands that became due a little later, too.
-auto ledger::recovery_of(stand const& it, time_point now) const
-    -> std::optional<duration>
+auto ledger::recovery_of(std::string const& name, stand const& it,
+                         time_point now) const -> std::optional<recovery_time>
 {
     auto const is_counted =
         it.could_since &&
         (it.is_lost ||
          !disturbed_.are_undisturbed('c', *it.could_since - limits_.contact));
-    return is_counted ? std::optional{now - *it.could_since} : std::nullopt;
+    return is_counted ? std::optional{recovery_time{
+                            now - *it.could_since,
+                            name + " from " + time_of(*it.could_since)}}
+                      : std::nullopt;
 }
 
 auto ledger::recovery(time_point now) const -> std::string
@@ -152,7 +155,7 @@
     {
         for (auto const& [name, each] : it.tasks)
         {
-            if (auto const time = recovery_of(each.standing, now);
+            if (auto const time = recovery_of(name, each.standing, now);
                 time && !is_over(it))
             {
                 all.push_back(*time);
@@ -164,13 +167,14 @@
     {
         constexpr std::size_t whole = 100;
         auto const n = (all.size() * percent + whole - 1) / whole;
-        auto const time = n == 0 ? duration{} : all[n - 1];
+        auto const time = n == 0 ? duration{} : all[n - 1].first;
         return std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(time)
                 .count());
     };
     return "recovery p50 " + rank(50) + " p99 " + rank(99) + " longest " +
-           rank(100) + " of " + std::to_string(all.size());
+           rank(100) + " of " + std::to_string(all.size()) +
+           (all.empty() ? "" : ": " + all.back().second);
 }
 
 auto ledger::check_standing(time_point now,
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -48,6 +48,7 @@
 protected:
     soak_ledger()
     {
+        seen.set_origin(at(0));
         seen.on_submission(plan("f1"));
         seen.on_submission_answer("f1", submission_answer::accepted, at(0));
     }
@@ -407,7 +408,8 @@
     check(1850, 2450);
     start("f1.0.0.0", 2, "w3", 2500);
     EXPECT_EQ(seen.recovery(at(2500)),
-              "recovery p50 800 p99 1500 longest 1500 of 2");
+              "recovery p50 800 p99 1500 longest 1500 of 2: "
+              "f1.0.0.0 from 1000 ms");
 }
 
 TEST_F(standing_work,
@@ -418,7 +420,8 @@
     check(1050, 1850);
     start("f1.0.1.0", 1, "w1", 1900);
     EXPECT_EQ(seen.recovery(at(1900)),
-              "recovery p50 900 p99 900 longest 900 of 1");
+              "recovery p50 900 p99 900 longest 900 of 1: "
+              "f1.0.1.0 from 1000 ms");
 }
 
 // Work that never starts again would make the figure better.
@@ -427,7 +430,8 @@
     end("f1.0.0.0", 1, "w1", "crashed", 1000);
     check(1050, 1850);
     EXPECT_EQ(seen.recovery(at(8000)),
-              "recovery p50 7000 p99 7000 longest 7000 of 1");
+              "recovery p50 7000 p99 7000 longest 7000 of 1: "
+              "f1.0.0.0 from 1000 ms");
     seen.on_cancel_sent("f1", at(8000));
     EXPECT_EQ(seen.recovery(at(8000)), "recovery p50 0 p99 0 longest 0 of 0");
     start("f1.0.0.0", 2, "w1", 8100); // an order under way
