Count work whose lost run was not the last to end in the soak's recovery

The figure took their wait for one that the loss of a control process 5 s later had caused; without that loss it would have left both out.

Cause: for work that is not permanent only the workflow's last end counted, and another of its tasks had ended as done after the loss.

Change: a wait also counts if the last run of the waiting task was lost.

--- a/soak/standing.cpp
+++ b/soak/standing.cpp
@@ -224,8 +224,8 @@
             constexpr auto seen_late = std::chrono::milliseconds{200};
             state.could_since = state.could_since.value_or(
                 from - each.since < seen_late ? each.since : from);
-            state.is_lost =
-                each.is_permanent ? it.tasks[each.name].is_lost : it.is_lost;
+            state.is_lost = it.tasks[each.name].is_lost ||
+                            (it.is_lost && !each.is_permanent);
             auto const by_day = is_all_calm && now - from >= limits_.stand;
             auto const at_end =
                 traffic_end &&
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -424,6 +424,25 @@
               "f1.0.1.0 from 1000 ms");
 }
 
+// A lost run beside others that end later would be left out of the figure.
+TEST_F(standing_work, measures_the_time_after_a_loss_before_the_last_end)
+{
+    auto it = plan("f3");
+    it.spec = "spec of f1";
+    it.steps[0].tasks = 2;
+    seen.on_submission(it);
+    seen.on_submission_answer("f3", submission_answer::accepted, at(0));
+    start("f3.0.0.0", 1, "w1", 0);
+    start("f3.0.0.1", 1, "w2", 0);
+    end("f3.0.0.0", 1, "w1", "crashed", 1000);
+    end("f3.0.0.1", 1, "w2", "done", 2000);
+    check(2050, 2450);
+    start("f3.0.0.0", 2, "w3", 2500);
+    EXPECT_EQ(seen.recovery(at(2500)),
+              "recovery p50 500 p99 500 longest 500 of 1: "
+              "f3.0.0.0 from 2000 ms");
+}
+
 // Work that never starts again would make the figure better.
 TEST_F(standing_work, measures_what_still_stands_in_the_end)
 {
