Count no room on cut-off workers in the soak

Cause: a worker whose links are cut (`cut_links`, `restart_and_cut`) counted as room, although no start can reach it.

Change: such a worker takes no starts.

--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -353,13 +353,12 @@
         it.step.run_time * (luck >= 1000 - stragglers ? straggler_factor : 1);
     it.since = clock_.now();
     auto const order = ordered_.find({task, number});
-    std::optional<time_point> held_since;
     auto const origin =
         order == ordered_.end() ? order_origin{} : order->second;
-    if (origin.sent_at && (is_late || *origin.sent_at < reads_since_))
-    {
-        held_since = origin.sent_at;
-    }
+    auto const held_since =
+        origin.sent_at && (is_late || *origin.sent_at < reads_since_)
+            ? origin.sent_at
+            : std::nullopt;
     if (before_start)
     {
         before_start();
@@ -373,12 +372,15 @@
 
 auto worker::room() const -> worker_room
 {
+    auto const& harm = proxy_.harm();
     worker_room out{.worker = name(),
                     .cpu = place_.cpu,
                     .mem_mb = place_.mem_mb,
                     .cpu_free = place_.cpu,
                     .mem_free_mb = place_.mem_mb,
-                    .takes_starts = is_up_ && !is_frozen_ && state_ == "ready"};
+                    .takes_starts = is_up_ && !is_frozen_ &&
+                                    state_ == "ready" && !harm.holds_requests &&
+                                    !harm.holds_answers};
     for (auto const& [task, it] : runs_)
     {
         out.cpu_free -= it.step.scavenges ? 0 : it.step.cpu;
--- a/tests/soak_worker_test.cpp
+++ b/tests/soak_worker_test.cpp
@@ -113,6 +113,18 @@
     std::vector<std::unique_ptr<http_connection>> polls{8};
 };
 
+// Work that fits on unreachable workers alone would count as able to run.
+TEST_F(soak_worker, takes_no_starts_while_its_links_are_cut)
+{
+    EXPECT_TRUE(it.room().takes_starts);
+    it.links().set_harm({.holds_requests = true});
+    EXPECT_FALSE(it.room().takes_starts);
+    it.links().set_harm({.holds_answers = true});
+    EXPECT_FALSE(it.room().takes_starts);
+    it.links().set_harm({.delay = milliseconds{100}});
+    EXPECT_TRUE(it.room().takes_starts);
+}
+
 // A soak that stands still would report what a real worker can't do.
 TEST_F(soak_worker, ends_nothing_as_done_after_its_lease)
 {
