Keep a SIGHUP from ending a process that is starting

A process takes SIGHUP only once its loop is made, after its settings, identity and adapters; until then the default action of the signal ends it. The settings file plays no part.

Roles block SIGHUP before they read their settings, and unblock it once the loop takes it, so that a signal that arrives meanwhile leads to a reload. What comes before main remains: the soak blocks SIGHUP between fork and exec, as a supervisor that reloads at any time has to do. It now names the exit code or the signal of a process that ends by itself.

reload_signal.ends_no_process_that_is_starting fails before the change ("Terminated by signal 1", for each role).

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -442,11 +442,10 @@
            disturbed_.are_undisturbed('c', since);
 }
 
-auto ledger::on_process_end(std::string const& node, int code, time_point now)
-    -> void
+auto ledger::on_process_end(std::string const& node, std::string const& how,
+                            time_point now) -> void
 {
-    report(promise::process,
-           node + " ended by itself with status " + std::to_string(code), now);
+    report(promise::process, node + " ended by itself with " + how, now);
 }
 
 auto ledger::accepted() const -> std::vector<std::string>
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -205,8 +205,8 @@
     /// The same for all control and entry processes since a point of time.
     [[nodiscard]] auto is_calm(time_point since) const -> bool;
 
-    auto on_process_end(std::string const& node, int code, time_point now)
-        -> void;
+    auto on_process_end(std::string const& node, std::string const& how,
+                        time_point now) -> void;
 
     // The end of a soak.
     /// Accepted workflows that nobody has cancelled.
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -67,6 +67,14 @@
     (void)::sched_setaffinity(0, sizeof chosen, &chosen);
 }
 
+/// How a process ended, by its status from wait.
+auto text_of(int status) -> std::string
+{
+    return WIFEXITED(status)
+               ? "exit code " + std::to_string(WEXITSTATUS(status))
+               : "signal " + std::to_string(WTERMSIG(status));
+}
+
 /// Inode of the socket that is bound to an address; empty if there is none.
 auto socket_at(std::string const& address) -> std::string
 {
@@ -118,11 +126,8 @@
     int status{0};
     if (::waitpid(pid, &status, 0) != pid || status != 0)
     {
-        throw std::runtime_error(
-            "cannot run " + path + ": --version ended with " +
-            (WIFEXITED(status)
-                 ? "exit code " + std::to_string(WEXITSTATUS(status))
-                 : "signal " + std::to_string(WTERMSIG(status))));
+        throw std::runtime_error("cannot run " + path +
+                                 ": --version ended with " + text_of(status));
     }
 }
 
@@ -266,8 +271,17 @@
     {
         (void)::pipe2(unread.data(), O_CLOEXEC);
     }
+    // SIGHUP ends a program that has not begun; this one takes it later.
+    sigset_t reload;
+    ::sigemptyset(&reload);
+    ::sigaddset(&reload, SIGHUP);
+    ::sigprocmask(SIG_BLOCK, &reload, nullptr);
     auto const pid = ::fork();
-    if (pid == 0)
+    if (pid != 0)
+    {
+        ::sigprocmask(SIG_UNBLOCK, &reload, nullptr);
+    }
+    else
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         bind_to_cores(options_.cores);
@@ -311,7 +325,7 @@
     it.watch = 0;
     if (!std::exchange(it.ending, false))
     {
-        ledger_.on_process_end(name, status, clock_.now());
+        ledger_.on_process_end(name, text_of(status), clock_.now());
         disturbed_.mark(name, clock_.now());
     }
     if (on_end)
--- a/src/adapters/unix_signals.cpp
+++ b/src/adapters/unix_signals.cpp
@@ -31,6 +31,25 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+namespace
+{
+
+/// Blocks or unblocks SIGHUP, by `how` of sigprocmask.
+auto set_reload_mask(int how) -> void
+{
+    sigset_t reload;
+    ::sigemptyset(&reload);
+    ::sigaddset(&reload, SIGHUP);
+    ::sigprocmask(how, &reload, nullptr);
+}
+
+} // namespace
+
+auto hold_reloads() -> void
+{
+    set_reload_mask(SIG_BLOCK);
+}
+
 unix_signals::unix_signals() : state_(std::make_unique<state>())
 {
     state_->loop = g_main_loop_new(nullptr, FALSE);
@@ -56,6 +75,7 @@
         return G_SOURCE_CONTINUE;
     };
     state_->sources[2] = g_unix_signal_add(SIGHUP, reload, state_.get());
+    set_reload_mask(SIG_UNBLOCK);
 }
 
 unix_signals::~unix_signals()
--- a/src/adapters/unix_signals.hpp
+++ b/src/adapters/unix_signals.hpp
@@ -15,6 +15,10 @@
 /// Lets writes to a reader that has gone fail, which end the process otherwise.
 auto ignore_broken_pipes() -> void;
 
+/// Holds SIGHUP back until there is a loop to take it. Its default action ends
+/// a process that is still starting.
+auto hold_reloads() -> void;
+
 /// Runs the default main context until quit. SIGTERM and SIGINT call a
 /// handler on the loop.
 class unix_signals
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -44,6 +44,7 @@
 auto run_role(file_path const& path, process_role role,
               cli_output const& output) -> exit_code
 {
+    hold_reloads();
     ignore_broken_pipes();
     auto const loaded = load_settings(path, role);
     if (loaded.has_error())
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -1,9 +1,11 @@
+#include "adapters/unix_signals.hpp"
 #include "app/cli.hpp"
 #include "app/settings_check.hpp"
 
 #include "temporary_folder.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -310,5 +312,39 @@
     }
 }
 
+// A SIGHUP just after the start of a process ended it.
+TEST(reload_signal, ends_no_process_that_is_starting)
+{
+    for (auto const* const role : {"control", "entry", "standalone"})
+    {
+        EXPECT_EXIT(
+            {
+                std::signal(SIGHUP, SIG_DFL);
+                auto const code = run_cli({role, "/no/such/file"});
+                std::raise(SIGHUP);
+                std::_Exit(code == exit_code::ok ? 1 : 0);
+            },
+            testing::ExitedWithCode(0), "")
+            << role;
+    }
+}
+
+// Settings that changed during the start of a process were not read.
+TEST(reload_signal, is_taken_once_the_loop_runs)
+{
+    // A loop needs threads, which a plain fork leaves out.
+    GTEST_FLAG_SET(death_test_style, "threadsafe");
+    EXPECT_EXIT(
+        {
+            ::alarm(20);
+            hold_reloads();
+            std::raise(SIGHUP);
+            unix_signals loop;
+            loop.on_reload([&] { loop.quit(exit_code::ok); });
+            std::_Exit(loop.run({}) == exit_code::ok ? 0 : 1);
+        },
+        testing::ExitedWithCode(0), "");
+}
+
 } // namespace
 } // namespace apricotlb
