Replace the settings files of the soak by renaming

The soak emptied and filled a settings file in place while a process that was starting could read it. A running process keeps its settings when it reads half a file and reads it again later; one that is starting ends.

--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -241,7 +241,10 @@
     replace(text, "{{bounds.max_hold_ms}}", "10000");
     replace(text, "{{limits.disk_mb}}", "128");
     replace(text, "{{bounds.grace_s}}", "6");
-    std::ofstream{options_.folder / (it.name + ".yaml")} << text;
+    // A program that is starting must not read half of it.
+    auto const path = options_.folder / (it.name + ".yaml");
+    std::ofstream{path.string() + ".new"} << text;
+    std::filesystem::rename(path.string() + ".new", path);
 }
 
 auto processes::rewrite_settings(std::string const& name) -> void
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -82,7 +82,7 @@
     auto add_control() -> std::string;
     auto remove(std::string const& name) -> void;
     auto wipe(std::string const& name) -> void;
-    /// Writes the settings file again, in place.
+    /// Replaces the settings file by a new one.
     auto rewrite_settings(std::string const& name) -> void;
 
     [[nodiscard]] auto at(std::string const& name) -> machine&
