Shorten the soak

One way back for workers that are down, one for asking for the state of a workflow; a worker dispatches its orders in one expression. A worker that is gone for good is never started again, whichever fault it meets.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -383,6 +383,10 @@
         ledger_.on_state(id, "unknown", node, it.sent_at, clock_.now());
         return;
     }
+    if (it.is_success())
+    {
+        unanswered_.erase(id);
+    }
     auto const got = json::parse(it.answer.body, nullptr, false);
     if (it.is_success() && got.is_object() && got.contains("state"))
     {
@@ -400,6 +404,11 @@
     constexpr std::size_t recent = 200;
     auto const most = std::min(recent, submitted_.size());
     auto const id = submitted_[submitted_.size() - 1 - random_() % most];
+    ask_for(id);
+}
+
+auto clients::ask_for(std::string const& id) -> void
+{
     call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
           std::chrono::seconds{2}},
          [this, id](std::string const& node, call_result const& it)
@@ -443,16 +452,7 @@
     }
     for (auto const& id : unanswered())
     {
-        call({"GET", ledger_.plan_of(id)->queue_path + id, queue_host, "",
-              std::chrono::seconds{2}},
-             [this, id](std::string const& node, call_result const& it)
-             {
-                 take_state(id, node, it);
-                 if (it.is_success())
-                 {
-                     unanswered_.erase(id);
-                 }
-             });
+        ask_for(id);
     }
 }
 
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -94,6 +94,7 @@
     /// Repeats it until it is answered.
     auto cancel(std::string const& id) -> void;
     auto read() -> void;
+    auto ask_for(std::string const& id) -> void;
     auto count() -> void;
     auto take_state(std::string const& id, std::string const& node,
                     call_result const& it) -> void;
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -423,14 +423,7 @@
         disturbed_.mark_planned(it.name(), clock_.now());
         if (!is_last)
         {
-            after(back,
-                  [&it]
-                  {
-                      if (!it.is_up())
-                      {
-                          it.start(false);
-                      }
-                  });
+            after(back, [this, &it] { start_again(it, false); });
         }
     };
     it.drain();
@@ -451,13 +444,15 @@
         return;
     }
     disturb(it.name(), back,
-            [&it, keeps_id]
-            {
-                if (!it.is_up())
-                {
-                    it.start(keeps_id);
-                }
-            });
+            [this, &it, keeps_id] { start_again(it, keeps_id); });
+}
+
+auto fault_injector::start_again(worker& it, bool keeps_id) -> void
+{
+    if (!it.is_up() && !gone_.contains(&it))
+    {
+        it.start(keeps_id);
+    }
 }
 
 auto fault_injector::begin_farewell(farewell how, std::uint64_t seed)
@@ -531,9 +526,9 @@
                     {
                         it->freeze(false);
                     }
-                    else if (!it->is_up() && !gone_.contains(it))
+                    else
                     {
-                        it->start(keeps_id);
+                        start_again(*it, keeps_id);
                     }
                 });
     }
@@ -555,14 +550,7 @@
             continue;
         }
         it->crash(true);
-        disturb(it->name(), down,
-                [this, it]
-                {
-                    if (!it->is_up() && !gone_.contains(it))
-                    {
-                        it->start(true);
-                    }
-                });
+        disturb(it->name(), down, [this, it] { start_again(*it, true); });
         after(down + lead,
               [this, it, time]
               {
@@ -646,10 +634,7 @@
         it->links().set_harm({});
         it->set_late({});
         it->freeze(false);
-        if (!it->is_up() && !gone_.contains(it.get()))
-        {
-            it->start(true);
-        }
+        start_again(*it, true);
     }
 }
 
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -113,6 +113,8 @@
     /// Drains a worker. A successor at its address has a new id.
     auto send_away(worker& it, std::mt19937_64& random) -> void;
     auto crash(worker& it, std::mt19937_64& random) -> void;
+    /// Starts a worker that is down and not gone for good.
+    auto start_again(worker& it, bool keeps_id) -> void;
     /// True if a worker that ends now is to have no successor.
     auto is_last_life(worker& it, std::mt19937_64& random) -> bool;
     auto restart_in_series(std::string const& name, int times) -> void;
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -81,9 +81,9 @@
 auto ledger::was_in_touch(order_origin const& from, time_point now) const
     -> bool
 {
-    auto const sender = name_of_peer ? name_of_peer(from.relay) : from.relay;
-    return is_calm(now - limits_.contact) ||
-           (sender.starts_with('e') && is_undisturbed(sender, now));
+    auto const is_sound = [&](std::string const& sender)
+    { return sender.starts_with('e') && is_undisturbed(sender, now); };
+    return is_calm(now - limits_.contact) || is_sound(name_of_peer(from.relay));
 }
 
 auto ledger::on_submission(workflow_plan const& plan) -> void
@@ -350,9 +350,7 @@
                     report(promise::unasked,
                            text_of(each.key) +
                                ": is at work after its cancel (order from " +
-                               (name_of_peer ? name_of_peer(each.origin.relay)
-                                             : each.origin.relay) +
-                               " at " +
+                               name_of_peer(each.origin.relay) + " at " +
                                (each.origin.sent_at
                                     ? time_of(*each.origin.sent_at)
                                     : "?") +
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -226,7 +226,8 @@
     /// Called with each finding and note.
     std::function<void(std::string const&)> on_line;
     /// The process at the other end of a connection, asked for findings only.
-    std::function<std::string(std::string const&)> name_of_peer;
+    std::function<std::string(std::string const&)> name_of_peer{
+        [](std::string const& it) { return it; }};
     /// Times in texts count from here.
     auto set_origin(time_point it) -> void { origin_ = it; }
     auto check_refused(time_point now) -> void;
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -285,26 +285,11 @@
                              std::min(body["deadline_ms"].get<std::int64_t>(),
                                       clock_ms() + max_hold_ms));
     }
-    if (path == "/run-start")
-    {
-        start_run(body, reply, is_late);
-    }
-    else if (path == "/run-stop")
-    {
-        stop_run(body, reply);
-    }
-    else if (path == "/pace")
-    {
-        pace_run(body, reply);
-    }
-    else if (path == "/hold")
-    {
-        hold(body, reply);
-    }
-    else
-    {
-        reply(404, "{}");
-    }
+    path == "/run-start"  ? start_run(body, reply, is_late)
+    : path == "/run-stop" ? stop_run(body, reply)
+    : path == "/pace"     ? pace_run(body, reply)
+    : path == "/hold"     ? hold(body, reply)
+                          : reply(404, "{}");
 }
 
 auto worker::reject(http_server::reply const& reply, char const* reason) -> void
