Let the soak run with slow disks

A commit takes a majority of the disks. While one has good disks, slow ones excuse nothing; without it promises with a time bound may be late, and those without hold. The rule is in disturbances::set_slow_disks; the ledger asks for it wherever it asks for a calm core.

--- a/soak/config_ledger.cpp
+++ b/soak/config_ledger.cpp
@@ -111,10 +111,7 @@
     -> void
 {
     ++counts_;
-    auto const calm_from = sent_at - limits_.contact;
-    if ((status != 200 && status != 404) ||
-        !disturbed_.is_undisturbed(node, calm_from) ||
-        !disturbed_.are_undisturbed('c', calm_from))
+    if ((status != 200 && status != 404) || !all_.is_undisturbed(node, sent_at))
     {
         return;
     }
--- a/soak/config_ledger.hpp
+++ b/soak/config_ledger.hpp
@@ -19,10 +19,7 @@
 class config_ledger
 {
 public:
-    config_ledger(bounds limits, disturbances const& disturbed, ledger& all)
-        : limits_(limits), disturbed_(disturbed), all_(all)
-    {
-    }
+    config_ledger(bounds limits, ledger& all) : limits_(limits), all_(all) {}
 
     /// Two configurations may be sent under one version by two operators.
     auto on_sent(std::int64_t version, nlohmann::json document, time_point now)
@@ -53,7 +50,6 @@
     [[nodiscard]] auto required_at(time_point sent_at) const -> std::int64_t;
 
     bounds limits_;
-    disturbances const& disturbed_;
     ledger& all_;
     std::map<std::int64_t, version> sent_;
     std::map<std::int64_t, time_point> acknowledged_;
--- a/soak/disturbances.hpp
+++ b/soak/disturbances.hpp
@@ -40,6 +40,24 @@
         planned_[who].push_back(now);
     }
 
+    /// A commit takes a majority of the disks: as long as there is one of good
+    /// disks, slow ones excuse nothing. Without it what has a time bound may be
+    /// late; what has none holds.
+    auto set_slow_disks(std::size_t slow, std::size_t all, time_point now)
+        -> void
+    {
+        auto const are_slow = (all - slow) * 2 <= all;
+        if (are_slow != (open_[disks] > 0))
+        {
+            are_slow ? begin(disks, now) : end(disks, now);
+        }
+    }
+    /// True if a majority of the disks has been good since a point of time.
+    [[nodiscard]] auto are_disks_good(time_point since) const -> bool
+    {
+        return is_calm(disks, since);
+    }
+
     /// True if `who` has not been disturbed since a point of time, other than
     /// by planned work.
     [[nodiscard]] auto is_calm(std::string const& who, time_point since) const
@@ -85,6 +103,8 @@
     }
 
 private:
+    static constexpr auto disks = "disks";
+
     std::map<std::string, int> open_;
     std::map<std::string, time_point> last_;
     std::map<std::string, std::vector<time_point>> planned_;
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 namespace apricotlb::soak
@@ -116,6 +117,21 @@
     return out;
 }
 
+auto make_slow_disks(std::uint64_t seed) -> slow_disks
+{
+    // The seeds from 1 to 26 have every form of the end with good disks.
+    constexpr std::uint64_t first = 27;
+    std::mt19937_64 random{seed * first};
+    constexpr std::uint64_t share = 3;
+    if (seed < first || !chance(random, share))
+    {
+        return {};
+    }
+    auto const mean = between(random, milliseconds{20}, milliseconds{300});
+    return {std::chrono::duration_cast<milliseconds>(mean),
+            chance(random, share) ? slow_disks::all : 1};
+}
+
 fault_injector::fault_injector(glib_clock& clock, processes& system,
                                std::vector<std::unique_ptr<worker>>& workers,
                                disturbances& disturbed,
@@ -337,7 +353,7 @@
             {
                 disturbed_.mark_planned(name, clock_.now());
             }
-            system_.rewrite_settings(name);
+            system_.write_settings(system_.at(name));
             system_.signal(name, SIGHUP);
         }
         break;
@@ -466,22 +482,11 @@
     log_(drains ? "half of the workers drain" : "half of the workers crash");
     std::mt19937_64 random{seed};
     std::vector<worker*> of;
-    of.reserve(workers_.size());
-    for (auto const& it : workers_)
+    std::ranges::transform(workers_, std::back_inserter(of),
+                           [](auto const& it) { return it.get(); });
+    for (auto* const it : pick(random, of, of.size() / 2))
     {
-        of.push_back(it.get());
-    }
-    of = pick(random, of, of.size() / 2);
-    for (auto* const it : of)
-    {
-        if (drains)
-        {
-            send_away(*it, random);
-        }
-        else
-        {
-            crash(*it, random);
-        }
+        drains ? send_away(*it, random) : crash(*it, random);
     }
     return drains ? drain_lead : crash_lead;
 }
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -71,6 +71,10 @@
 [[nodiscard]] auto make_schedule(std::uint64_t seed, duration length)
     -> std::vector<fault>;
 
+/// Disks that are slow for the whole of a run, drawn by its seed: none, one or
+/// all, 20 to 300 ms a sync.
+[[nodiscard]] auto make_slow_disks(std::uint64_t seed) -> slow_disks;
+
 class fault_injector
 {
 public:
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -67,14 +67,19 @@
 
 /// All control and entry processes have been left alone since then.
 auto ledger::is_calm(time_point since) const -> bool
+{
+    return is_core_calm(since) && disturbed_.are_undisturbed('e', since);
+}
+
+auto ledger::is_core_calm(time_point since) const -> bool
 {
     return disturbed_.are_undisturbed('c', since) &&
-           disturbed_.are_undisturbed('e', since);
+           disturbed_.are_disks_good(since);
 }
 
 auto ledger::is_steady(time_point since) const -> bool
 {
-    return disturbed_.are_undisturbed('c', since - limits_.contact) &&
+    return is_core_calm(since - limits_.contact) &&
            disturbed_.are_calm('l', since);
 }
 
@@ -416,6 +421,7 @@
     auto const calm_from = sent_at - limits_.contact;
     if (!disturbed_.is_calm(node, calm_from) ||
         !disturbed_.are_calm('c', calm_from) ||
+        !disturbed_.are_disks_good(calm_from) ||
         now - sent_at <= limits_.loss_slack)
     {
         return;
@@ -436,8 +442,7 @@
     -> bool
 {
     auto const since = sent_at - limits_.contact;
-    return disturbed_.is_undisturbed(node, since) &&
-           disturbed_.are_undisturbed('c', since);
+    return disturbed_.is_undisturbed(node, since) && is_core_calm(since);
 }
 
 auto ledger::on_process_end(std::string const& node, std::string const& how,
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -306,6 +306,7 @@
     [[nodiscard]] static auto percentiles(std::string name,
                                           std::vector<named_time> all)
         -> std::string;
+    [[nodiscard]] auto is_core_calm(time_point since) const -> bool;
     /// The core is stable and no link is disrupted.
     [[nodiscard]] auto is_steady(time_point since) const -> bool;
     /// The sender of an order was in touch.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -59,7 +59,7 @@
 public:
     explicit soak_run(options chosen)
         : options_(std::move(chosen)), folder_(make_folder()),
-          seen_(bounds{}, disturbed_), configs_(bounds{}, disturbed_, seen_),
+          seen_(bounds{}, disturbed_), configs_(bounds{}, seen_),
           system_(clock_, seen_, disturbed_, options_.deployment),
           balancer_(clock_, system_),
           clients_(clock_, system_, balancer_, seen_, configs_,
@@ -331,6 +331,7 @@
     options out;
     auto& processes = out.deployment;
     std::string binary;
+    std::string delay{"0"};
     auto templates = processes.templates.string();
     auto length = static_cast<int>(out.length.count());
     cxxopts::Options table{"soak", "Randomized soak of real processes"};
@@ -347,8 +348,19 @@
         cxxopts::value(processes.cores));
     add("unread-logs", "logs go to pipes that nobody reads",
         cxxopts::value(processes.unread_logs));
+    add("sync-delay", "MS[:COUNT], mean of the first control processes",
+        cxxopts::value(delay));
     add("keep", "keep the logs", cxxopts::value(out.keep));
     table.parse(argc, argv);
+    std::istringstream text{delay};
+    std::int64_t ms{0};
+    char colon{};
+    if (!(text >> ms) ||
+        (text >> colon && (colon != ':' || !(text >> processes.disks.count))))
+    {
+        throw std::invalid_argument{"--sync-delay must be MS or MS:COUNT"};
+    }
+    processes.disks.sync_delay = milliseconds{ms};
     processes.binary = binary;
     processes.templates = templates;
     out.length = seconds{length};
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -204,9 +204,26 @@
             std::to_string((kind == 'c' ? 1 : first_entry) + n);
     it.data = options_.folder / it.name;
     machines_[it.name] = it;
+    if (kind == 'c')
+    {
+        set_sync_delay(it.name, n < options_.disks.count
+                                    ? options_.disks.sync_delay
+                                    : std::chrono::milliseconds{0});
+    }
     return it.name;
 }
 
+auto processes::set_sync_delay(std::string const& name,
+                               std::chrono::milliseconds mean) -> void
+{
+    machines_.at(name).sync_delay = mean;
+    auto const all = names('c');
+    auto const slow = std::ranges::count_if(
+        all, [this](auto const& it) { return at(it).sync_delay.count() > 0; });
+    disturbed_.set_slow_disks(static_cast<std::size_t>(slow), all.size(),
+                              clock_.now());
+}
+
 auto processes::add_control() -> std::string
 {
     auto name = add('c');
@@ -241,17 +258,16 @@
     replace(text, "{{bounds.max_hold_ms}}", "10000");
     replace(text, "{{limits.disk_mb}}", "128");
     replace(text, "{{bounds.grace_s}}", "6");
+    if (it.sync_delay.count() > 0)
+    {
+        text += "sync_delay: " + std::to_string(it.sync_delay.count()) + "ms\n";
+    }
     // A program that is starting must not read half of it.
     auto const path = options_.folder / (it.name + ".yaml");
     std::ofstream{path.string() + ".new"} << text;
     std::filesystem::rename(path.string() + ".new", path);
 }
 
-auto processes::rewrite_settings(std::string const& name) -> void
-{
-    write_settings(machines_.at(name), false);
-}
-
 auto processes::start(std::string const& name, bool first) -> void
 {
     auto& it = machines_.at(name);
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -7,9 +7,11 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstddef>
 #include <filesystem>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -24,6 +26,7 @@
     std::string ip;
     std::string zone;
     std::filesystem::path data; ///< of a control process
+    std::chrono::milliseconds sync_delay{0};
     pid_t pid{-1};
     unsigned watch{0};
     bool ending{false}; ///< by a signal of the soak
@@ -43,6 +46,15 @@
     [[nodiscard]] auto ready_at() const { return ip + ":8167"; }
 };
 
+/// Mean time that each sync of the first control processes takes longer.
+struct slow_disks
+{
+    static constexpr auto all = std::numeric_limits<std::size_t>::max();
+
+    std::chrono::milliseconds sync_delay{0};
+    std::size_t count{all};
+};
+
 struct deployment_options
 {
     std::filesystem::path binary;
@@ -54,6 +66,7 @@
     std::size_t entries{6};
     int cores{0};            ///< of the machine, for all processes; 0: all
     bool unread_logs{false}; ///< logs go to pipes that nobody reads
+    slow_disks disks;
 };
 
 /// Throws std::runtime_error with the path and the reason if the program can't
@@ -82,8 +95,11 @@
     auto add_control() -> std::string;
     auto remove(std::string const& name) -> void;
     auto wipe(std::string const& name) -> void;
+    /// Takes effect with the next settings file.
+    auto set_sync_delay(std::string const& name, std::chrono::milliseconds mean)
+        -> void;
     /// Replaces the settings file by a new one.
-    auto rewrite_settings(std::string const& name) -> void;
+    auto write_settings(machine const& it, bool first = false) -> void;
 
     [[nodiscard]] auto at(std::string const& name) -> machine&
     {
@@ -103,7 +119,6 @@
 
 private:
     auto add(char kind) -> std::string;
-    auto write_settings(machine const& it, bool first) -> void;
     auto reap(pid_t pid, int status) -> void;
 
     glib_clock& clock_;
--- a/soak/standing.cpp
+++ b/soak/standing.cpp
@@ -249,7 +249,7 @@
                             (it.is_lost && !each.is_permanent);
             auto const by_day = is_all_calm && now - from >= limits_.stand;
             auto const at_end =
-                traffic_end &&
+                traffic_end && disturbed_.are_disks_good(calm_since) &&
                 now - std::max(from, *traffic_end) >= limits_.stand &&
                 (!each.is_permanent ||
                  now - each.since >= limits_.after_last_run);
