--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -91,8 +91,10 @@
         -> void;
     auto submit(workflow_plan const& plan, int attempts_left) -> void;
     auto cancel_later(workflow_plan const& plan) -> void;
-    auto cancel(std::string const& id, int attempts_left) -> void;
+    /// Repeats it until it is answered.
+    auto cancel(std::string const& id) -> void;
     auto read() -> void;
+    auto ask_for(std::string const& id) -> void;
     auto count() -> void;
     auto take_state(std::string const& id, std::string const& node,
                     call_result const& it) -> void;
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 namespace apricotlb::soak
@@ -116,6 +117,21 @@
     return out;
 }
 
+auto make_slow_disks(std::uint64_t seed) -> slow_disks
+{
+    // The seeds from 1 to 26 have every form of the end with good disks.
+    constexpr std::uint64_t first = 27;
+    std::mt19937_64 random{seed * first};
+    constexpr std::uint64_t share = 3;
+    if (seed < first || !chance(random, share))
+    {
+        return {};
+    }
+    auto const mean = between(random, milliseconds{20}, milliseconds{300});
+    return {std::chrono::duration_cast<milliseconds>(mean),
+            chance(random, share) ? slow_disks::all : 1};
+}
+
 fault_injector::fault_injector(glib_clock& clock, processes& system,
                                std::vector<std::unique_ptr<worker>>& workers,
                                disturbances& disturbed,
@@ -332,8 +348,12 @@
     case fault_kind::hang_up:
         for (auto const& name : system_.names())
         {
-            disturbed_.mark_planned(name, clock_.now());
-            system_.rewrite_settings(name);
+            // New settings are no excuse of the core's.
+            if (!system_.at(name).is_control())
+            {
+                disturbed_.mark_planned(name, clock_.now());
+            }
+            system_.write_settings(system_.at(name));
             system_.signal(name, SIGHUP);
         }
         break;
@@ -419,14 +439,7 @@
         disturbed_.mark_planned(it.name(), clock_.now());
         if (!is_last)
         {
-            after(back,
-                  [&it]
-                  {
-                      if (!it.is_up())
-                      {
-                          it.start(false);
-                      }
-                  });
+            after(back, [this, &it] { start_again(it, false); });
         }
     };
     it.drain();
@@ -447,13 +460,15 @@
         return;
     }
     disturb(it.name(), back,
-            [&it, keeps_id]
-            {
-                if (!it.is_up())
-                {
-                    it.start(keeps_id);
-                }
-            });
+            [this, &it, keeps_id] { start_again(it, keeps_id); });
+}
+
+auto fault_injector::start_again(worker& it, bool keeps_id) -> void
+{
+    if (!it.is_up() && !gone_.contains(&it))
+    {
+        it.start(keeps_id);
+    }
 }
 
 auto fault_injector::begin_farewell(farewell how, std::uint64_t seed)
@@ -467,22 +482,11 @@
     log_(drains ? "half of the workers drain" : "half of the workers crash");
     std::mt19937_64 random{seed};
     std::vector<worker*> of;
-    of.reserve(workers_.size());
-    for (auto const& it : workers_)
+    std::ranges::transform(workers_, std::back_inserter(of),
+                           [](auto const& it) { return it.get(); });
+    for (auto* const it : pick(random, of, of.size() / 2))
     {
-        of.push_back(it.get());
-    }
-    of = pick(random, of, of.size() / 2);
-    for (auto* const it : of)
-    {
-        if (drains)
-        {
-            send_away(*it, random);
-        }
-        else
-        {
-            crash(*it, random);
-        }
+        drains ? send_away(*it, random) : crash(*it, random);
     }
     return drains ? drain_lead : crash_lead;
 }
@@ -527,9 +531,9 @@
                     {
                         it->freeze(false);
                     }
-                    else if (!it->is_up() && !gone_.contains(it))
+                    else
                     {
-                        it->start(keeps_id);
+                        start_again(*it, keeps_id);
                     }
                 });
     }
@@ -551,20 +555,14 @@
             continue;
         }
         it->crash(true);
-        disturb(it->name(), down,
-                [this, it]
-                {
-                    if (!it->is_up() && !gone_.contains(it))
-                    {
-                        it->start(true);
-                    }
-                });
+        disturb(it->name(), down, [this, it] { start_again(*it, true); });
         after(down + lead,
               [this, it, time]
               {
                   it->links().set_harm({.holds_requests = true,
                                         .holds_answers = true,
                                         .holds_announcements = true});
+                  disturb("l" + it->name(), time, [] {});
                   disturb(it->name(), time, [it] { it->links().set_harm({}); });
               });
     }
@@ -595,6 +593,7 @@
             continue;
         }
         it->links().set_harm(harm);
+        disturb("l" + it->name(), time, [] {});
         if (kind == fault_kind::reset_links)
         {
             it->links().reset_connections();
@@ -640,10 +639,7 @@
         it->links().set_harm({});
         it->set_late({});
         it->freeze(false);
-        if (!it->is_up() && !gone_.contains(it.get()))
-        {
-            it->start(true);
-        }
+        start_again(*it, true);
     }
 }
 
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -71,6 +71,10 @@
 [[nodiscard]] auto make_schedule(std::uint64_t seed, duration length)
     -> std::vector<fault>;
 
+/// Disks that are slow for the whole of a run, drawn by its seed: none, one or
+/// all, 20 to 300 ms a sync.
+[[nodiscard]] auto make_slow_disks(std::uint64_t seed) -> slow_disks;
+
 class fault_injector
 {
 public:
@@ -113,6 +117,8 @@
     /// Drains a worker. A successor at its address has a new id.
     auto send_away(worker& it, std::mt19937_64& random) -> void;
     auto crash(worker& it, std::mt19937_64& random) -> void;
+    /// Starts a worker that is down and not gone for good.
+    auto start_again(worker& it, bool keeps_id) -> void;
     /// True if a worker that ends now is to have no successor.
     auto is_last_life(worker& it, std::mt19937_64& random) -> bool;
     auto restart_in_series(std::string const& name, int times) -> void;
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -67,9 +67,28 @@
 
 /// All control and entry processes have been left alone since then.
 auto ledger::is_calm(time_point since) const -> bool
+{
+    return is_core_calm(since) && disturbed_.are_undisturbed('e', since);
+}
+
+auto ledger::is_core_calm(time_point since) const -> bool
 {
     return disturbed_.are_undisturbed('c', since) &&
-           disturbed_.are_undisturbed('e', since);
+           disturbed_.are_disks_good(since);
+}
+
+auto ledger::is_steady(time_point since) const -> bool
+{
+    return is_core_calm(since - limits_.contact) &&
+           disturbed_.are_calm('l', since);
+}
+
+auto ledger::was_in_touch(order_origin const& from, time_point now) const
+    -> bool
+{
+    auto const is_sound = [&](std::string const& sender)
+    { return sender.starts_with('e') && is_undisturbed(sender, now); };
+    return is_calm(now - limits_.contact) || is_sound(name_of_peer(from.relay));
 }
 
 auto ledger::on_submission(workflow_plan const& plan) -> void
@@ -100,12 +119,14 @@
     it.cancel_sent = it.cancel_sent.value_or(now);
 }
 
-auto ledger::on_cancel_answer(std::string const& id, time_point now) -> void
+auto ledger::on_cancel_answer(std::string const& id, time_point now,
+                              bool is_known) -> void
 {
     auto& it = workflows_.at(id);
-    if (!it.cancelled_at)
+    it.cancel_answered = it.cancel_answered.value_or(now);
+    if (is_known && !std::exchange(it.cancel_acknowledged, true))
     {
-        it.cancelled_at = now;
+        it.cancelled_at = it.cancelled_at.value_or(now);
         ++cancels_;
     }
 }
@@ -160,7 +181,7 @@
     // The bound holds for the order, not for a worker that was late with it.
     if (it.cancelled_at &&
         held_since.value_or(now) > *it.cancelled_at + limits_.cancel &&
-        is_calm(now - limits_.contact))
+        was_in_touch(origin, now))
     {
         broken(promise::unasked, "starts after its cancel");
     }
@@ -300,14 +321,17 @@
     constexpr auto listing_time = std::chrono::milliseconds{100};
     auto const stretch = limits_.cancel + limits_.stop + listing_time;
     auto const all_calm = is_calm(now - stretch);
+    auto const is_steady_by_now = is_steady(now - limits_.acknowledge);
     for (auto& [id, it] : workflows_)
     {
-        if (it.cancel_sent && !it.cancelled_at &&
-            now > *it.cancel_sent + limits_.acknowledge &&
-            is_calm(now - limits_.acknowledge - limits_.contact))
+        // Tasks have to go from here on, whether an answer follows or not.
+        if (it.cancel_sent && !it.cancel_answered && !it.cancelled_at &&
+            now > *it.cancel_sent + limits_.acknowledge && is_steady_by_now)
         {
-            report(promise::unacknowledged, "the cancel of " + id, now);
-            // It counts as acknowledged once it has waited for so long.
+            report(promise::unacknowledged,
+                   "the cancel of " + id + ", sent at " +
+                       time_of(*it.cancel_sent),
+                   now);
             it.cancelled_at = now;
         }
         // A disturbance puts the check off; it is never left out.
@@ -331,14 +355,12 @@
                     report(promise::unasked,
                            text_of(each.key) +
                                ": is at work after its cancel (order from " +
-                               (name_of_peer ? name_of_peer(each.origin.relay)
-                                             : each.origin.relay) +
-                               " at " +
+                               name_of_peer(each.origin.relay) + " at " +
                                (each.origin.sent_at
                                     ? time_of(*each.origin.sent_at)
                                     : "?") +
                                ", start at " + time_of(each.started) +
-                               ", cancel acknowledged at " +
+                               ", cancel counts from " +
                                time_of(*it.cancelled_at) + ")",
                            now);
                 }
@@ -399,6 +421,7 @@
     auto const calm_from = sent_at - limits_.contact;
     if (!disturbed_.is_calm(node, calm_from) ||
         !disturbed_.are_calm('c', calm_from) ||
+        !disturbed_.are_disks_good(calm_from) ||
         now - sent_at <= limits_.loss_slack)
     {
         return;
@@ -419,15 +442,13 @@
     -> bool
 {
     auto const since = sent_at - limits_.contact;
-    return disturbed_.is_undisturbed(node, since) &&
-           disturbed_.are_undisturbed('c', since);
+    return disturbed_.is_undisturbed(node, since) && is_core_calm(since);
 }
 
-auto ledger::on_process_end(std::string const& node, int code, time_point now)
-    -> void
+auto ledger::on_process_end(std::string const& node, std::string const& how,
+                            time_point now) -> void
 {
-    report(promise::process,
-           node + " ended by itself with status " + std::to_string(code), now);
+    report(promise::process, node + " ended by itself with " + how, now);
 }
 
 auto ledger::accepted() const -> std::vector<std::string>
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -67,6 +67,14 @@
     (void)::sched_setaffinity(0, sizeof chosen, &chosen);
 }
 
+/// How a process ended, by its status from wait.
+auto text_of(int status) -> std::string
+{
+    return WIFEXITED(status)
+               ? "exit code " + std::to_string(WEXITSTATUS(status))
+               : "signal " + std::to_string(WTERMSIG(status));
+}
+
 /// Inode of the socket that is bound to an address; empty if there is none.
 auto socket_at(std::string const& address) -> std::string
 {
@@ -118,11 +126,8 @@
     int status{0};
     if (::waitpid(pid, &status, 0) != pid || status != 0)
     {
-        throw std::runtime_error(
-            "cannot run " + path + ": --version ended with " +
-            (WIFEXITED(status)
-                 ? "exit code " + std::to_string(WEXITSTATUS(status))
-                 : "signal " + std::to_string(WTERMSIG(status))));
+        throw std::runtime_error("cannot run " + path +
+                                 ": --version ended with " + text_of(status));
     }
 }
 
@@ -199,9 +204,26 @@
             std::to_string((kind == 'c' ? 1 : first_entry) + n);
     it.data = options_.folder / it.name;
     machines_[it.name] = it;
+    if (kind == 'c')
+    {
+        set_sync_delay(it.name, n < options_.disks.count
+                                    ? options_.disks.sync_delay
+                                    : std::chrono::milliseconds{0});
+    }
     return it.name;
 }
 
+auto processes::set_sync_delay(std::string const& name,
+                               std::chrono::milliseconds mean) -> void
+{
+    machines_.at(name).sync_delay = mean;
+    auto const all = names('c');
+    auto const slow = std::ranges::count_if(
+        all, [this](auto const& it) { return at(it).sync_delay.count() > 0; });
+    disturbed_.set_slow_disks(static_cast<std::size_t>(slow), all.size(),
+                              clock_.now());
+}
+
 auto processes::add_control() -> std::string
 {
     auto name = add('c');
@@ -236,12 +258,14 @@
     replace(text, "{{bounds.max_hold_ms}}", "10000");
     replace(text, "{{limits.disk_mb}}", "128");
     replace(text, "{{bounds.grace_s}}", "6");
-    std::ofstream{options_.folder / (it.name + ".yaml")} << text;
-}
-
-auto processes::rewrite_settings(std::string const& name) -> void
-{
-    write_settings(machines_.at(name), false);
+    if (it.sync_delay.count() > 0)
+    {
+        text += "sync_delay: " + std::to_string(it.sync_delay.count()) + "ms\n";
+    }
+    // A program that is starting must not read half of it.
+    auto const path = options_.folder / (it.name + ".yaml");
+    std::ofstream{path.string() + ".new"} << text;
+    std::filesystem::rename(path.string() + ".new", path);
 }
 
 auto processes::start(std::string const& name, bool first) -> void
@@ -266,8 +290,17 @@
     {
         (void)::pipe2(unread.data(), O_CLOEXEC);
     }
+    // SIGHUP ends a program that has not begun; this one takes it later.
+    sigset_t reload;
+    ::sigemptyset(&reload);
+    ::sigaddset(&reload, SIGHUP);
+    ::sigprocmask(SIG_BLOCK, &reload, nullptr);
     auto const pid = ::fork();
-    if (pid == 0)
+    if (pid != 0)
+    {
+        ::sigprocmask(SIG_UNBLOCK, &reload, nullptr);
+    }
+    else
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         bind_to_cores(options_.cores);
@@ -311,7 +344,7 @@
     it.watch = 0;
     if (!std::exchange(it.ending, false))
     {
-        ledger_.on_process_end(name, status, clock_.now());
+        ledger_.on_process_end(name, text_of(status), clock_.now());
         disturbed_.mark(name, clock_.now());
     }
     if (on_end)
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -8,7 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,7 +86,7 @@
 
     disturbances disturbed;
     ledger seen{bounds{}, disturbed};
-    config_ledger configs{bounds{}, disturbed, seen};
+    config_ledger configs{bounds{}, seen};
 };
 
 using found = std::vector<promise>;
@@ -395,6 +398,94 @@
               (found{promise::unacknowledged, promise::unacknowledged}));
 }
 
+// A signal to any entry excused each cancel near it, so that late answers of a
+// leader went unseen.
+TEST_F(soak_ledger, finds_an_unanswered_cancel_beside_disturbed_entries)
+{
+    seen.on_cancel_sent("f1", at(0));
+    disturbed.mark("e1", at(1000));
+    disturbed.mark_planned("e2", at(2000));
+    disturbed.begin("w1", at(3000));
+    seen.check_cancelled(at(4000));
+    EXPECT_EQ(broken(), found{});
+    seen.check_cancelled(at(4100));
+    EXPECT_EQ(broken(), found{promise::unacknowledged});
+}
+
+TEST_F(soak_ledger, allows_a_cancel_that_waits_without_a_steady_stretch)
+{
+    seen.on_cancel_sent("f1", at(0));
+    disturbed.mark_planned("c0", at(100));
+    seen.check_cancelled(at(7100));
+    disturbed.begin("lw1", at(7110));
+    seen.check_cancelled(at(9000));
+    disturbed.end("lw1", at(9000));
+    seen.check_cancelled(at(13000));
+    EXPECT_EQ(broken(), found{});
+    seen.check_cancelled(at(13100));
+    EXPECT_EQ(broken(), found{promise::unacknowledged});
+}
+
+// A job that no longer exists has nothing left to cancel.
+TEST_F(soak_ledger, takes_a_cancel_of_an_unknown_workflow_as_answered)
+{
+    seen.on_cancel_sent("f1", at(0));
+    seen.on_cancel_answer("f1", at(1500), false);
+    seen.check_cancelled(at(9000));
+    EXPECT_EQ(broken(), found{});
+    EXPECT_EQ(seen.cancels(), 0U);
+    EXPECT_EQ(seen.cancel_times(at(9000)),
+              "cancel p50 1500 p99 1500 longest 1500 of 1: f1 from 0 ms");
+}
+
+// Tasks that run on for as long as a leader answers no cancel went unseen.
+TEST_F(soak_ledger, finds_a_run_that_outlives_a_cancel_without_an_answer)
+{
+    start("f1.0.0.0", 1, "w1", 100);
+    seen.on_cancel_sent("f1", at(0));
+    seen.check_cancelled(at(4100));
+    seen.on_cancel_answer("f1", at(6000));
+    EXPECT_EQ(broken(), found{promise::unacknowledged});
+    seen.check_cancelled(at(7500));
+    EXPECT_EQ(broken(), found{promise::unacknowledged});
+    seen.check_cancelled(at(7600));
+    EXPECT_EQ(broken(), (found{promise::unacknowledged, promise::unasked}));
+}
+
+// A signal to one entry excused the starts of all others.
+TEST_F(soak_ledger, finds_a_start_after_a_cancel_by_an_entry_in_touch)
+{
+    seen.on_cancel_sent("f1", at(900));
+    seen.on_cancel_answer("f1", at(1000));
+    disturbed.mark("e1", at(3000));
+    auto const start_by = [this](std::string const& entry, std::int64_t number)
+    {
+        seen.on_start({"f1.0.0.0", number, "w1", 1}, "spec of f1", "", false,
+                      at(4100), {}, {entry, {}});
+        end("f1.0.0.0", number, "w1", "stopped", 4200);
+    };
+    start_by("e1", 1);
+    EXPECT_EQ(broken(), found{});
+    start_by("e2", 2);
+    EXPECT_EQ(broken(), found{promise::unasked});
+    disturbed.mark("c0", at(3500));
+    start_by("e2", 3);
+    EXPECT_EQ(broken(), found{promise::unasked});
+}
+
+// A cancel without an answer would make the figure better.
+TEST_F(soak_ledger, measures_the_time_to_the_answer_of_a_cancel)
+{
+    EXPECT_EQ(seen.cancel_times(at(0)), "cancel p50 0 p99 0 longest 0 of 0");
+    seen.on_cancel_sent("f1", at(100));
+    seen.on_cancel_sent("f1", at(600)); // sent again
+    EXPECT_EQ(seen.cancel_times(at(900)),
+              "cancel p50 800 p99 800 longest 800 of 1: f1 from 100 ms");
+    seen.on_cancel_answer("f1", at(1000));
+    EXPECT_EQ(seen.cancel_times(at(9000)),
+              "cancel p50 900 p99 900 longest 900 of 1: f1 from 100 ms");
+}
+
 // Without the time that work stands after a loss, a fault shows only once it
 // has broken a promise.
 TEST_F(standing_work,
@@ -470,8 +561,47 @@
     EXPECT_EQ(seen.recovery(at(7000)), "recovery p50 0 p99 0 longest 0 of 0");
 }
 
+// Work that stands was excused by one slow disk, and reported with slow disks
+// everywhere, where commits may be late.
+TEST_F(standing_work, excuses_late_starts_by_slow_disks_of_a_majority_only)
+{
+    disturbed.set_slow_disks(2, 5, at(0));
+    end("f1.0.0.0", 1, "w1", "lapsed", 8000);
+    check(8000, 11000);
+    EXPECT_EQ(broken(), found{promise::lost});
+    accept_lasting();
+    disturbed.set_slow_disks(3, 5, at(12000));
+    end("f2.0.0.0", 1, "w1", "left", 12000);
+    check(12000, 30000, at(20000));
+    EXPECT_EQ(broken(), found{promise::lost});
+    disturbed.set_slow_disks(2, 5, at(30000));
+    check(30100, 37000, at(20000));
+    EXPECT_EQ(broken(), found{promise::lost});
+    check(37100, 37200, at(20000));
+    EXPECT_EQ(broken(), (found{promise::lost, promise::lost}));
+}
+
+TEST_F(soak_ledger, finds_what_has_no_time_bound_with_slow_disks_everywhere)
+{
+    disturbed.set_slow_disks(5, 5, at(0));
+    start("f1.0.0.0", 1, "w1", 9000);
+    start("f1.0.0.0", 2, "w2", 9100);
+    seen.on_state("f1", "cancelled", "e0", at(9500), at(9510));
+    seen.on_cancel_sent("f1", at(10000));
+    seen.check_cancelled(at(19000)); // may be late
+    EXPECT_EQ(broken(), (found{promise::twice, promise::lost}));
+}
+
 TEST(soak_schedule, is_the_same_for_the_same_seed)
 {
+    std::set<std::size_t> counts;
+    for (std::uint64_t seed = 0; seed < 100; ++seed)
+    {
+        auto const disks = make_slow_disks(seed);
+        EXPECT_EQ(disks.sync_delay, make_slow_disks(seed).sync_delay);
+        counts.insert(disks.sync_delay.count() == 0 ? 0 : disks.count);
+    }
+    EXPECT_EQ(counts, (std::set<std::size_t>{0, 1, slow_disks::all}));
     auto const length = std::chrono::seconds{60};
     auto const first = make_schedule(7, length);
     auto const second = make_schedule(7, length);
