Report how well a leader serves in each second

No line told a leader that is late from one that holds its office without its lease.

Change: in the line `load` a leader reports its time in office, of it the time without the lease, the longest round trip of a heartbeat to a majority, and the number, mean and longest time of its commits, from the proposal to the applying; what is still open counts for the longest. Calls that the leader itself refuses for want of the lease are counted as without_lease in apricotlb_call_refusals_total; the answer stays not_leader.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -28,6 +28,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -187,8 +188,10 @@
     {
         if (!is_leader())
         {
-            refuse(from, it.id, error_kind::not_leader,
-                   "this process is not the leader");
+            refuse(from, it.id,
+                   {error_kind::not_leader, "this process is not the leader"},
+                   is_in_office() ? "without_lease"
+                                  : name_of(error_kind::not_leader));
             return;
         }
         resume_after_gap();
@@ -926,7 +929,13 @@
     }
     auto refuse(node_id const& to, call_id id, error const& reason) -> void
     {
-        metrics_.count("apricotlb_call_refusals_total", name_of(reason.kind));
+        refuse(to, id, reason, name_of(reason.kind));
+    }
+    /// label is how the refusal is counted.
+    auto refuse(node_id const& to, call_id id, error const& reason,
+                std::string_view label) -> void
+    {
+        metrics_.count("apricotlb_call_refusals_total", label);
         call_failure out{reason.kind, reason.detail, std::nullopt,
                          reason.retry_after};
         if (reason.kind == error_kind::not_leader)
--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -1,8 +1,12 @@
 #include "app/load_log.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace apricotlb
 {
@@ -73,14 +77,28 @@
 
 auto log_load(loop_usage const& loop, replica_load const& replica) -> void
 {
-    load_logger.info("load",
-                     {{"turns", loop.turns},
-                      {"busy_ms", to_ms(loop.busy)},
-                      {"longest_turn_ms", to_ms(loop.longest_turn)},
-                      {"syncs", replica.syncs},
-                      {"sync_ms", to_ms(replica.sync_time)},
-                      {"longest_sync_ms", to_ms(replica.longest_sync)},
-                      {"longest_delay_ms", to_ms(replica.longest_delay)}});
+    std::vector<log_field> fields{
+        {"turns", loop.turns},
+        {"busy_ms", to_ms(loop.busy)},
+        {"longest_turn_ms", to_ms(loop.longest_turn)},
+        {"syncs", replica.syncs},
+        {"sync_ms", to_ms(replica.sync_time)},
+        {"longest_sync_ms", to_ms(replica.longest_sync)},
+        {"longest_delay_ms", to_ms(replica.longest_delay)}};
+    auto const& office = replica.office;
+    if (office.in_office > duration{})
+    {
+        auto const count = std::max<std::int64_t>(office.commits, 1);
+        fields.emplace_back("office_ms", to_ms(office.in_office));
+        fields.emplace_back("no_lease_ms", to_ms(office.without_lease));
+        fields.emplace_back("longest_round_trip_ms",
+                            to_ms(office.longest_round_trip));
+        fields.emplace_back("commits", office.commits);
+        fields.emplace_back("mean_commit_ms",
+                            to_ms(office.commit_time / count));
+        fields.emplace_back("longest_commit_ms", to_ms(office.longest_commit));
+    }
+    load_logger.info("load", std::move(fields));
 }
 
 auto log_increments(std::vector<counter_increment> const& all) -> void
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_APP_REPLICA_HPP
 #define APRICOTLB_APP_REPLICA_HPP
 
+#include "core/log/office_meter.hpp"
 #include "core/log/raft.hpp"
 #include "ports/clock.hpp"
 #include "ports/codec.hpp"
@@ -111,6 +112,7 @@
     duration longest_sync{};
     /// Largest delay of a heartbeat or of an election timeout.
     duration longest_delay{};
+    office_load office;
 };
 
 /// Whose command a proposal is.
@@ -225,10 +227,7 @@
     [[nodiscard]] auto is_writable() const -> bool { return !disk_full_; }
     [[nodiscard]] auto status() const -> replica_status;
     /// Returns the load since the last call.
-    [[nodiscard]] auto take_load() -> replica_load
-    {
-        return std::exchange(load_, {});
-    }
+    [[nodiscard]] auto take_load() -> replica_load;
 
 private:
     struct pending
@@ -258,6 +257,7 @@
     auto save_piece() -> void;
     auto update_leadership() -> void;
     auto report_role() -> void;
+    auto update_meter() -> void;
     auto sync() -> result<void>;
     auto fail_pending(error const& it) -> void;
     /// Tells callers that the outcome of their proposals is unknown.
@@ -289,6 +289,7 @@
     std::function<void(disk_event, std::string const&)> on_disk_event_;
     role_change reported_role_;
     replica_load load_;
+    office_meter office_;
     std::optional<raft> core_;
     std::map<log_index, pending> pending_;
     std::size_t pending_bytes_{0};
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -172,6 +172,7 @@
     pending_[index.value()] = {core_->current_term(), bytes,
                                std::move(callback), origin};
     pending_bytes_ += bytes;
+    office_.on_proposed(index.value(), core_->current_term(), clock_.now());
     schedule_flush();
 }
 
@@ -261,6 +262,7 @@
         schedule_flush();
     }
     update_leadership();
+    update_meter();
     report_role();
     arm_timer();
 }
@@ -316,6 +318,7 @@
                                               apply_timer_.reset();
                                               apply_committed();
                                               update_leadership();
+                                              update_meter();
                                           });
     }
 }
@@ -332,6 +335,7 @@
         bytes_since_snapshot_ += entry.payload.size();
     }
     applied_ = entry.index;
+    office_.on_applied(entry.index, entry.in_term, clock_.now());
     auto node = pending_.extract(entry.index);
     if (node)
     {
@@ -446,6 +450,38 @@
     return done;
 }
 
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::update_meter() -> void
+{
+    if (core_->role() != raft_role::leader)
+    {
+        office_.update(clock_.now(), std::nullopt);
+        return;
+    }
+    // Until the proposals of unknown outcome are applied, the lease serves
+    // nobody.
+    auto const serves = applied_ >= last_unknown_;
+    office_.update(clock_.now(),
+                   serves ? core_->lease_until() : time_point::min());
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::take_load() -> replica_load
+{
+    auto out = std::exchange(load_, {});
+    out.office = office_.take(clock_.now());
+    if (core_)
+    {
+        out.office.longest_round_trip =
+            core_->take_longest_round_trip(clock_.now());
+    }
+    return out;
+}
+
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -170,6 +170,13 @@
     /// True while this leader holds its lease: no other member can have been
     /// elected, so reads of the applied state are linearizable.
     [[nodiscard]] auto has_lease(time_point now) const -> bool;
+    /// When the lease ends unless more answers arrive; time_point::min() if
+    /// this member holds none.
+    [[nodiscard]] auto lease_until() const -> time_point;
+    /// Returns the longest round trip of a heartbeat to a majority since the
+    /// last call. It is at least the time for which a majority has left a
+    /// heartbeat unanswered.
+    [[nodiscard]] auto take_longest_round_trip(time_point now) -> duration;
     [[nodiscard]] auto role() const -> raft_role { return role_; }
     [[nodiscard]] auto leader() const -> std::optional<node_id> const&
     {
@@ -340,6 +347,7 @@
     time_point leader_since_{};
     time_point last_tick_{};
     time_point last_lease_{}; ///< when this leader was last seen to hold it
+    duration longest_round_trip_{};
     std::optional<ended_office> ended_office_;
     time_point next_heartbeat_{};
     log_index durable_index_; ///< last entry that is durable on this member
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -157,9 +157,14 @@
         return nullptr;
     }
     auto& follower = found->second;
+    auto const before = last_majority_answer(now);
     follower.last_contact = now;
     follower.acked_send_time =
         std::max(follower.acked_send_time.value_or(sent_at), sent_at);
+    if (auto const newest = last_majority_answer(now); newest > before)
+    {
+        longest_round_trip_ = std::max(longest_round_trip_, now - newest);
+    }
     last_lease_ = has_lease(now) ? now : last_lease_;
     return &follower;
 }
@@ -349,10 +354,29 @@
     return since == time_point::min() ? since : since + config::leader_lease;
 }
 
+auto raft::lease_until() const -> time_point
+{
+    auto const has_committed =
+        role_ == raft_role::leader && commit_ >= first_index_of_term_;
+    return has_committed ? lease_end() : time_point::min();
+}
+
 auto raft::has_lease(time_point now) const -> bool
 {
-    return role_ == raft_role::leader && commit_ >= first_index_of_term_ &&
-           now < lease_end();
+    return now < lease_until();
+}
+
+auto raft::take_longest_round_trip(time_point now) -> duration
+{
+    auto const taken = std::exchange(longest_round_trip_, duration{});
+    if (role_ != raft_role::leader)
+    {
+        return taken;
+    }
+    // The next heartbeat followed the newest answered one within this time.
+    auto const open =
+        now - last_majority_answer(now) - duration{config::raft_heartbeat};
+    return std::max(taken, open);
 }
 
 auto raft::last_majority_answer(time_point own) const -> time_point
--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -5,6 +5,8 @@
 #include "memory_log.hpp"
 #include "paused_clock.hpp"
 
+#include <apricotlb/config.hpp>
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -32,6 +34,7 @@
     std::function<void(node_id const&, raft_message)> deliver;
     log_index confirm_up_to{1'000'000};
     std::map<call_id, call_answer> answers;
+    bool are_silent{false};
 
     auto flush() -> void {}
     auto add_peer(node_id const& /*id*/, url const& /*address*/) -> void {}
@@ -42,7 +45,7 @@
             answers[found->id] = *found;
         }
         auto const* const message = std::get_if<raft_message>(&it);
-        if (message == nullptr)
+        if (message == nullptr || are_silent)
         {
             return;
         }
@@ -242,7 +245,7 @@
     node_id const b{"b"};
     node_id const c{"c"};
     paused_clock clock;
-    played_members members{&clock, {}, log_index{1'000'000}, {}};
+    played_members members{&clock, {}, log_index{1'000'000}, {}, false};
     memory_disk disk;
     memory_log store{disk};
     no_workers silent;
@@ -330,6 +333,28 @@
     EXPECT_EQ(it.runs_of("x"), 1U);
 }
 
+// Refusals of a leader that holds office without its lease looked like those of
+// followers.
+TEST(leader_change, counts_refusals_for_want_of_the_lease_apart)
+{
+    auto constexpr name = "apricotlb_call_refusals_total";
+    group_leader it;
+    it.members.are_silent = true;
+    it.clock.advance(config::leader_lease + milliseconds{10});
+    ASSERT_TRUE(it.role->is_in_office());
+    auto const first = it.submit("a");
+    ASSERT_TRUE(it.is_refused(first));
+    EXPECT_EQ(std::get<call_failure>(it.members.answers.at(first).body).kind,
+              error_kind::not_leader);
+    EXPECT_EQ(it.metrics.of(name, "without_lease"), 1);
+    EXPECT_EQ(it.metrics.of(name, "not_leader"), 0);
+
+    it.be_deposed(true);
+    it.submit("b");
+    EXPECT_EQ(it.metrics.of(name, "without_lease"), 1);
+    EXPECT_EQ(it.metrics.of(name, "not_leader"), 1);
+}
+
 // A disk that is full makes the leader step down; nothing may stay open.
 TEST(leader_change, starts_all_work_after_the_disk_of_the_leader_was_full)
 {
