Show where a cancel that waits for its answer stands

A cancel that timed out left no trace: the entry told its caller no_leader and wrote nothing, and entries had no line with their counters at all.

An entry counts each change and submission that it sends again by what is known of it (silent, waiting, not_leader, leader_without_lease, outcome_unknown), logs a cancel that has waited for 1 s once and its end once, and writes the line `counts` each second. The leader counts copies of calls that are open there and the cancels that it proposes.

--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -97,6 +97,10 @@
         {
             send_(effect.resend->to, effect.resend->message);
         }
+        if (effect.late && on_late_)
+        {
+            on_late_(*effect.late);
+        }
         if (effect.refused)
         {
             refuse(*effect.refused, callbacks_.extract(answer.id).mapped());
@@ -122,6 +126,18 @@
         on_refused_ = std::move(report);
     }
 
+    /// Called with what is known of each call that is sent again.
+    auto on_unanswered(std::function<void(call_standing)> report) -> void
+    {
+        on_unanswered_ = std::move(report);
+    }
+    /// Called once for a cancel that has waited for late_cancel_time,
+    /// and once more when it ends.
+    auto on_late(std::function<void(late_cancel const&)> report) -> void
+    {
+        on_late_ = std::move(report);
+    }
+
     [[nodiscard]] auto leader() const -> node_id const&
     {
         return table_.leader();
@@ -167,13 +183,14 @@
         {
             send_(it.to, it.message);
         }
+        report(due);
         for (auto const& it : due.refused)
         {
             refuse(it.reason, callbacks_.extract(it.id).mapped());
         }
-        for (auto const& id : due.expired)
+        for (auto const& it : due.expired)
         {
-            auto callback_node = callbacks_.extract(id);
+            auto callback_node = callbacks_.extract(it.id);
             callback_node.mapped()(
                 fail(error_kind::no_leader,
                      "no control leader answered before the timeout; "
@@ -181,11 +198,31 @@
         }
     }
 
+    auto report(call_table::due_calls const& due) -> void
+    {
+        for (auto const it : due.unanswered)
+        {
+            if (on_unanswered_)
+            {
+                on_unanswered_(it);
+            }
+        }
+        for (auto const& it : due.late)
+        {
+            if (on_late_)
+            {
+                on_late_(it);
+            }
+        }
+    }
+
     Clock& clock_;
     Send send_;
     call_table table_;
     std::map<call_id, callback> callbacks_;
     std::function<void(call_refusal)> on_refused_;
+    std::function<void(call_standing)> on_unanswered_;
+    std::function<void(late_cancel const&)> on_late_;
     timer_id timer_;
 };
 
--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -9,6 +9,7 @@
 #include "app/peer_message.hpp"
 #include "app/replica.hpp"
 #include "app/workflow_driver.hpp"
+#include "core/entry/call_table.hpp"
 #include "core/group/membership.hpp"
 #include "core/leader/leader_state.hpp"
 #include "core/leader/overload_guard.hpp"
@@ -187,16 +188,20 @@
     {
         if (!is_leader())
         {
-            refuse(from, it.id, error_kind::not_leader,
-                   "this process is not the leader");
+            // A call that is open here stays so: its proposal may be committed.
+            send_refusal(
+                from, it.id,
+                {error_kind::not_leader, "this process is not the leader"});
             return;
         }
         resume_after_gap();
-        std::visit(
-            [&](auto& body) {
-                serve({from, it.id}, std::move(body));
-            },
-            it.body);
+        call_origin const caller{from, it.id};
+        if (!open_calls_.insert(caller).second)
+        {
+            metrics_.count(metric::call_copies, name_of(kind_of(it.body)));
+        }
+        std::visit([&](auto& body) { serve(caller, std::move(body)); },
+                   it.body);
         execute_actions();
     }
 
@@ -408,6 +413,7 @@
         }
         leader_.reset();
         workflows_.stop();
+        open_calls_.clear();
         for (auto const& [caller, at] : std::exchange(waiting_callers_, {}))
         {
             refuse(caller.node, caller.id, error_kind::not_leader,
@@ -681,6 +687,7 @@
     /// The submission may be proposed already, or arrive later.
     auto cancel(call_origin const& caller, workflow_id const& id) -> void
     {
+        metrics_.count(metric::cancels, "proposed");
         command const request{cancel_workflow{id, clock_.wall_now()}};
         replica_.propose(Codec::encode(request),
                          [this, caller, id](result<log_index> const& done)
@@ -915,6 +922,7 @@
     template <class Body>
     auto answer(call_origin const& caller, Body body) -> void
     {
+        open_calls_.erase(caller);
         transport_.send(caller.node,
                         peer_message{call_answer{caller.id, std::move(body)}});
     }
@@ -925,6 +933,12 @@
         refuse(to, id, error{kind, std::move(detail)});
     }
     auto refuse(node_id const& to, call_id id, error const& reason) -> void
+    {
+        open_calls_.erase({to, id});
+        send_refusal(to, id, reason);
+    }
+    auto send_refusal(node_id const& to, call_id id, error const& reason)
+        -> void
     {
         metrics_.count("apricotlb_call_refusals_total", name_of(reason.kind));
         call_failure out{reason.kind, reason.detail, std::nullopt,
@@ -1048,6 +1062,7 @@
     std::function<void(disk_event, std::string const&)> on_disk_event_;
     workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
     std::map<call_origin, revision> waiting_callers_;
+    std::set<call_origin> open_calls_; ///< without an answer
     overload_guard overload_;
     time_point tick_due_{};
     time_point last_lease_{}; ///< when the lease was last seen
--- a/src/app/load_log.hpp
+++ b/src/app/load_log.hpp
@@ -67,6 +67,37 @@
     timer_id timer_;
 };
 
+/// Writes the line `counts` every config::load_report_interval.
+template <clock_port Clock, class Metrics>
+class counts_log
+{
+public:
+    counts_log(Clock& clock, Metrics& metrics)
+        : clock_(clock), metrics_(metrics)
+    {
+        arm();
+    }
+    counts_log(counts_log const&) = delete;
+    auto operator=(counts_log const&) -> counts_log& = delete;
+    ~counts_log() { clock_.cancel_timer(timer_); }
+
+private:
+    auto arm() -> void
+    {
+        timer_ =
+            clock_.start_timer(config::load_report_interval,
+                               [this]
+                               {
+                                   arm();
+                                   log_increments(metrics_.take_increments());
+                               });
+    }
+
+    Clock& clock_;
+    Metrics& metrics_;
+    timer_id timer_;
+};
+
 } // namespace apricotlb
 
 #endif
--- a/src/core/entry/call_table.cpp
+++ b/src/core/entry/call_table.cpp
@@ -25,6 +25,20 @@
                                                       : call_kind::read;
 }
 
+auto name_of(call_kind it) -> std::string_view
+{
+    switch (it)
+    {
+    case call_kind::read:
+        return "read";
+    case call_kind::submission:
+        return "submission";
+    case call_kind::change:
+        break;
+    }
+    return "change";
+}
+
 auto name_of(call_refusal it) -> std::string_view
 {
     switch (it)
@@ -41,11 +55,75 @@
     return "read_unanswered";
 }
 
+auto name_of(call_standing it) -> std::string_view
+{
+    switch (it)
+    {
+    case call_standing::waiting:
+        return "waiting";
+    case call_standing::not_leader:
+        return "not_leader";
+    case call_standing::leader_without_lease:
+        return "leader_without_lease";
+    case call_standing::outcome_unknown:
+        return "outcome_unknown";
+    case call_standing::silent:
+        break;
+    }
+    return "silent";
+}
+
+auto name_of(late_cancel::call_end it) -> std::string_view
+{
+    switch (it)
+    {
+    case late_cancel::call_end::answered:
+        return "answered";
+    case late_cancel::call_end::expired:
+        return "expired";
+    case late_cancel::call_end::open:
+        break;
+    }
+    return "open";
+}
+
+namespace
+{
+
+auto is_cancel(call const& it) -> bool
+{
+    auto const* const request = std::get_if<workflow_call>(&it.body);
+    return request != nullptr && request->action == workflow_action::cancel;
+}
+
+} // namespace
+
+auto call_table::standing_of(pending_call const& it) const -> call_standing
+{
+    return it.standing == call_standing::silent &&
+                   watch_.is_heard_since(it.sent_to, it.sent_at)
+               ? call_standing::waiting
+               : it.standing;
+}
+
+auto call_table::report(pending_call const& it, time_point now,
+                        late_cancel::call_end end) const -> late_cancel
+{
+    return {it.message.id,
+            std::get<workflow_call>(it.message.body).path,
+            it.sent_to,
+            standing_of(it),
+            now - it.started,
+            it.sends,
+            end};
+}
+
 auto call_table::send_to(pending_call& pending, node_id const& to,
                          time_point now) const -> call_to_send
 {
     pending.sent_to = to;
     pending.sent_at = now;
+    pending.standing = call_standing::silent;
     pending.resend_at = now + config::call_retry_interval;
     ++pending.sends;
     return {pending.sent_to, pending.message};
@@ -86,11 +164,18 @@
                                failure->kind == error_kind::no_leader);
     if (!is_redirected)
     {
+        outcome_of_answer out;
+        out.done = true;
+        if (found->second.is_late)
+        {
+            out.late =
+                report(found->second, now, late_cancel::call_end::answered);
+        }
         set_leader(from, now);
         calls_.erase(found);
-        return {std::nullopt, true, std::nullopt};
+        return out;
     }
-    auto out = redirect(found->second, *failure, now);
+    auto out = redirect(found->second, from, *failure, now);
     if (out.refused)
     {
         calls_.erase(found);
@@ -98,8 +183,9 @@
     return out;
 }
 
-auto call_table::redirect(pending_call& pending, call_failure const& it,
-                          time_point now) -> outcome_of_answer
+auto call_table::redirect(pending_call& pending, node_id const& from,
+                          call_failure const& it, time_point now)
+    -> outcome_of_answer
 {
     if (it.kind == error_kind::not_leader)
     {
@@ -109,6 +195,13 @@
     {
         pending.may_have_run = true;
     }
+    if (from == pending.sent_to)
+    {
+        pending.standing =
+            it.kind == error_kind::no_leader ? call_standing::outcome_unknown
+            : it.leader == from ? call_standing::leader_without_lease
+                                : call_standing::not_leader;
+    }
     auto const names_another = it.leader && *it.leader != pending.sent_to;
     if (names_another)
     {
@@ -121,20 +214,22 @@
         auto const max_sends = control_.size() + (names_another ? 1 : 0);
         if (is_late || pending.sends >= max_sends)
         {
-            return {std::nullopt, false, call_refusal::leader_changed};
+            return {std::nullopt, false, call_refusal::leader_changed, {}};
         }
         return {
             send_to(pending,
                     names_another ? leader() : process_after(pending.sent_to),
                     now),
-            false, std::nullopt};
+            false,
+            {},
+            {}};
     }
     // If the answer names another leader, the call is sent there at once.
     // Otherwise it waits for its next repetition, so that an election does not
     // cause a burst of messages.
     if (names_another)
     {
-        return {send_to(pending, leader(), now), false, std::nullopt};
+        return {send_to(pending, leader(), now), false, {}, {}};
     }
     return {};
 }
@@ -194,10 +289,23 @@
         }
         if (now >= pending.deadline)
         {
-            out.expired.push_back(it->first);
+            out.expired.push_back(
+                {it->first, pending.sent_to, standing_of(pending)});
+            if (pending.is_late)
+            {
+                out.late.push_back(
+                    report(pending, now, late_cancel::call_end::expired));
+            }
             it = calls_.erase(it);
             continue;
         }
+        if (!pending.is_late && is_cancel(pending.message) &&
+            now - pending.started >= late_cancel_time)
+        {
+            pending.is_late = true;
+            out.late.push_back(
+                report(pending, now, late_cancel::call_end::open));
+        }
         if (pending.kind == call_kind::read)
         {
             if (has_new_leader(pending))
@@ -207,6 +315,7 @@
         }
         else if (now >= pending.resend_at)
         {
+            out.unanswered.push_back(standing_of(pending));
             if (!rotated && pending.sent_to == leader())
             {
                 presumed_leader_ = (presumed_leader_ + 1) % control_.size();
--- a/src/core/entry/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -13,12 +13,27 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
 namespace apricotlb
 {
 
+namespace metric
+{
+/// Calls that were sent again, by what is known of them.
+inline constexpr std::string_view unanswered_calls =
+    "apricotlb_unanswered_calls_total";
+/// Copies of calls that are open at the leader.
+inline constexpr std::string_view call_copies = "apricotlb_call_copies_total";
+/// Cancels of workflows at the leader.
+inline constexpr std::string_view cancels = "apricotlb_cancels_total";
+} // namespace metric
+
+/// A cancel that has waited for this long is logged.
+inline constexpr duration late_cancel_time = seconds{1};
+
 /// A call to send to a control process.
 struct call_to_send
 {
@@ -36,6 +51,7 @@
 };
 
 [[nodiscard]] auto kind_of(decltype(call::body) const& body) -> call_kind;
+[[nodiscard]] auto name_of(call_kind it) -> std::string_view;
 
 /// Why a call was refused without an answer of a leader. It has not run.
 enum class call_refusal : std::uint8_t
@@ -48,6 +64,42 @@
 
 [[nodiscard]] auto name_of(call_refusal it) -> std::string_view;
 
+/// What is known of a call that has no answer.
+enum class call_standing : std::uint8_t
+{
+    silent,  ///< the process asked has answered nothing since
+    waiting, ///< it has answered other calls since
+    /// Refused by a process that does not lead.
+    not_leader,
+    /// Refused by the leader of the group, which may not serve calls now.
+    leader_without_lease,
+    /// A leader has taken it, and cannot tell whether it will take effect.
+    outcome_unknown,
+};
+
+[[nodiscard]] auto name_of(call_standing it) -> std::string_view;
+
+/// A cancel that has waited for late_cancel_time, or one such that ends.
+struct late_cancel
+{
+    enum class call_end : std::uint8_t
+    {
+        open,
+        answered,
+        expired,
+    };
+
+    call_id id;
+    std::string path;
+    node_id asked; ///< last
+    call_standing standing{call_standing::silent};
+    duration waited{};
+    std::size_t sends{0};
+    call_end end{call_end::open};
+};
+
+[[nodiscard]] auto name_of(late_cancel::call_end it) -> std::string_view;
+
 /// Sends each call to the presumed leader, and to another control process if
 /// no answer arrives in time. Calls are safe to repeat, since the state machine
 /// recognises a repeated call by its id.
@@ -79,6 +131,8 @@
         bool done{false};
         /// The call was removed without an answer of a leader.
         std::optional<call_refusal> refused;
+        /// The call is a late cancel that has ended.
+        std::optional<late_cancel> late;
     };
     auto take(node_id const& from, call_answer const& it, time_point now)
         -> outcome_of_answer;
@@ -89,13 +143,23 @@
         call_refusal reason;
     };
 
+    struct expired_call
+    {
+        call_id id;
+        node_id asked; ///< last
+        call_standing standing;
+    };
+
     /// Calls to send again, and calls that were removed: refused, or with an
     /// unknown outcome at their deadline.
     struct due_calls
     {
         std::vector<call_to_send> resend;
         std::vector<refused_call> refused;
-        std::vector<call_id> expired;
+        std::vector<expired_call> expired;
+        /// What is known of each call that is sent again.
+        std::vector<call_standing> unanswered;
+        std::vector<late_cancel> late;
     };
     [[nodiscard]] auto due(time_point now) -> due_calls;
 
@@ -133,6 +197,8 @@
         std::size_t sends{0};
         std::size_t not_leader_answers{0};
         bool may_have_run{false}; ///< by an answer
+        bool is_late{false};      ///< reported as a late cancel
+        call_standing standing{call_standing::silent}; ///< by answers
 
         /// True if each copy that was sent is known not to have run.
         [[nodiscard]] auto is_refused_by_all() const -> bool
@@ -141,11 +207,15 @@
         }
     };
 
+    [[nodiscard]] auto standing_of(pending_call const& it) const
+        -> call_standing;
+    [[nodiscard]] auto report(pending_call const& it, time_point now,
+                              late_cancel::call_end end) const -> late_cancel;
     auto send_to(pending_call& pending, node_id const& to, time_point now) const
         -> call_to_send;
     /// Decides on an answer of a process that is not the leader.
-    auto redirect(pending_call& pending, call_failure const& it, time_point now)
-        -> outcome_of_answer;
+    auto redirect(pending_call& pending, node_id const& from,
+                  call_failure const& it, time_point now) -> outcome_of_answer;
     /// The reason to give a sent call up now, if there is one.
     [[nodiscard]] auto refusal_of(pending_call const& it, time_point now) const
         -> std::optional<call_refusal>;
--- a/src/core/entry/leader_watch.hpp
+++ b/src/core/entry/leader_watch.hpp
@@ -41,6 +41,12 @@
     {
         return leader_ && *last_answer_ >= at;
     }
+    /// True if this process has answered as the leader at this time or later.
+    [[nodiscard]] auto is_heard_since(node_id const& by, time_point at) const
+        -> bool
+    {
+        return leader_ == by && *last_answer_ >= at;
+    }
     /// The process that has answered last; none at first.
     [[nodiscard]] auto leader() const -> std::optional<node_id> const&
     {
--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -284,5 +284,39 @@
     EXPECT_EQ(reasons, std::vector{call_refusal::not_accepted});
 }
 
+// The log of a cancel that timed out must say where it stood, and not repeat it
+// with each copy.
+TEST_F(control_link_test, reports_a_late_cancel_once_and_its_end)
+{
+    std::vector<late_cancel> late;
+    std::vector<call_standing> unanswered;
+    link.on_late([&](late_cancel const& it) { late.push_back(it); });
+    link.on_unanswered([&](call_standing it) { unanswered.push_back(it); });
+    link.set_leader(node_id{"c1"});
+    auto const got_cancel = start(workflow_action::cancel);
+    start(workflow_action::submit);
+    auto const id = sent[0].message.id;
+    link.take(node_id{"c1"}, refused(id, node_id{"c1"}));
+    clock.advance(config::call_retry_interval + milliseconds{60});
+    EXPECT_EQ(unanswered, (std::vector{call_standing::leader_without_lease,
+                                       call_standing::waiting}));
+    EXPECT_TRUE(late.empty());
+    clock.advance(late_cancel_time);
+    ASSERT_EQ(late.size(), 1U);
+    EXPECT_EQ(late[0].path, "/q");
+    EXPECT_EQ(late[0].end, late_cancel::call_end::open);
+    EXPECT_EQ(late[0].standing, call_standing::silent);
+    EXPECT_EQ(late[0].sends, 3U);
+    link.take(node_id{"c1"}, {id, apply_result{}});
+    ASSERT_EQ(late.size(), 2U);
+    EXPECT_EQ(late[1].end, late_cancel::call_end::answered);
+    EXPECT_TRUE(got_cancel->has_value());
+
+    start(workflow_action::cancel);
+    clock.advance(seconds{4});
+    ASSERT_EQ(late.size(), 4U);
+    EXPECT_EQ(late[3].end, late_cancel::call_end::expired);
+}
+
 } // namespace
 } // namespace apricotlb
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -126,6 +126,12 @@
         return {workflow_action::submit, host_name{"h"}, "/" + id, spec};
     }
 
+    static auto cancel(std::string const& id) -> workflow_call
+    {
+        return {workflow_action::cancel, host_name{"h"}, "/" + id,
+                std::nullopt};
+    }
+
     /// A task of a second on one core; the contract allows two of them.
     static auto timed_submission(std::string const& id) -> workflow_call
     {
@@ -158,6 +164,16 @@
     {
         disk_.during_sync = [this, d] { clock_.block(d); };
     }
+    /// After a slow sync the next commit waits.
+    auto delay_next_commit() -> void
+    {
+        call(submission("a"));
+        run(milliseconds{100});
+        set_sync_time(milliseconds{100});
+        call(submission("slow"));
+        run(milliseconds{1});
+        set_sync_time({});
+    }
     auto set_free_space(std::int64_t bytes) -> void
     {
         disk_.free_space = bytes;
@@ -657,5 +673,22 @@
     EXPECT_FALSE(it.is_overloaded());
 }
 
+// Repetitions of a cancel that feed the load of a late leader must show.
+TEST(control_role, counts_cancels_it_proposes_and_copies_of_open_calls)
+{
+    lone_leader it;
+    it.delay_next_commit();
+    auto const cancel = lone_leader::cancel("a");
+    auto const id = it.call(cancel);
+    EXPECT_FALSE(it.is_answered(id));
+    EXPECT_EQ(it.metrics().of("apricotlb_cancels_total", "proposed"), 1);
+    it.send(id, cancel);
+    EXPECT_EQ(it.metrics().of("apricotlb_call_copies_total", "change"), 1);
+    it.run(milliseconds{500});
+    EXPECT_TRUE(it.is_answered(id));
+    it.send(id, cancel);
+    EXPECT_EQ(it.metrics().of("apricotlb_call_copies_total", "change"), 1);
+}
+
 } // namespace
 } // namespace apricotlb
