Propose a cancel once for all its callers

The leader proposed each copy of a cancel anew: up to seven for one call of an entry, and as many for each repetition of its caller, so that a late log became later by them. Other changes were proposed anew as well.

All callers of a cancel wait for one proposal, as those of a submission do. A cancel of a workflow whose end is on record is answered at once. A copy of a call that is open is not served again; a change is told that the leader has it, by a call_failure no_leader that names the leader itself, which entries of earlier versions answer with their next repetition.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -198,7 +198,14 @@
         call_origin const caller{from, it.id};
         if (!open_calls_.insert(caller).second)
         {
-            metrics_.count(metric::call_copies, name_of(kind_of(it.body)));
+            auto const kind = kind_of(it.body);
+            metrics_.count(metric::call_copies, name_of(kind));
+            // The only answer to a submission accepts or refuses it.
+            if (kind == call_kind::change)
+            {
+                answer_copy(caller);
+            }
+            return;
         }
         std::visit([&](auto& body) { serve(caller, std::move(body)); },
                    it.body);
@@ -684,36 +691,69 @@
                "no workflow " + id.value());
     }
 
-    /// The submission may be proposed already, or arrive later.
+    /// The submission may be proposed already, or arrive later. All callers
+    /// wait for one proposal, so that repetitions don't load a late log.
     auto cancel(call_origin const& caller, workflow_id const& id) -> void
     {
+        auto const& state = machine_.state();
+        if (auto const known = state.workflows().state(id);
+            known && is_final(*known))
+        {
+            metrics_.count(metric::cancels, "recorded");
+            apply_result out;
+            out.at = revision{state.applied().value()};
+            answer(caller, std::move(out));
+            return;
+        }
+        auto const [pending, is_first] = pending_cancels_.try_emplace(id);
+        pending->second.insert(caller);
+        if (!is_first)
+        {
+            metrics_.count(metric::cancels, "joined");
+            return;
+        }
         metrics_.count(metric::cancels, "proposed");
         command const request{cancel_workflow{id, clock_.wall_now()}};
         replica_.propose(Codec::encode(request),
-                         [this, caller, id](result<log_index> const& done)
+                         [this, id](result<log_index> const& done)
                          {
-                             if (!done)
-                             {
-                                 answer_proposal(caller, done);
-                                 return;
-                             }
-                             auto const& applied = machine_.last_result();
-                             if (applied.refused)
-                             {
-                                 refuse(caller.node, caller.id,
-                                        *applied.refused, applied.detail);
-                             }
-                             else if (!machine_.state().workflows().state(id))
-                             {
-                                 refuse_unknown(caller, id);
-                             }
-                             else
+                             auto const callers = pending_cancels_.extract(id);
+                             for (auto const& each : callers.mapped())
                              {
-                                 answer(caller, applied);
+                                 answer_cancel(each, id, done);
                              }
                          });
     }
 
+    static auto is_final(workflow_state it) -> bool
+    {
+        return it == workflow_state::cancelled ||
+               it == workflow_state::completed || it == workflow_state::failed;
+    }
+
+    auto answer_cancel(call_origin const& caller, workflow_id const& id,
+                       result<log_index> const& done) -> void
+    {
+        if (!done)
+        {
+            answer_proposal(caller, done);
+            return;
+        }
+        auto const& applied = machine_.last_result();
+        if (applied.refused)
+        {
+            refuse(caller.node, caller.id, *applied.refused, applied.detail);
+        }
+        else if (!machine_.state().workflows().state(id))
+        {
+            refuse_unknown(caller, id);
+        }
+        else
+        {
+            answer(caller, applied);
+        }
+    }
+
     auto submit(call_origin const& caller, queue_contract const& terms,
                 workflow_id const& id, std::optional<workflow_spec> spec)
         -> void
@@ -919,6 +959,16 @@
         return recorded != nullptr && recorded->info == worker->info;
     }
 
+    /// Tells an entry that its call is here, so that it waits for the answer.
+    /// Entries of earlier versions wait for their next repetition.
+    auto answer_copy(call_origin const& caller) -> void
+    {
+        call_failure out{error_kind::no_leader,
+                         "the call is open at the leader", self_};
+        transport_.send(caller.node,
+                        peer_message{call_answer{caller.id, std::move(out)}});
+    }
+
     template <class Body>
     auto answer(call_origin const& caller, Body body) -> void
     {
@@ -1069,6 +1119,8 @@
     /// Callers to answer once a proposed workflow has been committed.
     std::map<workflow_id, std::set<call_origin>> pending_submissions_;
     std::map<call_origin, refused_submission> refused_submissions_;
+    /// Callers to answer once a proposed cancel has been committed.
+    std::map<workflow_id, std::set<call_origin>> pending_cancels_;
     /// Proposed commands on evacuations whose outcome is open.
     std::size_t pending_evacuations_{0};
     time_point last_key_expiry_{};
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -206,6 +206,15 @@
             std::get_if<call_failure>(&transport_.answers.at(id).body);
         return failure != nullptr ? std::optional{failure->kind} : std::nullopt;
     }
+    /// The leader that a refusal names.
+    [[nodiscard]] auto named_leader(call_id id) const -> std::optional<node_id>
+    {
+        return std::get<call_failure>(transport_.answers.at(id).body).leader;
+    }
+    [[nodiscard]] auto last_index() const -> log_index
+    {
+        return role_->status().log.last;
+    }
     [[nodiscard]] auto accepted() const -> std::size_t
     {
         return role_->state().workflows().live().size();
@@ -690,5 +699,62 @@
     EXPECT_EQ(it.metrics().of("apricotlb_call_copies_total", "change"), 1);
 }
 
+// Each copy of a cancel was proposed anew, so that callers that repeat theirs
+// made a late log later.
+TEST(control_role, proposes_a_cancel_once_for_all_its_callers)
+{
+    lone_leader it;
+    it.delay_next_commit();
+    auto const last = it.last_index();
+    auto const first = it.call(lone_leader::cancel("a"));
+    auto const other = it.call(lone_leader::cancel("a"));
+    for (auto n = 0; n < 6; ++n)
+    {
+        it.send(first, lone_leader::cancel("a"));
+    }
+    EXPECT_EQ(it.last_index(), last + log_index{1});
+    EXPECT_FALSE(it.is_answered(other));
+    it.run(milliseconds{500});
+    ASSERT_TRUE(it.is_answered(other));
+    EXPECT_EQ(it.refusal(first), std::nullopt);
+    EXPECT_EQ(it.refusal(other), std::nullopt);
+    EXPECT_EQ(it.last_index(), last + log_index{1});
+    EXPECT_EQ(it.metrics().of("apricotlb_cancels_total", "joined"), 1);
+}
+
+// A cancel whose answer was lost must not wait for another commit.
+TEST(control_role, answers_a_cancel_that_is_on_record_at_once)
+{
+    lone_leader it;
+    it.call(lone_leader::submission("b"));
+    it.run(milliseconds{100});
+    it.call(lone_leader::cancel("b"));
+    it.run(milliseconds{100});
+    it.delay_next_commit();
+    auto const last = it.last_index();
+    auto const again = it.call(lone_leader::cancel("b"));
+    ASSERT_TRUE(it.is_answered(again));
+    EXPECT_EQ(it.refusal(again), std::nullopt);
+    EXPECT_EQ(it.last_index(), last);
+}
+
+// The caller of an open call must hear that the leader has it, and the answer
+// once; a copy was proposed anew.
+TEST(control_role, tells_a_copy_that_its_call_is_open_and_proposes_it_once)
+{
+    lone_leader it;
+    it.delay_next_commit();
+    auto const last = it.last_index();
+    command const change{retire_worker{worker_id{"w"}}};
+    auto const call = it.call(change);
+    it.send(call, change);
+    it.send(call, change);
+    EXPECT_EQ(it.last_index(), last + log_index{1});
+    EXPECT_EQ(it.refusal(call), error_kind::no_leader);
+    EXPECT_EQ(it.named_leader(call), node_id{"a"});
+    it.run(milliseconds{500});
+    EXPECT_EQ(it.refusal(call), std::nullopt);
+}
+
 } // namespace
 } // namespace apricotlb
