Stay with a leader that is heard from

An entry turned away from the presumed leader for all its calls when one had no answer for 400 ms, though the leader was only late. Each such call went to a follower, was refused and came to the leader once more. A leader in office without its lease had the same effect for as long as that lasted.

A call turns to another process when the one asked does not lead, or has sent nothing as the leader since the call was sent or for 600 ms (a ping is answered in each 400 ms). Repetitions to the leader go on each 400 ms, and each 800 ms once it has confirmed the call. The answer at a caller's deadline says whether the leader has the change or held no lease.

--- a/src/app/control_link.hpp
+++ b/src/app/control_link.hpp
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -192,12 +193,33 @@
         {
             auto callback_node = callbacks_.extract(it.id);
             callback_node.mapped()(
-                fail(error_kind::no_leader,
-                     "no control leader answered before the timeout; "
-                     "the change may have been made"));
+                fail(error_kind::no_leader, describe_expiry(it)));
         }
     }
 
+    static auto describe_expiry(call_table::expired_call const& it)
+        -> std::string
+    {
+        switch (it.standing)
+        {
+        case call_standing::proposed:
+            return "the control leader " + it.asked.value() +
+                   " has taken the change and not seen its commit before the "
+                   "timeout; the change may have been made";
+        case call_standing::leader_without_lease:
+            return "the control leader " + it.asked.value() +
+                   " held no lease at the timeout; the change may have been "
+                   "made";
+        case call_standing::silent:
+        case call_standing::waiting:
+        case call_standing::not_leader:
+        case call_standing::outcome_unknown:
+            break;
+        }
+        return "no control leader answered before the timeout; the change may "
+               "have been made";
+    }
+
     auto report(call_table::due_calls const& due) -> void
     {
         for (auto const it : due.unanswered)
--- a/src/core/entry/call_table.cpp
+++ b/src/core/entry/call_table.cpp
@@ -65,6 +65,8 @@
         return "not_leader";
     case call_standing::leader_without_lease:
         return "leader_without_lease";
+    case call_standing::proposed:
+        return "proposed";
     case call_standing::outcome_unknown:
         return "outcome_unknown";
     case call_standing::silent:
@@ -121,10 +123,12 @@
 auto call_table::send_to(pending_call& pending, node_id const& to,
                          time_point now) const -> call_to_send
 {
+    if (pending.sent_to != to || pending.standing != call_standing::proposed)
+    {
+        pending.standing = call_standing::silent;
+    }
     pending.sent_to = to;
     pending.sent_at = now;
-    pending.standing = call_standing::silent;
-    pending.resend_at = now + config::call_retry_interval;
     ++pending.sends;
     return {pending.sent_to, pending.message};
 }
@@ -187,6 +191,7 @@
                           call_failure const& it, time_point now)
     -> outcome_of_answer
 {
+    auto const is_in_office = it.leader == from;
     if (it.kind == error_kind::not_leader)
     {
         ++pending.not_leader_answers;
@@ -194,13 +199,27 @@
     else
     {
         pending.may_have_run = true;
+        if (is_in_office && pending.kind != call_kind::read)
+        {
+            // The leader has the call; a copy that went elsewhere adds nothing.
+            set_leader(from, now);
+            pending.sent_to = from;
+            pending.sent_at = now;
+            pending.standing = call_standing::proposed;
+            return {};
+        }
     }
     if (from == pending.sent_to)
     {
-        pending.standing =
-            it.kind == error_kind::no_leader ? call_standing::outcome_unknown
-            : it.leader == from ? call_standing::leader_without_lease
-                                : call_standing::not_leader;
+        pending.standing = it.kind == error_kind::no_leader
+                               ? call_standing::outcome_unknown
+                           : is_in_office ? call_standing::leader_without_lease
+                                          : call_standing::not_leader;
+    }
+    if (pending.standing == call_standing::leader_without_lease &&
+        !has_new_leader(pending))
+    {
+        watch_.heard(from, now);
     }
     auto const names_another = it.leader && *it.leader != pending.sent_to;
     if (names_another)
@@ -274,10 +293,65 @@
            *watch_.leader() != it.sent_to;
 }
 
+auto call_table::has_no_leader(pending_call const& it, time_point now) const
+    -> bool
+{
+    return it.standing == call_standing::not_leader ||
+           !watch_.is_heard_since(
+               it.sent_to, std::max(it.sent_at, now - leader_quiet_time));
+}
+
+auto call_table::is_repetition_due(pending_call const& it, time_point now) const
+    -> bool
+{
+    auto const is_refused = it.standing == call_standing::not_leader ||
+                            it.standing == call_standing::leader_without_lease;
+    if (is_refused && has_new_leader(it))
+    {
+        return true;
+    }
+    auto const is_held = it.standing == call_standing::proposed &&
+                         !has_no_leader(it, now) && !has_new_leader(it);
+    return now - it.sent_at >=
+           (is_held ? proposed_call_interval : config::call_retry_interval);
+}
+
+auto call_table::next_process(pending_call const& it, time_point now,
+                              repetition_pass& pass) -> node_id const&
+{
+    if (it.sent_to != leader())
+    {
+        return leader();
+    }
+    if (has_no_leader(it, now))
+    {
+        if (!pass.has_turned)
+        {
+            presumed_leader_ = (presumed_leader_ + 1) % control_.size();
+            pass.has_turned = true;
+        }
+        return leader();
+    }
+    // A leader that was cut off from the others stays in office for a while,
+    // and the notice of the next one may be lost: one call looks for it.
+    if (it.standing == call_standing::leader_without_lease &&
+        now - last_search_ >= config::call_retry_interval)
+    {
+        last_search_ = now;
+        last_searched_ = process_after(last_searched_);
+        if (last_searched_ == leader())
+        {
+            last_searched_ = process_after(last_searched_);
+        }
+        return last_searched_;
+    }
+    return leader();
+}
+
 auto call_table::due(time_point now) -> due_calls
 {
     due_calls out;
-    auto rotated = false;
+    repetition_pass pass;
     for (auto it = calls_.begin(); it != calls_.end();)
     {
         auto& pending = it->second;
@@ -313,15 +387,11 @@
                 out.resend.push_back(send_to(pending, *watch_.leader(), now));
             }
         }
-        else if (now >= pending.resend_at)
+        else if (is_repetition_due(pending, now))
         {
             out.unanswered.push_back(standing_of(pending));
-            if (!rotated && pending.sent_to == leader())
-            {
-                presumed_leader_ = (presumed_leader_ + 1) % control_.size();
-                rotated = true;
-            }
-            out.resend.push_back(send_to(pending, leader(), now));
+            auto const to = next_process(pending, now, pass);
+            out.resend.push_back(send_to(pending, to, now));
         }
         ++it;
     }
--- a/src/core/entry/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -6,6 +6,7 @@
 #include "core/entry/leader_watch.hpp"
 #include "core/messages.hpp"
 
+#include <apricotlb/config.hpp>
 #include <apricotlb/ids.hpp>
 #include <apricotlb/time.hpp>
 
@@ -27,6 +28,9 @@
     "apricotlb_unanswered_calls_total";
 /// Copies of calls that are open at the leader.
 inline constexpr std::string_view call_copies = "apricotlb_call_copies_total";
+/// Calls that a leader in office has refused since it held no lease.
+inline constexpr std::string_view calls_without_lease =
+    "apricotlb_calls_without_lease_total";
 /// Cancels of workflows at the leader.
 inline constexpr std::string_view cancels = "apricotlb_cancels_total";
 } // namespace metric
@@ -34,6 +38,14 @@
 /// A cancel that has waited for this long is logged.
 inline constexpr duration late_cancel_time = seconds{1};
 
+/// Time without a message of a leader from which a call turns to another
+/// process: the leader answers a ping in each 400 ms.
+inline constexpr duration leader_quiet_time =
+    config::leader_ping_interval + milliseconds{200};
+/// A call that the leader has confirmed is repeated for a lost answer only.
+inline constexpr duration proposed_call_interval =
+    2 * config::call_retry_interval;
+
 /// A call to send to a control process.
 struct call_to_send
 {
@@ -73,6 +85,8 @@
     not_leader,
     /// Refused by the leader of the group, which may not serve calls now.
     leader_without_lease,
+    /// The leader has it, and its answer waits for a commit.
+    proposed,
     /// A leader has taken it, and cannot tell whether it will take effect.
     outcome_unknown,
 };
@@ -100,9 +114,9 @@
 
 [[nodiscard]] auto name_of(late_cancel::call_end it) -> std::string_view;
 
-/// Sends each call to the presumed leader, and to another control process if
-/// no answer arrives in time. Calls are safe to repeat, since the state machine
-/// recognises a repeated call by its id.
+/// Sends each call to the presumed leader until it is answered, and to another
+/// control process if the leader is silent or another one leads. Calls are safe
+/// to repeat, since the state machine recognises a repeated call by its id.
 class call_table
 {
 public:
@@ -192,7 +206,6 @@
         node_id sent_to;
         time_point started;
         time_point sent_at; ///< the last time
-        time_point resend_at;
         time_point deadline;
         std::size_t sends{0};
         std::size_t not_leader_answers{0};
@@ -216,6 +229,19 @@
     /// Decides on an answer of a process that is not the leader.
     auto redirect(pending_call& pending, node_id const& from,
                   call_failure const& it, time_point now) -> outcome_of_answer;
+    /// True if a change or submission is to be sent again.
+    [[nodiscard]] auto is_repetition_due(pending_call const& it,
+                                         time_point now) const -> bool;
+    /// True if the process asked does not lead or is silent.
+    [[nodiscard]] auto has_no_leader(pending_call const& it,
+                                     time_point now) const -> bool;
+    /// Where the repetition of a call goes.
+    struct repetition_pass
+    {
+        bool has_turned{false};
+    };
+    auto next_process(pending_call const& it, time_point now,
+                      repetition_pass& pass) -> node_id const&;
     /// The reason to give a sent call up now, if there is one.
     [[nodiscard]] auto refusal_of(pending_call const& it, time_point now) const
         -> std::optional<call_refusal>;
@@ -230,6 +256,8 @@
     std::vector<node_id> control_;
     std::size_t presumed_leader_{0};
     leader_watch watch_;
+    time_point last_search_{};
+    node_id last_searched_;
     call_id last_id_{};
     std::map<call_id, pending_call> calls_;
 };
--- a/src/core/entry/leader_watch.hpp
+++ b/src/core/entry/leader_watch.hpp
@@ -29,6 +29,13 @@
     {
         leader_ = by;
         last_answer_ = now;
+        heard(by, now);
+    }
+    /// Records a message that a leader also sends while it has no lease.
+    auto heard(node_id const& by, time_point now) -> void
+    {
+        heard_ = by;
+        last_heard_ = now;
     }
 
     /// True if no leader has answered for config::leader_silence.
@@ -41,11 +48,11 @@
     {
         return leader_ && *last_answer_ >= at;
     }
-    /// True if this process has answered as the leader at this time or later.
+    /// True if this process has shown to be in office at this time or later.
     [[nodiscard]] auto is_heard_since(node_id const& by, time_point at) const
         -> bool
     {
-        return leader_ == by && *last_answer_ >= at;
+        return heard_ == by && last_heard_ >= at;
     }
     /// The process that has answered last; none at first.
     [[nodiscard]] auto leader() const -> std::optional<node_id> const&
@@ -56,6 +63,8 @@
 private:
     std::optional<node_id> leader_;
     std::optional<time_point> last_answer_;
+    std::optional<node_id> heard_;
+    time_point last_heard_{};
 };
 
 } // namespace apricotlb
--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -318,5 +318,137 @@
     EXPECT_EQ(late[3].end, late_cancel::call_end::expired);
 }
 
+// An entry turned away from a leader that was only late, so that each call
+// passed through the followers and reached the leader once more.
+TEST_F(control_link_test, stays_with_a_leader_that_answers_other_calls)
+{
+    link.set_leader(node_id{"c1"});
+    start(workflow_action::cancel);
+    for (auto n = 0; n < 14; ++n)
+    {
+        clock.advance(milliseconds{200});
+        link.set_leader(node_id{"c1"});
+    }
+    for (auto const& it : sent)
+    {
+        EXPECT_EQ(it.to, "c1");
+    }
+    EXPECT_LE(sent.size(), 8U);
+}
+
+// A call that the leader has needs no copy in each 400 ms, and its caller must
+// hear what is known of it.
+TEST_F(control_link_test, waits_for_a_call_that_the_leader_has)
+{
+    link.set_leader(node_id{"c1"});
+    auto const cancel = start(workflow_action::cancel);
+    auto const id = sent[0].message.id;
+    call_answer const has_it{
+        id, call_failure{error_kind::no_leader, "", node_id{"c1"}}};
+    std::size_t confirmed = 1;
+    for (auto n = 0; n < 14; ++n)
+    {
+        clock.advance(milliseconds{200});
+        link.set_leader(node_id{"c1"});
+        for (; confirmed < sent.size(); ++confirmed)
+        {
+            link.take(node_id{"c1"}, has_it);
+        }
+    }
+    EXPECT_LE(sent.size(), 5U);
+    clock.advance(milliseconds{400});
+    ASSERT_EQ(kind_of(*cancel), error_kind::no_leader);
+    EXPECT_NE((*cancel)->error().detail.find("has taken the change"),
+              std::string::npos);
+}
+
+// A confirmed call must leave a leader that has died since.
+TEST_F(control_link_test, leaves_a_leader_that_dies_with_a_call)
+{
+    link.set_leader(node_id{"c1"});
+    start(workflow_action::cancel);
+    auto const id = sent[0].message.id;
+    clock.advance(config::call_retry_interval + milliseconds{60});
+    link.set_leader(node_id{"c1"});
+    link.take(node_id{"c1"},
+              {id, call_failure{error_kind::no_leader, "", node_id{"c1"}}});
+    auto const copies = sent.size();
+    clock.advance(leader_quiet_time + milliseconds{60});
+    ASSERT_EQ(sent.size(), copies + 1);
+    EXPECT_EQ(sent.back().to, "c2");
+    // The next leader shows itself.
+    link.set_leader(node_id{"c3"});
+    clock.advance(config::call_retry_interval + milliseconds{60});
+    EXPECT_EQ(sent.back().to, "c3");
+}
+
+// A leader without its lease refused calls, and its entries then asked all
+// followers in turn for as long as that lasted.
+TEST_F(control_link_test, waits_for_a_leader_without_its_lease)
+{
+    link.set_leader(node_id{"c1"});
+    std::vector<std::shared_ptr<std::optional<answer>>> cancels;
+    for (auto n = 0; n < 10; ++n)
+    {
+        cancels.push_back(start(workflow_action::cancel));
+    }
+    auto elsewhere = 0;
+    for (auto n = 0; n < 20; ++n)
+    {
+        for (std::size_t k = 0; k < sent.size() && k < 200; ++k)
+        {
+            auto const it = sent[k];
+            elsewhere += it.to == "c1" ? 0 : 1;
+            link.take(node_id{it.to}, refused(it.message.id, node_id{"c1"}));
+        }
+        sent.clear();
+        clock.advance(milliseconds{100});
+    }
+    EXPECT_EQ(link.leader(), node_id{"c1"});
+    EXPECT_LE(elsewhere, seconds{2} / config::call_retry_interval);
+    link.take(node_id{"c1"}, {call_id{1}, apply_result{}});
+    EXPECT_TRUE(cancels[0]->has_value());
+}
+
+// The notice of the next leader is lost, and the former one that is cut off
+// from the others stays in office.
+TEST_F(control_link_test, finds_the_next_leader_while_the_former_one_answers)
+{
+    link.set_leader(node_id{"c1"});
+    auto const cancel = start(workflow_action::cancel);
+    auto const begin = clock.now();
+    while (!cancel->has_value() && clock.now() - begin < seconds{2})
+    {
+        for (auto const& it : std::exchange(sent, {}))
+        {
+            if (it.to == "c3")
+            {
+                link.take(node_id{"c3"}, {it.message.id, apply_result{}});
+            }
+            else
+            {
+                link.take(node_id{it.to},
+                          refused(it.message.id,
+                                  node_id{it.to == "c1" ? "c1" : "c3"}));
+            }
+        }
+        clock.advance(milliseconds{10});
+    }
+    EXPECT_TRUE(cancel->has_value());
+    EXPECT_LE(clock.now() - begin,
+              config::call_retry_interval + milliseconds{100});
+}
+
+// A refused call need not wait for its repetition once a leader is known.
+TEST_F(control_link_test, sends_a_refused_change_to_the_next_leader_at_once)
+{
+    auto const cancel = start(workflow_action::cancel);
+    link.take(node_id{"c1"}, refused(sent[0].message.id, {}));
+    link.set_leader(node_id{"c3"});
+    clock.advance(milliseconds{60});
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_EQ(sent[1].to, "c3");
+}
+
 } // namespace
 } // namespace apricotlb
