Take late messages of replaced connections

What a replaced connection still delivered was dropped as a duplicate once 64 numbers had passed, and all peers shared one counter, so that messages to anybody moved the window of each.

Numbers count for each peer; those to a new peer follow the highest one that was ever used, so that they stay unique for a peer that is removed and added again.

Failed before: peer_transport_test.takes_late_messages_of_a_replaced_connection (of 1,001 messages, those more than 63 behind the newest were dropped). numbers_stay_unique_for_a_peer_that_returns passes before and after.

--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -171,6 +171,7 @@
 private:
     struct peer
     {
+        sequence last_number; ///< of the messages to the peer
         url address;
         incarnation run;
         sequence_window received_numbers;
@@ -193,9 +194,20 @@
         timer_ = clock_.start_timer(check_interval, [this] { check_peers(); });
     }
 
+    /// Adds the peer if it is new.
+    auto peer_of(node_id const& id) -> peer&
+    {
+        auto const [it, is_new] = peers_.try_emplace(id);
+        if (is_new)
+        {
+            it->second.last_number = highest_number_;
+        }
+        return it->second;
+    }
+
     auto dial(node_id const& id, url const& at) -> void
     {
-        auto& it = peers_[id];
+        auto& it = peer_of(id);
         it.address = at;
         it.opened = clock_.now();
         link_.open(id, at);
@@ -264,7 +276,8 @@
         out.from = self_.node;
         out.to = to;
         out.run = self_.run;
-        out.number = ++last_number_;
+        out.number = ++it.last_number;
+        highest_number_ = std::max(highest_number_, it.last_number);
         out.reply_to = self_.address;
         out.body = std::move(body);
         auto const bytes = Codec::encode(out);
@@ -353,7 +366,7 @@
     /// message of an earlier incarnation.
     auto accept(envelope const& it) -> bool
     {
-        auto& from = peers_[it.from];
+        auto& from = peer_of(it.from);
         if (it.run < from.run)
         {
             return false;
@@ -431,9 +444,9 @@
     /// Peers for which messages wait.
     std::vector<node_id> to_flush_;
     bool is_flush_due_{false};
-    /// Shared by all peers, so that numbers stay unique for a peer that is
-    /// removed and added again.
-    sequence last_number_{batch_numbers_begin};
+    /// Numbers to a new peer follow the highest one to any, so that they stay
+    /// unique for a peer that is removed and added again.
+    sequence highest_number_{batch_numbers_begin};
     timer_id timer_;
     timer_id flush_timer_;
 };
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -245,6 +245,64 @@
     EXPECT_LT(longest, config::peer_timeout / 2);
 }
 
+// Numbers were shared by all peers and the window 64 wide: what a replaced
+// connection still delivered was dropped after 64 messages to anybody.
+TEST_F(peer_transport_test, takes_late_messages_of_a_replaced_connection)
+{
+    std::vector<std::string> got;
+    b.on_message([&](node_id const&, command const& it)
+                 { got.push_back(std::get<retire_worker>(it).id.value()); });
+    a.add_peer(node_id{"b"}, url{"tcp://b"});
+    a.add_peer(node_id{"c"}, url{"tcp://c"});
+    auto const send = [&](char const* to, std::string const& text)
+    {
+        a.send(node_id{to}, retire_worker{worker_id{text}});
+        end_turn();
+    };
+    send("b", "first");
+    for (auto n = 0; n < 5000; ++n)
+    {
+        send("c", "other");
+    }
+    for (auto n = 0; n < 1000; ++n)
+    {
+        send("b", std::to_string(n));
+    }
+    // The new connection delivers before the former one.
+    b_link.receive(a_link.sent.back());
+    for (auto const& bytes : a_link.sent)
+    {
+        if (open_envelope(bytes).to == node_id{"b"})
+        {
+            b_link.receive(bytes);
+        }
+    }
+    EXPECT_EQ(got.size(), 1001U);
+    EXPECT_EQ(metrics.counts["duplicate"], 1);
+}
+
+// A peer that was removed and added again must not take numbers for duplicates.
+TEST_F(peer_transport_test, numbers_stay_unique_for_a_peer_that_returns)
+{
+    auto n = 0;
+    b.on_message([&](node_id const&, command const&) { ++n; });
+    a.introduce(node_id{"b"}, url{"tcp://b"});
+    a.add_peer(node_id{"c"}, url{"tcp://c"});
+    auto const send = [&]
+    {
+        a.send(node_id{"b"}, message);
+        end_turn();
+        b_link.receive(a_link.sent.back());
+    };
+    send();
+    send();
+    clock.advance(seconds{40});
+    a.introduce(node_id{"b"}, url{"tcp://b"});
+    send();
+    EXPECT_EQ(n, 3);
+    EXPECT_EQ(metrics.counts["duplicate"], 0);
+}
+
 // A peer that gets messages anyway needs no keepalives beside them.
 TEST_F(peer_transport_test, sends_no_keepalive_beside_messages)
 {
