Count refusals for want of the lease once

The label without_lease of apricotlb_call_refusals_total stays (leader_change.counts_refusals_for_want_of_the_lease_apart).

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -190,11 +190,6 @@
         if (!is_leader())
         {
             // A call that is open here stays so: its proposal may be committed.
-            if (is_in_office())
-            {
-                metrics_.count(metric::calls_without_lease,
-                               name_of(kind_of(it.body)));
-            }
             send_refusal(
                 from, it.id,
                 {error_kind::not_leader, "this process is not the leader"},
--- a/src/core/entry/call_table.hpp
+++ b/src/core/entry/call_table.hpp
@@ -28,9 +28,6 @@
     "apricotlb_unanswered_calls_total";
 /// Copies of calls that are open at the leader.
 inline constexpr std::string_view call_copies = "apricotlb_call_copies_total";
-/// Calls that a leader in office has refused since it held no lease.
-inline constexpr std::string_view calls_without_lease =
-    "apricotlb_calls_without_lease_total";
 /// Cancels of workflows at the leader.
 inline constexpr std::string_view cancels = "apricotlb_cancels_total";
 } // namespace metric
