Hand over an office that holds its lease too little

A leader resigned after 2 s without a majority, or 4 s without one moment of lease, so that a lease held for a moment in each 4 s kept the office, although other members were well.

Change: a leader that had no lease for a quarter of the last 4 s hands its office over to a voter with a complete log that would have had the lease for 97.5 % of them. Once the leader asks, voters measure that by probes among each other, and send the leader their result only if they are well. A leader that cannot be replaced, since the others form no majority, does not ask. It gives up its lease first; then the successor stands without a pre-vote (timeout_now), and voters that follow the old leader do not wait for the end of its lease. The old leader stands for election 2 s later than others. The new messages are at the end of the variant, and an ordinary request for votes is encoded as before; earlier programs drop the new messages as malformed, and elect as before.

--- a/bench/election_bench.cpp
+++ b/bench/election_bench.cpp
@@ -47,6 +47,31 @@
     return it.play(play_time);
 }
 
+/// All members run, and all links lose packets.
+auto play_lossy_links(std::uint64_t seed, double loss) -> election_report
+{
+    election_world it{voter_count, seed};
+    for (std::size_t n = 0; n < voter_count; ++n)
+    {
+        it.start(n);
+        it.set_loss(n, loss);
+    }
+    return it.play(play_time);
+}
+
+/// All members run; the links of the first leader lose packets from then on.
+auto play_lossy_leader(std::uint64_t seed, double loss) -> election_report
+{
+    election_world it{voter_count, seed};
+    for (std::size_t n = 0; n < voter_count; ++n)
+    {
+        it.start(n);
+    }
+    it.play(seconds{5});
+    it.set_loss(it.lease_holder().value_or(0), loss);
+    return it.play(play_time);
+}
+
 enum class leader_fault
 {
     crash,
@@ -147,6 +172,20 @@
               [share](std::uint64_t seed)
               { return play_lossy_member(seed, share); });
     }
+    for (auto const loss : {5, 10, 20, 40})
+    {
+        auto const share = loss / 100.0;
+        print("all links, loss " + std::to_string(loss) + " %", seeds,
+              [share](std::uint64_t seed)
+              { return play_lossy_links(seed, share); });
+    }
+    for (auto const loss : {20, 40})
+    {
+        auto const share = loss / 100.0;
+        print("first leader, loss " + std::to_string(loss) + " %", seeds,
+              [share](std::uint64_t seed)
+              { return play_lossy_leader(seed, share); });
+    }
     auto const play = [seeds](std::string const& name, leader_fault fault)
     {
         print(name, seeds,
--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -36,6 +36,8 @@
         return "removed";
     case office_end::disk_full:
         return "disk_full";
+    case office_end::handed_over:
+        return "handed_over";
     case office_end::resigned:
         break;
     }
@@ -137,11 +139,16 @@
     last_tick_ = now;
     if (role_ == raft_role::leader)
     {
+        reach_.update(now, lease_until());
         if (now >= quorum_deadline())
         {
             become_follower(now, term_and_vote_.current, std::nullopt,
                             office_end::no_majority);
         }
+        else if (auto const successor = find_successor(now))
+        {
+            hand_over(now, *successor);
+        }
         else if (last_lease_ = has_lease(now) ? now : last_lease_;
                  now >= lease_deadline())
         {
@@ -151,6 +158,13 @@
         else if (now >= next_heartbeat_)
         {
             send_heartbeats(now);
+            if (now >= next_reach_request_ &&
+                reach_.without_lease(now) >= max_unmeasured_time &&
+                others_may_agree(now))
+            {
+                next_reach_request_ = now + reach_interval;
+                send_probes(now);
+            }
         }
     }
     else if (now >= election_deadline_)
@@ -163,6 +177,10 @@
             start_pre_vote(now);
         }
     }
+    else if (trial_ && now >= trial_->next_probe)
+    {
+        continue_trial(now);
+    }
     return take_actions();
 }
 
@@ -170,7 +188,8 @@
 {
     if (role_ != raft_role::leader)
     {
-        return election_deadline_;
+        return trial_ ? std::min(election_deadline_, trial_->next_probe)
+                      : election_deadline_;
     }
     auto const next =
         std::min({next_heartbeat_, quorum_deadline(), lease_deadline()});
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -3,13 +3,15 @@
 ///
 /// The class raft performs no I/O and reads no clock: each call takes the
 /// current time and returns the actions for the driver. raft.cpp implements
-/// the public interface; raft_election.cpp, raft_leader.cpp and
-/// raft_follower.cpp implement the handling of messages.
+/// the public interface; raft_election.cpp, raft_leader.cpp,
+/// raft_follower.cpp and raft_succession.cpp implement the handling of
+/// messages.
 #ifndef APRICOTLB_CORE_LOG_RAFT_HPP
 #define APRICOTLB_CORE_LOG_RAFT_HPP
 
 #include "core/log/raft_log.hpp"
 #include "core/log/raft_messages.hpp"
+#include "core/log/reach_meter.hpp"
 #include "core/random.hpp"
 
 #include <apricotlb/config.hpp>
@@ -51,6 +53,7 @@
     removed,     ///< the group has removed this member
     disk_full,
     resigned,
+    handed_over, ///< to a member that would hold the lease for longer
 };
 
 [[nodiscard]] auto name_of(office_end it) -> std::string_view;
@@ -138,6 +141,26 @@
     /// run out.
     static constexpr duration max_time_without_lease = seconds{4};
 
+    /// A leader that had no lease for this share of the last seconds hands its
+    /// office over to a voter that would have had it for nearly all of them.
+    /// Where all links are alike, so are the voters: a change of leader gains
+    /// nothing there, and stops the service.
+    static constexpr permille min_share_without_lease{250};
+    static constexpr permille max_successor_share{25};
+    /// From this time without a lease in the window on, voters measure whether
+    /// they would have one.
+    static constexpr duration max_unmeasured_time = milliseconds{500};
+    /// Voters measure for this long after they were last asked to: what the
+    /// leader sends may stall.
+    static constexpr duration measuring_time = reach_meter::window;
+    /// Time between two requests to measure, and between two results.
+    static constexpr duration reach_interval = seconds{1};
+    /// For how long the result of a voter counts.
+    static constexpr duration result_validity = seconds{2};
+    /// A leader that has handed over stands for election this much later than
+    /// others, so that the two do not trade offices.
+    static constexpr duration hand_over_back_off = seconds{2};
+
     /// Handles expired timeouts. random determines the next election timeout.
     auto tick(time_point now, random_bits random) -> raft_actions;
     /// The time at which tick is due next.
@@ -234,6 +257,22 @@
         /// replicates all entries that the log had at the start of a round.
         log_index round_end;
         time_point round_start{};
+        /// What the peer has measured as a possible successor, and when it
+        /// said so.
+        duration measured{};
+        duration without_lease{};
+        time_point measured_at{};
+    };
+
+    /// A follower measures whether it would have the lease as the leader.
+    struct reach_trial
+    {
+        reach_meter meter;
+        time_point ends_at{};
+        time_point next_probe{};
+        time_point next_report{};
+        /// When the newest probe that each voter has answered was sent.
+        std::map<node_id, time_point> answered;
     };
 
     /// A snapshot that has been received in part.
@@ -245,7 +284,9 @@
 
     // raft_election.cpp
     auto start_pre_vote(time_point now) -> void;
-    auto start_election(time_point now) -> void;
+    auto start_election(time_point now,
+                        std::optional<node_id> const& handed_over_by = {})
+        -> void;
     auto become_leader(time_point now) -> void;
     auto become_follower(time_point now, term in_term,
                          std::optional<node_id> leader,
@@ -258,6 +299,28 @@
     auto handle(time_point now, node_id const& from, vote_answer const& answer)
         -> void;
     [[nodiscard]] auto must_refuse_votes(time_point now) const -> bool;
+    /// True if the leader that this voter follows has given up its lease in
+    /// favour of the candidate.
+    [[nodiscard]] auto is_released(request_vote const& request) const -> bool;
+
+    // raft_succession.cpp
+    auto handle(time_point now, node_id const& from, reach_probe const& probe)
+        -> void;
+    auto handle(time_point now, node_id const& from, reach_answer const& answer)
+        -> void;
+    auto handle(time_point now, node_id const& from, timeout_now const& request)
+        -> void;
+    /// Sends a probe to all voters but this member and the leader that it
+    /// follows.
+    auto send_probes(time_point now) -> void;
+    auto continue_trial(time_point now) -> void;
+    /// True if a majority answers without this leader: nobody could have the
+    /// lease without it otherwise.
+    [[nodiscard]] auto others_may_agree(time_point now) const -> bool;
+    /// The voter to hand the office over to, if that is due.
+    [[nodiscard]] auto find_successor(time_point now) const
+        -> std::optional<node_id>;
+    auto hand_over(time_point now, node_id const& successor) -> void;
 
     // raft_leader.cpp
     auto handle(time_point now, node_id const& from,
@@ -287,7 +350,7 @@
     auto promote_if_caught_up(time_point now, node_id const& id, peer& follower)
         -> void;
     /// The latest time that a majority of the voters has reached. time_of
-    /// returns the time of a peer; own is that of this member.
+    /// returns the time of another voter; own is that of this member.
     template <class TimeOf>
     [[nodiscard]] auto majority_time(time_point own, TimeOf time_of) const
         -> time_point;
@@ -298,6 +361,8 @@
     /// When the lease ends unless more answers arrive; time_point::min()
     /// without a majority.
     [[nodiscard]] auto lease_end() const -> time_point;
+    /// When the lease would end that the answers to trial_ would give.
+    [[nodiscard]] auto trial_lease_end() const -> time_point;
     [[nodiscard]] auto quorum_deadline() const -> time_point;
     [[nodiscard]] auto lease_deadline() const -> time_point;
 
@@ -341,12 +406,15 @@
     std::set<node_id> pre_votes_;
     std::set<node_id> votes_; ///< in the current term
     std::optional<incoming_snapshot> incoming_;
+    std::optional<reach_trial> trial_; ///< of a follower
 
     // Used on the leader only, except durable_index_.
     std::map<node_id, peer> peers_;
     time_point leader_since_{};
     time_point last_tick_{};
     time_point last_lease_{}; ///< when this leader was last seen to hold it
+    reach_meter reach_;       ///< of this office
+    time_point next_reach_request_{};
     duration longest_round_trip_{};
     std::optional<ended_office> ended_office_;
     time_point next_heartbeat_{};
--- a/src/core/log/raft_election.cpp
+++ b/src/core/log/raft_election.cpp
@@ -27,9 +27,17 @@
            now < last_leader_contact_ + config::election_timeout_min;
 }
 
+auto raft::is_released(request_vote const& request) const -> bool
+{
+    return request.handed_over_by && role_ != raft_role::leader &&
+           request.in_term == term_and_vote_.current + term{1} &&
+           (!leader_ || *leader_ == *request.handed_over_by);
+}
+
 auto raft::start_pre_vote(time_point now) -> void
 {
     role_ = raft_role::pre_candidate;
+    trial_.reset();
     pre_votes_ = {self_};
     if (pre_votes_.size() >= quorum())
     {
@@ -41,14 +49,16 @@
         if (member.role == member_role::voter && member.id != self_)
         {
             send(member.id, request_vote{term_and_vote_.current + term{1}, true,
-                                         log_.last()});
+                                         log_.last(), std::nullopt});
         }
     }
 }
 
-auto raft::start_election(time_point now) -> void
+auto raft::start_election(time_point now,
+                          std::optional<node_id> const& handed_over_by) -> void
 {
     role_ = raft_role::candidate;
+    trial_.reset();
     election_deadline_ = now + election_timeout_;
     ++term_and_vote_.current;
     term_and_vote_.vote = self_;
@@ -66,8 +76,9 @@
     {
         if (member.role == member_role::voter && member.id != self_)
         {
-            send_after_sync(member.id, request_vote{term_and_vote_.current,
-                                                    false, log_.last()});
+            send_after_sync(member.id,
+                            request_vote{term_and_vote_.current, false,
+                                         log_.last(), handed_over_by});
         }
     }
 }
@@ -78,6 +89,8 @@
     leader_ = self_;
     leader_since_ = now;
     last_lease_ = now;
+    reach_ = reach_meter{now};
+    trial_.reset();
     peers_.clear();
     update_peers(now);
     first_index_of_term_ = add_entry(entry_kind::noop, {}, {});
@@ -100,6 +113,7 @@
     }
     role_ = raft_role::follower;
     leader_ = std::move(leader);
+    trial_.reset();
     peers_.clear();
     pre_votes_.clear();
     votes_.clear();
@@ -132,7 +146,8 @@
     };
     // Refused without adopting the higher term: a member that was partitioned
     // off must not depose a leader that is in contact with the others.
-    if (must_refuse_votes(now) || !is_writable_ ||
+    auto const must_refuse = must_refuse_votes(now) && !is_released(request);
+    if (must_refuse || !is_writable_ ||
         request.in_term < term_and_vote_.current)
     {
         answer(false);
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -166,6 +166,7 @@
         longest_round_trip_ = std::max(longest_round_trip_, now - newest);
     }
     last_lease_ = has_lease(now) ? now : last_lease_;
+    reach_.update(now, lease_until());
     return &follower;
 }
 
@@ -336,10 +337,7 @@
     {
         if (member.role == member_role::voter)
         {
-            auto const found = peers_.find(member.id);
-            times.push_back(member.id == self_      ? own
-                            : found != peers_.end() ? time_of(found->second)
-                                                    : time_point::min());
+            times.push_back(member.id == self_ ? own : time_of(member.id));
         }
     }
     std::ranges::sort(times, std::greater{});
@@ -348,9 +346,30 @@
 
 auto raft::lease_end() const -> time_point
 {
-    auto const since = majority_time(
-        time_point::max() - config::leader_lease, [](peer const& it)
-        { return it.acked_send_time.value_or(time_point{time_point::min()}); });
+    auto const since =
+        majority_time(time_point::max() - config::leader_lease,
+                      [this](node_id const& id)
+                      {
+                          auto const found = peers_.find(id);
+                          return found == peers_.end()
+                                     ? time_point::min()
+                                     : found->second.acked_send_time.value_or(
+                                           time_point{time_point::min()});
+                      });
+    return since == time_point::min() ? since : since + config::leader_lease;
+}
+
+auto raft::trial_lease_end() const -> time_point
+{
+    auto const since = majority_time(time_point::max() - config::leader_lease,
+                                     [this](node_id const& id)
+                                     {
+                                         auto const found =
+                                             trial_->answered.find(id);
+                                         return found == trial_->answered.end()
+                                                    ? time_point::min()
+                                                    : found->second;
+                                     });
     return since == time_point::min() ? since : since + config::leader_lease;
 }
 
@@ -383,10 +402,14 @@
 {
     auto const since = majority_time(
         own,
-        [this](peer const& it)
+        [this](node_id const& id)
         {
-            return std::max(it.acked_send_time.value_or(leader_since_),
-                            leader_since_);
+            auto const found = peers_.find(id);
+            return found == peers_.end()
+                       ? time_point::min()
+                       : std::max(found->second.acked_send_time.value_or(
+                                      leader_since_),
+                                  leader_since_);
         });
     return std::max(since, leader_since_);
 }
--- a/src/core/log/raft_messages.hpp
+++ b/src/core/log/raft_messages.hpp
@@ -7,6 +7,7 @@
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -135,15 +136,23 @@
     term in_term;
     bool is_pre_vote{false};
     log_position last; ///< last entry of the candidate's log
+    /// The leader of the term before, which has given up its lease and office
+    /// to this candidate. Voters need not wait for the end of its lease.
+    std::optional<node_id> handed_over_by{};
 
     static constexpr auto fields()
     {
         return field_list(field("term", &request_vote::in_term),
                           field("pre", &request_vote::is_pre_vote),
-                          field("last", &request_vote::last));
+                          field("last", &request_vote::last),
+                          field("by", &request_vote::handed_over_by));
     }
 };
 
+/// Earlier programs neither send nor read it.
+template <>
+inline constexpr std::size_t optional_fields<request_vote> = 1;
+
 /// A granted pre-vote contains the term of the request; every other answer
 /// contains the current term of the voter.
 struct vote_answer
@@ -240,11 +249,55 @@
     }
 };
 
+/// From a follower to another one: asks for an answer at once, to measure
+/// whether the sender would have the lease as the leader. From the leader: asks
+/// to measure this. To the leader: the result.
+struct reach_probe
+{
+    term in_term;
+    time_point sent_at;       ///< on the sender's clock; the answer returns it
+    duration measured{};      ///< in a result: how long the sender has measured
+    duration without_lease{}; ///< of it, the time without answers for a lease
+
+    static constexpr auto fields()
+    {
+        return field_list(field("term", &reach_probe::in_term),
+                          field("sent_at", &reach_probe::sent_at),
+                          field("measured", &reach_probe::measured),
+                          field("without", &reach_probe::without_lease));
+    }
+};
+
+struct reach_answer
+{
+    term in_term;
+    time_point sent_at; ///< of the probe
+
+    static constexpr auto fields()
+    {
+        return field_list(field("term", &reach_answer::in_term),
+                          field("sent_at", &reach_answer::sent_at));
+    }
+};
+
+/// The leader of this term has given up its lease and its office. The receiver
+/// stands for election at once.
+struct timeout_now
+{
+    term in_term;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("term", &timeout_now::in_term));
+    }
+};
+
 /// The order of the alternatives is part of the protocol: add new ones at the
 /// end.
 using raft_message =
     std::variant<request_vote, vote_answer, append_entries,
-                 append_entries_answer, install_snapshot, snapshot_answer>;
+                 append_entries_answer, install_snapshot, snapshot_answer,
+                 reach_probe, reach_answer, timeout_now>;
 
 } // namespace apricotlb
 
