Dial a direction anew that passes nothing

Each direction between two processes has a connection of its own. Whoever heard nothing for 1 s dialled its own direction anew, not the one that was dead; the sender heard its peer well, and went on writing into a connection whose bytes ended in a proxy or in a full buffer. Answers to one entry, or orders through one relay, could be missing for as long as TCP kept it open.

A keepalive tells the peer the highest number that was received from its present life, every 0.5 s beside messages. A process that hears a peer, and has no acknowledgement of what it sent 1.5 s ago, dials anew (`unacknowledged` of apricotlb_peer_reconnects_total); its present connection stays in use until the fresh one is ready. Programs that read acknowledgements number from 2^62 + 2^61, as those that read batches number from 2^62; earlier ones get the empty keepalive, and nothing is expected of them. A line `unacknowledged` a second names the peers that are late by over 1 s.

Failed before: peer_transport_test.dials_anew_a_direction_that_passes_nothing (no further connection in 12 s).

--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -83,6 +83,21 @@
                       {"longest_delay_ms", to_ms(replica.longest_delay)}});
 }
 
+auto log_lags(std::vector<peer_lag> const& all) -> void
+{
+    if (all.empty())
+    {
+        return;
+    }
+    std::string peers;
+    for (auto const& it : all)
+    {
+        peers += peers.empty() ? "" : " ";
+        peers += it.id.value() + "=" + std::to_string(to_ms(it.age));
+    }
+    load_logger.info("unacknowledged", {{"peers", peers}});
+}
+
 auto log_increments(std::vector<counter_increment> const& all) -> void
 {
     constexpr std::string_view prefix = "apricotlb_";
--- a/src/app/load_log.hpp
+++ b/src/app/load_log.hpp
@@ -5,6 +5,7 @@
 #include "adapters/log.hpp"
 #include "adapters/loop_meter.hpp"
 #include "adapters/metrics.hpp"
+#include "app/peer_transport.hpp"
 #include "app/replica.hpp"
 #include "ports/clock.hpp"
 
@@ -67,6 +68,41 @@
     timer_id timer_;
 };
 
+/// Logs the peers that have not acknowledged what was sent to them.
+auto log_lags(std::vector<peer_lag> const& all) -> void;
+
+/// Writes the line `unacknowledged` every config::load_report_interval while a
+/// peer is late.
+template <clock_port Clock, class Transport>
+class lag_log
+{
+public:
+    lag_log(Clock& clock, Transport const& transport)
+        : clock_(clock), transport_(transport)
+    {
+        arm();
+    }
+    lag_log(lag_log const&) = delete;
+    auto operator=(lag_log const&) -> lag_log& = delete;
+    ~lag_log() { clock_.cancel_timer(timer_); }
+
+private:
+    auto arm() -> void
+    {
+        timer_ = clock_.start_timer(
+            config::load_report_interval,
+            [this]
+            {
+                arm();
+                log_lags(transport_.lags(config::peer_timeout));
+            });
+    }
+
+    Clock& clock_;
+    Transport const& transport_;
+    timer_id timer_;
+};
+
 /// Writes the line `counts` every config::load_report_interval.
 template <clock_port Clock, class Metrics>
 class counts_log
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -19,6 +19,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -58,6 +59,41 @@
 /// Envelopes of a process that reads batches have numbers above this one.
 /// Earlier programs number from 1, drop batches and accept any number.
 inline constexpr sequence batch_numbers_begin{std::uint64_t{1} << 62U};
+/// Version of an envelope whose body is an acknowledgement.
+inline constexpr std::uint32_t acknowledgement_version =
+    config::protocol_version + 2;
+/// Envelopes of a process that reads acknowledgements have numbers above this
+/// one, which is above batch_numbers_begin.
+inline constexpr sequence acknowledgement_numbers_begin{
+    batch_numbers_begin.value() + (std::uint64_t{1} << 61U)};
+/// Received messages are acknowledged at least this often.
+inline constexpr duration acknowledgement_interval = milliseconds{500};
+/// Time without an acknowledgement after which the connection to a peer that
+/// is heard from is opened again: each direction has a connection of its own,
+/// and one that ends in a proxy takes all that is written.
+inline constexpr duration acknowledgement_timeout =
+    config::peer_timeout + acknowledgement_interval;
+
+/// The highest number that was received from one life of a process.
+struct acknowledgement
+{
+    incarnation run;
+    sequence number;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("run", &acknowledgement::run),
+                          field("number", &acknowledgement::number));
+    }
+};
+
+/// Age of the oldest message that a peer has not acknowledged.
+struct peer_lag
+{
+    node_id id;
+    duration age{};
+};
+
 /// Bytes of message bodies in one batch; a larger body is sent by itself.
 inline constexpr std::size_t max_batch_bytes = 64 * config::kib;
 
@@ -166,6 +202,21 @@
         }
     }
 
+    /// The peers that have not acknowledged a message of at least this age.
+    [[nodiscard]] auto lags(duration at_least) const -> std::vector<peer_lag>
+    {
+        std::vector<peer_lag> out;
+        auto const now = clock_.now();
+        for (auto const& [id, it] : peers_)
+        {
+            if (it.awaited && now - it.awaited_since >= at_least)
+            {
+                out.push_back({id, now - it.awaited_since});
+            }
+        }
+        return out;
+    }
+
     [[nodiscard]] auto address() const -> url const& { return self_.address; }
 
 private:
@@ -181,6 +232,12 @@
         std::vector<std::string> waiting; ///< bodies that this turn sends
         std::size_t waiting_bytes{0};
         bool reads_batches{false};
+        bool reads_acknowledgements{false};
+        /// The oldest message without an acknowledgement, none if all have one.
+        std::optional<sequence> awaited;
+        time_point awaited_since{};
+        sequence acknowledged; ///< number that the peer was told last
+        time_point last_acknowledgement{}; ///< sent to the peer
         bool permanent{false};
     };
 
@@ -282,6 +339,13 @@
         out.body = std::move(body);
         auto const bytes = Codec::encode(out);
         it.last_sent = clock_.now();
+        if (it.reads_acknowledgements && !it.awaited)
+        {
+            it.awaited = out.number;
+            it.awaited_since = it.last_sent;
+        }
+        auto const is_keepalive =
+            out.body.empty() || version == acknowledgement_version;
         auto const is_sent = link_.send(to, auth_.compute_mac(bytes) + bytes);
         for (std::size_t n = 0; n < messages; ++n)
         {
@@ -291,7 +355,39 @@
                 continue;
             }
             metrics_.count(metric::peer_messages,
-                           out.body.empty() ? "keepalive_sent" : "sent");
+                           is_keepalive ? "keepalive_sent" : "sent");
+        }
+    }
+
+    /// Tells the peer what has arrived, if its program reads that.
+    auto send_keepalive(node_id const& to, peer& it) -> void
+    {
+        if (!it.reads_acknowledgements)
+        {
+            send_envelope(to, it, config::protocol_version, {}, 1);
+            return;
+        }
+        it.acknowledged = it.received_numbers.newest();
+        it.last_acknowledgement = clock_.now();
+        send_envelope(to, it, acknowledgement_version,
+                      Codec::encode(acknowledgement{it.run, it.acknowledged}),
+                      1);
+    }
+
+    auto take_acknowledgement(envelope const& from) -> void
+    {
+        auto const got = Codec::template decode<acknowledgement>(from.body);
+        if (got.has_error())
+        {
+            metrics_.count("apricotlb_peer_drops_total", "malformed");
+            return;
+        }
+        metrics_.count(metric::peer_messages, "keepalive_received");
+        auto& it = peers_[from.from];
+        if (it.awaited && got.value().run == self_.run &&
+            got.value().number >= *it.awaited)
+        {
+            it.awaited.reset();
         }
     }
 
@@ -313,7 +409,8 @@
         }
         auto it = std::move(got).value();
         if (it.version != config::protocol_version &&
-            it.version != batch_version)
+            it.version != batch_version &&
+            it.version != acknowledgement_version)
         {
             metrics_.count("apricotlb_peer_drops_total", "version");
             return;
@@ -323,6 +420,11 @@
             metrics_.count("apricotlb_peer_drops_total", "duplicate");
             return;
         }
+        if (it.version == acknowledgement_version)
+        {
+            take_acknowledgement(it);
+            return;
+        }
         if (it.version != batch_version)
         {
             take_body(it.from, it.body);
@@ -381,6 +483,11 @@
             return false;
         }
         from.reads_batches = it.number > batch_numbers_begin;
+        from.reads_acknowledgements = it.number > acknowledgement_numbers_begin;
+        if (!from.reads_acknowledgements)
+        {
+            from.awaited.reset();
+        }
         from.last_contact = clock_.now();
         if (from.address != it.reply_to)
         {
@@ -389,11 +496,19 @@
         return true;
     }
 
+    static auto is_acknowledgement_due(peer const& it, time_point now) -> bool
+    {
+        return it.reads_acknowledgements &&
+               it.acknowledged != it.received_numbers.newest() &&
+               now - it.last_acknowledgement >= acknowledgement_interval;
+    }
+
     auto check_peers() -> void
     {
         auto const now = clock_.now();
         std::vector<node_id> expired;
         std::vector<node_id> silent;
+        std::vector<node_id> unacknowledged;
         std::vector<node_id> idle;
         for (auto const& [id, it] : peers_)
         {
@@ -407,7 +522,13 @@
             {
                 silent.push_back(id);
             }
-            if (now - it.last_sent >= config::keepalive_interval)
+            else if (it.awaited && now - std::max(it.awaited_since, it.opened) >
+                                       acknowledgement_timeout)
+            {
+                unacknowledged.push_back(id);
+            }
+            if (now - it.last_sent >= config::keepalive_interval ||
+                is_acknowledgement_due(it, now))
             {
                 idle.push_back(id);
             }
@@ -417,13 +538,18 @@
             metrics_.count("apricotlb_peer_reconnects_total", "silent");
             dial(id, url{peers_[id].address});
         }
+        for (auto const& id : unacknowledged)
+        {
+            metrics_.count("apricotlb_peer_reconnects_total", "unacknowledged");
+            dial(id, url{peers_[id].address});
+        }
         for (auto const& id : idle)
         {
             auto& it = peers_[id];
             // With a message waiting for this turn's end it is not idle.
-            if (it.waiting.empty())
+            if (it.waiting.empty() || is_acknowledgement_due(it, now))
             {
-                send_envelope(id, it, config::protocol_version, {}, 1);
+                send_keepalive(id, it);
             }
         }
         for (auto const& id : expired)
@@ -446,7 +572,7 @@
     bool is_flush_due_{false};
     /// Numbers to a new peer follow the highest one to any, so that they stay
     /// unique for a peer that is removed and added again.
-    sequence highest_number_{batch_numbers_begin};
+    sequence highest_number_{acknowledgement_numbers_begin};
     timer_id timer_;
     timer_id flush_timer_;
 };
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -303,6 +303,105 @@
     EXPECT_EQ(metrics.counts["duplicate"], 0);
 }
 
+// Each direction has its own connection. The sender heard its peer well, and
+// wrote for ever into a connection whose bytes ended in a proxy.
+TEST_F(peer_transport_test, dials_anew_a_direction_that_passes_nothing)
+{
+    a.add_peer(node_id{"b"}, url{"tcp://b"});
+    b.add_peer(node_id{"a"}, url{"tcp://a"});
+    auto swallowing = false;
+    std::size_t opened = 0;
+    auto const run = [&](duration d)
+    {
+        for (auto const end = clock.now() + d; clock.now() < end;)
+        {
+            clock.advance(milliseconds{10});
+            if (a_link.opened.size() != opened)
+            {
+                swallowing = false; // the fresh connection works
+            }
+            for (auto const& bytes : std::exchange(a_link.sent, {}))
+            {
+                if (!swallowing)
+                {
+                    b_link.receive(bytes);
+                }
+            }
+            for (auto const& bytes : std::exchange(b_link.sent, {}))
+            {
+                a_link.receive(bytes);
+            }
+        }
+    };
+    run(seconds{5});
+    opened = a_link.opened.size();
+    ASSERT_EQ(opened, 1U);
+    swallowing = true;
+    run(acknowledgement_timeout + 2 * config::keepalive_interval);
+    EXPECT_EQ(a_link.opened.size(), opened + 1);
+    EXPECT_EQ(metrics.counts["unacknowledged"], 1);
+    run(seconds{10});
+    EXPECT_EQ(a_link.opened.size(), opened + 1);
+    EXPECT_TRUE(a.lags(config::peer_timeout).empty());
+}
+
+// Acknowledgements beside messages must not become the load of a leader with
+// many peers.
+TEST_F(peer_transport_test, sends_few_acknowledgements_beside_messages)
+{
+    exchange_keepalives();
+    metrics.counts.clear();
+    auto const start = clock.now();
+    while (clock.now() - start < seconds{10})
+    {
+        a.send(node_id{"b"}, message);
+        b.send(node_id{"a"}, message);
+        clock.advance(milliseconds{100});
+        for (auto const& bytes : std::exchange(a_link.sent, {}))
+        {
+            b_link.receive(bytes);
+        }
+        for (auto const& bytes : std::exchange(b_link.sent, {}))
+        {
+            a_link.receive(bytes);
+        }
+    }
+    EXPECT_LE(metrics.counts["keepalive_sent"],
+              2 * (seconds{10} / acknowledgement_interval));
+    EXPECT_EQ(metrics.counts["unacknowledged"], 0);
+}
+
+// During a rolling upgrade, a process of an earlier program drops an
+// acknowledgement, and sends none.
+TEST_F(peer_transport_test, expects_and_sends_no_acknowledgement_of_earlier)
+{
+    a.add_peer(node_id{"b"}, url{"tcp://b"});
+    for (auto n = 0; n < 20; ++n)
+    {
+        envelope earlier;
+        earlier.from = node_id{"b"};
+        earlier.to = node_id{"a"};
+        earlier.run = incarnation{1};
+        // A program that reads no batches is replaced by one that does.
+        earlier.number = sequence{(n < 10 ? 0 : batch_numbers_begin.value()) +
+                                  1U + static_cast<std::uint64_t>(n)};
+        earlier.reply_to = url{"tcp://b"};
+        auto const bytes = msgpack_codec::encode(earlier);
+        a_link.receive(auth.compute_mac(bytes) + bytes);
+        a.send(node_id{"b"}, message);
+        clock.advance(milliseconds{400});
+    }
+    EXPECT_EQ(a_link.opened.size(), 1U);
+    EXPECT_GT(metrics.counts["keepalive_sent"], 0);
+    for (auto const& sent : a_link.sent)
+    {
+        auto const it = open_envelope(sent);
+        EXPECT_EQ(it.version, config::protocol_version);
+        EXPECT_TRUE(it.body.empty() ||
+                    it.body == msgpack_codec::encode(message));
+    }
+}
+
 // A peer that gets messages anyway needs no keepalives beside them.
 TEST_F(peer_transport_test, sends_no_keepalive_beside_messages)
 {
