Sync the log without keeping the loop waiting

The log store port has start_sync, the file port start_append. posix_files carries it out with libuv's file operations on one thread of the library, whose callbacks a GLib source runs on the loop's thread. A replica has one sync in progress; its messages wait for the sync that covers them, and the next one starts when it ends. A leader goes on sending entries meanwhile.

Pacing by max_sync_share now counts only the time for which a sync blocks the loop.

--- a/src/adapters/disk_log.hpp
+++ b/src/adapters/disk_log.hpp
@@ -15,6 +15,8 @@
 #include <apricotlb/result.hpp>
 #include <apricotlb/units.hpp>
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,6 +51,7 @@
     auto save(hard_state const& it) -> void;
     auto append_entries(std::vector<log_entry> const& entries) -> void;
     auto sync() -> result<void>;
+    auto start_sync(std::function<void(result<void>)> done) -> void;
     auto begin_snapshot(raft_snapshot const& it) -> result<void>;
     auto continue_snapshot() -> result<bool>;
     auto save_snapshot(raft_snapshot const& it) -> result<void>;
@@ -68,6 +71,15 @@
         std::size_t done{0};
     };
 
+    /// A frame that is being written, and the state after it.
+    struct started_frame
+    {
+        std::string records;
+        byte_count size;
+        hard_state term_and_vote;
+        log_position last;
+    };
+
     struct segment
     {
         segment_number number;
@@ -89,6 +101,9 @@
     auto write_piece() -> result<bool>;
     auto drop_unfinished() -> void;
     auto write_frame() -> result<void>;
+    /// The frame of all pending records, for the last segment.
+    auto start_frame() -> result<std::string>;
+    auto end_frame(result<void> done) -> result<void>;
     /// Removes what a write without space has left behind.
     auto repair() -> result<void>;
     auto forget() -> void;
@@ -108,12 +123,15 @@
     bool is_torn_{false};
     std::optional<file_path> unfinished_segment_;
     std::string pending_;
+    std::optional<started_frame> started_;
     hard_state hard_;
     log_position last_;
     // The same without what is pending.
     hard_state written_hard_;
     log_position written_;
     std::optional<error> failed_;
+    /// Expires with the log, which a write may outlive.
+    std::shared_ptr<bool> lifetime_{std::make_shared<bool>(true)};
 };
 
 } // namespace apricotlb
--- a/src/adapters/disk_log_impl.hpp
+++ b/src/adapters/disk_log_impl.hpp
@@ -145,8 +145,42 @@
     return pending_.empty() ? outcome::success() : guard(write_frame());
 }
 
+template <file_system_port Files>
+auto disk_log<Files>::start_sync(std::function<void(result<void>)> done) -> void
+{
+    if (failed_ || pending_.empty())
+    {
+        done(failed_ ? result<void>{outcome::failure(*failed_)}
+                     : outcome::success());
+        return;
+    }
+    auto frame = start_frame();
+    if (!frame)
+    {
+        done(guard(outcome::failure(frame.error())));
+        return;
+    }
+    files_.start_append(*file_, std::move(frame).value(),
+                        [this, lifetime = std::weak_ptr{lifetime_},
+                         done = std::move(done)](result<void> written)
+                        {
+                            if (!lifetime.expired())
+                            {
+                                done(guard(end_frame(std::move(written))));
+                            }
+                        });
+}
+
 template <file_system_port Files>
 auto disk_log<Files>::write_frame() -> result<void>
+{
+    BOOST_OUTCOME_TRY(frame, start_frame());
+    auto written = files_.write(*file_, frame);
+    return end_frame(written ? files_.sync(*file_) : std::move(written));
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::start_frame() -> result<std::string>
 {
     if (byte_count{static_cast<std::int64_t>(pending_.size())} > free_space())
     {
@@ -159,18 +193,30 @@
     {
         BOOST_OUTCOME_TRYV(add_segment(written_, false));
     }
-    auto& it = segments_.back();
-    auto const frame = disk_format::make_frame(
+    auto const& it = segments_.back();
+    auto frame = disk_format::make_frame(
         disk_format::frame_kind::records, it.number,
         static_cast<std::size_t>(it.size.value()), pending_);
     is_torn_ = true;
-    BOOST_OUTCOME_TRYV(files_.write(*file_, frame));
-    BOOST_OUTCOME_TRYV(files_.sync(*file_));
+    started_ = started_frame{
+        std::exchange(pending_, {}),
+        byte_count{static_cast<std::int64_t>(frame.size())}, hard_, last_};
+    return frame;
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::end_frame(result<void> done) -> result<void>
+{
+    auto it = *std::exchange(started_, std::nullopt);
+    if (!done)
+    {
+        pending_.insert(0, it.records);
+        return done;
+    }
     is_torn_ = false;
-    it.size += byte_count{static_cast<std::int64_t>(frame.size())};
-    pending_.clear();
-    written_hard_ = hard_;
-    written_ = last_;
+    segments_.back().size += it.size;
+    written_hard_ = std::move(it.term_and_vote);
+    written_ = it.last;
     return outcome::success();
 }
 
@@ -320,8 +366,10 @@
 template <file_system_port Files>
 auto disk_log<Files>::free_space() const -> byte_count
 {
+    auto const buffered =
+        pending_.size() + (started_ ? started_->records.size() : 0);
     return options_.max_disk - used_space() - snapshot_size_ -
-           byte_count{static_cast<std::int64_t>(pending_.size())};
+           byte_count{static_cast<std::int64_t>(buffered)};
 }
 
 } // namespace apricotlb
--- a/src/adapters/disk_log_load.hpp
+++ b/src/adapters/disk_log_load.hpp
@@ -38,6 +38,7 @@
     is_torn_ = false;
     unfinished_segment_.reset();
     pending_.clear();
+    started_.reset();
     hard_ = written_hard_ = {};
     last_ = written_ = {};
 }
--- a/src/adapters/posix_files.cpp
+++ b/src/adapters/posix_files.cpp
@@ -1,13 +1,18 @@
 #include "adapters/posix_files.hpp"
 
+#include "adapters/uv_source.hpp"
+
 #include <cerrno>
 #include <filesystem>
+#include <map>
 #include <system_error>
+#include <utility>
 
 #include <fcntl.h>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
+#include <uv.h>
 
 namespace apricotlb
 {
@@ -40,8 +45,116 @@
     return file_handle{fd};
 }
 
+auto library_error(ssize_t it) -> std::error_code
+{
+    return {static_cast<int>(-it), std::generic_category()};
+}
+
 } // namespace
 
+struct posix_files::operations
+{
+    /// Bytes that are being appended to a file and made durable.
+    struct append
+    {
+        uv_fs_t request{};
+        operations* owner{nullptr};
+        file_handle file;
+        std::string bytes;
+        std::size_t written{0};
+        std::function<void(result<void>)> done;
+        bool is_closed{false}; ///< the file, by the user of this port
+    };
+
+    std::map<file_handle, append> appends;
+    uv_source source; ///< its destructor waits for the appends
+
+    static auto owner_of(uv_fs_t* request) -> append&
+    {
+        return *static_cast<append*>(request->data);
+    }
+
+    static auto start_write(append& it) -> void
+    {
+        auto const buf =
+            uv_buf_init(it.bytes.data() + it.written,
+                        static_cast<unsigned>(it.bytes.size() - it.written));
+        auto const ec = uv_fs_write(
+            it.owner->source.loop(), &it.request, it.file.value(), &buf, 1, -1,
+            [](uv_fs_t* request) { end_write(owner_of(request)); });
+        if (ec != 0)
+        {
+            end(it, failed("write", library_error(ec)));
+        }
+    }
+
+    static auto end_write(append& it) -> void
+    {
+        auto const n = it.request.result;
+        uv_fs_req_cleanup(&it.request);
+        if (n < 0)
+        {
+            end(it, failed("write", library_error(n)));
+            return;
+        }
+        it.written += static_cast<std::size_t>(n);
+        if (it.written < it.bytes.size())
+        {
+            start_write(it);
+            return;
+        }
+        auto const ec = uv_fs_fdatasync(
+            it.owner->source.loop(), &it.request, it.file.value(),
+            [](uv_fs_t* request) { end_sync(owner_of(request)); });
+        if (ec != 0)
+        {
+            end(it, failed("sync", library_error(ec)));
+        }
+    }
+
+    static auto end_sync(append& it) -> void
+    {
+        auto const n = it.request.result;
+        uv_fs_req_cleanup(&it.request);
+        if (n < 0)
+        {
+            end(it, failed("sync", library_error(n)));
+            return;
+        }
+        end(it, outcome::success());
+    }
+
+    static auto end(append& it, result<void> ended) -> void
+    {
+        auto const node = it.owner->appends.extract(it.file);
+        if (node.mapped().is_closed)
+        {
+            ::close(node.key().value());
+            return;
+        }
+        if (node.mapped().done)
+        {
+            node.mapped().done(std::move(ended));
+        }
+    }
+};
+
+posix_files::posix_files()
+{
+    uv_source::limit_threads();
+}
+
+posix_files::~posix_files()
+{
+    if (operations_)
+    {
+        for (auto& [file, it] : operations_->appends)
+        {
+            it.done = {};
+        }
+    }
+}
+
 auto posix_files::make_folder(file_path const& path) -> result<void>
 {
     std::error_code ec;
@@ -168,8 +281,41 @@
     return outcome::success();
 }
 
+auto posix_files::start_append(file_handle file, std::string bytes,
+                               std::function<void(result<void>)> done) -> void
+{
+    if (!operations_)
+    {
+        auto made = std::make_unique<operations>();
+        if (auto opened = made->source.open(); !opened)
+        {
+            done(std::move(opened));
+            return;
+        }
+        operations_ = std::move(made);
+    }
+    auto& it = operations_->appends[file];
+    it.request.data = &it;
+    it.owner = operations_.get();
+    it.file = file;
+    it.bytes = std::move(bytes);
+    it.done = std::move(done);
+    operations::start_write(it);
+}
+
 auto posix_files::close(file_handle file) -> void
 {
+    // The library may use the descriptor on its thread, so that the number
+    // must not be given to another file yet.
+    if (operations_)
+    {
+        auto const found = operations_->appends.find(file);
+        if (found != operations_->appends.end())
+        {
+            found->second.is_closed = true;
+            return;
+        }
+    }
     ::close(file.value());
 }
 
--- a/src/adapters/posix_files.hpp
+++ b/src/adapters/posix_files.hpp
@@ -1,9 +1,12 @@
-/// File system port over POSIX calls.
+/// File system port over POSIX calls, and over libuv for the operations that
+/// the loop does not wait for.
 #ifndef APRICOTLB_ADAPTERS_POSIX_FILES_HPP
 #define APRICOTLB_ADAPTERS_POSIX_FILES_HPP
 
 #include "ports/file_system.hpp"
 
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +17,12 @@
 class posix_files
 {
 public:
+    posix_files();
+    posix_files(posix_files const&) = delete;
+    auto operator=(posix_files const&) -> posix_files& = delete;
+    /// Waits for the operations that were started, and drops their callbacks.
+    ~posix_files();
+
     auto make_folder(file_path const& path) -> result<void>;
     auto lock(file_path const& path) -> result<file_handle>;
     auto list(file_path const& path) -> result<std::vector<std::string>>;
@@ -22,11 +31,17 @@
     auto open(file_path const& path) -> result<file_handle>;
     auto write(file_handle file, std::string_view bytes) -> result<void>;
     auto sync(file_handle file) -> result<void>;
+    auto start_append(file_handle file, std::string bytes,
+                      std::function<void(result<void>)> done) -> void;
     auto truncate(file_handle file, byte_count size) -> result<void>;
     auto close(file_handle file) -> void;
     auto rename(file_path const& from, file_path const& to) -> result<void>;
     auto remove(file_path const& path) -> result<void>;
     auto sync_folder(file_path const& path) -> result<void>;
+
+private:
+    struct operations;
+    std::unique_ptr<operations> operations_; ///< since the first of them
 };
 
 static_assert(file_system_port<posix_files>);
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -20,6 +20,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,7 +32,7 @@
 {
 
 /// Longest time from the end of a sync to the next flush that is due. It
-/// bounds the delay after a sync that took seconds.
+/// bounds the delay after a sync that blocked the loop for seconds.
 inline constexpr duration max_flush_delay = milliseconds{100};
 
 /// Settings of a replica.
@@ -107,7 +108,7 @@
 struct replica_load
 {
     std::int64_t syncs{0};
-    duration sync_time{}; ///< sum; the loop stands still meanwhile
+    duration sync_time{}; ///< sum; the loop goes on meanwhile
     duration longest_sync{};
     /// Largest delay of a heartbeat or of an election timeout.
     duration longest_delay{};
@@ -250,7 +251,8 @@
     auto add_pending(result<log_index> index, std::size_t bytes,
                      completion callback, proposal_origin origin) -> void;
     auto schedule_flush() -> void;
-    [[nodiscard]] auto next_flush() const -> time_point;
+    /// The earliest time of the next flush or sync after the last one.
+    [[nodiscard]] auto pace_after(time_point last) const -> time_point;
     auto flush() -> void;
     auto send_held() -> void;
     auto take_snapshot_if_due() -> void;
@@ -258,7 +260,12 @@
     auto save_piece() -> void;
     auto update_leadership() -> void;
     auto report_role() -> void;
-    auto sync() -> result<void>;
+    /// Starts to make all writes so far durable.
+    auto start_sync() -> void;
+    auto end_sync(result<void> done) -> void;
+    /// Goes on with what a sync or its end has kept back.
+    auto go_on() -> void;
+    auto finish_install() -> result<void>;
     auto fail_pending(error const& it) -> void;
     /// Tells callers that the outcome of their proposals is unknown.
     auto fail_callers() -> void;
@@ -269,7 +276,7 @@
     auto wait_for_space(error const& it) -> void;
     auto arm_retry() -> void;
     auto retry() -> void;
-    auto write_again() -> result<void>;
+    auto keep_waiting_or_fail(error const& it) -> void;
     auto postpone_snapshot(error const& it) -> void;
     auto report(disk_event it, std::string const& cause) -> void;
     auto next_random() -> random_bits;
@@ -297,7 +304,13 @@
     log_index last_unknown_;
     std::deque<log_entry> committed_;              ///< not applied yet
     std::vector<addressed_message> held_messages_; ///< sent after the next sync
-    bool unsynced_{false};
+    /// Sent when the sync in progress has ended.
+    std::vector<addressed_message> syncing_messages_;
+    /// Received while a snapshot waits for the sync in progress.
+    std::vector<std::pair<node_id, raft_message>> waiting_messages_;
+    bool is_syncing_{false};
+    time_point sync_start_{};
+    bool unsynced_{false}; ///< written since the start of the last sync
     bool term_unsynced_{false};
     std::optional<timer_id> flush_timer_;
     time_point flush_due_{}; ///< of flush_timer_
@@ -306,8 +319,8 @@
     std::optional<timer_id> tick_timer_;
     std::optional<timer_id> retry_timer_;
     time_point next_tick_{};
-    time_point last_flush_{}; ///< start of the last flush
-    duration last_sync_time_{};
+    time_point last_flush_{};      ///< start of the last flush
+    duration last_blocked_time_{}; ///< of the loop, by the last sync
     log_index applied_;
     log_index snapshot_;
     std::optional<raft_snapshot> saving_;
@@ -319,6 +332,8 @@
     std::optional<term> leading_term_;
     std::optional<error> failure_;
     std::optional<error> disk_full_; ///< while the disk is full
+    /// Expires with the replica, which the store may outlive.
+    std::shared_ptr<bool> lifetime_{std::make_shared<bool>(true)};
 };
 
 } // namespace apricotlb
--- a/src/app/replica_disk.hpp
+++ b/src/app/replica_disk.hpp
@@ -36,6 +36,7 @@
     }
     disk_full_ = it;
     held_messages_.clear();
+    waiting_messages_.clear();
     if (flush_timer_)
     {
         clock_.cancel_timer(*flush_timer_);
@@ -57,6 +58,10 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::arm_retry() -> void
 {
+    if (retry_timer_)
+    {
+        return;
+    }
     retry_timer_ = clock_.start_timer(config::disk_retry_interval,
                                       [this]
                                       {
@@ -68,49 +73,43 @@
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::write_again() -> result<void>
+auto replica<Clock, Transport, LogStore, Machine>::retry() -> void
 {
-    if (!core_)
+    if (is_syncing_)
     {
-        return open();
+        arm_retry();
+        return;
     }
-    if (installing_)
+    if (core_ && !installing_)
     {
-        BOOST_OUTCOME_TRYV(store_.install(*installing_));
-        installing_.reset();
-        return outcome::success();
+        start_sync();
+        return;
     }
-    return sync();
+    if (auto const done = core_ ? finish_install() : open(); !done)
+    {
+        keep_waiting_or_fail(done.error());
+        return;
+    }
+    go_on();
 }
 
+/// After a write has failed.
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::retry() -> void
+auto replica<Clock, Transport, LogStore, Machine>::keep_waiting_or_fail(
+    error const& it) -> void
 {
-    auto const done = write_again();
-    if (!done && done.error().kind != error_kind::disk_full)
+    if (!disk_full_ || it.kind != error_kind::disk_full)
     {
-        stop(done.error());
+        handle_failure(it);
         return;
     }
-    if (!done)
+    arm_retry();
+    if (core_)
     {
-        arm_retry();
-        if (core_)
-        {
-            take_snapshot_if_due();
-        }
-        return;
+        take_snapshot_if_due();
     }
-    disk_full_.reset();
-    unsynced_ = false;
-    term_unsynced_ = false;
-    report(disk_event::writable, {});
-    core_->sync_started();
-    perform(core_->persisted(clock_.now()));
-    perform(core_->set_writable(clock_.now(), true));
-    take_snapshot_if_due();
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -128,8 +127,8 @@
                         bytes_since_snapshot_ >= options_.snapshot_bytes ||
                         is_snapshot_postponed_ || frees_space;
     auto const is_useless = disk_full_ && !is_low;
-    if (failure_ || saving_ || installing_ || !is_due || is_useless ||
-        now < next_snapshot_)
+    if (failure_ || is_syncing_ || saving_ || installing_ || !is_due ||
+        is_useless || now < next_snapshot_)
     {
         return;
     }
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -202,6 +202,17 @@
         take_snapshot_if_due();
         return;
     }
+    // The store takes no entries behind a snapshot that it has not installed.
+    auto const* const append = std::get_if<append_entries>(&message);
+    auto const has_entries = append != nullptr && !append->entries.empty();
+    if (installing_ && !disk_full_ && has_entries)
+    {
+        if (waiting_messages_.size() < config::max_inflight_appends)
+        {
+            waiting_messages_.emplace_back(from, std::move(message));
+        }
+        return;
+    }
     perform(core_->receive(clock_.now(), from, std::move(message)));
 }
 
@@ -222,6 +233,7 @@
         store_.append_entries(actions.entries_to_persist);
         unsynced_ = true;
     }
+    unsynced_ = unsynced_ || actions.install;
     for (auto const& it : actions.messages)
     {
         transport_.send(it.to, it.message);
@@ -230,8 +242,10 @@
     // members repeat theirs.
     if (!disk_full_)
     {
-        held_messages_.insert(
-            held_messages_.end(),
+        auto& held =
+            is_syncing_ && !unsynced_ ? syncing_messages_ : held_messages_;
+        held.insert(
+            held.end(),
             std::make_move_iterator(actions.messages_after_sync.begin()),
             std::make_move_iterator(actions.messages_after_sync.end()));
     }
@@ -252,11 +266,11 @@
     {
         apply_committed();
     }
-    if (!unsynced_)
+    if (!unsynced_ && !is_syncing_)
     {
         send_held();
     }
-    else if (!disk_full_)
+    else if (unsynced_ && !disk_full_)
     {
         schedule_flush();
     }
@@ -282,16 +296,30 @@
     applied_ = it.info.last.index;
     snapshot_ = applied_;
     bytes_since_snapshot_ = 0;
-    if (auto const done = store_.install(it); !done)
+    installing_ = it;
+    if (is_syncing_)
     {
-        installing_ = it;
-        handle_failure(done.error());
         return;
     }
+    if (auto const done = finish_install(); !done)
+    {
+        handle_failure(done.error());
+    }
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::finish_install()
+    -> result<void>
+{
+    BOOST_OUTCOME_TRYV(store_.install(*installing_));
+    installing_.reset();
     unsynced_ = false;
     term_unsynced_ = false;
     core_->sync_started();
     (void)core_->persisted(clock_.now()); // no actions on a follower
+    return outcome::success();
 }
 
 /// After a restart the first leader commits all entries since the last snapshot
@@ -352,7 +380,13 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::schedule_flush() -> void
 {
-    auto const next = next_flush();
+    // The end of the sync in progress schedules the next one. Until then a
+    // flush sends the entries of a leader.
+    if (is_syncing_ && core_->role() != raft_role::leader)
+    {
+        return;
+    }
+    auto const next = pace_after(last_flush_);
     if (flush_timer_ && flush_due_ <= next)
     {
         return;
@@ -372,30 +406,30 @@
 }
 
 /// A leader under load collects the proposals of config::group_commit_interval
-/// into one message to each follower and one sync. The loop stands still during
-/// a sync, so every replica leaves the rest of the time to other work. Votes
-/// and new terms are not delayed: an election waits for them.
+/// into one message to each follower and one sync. If the sync blocks the loop,
+/// every replica leaves the rest of the time to other work. Votes and new terms
+/// are not delayed: an election waits for them.
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::next_flush() const
-    -> time_point
+auto replica<Clock, Transport, LogStore, Machine>::pace_after(
+    time_point last) const -> time_point
 {
     if (term_unsynced_)
     {
-        return last_flush_;
+        return last;
     }
     auto const least = core_->role() == raft_role::leader
                            ? config::group_commit_interval
                            : duration{};
     auto const share = config::max_sync_share.value();
-    auto const paced = std::min(last_sync_time_ * 1000 / share,
-                                last_sync_time_ + max_flush_delay);
-    return last_flush_ + std::max(least, paced);
+    auto const paced = std::min(last_blocked_time_ * 1000 / share,
+                                last_blocked_time_ + max_flush_delay);
+    return last + std::max(least, paced);
 }
 
-/// Sends pending entries, makes all writes since the last flush durable with
-/// one sync, and then sends the messages that depend on the sync.
+/// Sends pending entries, and starts to make all writes so far durable unless a
+/// sync is in progress.
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
@@ -409,43 +443,116 @@
     // Sends the entries before the sync, so that the followers write them at
     // the same time.
     perform(core_->flush(clock_.now()));
-    if (unsynced_)
-    {
-        if (auto const done = sync(); !done)
-        {
-            handle_failure(done.error());
-            return;
-        }
-        unsynced_ = false;
-        term_unsynced_ = false;
-    }
     if (flush_timer_)
     {
         clock_.cancel_timer(*flush_timer_);
         flush_timer_.reset();
     }
-    send_held();
-    core_->sync_started();
-    perform(core_->persisted(clock_.now()));
-    take_snapshot_if_due();
+    if (unsynced_ && !is_syncing_ && !failure_)
+    {
+        start_sync();
+    }
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::sync() -> result<void>
+auto replica<Clock, Transport, LogStore, Machine>::start_sync() -> void
 {
-    // The loop stands still during a sync. Answers to heartbeats, on which the
-    // lease of the leader depends, must not wait for it.
+    // A new segment of the log is still written by the loop itself. Answers to
+    // heartbeats, on which the lease of the leader depends, must not wait for
+    // it.
     transport_.flush();
-    auto const begin = clock_.now();
-    auto done = store_.sync();
-    auto const took = clock_.now() - begin;
-    last_sync_time_ = took;
+    is_syncing_ = true;
+    unsynced_ = false;
+    term_unsynced_ = false;
+    syncing_messages_ = std::exchange(held_messages_, {});
+    core_->sync_started();
+    sync_start_ = clock_.now();
+    store_.start_sync(
+        [this, lifetime = std::weak_ptr{lifetime_}](result<void> done)
+        {
+            if (!lifetime.expired())
+            {
+                end_sync(std::move(done));
+            }
+        });
+    last_blocked_time_ = clock_.now() - sync_start_;
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::end_sync(result<void> done)
+    -> void
+{
+    is_syncing_ = false;
+    auto const took = clock_.now() - sync_start_;
     ++load_.syncs;
     load_.sync_time += took;
     load_.longest_sync = std::max(load_.longest_sync, took);
-    return done;
+    auto const messages = std::exchange(syncing_messages_, {});
+    if (failure_)
+    {
+        return;
+    }
+    if (!done)
+    {
+        unsynced_ = true;
+        keep_waiting_or_fail(done.error());
+        return;
+    }
+    for (auto const& it : messages)
+    {
+        transport_.send(it.to, it.message);
+    }
+    perform(core_->persisted(clock_.now()));
+    if (installing_ && !failure_)
+    {
+        done = finish_install();
+    }
+    if (!done)
+    {
+        keep_waiting_or_fail(done.error());
+    }
+    else if (!failure_)
+    {
+        go_on();
+    }
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::go_on() -> void
+{
+    if (disk_full_)
+    {
+        disk_full_.reset();
+        report(disk_event::writable, {});
+        perform(core_->set_writable(clock_.now(), true));
+    }
+    for (auto& [from, message] : std::exchange(waiting_messages_, {}))
+    {
+        receive(from, std::move(message));
+    }
+    take_snapshot_if_due();
+    if (failure_ || disk_full_ || is_syncing_)
+    {
+        return;
+    }
+    if (!unsynced_)
+    {
+        send_held();
+    }
+    else if (clock_.now() >= pace_after(sync_start_))
+    {
+        start_sync();
+    }
+    else
+    {
+        schedule_flush();
+    }
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -594,6 +701,8 @@
         }
     }
     held_messages_.clear();
+    syncing_messages_.clear();
+    waiting_messages_.clear();
     if (auto const ended = std::exchange(leading_term_, std::nullopt);
         ended && on_leadership_)
     {
--- a/src/ports/file_system.hpp
+++ b/src/ports/file_system.hpp
@@ -7,8 +7,10 @@
 #include <apricotlb/units.hpp>
 
 #include <concepts>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace apricotlb
@@ -22,7 +24,8 @@
 template <class T>
 concept file_system_port =
     requires(T& it, file_path const& path, file_handle file,
-             std::string_view bytes, byte_count size) {
+             std::string_view bytes, byte_count size, std::string owned,
+             std::function<void(result<void>)> done) {
         // Creates the folder if it is missing.
         {
             it.make_folder(path)
@@ -54,6 +57,12 @@
         {
             it.sync(file)
         } -> std::same_as<result<void>>;
+        // Appends all of the bytes, makes the contents durable, and calls back
+        // in a later turn of the loop; one such call for a file at a time.
+        // After close the call ends without calling back.
+        {
+            it.start_append(file, std::move(owned), std::move(done))
+        } -> std::same_as<void>;
         {
             it.truncate(file, size)
         } -> std::same_as<result<void>>;
--- a/src/ports/log_store.hpp
+++ b/src/ports/log_store.hpp
@@ -9,7 +9,9 @@
 #include <apricotlb/units.hpp>
 
 #include <concepts>
+#include <functional>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace apricotlb
@@ -25,15 +27,19 @@
 };
 
 /// save and append_entries only buffer; sync makes everything buffered durable
-/// at once. A call that fails with disk_full leaves the durable contents as
-/// they were, keeps what is buffered, and may be repeated. After any other
-/// failure the store refuses every call, because a failed sync may have lost
-/// data that a second sync would report as durable. The process must exit.
+/// at once, and start_sync does without keeping the loop. Until it has called
+/// back, only save, append_entries, continue_snapshot, compact and the
+/// functions that return a size may be called. A call that fails with disk_full
+/// leaves the durable contents as they were, keeps what is buffered, and may be
+/// repeated. After any other failure the store refuses every call, because a
+/// failed sync may have lost data that a second sync would report as durable.
+/// The process must exit.
 template <class T>
 concept log_store_port =
     requires(T& it, hard_state const& term_and_vote,
              std::vector<log_entry> const& entries,
-             raft_snapshot const& snapshot, log_index keep_after) {
+             raft_snapshot const& snapshot, log_index keep_after,
+             std::function<void(result<void>)> done) {
         {
             it.load()
         } -> std::same_as<result<stored_log>>;
@@ -47,6 +53,12 @@
         {
             it.sync()
         } -> std::same_as<result<void>>;
+        // Starts to make all that is buffered at the call durable, and calls
+        // back in a later turn of the loop, or at once if it cannot start. A
+        // store that is destroyed meanwhile does not call back.
+        {
+            it.start_sync(std::move(done))
+        } -> std::same_as<void>;
         // Starts to save a snapshot in parts. Other functions may be called
         // between the parts.
         {
--- a/tests/crash_files.hpp
+++ b/tests/crash_files.hpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -95,6 +96,24 @@
         open_.at(it.value())->durable = open_.at(it.value())->current;
         return outcome::success();
     }
+    auto start_append(file_handle to, std::string const& bytes,
+                      std::function<void(result<void>)> done) -> void
+    {
+        auto written = write(to, bytes);
+        auto ended = written ? sync(to) : std::move(written);
+        later_.push_back({to, std::move(ended), std::move(done)});
+    }
+    /// Ends what was started, as a later turn of the loop does.
+    auto turn() -> void
+    {
+        for (auto& it : std::exchange(later_, {}))
+        {
+            if (open_.contains(it.file.value()))
+            {
+                it.done(std::move(it.ended));
+            }
+        }
+    }
     auto truncate(file_handle it, byte_count size) -> result<void>
     {
         BOOST_OUTCOME_TRYV(step());
@@ -169,6 +188,7 @@
         names = all;
         durable_names = all;
         open_.clear();
+        later_.clear();
         locked = false;
         calls = 0;
         fail_at.reset();
@@ -204,7 +224,16 @@
         return file_handle{next_++};
     }
 
+    /// An operation that was started and has not called back.
+    struct started
+    {
+        file_handle file;
+        result<void> ended;
+        std::function<void(result<void>)> done;
+    };
+
     std::map<int, std::shared_ptr<file>> open_;
+    std::vector<started> later_;
     int next_{0};
     int lock_{-1};
 };
