Count only the process asked as a sign of its leader

The refusal of a follower that a call had been sent to before could arrive after one of the leader that holds no lease. It then counted as a sign of the follower, and the calls turned away from the leader as a silent one.

Only a refusal of the process that was asked last, which names itself, counts.

Failed before: control_link_test.a_late_refusal_of_a_follower_keeps_the_leader.

--- a/src/core/entry/call_table.cpp
+++ b/src/core/entry/call_table.cpp
@@ -216,8 +216,7 @@
                            : is_in_office ? call_standing::leader_without_lease
                                           : call_standing::not_leader;
     }
-    if (pending.standing == call_standing::leader_without_lease &&
-        !has_new_leader(pending))
+    if (from == pending.sent_to && is_in_office && !has_new_leader(pending))
     {
         watch_.heard(from, now);
     }
--- a/tests/control_link_test.cpp
+++ b/tests/control_link_test.cpp
@@ -387,10 +387,10 @@
 TEST_F(control_link_test, waits_for_a_leader_without_its_lease)
 {
     link.set_leader(node_id{"c1"});
-    std::vector<std::shared_ptr<std::optional<answer>>> cancels;
-    for (auto n = 0; n < 10; ++n)
+    auto const first = start(workflow_action::cancel);
+    for (auto n = 1; n < 10; ++n)
     {
-        cancels.push_back(start(workflow_action::cancel));
+        start(workflow_action::cancel);
     }
     auto elsewhere = 0;
     for (auto n = 0; n < 20; ++n)
@@ -407,7 +407,7 @@
     EXPECT_EQ(link.leader(), node_id{"c1"});
     EXPECT_LE(elsewhere, seconds{2} / config::call_retry_interval);
     link.take(node_id{"c1"}, {call_id{1}, apply_result{}});
-    EXPECT_TRUE(cancels[0]->has_value());
+    EXPECT_TRUE(first->has_value());
 }
 
 // The notice of the next leader is lost, and the former one that is cut off
@@ -450,5 +450,21 @@
     EXPECT_EQ(sent[1].to, "c3");
 }
 
+// The late refusal of a follower that was asked before must not count as a sign
+// of the leader, or as its silence.
+TEST_F(control_link_test, a_late_refusal_of_a_follower_keeps_the_leader)
+{
+    link.set_leader(node_id{"c1"});
+    start(workflow_action::cancel);
+    start(workflow_action::cancel);
+    link.take(node_id{"c1"}, refused(sent[0].message.id, node_id{"c1"}));
+    link.take(node_id{"c1"}, refused(sent[1].message.id, node_id{"c1"}));
+    link.take(node_id{"c2"}, refused(sent[1].message.id, node_id{"c1"}));
+    clock.advance(config::call_retry_interval + milliseconds{10});
+    ASSERT_EQ(sent.size(), 4U);
+    EXPECT_EQ(sent[3].to, "c1");
+    EXPECT_EQ(link.leader(), node_id{"c1"});
+}
+
 } // namespace
 } // namespace apricotlb
