Keep starts and acknowledgements of ends apart on their way to a worker

A worker restarts, carries out a start and an acknowledgement of ends that were sent to its former life, in this order, before it has a fencing token of its own, and forgets an end that no leader has seen.

An acknowledgement now goes in a short poll of its own, never while a start to that worker has no answer (2 s at most after one without), nor a start while an acknowledgement is not known to be carried out, by lists without these ends or by its age. An acknowledgement waits 25 ms for the starts on the freed room, and from 100 ms on further starts wait for it. What was sent to a life counts for the lives after it.

A crash blames no run whose start was never sent.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -47,8 +47,6 @@
                        set->pools.end();
 }
 
-/// True if the worker still lists ends that were to be acknowledged: a repeated
-/// poll acknowledges none.
 auto lists_any_up_to(end_number last, std::vector<ended_row> const& rows)
     -> bool
 {
@@ -322,7 +320,9 @@
             entry.is_answering && answer.outcome == order_outcome::not_sent;
         return true;
     }
-    if (answer.clock && entry.lease.is_of_other_life(*answer.clock, to.given))
+    if (answer.clock &&
+        (entry.lease.is_of_other_life(*answer.clock, to.given) ||
+         entry.lease.is_ahead(*answer.clock, now)))
     {
         // Its announcement follows and replaces this one. It may have got the
         // longest lease with the order that it has answered.
@@ -332,7 +332,7 @@
                                  lease_bound_cause::former_life);
         return false;
     }
-    record_contact(worker, answer.clock, now);
+    record_contact(worker, to, answer.clock, now);
     if (is_response(answer.outcome))
     {
         entry.leased_from = now;
@@ -341,13 +341,14 @@
 }
 
 auto run_scheduler::record_contact(identified_worker& worker,
+                                   order_target const& to,
                                    std::optional<worker_clock> const& clock,
                                    time_point now) -> void
 {
     worker.second.record_life_sign(now);
     if (clock)
     {
-        worker.second.lease.sample(*clock, now);
+        worker.second.lease.sample_answer(*clock, to.given, now);
     }
 }
 
@@ -355,63 +356,83 @@
                               order_answer const& answer, time_point now)
     -> void
 {
-    auto const [worker, held] = find(order.run);
-    if (held == nullptr ||
-        worker->second.incarnation != order.to.instance.incarnation)
+    auto const found = workers_.find(order.to.instance.id);
+    if (found == workers_.end())
     {
         return;
     }
-    held->order_in_flight = false;
-    held->start_unconfirmed =
-        held->start_unconfirmed ||
+    auto& worker = *found;
+    auto const is_open =
+        answer.outcome == order_outcome::no_answer ||
         answer.unanswered_tries.value_or(try_count{}) > try_count{};
-    record_answer(*worker, order.to, answer, now);
-    switch (answer.outcome)
+    worker.second.interlock.on_start_answered(order.to.given, is_open);
+    if (worker.second.incarnation != order.to.instance.incarnation)
+    {
+        return;
+    }
+    record_answer(worker, order.to, answer, now);
+    auto const [holder, held] = find(order.run);
+    if (held != nullptr && holder == &worker)
+    {
+        held->order_in_flight = false;
+        held->start_unconfirmed = held->start_unconfirmed || is_open;
+        take_start_answer(worker, order, *held, answer.outcome, now);
+    }
+    if (worker.second.is_release_due())
+    {
+        send_poll(worker, now);
+    }
+}
+
+auto run_scheduler::take_start_answer(identified_worker& worker,
+                                      start_order const& order, held_run& held,
+                                      order_outcome outcome, time_point now)
+    -> void
+{
+    switch (outcome)
     {
     case order_outcome::done:
-        if (held->phase == run_phase::ordered)
+        if (held.phase == run_phase::ordered)
         {
-            set_running(*worker, order.run, *held, now);
-            send_poll(*worker, now);
+            set_running(worker, order.run, held, now);
+            send_poll(worker, now);
         }
         break;
     case order_outcome::fenced:
-        on_fenced(*worker, order.to, order.run);
-        if (held->phase == run_phase::ordered)
+        on_fenced(worker, order.to, order.run);
+        if (held.phase == run_phase::ordered)
         {
-            withdraw(*worker, order.run, *held, now);
+            withdraw(worker, order.run, held, now);
         }
         break;
     case order_outcome::superseded:
         // The run has ended already, or its stop arrived before its start.
-        if (held->phase == run_phase::ordered)
+        if (held.phase == run_phase::ordered)
         {
-            held->phase = run_phase::closed;
-            held->closed_as = run_end::stopped;
-            held->settled_at = now;
+            held.phase = run_phase::closed;
+            held.closed_as = run_end::stopped;
+            held.settled_at = now;
         }
         break;
     case order_outcome::late:
-        held->sent = now - config::order_retry_interval;
+        held.sent = now - config::order_retry_interval;
         break;
     case order_outcome::insufficient_capacity:
-        on_order_rejected(*worker, order.run, *held, config::no_room_pause,
-                          now);
+        on_order_rejected(worker, order.run, held, config::no_room_pause, now);
         break;
     case order_outcome::unhealthy:
     case order_outcome::malformed:
-        on_order_rejected(*worker, order.run, *held, config::unhealthy_pause,
+        on_order_rejected(worker, order.run, held, config::unhealthy_pause,
                           now);
         break;
     case order_outcome::other_incarnation:
-        on_incarnation_end(*worker, now);
+        on_incarnation_end(worker, now);
         break;
     case order_outcome::not_sent:
-        held->sent = now;
+        held.sent = now;
         break;
     case order_outcome::no_answer:
-        held->start_unconfirmed = true;
-        held->sent = now;
+        held.sent = now;
         break;
     }
 }
@@ -536,8 +557,6 @@
     {
         entry.record_response(is_response(answer.outcome), now);
     }
-    auto const lists_acknowledged =
-        lists_any_up_to(order.recorded, answer.lists.ended);
     switch (answer.outcome)
     {
     case order_outcome::done:
@@ -548,18 +567,13 @@
             return;
         }
         entry.is_answering = true;
-        if (!lists_acknowledged)
-        {
-            entry.acknowledged = std::max(entry.acknowledged, order.recorded);
-        }
-        entry.next_poll_at = order.wait > milliseconds{0} || lists_acknowledged
-                                 ? now + config::min_poll_interval
-                                 : now;
+        record_release(entry, order, answer.lists.ended, now);
         entry.has_inherited_lease =
             entry.has_inherited_lease && !order.lease_end;
-        record_contact(worker, answer.lists.clock, now);
+        record_contact(worker, order.to, answer.lists.clock, now);
         entry.leased_from = now;
         process_lists(worker, answer.lists, now);
+        review_orders(worker, now);
         send_poll(worker, now);
         break;
     case order_outcome::fenced:
@@ -569,6 +583,10 @@
         on_incarnation_end(worker, now);
         break;
     case order_outcome::not_sent:
+        if (order.recorded > end_number{})
+        {
+            entry.interlock.on_release_over();
+        }
         break;
     default:
         entry.is_answering = false;
@@ -576,6 +594,32 @@
     }
 }
 
+/// Records what lists show of the ends that were acknowledged, and when the
+/// next poll may follow.
+auto run_scheduler::record_release(worker_entry& worker,
+                                   poll_order const& order,
+                                   std::vector<ended_row> const& rows,
+                                   time_point now) -> void
+{
+    if (lists_any_up_to(worker.released, rows))
+    {
+        worker.next_poll_at = now + config::min_poll_interval;
+        return;
+    }
+    worker.interlock.on_release_over();
+    worker.acknowledged = std::max(worker.acknowledged, worker.released);
+    // A worker that has ends to list does not wait.
+    if (lists_any_up_to(worker.recorded, rows))
+    {
+        worker.next_poll_at = now + (worker.interlock.may_start_late(now)
+                                         ? config::poll_retry_delay
+                                         : config::min_poll_interval);
+        return;
+    }
+    worker.next_poll_at =
+        order.wait > milliseconds{0} ? now + config::min_poll_interval : now;
+}
+
 auto run_scheduler::process_lists(identified_worker& worker,
                                   worker_lists const& lists, time_point now)
     -> void
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -371,7 +371,8 @@
     if (!worker.second.info || worker.second.is_replaced ||
         worker.second.is_fenced || !worker.second.is_listed ||
         !worker.second.lease.is_sampled() ||
-        !has_current_phase(worker.second, now) || record == nullptr)
+        !has_current_phase(worker.second, now) ||
+        worker.second.holds_starts(now) || record == nullptr)
     {
         return;
     }
@@ -384,6 +385,7 @@
     held.sent = now;
     held.start_sent = now;
     ++held.starts_sent;
+    worker.second.interlock.on_start_sent();
     actions_.emplace_back(
         start_order{target_of(worker, now), run, record->spec.payload,
                     record->find(run.task)->checkpoint,
@@ -433,9 +435,18 @@
 auto run_scheduler::send_poll(identified_worker& worker, time_point now) -> void
 {
     auto& entry = worker.second;
+    // Ends are acknowledged soon after the worker has listed them: a later poll
+    // may reach its next life, which numbers its ends anew. A poll that waits
+    // would hold up the starts that follow.
+    auto const releases = entry.may_release(now);
     if (entry.poll_in_flight || entry.recording_ends ||
         entry.incarnation_ended || entry.is_replaced || entry.is_fenced ||
-        !entry.place || now < entry.next_poll_at)
+        !entry.place || (now < entry.next_poll_at && !releases))
+    {
+        return;
+    }
+    // The worker would answer at once with the ends that it lists.
+    if (entry.is_release_pending(now) && !releases)
     {
         return;
     }
@@ -445,18 +456,16 @@
     auto const has_runs = std::ranges::any_of(entry.runs, is_sent);
     auto const is_needed = is_contact_wanted || entry.unanswered_since ||
                            has_runs || may_run_unrecorded(worker, now);
-    if (!is_needed && entry.acknowledged >= entry.recorded)
+    if (!is_needed && !entry.is_release_due())
     {
         return;
     }
-    // Ends are acknowledged soon after the worker has listed them: a later poll
-    // may reach its next life, which numbers its ends anew.
-    auto const is_release_due = entry.acknowledged < entry.recorded;
     // After a lost poll, runs may have lapsed. An order that was answered since
     // tells nothing of them. A lease that counts from an old answer may end
     // before a poll that waits is answered.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
-                  !entry.is_listed || (is_release_due && !entry.is_answering) ||
+                  !entry.is_listed || releases ||
+                  (entry.is_release_due() && !entry.is_answering) ||
                   (has_runs && (entry.has_inherited_lease ||
                                 now - entry.leased_from >=
                                     config::lease_extension_timeout));
@@ -477,10 +486,15 @@
     entry.poll_in_flight = true;
     entry.poll_sent_at = now;
     poll_order order{target_of(worker, now),
-                     is_release_due && entry.is_answering ? entry.recorded
-                                                          : end_number{},
+                     releases ? entry.recorded : end_number{},
                      {},
                      wait};
+    if (releases)
+    {
+        entry.released = entry.recorded;
+        entry.release_due_since = now;
+        entry.interlock.on_release_sent(now);
+    }
     // A poll that arrives late must not extend the lease of a worker whose runs
     // may already count as lost. Without recorded runs, it would only prolong
     // those that the log has not, and before the first lists the doubt about a
@@ -723,6 +737,10 @@
     {
         if (auto* const entry = find(list.from))
         {
+            if (!entry->is_release_due())
+            {
+                entry->release_due_since = now;
+            }
             entry->recorded = std::max(entry->recorded, list.last_number);
             entry->recording_ends = false;
             send_poll(*workers_.find(list.from.id), now);
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -391,9 +391,15 @@
     /// Returns false if the answer is of another incarnation.
     auto record_answer(identified_worker& worker, order_target const& to,
                        order_answer const& answer, time_point now) -> bool;
-    auto record_contact(identified_worker& worker,
+    auto record_contact(identified_worker& worker, order_target const& to,
                         std::optional<worker_clock> const& clock,
                         time_point now) -> void;
+    auto take_start_answer(identified_worker& worker, start_order const& order,
+                           held_run& held, order_outcome outcome,
+                           time_point now) -> void;
+    auto record_release(worker_entry& worker, poll_order const& order,
+                        std::vector<ended_row> const& rows, time_point now)
+        -> void;
     auto on_order_rejected(identified_worker& worker, task_run const& run,
                            held_run& held, duration pause, time_point now)
         -> void;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -4,6 +4,7 @@
 
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/lease_bound.hpp"
+#include "core/fleet/release_interlock.hpp"
 #include "core/fleet/worker_messages.hpp"
 
 #include <apricotlb/config.hpp>
@@ -275,6 +276,15 @@
     }
     [[nodiscard]] auto is_sampled() const -> bool { return sampled_; }
 
+    /// Adds a reading from the answer to an order that was sent at `sent`.
+    auto sample_answer(worker_clock clock, time_point sent, time_point now)
+        -> void
+    {
+        sample(clock, now);
+        answered_clock_ = clock;
+        answer_asked_at_ = sent;
+    }
+
     /// Returns the end of a lease granted now, on the worker's clock, and
     /// raises latest_end() to cover it.
     auto grant(time_point now, duration length) -> worker_clock
@@ -300,6 +310,20 @@
         return sampled_ && reading + rounding < least;
     }
 
+    /// True if a reading that was taken before `now` is too high for the same
+    /// incarnation.
+    [[nodiscard]] auto is_ahead(worker_clock reading, time_point now) const
+        -> bool
+    {
+        // Small differences tell nothing: the leader's clock may run slow too.
+        constexpr duration tolerance{seconds{1}};
+        auto const passed = now - answer_asked_at_;
+        return answered_clock_ &&
+               reading > *answered_clock_ +
+                             to_worker_clock(passed * 1000 / slowest_rate +
+                                             tolerance);
+    }
+
     /// From this time on every granted lease has ended on the worker's clock.
     [[nodiscard]] auto latest_end() const -> time_point { return latest_end_; }
     /// What latest_end() rests on.
@@ -325,6 +349,8 @@
 
     worker_clock clock_;
     time_point sampled_at_{};
+    std::optional<worker_clock> answered_clock_; ///< in the last answer
+    time_point answer_asked_at_{};               ///< when its order was sent
     time_point latest_end_{};
     lease_bound_cause cause_{lease_bound_cause::none};
     bool sampled_{false};
@@ -401,6 +427,12 @@
 {
     /// Longest usual time between two contacts of a worker that is up.
     static constexpr duration usual_contact_interval = milliseconds{1500};
+    /// How long an acknowledgement waits, since the starts on the room of the
+    /// runs that have ended follow within the time of a pass and a commit.
+    static constexpr duration min_release_delay = milliseconds{25};
+    /// From then on starts wait for it: a worker that always has an open one
+    /// would never forget its ends.
+    static constexpr duration max_release_delay = milliseconds{100};
 
     std::optional<worker_announcement> info; ///< none before the first one
     /// Where its orders go: from the log until this leader has heard of it.
@@ -439,7 +471,11 @@
     bool has_open_orders{true};
     std::size_t unconfirmed{0}; ///< runs, as of the last review of orders
     end_number recorded;     ///< ends up to this number are recorded in the log
-    end_number acknowledged; ///< `recorded` of the last poll that was answered
+    end_number released;     ///< the highest number that was acknowledged
+    end_number acknowledged; ///< ends up to this number are not listed any more
+    /// Since when there are ends to acknowledge, or the last acknowledgement.
+    time_point release_due_since{};
+    release_interlock interlock;
     time_point last_contact{};
     /// Leases count from then: the last answer of this incarnation to an order
     /// or poll, or the last contact before a start on a worker where nothing
@@ -581,6 +617,30 @@
             possible_crashes.clear();
         }
     }
+    /// True if it lists ends that it may forget.
+    [[nodiscard]] auto is_release_due() const -> bool
+    {
+        return acknowledged < recorded;
+    }
+    /// True if nothing but starts, open ones and those that follow at once,
+    /// keeps the worker from being told which ends it may forget.
+    [[nodiscard]] auto is_release_pending(time_point now) const -> bool
+    {
+        return is_release_due() && is_answering && !recording_ends &&
+               !interlock.may_start_late(now);
+    }
+    [[nodiscard]] auto may_release(time_point now) const -> bool
+    {
+        return is_release_pending(now) && interlock.may_release(now) &&
+               now - release_due_since >= min_release_delay;
+    }
+    /// True if starts have to wait for an acknowledgement.
+    [[nodiscard]] auto holds_starts(time_point now) const -> bool
+    {
+        return !interlock.may_start(now) ||
+               (is_release_pending(now) &&
+                now - release_due_since >= max_release_delay);
+    }
     /// True if the run may have caused a crash of the worker that ended its
     /// contact: it had started for config::crash_blame_time at most. An order
     /// that was sent to a worker after a long silence found it down already.
@@ -588,7 +648,7 @@
     {
         if (run.phase == run_phase::proposed ||
             run.phase == run_phase::closed || run.phase == run_phase::ending ||
-            !run.ordered_at)
+            !run.ordered_at || run.starts_sent == 0)
         {
             return false;
         }
@@ -625,7 +685,10 @@
         unrecorded.clear();
         ended_by_lease.clear();
         recorded = {};
+        released = {};
         acknowledged = {};
+        // Later lives may still get what was sent to this one.
+        interlock.on_release_unproven();
         unanswered_since.reset();
         poll_in_flight = false;
         repeated_poll_at.reset();
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,6 +31,10 @@
     std::uint64_t late{0};       ///< no answer, carried out 2 to 6 s later
     std::uint64_t repeated{0};   ///< answered, and carried out again as late
     std::uint64_t lost{0};       ///< no answer, never carried out
+    /// Starts and acknowledgements without an answer that are carried out
+    /// within config::max_order_age. Half of the starts are carried out and
+    /// answered at once, and another try of them later.
+    std::uint64_t delayed{0};
 };
 
 /// Commits after 15 ms, delivers orders after 5 ms and checks in each step of
@@ -61,6 +66,8 @@
         { return behaviour(task); };
         it->longest_lease =
             std::chrono::duration_cast<milliseconds>(policy.lease);
+        it->on_released = [this](platform_worker::ended const& end)
+        { check_release(end); };
         workers[name] = std::move(it);
     }
 
@@ -197,8 +204,17 @@
     /// Age of announcements when the leader gets them.
     duration announcement_age{};
     duration announcement_interval{seconds{1}};
-    std::size_t lost_stops{0};   ///< of the stop orders that follow
-    std::size_t lost_polls{0};   ///< of the polls that follow
+    std::size_t lost_stops{0}; ///< of the stop orders that follow
+    std::size_t lost_polls{0}; ///< of the polls that follow
+    /// While they are set, starts, or polls that acknowledge ends, get no
+    /// answer and are carried out after this time.
+    std::optional<duration> late_starts;
+    std::optional<duration> late_releases;
+    duration commit_time{milliseconds{15}};
+    /// If set, each order takes this time to its worker and its answer as long,
+    /// and polls wait there for an end.
+    std::optional<duration> link_time;
+    std::size_t polls{0};
     bool loses_proposals{false}; ///< nothing that is proposed is applied
     order_faults faults;
     bool polls_wait{false}; ///< for as long as they ask, whatever ends
@@ -290,7 +306,7 @@
 
     auto carry_out(propose_starts it) -> void
     {
-        log_.emplace_back(now + milliseconds{15},
+        log_.emplace_back(now + commit_time,
                           [this, it]
                           {
                               if (loses_proposals)
@@ -304,7 +320,7 @@
 
     auto carry_out(propose_ends const& it) -> void
     {
-        log_.emplace_back(now + milliseconds{15},
+        log_.emplace_back(now + commit_time,
                           [this, it]
                           {
                               if (loses_proposals)
@@ -375,6 +391,25 @@
                 return;
             }
         }
+        if (auto const after = lateness_of(it))
+        {
+            events_.emplace(now + *after, [deliver] { deliver(); });
+            if (!is_start || faults.delayed == 0 || happens(50))
+            {
+                lose(it);
+                return;
+            }
+            events_.emplace(now + milliseconds{5},
+                            [this, it, deliver, epoch = epoch_]
+                            {
+                                auto const got = deliver();
+                                if (epoch == epoch_)
+                                {
+                                    answer(it, got, try_count{1});
+                                }
+                            });
+            return;
+        }
         if (!is_poll && faults.lost > 0 && happens(faults.lost))
         {
             lose(it);
@@ -393,14 +428,28 @@
             auto const after = milliseconds{2000 + next_random(random_) % 4000};
             events_.emplace(now + after, [deliver] { deliver(); });
         }
+        if constexpr (is_poll)
+        {
+            ++polls;
+            if (link_time && is_reached(name))
+            {
+                events_.emplace(now + *link_time, [this, it, epoch = epoch_]
+                                { wait_at_worker(it, now + it.wait, epoch); });
+                return;
+            }
+        }
         // Unless polls wait, the fake answers at once and rests instead.
-        auto delay = is_poll ? milliseconds{60} : milliseconds{5};
+        duration delay = is_poll ? milliseconds{60} : milliseconds{5};
+        if (!is_poll && link_time)
+        {
+            delay = *link_time * 2;
+        }
         if constexpr (is_poll)
         {
-            delay = polls_wait ? std::max(delay, it.wait) : delay;
+            delay = polls_wait ? std::max(delay, duration{it.wait}) : delay;
         }
         events_.emplace(
-            now + (lost ? duration{config::order_timeout} : duration{delay}),
+            now + (lost ? duration{config::order_timeout} : delay),
             [this, it, deliver, lost, late = bool{late}, epoch = epoch_]
             {
                 auto const got =
@@ -412,6 +461,56 @@
             });
     }
 
+    auto wait_at_worker(poll_order it, time_point until, std::uint64_t epoch)
+        -> void
+    {
+        auto& worker = *workers.at(it.to.instance.id.value());
+        auto const got = worker.serve(platform::run_codec::encode(it), now);
+        if (worker.unacknowledged() > 0 || now >= until)
+        {
+            events_.emplace(now + *link_time,
+                            [this, it, got, epoch]
+                            {
+                                if (epoch == epoch_)
+                                {
+                                    answer(it, got);
+                                }
+                            });
+            return;
+        }
+        events_.emplace(now + milliseconds{5}, [this, it, until, epoch]
+                        { wait_at_worker(it, until, epoch); });
+    }
+
+    /// After how long the order is carried out late; none for one that is
+    /// carried out as usual.
+    auto lateness_of(start_order const& /*it*/) -> std::optional<duration>
+    {
+        return late_starts ? late_starts : random_lateness();
+    }
+    auto lateness_of(poll_order const& it) -> std::optional<duration>
+    {
+        if (it.recorded == end_number{})
+        {
+            return std::nullopt;
+        }
+        return late_releases ? late_releases : random_lateness();
+    }
+    template <class Order>
+    auto lateness_of(Order const& /*it*/) -> std::optional<duration>
+    {
+        return std::nullopt;
+    }
+
+    auto random_lateness() -> std::optional<duration>
+    {
+        if (faults.delayed == 0 || !happens(faults.delayed))
+        {
+            return std::nullopt;
+        }
+        return milliseconds{20 + next_random(random_) % 1960};
+    }
+
     template <class Order>
     auto lose(Order const& it) -> void
     {
@@ -496,7 +595,8 @@
     }
 
     template <class Order>
-    auto answer(Order const& to, http_answer const& it) -> void
+    auto answer(Order const& to, http_answer const& it,
+                std::optional<try_count> open_tries = {}) -> void
     {
         if constexpr (std::is_same_v<Order, poll_order>)
         {
@@ -504,7 +604,21 @@
         }
         else
         {
-            leader->on_answer(to, platform::run_codec::decode_order(it), now);
+            auto got = platform::run_codec::decode_order(it);
+            got.unanswered_tries = open_tries;
+            leader->on_answer(to, got, now);
+        }
+    }
+
+    /// A worker may forget an end once the log has it.
+    auto check_release(platform_worker::ended const& it) -> void
+    {
+        auto const task = platform::decode_task(it.task).value();
+        auto const number = run_number{static_cast<std::uint32_t>(it.run)};
+        if (state.workflows().is_active({task, number}))
+        {
+            violations.push_back(it.task + " is released before its end is "
+                                           "on record");
         }
     }
 
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -50,6 +50,9 @@
     {
     }
 
+    /// Called for each end that is acknowledged, before it is forgotten.
+    std::function<void(ended const&)> on_released;
+
     /// What tasks need and how their runs go; set by the test.
     std::function<run(std::string const& task)> behaviour;
 
@@ -152,9 +155,12 @@
         return fenced_requests_;
     }
 
-    /// Forgets everything, as a crash does, and starts under the same id.
-    auto restart(std::int64_t incarnation_number, time_point now) -> void
+    /// Forgets everything, as a crash does, and starts under the same id. The
+    /// clock of the new life begins at `first_clock`.
+    auto restart(std::int64_t incarnation_number, time_point now,
+                 milliseconds first_clock = {}) -> void
     {
+        auto released = std::move(on_released);
         auto const accepts = accepts_everything;
         auto const shortened_to = longest_lease;
         auto const same_rack = rack;
@@ -164,6 +170,8 @@
         auto at = address;
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
+        on_released = std::move(released);
+        first_clock_ = first_clock;
         accepts_everything = accepts;
         longest_lease = shortened_to;
         rack = same_rack;
@@ -217,9 +225,10 @@
     [[nodiscard]] auto clock(time_point now) const -> std::int64_t
     {
         // 2 % slow, the worst that the platform allows.
-        return std::chrono::duration_cast<milliseconds>(now - started_)
-                   .count() *
-               98 / 100;
+        return first_clock_.count() +
+               std::chrono::duration_cast<milliseconds>(now - started_)
+                       .count() *
+                   98 / 100;
     }
     [[nodiscard]] auto clock_body(time_point now) const -> std::string
     {
@@ -304,7 +313,15 @@
         extend_lease(in, now);
         auto const seen = in.integer("ack_cursor");
         std::erase_if(ended_,
-                      [seen](ended const& it) { return it.number <= seen; });
+                      [this, seen](ended const& it)
+                      {
+                          auto const is_released = it.number <= seen;
+                          if (is_released && on_released)
+                          {
+                              on_released(it);
+                          }
+                          return is_released;
+                      });
         json_value::array rows;
         for (auto const& [task, it] : running_)
         {
@@ -341,6 +358,7 @@
     std::int64_t announced_cpu_{cpu_};
     std::int64_t born_;
     time_point started_{};
+    milliseconds first_clock_{};
     std::int64_t fence_{0};
     std::int64_t lease_{0};
     std::int64_t last_end_{0};
--- a/tests/restart_schedule_test.cpp
+++ b/tests/restart_schedule_test.cpp
@@ -114,6 +114,97 @@
         << "seed " << seed << ": " << it.fleet.violations.front();
 }
 
+/// Workers with short tasks that restart often and are heard late, with clocks
+/// that begin anywhere. Starts and acknowledgements to a former life reach the
+/// next one.
+class release_schedule
+{
+public:
+    explicit release_schedule(std::uint64_t seed)
+        : fleet(seed), random_(seed * 7919 + 2)
+    {
+        for (auto const& id : ids_)
+        {
+            fleet.add_worker(id, 4000);
+            incarnations_.push_back(1);
+        }
+        fleet.behaviour = [this](std::string const&)
+        {
+            milliseconds const time{static_cast<std::int64_t>(20 + below(200))};
+            return platform_worker::run{0, time_point{time}, "done", 1000};
+        };
+        fleet.faults.delayed = 5 + seed % 4 * 10;
+        fleet.commit_time =
+            milliseconds{static_cast<std::int64_t>(15 + seed % 3 * 100)};
+    }
+
+    auto run() -> void
+    {
+        for (auto n = 0; n < 150; ++n)
+        {
+            step(n);
+            fleet.run(milliseconds{200});
+        }
+        fleet.unheard.clear();
+        fleet.faults = {};
+        fleet.run(seconds{20});
+    }
+
+    fake_fleet fleet;
+
+private:
+    auto below(std::uint64_t n) -> std::uint64_t
+    {
+        return next_random(random_) % n;
+    }
+
+    auto step(int n) -> void
+    {
+        if (below(2) == 0)
+        {
+            fleet.submit(
+                "r" + std::to_string(n),
+                {fake_fleet::step(static_cast<std::int64_t>(1 + below(6)))});
+        }
+        if (below(40) == 0)
+        {
+            fleet.lead();
+        }
+        for (std::size_t at = 0; at < ids_.size(); ++at)
+        {
+            if (below(12) == 0)
+            {
+                fleet.unheard.insert(ids_[at]);
+                fleet.workers[ids_[at]]->restart(
+                    ++incarnations_[at], fleet.now,
+                    milliseconds{static_cast<std::int64_t>(below(10'000'000))});
+            }
+            else if (below(4) == 0)
+            {
+                fleet.unheard.erase(ids_[at]);
+            }
+        }
+    }
+
+    std::vector<std::string> const ids_{"w1", "w2", "w3"};
+    std::vector<int> incarnations_;
+    std::uint64_t random_;
+};
+
+// A start and an acknowledgement that were sent to the former life of a worker
+// made the next one forget an end that no leader had seen.
+TEST(release_schedule, no_end_is_forgotten_that_is_not_on_record)
+{
+    for (std::uint64_t seed = 1; seed <= 24; ++seed)
+    {
+        release_schedule it{seed};
+        it.run();
+        EXPECT_TRUE(it.fleet.violations.empty())
+            << "seed " << seed << ": " << it.fleet.violations.front();
+        EXPECT_EQ(it.fleet.live_workflows(), 0U) << "seed " << seed;
+    }
+}
+
 // Repeated and late orders that meet the next life of a worker started runs
 // whose tasks ran elsewhere.
 TEST(restart_schedule, runs_no_task_twice)
