Record for later leaders which workers get no leases

Cause: each new leader waits for a whole lease from its own election, since the log says how long leases are, not up to when the leaders before had reached the worker.

Change: while a worker leaves orders unanswered and no start to it can be on its way, the leader records that it gets no leases, and what is left of the last one (lease_halt, in the place of the worker). Each member notes when it applies that. Until the end of the halt is on record no leader grants the worker a lease. A leader that reaches half of the workers with runs or fewer records nothing: their leases would wait for commits.

Not covered: a lone voter with a full disk may commit a halt that it has given up.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -64,7 +64,7 @@
         leader_term_ = in_term;
         leading_since_ = clock_.now();
         scheduler_.emplace(state, in_term, clock_.now(), policy_, submitted_,
-                           clock_.wall_now());
+                           clock_.wall_now(), halts_);
         arm();
     }
 
@@ -153,6 +153,14 @@
         {
             submitted_.prune(state.workflows());
         }
+        else if (auto const* const starts = std::get_if<start_runs>(&it))
+        {
+            halts_.record(*starts, clock_.now());
+        }
+        else if (std::holds_alternative<end_runs>(it))
+        {
+            halts_.prune(state.workflows().places());
+        }
         if (scheduler_)
         {
             scheduler_->on_applied(it, clock_.now());
@@ -480,6 +488,7 @@
     time_point leading_since_{};
     std::optional<time_point> resigned_at_; ///< by this process, the last time
     submission_times submitted_;
+    lease_halts halts_;
     std::optional<run_scheduler> scheduler_;
     report_callback on_report_;
     std::function<void(run_event const&)> on_run_event_;
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -617,7 +617,9 @@
         return;
     }
     worker.next_poll_at =
-        order.wait > milliseconds{0} ? now + config::min_poll_interval : now;
+        order.wait > milliseconds{0} || worker.grants != lease_grants::open
+            ? now + config::min_poll_interval
+            : now;
 }
 
 auto run_scheduler::process_lists(identified_worker& worker,
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -47,11 +47,12 @@
 
 run_scheduler::run_scheduler(state_machine const& state, term leading_in,
                              time_point now, fleet_policy policy,
-                             submission_times const& submitted, wall_time wall)
+                             submission_times const& submitted, wall_time wall,
+                             lease_halts const& halts)
     : state_(state), leading_in_(leading_in), leading_since_(now),
       policy_(policy), forecast_(now)
 {
-    inherit_runs(now);
+    inherit_runs(halts, now);
     inherit_ages(submitted, now, wall);
     inherit_waits(now);
     inherit_forecast(now);
@@ -62,7 +63,8 @@
     }
 }
 
-auto run_scheduler::inherit_runs(time_point now) -> void
+auto run_scheduler::inherit_runs(lease_halts const& halts, time_point now)
+    -> void
 {
     for (auto const& [id, record] : state_.workflows().live())
     {
@@ -70,7 +72,8 @@
             [&, &record = record](workflow_task const& task,
                                   task_progress const& progress,
                                   active_run const& run) {
-                inherit_run(record, {task, run.number}, progress, run, now);
+                inherit_run(record, {task, run.number}, progress, run, halts,
+                            now);
             });
     }
     for (auto const& [id, record] : state_.workflows().live())
@@ -82,7 +85,8 @@
 auto run_scheduler::inherit_run(workflow_record const& record,
                                 task_run const& name,
                                 task_progress const& progress,
-                                active_run const& run, time_point now) -> void
+                                active_run const& run, lease_halts const& halts,
+                                time_point now) -> void
 {
     auto const [entry, is_unknown] = workers_.try_emplace(run.worker.id);
     auto& worker = entry->second;
@@ -91,10 +95,8 @@
         worker.last_contact = now;
     }
     auto const* const place = state_.workflows().places().find(run.worker);
-    worker.lease.assume_until(
-        now + worker_lease::max_duration(place != nullptr ? place->longest_lease
-                                                          : policy_.lease),
-        lease_bound_cause::inherited);
+    worker.lease.assume_until(inherited_lease_end(place, halts, now),
+                              lease_bound_cause::inherited);
     if (is_unknown || run.worker.incarnation > worker.incarnation)
     {
         worker.begin_incarnation(run.worker.incarnation, ++last_life_);
@@ -103,10 +105,17 @@
             inherit_place(*place);
         }
     }
+    auto const is_halted = place != nullptr && place->halt.has_value();
+    if (is_halted && run.worker.incarnation == worker.incarnation)
+    {
+        worker.grants = lease_grants::halted;
+        worker.halted_at = now;
+    }
     worker.has_inherited_lease = true;
     auto const& step = record.step(name.task);
     auto held =
         make_held_run(step, images_.ref(step.image), run_phase::inherited);
+    held.has_halted_lease = is_halted;
     held.suspect = record.is_suspect(name.task);
     if (held.scavenges)
     {
@@ -117,6 +126,26 @@
     worker_of_run_[name] = &*entry;
 }
 
+/// What was left when the lease was halted has run down since then. The clock
+/// of the leader that measured it may have run slower than the own one.
+auto run_scheduler::inherited_lease_end(worker_place const* place,
+                                        lease_halts const& halts,
+                                        time_point now) const -> time_point
+{
+    if (place == nullptr)
+    {
+        return now + worker_lease::max_duration(policy_.lease);
+    }
+    auto const end = now + worker_lease::max_duration(place->longest_lease);
+    if (!place->halt)
+    {
+        return end;
+    }
+    auto const left = worker_lease::max_duration(place->halt->left);
+    return std::min(end, halts.find(*place).value_or(now) +
+                             config::with_drift(left));
+}
+
 /// Lets the worker be asked for its runs at once, and be replaced by a later
 /// one at its address.
 auto run_scheduler::inherit_place(worker_place const& place) -> void
@@ -159,6 +188,7 @@
     {
         auto const worker = workers_.find(each.worker.id);
         if (worker == workers_.end() || !worker->second.place ||
+            worker->second.grants != lease_grants::open ||
             !seen.insert(each.worker.id).second)
         {
             continue;
@@ -204,8 +234,8 @@
     {
         auto const* const known =
             state_.workflows().places().find({id, worker.incarnation});
-        if (known != nullptr && known->longest_lease > granted &&
-            !has_long_lease(worker, now) &&
+        if (known != nullptr && worker.grants == lease_grants::open &&
+            known->longest_lease > granted && !has_long_lease(worker, now) &&
             places.size() < config::max_runs_per_command)
         {
             places.push_back(*known);
@@ -218,6 +248,89 @@
     }
 }
 
+/// A leader that does not know up to when its predecessors had reached a worker
+/// has to wait for a whole lease from its own election, and changes of leader
+/// within that time add up. A start on its way could give the next life of the
+/// worker a lease, so that nothing is halted as long as there is one. A leader
+/// that cannot reach most workers is the cause itself: the others would have to
+/// wait for a commit before their leases are extended again.
+auto run_scheduler::review_lease_halts(time_point now) -> void
+{
+    std::vector<worker_place> places;
+    std::size_t with_runs{0};
+    std::size_t to_halt{0};
+    for (auto const& [id, worker] : workers_)
+    {
+        with_runs += worker.runs.empty() ? 0 : 1;
+        to_halt +=
+            worker.grants != lease_grants::open || should_halt(worker, now) ? 1
+                                                                            : 0;
+    }
+    auto const halts = to_halt * 2 <= with_runs;
+    for (auto& [id, worker] : workers_)
+    {
+        auto const is_due = worker.grants == lease_grants::halted ||
+                            (halts && should_halt(worker, now));
+        if (!is_due || places.size() >= config::max_runs_per_command)
+        {
+            continue;
+        }
+        auto const* const known =
+            state_.workflows().places().find({id, worker.incarnation});
+        if (known == nullptr)
+        {
+            // Nothing that the log has may run there.
+            worker.grants = lease_grants::open;
+        }
+        else if (worker.grants == lease_grants::open)
+        {
+            auto const left = worker.lease.latest_end() - now;
+            worker.grants = lease_grants::halting;
+            worker.halted_at = now;
+            places.push_back(*known);
+            places.back().halt = lease_halt{
+                std::max(milliseconds{0}, worker_lease::lease_covering(left)),
+                leading_in_, ++last_halt_};
+        }
+        else if (worker.leased_from > worker.halted_at)
+        {
+            worker.grants = lease_grants::reopening;
+            places.push_back(*known);
+            places.back().halt.reset();
+        }
+    }
+    if (!places.empty())
+    {
+        actions_.emplace_back(propose_starts{{{}, std::move(places)}});
+    }
+}
+
+auto run_scheduler::should_halt(worker_entry const& worker,
+                                time_point now) const -> bool
+{
+    return worker.grants == lease_grants::open && worker.unanswered_since &&
+           !worker.is_reached(now) && !worker.incarnation_ended &&
+           now < worker.lease.latest_end() && worker.may_have_runs() &&
+           std::ranges::none_of(worker.runs, [this, now](auto const& each)
+                                { return may_start_late(each.second, now); });
+}
+
+auto run_scheduler::apply_place(worker_entry& worker, worker_place const& place,
+                                time_point now) -> void
+{
+    worker.recorded_lease = place.longest_lease;
+    if (place.halt && worker.grants != lease_grants::reopening)
+    {
+        worker.halted_at =
+            worker.grants == lease_grants::halting ? worker.halted_at : now;
+        worker.grants = lease_grants::halted;
+    }
+    else if (!place.halt && worker.grants == lease_grants::reopening)
+    {
+        worker.grants = lease_grants::open;
+    }
+}
+
 auto run_scheduler::granted_lease(worker_entry const& worker) const -> duration
 {
     auto const granted = policy_.granted_lease();
@@ -241,7 +354,7 @@
     auto const active = find_active(*task, run.number);
     if (active != task->active.end())
     {
-        inherit_run(*record, run, *task, *active, now);
+        inherit_run(*record, run, *task, *active, {}, now);
     }
 }
 
@@ -371,6 +484,7 @@
     if (!worker.second.info || worker.second.is_replaced ||
         worker.second.is_fenced || !worker.second.is_listed ||
         !worker.second.lease.is_sampled() ||
+        worker.second.grants != lease_grants::open ||
         !has_current_phase(worker.second, now) ||
         worker.second.holds_starts(now) || record == nullptr)
     {
@@ -464,8 +578,8 @@
     // tells nothing of them. A lease that counts from an old answer may end
     // before a poll that waits is answered.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
-                  !entry.is_listed || releases ||
-                  (entry.is_release_due() && !entry.is_answering) ||
+                  !entry.is_listed || entry.grants != lease_grants::open ||
+                  releases || (entry.is_release_due() && !entry.is_answering) ||
                   (has_runs && (entry.has_inherited_lease ||
                                 now - entry.leased_from >=
                                     config::lease_extension_timeout));
@@ -651,6 +765,7 @@
     std::erase_if(late_starts_until_,
                   [now](auto const& each) { return now >= each.second; });
     shorten_recorded_leases(now);
+    review_lease_halts(now);
     if (has_removed)
     {
         std::erase_if(addresses_, [this](auto const& each)
@@ -669,7 +784,7 @@
         {
             if (auto* const entry = find(place.worker))
             {
-                entry->recorded_lease = place.longest_lease;
+                apply_place(*entry, place, now);
             }
         }
         for (auto const& placed : starts->runs)
@@ -723,6 +838,16 @@
         waits_.record(placed.run.task, pass_result::none);
         release(placed.run, now);
     }
+    for (auto const& place :
+         proposal.value.places.value_or(std::vector<worker_place>{}))
+    {
+        // Whether leases are halted for later leaders is not known.
+        auto* const entry = find(place.worker);
+        if (entry != nullptr && entry->grants != lease_grants::open)
+        {
+            entry->grants = lease_grants::halted;
+        }
+    }
     needs_plan_ = true;
 }
 
@@ -907,10 +1032,12 @@
     return is_unanswered && now - start_given_at(held) < config::max_order_age;
 }
 
-/// An earlier leader gave its last orders before this one was elected.
+/// An earlier leader gave its last orders before this one was elected, and none
+/// that can still be carried out where it had halted the leases.
 auto run_scheduler::start_given_at(held_run const& held) const -> time_point
 {
-    return std::max(held.start_sent, leading_since_);
+    return held.has_halted_lease ? held.start_sent
+                                 : std::max(held.start_sent, leading_since_);
 }
 
 /// Each life of a worker is polled once, so that it refuses the orders of
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -17,6 +17,7 @@
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
+#include "core/fleet/lease_halts.hpp"
 #include "core/fleet/relocation.hpp"
 #include "core/fleet/run_events.hpp"
 #include "core/fleet/run_waits.hpp"
@@ -147,7 +148,7 @@
     /// it.
     run_scheduler(state_machine const& state, term leading_in, time_point now,
                   fleet_policy policy, submission_times const& submitted = {},
-                  wall_time wall = {});
+                  wall_time wall = {}, lease_halts const& halts = {});
 
     // Messages of workers (run_reports.cpp).
     /// `age` is the time since the announcement was received. Returns false
@@ -225,10 +226,14 @@
     using identified_worker = std::pair<worker_id const, worker_entry>;
 
     // run_scheduler.cpp
-    auto inherit_runs(time_point now) -> void;
+    auto inherit_runs(lease_halts const& halts, time_point now) -> void;
     auto inherit_run(workflow_record const& record, task_run const& name,
                      task_progress const& progress, active_run const& run,
-                     time_point now) -> void;
+                     lease_halts const& halts, time_point now) -> void;
+    /// Until when a lease of an earlier leader may last.
+    [[nodiscard]] auto inherited_lease_end(worker_place const* place,
+                                           lease_halts const& halts,
+                                           time_point now) const -> time_point;
     auto inherit_place(worker_place const& place) -> void;
     /// True if the log keeps the place of the worker whatever is proposed now.
     [[nodiscard]] auto keeps_place(worker_entry const& worker) const -> bool;
@@ -239,6 +244,14 @@
         -> std::optional<std::vector<worker_place>>;
     /// Records that long leases of workers with runs are over.
     auto shorten_recorded_leases(time_point now) -> void;
+    /// Records which workers get no leases, for the leaders that follow, and
+    /// which get them again.
+    auto review_lease_halts(time_point now) -> void;
+    /// True if the log should say that the worker gets no leases.
+    [[nodiscard]] auto should_halt(worker_entry const& worker,
+                                   time_point now) const -> bool;
+    auto apply_place(worker_entry& worker, worker_place const& place,
+                     time_point now) -> void;
     /// Length of the leases that the worker is granted.
     [[nodiscard]] auto granted_lease(worker_entry const& worker) const
         -> duration;
@@ -738,6 +751,7 @@
     std::map<std::pair<revision, occurrence_index>, time_point> ready_since_;
     time_point ready_since_pruned_at_{};
     time_point recorded_leases_reviewed_at_{};
+    sequence last_halt_; ///< number of the last one that was proposed
     interner<image_name, image_ref> images_;
     image_interference interference_;
     std::vector<fleet_action> actions_;
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -88,7 +88,10 @@
     /// When it was first confirmed as running; none for a run of an earlier
     /// leader, which may have started at any time before.
     std::optional<time_point> started_at;
-    time_point start_sent{};     ///< last start order of this leader
+    time_point start_sent{}; ///< last start order of this leader
+    /// Its worker's leases were halted under an earlier leader, when no start
+    /// order could be on its way any more.
+    bool has_halted_lease{false};
     std::int64_t starts_sent{0}; ///< start orders of this leader
     time_point stopping_since{}; ///< when it was last decided to stop it
     std::int64_t stops_sent{0};  ///< stop orders since then
@@ -422,6 +425,15 @@
     sequence last_list;       ///< worker_entry::last_list when it was listed
 };
 
+/// Whether a worker is granted leases, by the log; see lease_halt.
+enum class lease_grants : std::uint8_t
+{
+    open,
+    halting,   ///< a halt is proposed
+    halted,    ///< a halt is recorded
+    reopening, ///< its end is proposed
+};
+
 /// A worker with its current incarnation, lease and runs.
 struct worker_entry
 {
@@ -440,6 +452,8 @@
     /// The longest lease of its place in the log, which bounds what a later
     /// leader assumes. Leases are not granted for longer.
     std::optional<milliseconds> recorded_lease;
+    lease_grants grants{lease_grants::open};
+    time_point halted_at{}; ///< when its halt was proposed, or inherited
     worker_incarnation incarnation;
     life_number life; ///< of this incarnation, for its fencing token
     /// Orders to a former life may have reached this one before it refused
@@ -541,6 +555,11 @@
     }
     /// True if its lease may be extended.
     [[nodiscard]] auto may_extend_lease(time_point now) const -> bool
+    {
+        return grants == lease_grants::open && is_reached(now);
+    }
+    /// True if it was heard from lately, and carries out orders.
+    [[nodiscard]] auto is_reached(time_point now) const -> bool
     {
         return now - last_contact < config::lease_extension_timeout &&
                !is_unresponsive(now);
@@ -678,6 +697,7 @@
         info.reset();
         place.reset();
         recorded_lease.reset();
+        grants = lease_grants::open;
         auto const former = std::exchange(lease, {});
         lease.assume_until(former.latest_end(), former.cause());
         leased_from = {};
@@ -751,6 +771,7 @@
     [[nodiscard]] auto is_usable(time_point now) const -> bool
     {
         return info && !incarnation_ended && !is_replaced && !is_fenced &&
+               grants == lease_grants::open &&
                info->phase == worker_phase::ready &&
                now - last_contact < config::worker_contact_timeout &&
                now >= paused_until && lease.is_sampled() &&
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -11,6 +11,7 @@
 #include <apricotlb/units.hpp>
 #include <apricotlb/workflow.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -373,6 +374,24 @@
     }
 };
 
+/// Says that a worker gets no leases.
+struct lease_halt
+{
+    /// Covers what was left of all its leases when this was proposed.
+    milliseconds left{};
+    term in_term;    ///< of the leader that has proposed it
+    sequence number; ///< among the halts of that leader
+
+    auto operator==(lease_halt const&) const -> bool = default;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("left", &lease_halt::left),
+                          field("term", &lease_halt::in_term),
+                          field("number", &lease_halt::number));
+    }
+};
+
 /// Where a life of a worker is reached. A new leader asks there for its runs
 /// before the worker has announced itself.
 struct worker_place
@@ -383,6 +402,9 @@
     /// The longest lease that the leader which records the place grants, or one
     /// that covers what is left of a longer one that the worker may have.
     milliseconds longest_lease{};
+    /// Set while no leader grants it a lease: not before the place is recorded
+    /// without it.
+    std::optional<lease_halt> halt{};
 
     auto operator==(worker_place const&) const -> bool = default;
 
@@ -391,10 +413,15 @@
         return field_list(field("life", &worker_place::worker),
                           field("address", &worker_place::address),
                           field("zone", &worker_place::zone),
-                          field("longest_lease", &worker_place::longest_lease));
+                          field("longest_lease", &worker_place::longest_lease),
+                          field("halt", &worker_place::halt));
     }
 };
 
+/// Entries of earlier versions have no halt.
+template <>
+inline constexpr std::size_t optional_fields<worker_place> = 1;
+
 /// Records runs before they are sent to their workers, and places.
 struct start_runs
 {
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -98,6 +98,10 @@
     auto apply(command const& it) -> void
     {
         state.apply(it, log_index{++index_});
+        if (auto const* const placed = std::get_if<start_runs>(&it))
+        {
+            halts.record(*placed, now);
+        }
         if (leader)
         {
             leader->on_applied(it, now);
@@ -109,7 +113,9 @@
     {
         log_.clear();
         ++epoch_;
-        leader = std::make_unique<run_scheduler>(state, ++term_, now, policy);
+        leader = std::make_unique<run_scheduler>(
+            state, ++term_, now, policy, submission_times{}, wall_time{},
+            knows_halts ? halts : lease_halts{});
     }
 
     /// Orders pass through relays once there are some.
@@ -194,6 +200,9 @@
     time_point now{};
     fleet_policy policy{seconds{5}}; ///< of the leaders that follow
     state_machine state;
+    lease_halts halts; ///< as applied by each member
+    /// False for new leaders that have got the halts by a snapshot.
+    bool knows_halts{true};
     std::unique_ptr<run_scheduler> leader;
     std::map<std::string, std::unique_ptr<platform_worker>> workers;
     std::set<std::string> cut; ///< workers that nothing reaches
