Add a setting that lets syncs of the log end later

Slow disks cannot be had in the soak, where storage is good, so that nothing there shows what they do to the promises. sync_delay lets each sync of a control process's log end later by a time between 0 and twice the setting: delayed_files stands in front of the file port and uses the timers of the clock port, so that the loop goes on. With 0, the default, calls pass through.

The whole unit_tests have not run on this commit yet.

--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -101,6 +101,7 @@
             field("queue_per_customer", &settings::queue_per_customer),
             field("max_connections", &settings::max_connections),
             field("disk_limit", &settings::disk_limit),
+            field("sync_delay", &settings::sync_delay),
             field("log_level", &settings::level),
             field("log_format", &settings::format));
     }
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -1,5 +1,6 @@
 #include "app/roles.hpp"
 
+#include "adapters/delayed_files.hpp"
 #include "adapters/disk_log.hpp"
 #include "adapters/json_codec.hpp"
 #include "adapters/log.hpp"
@@ -49,7 +50,8 @@
 
 static_assert(run_worker_port<no_run_workers>);
 
-using control = control_role<glib_clock, transport, disk_log<posix_files>,
+using log_files = delayed_files<glib_clock, posix_files>;
+using control = control_role<glib_clock, transport, disk_log<log_files>,
                              soup_workers, no_run_workers, msgpack_codec,
                              snapshot_codec, json_codec, metrics>;
 
@@ -72,6 +74,7 @@
                     metrics& counts, unix_signals& loop)
         : own_(own), clock_(clock), metrics_(counts), loop_(loop),
           node_(own.node, std::move(key), clock, counts),
+          files_(clock, own.sync_delay, random_bits{new_incarnation().value()}),
           store_(files_, {own.data, own.disk_limit})
     {
     }
@@ -143,8 +146,8 @@
     metrics& metrics_;
     unix_signals& loop_;
     peer_node node_;
-    posix_files files_;
-    disk_log<posix_files> store_;
+    log_files files_;
+    disk_log<log_files> store_;
     soup_workers workers_;
     no_run_workers runs_;
     std::optional<control> role_;
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -129,6 +129,8 @@
     request_count queue_per_customer{1024};
     connection_count max_connections{4096};
     byte_count disk_limit{std::int64_t{4} << 30};
+    /// For tests: mean of the time by which each sync of the log ends later.
+    duration sync_delay{};
 
     log_level level{log_level::info};
     log_format format{log_format::text};
--- a/src/app/settings_check.cpp
+++ b/src/app/settings_check.cpp
@@ -265,6 +265,11 @@
                                std::to_string(it.shutdown_grace.count()) +
                                    "us");
     }
+    if (it.sync_delay < duration{0} || it.sync_delay > seconds{10})
+    {
+        return invalid_setting("sync_delay", "0s to 10s",
+                               std::to_string(it.sync_delay.count()) + "us");
+    }
     if (it.max_body > config::max_body)
     {
         return invalid_setting("max_body", "at most 256MiB",
--- a/tests/yaml_test.cpp
+++ b/tests/yaml_test.cpp
@@ -135,6 +135,7 @@
                        "  - {name: ann, hash: abc}\n"
                        "balancer_wait: 3s\n"
                        "shutdown_grace: 6.0s\n"
+                       "sync_delay: 150ms\n"
                        "max_body: 8MiB\n"
                        "guards: disabled\n"
                        "log_format: json\n",
@@ -144,6 +145,7 @@
     EXPECT_EQ(it.value().operators.at(0).name, operator_name{"ann"});
     EXPECT_EQ(it.value().balancer_wait, seconds{3});
     EXPECT_EQ(it.value().shutdown_grace, seconds{6});
+    EXPECT_EQ(it.value().sync_delay, milliseconds{150});
     EXPECT_EQ(it.value().max_body, byte_count{8 << 20});
     EXPECT_EQ(it.value().guards, guard_mode::disabled);
     EXPECT_EQ(it.value().format, log_format::json);
