Begin segments of the log without keeping the loop waiting

Each 16 MiB of log the loop stood still for a new file, its sync and that of the folder, so that a leader with a slow disk lost its lease then.

The file port has start_file (create, write, sync, and make the name durable) and start_rename; posix_files takes the steps one after the other on libuv's thread. start_sync makes the segment first and then writes what is pending to it. sync() makes segments as before, for the start and installs.

disk_log.begins_segments_without_keeping_the_loop fails before (the loop waits for two syncs a segment). The whole unit_tests have not run on this commit.

--- a/src/adapters/disk_log.hpp
+++ b/src/adapters/disk_log.hpp
@@ -71,6 +71,14 @@
         std::size_t done{0};
     };
 
+    /// A segment that is being made.
+    struct new_segment
+    {
+        segment_number number;
+        log_position base;
+        std::string frame;
+    };
+
     /// A frame that is being written, and the state after it.
     struct started_frame
     {
@@ -96,13 +104,20 @@
         -> result<bool>;
     auto take(stored_log& out, disk_format::record it) -> result<void>;
     auto add_segment(log_position base, bool reset) -> result<void>;
+    /// Describes the next segment and notes it as unfinished.
+    auto next_segment(log_position base, bool reset) -> new_segment;
+    auto use_segment(new_segment const& it, file_handle file) -> void;
+    auto start_segment(std::function<void(result<void>)> done) -> void;
     auto fill_segment(file_handle file, std::string_view frame) -> result<void>;
     auto open_snapshot(raft_snapshot const& it) -> result<void>;
     auto write_piece() -> result<bool>;
     auto drop_unfinished() -> void;
     auto write_frame() -> result<void>;
+    /// Checks that the pending records can be written.
+    auto prepare_frame() -> result<void>;
     /// The frame of all pending records, for the last segment.
-    auto start_frame() -> result<std::string>;
+    auto make_frame() -> std::string;
+    auto start_frame(std::function<void(result<void>)> done) -> void;
     auto end_frame(result<void> done) -> result<void>;
     /// Removes what a write without space has left behind.
     auto repair() -> result<void>;
--- a/src/adapters/disk_log_impl.hpp
+++ b/src/adapters/disk_log_impl.hpp
@@ -52,7 +52,7 @@
 }
 
 template <file_system_port Files>
-auto disk_log<Files>::add_segment(log_position base, bool reset) -> result<void>
+auto disk_log<Files>::next_segment(log_position base, bool reset) -> new_segment
 {
     disk_format::segment_header const header{
         .number = segments_.empty()
@@ -63,31 +63,77 @@
         .reset = reset};
     std::string payload;
     disk_format::add_record(payload, header);
-    auto const frame = disk_format::make_frame(disk_format::frame_kind::records,
-                                               header.number, 0, payload);
     unfinished_segment_ = path_of(name_of(header.number));
-    BOOST_OUTCOME_TRY(file, files_.create(*unfinished_segment_));
-    if (auto done = fill_segment(file, frame); !done)
-    {
-        files_.close(file);
-        return done;
-    }
+    return {header.number, base,
+            disk_format::make_frame(disk_format::frame_kind::records,
+                                    header.number, 0, payload)};
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::use_segment(new_segment const& it, file_handle file)
+    -> void
+{
     unfinished_segment_.reset();
     if (file_)
     {
         files_.close(*file_);
     }
     file_ = file;
-    segments_.push_back({header.number, base.index,
-                         byte_count{static_cast<std::int64_t>(frame.size())}});
+    segments_.push_back(
+        {it.number, it.base.index,
+         byte_count{static_cast<std::int64_t>(it.frame.size())}});
+    written_ = it.base;
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::add_segment(log_position base, bool reset) -> result<void>
+{
+    auto const it = next_segment(base, reset);
+    BOOST_OUTCOME_TRY(file, files_.create(*unfinished_segment_));
+    if (auto done = fill_segment(file, it.frame); !done)
+    {
+        files_.close(file);
+        return done;
+    }
+    use_segment(it, file);
     if (reset)
     {
         last_ = base;
     }
-    written_ = base;
     return outcome::success();
 }
 
+/// Makes the next segment, and writes the pending records to it.
+template <file_system_port Files>
+auto disk_log<Files>::start_segment(std::function<void(result<void>)> done)
+    -> void
+{
+    auto made = next_segment(written_, false);
+    auto frame = made.frame;
+    files_.start_file(*unfinished_segment_, options_.folder, std::move(frame),
+                      [this, &files = files_,
+                       lifetime = std::weak_ptr{lifetime_},
+                       made = std::move(made),
+                       done = std::move(done)](result<file_handle> file)
+                      {
+                          if (lifetime.expired())
+                          {
+                              if (file)
+                              {
+                                  files.close(file.value());
+                              }
+                              return;
+                          }
+                          if (!file)
+                          {
+                              done(guard(outcome::failure(file.error())));
+                              return;
+                          }
+                          use_segment(made, file.value());
+                          start_frame(done);
+                      });
+}
+
 template <file_system_port Files>
 auto disk_log<Files>::fill_segment(file_handle file, std::string_view frame)
     -> result<void>
@@ -154,13 +200,24 @@
                      : outcome::success());
         return;
     }
-    auto frame = start_frame();
-    if (!frame)
+    if (auto ready = guard(prepare_frame()); !ready)
+    {
+        done(std::move(ready));
+        return;
+    }
+    if (segments_.back().size >= options_.segment)
     {
-        done(guard(outcome::failure(frame.error())));
+        start_segment(std::move(done));
         return;
     }
-    files_.start_append(*file_, std::move(frame).value(),
+    start_frame(std::move(done));
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::start_frame(std::function<void(result<void>)> done)
+    -> void
+{
+    files_.start_append(*file_, make_frame(),
                         [this, lifetime = std::weak_ptr{lifetime_},
                          done = std::move(done)](result<void> written)
                         {
@@ -174,13 +231,18 @@
 template <file_system_port Files>
 auto disk_log<Files>::write_frame() -> result<void>
 {
-    BOOST_OUTCOME_TRY(frame, start_frame());
+    BOOST_OUTCOME_TRYV(prepare_frame());
+    if (segments_.back().size >= options_.segment)
+    {
+        BOOST_OUTCOME_TRYV(add_segment(written_, false));
+    }
+    auto const frame = make_frame();
     auto written = files_.write(*file_, frame);
     return end_frame(written ? files_.sync(*file_) : std::move(written));
 }
 
 template <file_system_port Files>
-auto disk_log<Files>::start_frame() -> result<std::string>
+auto disk_log<Files>::prepare_frame() -> result<void>
 {
     if (byte_count{static_cast<std::int64_t>(pending_.size())} > free_space())
     {
@@ -188,11 +250,12 @@
                     "the log has reached its bound of " +
                         std::to_string(options_.max_disk.value()) + " bytes");
     }
-    BOOST_OUTCOME_TRYV(repair());
-    if (segments_.back().size >= options_.segment)
-    {
-        BOOST_OUTCOME_TRYV(add_segment(written_, false));
-    }
+    return repair();
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::make_frame() -> std::string
+{
     auto const& it = segments_.back();
     auto frame = disk_format::make_frame(
         disk_format::frame_kind::records, it.number,
--- a/src/adapters/posix_files.cpp
+++ b/src/adapters/posix_files.cpp
@@ -2,9 +2,13 @@
 
 #include "adapters/uv_source.hpp"
 
+#include <algorithm>
 #include <cerrno>
+#include <cstdint>
+#include <deque>
 #include <filesystem>
-#include <map>
+#include <list>
+#include <optional>
 #include <system_error>
 #include <utility>
 
@@ -22,12 +26,29 @@
 
 constexpr mode_t file_mode = 0600;
 
-auto failed(std::string const& what, std::error_code ec)
+constexpr auto create_flags =
+    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC;
+
+auto describe_failure(std::string const& what, std::error_code ec) -> error
 {
     auto const full =
         ec == std::errc::no_space_on_device || ec.value() == EDQUOT;
-    return fail(full ? error_kind::disk_full : error_kind::disk_failed,
-                what + ": " + ec.message());
+    return {full ? error_kind::disk_full : error_kind::disk_failed,
+            what + ": " + ec.message()};
+}
+
+auto failed(std::string const& what, std::error_code ec)
+{
+    return outcome::failure(describe_failure(what, ec));
+}
+
+auto without_file(std::function<void(result<void>)> done)
+    -> std::function<void(result<file_handle>)>
+{
+    return [done = std::move(done)](result<file_handle> const& it) {
+        done(it ? result<void>{outcome::success()}
+                : outcome::failure(it.error()));
+    };
 }
 
 auto last_error() -> std::error_code
@@ -45,96 +66,189 @@
     return file_handle{fd};
 }
 
-auto library_error(ssize_t it) -> std::error_code
-{
-    return {static_cast<int>(-it), std::generic_category()};
-}
-
 } // namespace
 
 struct posix_files::operations
 {
-    /// Bytes that are being appended to a file and made durable.
-    struct append
+    enum class step : std::uint8_t
+    {
+        create,
+        write,
+        sync,
+        rename,
+        open_folder,
+        sync_folder,
+        close_folder,
+    };
+
+    /// Steps that the library takes one after the other.
+    struct task
     {
         uv_fs_t request{};
         operations* owner{nullptr};
-        file_handle file;
+        std::deque<step> steps;
+        file_handle file{-1};
+        file_path path;
+        file_path target; ///< of a rename
+        file_path folder;
+        file_handle opened_folder{-1};
         std::string bytes;
         std::size_t written{0};
-        std::function<void(result<void>)> done;
+        std::optional<error> failed;
+        std::function<void(result<file_handle>)> done;
         bool is_closed{false}; ///< the file, by the user of this port
     };
 
-    std::map<file_handle, append> appends;
-    uv_source source; ///< its destructor waits for the appends
+    std::list<task> tasks;
+    uv_source source; ///< its destructor waits for the tasks
+
+    auto start(task it) -> void
+    {
+        tasks.push_back(std::move(it));
+        auto& added = tasks.back();
+        added.request.data = &added;
+        added.owner = this;
+        take_step(added);
+    }
 
-    static auto owner_of(uv_fs_t* request) -> append&
+    /// The task that uses the file, if there is one.
+    auto find(file_handle file) -> task*
     {
-        return *static_cast<append*>(request->data);
+        auto const it = std::ranges::find(tasks, file, &task::file);
+        return it == tasks.end() ? nullptr : &*it;
     }
 
-    static auto start_write(append& it) -> void
+    static auto take_step(task& it) -> void
     {
-        auto const buf =
-            uv_buf_init(it.bytes.data() + it.written,
-                        static_cast<unsigned>(it.bytes.size() - it.written));
-        auto const ec = uv_fs_write(
-            it.owner->source.loop(), &it.request, it.file.value(), &buf, 1, -1,
-            [](uv_fs_t* request) { end_write(owner_of(request)); });
+        if (it.steps.empty())
+        {
+            end(it);
+            return;
+        }
+        auto const ec = request(it);
         if (ec != 0)
         {
-            end(it, failed("write", library_error(ec)));
+            it.request.result = ec;
+            end_step(it);
+        }
+    }
+
+    static auto request(task& it) -> int
+    {
+        auto* const loop = it.owner->source.loop();
+        auto* const to = &it.request;
+        auto const on_end = [](uv_fs_t* ended)
+        { end_step(*static_cast<task*>(ended->data)); };
+        switch (it.steps.front())
+        {
+        case step::create:
+            return uv_fs_open(loop, to, it.path.value().c_str(), create_flags,
+                              file_mode, on_end);
+        case step::write:
+        {
+            auto const buf = uv_buf_init(
+                it.bytes.data() + it.written,
+                static_cast<unsigned>(it.bytes.size() - it.written));
+            return uv_fs_write(loop, to, it.file.value(), &buf, 1, -1, on_end);
+        }
+        case step::sync:
+            return uv_fs_fdatasync(loop, to, it.file.value(), on_end);
+        case step::rename:
+            return uv_fs_rename(loop, to, it.path.value().c_str(),
+                                it.target.value().c_str(), on_end);
+        case step::open_folder:
+            return uv_fs_open(loop, to, it.folder.value().c_str(),
+                              O_RDONLY | O_DIRECTORY, 0, on_end);
+        case step::sync_folder:
+            return uv_fs_fsync(loop, to, it.opened_folder.value(), on_end);
+        case step::close_folder:
+            break;
         }
+        return uv_fs_close(loop, to, it.opened_folder.value(), on_end);
     }
 
-    static auto end_write(append& it) -> void
+    static auto end_step(task& it) -> void
     {
         auto const n = it.request.result;
         uv_fs_req_cleanup(&it.request);
+        auto const done = it.steps.front();
+        it.steps.pop_front();
         if (n < 0)
         {
-            end(it, failed("write", library_error(n)));
-            return;
+            it.failed = it.failed ? it.failed : describe(it, done, n);
+            // A folder that was opened is closed all the same.
+            auto const is_open = it.opened_folder != file_handle{-1} &&
+                                 done != step::close_folder;
+            it.steps =
+                is_open ? std::deque{step::close_folder} : std::deque<step>{};
         }
-        it.written += static_cast<std::size_t>(n);
-        if (it.written < it.bytes.size())
+        else if (done == step::create)
         {
-            start_write(it);
-            return;
+            it.file = file_handle{static_cast<int>(n)};
         }
-        auto const ec = uv_fs_fdatasync(
-            it.owner->source.loop(), &it.request, it.file.value(),
-            [](uv_fs_t* request) { end_sync(owner_of(request)); });
-        if (ec != 0)
+        else if (done == step::open_folder)
         {
-            end(it, failed("sync", library_error(ec)));
+            it.opened_folder = file_handle{static_cast<int>(n)};
         }
+        else if (done == step::write)
+        {
+            it.written += static_cast<std::size_t>(n);
+            if (it.written < it.bytes.size())
+            {
+                it.steps.push_front(step::write);
+            }
+        }
+        take_step(it);
     }
 
-    static auto end_sync(append& it) -> void
+    static auto describe(task const& it, step at, ssize_t ec) -> error
     {
-        auto const n = it.request.result;
-        uv_fs_req_cleanup(&it.request);
-        if (n < 0)
+        auto const what = [&]() -> std::string
         {
-            end(it, failed("sync", library_error(n)));
-            return;
-        }
-        end(it, outcome::success());
+            switch (at)
+            {
+            case step::create:
+                return "open " + it.path.value();
+            case step::write:
+                return "write";
+            case step::sync:
+                return "sync";
+            case step::rename:
+                return "rename " + it.path.value();
+            case step::open_folder:
+            case step::sync_folder:
+            case step::close_folder:
+                break;
+            }
+            return "sync folder " + it.folder.value();
+        }();
+        return describe_failure(
+            what, {static_cast<int>(-ec), std::generic_category()});
     }
 
-    static auto end(append& it, result<void> ended) -> void
+    static auto end(task& it) -> void
     {
-        auto const node = it.owner->appends.extract(it.file);
-        if (node.mapped().is_closed)
+        auto& tasks = it.owner->tasks;
+        std::list<task> ended;
+        ended.splice(ended.begin(), tasks,
+                     std::ranges::find(tasks, &it,
+                                       [](task const& each) { return &each; }));
+        if (it.is_closed)
         {
-            ::close(node.key().value());
+            ::close(it.file.value());
             return;
         }
-        if (node.mapped().done)
+        auto const is_made_here =
+            !it.path.value().empty() && it.file != file_handle{-1};
+        if (is_made_here && (it.failed || !it.done))
+        {
+            ::close(it.file.value());
+        }
+        if (it.done)
         {
-            node.mapped().done(std::move(ended));
+            it.done(it.failed
+                        ? result<file_handle>{outcome::failure(*it.failed)}
+                        : result<file_handle>{it.file});
         }
     }
 };
@@ -148,7 +262,7 @@
 {
     if (operations_)
     {
-        for (auto& [file, it] : operations_->appends)
+        for (auto& it : operations_->tasks)
         {
             it.done = {};
         }
@@ -240,7 +354,7 @@
 
 auto posix_files::create(file_path const& path) -> result<file_handle>
 {
-    return open_file(path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
+    return open_file(path, create_flags);
 }
 
 auto posix_files::open(file_path const& path) -> result<file_handle>
@@ -281,40 +395,81 @@
     return outcome::success();
 }
 
-auto posix_files::start_append(file_handle file, std::string bytes,
-                               std::function<void(result<void>)> done) -> void
+auto posix_files::open_operations() -> result<void>
 {
     if (!operations_)
     {
         auto made = std::make_unique<operations>();
-        if (auto opened = made->source.open(); !opened)
-        {
-            done(std::move(opened));
-            return;
-        }
+        BOOST_OUTCOME_TRYV(made->source.open());
         operations_ = std::move(made);
     }
-    auto& it = operations_->appends[file];
-    it.request.data = &it;
-    it.owner = operations_.get();
+    return outcome::success();
+}
+
+auto posix_files::start_append(file_handle file, std::string bytes,
+                               std::function<void(result<void>)> done) -> void
+{
+    if (auto opened = open_operations(); !opened)
+    {
+        done(std::move(opened));
+        return;
+    }
+    operations::task it;
+    it.steps = {operations::step::write, operations::step::sync};
     it.file = file;
     it.bytes = std::move(bytes);
+    it.done = without_file(std::move(done));
+    operations_->start(std::move(it));
+}
+
+auto posix_files::start_file(file_path const& path, file_path const& folder,
+                             std::string bytes,
+                             std::function<void(result<file_handle>)> done)
+    -> void
+{
+    if (auto const opened = open_operations(); !opened)
+    {
+        done(outcome::failure(opened.error()));
+        return;
+    }
+    operations::task it;
+    it.steps = {operations::step::create,      operations::step::write,
+                operations::step::sync,        operations::step::open_folder,
+                operations::step::sync_folder, operations::step::close_folder};
+    it.path = path;
+    it.folder = folder;
+    it.bytes = std::move(bytes);
     it.done = std::move(done);
-    operations::start_write(it);
+    operations_->start(std::move(it));
+}
+
+auto posix_files::start_rename(file_path const& from, file_path const& to,
+                               file_path const& folder,
+                               std::function<void(result<void>)> done) -> void
+{
+    if (auto opened = open_operations(); !opened)
+    {
+        done(std::move(opened));
+        return;
+    }
+    operations::task it;
+    it.steps = {operations::step::rename, operations::step::open_folder,
+                operations::step::sync_folder, operations::step::close_folder};
+    it.path = from;
+    it.target = to;
+    it.folder = folder;
+    it.done = without_file(std::move(done));
+    operations_->start(std::move(it));
 }
 
 auto posix_files::close(file_handle file) -> void
 {
     // The library may use the descriptor on its thread, so that the number
     // must not be given to another file yet.
-    if (operations_)
+    if (auto* const it = operations_ ? operations_->find(file) : nullptr)
     {
-        auto const found = operations_->appends.find(file);
-        if (found != operations_->appends.end())
-        {
-            found->second.is_closed = true;
-            return;
-        }
+        it->is_closed = true;
+        return;
     }
     ::close(file.value());
 }
--- a/src/adapters/posix_files.hpp
+++ b/src/adapters/posix_files.hpp
@@ -33,6 +33,12 @@
     auto sync(file_handle file) -> result<void>;
     auto start_append(file_handle file, std::string bytes,
                       std::function<void(result<void>)> done) -> void;
+    auto start_file(file_path const& path, file_path const& folder,
+                    std::string bytes,
+                    std::function<void(result<file_handle>)> done) -> void;
+    auto start_rename(file_path const& from, file_path const& to,
+                      file_path const& folder,
+                      std::function<void(result<void>)> done) -> void;
     auto truncate(file_handle file, byte_count size) -> result<void>;
     auto close(file_handle file) -> void;
     auto rename(file_path const& from, file_path const& to) -> result<void>;
@@ -41,6 +47,9 @@
 
 private:
     struct operations;
+
+    auto open_operations() -> result<void>;
+
     std::unique_ptr<operations> operations_; ///< since the first of them
 };
 
--- a/src/ports/file_system.hpp
+++ b/src/ports/file_system.hpp
@@ -25,7 +25,8 @@
 concept file_system_port =
     requires(T& it, file_path const& path, file_handle file,
              std::string_view bytes, byte_count size, std::string owned,
-             std::function<void(result<void>)> done) {
+             std::function<void(result<void>)> done,
+             std::function<void(result<file_handle>)> made) {
         // Creates the folder if it is missing.
         {
             it.make_folder(path)
@@ -63,6 +64,16 @@
         {
             it.start_append(file, std::move(owned), std::move(done))
         } -> std::same_as<void>;
+        // Creates or empties a file of a folder, appends the bytes, makes both
+        // durable, and calls back in a later turn of the loop.
+        {
+            it.start_file(path, path, std::move(owned), std::move(made))
+        } -> std::same_as<void>;
+        // Renames a file of a folder, makes this durable, and calls back in a
+        // later turn of the loop.
+        {
+            it.start_rename(path, path, path, std::move(done))
+        } -> std::same_as<void>;
         {
             it.truncate(file, size)
         } -> std::same_as<result<void>>;
--- a/tests/crash_files.hpp
+++ b/tests/crash_files.hpp
@@ -32,6 +32,7 @@
     std::map<std::string, std::shared_ptr<file>> names;
     std::map<std::string, std::shared_ptr<file>> durable_names;
     std::size_t calls{0};
+    std::size_t waits{0}; ///< syncs that the caller waited for
     std::optional<std::size_t> fail_at;
     bool once{false}; ///< only that call fails; else the power is gone
     /// First and last call during which nothing can be added.
@@ -92,6 +93,7 @@
     }
     auto sync(file_handle it) -> result<void>
     {
+        ++waits;
         BOOST_OUTCOME_TRYV(step_that_adds());
         open_.at(it.value())->durable = open_.at(it.value())->current;
         return outcome::success();
@@ -99,18 +101,57 @@
     auto start_append(file_handle to, std::string const& bytes,
                       std::function<void(result<void>)> done) -> void
     {
+        auto const waits_before = waits;
         auto written = write(to, bytes);
         auto ended = written ? sync(to) : std::move(written);
-        later_.push_back({to, std::move(ended), std::move(done)});
+        waits = waits_before;
+        later_.push_back(
+            [this, to, ended = std::move(ended), done = std::move(done)]
+            {
+                if (open_.contains(to.value()))
+                {
+                    done(ended);
+                }
+            });
     }
-    /// Ends what was started, as a later turn of the loop does.
+    auto start_file(file_path const& path, file_path const& folder,
+                    std::string const& bytes,
+                    std::function<void(result<file_handle>)> done) -> void
+    {
+        auto const waits_before = waits;
+        auto made = create(path);
+        if (made)
+        {
+            auto ended = write(made.value(), bytes);
+            ended = ended ? sync(made.value()) : std::move(ended);
+            ended = ended ? sync_folder(folder) : std::move(ended);
+            if (!ended)
+            {
+                close(made.value());
+                made = outcome::failure(ended.error());
+            }
+        }
+        waits = waits_before;
+        later_.push_back([made, done = std::move(done)] { done(made); });
+    }
+    auto start_rename(file_path const& from, file_path const& to,
+                      file_path const& folder,
+                      std::function<void(result<void>)> done) -> void
+    {
+        auto const waits_before = waits;
+        auto ended = rename(from, to);
+        ended = ended ? sync_folder(folder) : std::move(ended);
+        waits = waits_before;
+        later_.push_back([ended, done = std::move(done)] { done(ended); });
+    }
+    /// Ends what was started, as later turns of the loop do.
     auto turn() -> void
     {
-        for (auto& it : std::exchange(later_, {}))
+        while (!later_.empty())
         {
-            if (open_.contains(it.file.value()))
+            for (auto const& it : std::exchange(later_, {}))
             {
-                it.done(std::move(it.ended));
+                it();
             }
         }
     }
@@ -140,6 +181,7 @@
     }
     auto sync_folder(file_path const&) -> result<void>
     {
+        ++waits;
         BOOST_OUTCOME_TRYV(step_that_adds());
         durable_names = names;
         return outcome::success();
@@ -224,16 +266,8 @@
         return file_handle{next_++};
     }
 
-    /// An operation that was started and has not called back.
-    struct started
-    {
-        file_handle file;
-        result<void> ended;
-        std::function<void(result<void>)> done;
-    };
-
     std::map<int, std::shared_ptr<file>> open_;
-    std::vector<started> later_;
+    std::vector<std::function<void()>> later_; ///< callbacks
     int next_{0};
     int lock_{-1};
 };
--- a/tests/disk_log_test.cpp
+++ b/tests/disk_log_test.cpp
@@ -319,6 +319,22 @@
     EXPECT_EQ(second.value().term_and_vote.current, term{2});
 }
 
+// A leader that waits for the disk at the start of each segment loses its
+// lease.
+TEST(disk_log, begins_segments_without_keeping_the_loop)
+{
+    crash_files files;
+    disk_log<crash_files> log{files, small};
+    ASSERT_TRUE(log.load());
+    auto const waits = files.waits;
+    for (std::uint64_t n = 1; n <= 40; ++n)
+    {
+        ASSERT_TRUE(run_started(files, log, {store_call::sync, n, n, 1}));
+    }
+    EXPECT_GT(files.names.size(), 5U) << "too few segments";
+    EXPECT_EQ(files.waits, waits);
+}
+
 // A log that is gone must not be called back, and its file is closed.
 TEST(disk_log, a_log_that_is_gone_is_not_called_back)
 {
--- a/tests/posix_files_test.cpp
+++ b/tests/posix_files_test.cpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace apricotlb
 {
@@ -92,6 +93,50 @@
     EXPECT_EQ(files.read(file_path{folder.path() + "/other"}).value(), "y");
 }
 
+// A segment or a snapshot that is made without keeping the loop must be the
+// same as one that the loop waits for.
+TEST(posix_files, makes_and_renames_files_without_keeping_the_loop)
+{
+    temporary_folder folder;
+    posix_files files;
+    file_path const at{folder.path()};
+    file_path const renamed{folder.path() + "/renamed"};
+    std::optional<result<file_handle>> made;
+    files.start_file(path_in(folder), at, "abc",
+                     [&made](result<file_handle> it) { made = std::move(it); });
+    EXPECT_FALSE(made);
+    turn_until([&made] { return made.has_value(); });
+    ASSERT_TRUE(*made);
+    ASSERT_TRUE(files.write(made->value(), "def"));
+    files.close(made->value());
+    std::optional<result<void>> moved;
+    files.start_rename(path_in(folder), renamed, at,
+                       [&moved](result<void> it) { moved = std::move(it); });
+    EXPECT_FALSE(moved);
+    turn_until([&moved] { return moved.has_value(); });
+    EXPECT_TRUE(*moved);
+    EXPECT_EQ(files.read(renamed).value(), "abcdef");
+    EXPECT_EQ(files.list(at).value(), std::vector<std::string>{"renamed"});
+}
+
+TEST(posix_files, reports_files_that_cannot_be_made)
+{
+    temporary_folder folder;
+    posix_files files;
+    file_path const missing{folder.path() + "/missing"};
+    std::optional<result<file_handle>> made;
+    files.start_file(file_path{missing.value() + "/file"}, missing, "abc",
+                     [&made](result<file_handle> it) { made = std::move(it); });
+    turn_until([&made] { return made.has_value(); });
+    EXPECT_EQ(made->error().kind, error_kind::disk_failed);
+    std::optional<result<file_handle>> unnamed;
+    files.start_file(path_in(folder), missing, "abc",
+                     [&unnamed](result<file_handle> it)
+                     { unnamed = std::move(it); });
+    turn_until([&unnamed] { return unnamed.has_value(); });
+    EXPECT_EQ(unnamed->error().kind, error_kind::disk_failed);
+}
+
 // A process that ends during a sync must not call back into what is gone.
 TEST(posix_files, waits_at_its_end_for_an_append)
 {
