--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -83,6 +83,14 @@
         { clients_.cancel_wave(seed); };
         log("seed " + std::to_string(options_.seed) + ", logs in " +
             folder_.string());
+        if (auto const& it = options_.deployment.disks;
+            it.sync_delay.count() > 0)
+        {
+            log("syncs take " + std::to_string(it.sync_delay.count()) +
+                " ms longer on " +
+                (it.count == slow_disks::all ? "all disks"
+                                             : std::to_string(it.count)));
+        }
         system_.start_all();
         add_workers();
         operators_.start([this] { begin(); });
@@ -326,12 +334,28 @@
     bool configured_{false};
 };
 
+/// MS or MS:COUNT.
+auto parse_disks(std::string const& delay) -> slow_disks
+{
+    slow_disks out;
+    std::istringstream text{delay};
+    std::int64_t ms{0};
+    char colon{};
+    if (!(text >> ms) ||
+        (text >> colon && (colon != ':' || !(text >> out.count))))
+    {
+        throw std::invalid_argument{"--sync-delay must be MS or MS:COUNT"};
+    }
+    out.sync_delay = milliseconds{ms};
+    return out;
+}
+
 auto parse(int argc, char** argv) -> options
 {
     options out;
     auto& processes = out.deployment;
     std::string binary;
-    std::string delay{"0"};
+    std::string delay;
     auto templates = processes.templates.string();
     auto length = static_cast<int>(out.length.count());
     cxxopts::Options table{"soak", "Randomized soak of real processes"};
@@ -352,15 +376,8 @@
         cxxopts::value(delay));
     add("keep", "keep the logs", cxxopts::value(out.keep));
     table.parse(argc, argv);
-    std::istringstream text{delay};
-    std::int64_t ms{0};
-    char colon{};
-    if (!(text >> ms) ||
-        (text >> colon && (colon != ':' || !(text >> processes.disks.count))))
-    {
-        throw std::invalid_argument{"--sync-delay must be MS or MS:COUNT"};
-    }
-    processes.disks.sync_delay = milliseconds{ms};
+    processes.disks =
+        delay.empty() ? make_slow_disks(out.seed) : parse_disks(delay);
     processes.binary = binary;
     processes.templates = templates;
     out.length = seconds{length};
