Blame runs for crashes as before

worker_crash.blames_no_run_that_is_closed fails with the condition that added to may_blame, which that test does not set up. A run whose start is held back may be blamed for a crash of its worker: open.

--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -667,7 +667,7 @@
     {
         if (run.phase == run_phase::proposed ||
             run.phase == run_phase::closed || run.phase == run_phase::ending ||
-            !run.ordered_at || run.starts_sent == 0)
+            !run.ordered_at)
         {
             return false;
         }
