--- a/src/adapters/disk_log.hpp
+++ b/src/adapters/disk_log.hpp
@@ -54,6 +54,7 @@
     auto start_sync(std::function<void(result<void>)> done) -> void;
     auto begin_snapshot(raft_snapshot const& it) -> result<void>;
     auto continue_snapshot() -> result<bool>;
+    auto start_piece(std::function<void(result<bool>)> done) -> void;
     auto save_snapshot(raft_snapshot const& it) -> result<void>;
     auto install(raft_snapshot const& it) -> result<void>;
     auto compact(log_index keep_after) -> result<void>;
@@ -111,6 +112,8 @@
     auto fill_segment(file_handle file, std::string_view frame) -> result<void>;
     auto open_snapshot(raft_snapshot const& it) -> result<void>;
     auto write_piece() -> result<bool>;
+    auto start_publish(std::function<void(result<bool>)> done) -> void;
+    auto fail_piece(error const& it) -> result<bool>;
     auto drop_unfinished() -> void;
     auto write_frame() -> result<void>;
     /// Checks that the pending records can be written.
--- a/src/adapters/disk_log_impl.hpp
+++ b/src/adapters/disk_log_impl.hpp
@@ -363,6 +363,81 @@
     return done;
 }
 
+template <file_system_port Files>
+auto disk_log<Files>::start_piece(std::function<void(result<bool>)> done)
+    -> void
+{
+    if (failed_ || !unfinished_)
+    {
+        done(failed_ ? result<bool>{outcome::failure(*failed_)} : true);
+        return;
+    }
+    auto piece = unfinished_->bytes.substr(unfinished_->done,
+                                           config::snapshot_piece_bytes);
+    auto const size = piece.size();
+    files_.start_append(unfinished_->file, std::move(piece),
+                        [this, lifetime = std::weak_ptr{lifetime_}, size,
+                         done = std::move(done)](result<void> const& written)
+                        {
+                            if (lifetime.expired())
+                            {
+                                return;
+                            }
+                            if (!written)
+                            {
+                                done(fail_piece(written.error()));
+                                return;
+                            }
+                            unfinished_->done += size;
+                            if (unfinished_->done < unfinished_->bytes.size())
+                            {
+                                done(false);
+                                return;
+                            }
+                            start_publish(done);
+                        });
+}
+
+/// Gives a complete snapshot its name.
+template <file_system_port Files>
+auto disk_log<Files>::start_publish(std::function<void(result<bool>)> done)
+    -> void
+{
+    files_.start_rename(
+        path_of("snapshot.tmp"), path_of("snapshot"), options_.folder,
+        [this, lifetime = std::weak_ptr{lifetime_},
+         done = std::move(done)](result<void> const& renamed)
+        {
+            if (lifetime.expired())
+            {
+                return;
+            }
+            // After a failure either snapshot may have the name.
+            auto const size = byte_count{
+                static_cast<std::int64_t>(unfinished_->bytes.size())};
+            snapshot_size_ = renamed ? size : std::max(snapshot_size_, size);
+            if (!renamed)
+            {
+                done(fail_piece(renamed.error()));
+                return;
+            }
+            files_.close(unfinished_->file);
+            unfinished_.reset();
+            done(true);
+        });
+}
+
+template <file_system_port Files>
+auto disk_log<Files>::fail_piece(error const& it) -> result<bool>
+{
+    (void)guard(outcome::failure(it));
+    if (!failed_)
+    {
+        drop_unfinished();
+    }
+    return outcome::failure(it);
+}
+
 template <file_system_port Files>
 auto disk_log<Files>::save_snapshot(raft_snapshot const& it) -> result<void>
 {
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -258,6 +258,7 @@
     auto take_snapshot_if_due() -> void;
     auto schedule_piece() -> void;
     auto save_piece() -> void;
+    auto end_piece(result<bool> const& done) -> void;
     auto update_leadership() -> void;
     auto report_role() -> void;
     /// Starts to make all writes so far durable.
@@ -324,6 +325,7 @@
     log_index applied_;
     log_index snapshot_;
     std::optional<raft_snapshot> saving_;
+    bool is_saving_piece_{false}; ///< the store saves a part of a snapshot
     std::size_t bytes_since_snapshot_{0};
     bool is_snapshot_postponed_{false};
     time_point next_snapshot_{};              ///< not before
--- a/src/app/replica_disk.hpp
+++ b/src/app/replica_disk.hpp
@@ -75,7 +75,7 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::retry() -> void
 {
-    if (is_syncing_)
+    if (is_syncing_ || (installing_ && is_saving_piece_))
     {
         arm_retry();
         return;
@@ -127,8 +127,8 @@
                         bytes_since_snapshot_ >= options_.snapshot_bytes ||
                         is_snapshot_postponed_ || frees_space;
     auto const is_useless = disk_full_ && !is_low;
-    if (failure_ || is_syncing_ || saving_ || installing_ || !is_due ||
-        is_useless || now < next_snapshot_)
+    if (failure_ || is_syncing_ || saving_ || is_saving_piece_ || installing_ ||
+        !is_due || is_useless || now < next_snapshot_)
     {
         return;
     }
@@ -168,7 +168,38 @@
     {
         return;
     }
-    auto const done = store_.continue_snapshot();
+    is_saving_piece_ = true;
+    store_.start_piece(
+        [this, lifetime = std::weak_ptr{lifetime_}](result<bool> const& done)
+        {
+            if (!lifetime.expired())
+            {
+                end_piece(done);
+            }
+        });
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::end_piece(
+    result<bool> const& done) -> void
+{
+    is_saving_piece_ = false;
+    if (installing_ && !failure_ && !disk_full_ && !is_syncing_)
+    {
+        if (auto const installed = finish_install(); !installed)
+        {
+            handle_failure(installed.error());
+            return;
+        }
+        go_on();
+        return;
+    }
+    if (failure_ || !saving_)
+    {
+        return;
+    }
     if (done && !done.value())
     {
         schedule_piece();
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -297,7 +297,7 @@
     snapshot_ = applied_;
     bytes_since_snapshot_ = 0;
     installing_ = it;
-    if (is_syncing_)
+    if (is_syncing_ || is_saving_piece_)
     {
         return;
     }
@@ -448,7 +448,7 @@
         clock_.cancel_timer(*flush_timer_);
         flush_timer_.reset();
     }
-    if (unsynced_ && !is_syncing_ && !failure_)
+    if (unsynced_ && !is_syncing_ && !installing_ && !failure_)
     {
         start_sync();
     }
@@ -459,7 +459,7 @@
     requires transport_port<Transport, raft_message>
 auto replica<Clock, Transport, LogStore, Machine>::start_sync() -> void
 {
-    // A new segment of the log is still written by the loop itself. Answers to
+    // What the store does before it starts may block the loop. Answers to
     // heartbeats, on which the lease of the leader depends, must not wait for
     // it.
     transport_.flush();
@@ -507,7 +507,7 @@
         transport_.send(it.to, it.message);
     }
     perform(core_->persisted(clock_.now()));
-    if (installing_ && !failure_)
+    if (installing_ && !is_saving_piece_ && !failure_)
     {
         done = finish_install();
     }
@@ -532,6 +532,10 @@
         report(disk_event::writable, {});
         perform(core_->set_writable(clock_.now(), true));
     }
+    if (installing_)
+    {
+        return; // until the part of a snapshot that is being saved
+    }
     for (auto& [from, message] : std::exchange(waiting_messages_, {}))
     {
         receive(from, std::move(message));
--- a/src/ports/log_store.hpp
+++ b/src/ports/log_store.hpp
@@ -28,8 +28,8 @@
 
 /// save and append_entries only buffer; sync makes everything buffered durable
 /// at once, and start_sync does without keeping the loop. Until it has called
-/// back, only save, append_entries, continue_snapshot, compact and the
-/// functions that return a size may be called. A call that fails with disk_full
+/// back, only save, append_entries, start_piece, compact and the functions
+/// that return a size may be called. A call that fails with disk_full
 /// leaves the durable contents as they were, keeps what is buffered, and may be
 /// repeated. After any other failure the store refuses every call, because a
 /// failed sync may have lost data that a second sync would report as durable.
@@ -39,7 +39,8 @@
     requires(T& it, hard_state const& term_and_vote,
              std::vector<log_entry> const& entries,
              raft_snapshot const& snapshot, log_index keep_after,
-             std::function<void(result<void>)> done) {
+             std::function<void(result<void>)> done,
+             std::function<void(result<bool>)> saved) {
         {
             it.load()
         } -> std::same_as<result<stored_log>>;
@@ -68,6 +69,12 @@
         {
             it.continue_snapshot()
         } -> std::same_as<result<bool>>;
+        // The same without keeping the loop: calls back in a later turn, or at
+        // once if it cannot start. Until then no snapshot may be begun, saved
+        // or installed.
+        {
+            it.start_piece(std::move(saved))
+        } -> std::same_as<void>;
         // Saves a snapshot at once. The effect of this function, install and
         // compact is durable on return.
         {
--- a/tests/disk_log_test.cpp
+++ b/tests/disk_log_test.cpp
@@ -88,6 +88,20 @@
 auto run_started(crash_files& files, disk_log<crash_files>& log,
                  store_call const& it) -> result<void>
 {
+    if (it.kind == store_call::save)
+    {
+        BOOST_OUTCOME_TRYV(log.begin_snapshot(snapshot(it.last, it.in_term)));
+        for (auto is_durable = false; !is_durable;)
+        {
+            std::optional<result<bool>> saved;
+            log.start_piece([&saved](result<bool> done)
+                            { saved = std::move(done); });
+            files.turn();
+            BOOST_OUTCOME_TRY(done, saved.value());
+            is_durable = done;
+        }
+        return outcome::success();
+    }
     if (it.kind != store_call::sync)
     {
         return run(log, it);
--- a/tests/memory_log.hpp
+++ b/tests/memory_log.hpp
@@ -43,6 +43,10 @@
     auto operator=(memory_log const&) -> memory_log& = delete;
     ~memory_log()
     {
+        if (piece_timer_)
+        {
+            clock_->cancel_timer(*piece_timer_);
+        }
         if (timer_)
         {
             clock_->cancel_timer(*timer_);
@@ -107,6 +111,10 @@
     /// Takes two pieces, so that a process can be lost in between.
     auto begin_snapshot(raft_snapshot const& it) -> result<void>
     {
+        if (piece_timer_)
+        {
+            return fail(error_kind::disk_failed, "a part is being saved");
+        }
         BOOST_OUTCOME_TRYV(sync());
         unfinished_ = it;
         pieces_ = 0;
@@ -115,12 +123,26 @@
 
     auto continue_snapshot() -> result<bool>
     {
-        BOOST_OUTCOME_TRYV(check_space(disk_.full || disk_.full_for_snapshots));
-        if (++pieces_ == 2 && unfinished_)
+        if (clock_ != nullptr)
         {
-            disk_.stored.snapshot = std::exchange(unfinished_, {});
+            clock_->block(disk_.sync_time);
         }
-        return pieces_ >= 2;
+        return save_piece();
+    }
+
+    auto start_piece(std::function<void(result<bool>)> done) -> void
+    {
+        if (clock_ == nullptr)
+        {
+            done(continue_snapshot());
+            return;
+        }
+        piece_timer_ = clock_->start_timer(disk_.sync_time,
+                                           [this, done = std::move(done)]
+                                           {
+                                               piece_timer_.reset();
+                                               done(save_piece());
+                                           });
     }
 
     auto save_snapshot(raft_snapshot const& it) -> result<void>
@@ -165,6 +187,16 @@
         std::vector<log_entry> entries;
     };
 
+    auto save_piece() -> result<bool>
+    {
+        BOOST_OUTCOME_TRYV(check_space(disk_.full || disk_.full_for_snapshots));
+        if (++pieces_ == 2 && unfinished_)
+        {
+            disk_.stored.snapshot = std::exchange(unfinished_, {});
+        }
+        return pieces_ >= 2;
+    }
+
     auto begin() -> void
     {
         writing_ = changes{hard_, std::exchange(entries_, {})};
@@ -215,7 +247,8 @@
 
     memory_disk& disk_;
     paused_clock* clock_;
-    std::optional<timer_id> timer_;  ///< of the sync in progress
+    std::optional<timer_id> timer_; ///< of the sync in progress
+    std::optional<timer_id> piece_timer_;
     std::optional<changes> writing_; ///< by the sync in progress
     bool is_changed_{false};         ///< since the start of the last sync
     std::optional<hard_state> hard_;
--- a/tests/slow_sync_test.cpp
+++ b/tests/slow_sync_test.cpp
@@ -179,6 +179,9 @@
 {
     lone_follower()
     {
+        group.snapshot_entries = 5;
+        group.crash(0);
+        group.start(0);
         group.crash(1);
         group.crash(2);
         for (auto const n : {1U, 2U})
@@ -252,6 +255,66 @@
     EXPECT_EQ(it.node.disk.stored.entries[0].index, log_index{10});
 }
 
+// The same for a part of an own snapshot that is being saved.
+TEST(slow_sync, a_snapshot_that_arrives_beside_an_own_one_is_installed_after_it)
+{
+    lone_follower it;
+    it.node.disk.sync_time = quick;
+    for (std::uint64_t n = 1; n <= 6; ++n)
+    {
+        it.append(n);
+    }
+    it.group.run(milliseconds{50});
+    it.node.disk.sync_time = slow;
+    it.receive(
+        append_entries{term{1},
+                       {log_index{6}, term{1}},
+                       {{term{1}, log_index{7}, entry_kind::proposal, "x", {}}},
+                       log_index{6},
+                       it.group.clock.now()});
+    it.group.run(slow + slow / 2); // the first part is being saved
+    ASSERT_EQ(it.node.it->status().snapshot, log_index{6});
+    it.receive(install_snapshot{term{1},
+                                {{log_index{9}, term{1}}, it.node.bootstrap},
+                                {},
+                                byte_count{7},
+                                "9 nine\n",
+                                it.group.clock.now()});
+    it.append(10);
+    it.group.run(slow / 3);
+    EXPECT_EQ(it.promised(), log_index{7});
+    it.node.disk.sync_time = quick;
+    it.group.run(slow);
+    EXPECT_FALSE(it.node.failure);
+    EXPECT_EQ(it.promised(), log_index{10});
+    EXPECT_EQ(it.node.disk.stored.base.index, log_index{9});
+}
+
+// A leader whose loop waits for the parts of a snapshot loses its lease.
+TEST(slow_sync, a_snapshot_is_saved_without_keeping_the_loop)
+{
+    replica_group it{1, 1};
+    it.snapshot_entries = 50;
+    it.crash(0);
+    it.start(0);
+    it.elect();
+    auto& disk = it.nodes[0]->disk;
+    disk.sync_time = slow;
+    for (auto n = 0; n < 60; ++n)
+    {
+        it.propose(0);
+    }
+    for (auto n = 0; n < 2000; ++n)
+    {
+        auto const before = it.clock.now();
+        it.clock.advance(milliseconds{1});
+        EXPECT_EQ(it.clock.now() - before, milliseconds{1});
+    }
+    EXPECT_EQ(it.acknowledged.size(), 60U);
+    ASSERT_TRUE(disk.stored.snapshot);
+    EXPECT_GE(disk.stored.snapshot->info.last.index, log_index{50});
+}
+
 // Answers must wait for the sync that covers what they promise, and for no
 // later one.
 TEST(slow_sync, answers_wait_for_the_sync_that_covers_them)
