Space syncs of the log by their duration again

Syncs start no earlier than the last one's duration over max_sync_share after its start, as they did when they blocked the loop. The flushes of a leader stay at group_commit_interval, so that its own slow disk delays nobody (slow_sync tests).

--- a/include/apricotlb/config.hpp
+++ b/include/apricotlb/config.hpp
@@ -49,8 +49,8 @@
 /// Time in which committed entries are applied before the loop gets a turn. Far
 /// less than the shortest time without a heartbeat that ends a leadership.
 inline constexpr duration max_apply_time = 20ms;
-/// Largest share of the time for which syncs may block the loop of a replica,
-/// as they do where a file is repaired after the disk was full.
+/// Largest share of the time that the syncs of a replica may take. The loop
+/// goes on during a sync, but each costs wake-ups and processor time.
 inline constexpr permille max_sync_share{300};
 inline constexpr std::size_t max_append_bytes = 256 * kib;
 inline constexpr std::size_t snapshot_chunk_bytes = 256 * kib;
--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -32,8 +32,8 @@
 namespace apricotlb
 {
 
-/// Longest time from the end of a sync to the next flush that is due. It
-/// bounds the delay after a sync that blocked the loop for seconds.
+/// Longest time from the end of a sync to the next one that is due. It bounds
+/// the delay after a sync that took seconds.
 inline constexpr duration max_flush_delay = milliseconds{100};
 
 /// Settings of a replica.
@@ -250,8 +250,9 @@
     auto add_pending(result<log_index> index, std::size_t bytes,
                      completion callback, proposal_origin origin) -> void;
     auto schedule_flush() -> void;
-    /// The earliest time of the next flush or sync after the last one.
-    [[nodiscard]] auto pace_after(time_point last) const -> time_point;
+    auto arm_flush(time_point at) -> void;
+    [[nodiscard]] auto next_flush() const -> time_point;
+    [[nodiscard]] auto next_sync() const -> time_point;
     auto flush() -> void;
     auto send_held() -> void;
     auto take_snapshot_if_due() -> void;
@@ -321,8 +322,8 @@
     std::optional<timer_id> tick_timer_;
     std::optional<timer_id> retry_timer_;
     time_point next_tick_{};
-    time_point last_flush_{};      ///< start of the last flush
-    duration last_blocked_time_{}; ///< of the loop, by the last sync
+    time_point last_flush_{}; ///< start of the last flush
+    duration last_sync_time_{};
     log_index applied_;
     log_index snapshot_;
     std::optional<raft_snapshot> saving_;
--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -390,8 +390,16 @@
     {
         return;
     }
-    auto const next = pace_after(last_flush_);
-    if (flush_timer_ && flush_due_ <= next)
+    arm_flush(next_flush());
+}
+
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::arm_flush(time_point at)
+    -> void
+{
+    if (flush_timer_ && flush_due_ <= at)
     {
         return;
     }
@@ -399,37 +407,53 @@
     {
         clock_.cancel_timer(*flush_timer_);
     }
-    flush_due_ = next;
-    flush_timer_ =
-        clock_.start_timer(std::max(duration{0}, next - clock_.now()),
-                           [this]
-                           {
-                               flush_timer_.reset();
-                               flush();
-                           });
+    flush_due_ = at;
+    flush_timer_ = clock_.start_timer(std::max(duration{0}, at - clock_.now()),
+                                      [this]
+                                      {
+                                          flush_timer_.reset();
+                                          flush();
+                                      });
 }
 
 /// A leader under load collects the proposals of config::group_commit_interval
-/// into one message to each follower and one sync. If the sync blocks the loop,
-/// every replica leaves the rest of the time to other work. Votes and new terms
-/// are not delayed: an election waits for them.
+/// into one message to each follower. Votes and new terms are not delayed: an
+/// election waits for them.
 template <clock_port Clock, class Transport, log_store_port LogStore,
           state_machine_port Machine>
     requires transport_port<Transport, raft_message>
-auto replica<Clock, Transport, LogStore, Machine>::pace_after(
-    time_point last) const -> time_point
+auto replica<Clock, Transport, LogStore, Machine>::next_flush() const
+    -> time_point
 {
     if (term_unsynced_)
     {
-        return last;
+        return last_flush_;
+    }
+    return core_->role() == raft_role::leader
+               ? last_flush_ + config::group_commit_interval
+               : next_sync();
+}
+
+/// A sync costs wake-ups and processor time, however much it covers. So syncs
+/// are spaced by a share of their duration. The flushes of a leader are not: a
+/// slow disk of its own must not delay the other members.
+template <clock_port Clock, class Transport, log_store_port LogStore,
+          state_machine_port Machine>
+    requires transport_port<Transport, raft_message>
+auto replica<Clock, Transport, LogStore, Machine>::next_sync() const
+    -> time_point
+{
+    if (term_unsynced_)
+    {
+        return sync_start_;
     }
     auto const least = core_->role() == raft_role::leader
                            ? config::group_commit_interval
                            : duration{};
-    auto const share = config::max_sync_share.value();
-    auto const paced = std::min(last_blocked_time_ * 1000 / share,
-                                last_blocked_time_ + max_flush_delay);
-    return last + std::max(least, paced);
+    auto const paced =
+        std::min(last_sync_time_ * 1000 / config::max_sync_share.value(),
+                 last_sync_time_ + max_flush_delay);
+    return sync_start_ + std::max(least, paced);
 }
 
 /// Sends pending entries, and starts to make all writes so far durable unless a
@@ -452,10 +476,18 @@
         clock_.cancel_timer(*flush_timer_);
         flush_timer_.reset();
     }
-    if (unsynced_ && !is_syncing_ && !installing_ && !failure_)
+    if (!unsynced_ || is_syncing_ || installing_ || failure_)
+    {
+        return;
+    }
+    if (clock_.now() >= next_sync())
     {
         start_sync();
     }
+    else
+    {
+        arm_flush(next_sync());
+    }
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -481,7 +513,6 @@
                 end_sync(std::move(done));
             }
         });
-    last_blocked_time_ = clock_.now() - sync_start_;
 }
 
 template <clock_port Clock, class Transport, log_store_port LogStore,
@@ -492,6 +523,7 @@
 {
     is_syncing_ = false;
     auto const took = clock_.now() - sync_start_;
+    last_sync_time_ = took;
     ++load_.syncs;
     load_.sync_time += took;
     load_.longest_sync = std::max(load_.longest_sync, took);
@@ -553,13 +585,13 @@
     {
         send_held();
     }
-    else if (clock_.now() >= pace_after(sync_start_))
+    else if (clock_.now() >= next_sync())
     {
         start_sync();
     }
     else
     {
-        schedule_flush();
+        arm_flush(next_sync());
     }
 }
 
