Judge a leader by its links alone before it hands over

The time until the first commit of an office counted as time without the lease, while voters measure round trips without any commit. Where commits take over a second and a half (slow disks, members that catch up), a leader that had held its lease since its first commit handed over to a voter that then had to wait for the same disks, every five seconds.

The meter takes the end of the lease by answers. Found by a review. hand_over.does_not_follow_a_late_first_commit fails before in each of its seeds.

--- a/src/core/log/raft.cpp
+++ b/src/core/log/raft.cpp
@@ -141,7 +141,7 @@
     last_tick_ = now;
     if (role_ == raft_role::leader)
     {
-        reach_.update(now, lease_until());
+        reach_.update(now, lease_end());
         if (now >= quorum_deadline())
         {
             become_follower(now, term_and_vote_.current, std::nullopt,
--- a/src/core/log/raft.hpp
+++ b/src/core/log/raft.hpp
@@ -417,7 +417,9 @@
     time_point leader_since_{};
     time_point last_tick_{};
     time_point last_lease_{}; ///< when this leader was last seen to hold it
-    reach_meter reach_;       ///< of this office
+    /// Of this office. Voters measure no commits, so the time to the first one
+    /// does not count here either.
+    reach_meter reach_;
     time_point next_reach_request_{};
     duration longest_round_trip_{};
     std::optional<ended_office> ended_office_;
--- a/src/core/log/raft_leader.cpp
+++ b/src/core/log/raft_leader.cpp
@@ -166,7 +166,7 @@
         longest_round_trip_ = std::max(longest_round_trip_, now - newest);
     }
     last_lease_ = has_lease(now) ? now : last_lease_;
-    reach_.update(now, lease_until());
+    reach_.update(now, lease_end());
     return &follower;
 }
 
--- a/tests/hand_over_test.cpp
+++ b/tests/hand_over_test.cpp
@@ -74,6 +74,35 @@
     }
 }
 
+// A leader was judged by the time to its first commit, its successor by links
+// alone, so that slow disks made leaders hand over again and again.
+TEST(hand_over, does_not_follow_a_late_first_commit)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        counted_group it{seed};
+        while (it.offices == 0)
+        {
+            it.group.run(milliseconds{1});
+        }
+        for (auto const& each : it.group.nodes)
+        {
+            each->disk.sync_time = seconds{2};
+        }
+        it.group.run(seconds{1});
+        EXPECT_FALSE(it.group.leader()) << "the first commit is not late";
+        it.group.run(seconds{2});
+        for (auto const& each : it.group.nodes)
+        {
+            each->disk.sync_time = {};
+        }
+        it.group.run(seconds{20});
+        EXPECT_EQ(it.offices, 1);
+        EXPECT_EQ(it.ends[office_end::handed_over], 0);
+    }
+}
+
 // A change of leader stops the service, and gains nothing if the successor has
 // the same links.
 TEST(hand_over, does_not_happen_where_all_links_are_alike)
