--- a/src/app/replica_impl.hpp
+++ b/src/app/replica_impl.hpp
@@ -293,6 +293,12 @@
         return;
     }
     saving_.reset();
+    is_snapshot_postponed_ = false;
+    if (piece_timer_)
+    {
+        clock_.cancel_timer(*piece_timer_);
+        piece_timer_.reset();
+    }
     std::erase_if(committed_, [&it](log_entry const& entry)
                   { return entry.index <= it.info.last.index; });
     applied_ = it.info.last.index;
@@ -619,6 +625,11 @@
 {
     auto out = std::exchange(load_, {});
     out.office = office_.take(clock_.now());
+    if (is_syncing_)
+    {
+        out.longest_sync =
+            std::max(out.longest_sync, clock_.now() - sync_start_);
+    }
     if (core_)
     {
         out.office.longest_round_trip =
