Poll the descriptor that reports ended file operations

The source polled libuv's backend descriptor, which is one of epoll.

The descriptor that libuv's threads write to is polled instead. The tests pass with both, since a plain kernel reports the backend descriptor right.

--- a/src/adapters/uv_source.cpp
+++ b/src/adapters/uv_source.cpp
@@ -82,7 +82,11 @@
     state_->functions.dispatch = dispatch;
     state_->source = g_source_new(&state_->functions, sizeof(loop_source));
     reinterpret_cast<loop_source*>(state_->source)->loop = &state_->loop;
-    g_source_add_unix_fd(state_->source, uv_backend_fd(&state_->loop), G_IO_IN);
+    // The backend descriptor is one of epoll. Where polling such a descriptor
+    // is not supported, it is always readable and the loop never waits. Ended
+    // operations are reported by this one alone.
+    g_source_add_unix_fd(state_->source, state_->loop.async_io_watcher.fd,
+                         G_IO_IN);
     g_source_attach(state_->source, nullptr);
     return outcome::success();
 }
