--- a/src/app/replica.hpp
+++ b/src/app/replica.hpp
@@ -109,7 +109,7 @@
 struct replica_load
 {
     std::int64_t syncs{0};
-    duration sync_time{}; ///< sum; the loop goes on meanwhile
+    duration sync_time{};    ///< sum; the loop goes on meanwhile
     duration longest_sync{}; ///< one in progress included
     /// Largest delay of a heartbeat or of an election timeout.
     duration longest_delay{};
