--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -429,8 +429,6 @@
         on_incarnation_end(worker, now);
         break;
     case order_outcome::not_sent:
-        held.sent = now;
-        break;
     case order_outcome::no_answer:
         held.sent = now;
         break;
--- a/tests/posix_files_test.cpp
+++ b/tests/posix_files_test.cpp
@@ -14,6 +14,14 @@
 namespace
 {
 
+/// Enough that an append takes a while.
+auto many_bytes() -> std::string
+{
+    std::string out;
+    out.resize(10'000'000, 'x');
+    return out;
+}
+
 /// Turns of the main loop until the condition holds; each of them waits.
 template <class Condition>
 auto turn_until(Condition holds) -> void
@@ -73,7 +81,7 @@
 {
     temporary_folder folder;
     posix_files files;
-    std::string const bytes(10'000'000, 'x');
+    auto const bytes = many_bytes();
     auto const file = files.create(path_in(folder)).value();
     auto called = false;
     files.start_append(file, bytes,
@@ -141,7 +149,7 @@
 TEST(posix_files, waits_at_its_end_for_an_append)
 {
     temporary_folder folder;
-    std::string const bytes(10'000'000, 'x');
+    auto const bytes = many_bytes();
     auto called = false;
     {
         posix_files files;
