Count messages of a refused life apart from duplicates

Drops by life are now counted as former_life, and the line life_refused has both lives, once for each refused one. What is dropped is unchanged. The test reports_each_refused_life_once fails without it.

--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -116,6 +116,13 @@
     load_logger.info("unacknowledged", {{"peers", peers}});
 }
 
+auto log_refused_life(refused_life const& it) -> void
+{
+    load_logger.warning(
+        "life_refused",
+        {{"peer", it.peer}, {"refused", it.refused}, {"known", it.known}});
+}
+
 auto log_increments(std::vector<counter_increment> const& all) -> void
 {
     constexpr std::string_view prefix = "apricotlb_";
--- a/src/app/load_log.hpp
+++ b/src/app/load_log.hpp
@@ -71,6 +71,9 @@
 /// Logs the peers that have not acknowledged what was sent to them.
 auto log_lags(std::vector<peer_lag> const& all) -> void;
 
+/// Logs a life of a peer whose messages are dropped.
+auto log_refused_life(refused_life const& it) -> void;
+
 /// Writes the line `unacknowledged` every config::load_report_interval while a
 /// peer is late.
 template <clock_port Clock, class Transport>
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -97,6 +97,14 @@
 /// Bytes of message bodies in one batch; a larger body is sent by itself.
 inline constexpr std::size_t max_batch_bytes = 64 * config::kib;
 
+/// A life of a peer whose messages are dropped, beside the one that is heard.
+struct refused_life
+{
+    node_id peer;
+    incarnation refused;
+    incarnation known;
+};
+
 /// Sends Message to peers by node id. Senders are added as peers from their
 /// envelopes; the connection to a silent peer is opened again. What is sent to
 /// a peer within one turn of the loop leaves in one envelope.
@@ -106,6 +114,7 @@
 {
 public:
     using receiver = std::function<void(node_id const&, Message)>;
+    using refused_life_observer = std::function<void(refused_life const&)>;
 
     /// Identity of this process in its envelopes.
     struct identity
@@ -162,6 +171,12 @@
         receiver_ = std::move(callback);
     }
 
+    /// Called once for each life that is refused.
+    auto on_life_refused(refused_life_observer callback) -> void
+    {
+        life_refused_ = std::move(callback);
+    }
+
     /// A message to this process itself is delivered in a later turn of the
     /// loop.
     auto send(node_id const& to, Message const& message) -> void
@@ -225,6 +240,7 @@
         sequence last_number; ///< of the messages to the peer
         url address;
         incarnation run;
+        incarnation refused_run; ///< refused last
         sequence_window received_numbers;
         time_point opened{};
         time_point last_contact{};
@@ -415,9 +431,9 @@
             metrics_.count("apricotlb_peer_drops_total", "version");
             return;
         }
-        if (!accept(it))
+        if (auto const drop = refusal_of(it); !drop.empty())
         {
-            metrics_.count("apricotlb_peer_drops_total", "duplicate");
+            metrics_.count("apricotlb_peer_drops_total", drop);
             return;
         }
         if (it.version == acknowledgement_version)
@@ -464,14 +480,19 @@
         }
     }
 
-    /// Records the sender and its address. False for a duplicate and for a
-    /// message of an earlier incarnation.
-    auto accept(envelope const& it) -> bool
+    /// Records the sender and its address. The label of the drop for a
+    /// duplicate and for a message of an earlier incarnation, otherwise empty.
+    auto refusal_of(envelope const& it) -> std::string_view
     {
         auto& from = peer_of(it.from);
         if (it.run < from.run)
         {
-            return false;
+            if (life_refused_ && from.refused_run != it.run)
+            {
+                life_refused_({it.from, it.run, from.run});
+            }
+            from.refused_run = it.run;
+            return "former_life";
         }
         if (it.run != from.run)
         {
@@ -480,7 +501,7 @@
         }
         if (!from.received_numbers.accept(it.number))
         {
-            return false;
+            return "duplicate";
         }
         from.reads_batches = it.number > batch_numbers_begin;
         from.reads_acknowledgements = it.number > acknowledgement_numbers_begin;
@@ -493,7 +514,7 @@
         {
             dial(it.from, it.reply_to);
         }
-        return true;
+        return {};
     }
 
     static auto is_acknowledgement_due(peer const& it, time_point now) -> bool
@@ -566,6 +587,7 @@
     Auth const& auth_;
     Metrics& metrics_;
     receiver receiver_;
+    refused_life_observer life_refused_;
     std::unordered_map<node_id, peer> peers_;
     /// Peers for which messages wait.
     std::vector<node_id> to_flush_;
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -97,6 +97,7 @@
         role_->on_failure([this](error const& it)
                           { loop_.quit(report_end(it)); });
         role_->on_disk_event(log_disk);
+        node_.active_transport().on_life_refused(log_refused_life);
         node_.active_transport().on_message(
             [this](node_id const& from, peer_message it) {
                 std::visit([&](auto& body) { take(from, std::move(body)); },
@@ -171,6 +172,7 @@
         BOOST_OUTCOME_TRYV(node_.start(own_, peers_at, run));
         entry_.emplace(clock_, node_.active_transport(), source_, upstream_,
                        metrics_, own_, run);
+        node_.active_transport().on_life_refused(log_refused_life);
         node_.active_transport().on_message(
             [this](node_id const& from, peer_message it) {
                 std::visit([&](auto& body) { take(from, std::move(body)); },
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -166,7 +166,43 @@
     end_turn();
     b_link.receive(a_link.sent.back());
     EXPECT_EQ(n, 2);
-    EXPECT_EQ(metrics.counts["duplicate"], 2);
+    EXPECT_EQ(metrics.counts["duplicate"], 1);
+    EXPECT_EQ(metrics.counts["former_life"], 1);
+}
+
+// Drops by life and by number were one count, so that the log did not tell a
+// restarted process that nobody hears from a doubled message.
+TEST_F(peer_transport_test, reports_each_refused_life_once)
+{
+    std::vector<std::string> refused;
+    b.on_life_refused(
+        [&](refused_life const& it)
+        {
+            refused.push_back(it.peer.value() + ":" +
+                              std::to_string(it.refused.value()) + "<" +
+                              std::to_string(it.known.value()));
+        });
+    fake_link later_link;
+    transport later{{node_id{"a"}, incarnation{2}, url{"tcp://a"}},
+                    clock,
+                    later_link,
+                    auth,
+                    metrics};
+    later.add_peer(node_id{"b"}, url{"tcp://b"});
+    later.send(node_id{"b"}, message);
+    a.add_peer(node_id{"b"}, url{"tcp://b"});
+    a.send(node_id{"b"}, message);
+    end_turn();
+    a.send(node_id{"b"}, message);
+    end_turn();
+    b_link.receive(later_link.sent.front());
+    for (auto const& bytes : a_link.sent)
+    {
+        b_link.receive(bytes);
+    }
+    EXPECT_EQ(metrics.counts["former_life"], 2);
+    EXPECT_EQ(metrics.counts["duplicate"], 0);
+    EXPECT_EQ(refused, (std::vector<std::string>{"a:1<2"}));
 }
 
 // A stranger on the port, or a damaged message, must be counted and dropped
