Hear a restarted process whose life has a lower number

The transport dropped what had a lower incarnation than the highest known of that node: until it removed the silent peer after 30 s, and for good for peers of the settings, which are never removed (not heard within 60 s in the paused test).

The transport now asks: a message of another life is held, the address of the sender is dialled anew, and the life that answers a challenge is heard. The decisions are those of peer_lives. Challenges and answers are envelopes of two new versions; numbers above challenge_numbers_begin tell who reads them. Programs of earlier versions get none, and their higher life counts as before. A claim from another address gets a second connection: dialling it on the first one would let a late message take it away from the living process. A life that is taken or dropped for over 1 s without an answer is counted in apricotlb_peer_lives_total and logged with its cause.

Two existing tests change, none is relaxed. In drops_duplicates_and_messages_of_earlier_runs and in reports_each_refused_life_once the living process answers the challenge before the counts are checked; both check in addition that nothing is delivered or dropped before the answer, and the second one that a third message of the refused life is counted and not reported again.

--- a/src/app/load_log.cpp
+++ b/src/app/load_log.cpp
@@ -118,9 +118,10 @@
 
 auto log_refused_life(refused_life const& it) -> void
 {
-    load_logger.warning(
-        "life_refused",
-        {{"peer", it.peer}, {"refused", it.refused}, {"known", it.known}});
+    load_logger.warning("life_refused", {{"peer", it.peer},
+                                         {"refused", it.refused},
+                                         {"known", it.known},
+                                         {"cause", name_of(it.cause)}});
 }
 
 auto log_increments(std::vector<counter_increment> const& all) -> void
--- a/src/app/peer_transport.hpp
+++ b/src/app/peer_transport.hpp
@@ -1,9 +1,10 @@
 /// Transport between the system's processes over a peer link: envelopes,
-/// authentication, duplicate detection, keepalives and reconnection.
+/// authentication, duplicate detection, lives of peers, keepalives and
+/// reconnection.
 #ifndef APRICOTLB_APP_PEER_TRANSPORT_HPP
 #define APRICOTLB_APP_PEER_TRANSPORT_HPP
 
-#include "core/entry/sequence_window.hpp"
+#include "core/group/peer_lives.hpp"
 #include "ports/clock.hpp"
 #include "ports/codec.hpp"
 #include "ports/metrics.hpp"
@@ -66,6 +67,15 @@
 /// one, which is above batch_numbers_begin.
 inline constexpr sequence acknowledgement_numbers_begin{
     batch_numbers_begin.value() + (std::uint64_t{1} << 61U)};
+/// Version of an envelope whose body is a challenge.
+inline constexpr std::uint32_t challenge_version = config::protocol_version + 3;
+/// Version of an envelope whose body is the answer to a challenge.
+inline constexpr std::uint32_t challenge_answer_version =
+    config::protocol_version + 4;
+/// Envelopes of a process that answers challenges have numbers above this one,
+/// which is above acknowledgement_numbers_begin.
+inline constexpr sequence challenge_numbers_begin{
+    acknowledgement_numbers_begin.value() + (std::uint64_t{1} << 60U)};
 /// Received messages are acknowledged at least this often.
 inline constexpr duration acknowledgement_interval = milliseconds{500};
 /// Time without an acknowledgement after which the connection to a peer that
@@ -87,6 +97,18 @@
     }
 };
 
+/// Asks the process at an address which life it is; the answer has the same
+/// nonce. The life is the one of the answer's envelope.
+struct life_challenge
+{
+    challenge_nonce nonce;
+
+    static constexpr auto fields()
+    {
+        return field_list(field("nonce", &life_challenge::nonce));
+    }
+};
+
 /// Age of the oldest message that a peer has not acknowledged.
 struct peer_lag
 {
@@ -103,6 +125,7 @@
     node_id peer;
     incarnation refused;
     incarnation known;
+    refusal_cause cause{refusal_cause::former};
 };
 
 /// Sends Message to peers by node id. Senders are added as peers from their
@@ -127,7 +150,7 @@
     peer_transport(identity self, Clock& clock, Link& link, Auth const& auth,
                    Metrics& metrics)
         : self_(std::move(self)), clock_(clock), link_(link), auth_(auth),
-          metrics_(metrics)
+          metrics_(metrics), nonces_(self_.run.value())
     {
         link_.on_bytes([this](std::string_view bytes) { receive(bytes); });
         schedule();
@@ -171,7 +194,8 @@
         receiver_ = std::move(callback);
     }
 
-    /// Called once for each life that is refused.
+    /// Called once for each life that is refused, and for each one that was
+    /// replaced or kept without an answer.
     auto on_life_refused(refused_life_observer callback) -> void
     {
         life_refused_ = std::move(callback);
@@ -239,9 +263,12 @@
     {
         sequence last_number; ///< of the messages to the peer
         url address;
-        incarnation run;
-        incarnation refused_run; ///< refused last
-        sequence_window received_numbers;
+        peer_lives lives;
+        std::vector<envelope> held; ///< until it is known which life answers
+        /// Second connection, to the address of a claim; empty if none.
+        url claim_address;
+        time_point claim_heard{};
+        bool is_opened_for_claim{false}; ///< the connection to `address`
         time_point opened{};
         time_point last_contact{};
         time_point last_sent{};
@@ -260,7 +287,7 @@
     /// Silent period after which a peer that is not permanent is removed.
     static constexpr duration removal_delay = std::chrono::seconds{30};
     /// Keepalives are late by this at most.
-    static constexpr duration check_interval = config::keepalive_interval / 6;
+    static constexpr duration check_interval = peer_lives::challenge_interval;
 
     auto schedule() -> void
     {
@@ -341,8 +368,9 @@
         }
     }
 
-    auto send_envelope(node_id const& to, peer& it, std::uint32_t version,
-                       std::string body, std::size_t messages) -> void
+    /// The bytes of the next envelope to a peer.
+    auto seal(node_id const& to, peer& it, std::uint32_t version,
+              std::string body) -> std::string
     {
         envelope out;
         out.version = version;
@@ -354,15 +382,22 @@
         out.reply_to = self_.address;
         out.body = std::move(body);
         auto const bytes = Codec::encode(out);
+        return auth_.compute_mac(bytes) + bytes;
+    }
+
+    auto send_envelope(node_id const& to, peer& it, std::uint32_t version,
+                       std::string body, std::size_t messages) -> void
+    {
+        auto const is_keepalive =
+            body.empty() || version == acknowledgement_version;
+        auto const bytes = seal(to, it, version, std::move(body));
         it.last_sent = clock_.now();
         if (it.reads_acknowledgements && !it.awaited)
         {
-            it.awaited = out.number;
+            it.awaited = it.last_number;
             it.awaited_since = it.last_sent;
         }
-        auto const is_keepalive =
-            out.body.empty() || version == acknowledgement_version;
-        auto const is_sent = link_.send(to, auth_.compute_mac(bytes) + bytes);
+        auto const is_sent = link_.send(to, bytes);
         for (std::size_t n = 0; n < messages; ++n)
         {
             if (!is_sent)
@@ -383,11 +418,13 @@
             send_envelope(to, it, config::protocol_version, {}, 1);
             return;
         }
-        it.acknowledged = it.received_numbers.newest();
+        it.acknowledged = it.lives.newest_number();
         it.last_acknowledgement = clock_.now();
-        send_envelope(to, it, acknowledgement_version,
-                      Codec::encode(acknowledgement{it.run, it.acknowledged}),
-                      1);
+        send_envelope(
+            to, it, acknowledgement_version,
+            Codec::encode(acknowledgement{
+                it.lives.known().value_or(incarnation{}), it.acknowledged}),
+            1);
     }
 
     auto take_acknowledgement(envelope const& from) -> void
@@ -423,26 +460,80 @@
             metrics_.count("apricotlb_peer_drops_total", "malformed");
             return;
         }
-        auto it = std::move(got).value();
-        if (it.version != config::protocol_version &&
-            it.version != batch_version &&
-            it.version != acknowledgement_version)
+        auto const it = std::move(got).value();
+        if (it.version < config::protocol_version ||
+            it.version > challenge_answer_version)
         {
             metrics_.count("apricotlb_peer_drops_total", "version");
             return;
         }
-        if (auto const drop = refusal_of(it); !drop.empty())
+        if (it.version == challenge_answer_version)
         {
-            metrics_.count("apricotlb_peer_drops_total", drop);
-            return;
+            take_answer(it);
         }
-        if (it.version == acknowledgement_version)
+        take(it);
+        if (it.version == challenge_version)
         {
-            take_acknowledgement(it);
+            answer_challenge(it);
+        }
+    }
+
+    /// Delivers a message of the living life, and holds or drops others.
+    auto take(envelope const& it) -> void
+    {
+        auto& from = peer_of(it.from);
+        auto const former = from.lives.known();
+        auto const answers = it.number > challenge_numbers_begin;
+        auto const [verdict, event] = from.lives.hear(
+            {it.run, it.number, it.body.size(), answers}, clock_.now());
+        if (event != life_event::none)
+        {
+            report_event(it.from, event, it.run, former);
+        }
+        if (former && from.lives.known() != former)
+        {
+            follow_life(it.from, from, it.reply_to);
+        }
+        switch (verdict)
+        {
+        case life_verdict::taken:
+            note_contact(from, it);
+            deliver(it);
+            return;
+        case life_verdict::duplicate:
+            metrics_.count("apricotlb_peer_drops_total", "duplicate");
             return;
+        case life_verdict::held:
+            from.held.push_back(it);
+            break;
+        case life_verdict::hold_full:
+            metrics_.count("apricotlb_peer_drops_total", "hold_full");
+            break;
+        case life_verdict::refused:
+            drop_refused(from, it);
+            break;
+        }
+        if (answers)
+        {
+            open_for_claim(it.from, from, it.reply_to,
+                           verdict != life_verdict::refused);
+            challenge(it.from, from);
         }
-        if (it.version != batch_version)
+    }
+
+    auto deliver(envelope const& it) -> void
+    {
+        switch (it.version)
         {
+        case acknowledgement_version:
+            take_acknowledgement(it);
+            return;
+        case challenge_version:
+        case challenge_answer_version:
+            return;
+        case batch_version:
+            break;
+        default:
             take_body(it.from, it.body);
             return;
         }
@@ -480,52 +571,226 @@
         }
     }
 
-    /// Records the sender and its address. The label of the drop for a
-    /// duplicate and for a message of an earlier incarnation, otherwise empty.
-    auto refusal_of(envelope const& it) -> std::string_view
+    /// Records what an envelope of the living life shows of its sender.
+    auto note_contact(peer& from, envelope const& it) -> void
     {
-        auto& from = peer_of(it.from);
-        if (it.run < from.run)
+        from.reads_batches = it.number > batch_numbers_begin;
+        from.reads_acknowledgements = it.number > acknowledgement_numbers_begin;
+        if (!from.reads_acknowledgements)
+        {
+            from.awaited.reset();
+        }
+        from.last_contact = clock_.now();
+        if (from.address != it.reply_to)
+        {
+            dial(it.from, it.reply_to);
+        }
+    }
+
+    /// Key of the second connection to a peer, which the link opens beside the
+    /// first one.
+    static auto claim_link(node_id const& id) -> node_id
+    {
+        return node_id{id.value() + " claim"};
+    }
+
+    /// Opens a connection to the process that sends as another life of a peer:
+    /// the present one may be to a process that has ended. At another address
+    /// it is a second one, so that a late message does not take the first one
+    /// away from the living process.
+    auto open_for_claim(node_id const& id, peer& it, url const& at,
+                        bool is_new_life) -> void
+    {
+        it.claim_heard = clock_.now();
+        if (at != it.address)
         {
-            if (life_refused_ && from.refused_run != it.run)
+            open_claim_link(id, it, at);
+        }
+        else if (is_new_life && !it.is_opened_for_claim)
+        {
+            it.is_opened_for_claim = true;
+            dial(id, at);
+        }
+    }
+
+    auto open_claim_link(node_id const& id, peer& it, url const& at) -> void
+    {
+        if (it.claim_address != at)
+        {
+            it.claim_address = at;
+            link_.open(claim_link(id), at);
+        }
+    }
+
+    auto challenge(node_id const& id, peer& it) -> void
+    {
+        auto const nonce = it.lives.take_due_challenge(clock_.now(), nonces_);
+        if (!nonce)
+        {
+            return;
+        }
+        auto const body = Codec::encode(life_challenge{*nonce});
+        send_control(id, id, it, challenge_version, body);
+        if (it.claim_address != url{})
+        {
+            send_control(claim_link(id), id, it, challenge_version, body);
+        }
+    }
+
+    /// Answers whatever life of the sender is known, as the sender may know
+    /// none of this process.
+    auto answer_challenge(envelope const& it) -> void
+    {
+        auto const got = Codec::template decode<life_challenge>(it.body);
+        if (got.has_error())
+        {
+            metrics_.count("apricotlb_peer_drops_total", "malformed");
+            return;
+        }
+        auto& to = peer_of(it.from);
+        auto const is_known_address = to.address == it.reply_to;
+        if (!is_known_address)
+        {
+            to.claim_heard = clock_.now();
+            open_claim_link(it.from, to, it.reply_to);
+        }
+        send_control(is_known_address ? it.from : claim_link(it.from), it.from,
+                     to, challenge_answer_version, it.body);
+    }
+
+    /// A challenge or an answer, on the given connection.
+    auto send_control(node_id const& link, node_id const& to, peer& it,
+                      std::uint32_t version, std::string const& body) -> void
+    {
+        if (!link_.send(link, seal(to, it, version, body)))
+        {
+            metrics_.count("apricotlb_peer_drops_total", "queue_full");
+            return;
+        }
+        metrics_.count(metric::peer_messages, version == challenge_version
+                                                  ? "challenge_sent"
+                                                  : "challenge_answered");
+    }
+
+    auto take_answer(envelope const& it) -> void
+    {
+        auto const got = Codec::template decode<life_challenge>(it.body);
+        if (got.has_error())
+        {
+            metrics_.count("apricotlb_peer_drops_total", "malformed");
+            return;
+        }
+        auto const found = peers_.find(it.from);
+        if (found == peers_.end())
+        {
+            return;
+        }
+        auto& from = found->second;
+        auto const former = from.lives.known();
+        auto const event =
+            from.lives.take_answer(it.run, got.value().nonce, clock_.now());
+        if (event == life_event::none)
+        {
+            return;
+        }
+        report_event(it.from, event, it.run, former);
+        if (event == life_event::confirmed)
+        {
+            follow_life(it.from, from, it.reply_to);
+        }
+        else
+        {
+            end_claim(from);
+        }
+    }
+
+    /// Dials the life that has replaced the known one, and delivers what was
+    /// held of it.
+    auto follow_life(node_id const& id, peer& it, url const& at) -> void
+    {
+        if (it.address != at || !it.is_opened_for_claim)
+        {
+            dial(id, at);
+        }
+        it.awaited.reset(); // the former life acknowledges nothing any more
+        end_claim(it);
+    }
+
+    /// Delivers what was held of the known life, in order, and drops the rest.
+    auto end_claim(peer& from) -> void
+    {
+        from.is_opened_for_claim = false;
+        for (auto const& it : std::exchange(from.held, {}))
+        {
+            if (it.run == from.lives.known())
             {
-                life_refused_({it.from, it.run, from.run});
+                take(it);
+            }
+            else
+            {
+                drop_refused(from, it);
             }
-            from.refused_run = it.run;
-            return "former_life";
         }
-        if (it.run != from.run)
+    }
+
+    auto drop_refused(peer& from, envelope const& it) -> void
+    {
+        metrics_.count("apricotlb_peer_drops_total", "former_life");
+        if (from.lives.note_refusal(it.run) && life_refused_)
         {
-            from.run = it.run;
-            from.received_numbers = {};
+            life_refused_(
+                {it.from, it.run, *from.lives.known(), refusal_cause::former});
         }
-        if (!from.received_numbers.accept(it.number))
+    }
+
+    auto report_event(node_id const& id, life_event event, incarnation heard,
+                      std::optional<incarnation> former) -> void
+    {
+        metrics_.count("apricotlb_peer_lives_total", name_of(event));
+        if (!life_refused_ || !former)
         {
-            return "duplicate";
+            return;
         }
-        from.reads_batches = it.number > batch_numbers_begin;
-        from.reads_acknowledgements = it.number > acknowledgement_numbers_begin;
-        if (!from.reads_acknowledgements)
+        if (event == life_event::unconfirmed)
         {
-            from.awaited.reset();
+            life_refused_({id, *former, heard, refusal_cause::silent});
         }
-        from.last_contact = clock_.now();
-        if (from.address != it.reply_to)
+        else if (event == life_event::unanswered)
         {
-            dial(it.from, it.reply_to);
+            life_refused_({id, heard, *former, refusal_cause::unanswered});
+        }
+    }
+
+    /// Repeats challenges, and ends claims of lives that are silent.
+    auto check_lives() -> void
+    {
+        auto const now = clock_.now();
+        for (auto& [id, it] : peers_)
+        {
+            if (it.lives.expire(now))
+            {
+                end_claim(it);
+            }
+            challenge(id, it);
+            if (it.claim_address != url{} &&
+                now - it.claim_heard > config::peer_timeout)
+            {
+                it.claim_address = {};
+                link_.close(claim_link(id));
+            }
         }
-        return {};
     }
 
     static auto is_acknowledgement_due(peer const& it, time_point now) -> bool
     {
         return it.reads_acknowledgements &&
-               it.acknowledged != it.received_numbers.newest() &&
+               it.acknowledged != it.lives.newest_number() &&
                now - it.last_acknowledgement >= acknowledgement_interval;
     }
 
     auto check_peers() -> void
     {
+        check_lives();
         auto const now = clock_.now();
         std::vector<node_id> expired;
         std::vector<node_id> silent;
@@ -576,6 +841,7 @@
         for (auto const& id : expired)
         {
             link_.close(id);
+            link_.close(claim_link(id));
             peers_.erase(id);
         }
         schedule();
@@ -586,6 +852,7 @@
     Link& link_;
     Auth const& auth_;
     Metrics& metrics_;
+    std::uint64_t nonces_; ///< state of the generator of nonces
     receiver receiver_;
     refused_life_observer life_refused_;
     std::unordered_map<node_id, peer> peers_;
@@ -594,7 +861,7 @@
     bool is_flush_due_{false};
     /// Numbers to a new peer follow the highest one to any, so that they stay
     /// unique for a peer that is removed and added again.
-    sequence highest_number_{acknowledgement_numbers_begin};
+    sequence highest_number_{challenge_numbers_begin};
     timer_id timer_;
     timer_id flush_timer_;
 };
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/nng_link.hpp"
 #include "app/peer_transport.hpp"
 #include "core/state/commands.hpp"
+#include "fake_peer_parts.hpp"
 #include "loopback.hpp"
 #include "paused_clock.hpp"
 
@@ -42,32 +43,6 @@
     std::function<void(std::string_view)> receive;
 };
 
-struct fake_auth
-{
-    [[nodiscard]] auto compute_mac(std::string_view) const -> std::string
-    {
-        return std::string(message_code_bytes, key);
-    }
-    [[nodiscard]] auto is_valid_mac(std::string_view code,
-                                    std::string_view) const -> bool
-    {
-        return code == std::string(message_code_bytes, key);
-    }
-
-    char key{'k'};
-};
-
-struct fake_metrics
-{
-    auto count(std::string_view, std::string_view label) -> void
-    {
-        ++counts[std::string{label}];
-    }
-    auto record(std::string_view, std::string_view, duration) -> void {}
-
-    std::map<std::string, int> counts;
-};
-
 using transport = peer_transport<command, paused_clock, fake_link,
                                  msgpack_codec, fake_auth, fake_metrics>;
 
@@ -102,6 +77,22 @@
         }
     }
 
+    /// Lets the living life of a peer answer what b asks.
+    auto answer_challenges(fake_link& living) -> void
+    {
+        for (auto const& bytes : std::exchange(b_link.sent, {}))
+        {
+            living.receive(bytes);
+        }
+        for (auto const& bytes : std::exchange(living.sent, {}))
+        {
+            if (open_envelope(bytes).version == challenge_answer_version)
+            {
+                b_link.receive(bytes);
+            }
+        }
+    }
+
     static auto open_envelope(std::string_view bytes) -> envelope
     {
         return msgpack_codec::decode<envelope>(bytes.substr(message_code_bytes))
@@ -161,6 +152,8 @@
     later.send(node_id{"b"}, message);
     end_turn();
     b_link.receive(later_link.sent.front());
+    EXPECT_EQ(n, 1); // held until it is known which life answers
+    answer_challenges(later_link);
     EXPECT_EQ(n, 2);
     a.send(node_id{"b"}, message);
     end_turn();
@@ -200,7 +193,13 @@
     {
         b_link.receive(bytes);
     }
+    EXPECT_EQ(metrics.counts["former_life"], 0); // held
+    answer_challenges(later_link);
     EXPECT_EQ(metrics.counts["former_life"], 2);
+    a.send(node_id{"b"}, message);
+    end_turn();
+    b_link.receive(a_link.sent.back());
+    EXPECT_EQ(metrics.counts["former_life"], 3);
     EXPECT_EQ(metrics.counts["duplicate"], 0);
     EXPECT_EQ(refused, (std::vector<std::string>{"a:1<2"}));
 }
