--- a/src/core/group/peer_lives.cpp
+++ b/src/core/group/peer_lives.cpp
@@ -186,19 +186,19 @@
         next.numbers = it->numbers;
         former_.erase(it);
     }
-    auto former = std::exchange(*known_, std::move(next));
+    auto former = std::exchange(*known_, next);
     former.is_reported = false;
-    remember(std::move(former));
+    remember(former);
     known_heard_ = now;
 }
 
-auto peer_lives::remember(life_record it) -> void
+auto peer_lives::remember(life_record const& it) -> void
 {
     if (former_.size() >= max_former_lives)
     {
         former_.erase(former_.begin());
     }
-    former_.push_back(std::move(it));
+    former_.push_back(it);
 }
 
 auto peer_lives::is_former(incarnation life) const -> bool
--- a/src/core/group/peer_lives.hpp
+++ b/src/core/group/peer_lives.hpp
@@ -161,7 +161,7 @@
         -> life_event;
     auto refuse_or_hold(life_sign const& it, time_point now) -> life_decision;
     auto replace_known(incarnation by, time_point now) -> void;
-    auto remember(life_record it) -> void;
+    auto remember(life_record const& it) -> void;
     [[nodiscard]] auto is_former(incarnation life) const -> bool;
 
     std::optional<life_record> known_;
