Add a setting that moves the time of day of a process

The setting clock_offset (tests only, -1000h to 1000h, default 0s) is added to the time of day of the machine wherever a process reads it: lives, wall times in the log and the times of log lines. A reload changes it, as a clock that is set; the loop's clock and its timers stay as they are. The clock is made from the settings before the first life, that of the identity included.

--- a/src/adapters/glib_clock.cpp
+++ b/src/adapters/glib_clock.cpp
@@ -35,7 +35,13 @@
 
 auto glib_clock::wall_now() const -> wall_time
 {
-    return std::chrono::floor<seconds>(std::chrono::system_clock::now());
+    return std::chrono::floor<seconds>(exact_wall_now());
+}
+
+auto glib_clock::exact_wall_now() const -> exact_wall_time
+{
+    return std::chrono::floor<microseconds>(std::chrono::system_clock::now()) +
+           offset_.value();
 }
 
 auto glib_clock::start_timer(duration after, std::function<void()> run)
--- a/src/adapters/unit_text.cpp
+++ b/src/adapters/unit_text.cpp
@@ -108,6 +108,17 @@
     return n ? result<duration>{duration{*n}} : refuse(text, duration_forms);
 }
 
+auto parse_offset(std::string_view text) -> result<wall_offset>
+{
+    auto const is_negative = text.starts_with('-');
+    auto const size = parse_duration(text.substr(is_negative ? 1 : 0));
+    if (size.has_error())
+    {
+        return refuse(text, offset_forms);
+    }
+    return wall_offset{is_negative ? -size.value() : size.value()};
+}
+
 auto parse_bytes(std::string_view text) -> result<byte_count>
 {
     constexpr auto mb = thousand * thousand;
--- a/src/adapters/yaml_settings.cpp
+++ b/src/adapters/yaml_settings.cpp
@@ -102,6 +102,7 @@
             field("max_connections", &settings::max_connections),
             field("disk_limit", &settings::disk_limit),
             field("sync_delay", &settings::sync_delay),
+            field("clock_offset", &settings::clock_offset),
             field("log_level", &settings::level),
             field("log_format", &settings::format));
     }
@@ -140,6 +141,10 @@
         {
             return with_unit(from, to, key, share_forms, &parse_share);
         }
+        else if constexpr (std::is_same_v<T, wall_offset>)
+        {
+            return with_unit(from, to, key, offset_forms, &parse_offset);
+        }
         else if constexpr (is_duration_v<T>)
         {
             return read_duration(from, to, key);
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -41,19 +41,9 @@
     return std::nullopt;
 }
 
-auto run_role(file_path const& path, process_role role,
-              cli_output const& output) -> exit_code
+auto run_role(process_start const& start, process_role role) -> exit_code
 {
-    hold_reloads();
-    ignore_broken_pipes();
-    auto const loaded = load_settings(path, role);
-    if (loaded.has_error())
-    {
-        return output.print_error(loaded.error());
-    }
-    setup_log({loaded.value().level, loaded.value().format, nullptr, {}});
-    process_start const start{loaded.value(), path};
-    auto const native = loaded.value().interface == front_interface::native;
+    auto const native = start.own.interface == front_interface::native;
     switch (role)
     {
     case process_role::control:
@@ -66,6 +56,27 @@
     return run_standalone(start);
 }
 
+auto run_role(file_path const& path, process_role role,
+              cli_output const& output) -> exit_code
+{
+    hold_reloads();
+    ignore_broken_pipes();
+    auto const loaded = load_settings(path, role);
+    if (loaded.has_error())
+    {
+        return output.print_error(loaded.error());
+    }
+    glib_clock clock{loaded.value().clock_offset};
+    log_options logs{loaded.value().level, loaded.value().format, nullptr, {}};
+    logs.now = [&clock] { return clock.exact_wall_now(); };
+    setup_log(logs);
+    auto const ended = run_role({loaded.value(), path, clock}, role);
+    // The clock ends here, and lines may still follow.
+    logs.now = {};
+    setup_log(logs);
+    return ended;
+}
+
 auto check_settings_file(cli_request const& request, cli_output const& output)
     -> exit_code
 {
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -4,7 +4,6 @@
 #include "adapters/yaml_settings.hpp"
 #include "core/group/socket_address.hpp"
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -19,13 +18,10 @@
 
 } // namespace
 
-auto new_incarnation() -> incarnation
+auto new_incarnation(glib_clock const& clock) -> incarnation
 {
-    auto const since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
     return incarnation{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-            .count())};
+        clock.exact_wall_now().time_since_epoch().count())};
 }
 
 auto report_end(error const& it) -> exit_code
@@ -60,6 +56,14 @@
         });
 }
 
+auto apply_clock_offset(result<settings> const& it, glib_clock& clock) -> void
+{
+    if (it)
+    {
+        clock.set_wall_offset(it.value().clock_offset);
+    }
+}
+
 auto log_reload(result<settings> const& it) -> void
 {
     if (it.has_error())
--- a/src/app/process.hpp
+++ b/src/app/process.hpp
@@ -27,7 +27,7 @@
 
 /// Microseconds since the Unix epoch. Every start of a process has a greater
 /// incarnation than the start before, unless the wall clock was set back.
-[[nodiscard]] auto new_incarnation() -> incarnation;
+[[nodiscard]] auto new_incarnation(glib_clock const& clock) -> incarnation;
 
 /// Logs the error that ends the process and returns the exit code of its kind.
 [[nodiscard]] auto report_end(error const& it) -> exit_code;
@@ -39,6 +39,9 @@
 /// Adds the counts of log lines to the metrics of the process.
 auto include_log_counts(metrics& counts) -> void;
 
+/// Sets the clock to the offset of reloaded settings, if they are valid.
+auto apply_clock_offset(result<settings> const& it, glib_clock& clock) -> void;
+
 /// Logs that settings were reloaded, or that invalid settings were refused.
 auto log_reload(result<settings> const& it) -> void;
 
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -60,8 +60,13 @@
                     glib_clock& clock, unix_signals& loop)
     -> std::unique_ptr<settings_watch<glib_clock>>
 {
-    auto watch = std::make_unique<settings_watch<glib_clock>>(clock, start.file,
-                                                              role, log_reload);
+    auto watch = std::make_unique<settings_watch<glib_clock>>(
+        clock, start.file, role,
+        [&clock](result<settings> const& it)
+        {
+            log_reload(it);
+            apply_clock_offset(it, clock);
+        });
     loop.on_reload([&settings_file = *watch] { settings_file.reload(); });
     return watch;
 }
@@ -74,14 +79,15 @@
                     metrics& counts, unix_signals& loop)
         : own_(own), clock_(clock), metrics_(counts), loop_(loop),
           node_(own.node, std::move(key), clock, counts),
-          files_(clock, own.sync_delay, random_bits{new_incarnation().value()}),
+          files_(clock, own.sync_delay,
+                 random_bits{new_incarnation(clock).value()}),
           store_(files_, {own.data, own.disk_limit})
     {
     }
 
     auto start() -> result<void>
     {
-        auto const run = new_incarnation();
+        auto const run = new_incarnation(clock_);
         BOOST_OUTCOME_TRYV(
             node_.start(own_, peer_url(own_.peers_at.value()), run));
         BOOST_OUTCOME_TRY(options, replica_options::builder{}
@@ -168,7 +174,7 @@
 
     auto start(url const& peers_at) -> result<void>
     {
-        auto const run = new_incarnation();
+        auto const run = new_incarnation(clock_);
         BOOST_OUTCOME_TRYV(node_.start(own_, peers_at, run));
         entry_.emplace(clock_, node_.active_transport(), source_, upstream_,
                        metrics_, own_, run);
@@ -237,7 +243,7 @@
     {
         return report_end(key.error());
     }
-    glib_clock clock;
+    auto& clock = start.clock;
     metrics counts;
     include_log_counts(counts);
     unix_signals loop;
@@ -260,7 +266,7 @@
     {
         return report_end(key.error());
     }
-    glib_clock clock;
+    auto& clock = start.clock;
     metrics counts;
     include_log_counts(counts);
     unix_signals loop;
@@ -278,13 +284,13 @@
 auto run_standalone(process_start const& start) -> exit_code
 {
     auto const& loaded = start.own;
-    glib_clock clock;
+    auto& clock = start.clock;
     metrics counts;
     include_log_counts(counts);
     unix_signals loop;
     // Peer messages stay within this process, so the key is shared with no
     // other process and need not be read from a file.
-    shared_key const key{std::to_string(new_incarnation().value())};
+    shared_key const key{std::to_string(new_incarnation(clock).value())};
     auto own = loaded;
     own.peers_at = endpoint{"inproc://control"};
     own.control = {{own.node, own.peers_at}};
--- a/src/app/roles.hpp
+++ b/src/app/roles.hpp
@@ -3,6 +3,7 @@
 #ifndef APRICOTLB_APP_ROLES_HPP
 #define APRICOTLB_APP_ROLES_HPP
 
+#include "adapters/glib_clock.hpp"
 #include "app/settings.hpp"
 
 #include <apricotlb/error.hpp>
@@ -10,11 +11,12 @@
 namespace apricotlb
 {
 
-/// Settings of a process and the file that they are reloaded from.
+/// Settings of a process, the file that they are reloaded from, and its clock.
 struct process_start
 {
     settings own;
     file_path file;
+    glib_clock& clock;
 };
 
 [[nodiscard]] auto run_control(process_start const& start) -> exit_code;
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -6,6 +6,7 @@
 #include <apricotlb/ids.hpp>
 #include <apricotlb/time.hpp>
 #include <apricotlb/units.hpp>
+#include <apricotlb/wall_offset.hpp>
 
 #include <cstdint>
 #include <map>
@@ -131,6 +132,9 @@
     byte_count disk_limit{std::int64_t{4} << 30};
     /// For tests: mean of the time by which each sync of the log ends later.
     duration sync_delay{};
+    /// For tests: added to the time of day of the machine. May change while the
+    /// process runs.
+    wall_offset clock_offset;
 
     log_level level{log_level::info};
     log_format format{log_format::text};
--- a/src/app/settings_check.cpp
+++ b/src/app/settings_check.cpp
@@ -270,6 +270,13 @@
         return invalid_setting("sync_delay", "0s to 10s",
                                std::to_string(it.sync_delay.count()) + "us");
     }
+    constexpr duration max_offset = std::chrono::hours{1000};
+    if (auto const offset = it.clock_offset.value();
+        offset < -max_offset || offset > max_offset)
+    {
+        return invalid_setting("clock_offset", "-1000h to 1000h",
+                               std::to_string(offset.count()) + "us");
+    }
     if (it.max_body > config::max_body)
     {
         return invalid_setting("max_body", "at most 256MiB",
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -284,6 +284,27 @@
     EXPECT_TRUE(check(stranger, process_role::control).has_value());
 }
 
+// An offset without a bound could bring the time of day before the epoch.
+TEST(settings_check, bounds_the_offset_of_the_clock)
+{
+    constexpr std::chrono::hours bound{1000};
+    auto it = control_settings();
+    for (auto const size : {bound, -bound})
+    {
+        it.clock_offset = wall_offset{size};
+        EXPECT_TRUE(check(it, process_role::control));
+    }
+    for (auto const size :
+         {duration{bound} + duration{1}, duration{-bound} - duration{1}})
+    {
+        it.clock_offset = wall_offset{size};
+        auto const refusal = check(it, process_role::control);
+        ASSERT_TRUE(refusal.has_error());
+        EXPECT_NE(refusal.error().detail.find("clock_offset"),
+                  std::string::npos);
+    }
+}
+
 TEST(settings_check, accepts_only_ip_addresses_with_a_port)
 {
     EXPECT_TRUE(is_endpoint(endpoint{"127.0.0.1:1"}));
--- a/tests/yaml_test.cpp
+++ b/tests/yaml_test.cpp
@@ -71,6 +71,17 @@
     EXPECT_TRUE(parse_cores("0.0001").has_error());
 }
 
+// A sign that is lost would set a clock forward that is to be set back.
+TEST(unit_text, reads_a_sign_before_an_offset_only)
+{
+    EXPECT_EQ(parse_offset("-40s").value(), wall_offset{seconds{-40}});
+    EXPECT_EQ(parse_offset("1.5h").value(), wall_offset{seconds{5400}});
+    for (auto const* it : {"", "-", "5", "--5s", "+5s", "- 5s"})
+    {
+        EXPECT_TRUE(parse_offset(it).has_error()) << it;
+    }
+}
+
 // A field that is skipped would put a wrong limit in force.
 TEST(yaml_contract, reads_every_field)
 {
@@ -136,6 +147,7 @@
                        "balancer_wait: 3s\n"
                        "shutdown_grace: 6.0s\n"
                        "sync_delay: 150ms\n"
+                       "clock_offset: -2.5s\n"
                        "max_body: 8MiB\n"
                        "guards: disabled\n"
                        "log_format: json\n",
@@ -146,6 +158,7 @@
     EXPECT_EQ(it.value().balancer_wait, seconds{3});
     EXPECT_EQ(it.value().shutdown_grace, seconds{6});
     EXPECT_EQ(it.value().sync_delay, milliseconds{150});
+    EXPECT_EQ(it.value().clock_offset, wall_offset{milliseconds{-2500}});
     EXPECT_EQ(it.value().max_body, byte_count{8 << 20});
     EXPECT_EQ(it.value().guards, guard_mode::disabled);
     EXPECT_EQ(it.value().format, log_format::json);
