Give each life of a process random bits, and seeds from the system

Two starts at one instant, as clocks that are set back allow, were one life, and two disks could get one id.

A life is now that microsecond shifted by 12 bits that are random. It fits 64 bits until 2112 (63 bits until 2041); msgpack, JSON and the log carry 64 bits unsigned.

--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -1,5 +1,6 @@
 #include "app/process.hpp"
 
+#include "adapters/entropy.hpp"
 #include "adapters/log.hpp"
 #include "adapters/yaml_settings.hpp"
 #include "core/group/socket_address.hpp"
@@ -18,10 +19,17 @@
 
 } // namespace
 
+auto incarnation_at(exact_wall_time at, random_bits random) -> incarnation
+{
+    constexpr unsigned bits = 12;
+    constexpr std::uint64_t mask = (std::uint64_t{1} << bits) - 1;
+    auto const us = static_cast<std::uint64_t>(at.time_since_epoch().count());
+    return incarnation{(us << bits) | (random.value() & mask)};
+}
+
 auto new_incarnation(glib_clock const& clock) -> incarnation
 {
-    return incarnation{static_cast<std::uint64_t>(
-        clock.exact_wall_now().time_since_epoch().count())};
+    return incarnation_at(clock.exact_wall_now(), random_seed());
 }
 
 auto report_end(error const& it) -> exit_code
--- a/src/app/process.hpp
+++ b/src/app/process.hpp
@@ -13,6 +13,7 @@
 #include "app/peer_transport.hpp"
 #include "app/settings.hpp"
 #include "app/settings_load.hpp"
+#include "core/random.hpp"
 
 #include <apricotlb/error.hpp>
 #include <apricotlb/result.hpp>
@@ -25,8 +26,16 @@
 using transport = peer_transport<peer_message, glib_clock, nng_link,
                                  msgpack_codec, message_auth, metrics>;
 
-/// Microseconds since the Unix epoch. Every start of a process has a greater
-/// incarnation than the start before, unless the wall clock was set back.
+/// The incarnation of a process that starts at `at`: microseconds since the
+/// Unix epoch, shifted by 12 bits that are filled with random ones, so that two
+/// starts at one instant differ. It is greater than those of earlier versions
+/// (microseconds alone), which accept only growing numbers, and fits 64 bits
+/// until 2112.
+[[nodiscard]] auto incarnation_at(exact_wall_time at, random_bits random)
+    -> incarnation;
+
+/// The incarnation of a process that starts now. A later start has a greater
+/// one unless the time of day was set back.
 [[nodiscard]] auto new_incarnation(glib_clock const& clock) -> incarnation;
 
 /// Logs the error that ends the process and returns the exit code of its kind.
--- a/src/app/roles.cpp
+++ b/src/app/roles.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/delayed_files.hpp"
 #include "adapters/disk_log.hpp"
+#include "adapters/entropy.hpp"
 #include "adapters/json_codec.hpp"
 #include "adapters/log.hpp"
 #include "adapters/posix_files.hpp"
@@ -79,8 +80,7 @@
                     metrics& counts, unix_signals& loop)
         : own_(own), clock_(clock), metrics_(counts), loop_(loop),
           node_(own.node, std::move(key), clock, counts),
-          files_(clock, own.sync_delay,
-                 random_bits{new_incarnation(clock).value()}),
+          files_(clock, own.sync_delay, random_seed()),
           store_(files_, {own.data, own.disk_limit})
     {
     }
@@ -93,7 +93,7 @@
         BOOST_OUTCOME_TRY(options, replica_options::builder{}
                                        .self(own_.node)
                                        .bootstrap(first_members())
-                                       .seed(random_bits{run.value()})
+                                       .seed(random_seed())
                                        .build());
         scheduler_policy policy;
         policy.guard = own_.guards == guard_mode::enabled;
@@ -290,7 +290,7 @@
     unix_signals loop;
     // Peer messages stay within this process, so the key is shared with no
     // other process and need not be read from a file.
-    shared_key const key{std::to_string(new_incarnation(clock).value())};
+    shared_key const key{std::to_string(random_seed().value())};
     auto own = loaded;
     own.peers_at = endpoint{"inproc://control"};
     own.control = {{own.node, own.peers_at}};
