Let lives of an entry replace each other whatever their order

A heartbeat of another life than the recorded one now replaces it at once, unless that life was replaced in this office before: such a one is refused until the recorded lease has ended, as lower ones were. A session ends at once if its life was replaced in this office; one of a life not met waits for the leases of the former leader and the grace, whatever its number. This counts on the peer transport to deliver messages of the living life only.

Failed before: entry_leases.lives_may_go_up_and_down, the_last_replaced_lives_of_many_are_refused, a_life_not_met_yet_keeps_its_session_through_the_grace and share_ledger.lives_of_an_entry_may_go_up_and_down. In ignores_duplicates_and_former_runs the late heartbeat is of a life that was heard before; it used to be one that was never heard, which no longer is former by its number alone. Its other checks are unchanged.

--- a/src/core/leader/entry_leases.cpp
+++ b/src/core/leader/entry_leases.cpp
@@ -31,9 +31,13 @@
             return false;
         }
     }
-    else if (!added && heartbeat.session.run < entry.run && now < entry.ends)
+    else if (!added)
     {
-        return false;
+        if (now < entry.ends && entry.replaced.contains(heartbeat.session.run))
+        {
+            return false;
+        }
+        entry.replaced.replace(entry.run, heartbeat.session.run);
     }
     entry.run = heartbeat.session.run;
     entry.number = heartbeat.number;
@@ -98,8 +102,8 @@
         auto const found = entries_.find(session.entry);
         auto const is_recorded =
             found != entries_.end() && found->second.run == session.run;
-        auto const is_replaced =
-            found != entries_.end() && found->second.run > session.run;
+        auto const is_replaced = found != entries_.end() &&
+                                 found->second.replaced.contains(session.run);
         auto const end = is_recorded ? found->second.ends : former_leases_end_;
         if (is_replaced || now >= end + lease_with_drift)
         {
--- a/src/core/leader/entry_leases.hpp
+++ b/src/core/leader/entry_leases.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_CORE_LEADER_ENTRY_LEASES_HPP
 #define APRICOTLB_CORE_LEADER_ENTRY_LEASES_HPP
 
+#include "core/leader/replaced_lives.hpp"
 #include "core/messages.hpp"
 #include "core/state/commands.hpp"
 
@@ -21,6 +22,7 @@
     revision confirmed; ///< newest contract revision in force on the entry
     time_point ends;    ///< from then on the entry admits no requests
     bool draining{false};
+    replaced_lives replaced{}; ///< by the recorded one, in this office
 };
 
 /// Records heartbeats and decides when a change is in force on every entry.
@@ -36,11 +38,12 @@
 
     /// Renews the lease of the sender. The answer must be sent at `now` or
     /// earlier. Returns false if the heartbeat is a duplicate, out of order or
-    /// of an earlier incarnation; it must not be answered then.
+    /// of a replaced incarnation; it must not be answered then.
     ///
-    /// A higher incarnation replaces the earlier one at once: a node id belongs
-    /// to one process, so the earlier one no longer admits requests. A lower
-    /// incarnation is accepted only after the recorded lease has ended.
+    /// Another incarnation replaces the recorded one at once, whatever the
+    /// order of their numbers: a node id belongs to one process, so the former
+    /// one no longer admits requests. One that was replaced in this office is
+    /// accepted only after the recorded lease has ended.
     [[nodiscard]] auto on_heartbeat(entry_heartbeat const& heartbeat,
                                     time_point now) -> bool;
 
@@ -58,10 +61,11 @@
         -> bool;
 
     /// Commands that end those sessions among `open` (sessions with open keys)
-    /// whose lease ended at least one further lease ago, or that a higher
-    /// incarnation has replaced. The grace period lets an entry that was
-    /// briefly disconnected record its outcomes first. For sessions without a
-    /// recorded lease it starts when leases of the former leader have ended. A
+    /// whose lease ended at least one further lease ago, or that another
+    /// incarnation has replaced in this office. The grace period lets an entry
+    /// that was briefly disconnected record its outcomes first. For sessions
+    /// without a recorded lease it starts when leases of the former leader have
+    /// ended: the incarnation may be the next one, and not known yet. A
     /// session is returned again while it has open keys, so that a key opened
     /// by a delayed command after the end of its session is ended too.
     [[nodiscard]] auto sessions_to_end(std::vector<entry_session> const& open,
--- a/src/core/leader/share_ledger.cpp
+++ b/src/core/leader/share_ledger.cpp
@@ -265,14 +265,19 @@
             return std::nullopt;
         }
     }
-    else if (found->live)
+    else
     {
-        if (heartbeat.session.run < found->run)
+        if (found->live)
         {
-            return std::nullopt;
+            if (found->replaced.contains(heartbeat.session.run))
+            {
+                return std::nullopt;
+            }
+            // The recorded incarnation has ended: a node id belongs to one
+            // process.
+            drop_entry(static_cast<index>(found - entries_.begin()));
         }
-        // The former incarnation has ended: a node id belongs to one process.
-        drop_entry(static_cast<index>(found - entries_.begin()));
+        found->replaced.replace(found->run, heartbeat.session.run);
     }
     auto const entry = static_cast<index>(found - entries_.begin());
     if (!found->live)
--- a/src/core/leader/share_ledger.hpp
+++ b/src/core/leader/share_ledger.hpp
@@ -2,6 +2,7 @@
 #ifndef APRICOTLB_CORE_LEADER_SHARE_LEDGER_HPP
 #define APRICOTLB_CORE_LEADER_SHARE_LEDGER_HPP
 
+#include "core/leader/replaced_lives.hpp"
 #include "core/messages.hpp"
 
 #include <apricotlb/job.hpp>
@@ -53,7 +54,8 @@
     auto remove_backend(backend_id const& id) -> void;
 
     /// Shares for the answer, which must be sent at `now` or earlier; none if
-    /// the heartbeat is a duplicate, out of order or of a former incarnation.
+    /// the heartbeat is a duplicate, out of order or of an incarnation that
+    /// another one has replaced.
     [[nodiscard]] auto on_heartbeat(entry_heartbeat const& heartbeat,
                                     time_point now)
         -> std::optional<std::vector<share>>;
@@ -113,6 +115,7 @@
         time_point peaks_decayed_at; // when the peaks of demand last decayed
         bool live{false};
         bool draining{false};
+        replaced_lives replaced;
         std::vector<holding> holdings; // by backend
         std::vector<index> listed;     // backends with a holding
         std::vector<index> demanded;   // services with a peak above 0
--- a/tests/entry_leases_test.cpp
+++ b/tests/entry_leases_test.cpp
@@ -61,6 +61,7 @@
 TEST(entry_leases, ignores_duplicates_and_former_runs)
 {
     entry_leases it{elected};
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 1, 98, 4), settled));
     EXPECT_TRUE(it.on_heartbeat(beat("e1", 2, 7, 5), settled));
     EXPECT_FALSE(it.on_heartbeat(beat("e1", 2, 7, 5), settled));
     EXPECT_FALSE(it.on_heartbeat(beat("e1", 2, 6, 4), settled));
@@ -70,6 +71,63 @@
     EXPECT_TRUE(it.on_heartbeat(beat("e1", 1, 1, 6), settled + lease));
 }
 
+// An entry whose clock was set back before it started again had no lease until
+// that of its former life had ended. Late heartbeats of either former life must
+// not bring it back.
+TEST(entry_leases, lives_may_go_up_and_down)
+{
+    entry_leases it{elected};
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 9, 50, 4), settled));
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 3, 1, 5), settled));
+    EXPECT_TRUE(it.is_live({node_id{"e1"}, incarnation{3}}, settled));
+    EXPECT_FALSE(it.on_heartbeat(beat("e1", 9, 51, 4), settled));
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 6, 1, 5), settled));
+    EXPECT_FALSE(it.on_heartbeat(beat("e1", 3, 2, 4), settled));
+    EXPECT_FALSE(it.on_heartbeat(beat("e1", 9, 52, 4), settled));
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 6, 2, 5), settled));
+    EXPECT_TRUE(it.is_live({node_id{"e1"}, incarnation{6}}, settled));
+    EXPECT_TRUE(it.in_force(revision{5}, settled));
+}
+
+// Lives that are kept for as long as a leader is in office would add up at an
+// entry that restarts again and again.
+TEST(entry_leases, the_last_replaced_lives_of_many_are_refused)
+{
+    entry_leases it{elected};
+    constexpr std::uint64_t lives = 100;
+    for (std::uint64_t n = 0; n < lives; ++n)
+    {
+        EXPECT_TRUE(it.on_heartbeat(beat("e1", lives - n, 1, 5), settled));
+    }
+    for (std::uint64_t n = 0; n < replaced_lives::max_lives; ++n)
+    {
+        EXPECT_FALSE(it.on_heartbeat(beat("e1", 2 + n, 2, 5), settled));
+    }
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 1, 2, 5), settled));
+}
+
+// The keys of a life that this leader has not met yet were ended because its
+// number was lower than that of a late message.
+TEST(entry_leases, a_life_not_met_yet_keeps_its_session_through_the_grace)
+{
+    entry_leases it{elected};
+    auto const lower = entry_session{node_id{"e1"}, incarnation{3}};
+    auto const higher = entry_session{node_id{"e1"}, incarnation{9}};
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 6, 1, 5), elected));
+    auto const end = elected + lease;
+    for (auto const& session : {lower, higher})
+    {
+        EXPECT_TRUE(it.sessions_to_end({session}, elected).empty());
+        EXPECT_TRUE(it.sessions_to_end({session}, end + lease - 1us).empty());
+        EXPECT_EQ(it.sessions_to_end({session}, end + lease).size(), 1U);
+    }
+    // Replaced by a lower number, a session ends at once.
+    auto const met = entry_session{node_id{"e1"}, incarnation{6}};
+    EXPECT_TRUE(it.on_heartbeat(beat("e1", 3, 1, 5), elected));
+    EXPECT_EQ(it.sessions_to_end({met}, elected).size(), 1U);
+    EXPECT_TRUE(it.sessions_to_end({lower}, elected).empty());
+}
+
 // Keys of a dead entry must become unknown, but an entry that was cut off
 // for a moment first gets time to record its outcomes.
 TEST(entry_leases, ends_sessions_after_a_grace)
--- a/tests/share_ledger_test.cpp
+++ b/tests/share_ledger_test.cpp
@@ -269,5 +269,35 @@
     EXPECT_EQ(total(it.on_heartbeat(beat, settled).value()), 8);
 }
 
+// An entry whose clock was set back before it started again got no shares until
+// the lease of its former life had ended, and a late heartbeat of a former life
+// must not take the shares of the living one.
+TEST(share_ledger, lives_of_an_entry_may_go_up_and_down)
+{
+    share_ledger it{term{2}, elected};
+    it.set_backend(backend_of("b0", 8));
+    entry_heartbeat beat;
+    beat.demand = {{customer, orders, request_count{50}, request_count{0}}};
+    beat.applied_term = term{2};
+    auto const send = [&](std::uint64_t run, std::uint64_t number)
+    {
+        beat.session = {node_id{"e0"}, incarnation{run}};
+        beat.number = sequence{number};
+        return it.on_heartbeat(beat, settled);
+    };
+    ASSERT_TRUE(send(9, 50));
+    auto const lower = send(3, 1);
+    ASSERT_TRUE(lower);
+    EXPECT_EQ(total(*lower), 8);
+    EXPECT_FALSE(send(9, 51));
+    auto const between = send(6, 1);
+    ASSERT_TRUE(between);
+    EXPECT_EQ(total(*between), 8);
+    EXPECT_FALSE(send(3, 2));
+    EXPECT_FALSE(send(9, 52));
+    EXPECT_TRUE(send(6, 2));
+    EXPECT_EQ(it.committed(backend_id{"b0"}), slot_count{8});
+}
+
 } // namespace
 } // namespace apricotlb
