--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -1,10 +1,10 @@
 #include "app/process.hpp"
 
+#include "adapters/entropy.hpp"
 #include "adapters/log.hpp"
 #include "adapters/yaml_settings.hpp"
 #include "core/group/socket_address.hpp"
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -19,13 +19,17 @@
 
 } // namespace
 
-auto new_incarnation() -> incarnation
+auto incarnation_at(exact_wall_time at, random_bits random) -> incarnation
 {
-    auto const since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return incarnation{static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
-            .count())};
+    constexpr unsigned bits = 12;
+    constexpr std::uint64_t mask = (std::uint64_t{1} << bits) - 1;
+    auto const us = static_cast<std::uint64_t>(at.time_since_epoch().count());
+    return incarnation{(us << bits) | (random.value() & mask)};
+}
+
+auto new_incarnation(glib_clock const& clock) -> incarnation
+{
+    return incarnation_at(clock.exact_wall_now(), random_seed());
 }
 
 auto report_end(error const& it) -> exit_code
@@ -60,6 +64,14 @@
         });
 }
 
+auto apply_clock_offset(result<settings> const& it, glib_clock& clock) -> void
+{
+    if (it)
+    {
+        clock.set_wall_offset(it.value().clock_offset);
+    }
+}
+
 auto log_reload(result<settings> const& it) -> void
 {
     if (it.has_error())
--- a/src/app/process.hpp
+++ b/src/app/process.hpp
@@ -13,6 +13,7 @@
 #include "app/peer_transport.hpp"
 #include "app/settings.hpp"
 #include "app/settings_load.hpp"
+#include "core/random.hpp"
 
 #include <apricotlb/error.hpp>
 #include <apricotlb/result.hpp>
@@ -25,9 +26,17 @@
 using transport = peer_transport<peer_message, glib_clock, nng_link,
                                  msgpack_codec, message_auth, metrics>;
 
-/// Microseconds since the Unix epoch. Every start of a process has a greater
-/// incarnation than the start before, unless the wall clock was set back.
-[[nodiscard]] auto new_incarnation() -> incarnation;
+/// The incarnation of a process that starts at `at`: microseconds since the
+/// Unix epoch, shifted by 12 bits that are filled with random ones, so that two
+/// starts at one instant differ. It is greater than those of earlier versions
+/// (microseconds alone), which accept only growing numbers, and fits 64 bits
+/// until 2112.
+[[nodiscard]] auto incarnation_at(exact_wall_time at, random_bits random)
+    -> incarnation;
+
+/// The incarnation of a process that starts now. A later start has a greater
+/// one unless the time of day was set back.
+[[nodiscard]] auto new_incarnation(glib_clock const& clock) -> incarnation;
 
 /// Logs the error that ends the process and returns the exit code of its kind.
 [[nodiscard]] auto report_end(error const& it) -> exit_code;
@@ -39,6 +48,9 @@
 /// Adds the counts of log lines to the metrics of the process.
 auto include_log_counts(metrics& counts) -> void;
 
+/// Sets the clock to the offset of reloaded settings, if they are valid.
+auto apply_clock_offset(result<settings> const& it, glib_clock& clock) -> void;
+
 /// Logs that settings were reloaded, or that invalid settings were refused.
 auto log_reload(result<settings> const& it) -> void;
 
