Take the life of a worker that answers for the living one

A worker whose clock was set back between a crash and its return under its id got no tasks any more: the leader ignored announcements of a life with a lower `born` and never asked. After an orderly end it was refused for a minute. One start with a clock far ahead did the same to all later lives, and a late announcement of such a life replaced the living one for good.

The number of a life is the time of day of its start, which may go back. It identifies a life now and tells no order. An announcement of a lower life is a claim: the leader asks at its address with a poll that carries no lease, and takes it once its lists arrive. Lists of another life than the polled one prove that the polled one is over, whatever the numbers.

--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -46,17 +46,20 @@
     /// Its worker lists it as running when asked after this leader had ended it
     /// as lease_over: the lease has outlasted the leader's bound.
     alive_after_lease,
+    former_life, ///< of no run: an announcement of a life that has ended was
+                 ///< refused
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 18> names{
+    constexpr std::array<std::string_view, 19> names{
         "lease_over",    "worker_gone",      "missing",
         "withdrawn",     "unrecorded",       "copied",
         "copy_won",      "copy_lost",        "copy_others_wait",
         "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
         "copy_failures", "relocated",        "exceeds_headroom",
-        "fenced",        "lapsed",           "alive_after_lease"};
+        "fenced",        "lapsed",           "alive_after_lease",
+        "former_life"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -78,9 +78,9 @@
     if (found == workers_.end())
     {
         // Another process may still give a new leader an announcement of it.
-        if (is_named && !has_departed(left, now))
+        if (is_named)
         {
-            record_departure(left, now);
+            ended_lives_.record(left, now);
         }
         return true;
     }
@@ -91,7 +91,7 @@
     {
         return false;
     }
-    record_departure({left.id, entry.incarnation}, now);
+    ended_lives_.record({left.id, entry.incarnation}, now);
     on_leave(*found, now);
     needs_plan_ = true;
     return true;
@@ -100,8 +100,10 @@
 auto run_scheduler::take_announcement(worker_announcement const& announcement,
                                       time_point now, duration age) -> void
 {
-    if (has_departed(announcement.instance, now))
+    if (ended_lives_.contains(announcement.instance))
     {
+        events_.push_back(
+            {run_event_kind::former_life, {}, announcement.instance});
         return;
     }
     auto const [at, is_new] = workers_.try_emplace(announcement.instance.id);
@@ -112,20 +114,21 @@
     {
         entry.life = ++last_life_;
     }
-    if (announcement.instance.incarnation < entry.incarnation)
-    {
-        return;
-    }
+    auto const is_known =
+        announcement.instance.incarnation == entry.incarnation;
     auto const is_late =
-        entry.info && announcement.instance.incarnation == entry.incarnation &&
-        announcement.number <= entry.info->number;
-    if (is_late || (entry.incarnation_ended &&
-                    announcement.instance.incarnation == entry.incarnation))
+        entry.info && announcement.number <= entry.info->number;
+    if (is_known && (is_late || entry.incarnation_ended))
     {
         return;
     }
-    if (announcement.instance.incarnation > entry.incarnation)
+    if (!is_known)
     {
+        if (!may_follow(entry, announcement.instance.incarnation, now - age))
+        {
+            contest(worker, announcement, now, age);
+            return;
+        }
         replace_incarnation(worker, announcement, now);
     }
     // A worker that started later at an address proves that the earlier one
@@ -195,10 +198,16 @@
     {
         report_late_crashes(entry);
     }
+    auto const life = announcement.instance.incarnation;
     auto const is_known = entry.incarnation != worker_incarnation{};
-    entry.begin_incarnation(announcement.instance.incarnation, ++last_life_);
-    entry.follows_former_life = is_known || departed_.contains(worker.first);
-    entry.lease = {};
+    auto const is_proven = entry.answering_life == life;
+    if (is_known && !is_proven)
+    {
+        entry.unproven_lives.push_back(entry.incarnation);
+    }
+    entry.begin_incarnation(life, ++last_life_);
+    entry.follows_former_life = is_known || ended_lives_.knows(worker.first);
+    auto const former = std::exchange(entry.lease, {});
     entry.info = announcement;
     entry.place = place_of(announcement);
     gain_room(entry);
@@ -212,6 +221,13 @@
         {
             continue;
         }
+        // An earlier leader has placed it on this life.
+        if (held.phase == run_phase::inherited && is_recorded_for(run, life))
+        {
+            entry.has_inherited_lease = true;
+            entry.lease.assume_until(former.latest_end(), former.cause());
+            continue;
+        }
         // A start on its way may still reach this life, or one after it.
         held.start_unconfirmed =
             held.start_unconfirmed ||
@@ -537,6 +553,7 @@
 {
     auto const found = workers_.find(order.to.instance.id);
     if (found == workers_.end() ||
+        on_claim_answer(*found, order, answer, now) ||
         found->second.incarnation != order.to.instance.incarnation)
     {
         return;
@@ -558,10 +575,16 @@
     switch (answer.outcome)
     {
     case order_outcome::done:
-        if (answer.lists.incarnation != entry.incarnation)
+        if (answer.lists.incarnation == worker_incarnation{} &&
+            entry.incarnation != worker_incarnation{})
         {
             entry.is_answering = false;
-            entry.is_replaced = answer.lists.incarnation > entry.incarnation;
+            return;
+        }
+        on_living_life(worker, answer.lists.incarnation, order.to.given, now);
+        if (answer.lists.incarnation != entry.incarnation)
+        {
+            on_other_life(worker, answer.lists.incarnation, now);
             return;
         }
         entry.is_answering = true;
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -481,7 +481,11 @@
                                held_run& held, time_point now) -> void
 {
     auto const* const record = state_.workflows().find(run.task.workflow);
-    if (!worker.second.info || worker.second.is_replaced ||
+    // The acknowledgement of draining also counts for a life that is not taken
+    // for the living one yet.
+    auto const& claim = worker.second.claim;
+    auto const may_drain = claim && claim->value.phase != worker_phase::ready;
+    if (!worker.second.info || worker.second.is_replaced || may_drain ||
         worker.second.is_fenced || !worker.second.is_listed ||
         !worker.second.lease.is_sampled() ||
         worker.second.grants != lease_grants::open ||
@@ -734,6 +738,7 @@
             ++in_contact;
             refusing += entry.is_fenced ? 1 : 0;
         }
+        send_claim_poll(*worker, now);
         auto const is_first = !entry.info && entry.poll_sent_at == time_point{};
         if (!is_first || first_polls > 0)
         {
@@ -761,6 +766,9 @@
         std::erase_if(
             lasting_suspects_, [this](workflow_task const& each)
             { return state_.workflows().find(each.workflow) == nullptr; });
+        ended_lives_.prune(now - config::worker_removal_delay,
+                           [this](worker_id const& each)
+                           { return workers_.contains(each); });
     }
     std::erase_if(late_starts_until_,
                   [now](auto const& each) { return now >= each.second; });
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -17,6 +17,7 @@
 #include "core/fleet/contact_messages.hpp"
 #include "core/fleet/disturbance.hpp"
 #include "core/fleet/effect_table.hpp"
+#include "core/fleet/ended_lives.hpp"
 #include "core/fleet/lease_halts.hpp"
 #include "core/fleet/relocation.hpp"
 #include "core/fleet/run_events.hpp"
@@ -368,16 +369,32 @@
         -> millicores;
 
     // run_contacts.cpp
-    struct departure
-    {
-        worker_incarnation incarnation;
-        time_point since{};
-    };
-    auto record_departure(worker_instance const& worker, time_point now)
-        -> void;
-    /// True if a late announcement would bring back a worker that has left.
-    [[nodiscard]] auto has_departed(worker_instance const& worker,
-                                    time_point now) const -> bool;
+    /// True if another life than the known one may be taken for the living one
+    /// without asking: it has answered, or its number is higher and its
+    /// announcement is newer than the last sign of the known one.
+    [[nodiscard]] static auto may_follow(worker_entry const& known,
+                                         worker_incarnation life,
+                                         time_point heard_at) -> bool;
+    /// Keeps the announcement of another life until the answer to a poll shows
+    /// which of the two lives.
+    auto contest(identified_worker& worker,
+                 worker_announcement const& announcement, time_point now,
+                 duration age) -> void;
+    /// Asks at the address of the life that claims to live, or gives it up.
+    auto send_claim_poll(identified_worker& worker, time_point now) -> void;
+    /// Returns false if the poll was not sent by send_claim_poll().
+    auto on_claim_answer(identified_worker& worker, poll_order const& order,
+                         poll_answer const& answer, time_point now) -> bool;
+    /// A poll that was sent at `asked_at` was answered by this life: all others
+    /// that were known by then have ended.
+    auto on_living_life(identified_worker& worker, worker_incarnation living,
+                        time_point asked_at, time_point now) -> void;
+    /// Another life than the known one has answered.
+    auto on_other_life(identified_worker& worker, worker_incarnation living,
+                       time_point now) -> void;
+    /// True if the log has the run on this life of the worker.
+    [[nodiscard]] auto is_recorded_for(task_run const& run,
+                                       worker_incarnation life) const -> bool;
 
     // run_reports.cpp
     auto take_announcement(worker_announcement const& announcement,
@@ -741,8 +758,7 @@
     std::map<worker_id, time_point> late_starts_until_;
     /// Tasks under which a worker has crashed, and which have lasted since.
     std::set<workflow_task> lasting_suspects_;
-    /// Workers that have left within config::worker_removal_delay.
-    std::map<worker_id, departure> departed_;
+    ended_lives ended_lives_;
     /// Tasks with a proposed start.
     std::unordered_set<workflow_task, workflow_task_hash> proposed_;
     /// When each occurrence first had a ready task, by the revision at which
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -434,6 +434,17 @@
     reopening, ///< its end is proposed
 };
 
+/// Another life of a worker has announced itself, and nothing shows yet which
+/// of the two came later. The one that answers at its address did.
+struct life_claim
+{
+    worker_announcement value; ///< its newest announcement
+    time_point made_at{};      ///< when the first one arrived
+    time_point heard_at{};     ///< when the newest one was received
+    time_point asked_at{};     ///< the last poll for it
+    bool is_asked{false};      ///< that poll is open
+};
+
 /// A worker with its current incarnation, lease and runs.
 struct worker_entry
 {
@@ -529,6 +540,12 @@
     /// Another incarnation answers, whose announcement has not arrived yet. It
     /// gets no orders until then.
     bool is_replaced{false};
+    /// That incarnation, if its lists have named it.
+    std::optional<worker_incarnation> answering_life;
+    std::optional<life_claim> claim;
+    /// Lives that others replaced by their numbers alone. They have ended if
+    /// they are not the one that answers.
+    std::vector<worker_incarnation> unproven_lives;
     /// This incarnation has refused the leader's fencing token. It gets no
     /// orders and no polls with that token any more, so that its lease ends.
     bool is_fenced{false};
@@ -719,6 +736,8 @@
         is_answering = false;
         is_listed = false;
         is_replaced = false;
+        answering_life.reset();
+        claim.reset();
         is_fenced = false;
         incarnation_ended = false;
     }
--- a/tests/run_contacts_test.cpp
+++ b/tests/run_contacts_test.cpp
@@ -140,6 +140,28 @@
     EXPECT_EQ(scheduler.workers().size(), 1U);
 }
 
+// Its clock was set back before it came again: it was refused for a minute, as
+// if its announcements were late ones.
+TEST_F(run_contacts, bring_back_a_worker_that_left_with_a_lower_number)
+{
+    auto former = announcement("w", 1);
+    former.instance.incarnation = worker_incarnation{50'000};
+    scheduler.on_announcement(former, now);
+    worker_announcement left;
+    left.instance = former.instance;
+    left.phase = worker_phase::left;
+    scheduler.on_announcement(left, now);
+    tick();
+    ASSERT_TRUE(scheduler.workers().empty());
+    auto next = announcement("w", 1);
+    next.instance.incarnation = worker_incarnation{10'000};
+    scheduler.on_announcement(next, now);
+    ASSERT_EQ(scheduler.workers().size(), 1U);
+    ++former.number;
+    scheduler.on_announcement(former, now);
+    EXPECT_EQ(entry("w").incarnation, worker_incarnation{10'000});
+}
+
 // A departure that waited in a frozen process ended the next life of a worker
 // that was restarted under its id: its runs started elsewhere beside
 // themselves, and the worker was ignored for a minute.
