Pass lives of workers with lower numbers on to the leader

A worker whose clock was set back before it came again never got past the entry that had known its former life: announcement_intake counted all its announcements as late and acknowledged them, so that the leader did not hear of it until another entry did.

The intake has no way to ask the worker. It passes on the first announcement of each life that it has not met and keeps that life. A life that another one followed there is told from a late message by being heard twice in a row, or by draining, whose acknowledgement is a promise of the leader. A lower life does not take the place of one that drains on its first announcement: the answer would acknowledge the draining, which the leader may not have.

--- a/src/core/fleet/announcement_intake.cpp
+++ b/src/core/fleet/announcement_intake.cpp
@@ -38,16 +38,6 @@
            a.rack == b.rack && a.labels == b.labels && a.capacity == b.capacity;
 }
 
-/// True if `it` was sent before `newest`.
-auto is_late(worker_announcement const& it, worker_announcement const& newest)
-    -> bool
-{
-    auto const& life = it.instance.incarnation;
-    auto const& newest_life = newest.instance.incarnation;
-    return life < newest_life ||
-           (life == newest_life && it.number <= newest.number);
-}
-
 } // namespace
 
 auto name_of(intake_reason it) -> std::string_view
@@ -70,6 +60,67 @@
             intake_ticket{{kept.value.instance.id, false}, last_ticket_}};
 }
 
+/// Numbers of lives tell no order, and this process cannot ask the worker. A
+/// life that was followed comes back if it is heard twice while the kept one is
+/// not: a late announcement of a former life alone has no effect here, and if
+/// the kept one was the former life, the living one is back after a second.
+auto announcement_intake::is_late(worker_announcement const& it,
+                                  kept_worker& kept) -> bool
+{
+    auto const& life = it.instance.incarnation;
+    if (life == kept.value.instance.incarnation)
+    {
+        return it.number <= kept.value.number;
+    }
+    auto const known =
+        std::ranges::find(kept.followed, life, &followed_life::life);
+    if (known == kept.followed.end())
+    {
+        // The answer to a late announcement would acknowledge the draining.
+        auto const is_held_back = kept.value.phase != worker_phase::ready &&
+                                  life < kept.value.instance.incarnation;
+        if (is_held_back)
+        {
+            remember(kept, {life, it.number, true});
+        }
+        return is_held_back;
+    }
+    if (it.number <= known->number)
+    {
+        return true;
+    }
+    known->number = it.number;
+    // The acknowledgement of draining is a promise of the leader.
+    return it.phase == worker_phase::ready &&
+           !std::exchange(known->is_heard_since, true);
+}
+
+auto announcement_intake::follow(kept_worker& kept, worker_incarnation life)
+    -> void
+{
+    auto const& former = kept.value;
+    for (auto& each : kept.followed)
+    {
+        each.is_heard_since = false;
+    }
+    if (former.instance.incarnation == life)
+    {
+        return;
+    }
+    std::erase_if(kept.followed, [life](followed_life const& each)
+                  { return each.life == life; });
+    remember(kept, {former.instance.incarnation, former.number});
+}
+
+auto announcement_intake::remember(kept_worker& kept, followed_life it) -> void
+{
+    kept.followed.push_back(it);
+    if (kept.followed.size() > max_followed_lives)
+    {
+        kept.followed.erase(kept.followed.begin());
+    }
+}
+
 auto announcement_intake::leaving_life(worker_id const& worker,
                                        time_point now) const -> worker_instance
 {
@@ -114,7 +165,7 @@
     auto const [found, is_new] = kept_.try_emplace(it.instance.id);
     auto& kept = found->second;
     auto const is_ready = it.phase == worker_phase::ready;
-    if (!is_new && is_late(it, kept.value))
+    if (!is_new && is_late(it, kept))
     {
         if (is_ready && is_accepted(kept) && is_in_contact(now))
         {
@@ -124,6 +175,10 @@
         kept.accepted_in = {};
         return wait(kept, intake_reason::late);
     }
+    if (!is_new)
+    {
+        follow(kept, it.instance.incarnation);
+    }
     if (!is_new && is_ready && is_same_description(it, kept.value) &&
         is_same_warm_up(it, kept.value, now - kept.received))
     {
--- a/src/core/fleet/announcement_intake.hpp
+++ b/src/core/fleet/announcement_intake.hpp
@@ -129,9 +129,21 @@
     [[nodiscard]] auto size() const -> std::size_t { return kept_.size(); }
 
 private:
+    /// A life whose announcements another one followed.
+    struct followed_life
+    {
+        worker_incarnation life;
+        sequence number;            ///< of its newest announcement
+        bool is_heard_since{false}; ///< since the last one of the kept life
+    };
+    /// Lives that are remembered of a worker, so that their late announcements
+    /// are told from those of a life that has not been met.
+    static constexpr std::size_t max_followed_lives = 4;
+
     struct kept_worker
     {
-        worker_announcement value; ///< newest
+        worker_announcement value;           ///< newest
+        std::vector<followed_life> followed; ///< the last one last
         time_point received{};
         /// Number of the announcement that the leader has taken in full.
         sequence described;
@@ -154,6 +166,14 @@
     auto take_departure(worker_id const& worker, time_point now)
         -> intake_decision;
     auto wait(kept_worker& kept, intake_reason reason) -> intake_decision;
+    /// True if `it` was sent before the newest announcement of its life, or may
+    /// be a late one of a life that another one has followed.
+    [[nodiscard]] static auto is_late(worker_announcement const& it,
+                                      kept_worker& kept) -> bool;
+    /// Records that this life is heard, and remembers the kept one if it is
+    /// another.
+    static auto follow(kept_worker& kept, worker_incarnation life) -> void;
+    static auto remember(kept_worker& kept, followed_life it) -> void;
     /// The life that a departure received now ends: the one that has drained,
     /// as far as this process knows it, or otherwise incarnation 0.
     [[nodiscard]] auto leaving_life(worker_id const& worker,
--- a/tests/announcement_intake_test.cpp
+++ b/tests/announcement_intake_test.cpp
@@ -530,6 +530,97 @@
               restarted.instance);
 }
 
+// A worker whose clock was set back before it came again was not passed on to
+// the leader: all its announcements counted as late.
+TEST_F(announcement_intake_test, passes_a_life_with_a_lower_number_on)
+{
+    auto former = announcement("w", 5);
+    former.instance.incarnation = worker_incarnation{50'000};
+    intake.take(former, now);
+    round(first);
+    auto next = announcement("w", 1);
+    next.instance.incarnation = worker_incarnation{10'000};
+    EXPECT_EQ(intake.take(next, now).reason, intake_reason::forwarded);
+    round(first);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.instance, next.instance);
+    next.number = sequence{2};
+    EXPECT_EQ(intake.take(next, now).reason, intake_reason::renewed);
+    former.number = sequence{6};
+    EXPECT_EQ(intake.take(former, now).reason, intake_reason::late);
+    intake.on_leader(second);
+    round(second);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.instance, next.instance);
+}
+
+// A late announcement of a life whose clock was ahead made the living one a
+// former one for as long as this process remembered it.
+TEST_F(announcement_intake_test, a_life_that_goes_on_comes_back)
+{
+    auto living = announcement("w", 1);
+    living.instance.incarnation = worker_incarnation{10'000};
+    intake.take(living, now);
+    round(first);
+    auto late = announcement("w", 30);
+    late.instance.incarnation = worker_incarnation{50'000};
+    intake.take(late, now);
+    round(first);
+    living.number = sequence{2};
+    EXPECT_EQ(intake.take(living, now).reason, intake_reason::late);
+    living.number = sequence{3};
+    EXPECT_EQ(intake.take(living, now).reason, intake_reason::forwarded);
+    std::size_t sent = 0;
+    for (std::uint64_t n = 0; n < 10; ++n)
+    {
+        round(first);
+        sent += calls[0].batch.announcements.size();
+        ++late.number;
+        EXPECT_EQ(intake.take(late, now).reason, intake_reason::late);
+        ++living.number;
+        EXPECT_EQ(intake.take(living, now).reason, intake_reason::renewed);
+    }
+    EXPECT_EQ(sent, 1U);
+}
+
+// The leader never got the announcement that the worker drains, and placed
+// tasks there after the acknowledgement.
+TEST_F(announcement_intake_test, a_late_life_acknowledges_no_draining)
+{
+    auto draining = announcement("w", 3);
+    draining.instance.incarnation = worker_incarnation{50'000};
+    draining.phase = worker_phase::draining;
+    intake.take(draining, now);
+    auto late = announcement("w", 30);
+    late.instance.incarnation = worker_incarnation{10'000};
+    EXPECT_EQ(intake.take(late, now).reason, intake_reason::late);
+    round(first);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.instance,
+              draining.instance);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.phase,
+              worker_phase::draining);
+}
+
+// Of two processes, one may hold the former life only; a worker that drains
+// must not be kept waiting.
+TEST_F(announcement_intake_test, passes_the_draining_of_a_followed_life_on)
+{
+    auto living = announcement("w", 1);
+    living.instance.incarnation = worker_incarnation{10'000};
+    intake.take(living, now);
+    auto late = announcement("w", 30);
+    late.instance.incarnation = worker_incarnation{50'000};
+    intake.take(late, now);
+    round(first);
+    living.number = sequence{2};
+    living.phase = worker_phase::draining;
+    EXPECT_EQ(intake.take(living, now).reason, intake_reason::forwarded);
+    round(first);
+    ASSERT_EQ(calls[0].batch.announcements.size(), 1U);
+    EXPECT_EQ(calls[0].batch.announcements[0].value.instance, living.instance);
+}
+
 // A renewal was acknowledged, so a lost call must not lose it.
 TEST_F(announcement_intake_test, repeats_contacts_that_got_no_answer)
 {
