End repeats to a former life by token, not by number

Orders that were repeated while they had no answer went on after the next life of the worker had got its first order, if that life had the lower number: its lease was prolonged by polls to the life before. The token rises with each life that the leader meets, so it decides now, and the number only between equal tokens.

repeating_workers_test.a_former_life_may_have_the_higher_number was seen to fail before.

--- a/src/app/repeating_workers.hpp
+++ b/src/app/repeating_workers.hpp
@@ -214,7 +214,9 @@
     {
         auto const& to = target_of(earlier);
         // The next life of a worker would take the lease of a poll for its own.
-        if (to.instance.incarnation < it.to.instance.incarnation)
+        // The token rises with each life, which may have a lower number.
+        if (std::pair{to.fence, to.instance.incarnation} <
+            std::pair{it.to.fence, it.to.instance.incarnation})
         {
             return true;
         }
--- a/tests/repeating_workers_test.cpp
+++ b/tests/repeating_workers_test.cpp
@@ -225,6 +225,24 @@
     EXPECT_EQ(tries.starts.size(), 3U);
 }
 
+// The clock of the worker was set back before its next life began: the lease of
+// a poll to the life before was repeated to it.
+TEST_F(repeating_workers_test, a_former_life_may_have_the_higher_number)
+{
+    auto former = target("w0");
+    former.instance.incarnation = worker_incarnation{5};
+    former.fence = make_fence(term{1}, life_number{1});
+    it->send(start_at(former), [](order_answer) {});
+    auto next = target("w0");
+    next.instance.incarnation = worker_incarnation{2};
+    next.fence = make_fence(term{1}, life_number{2});
+    it->send(start_at(next), [](order_answer) {});
+    clock.advance(interval);
+    ASSERT_EQ(tries.starts.size(), 3U);
+    EXPECT_EQ(tries.starts[2].order.to.instance.incarnation,
+              worker_incarnation{2});
+}
+
 // An answer is often followed by the next order to the same worker.
 TEST_F(repeating_workers_test, takes_orders_while_it_passes_an_answer_on)
 {
