Keep the bound of a worker's leases when another life replaces it

A late announcement of a life with a higher number, which the leader had not met, replaced the living life until the answer to the next poll. With it the bound of the leases that the living life holds was forgotten. If the worker was cut off just then, its runs ended as lost after 3.5 s of silence and were started elsewhere beside themselves.

The bound stays now when a life is replaced; the first lists of a life that follows another replace it, as before.

late_announcement.of_a_higher_life_keeps_the_bound_of_the_leases ("a.0.0.0 runs twice") was seen to fail before. former_life, worker_life, late_release, restart_schedule and release_schedule pass.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -207,7 +207,6 @@
     }
     entry.begin_incarnation(life, ++last_life_);
     entry.follows_former_life = is_known || ended_lives_.knows(worker.first);
-    auto const former = std::exchange(entry.lease, {});
     entry.info = announcement;
     entry.place = place_of(announcement);
     gain_room(entry);
@@ -225,7 +224,6 @@
         if (held.phase == run_phase::inherited && is_recorded_for(run, life))
         {
             entry.has_inherited_lease = true;
-            entry.lease.assume_until(former.latest_end(), former.cause());
             continue;
         }
         // A start on its way may still reach this life, or one after it.
--- a/tests/set_back_life_test.cpp
+++ b/tests/set_back_life_test.cpp
@@ -237,5 +237,19 @@
     expect_no_violation();
 }
 
+// The leases of the living life were forgotten when the higher one was taken,
+// so that its runs were started elsewhere beside themselves.
+TEST_F(late_announcement, of_a_higher_life_keeps_the_bound_of_the_leases)
+{
+    auto former = fleet.announcement_of("w1");
+    former.instance.incarnation = worker_incarnation{first_born + 40'000};
+    fleet.cut.insert("w1");
+    fleet.add_worker("w2", 4000);
+    fleet.leader->on_announcement(former, fleet.now);
+    fleet.run(seconds{10});
+    EXPECT_TRUE(fleet.workers.at("w2")->running().contains("a.0.0.0"));
+    expect_no_violation();
+}
+
 } // namespace
 } // namespace apricotlb
