Ask who answers at an address that a lower life announces

A worker that started under another id at the address of one that had crashed was ignored for as long as the former one was remembered (60 s), if its clock was behind that of the former one: the higher number held the address.

The leader polls the worker that is known there now. If another one answers for it (421), it is over, and the next announcement takes the address. Nothing else changes for the one that is known: a late announcement of its predecessor costs one poll.

set_back_life.of_another_worker_takes_over_the_address was seen to fail before (tasks still running, of 8 submitted in 64 s). In the fake fleet a worker answers orders to a former one at its address, as real ones do.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -147,10 +147,20 @@
         {
             former = workers_.end();
         }
-        if (former != workers_.end() &&
-            (former->second.incarnation > announcement.instance.incarnation ||
-             (former->second.is_contacted() &&
-              former->second.last_contact > now - age)))
+        auto const is_open =
+            former != workers_.end() && !former->second.incarnation_ended;
+        // A lower number may come from a clock that was set back. The worker
+        // that is there now answers for itself.
+        auto const is_lower = is_open && announcement.instance.incarnation <
+                                             former->second.incarnation;
+        if (is_lower)
+        {
+            former->second.contact_wanted_until =
+                now + config::worker_contact_timeout;
+            send_poll(*former, now);
+        }
+        if (is_lower || (is_open && former->second.is_contacted() &&
+                         former->second.last_contact > now - age))
         {
             return;
         }
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -253,6 +253,22 @@
         return !cut.contains(name) && !deaf.contains(name);
     }
 
+    /// The worker that gets an order: the one of that name, or else another one
+    /// that has taken its address.
+    [[nodiscard]] auto worker_at(std::string const& name,
+                                 url const& address) const -> platform_worker*
+    {
+        if (auto const named = workers.find(name); named != workers.end())
+        {
+            return named->second.get();
+        }
+        auto const other = std::ranges::find_if(
+            workers,
+            [&](auto const& each)
+            { return "http://" + each.second->address == address.value(); });
+        return other == workers.end() ? nullptr : other->second.get();
+    }
+
     auto happens(std::uint64_t percent) -> bool
     {
         return next_random(random_) % 100 < percent;
@@ -354,11 +370,10 @@
         auto const name = it.to.instance.id.value();
         auto const deliver = [this, it, name]() -> http_answer
         {
-            auto const at = workers.find(name);
-            return at == workers.end() || !is_reached(name)
+            auto* const at = worker_at(name, it.to.address);
+            return at == nullptr || !is_reached(name)
                        ? platform::json_answer(500, "")
-                       : at->second->serve(platform::run_codec::encode(it),
-                                           now);
+                       : at->serve(platform::run_codec::encode(it), now);
         };
         constexpr auto is_poll = std::is_same_v<Order, poll_order>;
         auto const relay =
--- a/tests/set_back_life_test.cpp
+++ b/tests/set_back_life_test.cpp
@@ -127,6 +127,25 @@
     expect_no_violation();
 }
 
+// Another worker had been at its address with a higher number: the announcements
+// of the next one there were ignored for a minute.
+TEST_F(set_back_life, of_another_worker_takes_over_the_address)
+{
+    fleet.workers.erase("w1");
+    fleet.add_worker("w2", 4000, first_born - 40'000);
+    fleet.workers.at("w2")->address = "w1:1";
+    for (auto n = 0; n < 8; ++n)
+    {
+        auto const id = "a" + std::to_string(n);
+        run_time = milliseconds{300};
+        fleet.run(seconds{6});
+        fleet.submit(id, {fake_fleet::step(1)});
+        fleet.run(seconds{2});
+        EXPECT_EQ(fleet.state_of(id), workflow_state::completed);
+    }
+    expect_no_violation();
+}
+
 /// Announcements of lives that have ended arrive late.
 struct late_announcement : set_back_life
 {
