Give no address back to a worker that another one has displaced

A late announcement of a worker that had been at an address before, with the higher number since the clock was set back in between, ended the worker that is there now: its runs counted as lost and were started elsewhere beside themselves.

A life at whose address another worker has answered or started is remembered as displaced (it may have moved, so it does not count as ended). Its announcements take an address only after the one that is known there has been asked.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -151,16 +151,18 @@
             former != workers_.end() && !former->second.incarnation_ended;
         // A lower number may come from a clock that was set back. The worker
         // that is there now answers for itself.
-        auto const is_lower = is_open && announcement.instance.incarnation <
-                                             former->second.incarnation;
-        if (is_lower)
+        auto const is_doubtful =
+            is_open &&
+            (announcement.instance.incarnation < former->second.incarnation ||
+             displaced_lives_.contains(announcement.instance));
+        if (is_doubtful)
         {
             former->second.contact_wanted_until =
                 now + config::worker_contact_timeout;
             send_poll(*former, now);
         }
-        if (is_lower || (is_open && former->second.is_contacted() &&
-                         former->second.last_contact > now - age))
+        if (is_doubtful || (is_open && former->second.is_contacted() &&
+                            former->second.last_contact > now - age))
         {
             return;
         }
@@ -276,6 +278,7 @@
                                        time_point now) -> void
 {
     auto& entry = worker.second;
+    displaced_lives_.record({worker.first, entry.incarnation}, now);
     if (!entry.incarnation_ended && !entry.is_leaving())
     {
         report_late_crashes(entry);
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -766,9 +766,10 @@
         std::erase_if(
             lasting_suspects_, [this](workflow_task const& each)
             { return state_.workflows().find(each.workflow) == nullptr; });
-        ended_lives_.prune(now - config::worker_removal_delay,
-                           [this](worker_id const& each)
-                           { return workers_.contains(each); });
+        auto const is_kept = [this](worker_id const& each)
+        { return workers_.contains(each); };
+        ended_lives_.prune(now - config::worker_removal_delay, is_kept);
+        displaced_lives_.prune(now - config::worker_removal_delay, is_kept);
     }
     std::erase_if(late_starts_until_,
                   [now](auto const& each) { return now >= each.second; });
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -759,6 +759,9 @@
     /// Tasks under which a worker has crashed, and which have lasted since.
     std::set<workflow_task> lasting_suspects_;
     ended_lives ended_lives_;
+    /// Lives at whose addresses other workers answer or have started. They may
+    /// have moved, but do not take such an address back by their numbers.
+    ended_lives displaced_lives_;
     /// Tasks with a proposed start.
     std::unordered_set<workflow_task, workflow_task_hash> proposed_;
     /// When each occurrence first had a ready task, by the revision at which
