Test random restarts, losses and late messages of peers

200 fixed schedules restart a process under higher and lower lives, lose half of the messages for up to 0.3 s, and deliver messages of former lives late. Nothing of a former life may be taken once the living one has been heard, and the living one has to be heard as soon as nothing is lost.

--- a/tests/peer_restart_test.cpp
+++ b/tests/peer_restart_test.cpp
@@ -4,6 +4,7 @@
 #include "adapters/msgpack_codec.hpp"
 #include "adapters/nng_link.hpp"
 #include "app/peer_transport.hpp"
+#include "core/random.hpp"
 #include "core/state/commands.hpp"
 #include "fake_peer_parts.hpp"
 #include "loopback.hpp"
@@ -688,6 +689,109 @@
     EXPECT_EQ(b->refused, (texts{"a:500/400 former"}));
 }
 
+// Restarts under any life, losses and late messages in any order: nothing of a
+// former life may come through, and the living process must be heard as soon as
+// nothing is lost.
+TEST_F(peer_restart_test, hears_the_living_life_alone_on_random_schedules)
+{
+    constexpr auto schedules = 200U;
+    constexpr auto steps = 400;
+    constexpr duration step = milliseconds{10};
+    auto dropped = 0;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed)
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        auto random = seed;
+        auto const draw = [&random](std::uint64_t below)
+        { return next_random(random) % below; };
+        a.reset();
+        b.reset();
+        net.is_lost = nullptr;
+        std::uint64_t life = 500;
+        std::uint64_t former = 0;
+        meet(life);
+        auto ended = clock.now();
+        auto lossy_until = clock.now();
+        texts lost_of_former;
+        texts lost;
+        net.is_lost = [&](envelope const& it)
+        {
+            auto const is_lost = clock.now() < lossy_until && draw(2) == 0;
+            if (is_lost && it.from == node_id{"a"})
+            {
+                lost.push_back(seal(it));
+            }
+            return is_lost;
+        };
+        std::size_t checked = 0;
+        for (auto n = 0; n < steps; ++n)
+        {
+            switch (draw(40))
+            {
+            case 0: // one restart a second at most, as a process takes time
+                if (clock.now() - ended > seconds{1})
+                {
+                    former = std::exchange(life, life + 1 + draw(1'000'000));
+                    if (draw(2) == 0)
+                    {
+                        life = former - 1 - draw(former - 1);
+                    }
+                    ended = clock.now();
+                    lost_of_former.insert(lost_of_former.end(), lost.begin(),
+                                          lost.end());
+                    lost.clear();
+                    restart_a(life);
+                }
+                break;
+            case 1:
+                lossy_until = clock.now() + milliseconds{draw(300)};
+                break;
+            case 2:
+            case 3:
+                if (!lost_of_former.empty())
+                {
+                    b->receive_late(
+                        lost_of_former[draw(lost_of_former.size())]);
+                }
+                break;
+            default:
+                a->send("b", std::to_string(life));
+                break;
+            }
+            clock.advance(step);
+            for (; checked < b->got.size(); ++checked)
+            {
+                // Until the new life is heard, nothing tells that the known one
+                // has ended.
+                auto const living = "a:" + std::to_string(life);
+                auto const first =
+                    std::find(b->got.begin(), b->got.end(), living);
+                auto const is_of_former =
+                    b->got[checked] == "a:" + std::to_string(former) &&
+                    first >=
+                        b->got.begin() + static_cast<std::ptrdiff_t>(checked);
+                if (!is_of_former)
+                {
+                    EXPECT_EQ(b->got[checked], living);
+                }
+            }
+        }
+        dropped += b->metrics.counts["former_life"];
+        net.is_lost = nullptr;
+        clock.advance(config::peer_timeout);
+        a->send("b", "end");
+        EXPECT_LE(time_until_got(*b, "a:end"), latency);
+        b->send("a", "end");
+        EXPECT_LE(time_until_got(*a, "b:end"), latency);
+        if (HasFailure())
+        {
+            return;
+        }
+    }
+    // The schedules have late messages to refuse.
+    EXPECT_GT(dropped, static_cast<int>(schedules));
+}
+
 // Challenges must not become a load of undisturbed processes.
 TEST_F(peer_restart_test, sends_no_challenge_in_steady_state)
 {
