Ask before an older announcement replaces a life of the log

A new leader that got the last announcement of a former life with a higher number from an entry took it for the next life of the worker that the log names, and stopped the run of the living one.

A higher life is taken at once only if its announcement was received after the last sign of the known one; for a life from the log that is the election. Otherwise the leader asks, as for a lower one. Lives that wait for this proof are bounded like the ended ones.

late_announcement.to_a_new_leader_stops_no_run_of_the_living_life was seen to fail before (the run was stopped, and one more start sent). New beside it: life_through_entry, the plain case and late announcements through the intake and the leader together.

--- a/src/core/fleet/run_contacts.cpp
+++ b/src/core/fleet/run_contacts.cpp
@@ -46,8 +46,7 @@
     {
         return life == *known.answering_life;
     }
-    return life > known.incarnation &&
-           (!known.is_contacted() || heard_at >= known.last_contact);
+    return life > known.incarnation && heard_at >= known.last_contact;
 }
 
 auto run_scheduler::contest(identified_worker& worker,
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -216,6 +216,10 @@
     if (is_known && !is_proven)
     {
         entry.unproven_lives.push_back(entry.incarnation);
+        if (entry.unproven_lives.size() > ended_lives::max_per_worker)
+        {
+            entry.unproven_lives.erase(entry.unproven_lives.begin());
+        }
     }
     entry.begin_incarnation(life, ++last_life_);
     entry.follows_former_life = is_known || ended_lives_.knows(worker.first);
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -263,8 +263,7 @@
             return named->second.get();
         }
         auto const other = std::ranges::find_if(
-            workers,
-            [&](auto const& each)
+            workers, [&](auto const& each)
             { return "http://" + each.second->address == address.value(); });
         return other == workers.end() ? nullptr : other->second.get();
     }
--- a/tests/set_back_life_test.cpp
+++ b/tests/set_back_life_test.cpp
@@ -1,5 +1,6 @@
 /// Workers that start again under their ids with a clock that was set back or
 /// ahead in between, so that `born` is lower or higher than it should be.
+#include "core/fleet/announcement_intake.hpp"
 #include "fake_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -306,6 +307,40 @@
     expect_no_violation();
 }
 
+// A new leader gets the last announcements of both lives from two entries, the
+// former one's with the higher number. Its runs were stopped, or never found.
+TEST_F(late_announcement, to_a_new_leader_stops_no_run_of_the_living_life)
+{
+    for (auto const is_first : {true, false})
+    {
+        SCOPED_TRACE(is_first);
+        auto former = fleet.announcement_of("w1");
+        restart(first_born - (is_first ? 40'000 : 80'000));
+        fleet.run(seconds{4});
+        ASSERT_TRUE(runs("a"));
+        auto const starts = fleet.starts;
+        fleet.lead();
+        auto living = fleet.announcement_of("w1");
+        if (is_first)
+        {
+            fleet.leader->on_announcement(former, fleet.now, seconds{4});
+        }
+        fleet.leader->on_announcement(living, fleet.now, milliseconds{200});
+        if (!is_first)
+        {
+            fleet.leader->on_announcement(former, fleet.now, seconds{4});
+        }
+        for (auto n = 0; n < 100; ++n)
+        {
+            fleet.run(milliseconds{50});
+            EXPECT_TRUE(runs("a"));
+        }
+        EXPECT_EQ(known().incarnation, living.instance.incarnation);
+        EXPECT_EQ(fleet.starts, starts);
+    }
+    expect_no_violation();
+}
+
 // The leases of the living life were forgotten when the higher one was taken,
 // so that its runs were started elsewhere beside themselves.
 TEST_F(late_announcement, of_a_higher_life_keeps_the_bound_of_the_leases)
@@ -320,5 +355,102 @@
     expect_no_violation();
 }
 
+/// The worker announces itself to an entry, which passes on what is new.
+struct life_through_entry : late_announcement
+{
+    life_through_entry()
+    {
+        fleet.unheard.insert("w1");
+        run(seconds{3});
+    }
+
+    /// Lets the worker announce itself once a second, beside late announcements
+    /// of a former life twice a second, and the entry make a round each 200 ms.
+    auto run(duration d, worker_announcement* late = nullptr) -> void
+    {
+        for (auto const end = fleet.now + d; fleet.now < end; ++rounds)
+        {
+            if (rounds % 5 == 0)
+            {
+                intake.take(fleet.announcement_of("w1"), fleet.now);
+            }
+            if (late != nullptr && rounds % 5 % 3 == 1)
+            {
+                ++late->number;
+                intake.take(*late, fleet.now);
+            }
+            round();
+            fleet.run(milliseconds{200});
+        }
+    }
+    auto round() -> void
+    {
+        for (auto const& call : intake.next_calls(fleet.now))
+        {
+            contact_answer answer{term{1}, {}, {}};
+            for (auto const& it : call.batch.announcements)
+            {
+                ++announced;
+                fleet.leader->on_announcement(it.value, fleet.now, it.age);
+            }
+            for (auto const& it : call.batch.contacts)
+            {
+                if (!fleet.leader->on_contact(it, fleet.now))
+                {
+                    answer.unknown.push_back(it.instance.id);
+                }
+            }
+            (void)intake.on_answer(call, answer);
+        }
+    }
+
+    announcement_intake intake;
+    std::size_t rounds{0};
+    std::size_t announced{0}; ///< in full, to the leader
+};
+
+// Both the entry and the leader took the announcements for late ones.
+TEST_F(life_through_entry, gets_tasks)
+{
+    restart(first_born - 40'000);
+    run(seconds{3});
+    EXPECT_EQ(known().incarnation, worker_incarnation{first_born - 40'000});
+    EXPECT_TRUE(runs("a"));
+    expect_no_violation();
+}
+
+// A late announcement that each time took the place of the living life made the
+// leader stop its runs.
+TEST_F(life_through_entry, goes_on_beside_late_ones_of_the_former_life)
+{
+    auto former = fleet.announcement_of("w1");
+    restart(first_born - 40'000);
+    run(seconds{5});
+    auto const starts = fleet.starts;
+    run(seconds{20}, &former);
+    EXPECT_EQ(known().incarnation, worker_incarnation{first_born - 40'000});
+    EXPECT_EQ(fleet.starts, starts);
+    fleet.submit("b", {fake_fleet::step(1)});
+    run(seconds{2}, &former);
+    EXPECT_TRUE(runs("b"));
+    expect_no_violation();
+}
+
+// The entry had never met the former life, whose clock was far ahead.
+TEST_F(life_through_entry, comes_back_after_a_late_one_of_a_higher_life)
+{
+    auto former = fleet.announcement_of("w1");
+    former.instance.incarnation = worker_incarnation{first_born + 40'000};
+    intake.take(former, fleet.now);
+    run(seconds{4});
+    EXPECT_EQ(known().incarnation, worker_incarnation{first_born});
+    EXPECT_TRUE(runs("a"));
+    auto const before = announced;
+    run(seconds{10});
+    EXPECT_EQ(announced, before);
+    EXPECT_EQ(fleet.starts, 1U);
+    expect_no_violation();
+}
+
 } // namespace
 } // namespace apricotlb
