Take listed ends of runs that were written off

The leader writes off the runs of a silent worker when the bound on its lease is over. Lists that came 14 ms later, before the commit, showed the run as done. Rows of runs that are not held, or whose end is proposed, were skipped, and the lists counted as recorded, so that the end was acknowledged while the log had the run as lost.

An end as finished of such a run is now proposed (end_runs::listed_late) and finishes the task; no run of the task starts meanwhile, and a later one is stopped. It is acknowledged when it is on record. If a later run is on record already, the end is withheld until the worker's lease was over after it had been listed. A row whose proposed end is not on record yet is not acknowledged. Entries without the field are read and applied as before.

--- a/src/app/workflow_driver.hpp
+++ b/src/app/workflow_driver.hpp
@@ -404,17 +404,19 @@
         {
             metrics_.count(metric::run_ends, name_of(ended.outcome));
         }
-        if (it.runs.empty())
+        if (it.size() == 0)
         {
             scheduler_->on_recorded(it, clock_.now());
             return;
         }
-        if (ends_.runs.size() + it.runs.size() > config::max_runs_per_command)
+        if (ends_.size() + it.size() > config::max_runs_per_command)
         {
             propose_collected_ends();
         }
         ends_.runs.insert(ends_.runs.end(), it.runs.begin(), it.runs.end());
         ends_.lists.insert(ends_.lists.end(), it.lists.begin(), it.lists.end());
+        ends_.listed_late.insert(ends_.listed_late.end(),
+                                 it.listed_late.begin(), it.listed_late.end());
         if (!ends_timer_)
         {
             ends_timer_ = clock_.start_timer(duration{0},
@@ -431,11 +433,11 @@
     auto propose_collected_ends() -> void
     {
         auto it = std::exchange(ends_, {});
-        if (it.runs.empty())
+        if (it.size() == 0)
         {
             return;
         }
-        command const proposal{end_runs{it.runs, clock_.wall_now()}};
+        command const proposal{it.to_command(clock_.wall_now())};
         log_.propose(proposal, in_current_epoch(
                                    [this, it = std::move(it)](result<void> done)
                                    {
--- a/src/core/fleet/run_admission.cpp
+++ b/src/core/fleet/run_admission.cpp
@@ -81,6 +81,11 @@
             }
             update_forecast(ended.run.task, now);
         }
+        for (auto const& ended :
+             ends->listed_late.value_or(std::vector<ended_run>{}))
+        {
+            update_forecast(ended.run.task, now);
+        }
     }
     else if (auto const* const cancel = std::get_if<cancel_workflow>(&applied))
     {
--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -46,17 +46,22 @@
     /// Its worker lists it as running when asked after this leader had ended it
     /// as lease_over: the lease has outlasted the leader's bound.
     alive_after_lease,
+    /// Its worker lists that it has finished after it had ended otherwise.
+    late_end,
+    /// The same, and its task has started again: the end is not acknowledged.
+    end_withheld,
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 18> names{
+    constexpr std::array<std::string_view, 20> names{
         "lease_over",    "worker_gone",      "missing",
         "withdrawn",     "unrecorded",       "copied",
         "copy_won",      "copy_lost",        "copy_others_wait",
         "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
         "copy_failures", "relocated",        "exceeds_headroom",
-        "fenced",        "lapsed",           "alive_after_lease"};
+        "fenced",        "lapsed",           "alive_after_lease",
+        "late_end",      "end_withheld"};
     return names.at(static_cast<std::size_t>(it));
 }
 
--- a/src/core/fleet/run_plan.cpp
+++ b/src/core/fleet/run_plan.cpp
@@ -331,7 +331,8 @@
     {
         task.index = index;
         auto const restarts = spec.permanent && is_restart(record, task);
-        if (restarts == step.is_new || proposed_.contains(task))
+        if (restarts == step.is_new || proposed_.contains(task) ||
+            is_finishing_late(record, task))
         {
             continue;
         }
--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -3,6 +3,8 @@
 #include "core/fleet/pace_control.hpp"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -826,16 +828,38 @@
 {
     propose_ends proposal;
     end_number last_number;
+    auto last_usable = end_number{std::numeric_limits<std::uint64_t>::max()};
+    std::optional<end_number> withheld;
+    auto const has_lapsed = worker.second.has_lapsed_since_withheld(
+        leading_since_ + longest_lease());
+    worker.second.listed_ends = rows.size();
     for (auto const& row : rows)
     {
         last_number = std::max(last_number, row.number);
         auto const it = worker.second.runs.find(row.run.run);
-        if (it == worker.second.runs.end())
+        auto const is_held = it != worker.second.runs.end();
+        if (is_held)
         {
-            continue;
+            it->second.last_list = worker.second.last_list;
         }
-        it->second.last_list = worker.second.last_list;
-        if (it->second.phase != run_phase::ending)
+        if (!is_held || it->second.phase == run_phase::ending)
+        {
+            if (row.number <= worker.second.recorded)
+            {
+                continue;
+            }
+            auto const proposed = proposal.listed_late.size();
+            if (!take_late_end(worker, row.run, proposal) && !has_lapsed)
+            {
+                withheld = std::min(withheld.value_or(row.number), row.number);
+            }
+            // The end that was proposed before is not on record yet.
+            if (is_held && proposal.listed_late.size() == proposed)
+            {
+                last_usable = std::min(last_usable, row.number - end_number{1});
+            }
+        }
+        else
         {
             if (row.run.outcome == run_end::lapsed)
             {
@@ -849,11 +873,21 @@
             proposal.runs.push_back(row.run);
         }
     }
+    withhold_ends(worker.second, withheld.has_value(), now);
+    prune_written_off(worker.second, rows);
+    if (withheld)
+    {
+        last_usable = std::min(last_usable, *withheld - end_number{1});
+    }
+    last_number = std::min(last_number, last_usable);
     if (last_number > worker.second.recorded)
     {
         worker.second.recording_ends = true;
         proposal.lists.push_back(
             {{worker.first, worker.second.incarnation}, last_number});
+    }
+    if (proposal.size() > 0 || !proposal.lists.empty())
+    {
         actions_.emplace_back(std::move(proposal));
     }
 }
--- a/src/core/fleet/run_scheduler.cpp
+++ b/src/core/fleet/run_scheduler.cpp
@@ -430,6 +430,10 @@
         return false;
     }
     auto const& record = *state_.workflows().find(run.task.workflow);
+    if (is_finishing_late(record, run.task))
+    {
+        return false;
+    }
     // The queue may have moved to another pool since then.
     auto const is_in_pool = !entry.info || entry.info->pool == pool_of(record);
     return is_in_pool && find_active(*record.find(run.task), run.number)
@@ -569,7 +573,8 @@
     auto const is_contact_wanted = now < entry.contact_wanted_until;
     auto const has_runs = std::ranges::any_of(entry.runs, is_sent);
     auto const is_needed = is_contact_wanted || entry.unanswered_since ||
-                           has_runs || may_run_unrecorded(worker, now);
+                           entry.withheld_since || has_runs ||
+                           may_run_unrecorded(worker, now);
     if (!is_needed && !entry.is_release_due())
     {
         return;
@@ -579,7 +584,8 @@
     // before a poll that waits is answered.
     auto urgent = !is_needed || entry.unanswered_since || entry.has_lost_poll ||
                   !entry.is_listed || entry.grants != lease_grants::open ||
-                  releases || (entry.is_release_due() && !entry.is_answering) ||
+                  releases || entry.withheld_since ||
+                  (entry.is_release_due() && !entry.is_answering) ||
                   (has_runs && (entry.has_inherited_lease ||
                                 now - entry.leased_from >=
                                     config::lease_extension_timeout));
@@ -821,6 +827,11 @@
             stop_incomplete_gang(ended, now);
             begin_wait(ended.run.task, now);
         }
+        for (auto const& ended :
+             ends->listed_late.value_or(std::vector<ended_run>{}))
+        {
+            stop_unneeded_after(ended.run.task, now);
+        }
     }
     else if (auto const* const cancel = std::get_if<cancel_workflow>(&applied))
     {
@@ -858,6 +869,7 @@
     {
         release(ended.run, now);
     }
+    end_late_proposals(proposal);
     for (auto const& list : proposal.lists)
     {
         if (auto* const entry = find(list.from))
@@ -884,6 +896,7 @@
             held->closed_as = ended.outcome;
         }
     }
+    end_late_proposals(proposal);
     for (auto const& list : proposal.lists)
     {
         if (auto* const entry = find(list.from))
@@ -980,9 +993,9 @@
     }
 }
 
-auto run_scheduler::propose_end(identified_worker const& worker,
-                                task_run const& run, held_run& held,
-                                run_end outcome, run_event_kind why,
+auto run_scheduler::propose_end(identified_worker& worker, task_run const& run,
+                                held_run& held, run_end outcome,
+                                run_event_kind why,
                                 std::optional<lease_report> const& lease)
     -> void
 {
@@ -990,6 +1003,11 @@
     events_.push_back(
         {why, run, {worker.first, worker.second.incarnation}, {}, lease});
     pending_ends_.push_back({run, outcome, held.checkpoint});
+    if (!held.permanent &&
+        worker.second.written_off.size() < config::max_listed_ends)
+    {
+        worker.second.written_off.insert(run);
+    }
 }
 
 auto run_scheduler::release(task_run const& run, time_point now) -> void
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -7,9 +7,10 @@
 /// run_scheduler.cpp handles committed commands and timers, run_reports.cpp the
 /// messages of workers, run_contacts.cpp their repeated announcements, and
 /// run_plan.cpp the choice of tasks and workers, run_copies.cpp the copies of
-/// straggling runs, run_relocation.cpp moves permanent tasks, and
-/// run_waits.cpp says why a task is not placed, and run_targets.cpp which
-/// serving tasks stay over their latency targets.
+/// straggling runs, run_late_ends.cpp the ends of runs that were written off,
+/// run_relocation.cpp moves permanent tasks, and run_waits.cpp says why a task
+/// is not placed, and run_targets.cpp which serving tasks stay over their
+/// latency targets.
 #ifndef APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 #define APRICOTLB_CORE_FLEET_RUN_SCHEDULER_HPP
 
@@ -88,7 +89,20 @@
 struct propose_ends
 {
     std::vector<ended_run> runs;
-    std::vector<listed_ends> lists; ///< of which all ends are among `runs`
+    std::vector<listed_ends> lists; ///< of which all ends are proposed here
+    /// Ends as finished of runs that were written off; see end_runs.
+    std::vector<ended_run> listed_late{};
+
+    [[nodiscard]] auto size() const -> std::size_t
+    {
+        return runs.size() + listed_late.size();
+    }
+    [[nodiscard]] auto to_command(wall_time at) const -> end_runs
+    {
+        return {runs, at,
+                listed_late.empty() ? std::nullopt
+                                    : std::optional{listed_late}};
+    }
 };
 
 /// Counts over the fleet, for logs and gauges.
@@ -329,7 +343,7 @@
     /// After the end of a run, stops the other members of its gang unless the
     /// gang has finished.
     auto stop_incomplete_gang(ended_run const& ended, time_point now) -> void;
-    auto propose_end(identified_worker const& worker, task_run const& run,
+    auto propose_end(identified_worker& worker, task_run const& run,
                      held_run& held, run_end outcome, run_event_kind why,
                      std::optional<lease_report> const& lease = {}) -> void;
     auto release(task_run const& run, time_point now) -> void;
@@ -657,6 +671,28 @@
     [[nodiscard]] auto pool_of(workflow_record const& record) const
         -> pool_name const&;
 
+    // run_late_ends.cpp
+    /// Takes a listed end of a run that is on record as ended or about to be.
+    /// Returns false if it must not be acknowledged: its run has finished, and
+    /// a later one of the task may have started.
+    auto take_late_end(identified_worker& worker, ended_run const& listed,
+                       propose_ends& proposal) -> bool;
+    /// True if a run of the task with a higher number may have started.
+    [[nodiscard]] auto may_have_started_after(task_run const& run) const
+        -> bool;
+    /// True if an end as finished of a run of the task, or of its gang, is
+    /// proposed that was listed late. No run of it starts meanwhile.
+    [[nodiscard]] auto is_finishing_late(workflow_record const& record,
+                                         workflow_task const& task) const
+        -> bool;
+    auto end_late_proposals(propose_ends const& proposal) -> void;
+    static auto withhold_ends(worker_entry& worker, bool is_withheld,
+                              time_point now) -> void;
+    /// Forgets the runs that were written off and have not run, by lists that
+    /// show all ends.
+    static auto prune_written_off(worker_entry& worker,
+                                  std::vector<ended_row> const& rows) -> void;
+
     // run_copies.cpp
     /// Watches a run that was seen on its worker if it may be copied.
     auto watch_run(task_run const& run, held_run const& held, time_point now)
@@ -745,6 +781,9 @@
     std::map<worker_id, departure> departed_;
     /// Tasks with a proposed start.
     std::unordered_set<workflow_task, workflow_task_hash> proposed_;
+    /// Tasks, the first one for a gang, of which an end as finished is proposed
+    /// that was listed late.
+    std::unordered_set<workflow_task, workflow_task_hash> finishing_late_;
     /// When each occurrence first had a ready task, by the revision at which
     /// its workflow was accepted. A new leader counts from when it has applied
     /// the submission as a follower, or else from its election.
--- a/src/core/fleet/worker_entry.hpp
+++ b/src/core/fleet/worker_entry.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -487,6 +488,13 @@
     end_number recorded;     ///< ends up to this number are recorded in the log
     end_number released;     ///< the highest number that was acknowledged
     end_number acknowledged; ///< ends up to this number are not listed any more
+    /// Since when it lists an end that must not be acknowledged while its lease
+    /// may have lasted since then: its task has started again.
+    std::optional<time_point> withheld_since;
+    std::size_t listed_ends{0}; ///< in the last lists
+    /// Runs that this leader ended without lists that show how, until lists do.
+    /// Lists show config::max_listed_ends at a time.
+    std::set<task_run> written_off;
     /// Since when there are ends to acknowledge, or the last acknowledgement.
     time_point release_due_since{};
     release_interlock interlock;
@@ -636,6 +644,25 @@
             possible_crashes.clear();
         }
     }
+    /// True if its lease was over when the last lists were asked for, and it
+    /// had listed an end before that is withheld. Leases of earlier leaders
+    /// last until `inherited_end`.
+    [[nodiscard]] auto has_lapsed_since_withheld(time_point inherited_end) const
+        -> bool
+    {
+        return withheld_since && poll_sent_at >= *withheld_since &&
+               poll_sent_at >= std::max(lease.latest_end(), inherited_end);
+    }
+    /// True if it has to get rid of an end that is withheld before it takes
+    /// more runs: those that are there will end, so that its lease does, or it
+    /// lists so many ends that later ones would soon be left out.
+    [[nodiscard]] auto is_closed_by_end() const -> bool
+    {
+        return withheld_since &&
+               (listed_ends >= config::max_listed_ends / 2 ||
+                std::ranges::none_of(runs, [](auto const& each)
+                                     { return each.second.permanent; }));
+    }
     /// True if it lists ends that it may forget.
     [[nodiscard]] auto is_release_due() const -> bool
     {
@@ -705,6 +732,9 @@
         unrecorded.clear();
         ended_by_lease.clear();
         recorded = {};
+        withheld_since.reset();
+        listed_ends = 0;
+        written_off.clear();
         released = {};
         acknowledged = {};
         // Later lives may still get what was sent to this one.
@@ -775,7 +805,7 @@
                info->phase == worker_phase::ready &&
                now - last_contact < config::worker_contact_timeout &&
                now >= paused_until && lease.is_sampled() &&
-               !is_unresponsive(now);
+               !is_unresponsive(now) && !is_closed_by_end();
     }
     /// True if its incarnation is up as far as known, whether it takes new runs
     /// or not.
--- a/src/core/state/commands.hpp
+++ b/src/core/state/commands.hpp
@@ -461,14 +461,22 @@
 {
     std::vector<ended_run> runs;
     wall_time at;
+    /// Ends as finished that workers have listed of runs whose end was recorded
+    /// or proposed before without their word.
+    std::optional<std::vector<ended_run>> listed_late{};
 
     static constexpr auto fields()
     {
         return field_list(field("runs", &end_runs::runs),
-                          field("at", &end_runs::at));
+                          field("at", &end_runs::at),
+                          field("listed_late", &end_runs::listed_late));
     }
 };
 
+/// Entries of earlier versions have no late ends.
+template <>
+inline constexpr std::size_t optional_fields<end_runs> = 1;
+
 /// Removes the records of workflows that ended before a time.
 struct expire_workflows
 {
--- a/src/core/state/workflow_table.cpp
+++ b/src/core/state/workflow_table.cpp
@@ -289,6 +289,24 @@
             retire_if_ended(found->second, it.at);
         }
     }
+    for (auto const& ended : it.listed_late.value_or(std::vector<ended_run>{}))
+    {
+        auto const found = live_.find(ended.run.task.workflow);
+        if (found == live_.end() ||
+            found->second.find(ended.run.task) == nullptr)
+        {
+            continue;
+        }
+        if (is_active(ended.run))
+        {
+            record_end(found->second, ended, contracts);
+        }
+        else
+        {
+            record_late_end(found->second, ended);
+        }
+        retire_if_ended(found->second, it.at);
+    }
     return answer_at(at);
 }
 
@@ -365,6 +383,30 @@
     add_ready_after(record, task);
 }
 
+/// A run that has ended as finished ends its task, even if it counted as lost
+/// before. A later run of the task that is still active is of no use any more.
+auto workflow_table::record_late_end(workflow_record& record,
+                                     ended_run const& ended) -> void
+{
+    auto const& task = ended.run.task;
+    auto const& step = record.step(task);
+    auto& progress = record.occurrences[task.occurrence.value()]
+                         .steps[task.step.value()]
+                         .tasks[task.index.value()];
+    if (ended.outcome != run_end::finished || step.permanent ||
+        progress.finished || ended.run.number > progress.last)
+    {
+        return;
+    }
+    progress.finished = true;
+    erase_ready(record, task);
+    if (step.gang)
+    {
+        finish_gang(record, task);
+    }
+    add_ready_after(record, task);
+}
+
 /// The members of a gang finish together. One whose own run had ended before
 /// waits for another one, which it does not need any more.
 auto workflow_table::finish_gang(workflow_record& record,
--- a/src/core/state/workflow_table.hpp
+++ b/src/core/state/workflow_table.hpp
@@ -232,7 +232,8 @@
     /// Records each run that may start and ignores the others.
     auto apply(start_runs const& it, revision at) -> apply_result;
     /// Ends each run that is active. An end as crashed also counts for a run
-    /// that has ended as lost before; other ends are ignored.
+    /// that has ended as lost before, and a late end as finished finishes the
+    /// task of one that has ended otherwise; other ends are ignored.
     auto apply(end_runs const& it, revision at,
                contract_set_registry const& contracts) -> apply_result;
     auto apply(expire_workflows const& it, revision at) -> apply_result;
@@ -290,6 +291,8 @@
     auto remove_ready(workflow_record const& it) -> void;
     auto record_end(workflow_record& record, ended_run const& ended,
                     contract_set_registry const& contracts) -> void;
+    auto record_late_end(workflow_record& record, ended_run const& ended)
+        -> void;
     auto finish_gang(workflow_record& record, workflow_task const& member)
         -> void;
     auto record_crash(workflow_record& record, task_run const& run) -> void;
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -68,6 +68,8 @@
             std::chrono::duration_cast<milliseconds>(policy.lease);
         it->on_released = [this](platform_worker::ended const& end)
         { check_release(end); };
+        it->on_started = [this](std::string const& task, time_point at)
+        { check_run(task, at); };
         workers[name] = std::move(it);
     }
 
@@ -210,6 +212,8 @@
     std::set<std::string> unheard; ///< workers whose announcements are lost
     std::set<std::string> deaf;    ///< workers whose orders are lost
     std::set<std::string> unsent;  ///< workers whose polls are not sent
+    /// Workers that carry out orders and polls whose answers are lost.
+    std::set<std::string> unanswering;
     /// Age of announcements when the leader gets them.
     duration announcement_age{};
     duration announcement_interval{seconds{1}};
@@ -337,7 +341,7 @@
                                   leader->on_not_recorded(it);
                                   return;
                               }
-                              apply(end_runs{it.runs, {}});
+                              apply(it.to_command({}));
                               leader->on_recorded(it, now);
                           });
     }
@@ -426,6 +430,7 @@
         }
         auto const late = !is_poll && happens(faults.late);
         auto const lost = late || !is_reached(name) ||
+                          unanswering.contains(name) ||
                           (!is_poll && happens(faults.unanswered));
         if (late)
         {
@@ -629,6 +634,35 @@
             violations.push_back(it.task + " is released before its end is "
                                            "on record");
         }
+        auto const begun = begun_at_.find(it.task);
+        if (it.how != "done" || it.has_lapsed || begun == begun_at_.end())
+        {
+            return;
+        }
+        if (begun->second > it.at)
+        {
+            violations.push_back(it.task + " has started again after an end "
+                                           "that is released");
+        }
+        released_.insert(it.task);
+    }
+
+    /// A task starts only once if an end of it as done is acknowledged, unless
+    /// the lease of its worker was over in between.
+    auto check_run(std::string const& task, time_point at) -> void
+    {
+        auto const decoded = platform::decode_task(task).value();
+        auto const* const record = state.workflows().find(decoded.workflow);
+        if (record == nullptr || record->step(decoded).allows_copies ||
+            record->step(decoded).permanent)
+        {
+            return;
+        }
+        if (released_.contains(task))
+        {
+            violations.push_back(task + " starts after its end was released");
+        }
+        begun_at_[task] = at;
     }
 
     auto check() -> void
@@ -668,6 +702,9 @@
     std::map<node_id, time_point> relays_; ///< until when each one is frozen
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<std::pair<time_point, std::function<void()>>> log_;
+    /// When the last run of a task began, for those that may run once only.
+    std::map<std::string, time_point> begun_at_;
+    std::set<std::string> released_; ///< tasks of which an end as done is
 };
 
 } // namespace apricotlb
--- a/tests/platform_worker.hpp
+++ b/tests/platform_worker.hpp
@@ -42,6 +42,8 @@
         std::string task;
         std::int64_t run{0};
         std::string how;
+        time_point at{};
+        bool has_lapsed{false}; ///< its lease was over since then
     };
 
     platform_worker(worker_id id, std::int64_t cpu,
@@ -53,6 +55,9 @@
     /// Called for each end that is acknowledged, before it is forgotten.
     std::function<void(ended const&)> on_released;
 
+    /// Called for each run that begins.
+    std::function<void(std::string const& task, time_point now)> on_started;
+
     /// What tasks need and how their runs go; set by the test.
     std::function<run(std::string const& task)> behaviour;
 
@@ -89,7 +94,8 @@
         {
             if (it->second.ends <= now)
             {
-                end(it->first, it->second.number, it->second.how);
+                end(it->first, it->second.number, it->second.how,
+                    it->second.ends);
                 it = running_.erase(it);
             }
             else
@@ -101,9 +107,13 @@
         {
             for (auto const& [task, it] : running_)
             {
-                end(task, it.number, "lapsed");
+                end(task, it.number, "lapsed", now);
             }
             running_.clear();
+            for (auto& it : ended_)
+            {
+                it.has_lapsed = true;
+            }
         }
     }
 
@@ -161,6 +171,7 @@
                  milliseconds first_clock = {}) -> void
     {
         auto released = std::move(on_released);
+        auto begun = std::move(on_started);
         auto const accepts = accepts_everything;
         auto const shortened_to = longest_lease;
         auto const same_rack = rack;
@@ -171,6 +182,7 @@
         *this = platform_worker{id_, cpu_, incarnation_number,
                                 std::move(behaviour)};
         on_released = std::move(released);
+        on_started = std::move(begun);
         first_clock_ = first_clock;
         accepts_everything = accepts;
         longest_lease = shortened_to;
@@ -281,6 +293,10 @@
         starts_over_capacity_ += used > announced_cpu_ ? 1 : 0;
         most_used_ = std::max(most_used_, used);
         running_[task] = made;
+        if (on_started)
+        {
+            on_started(task, now);
+        }
         return platform::json_answer(200, clock_body(now));
     }
 
@@ -292,7 +308,7 @@
         auto const it = running_.find(task);
         if (it != running_.end() && it->second.number <= number)
         {
-            end(task, it->second.number, "stopped");
+            end(task, it->second.number, "stopped", now);
             running_.erase(it);
         }
         return platform::json_answer(200, clock_body(now));
@@ -346,11 +362,11 @@
                                            {"finished", {std::move(ends)}}}}));
     }
 
-    auto end(std::string const& task, std::int64_t number, std::string how)
-        -> void
+    auto end(std::string const& task, std::int64_t number, std::string how,
+             time_point now) -> void
     {
         closed_[task] = std::max(closed_[task], number);
-        ended_.push_back({++last_end_, task, number, std::move(how)});
+        ended_.push_back({++last_end_, task, number, std::move(how), now});
     }
 
     worker_id id_;
--- a/tests/workflow_table_test.cpp
+++ b/tests/workflow_table_test.cpp
@@ -67,6 +67,10 @@
     {
         apply(end_runs{{{it, how, {}}}, {}});
     }
+    auto end_late(task_run const& it, run_end how) -> void
+    {
+        apply(end_runs{{}, {}, std::vector{ended_run{it, how, {}}}});
+    }
     [[nodiscard]] auto ready() const -> std::size_t
     {
         return state.workflows().ready_count();
@@ -688,5 +692,70 @@
     EXPECT_EQ(stored.value().live[0].submitted, wall_time{seconds{7}});
 }
 
+// A run that counted as lost had finished: its task ran again although the
+// worker was told to forget the end.
+TEST(workflow_table, finishes_a_task_whose_lost_run_is_listed_late)
+{
+    auto second = step(1);
+    second.prerequisites = {step_index{0}};
+    one_workflow it{{step(1), second}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.end(one_workflow::run(0, 0, 1), run_end::lost);
+    it.end_late(one_workflow::run(0, 0, 1), run_end::failed);
+    it.end_late(one_workflow::run(0, 0, 2), run_end::finished);
+    EXPECT_FALSE(it.state.workflows()
+                     .find(workflow_id{"a"})
+                     ->find(one_workflow::run(0, 0, 1).task)
+                     ->finished);
+    it.end_late(one_workflow::run(0, 0, 1), run_end::finished);
+    EXPECT_EQ(it.ready(), 1U);
+    it.start(one_workflow::run(0, 0, 2));
+    EXPECT_FALSE(it.state.workflows().is_active(one_workflow::run(0, 0, 2)));
+    it.start(one_workflow::run(1, 0, 1));
+    it.end(one_workflow::run(1, 0, 1), run_end::finished);
+    EXPECT_EQ(it.shown(), workflow_state::completed);
+}
+
+// The next run of the task is known to be of no use, and the workflow stays
+// until it has ended.
+TEST(workflow_table, keeps_the_next_run_of_a_task_that_has_finished_late)
+{
+    one_workflow it{{step(2)}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.end(one_workflow::run(0, 0, 1), run_end::lost);
+    it.start(one_workflow::run(0, 0, 2));
+    it.end_late(one_workflow::run(0, 0, 1), run_end::finished);
+    EXPECT_TRUE(it.state.workflows().is_active(one_workflow::run(0, 0, 2)));
+    // An end that is proposed late and recorded before the other one.
+    it.start(one_workflow::run(0, 1, 1));
+    it.end_late(one_workflow::run(0, 1, 1), run_end::finished);
+    it.end(one_workflow::run(0, 1, 1), run_end::lost);
+    EXPECT_EQ(it.ready(), 0U);
+    it.end(one_workflow::run(0, 0, 2), run_end::stopped);
+    EXPECT_EQ(it.shown(), workflow_state::completed);
+}
+
+// All members have to end a log of an earlier version in the same state.
+TEST(workflow_table, reads_ends_of_a_version_without_late_ones)
+{
+    one_workflow it{{step(1)}};
+    it.start(one_workflow::run(0, 0, 1));
+    it.end(one_workflow::run(0, 0, 1), run_end::lost);
+    end_runs const former{{{one_workflow::run(0, 0, 1), run_end::finished, {}}},
+                          {}};
+    auto const bytes = msgpack_codec::encode(former);
+    EXPECT_EQ(static_cast<unsigned char>(bytes.front()), 0x92U);
+    auto const read = msgpack_codec::decode<end_runs>(bytes);
+    ASSERT_TRUE(read);
+    EXPECT_FALSE(read.value().listed_late);
+    it.apply(read.value());
+    EXPECT_EQ(it.ready(), 1U);
+    end_runs const late{{}, {}, former.runs};
+    auto const again =
+        msgpack_codec::decode<end_runs>(msgpack_codec::encode(late));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again.value().listed_late, late.listed_late);
+}
+
 } // namespace
 } // namespace apricotlb
