--- a/src/core/fleet/run_events.hpp
+++ b/src/core/fleet/run_events.hpp
@@ -48,18 +48,22 @@
     alive_after_lease,
     former_life, ///< of no run: an announcement of a life that has ended was
                  ///< refused
+    /// Its worker lists that it has finished after it had ended otherwise.
+    late_end,
+    /// The same, and its task has started again: the end is not acknowledged.
+    end_withheld,
 };
 
 [[nodiscard]] inline auto name_of(run_event_kind it) -> std::string_view
 {
-    constexpr std::array<std::string_view, 19> names{
+    constexpr std::array<std::string_view, 21> names{
         "lease_over",    "worker_gone",      "missing",
         "withdrawn",     "unrecorded",       "copied",
         "copy_won",      "copy_lost",        "copy_others_wait",
         "copy_no_room",  "copy_no_evidence", "copy_ends_soon",
         "copy_failures", "relocated",        "exceeds_headroom",
         "fenced",        "lapsed",           "alive_after_lease",
-        "former_life"};
+        "former_life",   "late_end",         "end_withheld"};
     return names.at(static_cast<std::size_t>(it));
 }
 
