Report an entry that serves no call while the core is calm

Only cancels had a bound, and only one by one.

The promise `unserved` is broken by an undisturbed entry that serves no call of a method for over 4 s of steady state, the bound and the state of cancels; the line names the entry, the time and the calls. 503, 504 and calls without an answer count; a submission that the leader refuses for want of room (queue_full, deadline_unmeetable) is served. Reads of the configuration at a control process need the leader too and are checked in the same way.

Five of the six tests fail without the check; the sixth has what must not be reported.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -71,6 +71,18 @@
 
 } // namespace
 
+auto service_of(call_result const& it) -> call_service
+{
+    auto const is_admission =
+        it.status == 503 &&
+        (it.answer.body.find("queue_full: ") != std::string::npos ||
+         it.answer.body.find("deadline_unmeetable: ") != std::string::npos);
+    return it.how != call_end::answered ? call_service::unanswered
+           : it.status == 504 || (it.status == 503 && !is_admission)
+               ? call_service::refused
+               : call_service::served;
+}
+
 balancer::balancer(glib_clock& clock, processes& system)
     : clock_(clock), system_(system)
 {
@@ -205,9 +217,11 @@
     auto const node = from->entry;
     from->connection->call(
         it,
-        [this, node, what = it.method + " " + it.path,
+        [this, node, method = it.method, what = it.method + " " + it.path,
          done = std::move(done)](call_result const& got)
         {
+            ledger_.on_call(node, method, service_of(got), got.sent_at,
+                            got.ended_at);
             auto const outcome = name_of(got);
             ++calls_[outcome];
             if (!got.is_success() && got.status != 404 && got.status != 410 &&
@@ -436,6 +450,8 @@
              {
                  configs_.on_count(node, prefix, got.status, got.sent_at,
                                    clock_.now());
+                 ledger_.on_call(node, "count", service_of(got), got.sent_at,
+                                 got.ended_at);
                  if (got.how == call_end::cut)
                  {
                      ledger_.on_cut(node, "GET " + prefix, got.sent_at,
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -19,6 +19,9 @@
 namespace apricotlb::soak
 {
 
+/// A submission that the leader refuses for want of room is served.
+[[nodiscard]] auto service_of(call_result const& it) -> call_service;
+
 /// What the platform's balancer does: entries whose readiness check fails twice
 /// get no new connections.
 class balancer
--- a/soak/http.cpp
+++ b/soak/http.cpp
@@ -308,6 +308,7 @@
     done_ = std::move(done);
     result_ = {};
     result_.reused = stream_ != nullptr;
+    result_.sent_at = clock_.now();
     got_bytes_ = false;
     if (!stream_)
     {
@@ -332,7 +333,6 @@
             finish(was_sent ? call_end::cut : call_end::not_connected);
         };
     }
-    result_.sent_at = clock_.now();
     timeout_ =
         clock_.start_timer(it.timeout, [this] { finish(call_end::timed_out); });
     constexpr auto answer_margin = std::chrono::milliseconds{50};
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -13,7 +13,7 @@
     constexpr auto names = std::to_array<std::string_view>(
         {"unasked", "twice", "order", "refused", "drain", "lost", "cut",
          "shown", "config_order", "config_refused", "config_invalid",
-         "config_missing", "unacknowledged", "process"});
+         "config_missing", "unacknowledged", "unserved", "process"});
     return names.at(static_cast<std::size_t>(it));
 }
 
@@ -438,6 +438,45 @@
            now);
 }
 
+auto ledger::on_call(std::string const& node, std::string const& method,
+                     call_service how, time_point sent_at, time_point now)
+    -> void
+{
+    auto& it = silences_[node + " " + method];
+    auto const is_due = [&](time_point since)
+    {
+        return is_steady(since) &&
+               disturbed_.is_undisturbed(node, since - limits_.contact);
+    };
+    auto const text = [&]
+    {
+        return node + " serves no " + method + " from " + time_of(it.from) +
+               " to " + time_of(it.to) + ", " + std::to_string(it.refused) +
+               " refused, " + std::to_string(it.unanswered) + " unanswered";
+    };
+    auto const is_served = how == call_service::served;
+    if (is_served || sent_at > it.to + limits_.call_gap || !is_due(it.from))
+    {
+        if (it.reported)
+        {
+            note(text());
+        }
+        auto const served_at = is_served ? now : it.served_at;
+        it = {.from = std::max(sent_at, served_at), .served_at = served_at};
+    }
+    if (is_served || !is_due(it.from))
+    {
+        return;
+    }
+    it.to = now;
+    ++(how == call_service::refused ? it.refused : it.unanswered);
+    if (now - it.from > limits_.acknowledge &&
+        !std::exchange(it.reported, true))
+    {
+        report(promise::unserved, text(), now);
+    }
+}
+
 auto ledger::is_undisturbed(std::string const& node, time_point sent_at) const
     -> bool
 {
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -26,6 +26,8 @@
     duration config_apply{std::chrono::milliseconds{2000}};
     duration cancel{std::chrono::milliseconds{3000}};
     duration acknowledge{std::chrono::milliseconds{4000}};
+    /// Calls of an entry this far apart don't show what it did between.
+    duration call_gap{std::chrono::milliseconds{1000}};
     duration stop{std::chrono::milliseconds{400}};
     duration visible{std::chrono::milliseconds{3000}};
     duration drain{std::chrono::milliseconds{2000}};
@@ -52,6 +54,7 @@
     config_invalid, ///< an invalid one is acknowledged or in force
     config_missing, ///< no configuration can be read in the end
     unacknowledged, ///< a cancel or a configuration, although nothing is wrong
+    unserved,       ///< an entry serves no call, although nothing is wrong
     process,        ///< a process ends by itself
 };
 
@@ -142,6 +145,14 @@
     unknown,
 };
 
+/// How a call ended that an entry forwards to the leader.
+enum class call_service : std::uint8_t
+{
+    served,  ///< the leader has answered, if only with a proper refusal
+    refused, ///< with 503 or 504
+    unanswered,
+};
+
 class ledger
 {
 public:
@@ -166,6 +177,11 @@
     /// A request whose connection ended without an answer.
     auto on_cut(std::string const& node, std::string const& what,
                 time_point sent_at, time_point now) -> void;
+    /// Reports an entry that serves no call of a method for longer than
+    /// bounds::acknowledge in steady state. Silence before a disturbance, or
+    /// across a gap between calls, doesn't count.
+    auto on_call(std::string const& node, std::string const& method,
+                 call_service how, time_point sent_at, time_point now) -> void;
 
     // Runs, as workers see them. `is_late`: the worker held the order back.
     /// `held_since`: when the order was sent, if the worker held it back or was
@@ -289,6 +305,16 @@
         bool over{false};    ///< has ended, or can't be done
         std::string shown;   ///< the last state that was answered
     };
+    /// Calls without service on end, of one entry and method.
+    struct silence
+    {
+        time_point from{};
+        time_point to{};
+        time_point served_at{}; ///< last
+        std::size_t refused{0};
+        std::size_t unanswered{0};
+        bool reported{false};
+    };
     using named_time = std::pair<duration, std::string>; ///< and whose it is
     struct standing_task
     {
@@ -335,6 +361,7 @@
     std::vector<std::string> notes_;
     std::map<std::string, workflow> workflows_;
     std::map<std::string, time_point> draining_; ///< worker and life
+    std::map<std::string, silence> silences_;    ///< by entry and method
     std::vector<finding> findings_;
     std::set<std::string> reported_; ///< texts of the findings
     std::size_t starts_{0};
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -265,6 +265,7 @@
                 {"GET", "/config", "operator", "", std::chrono::seconds{2}},
                 [this, node](call_result const& got)
                 {
+                    system_.on_read(node, service_of(got), got.sent_at);
                     if (got.status == 200)
                     {
                         answering_.insert(node);
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -268,6 +268,12 @@
     std::filesystem::rename(path.string() + ".new", path);
 }
 
+auto processes::on_read(std::string const& name, call_service how,
+                        time_point sent_at) -> void
+{
+    ledger_.on_call(name, "GET /config", how, sent_at, clock_.now());
+}
+
 auto processes::start(std::string const& name, bool first) -> void
 {
     auto& it = machines_.at(name);
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -100,6 +100,10 @@
         -> void;
     /// Replaces the settings file by a new one.
     auto write_settings(machine const& it, bool first = false) -> void;
+    /// A read of the configuration at a control process, which needs the
+    /// leader for its answer.
+    auto on_read(std::string const& name, call_service how, time_point sent_at)
+        -> void;
 
     [[nodiscard]] auto at(std::string const& name) -> machine&
     {
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -426,6 +426,98 @@
     EXPECT_EQ(broken(), found{promise::unacknowledged});
 }
 
+/// Reads at an entry, twice a second.
+class soak_service : public soak_ledger
+{
+protected:
+    auto read(std::string const& entry, call_service how, int from_ms,
+              int to_ms) -> void
+    {
+        constexpr auto gap_ms = 500;
+        for (auto ms = from_ms; ms <= to_ms; ms += gap_ms)
+        {
+            seen.on_call(entry, "GET", how, at(ms), at(ms + 100));
+        }
+    }
+};
+
+// Entries that answered nothing for 25 s beside a calm core broke no promise
+// (issue 67).
+TEST_F(soak_service, finds_an_entry_that_serves_nothing_while_all_is_calm)
+{
+    disturbed.mark("e2", at(1000)); // another entry is no excuse
+    read("e1", call_service::refused, 0, 3500);
+    seen.on_call("e1", "GET", call_service::unanswered, at(3600), at(4000));
+    EXPECT_EQ(broken(), found{});
+    read("e1", call_service::refused, 4000, 6000);
+    ASSERT_EQ(broken(), found{promise::unserved});
+    EXPECT_EQ(seen.findings()[0].text,
+              "e1 serves no GET from 0 ms to 4100 ms, 9 refused, "
+              "1 unanswered");
+    read("e1", call_service::served, 6500, 6500);
+    ASSERT_EQ(seen.notes().size(), 1U);
+    EXPECT_EQ(seen.notes()[0], "e1 serves no GET from 0 ms to 6100 ms, "
+                               "13 refused, 1 unanswered");
+}
+
+// Each method is served in its own way: reads without an answer would hide
+// behind cancels that are answered.
+TEST_F(soak_service, finds_reads_that_are_not_served_beside_other_calls)
+{
+    for (auto ms = 0; ms <= 4500; ms += 500)
+    {
+        read("e1", call_service::unanswered, ms, ms);
+        seen.on_call("e1", "DELETE", call_service::served, at(ms), at(ms));
+        read("e2", call_service::served, ms, ms);
+    }
+    EXPECT_EQ(broken(), found{promise::unserved});
+}
+
+TEST_F(soak_service, allows_single_refusals_and_gaps_between_calls)
+{
+    read("e1", call_service::refused, 0, 3500);
+    read("e1", call_service::served, 4000, 4000);
+    // Sent before the answer that was served, and refused after it.
+    seen.on_call("e1", "GET", call_service::refused, at(3700), at(4500));
+    read("e1", call_service::refused, 5000, 7500);
+    read("e1", call_service::refused, 9000, 12500);
+    EXPECT_EQ(broken(), found{});
+}
+
+TEST_F(soak_service, allows_an_entry_that_was_just_restarted)
+{
+    disturbed.begin("e1", at(0));
+    read("e1", call_service::unanswered, 0, 1000);
+    disturbed.end("e1", at(1000));
+    read("e1", call_service::refused, 1500, 7500);
+    EXPECT_EQ(broken(), found{});
+    read("e1", call_service::refused, 8000, 8500);
+    EXPECT_EQ(broken(), found{promise::unserved});
+}
+
+TEST_F(soak_service, allows_a_core_in_an_election)
+{
+    read("e1", call_service::refused, 0, 3500);
+    disturbed.mark("c0", at(3600));
+    read("e1", call_service::refused, 4000, 10500);
+    EXPECT_EQ(broken(), found{});
+    read("e1", call_service::refused, 11000, 11500);
+    EXPECT_EQ(broken(), found{promise::unserved});
+}
+
+TEST_F(soak_service, allows_slow_disks_of_a_majority_and_harmed_links_only)
+{
+    disturbed.set_slow_disks(3, 5, at(0));
+    read("e1", call_service::refused, 0, 9500);
+    disturbed.set_slow_disks(2, 5, at(10000));
+    disturbed.begin("lw1", at(10000));
+    read("e1", call_service::refused, 10000, 19500);
+    disturbed.end("lw1", at(20000));
+    EXPECT_EQ(broken(), found{});
+    read("e1", call_service::refused, 20500, 25000);
+    EXPECT_EQ(broken(), found{promise::unserved});
+}
+
 // A job that no longer exists has nothing left to cancel.
 TEST_F(soak_ledger, takes_a_cancel_of_an_unknown_workflow_as_answered)
 {
