Merge cases of the soak's faults that differ in their processes only

Kills, freezes and ends of control processes and of entries were written twice, and so were the ends of the faults of workers.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -280,22 +280,31 @@
     auto const signals = 1 + random() % 3;
     auto const control = system_.names('c');
     auto const entries = system_.names('e');
+    auto const some = [&]
+    {
+        return it.kind < fault_kind::kill_entry
+                   ? pick(random, control, one_or_two)
+                   : pick(random, entries, 1);
+    };
     switch (it.kind)
     {
     case fault_kind::kill_control:
-        kill_all(pick(random, control, one_or_two), down);
+    case fault_kind::kill_entry:
+        kill_all(some(), down);
         break;
     case fault_kind::kill_all_control:
         kill_all(control, milliseconds{600});
         break;
     case fault_kind::freeze_control:
-        for (auto const& name : pick(random, control, one_or_two))
+    case fault_kind::freeze_entry:
+        for (auto const& name : some())
         {
             freeze(name, frozen);
         }
         break;
     case fault_kind::end_control:
-        for (auto const& name : pick(random, control, one_or_two))
+    case fault_kind::end_entry:
+        for (auto const& name : some())
         {
             end(name, signals);
         }
@@ -326,15 +335,6 @@
             disturbed_.mark(added, clock_.now());
         }
         break;
-    case fault_kind::kill_entry:
-        kill(pick(random, entries, 1).front(), down);
-        break;
-    case fault_kind::freeze_entry:
-        freeze(pick(random, entries, 1).front(), frozen);
-        break;
-    case fault_kind::end_entry:
-        end(pick(random, entries, 1).front(), signals);
-        break;
     case fault_kind::end_entries:
     {
         auto delay = duration{};
@@ -508,33 +508,16 @@
             send_away(*it, random);
             continue;
         }
-        switch (kind)
-        {
-        case fault_kind::crash_workers:
-            it->crash(dark);
-            break;
-        case fault_kind::late_workers:
-            it->set_late(time / 2);
-            break;
-        default:
-            it->freeze(true);
-        }
+        kind == fault_kind::crash_workers  ? it->crash(dark)
+        : kind == fault_kind::late_workers ? it->set_late(time / 2)
+                                           : it->freeze(true);
         disturb(it->name(), time,
                 [this, it, life = it->life(), kind, keeps_id]
                 {
-                    if (it->life() == life && kind == fault_kind::late_workers)
-                    {
-                        it->set_late({});
-                    }
-                    else if (it->life() == life &&
-                             kind == fault_kind::freeze_workers)
-                    {
-                        it->freeze(false);
-                    }
-                    else
-                    {
-                        start_again(*it, keeps_id);
-                    }
+                    it->life() != life || kind == fault_kind::crash_workers
+                        ? start_again(*it, keeps_id)
+                    : kind == fault_kind::late_workers ? it->set_late({})
+                                                       : it->freeze(false);
                 });
     }
 }
