Set the clocks of the soak's processes and workers

--clocks none|back|ahead|both adds steps of the time of day, of 1 to 60 s and now and then hours, drawn apart from the other faults: while processes run (setting clock_offset, SIGHUP), between two lives, and at two stops of the core a few seconds apart, and back again later; for one control process, all, entries, workers (`born`), or everything. Without the option, the seeds from 27 on that leave 3 when divided by 4 have clocks. The time until a control process below its former life is served by the leader is printed.

The schedule of a seed without clocks stays as it was (tested for 100 seeds).

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <csignal>
 #include <iterator>
+#include <stdexcept>
 #include <utility>
 
 namespace apricotlb::soak
@@ -25,13 +26,17 @@
      "crash_workers",   "late_workers",     "freeze_workers",
      "drain_workers",   "cut_links",        "slow_links",
      "reset_links",     "cancel_wave",      "leave_workers",
-     "leave_unheard",   "crash_unheard",    "restart_and_cut"});
+     "leave_unheard",   "crash_unheard",    "restart_and_cut",
+     "step_clocks",     "start_stepped",    "restart_core_stepped"});
 /// Those from here on come beside the others, from a second sequence of random
 /// numbers.
 constexpr auto first_added = static_cast<std::size_t>(fault_kind::cancel_wave);
 constexpr auto end_added =
     static_cast<std::size_t>(fault_kind::restart_and_cut);
-static_assert(names_of_kinds.size() == end_added + 1);
+constexpr auto first_clock = static_cast<std::size_t>(fault_kind::step_clocks);
+constexpr auto end_clock = names_of_kinds.size();
+static_assert(end_clock ==
+              static_cast<std::size_t>(fault_kind::restart_core_stepped) + 1);
 
 /// Any of the kinds from `first` up to `end`.
 auto any_kind(std::uint64_t random, std::size_t first, std::size_t end)
@@ -40,6 +45,9 @@
     return static_cast<fault_kind>(first + random % (end - first));
 }
 
+/// The seeds before it have every form of the end with good disks, and clocks
+/// that are left alone.
+constexpr std::uint64_t first_varied = 27;
 /// Time until a machine that lost its disk, or is new, counts again.
 constexpr auto catch_up = seconds{4};
 constexpr auto grace = seconds{6};
@@ -78,7 +86,29 @@
     return names_of_kinds.at(static_cast<std::size_t>(it));
 }
 
-auto make_schedule(std::uint64_t seed, duration length) -> std::vector<fault>
+auto parse_clock_steps(std::string const& it) -> clock_steps
+{
+    constexpr auto all =
+        std::to_array<std::string_view>({"none", "back", "ahead", "both"});
+    auto const found = std::ranges::find(all, it);
+    if (found == all.end())
+    {
+        throw std::invalid_argument{
+            "--clocks must be none, back, ahead or both, not " + it};
+    }
+    return static_cast<clock_steps>(found - all.begin());
+}
+
+auto make_clock_steps(std::uint64_t seed) -> clock_steps
+{
+    constexpr std::uint64_t share = 4;
+    return seed >= first_varied && seed % share == share - 1
+               ? clock_steps::both
+               : clock_steps::none;
+}
+
+auto make_schedule(std::uint64_t seed, duration length, clock_steps clocks)
+    -> std::vector<fault>
 {
     std::mt19937_64 random{seed};
     std::vector<fault> out;
@@ -113,17 +143,41 @@
     {
         out.push_back({at, fault_kind::restart_and_cut, third()});
     }
+    // Each kind in turn, so that a run of 45 s has all of them.
+    std::mt19937_64 fourth{seed ^ (seed << 16U)};
+    auto kind = fourth();
+    for (at = between(fourth, seconds{4}, seconds{8});
+         at < length && clocks != clock_steps::none;
+         at += between(fourth, seconds{10}, seconds{16}))
+    {
+        constexpr std::uint64_t hours_share = 6;
+        auto const step = std::chrono::duration_cast<milliseconds>(
+            chance(fourth, hours_share)
+                ? between(fourth, std::chrono::hours{1}, std::chrono::hours{5})
+                : between(fourth, seconds{1}, seconds{60}));
+        auto const is_back = clocks == clock_steps::back ||
+                             (clocks == clock_steps::both && chance(fourth, 2));
+        fault const step_of{at, any_kind(++kind, first_clock, end_clock),
+                            fourth(), is_back ? -step : step};
+        // The silence of former lives lasts for 30 s; a calm span shows it.
+        constexpr auto calm = seconds{20};
+        if (step_of.kind == fault_kind::restart_core_stepped)
+        {
+            std::erase_if(out, [&](fault const& it)
+                          { return it.at >= at && it.at < at + calm; });
+            at += calm - seconds{10};
+        }
+        out.push_back(step_of);
+    }
     std::erase_if(out, [&](fault const& it) { return it.at >= length; });
     return out;
 }
 
 auto make_slow_disks(std::uint64_t seed) -> slow_disks
 {
-    // The seeds from 1 to 26 have every form of the end with good disks.
-    constexpr std::uint64_t first = 27;
-    std::mt19937_64 random{seed * first};
+    std::mt19937_64 random{seed * first_varied};
     constexpr std::uint64_t share = 3;
-    if (seed < first || !chance(random, share))
+    if (seed < first_varied || !chance(random, share))
     {
         return {};
     }
@@ -353,8 +407,7 @@
             {
                 disturbed_.mark_planned(name, clock_.now());
             }
-            system_.write_settings(system_.at(name));
-            system_.signal(name, SIGHUP);
+            system_.reload(name);
         }
         break;
     case fault_kind::crash_workers:
@@ -401,6 +454,73 @@
     case fault_kind::restart_and_cut:
         restart_and_cut(random);
         break;
+    case fault_kind::step_clocks:
+    case fault_kind::start_stepped:
+    case fault_kind::restart_core_stepped:
+        set_clocks(it, random, down);
+        break;
+    }
+}
+
+auto fault_injector::set_clocks(fault const& it, std::mt19937_64& random,
+                                duration down) -> void
+{
+    auto const is_core = it.kind == fault_kind::restart_core_stepped;
+    auto const of =
+        is_core ? clock_group{system_.names('c'), {}} : pick_clocks(random);
+    log_("clocks of " + std::to_string(of.processes.size()) +
+         " processes from " +
+         (of.processes.empty() ? "none" : of.processes.front()) + " and " +
+         std::to_string(of.workers.size()) + " workers step by " +
+         std::to_string(it.step.count()) + " ms");
+    auto const again = between(random, seconds{2}, seconds{6});
+    step_clocks(of, it.step,
+                it.kind == fault_kind::step_clocks ? std::nullopt
+                                                   : std::optional{down});
+    if (is_core)
+    {
+        after(again, [this, of, it, down] { step_clocks(of, it.step, down); });
+    }
+    after(between(random, seconds{8}, seconds{20}),
+          [this, of, steps = it.step * (is_core ? -2 : -1)]
+          { step_clocks(of, steps, std::nullopt); });
+}
+
+auto fault_injector::pick_clocks(std::mt19937_64& random) -> clock_group
+{
+    auto const control = system_.names('c');
+    switch (random() % 5)
+    {
+    case 0:
+        return {pick(random, control, 1), {}};
+    case 1:
+        return {control, {}};
+    case 2:
+        return {pick(random, system_.names('e'), 1 + random() % 4), {}};
+    case 3:
+        return {{}, pick_workers(random)};
+    default:
+        return {system_.names(), pick_workers(random)};
+    }
+}
+
+/// A time of day that jumps excuses nothing, so that it is no disturbance.
+auto fault_injector::step_clocks(clock_group const& of, milliseconds step,
+                                 std::optional<duration> down) -> void
+{
+    for (auto const& name : of.processes)
+    {
+        system_.at(name).clock_offset += step;
+        down ? kill(name, *down) : system_.reload(name);
+    }
+    for (auto* const it : of.workers)
+    {
+        it->step_clock(step);
+        if (down && it->is_up())
+        {
+            it->crash(true);
+            disturb(it->name(), *down, [this, it] { start_again(*it, true); });
+        }
     }
 }
 
--- a/soak/faults.hpp
+++ b/soak/faults.hpp
@@ -7,9 +7,11 @@
 #include "soak/processes.hpp"
 #include "soak/worker.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -47,6 +49,10 @@
     /// One, or all of a zone, crash, are back under their ids within a second,
     /// and are cut off before the lease of an order to their former lives ends.
     restart_and_cut,
+    step_clocks,   ///< of processes that run, and back later
+    start_stepped, ///< some restart with a clock that was set meanwhile
+    /// All control processes restart so, and once more a few seconds later.
+    restart_core_stepped,
 };
 
 [[nodiscard]] auto name_of(fault_kind it) -> std::string_view;
@@ -55,9 +61,24 @@
 {
     duration at{};
     fault_kind kind{};
-    std::uint64_t seed{0}; ///< of the choices that it needs
+    std::uint64_t seed{0};             ///< of the choices that it needs
+    std::chrono::milliseconds step{0}; ///< of clocks
 };
 
+/// Which way the times of day of processes and workers are set first.
+enum class clock_steps : std::uint8_t
+{
+    none,
+    back,
+    ahead,
+    both,
+};
+
+/// By name; std::invalid_argument for any other.
+[[nodiscard]] auto parse_clock_steps(std::string const& it) -> clock_steps;
+/// Those of a run without the option, by its seed.
+[[nodiscard]] auto make_clock_steps(std::uint64_t seed) -> clock_steps;
+
 /// What precedes the loss of all processes.
 enum class farewell : std::uint8_t
 {
@@ -68,7 +89,10 @@
 
 /// The same seed gives the same schedule. Faults come in series and overlap,
 /// with calm spans between in which promises with a time bound are checked.
-[[nodiscard]] auto make_schedule(std::uint64_t seed, duration length)
+/// Steps of clocks come beside the others and change none of them; for 20 s
+/// from a stop of the core on, the others are left out.
+[[nodiscard]] auto make_schedule(std::uint64_t seed, duration length,
+                                 clock_steps clocks = clock_steps::none)
     -> std::vector<fault>;
 
 /// Disks that are slow for the whole of a run, drawn by its seed: none, one or
@@ -99,6 +123,12 @@
 
 private:
     using names = std::vector<std::string>;
+    /// Machines whose clocks are set together.
+    struct clock_group
+    {
+        names processes;
+        std::vector<worker*> workers;
+    };
 
     auto begin(fault const& it) -> void;
     auto pick_workers(std::mt19937_64& random) -> std::vector<worker*>;
@@ -122,6 +152,14 @@
     /// True if a worker that ends now is to have no successor.
     auto is_last_life(worker& it, std::mt19937_64& random) -> bool;
     auto restart_in_series(std::string const& name, int times) -> void;
+    /// One control process, all, entries, workers, or all processes and
+    /// workers.
+    auto pick_clocks(std::mt19937_64& random) -> clock_group;
+    auto set_clocks(fault const& it, std::mt19937_64& random, duration down)
+        -> void;
+    /// With a restart if it is given how long that takes.
+    auto step_clocks(clock_group const& of, std::chrono::milliseconds step,
+                     std::optional<duration> down) -> void;
 
     glib_clock& clock_;
     processes& system_;
--- a/soak/ledger.hpp
+++ b/soak/ledger.hpp
@@ -238,6 +238,7 @@
     [[nodiscard]] auto is_shown_as_ended(std::string const& id) const -> bool;
     auto report(promise broken, std::string text, time_point now) -> void;
     /// How cases that were reported went on. No findings of their own.
+    auto note(std::string text) -> void;
     [[nodiscard]] auto notes() const -> auto const& { return notes_; }
     /// Called with each finding and note.
     std::function<void(std::string const&)> on_line;
@@ -246,6 +247,7 @@
         [](std::string const& it) { return it; }};
     /// Times in texts count from here.
     auto set_origin(time_point it) -> void { origin_ = it; }
+    [[nodiscard]] auto time_of(time_point it) const -> std::string;
     auto check_refused(time_point now) -> void;
 
     [[nodiscard]] auto findings() const -> auto const& { return findings_; }
@@ -338,8 +340,6 @@
     /// The sender of an order was in touch.
     [[nodiscard]] auto was_in_touch(order_origin const& from,
                                     time_point now) const -> bool;
-    auto note(std::string text) -> void;
-    [[nodiscard]] auto time_of(time_point it) const -> std::string;
     [[nodiscard]] auto is_over(workflow const& it) const -> bool;
     /// The time that work stood, if a loss is the cause.
     [[nodiscard]] auto recovery_of(std::string const& name, stand const& it,
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -42,6 +42,7 @@
     std::size_t workers{24};
     double submissions_per_s{6};
     bool keep{false};
+    clock_steps clocks{clock_steps::none};
     deployment_options deployment;
 };
 
@@ -168,7 +169,8 @@
         log("configured");
         watch();
         clock_.start_timer(lead, [this] { clients_.start(); });
-        auto const schedule = make_schedule(options_.seed, options_.length);
+        auto const schedule =
+            make_schedule(options_.seed, options_.length, options_.clocks);
         clock_.start_timer(lead, [this, schedule] { faults_.run(schedule); });
         clock_.start_timer(lead + options_.length, [this] { close(); });
     }
@@ -356,6 +358,7 @@
     auto& processes = out.deployment;
     std::string binary;
     std::string delay;
+    std::string clocks;
     auto templates = processes.templates.string();
     auto length = static_cast<int>(out.length.count());
     cxxopts::Options table{"soak", "Randomized soak of real processes"};
@@ -374,10 +377,13 @@
         cxxopts::value(processes.unread_logs));
     add("sync-delay", "MS[:COUNT], mean of the first control processes",
         cxxopts::value(delay));
+    add("clocks", "none, back, ahead or both ways", cxxopts::value(clocks));
     add("keep", "keep the logs", cxxopts::value(out.keep));
     table.parse(argc, argv);
     processes.disks =
         delay.empty() ? make_slow_disks(out.seed) : parse_disks(delay);
+    out.clocks =
+        clocks.empty() ? make_clock_steps(out.seed) : parse_clock_steps(clocks);
     processes.binary = binary;
     processes.templates = templates;
     out.length = seconds{length};
--- a/soak/processes.cpp
+++ b/soak/processes.cpp
@@ -262,16 +262,36 @@
     {
         text += "sync_delay: " + std::to_string(it.sync_delay.count()) + "ms\n";
     }
+    if (it.clock_offset.count() != 0)
+    {
+        text +=
+            "clock_offset: " + std::to_string(it.clock_offset.count()) + "ms\n";
+    }
     // A program that is starting must not read half of it.
     auto const path = options_.folder / (it.name + ".yaml");
     std::ofstream{path.string() + ".new"} << text;
     std::filesystem::rename(path.string() + ".new", path);
 }
 
+auto processes::reload(std::string const& name) -> void
+{
+    write_settings(machines_.at(name));
+    signal(name, SIGHUP);
+}
+
 auto processes::on_read(std::string const& name, call_service how,
                         time_point sent_at) -> void
 {
-    ledger_.on_call(name, "GET /config", how, sent_at, clock_.now());
+    auto const now = clock_.now();
+    ledger_.on_call(name, "GET /config", how, sent_at, now);
+    auto& since = machines_.at(name).set_back_since;
+    if (since && sent_at >= *since && how == call_service::served)
+    {
+        auto const from = *std::exchange(since, std::nullopt);
+        ledger_.note(name + ", set back before its start at " +
+                     ledger_.time_of(from) + ", is in the group again at " +
+                     ledger_.time_of(now));
+    }
 }
 
 auto processes::start(std::string const& name, bool first) -> void
@@ -282,6 +302,10 @@
         return;
     }
     write_settings(it, first);
+    auto const former = std::exchange(it.born, clock_.now() + it.clock_offset);
+    it.set_back_since = it.born < former && it.is_control()
+                            ? std::optional{clock_.now()}
+                            : std::nullopt;
     std::error_code ec;
     if (it.is_control())
     {
--- a/soak/processes.hpp
+++ b/soak/processes.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,9 +28,14 @@
     std::string zone;
     std::filesystem::path data; ///< of a control process
     std::chrono::milliseconds sync_delay{0};
+    /// Of its time of day, from the next settings file on.
+    std::chrono::milliseconds clock_offset{0};
     pid_t pid{-1};
     unsigned watch{0};
     bool ending{false}; ///< by a signal of the soak
+    time_point born{};  ///< start of its present life, by its own time of day
+    /// The start of a life below its former one that has answered no read.
+    std::optional<time_point> set_back_since;
     bool removed{false};
 
     [[nodiscard]] auto is_control() const -> bool
@@ -100,6 +106,8 @@
         -> void;
     /// Replaces the settings file by a new one.
     auto write_settings(machine const& it, bool first = false) -> void;
+    /// The same, and tells the process to read it.
+    auto reload(std::string const& name) -> void;
     /// A read of the configuration at a control process, which needs the
     /// leader for its answer.
     auto on_read(std::string const& name, call_service how, time_point sent_at)
--- a/soak/worker.cpp
+++ b/soak/worker.cpp
@@ -66,8 +66,9 @@
     is_leaving_ = false;
     state_ = "ready";
     clock_zero_ = clock_.now() - milliseconds{random_() % last_clock_begin_ms};
-    born_ = std::chrono::duration_cast<milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
+    born_ = (std::chrono::duration_cast<milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch()) +
+             clock_offset_)
                 .count();
     sequence_ = fence_ = deadline_ = last_end_ = 0;
     late_ = {};
--- a/soak/worker.hpp
+++ b/soak/worker.hpp
@@ -64,6 +64,12 @@
     std::function<void()> before_start;
     /// Carries orders out only after a delay, and answers none meanwhile.
     auto set_late(duration delay) -> void { late_ = delay; }
+    /// Sets the time of day, which its next life begins with. The clock of
+    /// deadlines is not affected.
+    auto step_clock(std::chrono::milliseconds it) -> void
+    {
+        clock_offset_ += it;
+    }
     /// Stops reading and sending, as a suspended machine.
     auto freeze(bool frozen) -> void;
 
@@ -146,6 +152,7 @@
     bool is_leaving_{false};
     std::string state_{"ready"};
     time_point clock_zero_{}; ///< where the clock of this life reads 0
+    std::chrono::milliseconds clock_offset_{0}; ///< of the time of day
     std::int64_t born_{0};
     std::int64_t sequence_{0};
     std::int64_t fence_{0};
--- a/tests/soak_ledger_test.cpp
+++ b/tests/soak_ledger_test.cpp
@@ -7,11 +7,13 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -707,4 +709,59 @@
     }
 }
 
+// Clocks that shifted the other faults would make seeds of old findings
+// useless.
+TEST(soak_schedule, steps_clocks_beside_the_other_faults)
+{
+    auto const length = std::chrono::seconds{60};
+    auto const is_step = [](fault const& it) { return it.step.count() != 0; };
+    for (std::uint64_t seed = 0; seed < 100; ++seed)
+    {
+        auto const plain = make_schedule(seed, length);
+        EXPECT_TRUE(std::ranges::none_of(plain, is_step));
+        for (auto const clocks :
+             {clock_steps::back, clock_steps::ahead, clock_steps::both})
+        {
+            auto all = make_schedule(seed, length, clocks);
+            std::set<fault_kind> kinds;
+            for (auto const& it : all)
+            {
+                if (is_step(it))
+                {
+                    kinds.insert(it.kind);
+                    EXPECT_TRUE(clocks == clock_steps::both ||
+                                (it.step.count() < 0) ==
+                                    (clocks == clock_steps::back));
+                }
+            }
+            EXPECT_EQ(kinds.size(), 3U);
+            auto rest = plain;
+            for (auto const& stop : all)
+            {
+                if (stop.kind == fault_kind::restart_core_stepped)
+                {
+                    std::erase_if(
+                        rest,
+                        [&](fault const& it) {
+                            return it.at >= stop.at &&
+                                   it.at < stop.at + std::chrono::seconds{20};
+                        });
+                }
+            }
+            std::erase_if(all, is_step);
+            EXPECT_TRUE(
+                std::ranges::equal(all, rest, {}, &fault::seed, &fault::seed));
+        }
+    }
+}
+
+TEST(soak_schedule, steps_clocks_of_a_quarter_of_the_later_seeds)
+{
+    EXPECT_EQ(make_clock_steps(3), clock_steps::none);
+    EXPECT_EQ(make_clock_steps(30), clock_steps::none);
+    EXPECT_EQ(make_clock_steps(31), clock_steps::both);
+    EXPECT_EQ(parse_clock_steps("ahead"), clock_steps::ahead);
+    EXPECT_THROW((void)parse_clock_steps("forward"), std::invalid_argument);
+}
+
 } // namespace apricotlb::soak
--- a/tests/soak_worker_test.cpp
+++ b/tests/soak_worker_test.cpp
@@ -206,6 +206,26 @@
     EXPECT_GT(heard, 0);
 }
 
+// A worker whose clock was set back is born before its former life, and
+// nothing else of it changes.
+TEST_F(soak_worker, is_born_by_its_own_time_of_day)
+{
+    auto const born = [this]
+    {
+        return call("/hold", {{"fencing_token", 1}})
+            .value("born", std::int64_t{0});
+    };
+    auto const first = born();
+    it.step_clock(std::chrono::seconds{-30});
+    EXPECT_EQ(born(), first);
+    EXPECT_EQ(end_of_short_lease(), "lapsed");
+    it.crash(false);
+    it.start(true);
+    auto const second = born();
+    EXPECT_LT(second, first - 25'000);
+    EXPECT_GE(second, first - 30'000);
+}
+
 } // namespace
 
 } // namespace apricotlb::soak
