Count what a life replaced by a lower number holds until its lease ends

A life of a lower number gets its lease at once, and the slots that the recorded one may hold count until that one's lease has ended, about 2 s. A life of a higher number frees them at once, as before.

--- a/src/core/leader/share_ledger.cpp
+++ b/src/core/leader/share_ledger.cpp
@@ -242,6 +242,23 @@
 {
     auto found =
         std::ranges::find(entries_, heartbeat.session.entry, &entry_row::id);
+    replaced_lives replaced;
+    if (found != entries_.end() && found->run != heartbeat.session.run)
+    {
+        if (found->live && found->replaced.contains(heartbeat.session.run))
+        {
+            return std::nullopt;
+        }
+        replaced = found->replaced;
+        replaced.replace(found->run, heartbeat.session.run);
+        if (found->live && heartbeat.session.run < found->run)
+        {
+            // The lower number may be of an earlier life, whose message is
+            // late: what the recorded one holds counts until its lease ends.
+            found->id = {};
+            found = entries_.end();
+        }
+    }
     if (found == entries_.end())
     {
         // The row of an entry that ended long ago is reused; none of its
@@ -265,19 +282,10 @@
             return std::nullopt;
         }
     }
-    else
+    else if (found->live)
     {
-        if (found->live)
-        {
-            if (found->replaced.contains(heartbeat.session.run))
-            {
-                return std::nullopt;
-            }
-            // The recorded incarnation has ended: a node id belongs to one
-            // process.
-            drop_entry(static_cast<index>(found - entries_.begin()));
-        }
-        found->replaced.replace(found->run, heartbeat.session.run);
+        // The former incarnation has ended: a node id belongs to one process.
+        drop_entry(static_cast<index>(found - entries_.begin()));
     }
     auto const entry = static_cast<index>(found - entries_.begin());
     if (!found->live)
@@ -290,6 +298,10 @@
             services_[service].targets_outdated = true;
         }
     }
+    if (found->run != heartbeat.session.run)
+    {
+        found->replaced = std::move(replaced);
+    }
     found->id = heartbeat.session.entry;
     found->run = heartbeat.session.run;
     return entry;
--- a/src/core/leader/share_ledger.hpp
+++ b/src/core/leader/share_ledger.hpp
@@ -107,7 +107,7 @@
 
     struct entry_row
     {
-        node_id id;
+        node_id id; ///< empty after a replacement by a lower incarnation
         incarnation run;
         sequence number;
         index zone{0};
