--- a/src/core/fleet/ended_lives.hpp
+++ b/src/core/fleet/ended_lives.hpp
@@ -37,7 +37,7 @@
 private:
     struct lives
     {
-        std::deque<worker_incarnation> ended; ///< the one that ended last last
+        std::deque<worker_incarnation> ended; ///< oldest first
         time_point newest_at{};
     };
 
