--- a/tests/measured_fleet.hpp
+++ b/tests/measured_fleet.hpp
@@ -264,7 +264,7 @@
     }
     auto execute(propose_ends const& it) -> void
     {
-        apply(end_runs{it.runs, {}});
+        apply(it.to_command({}));
         scheduler_.on_recorded(it, now);
     }
     auto execute(start_order const& it) -> void
