Forget ended workflows by the loop's clock as well

The state machine and its commands are unchanged.

A record written by a clock that was far ahead is kept until the time of day reaches it, as before. is_due of scheduled occurrences still takes the leader's time of day.

--- a/src/app/control_role.hpp
+++ b/src/app/control_role.hpp
@@ -11,6 +11,7 @@
 #include "app/workflow_driver.hpp"
 #include "core/entry/call_table.hpp"
 #include "core/group/membership.hpp"
+#include "core/leader/ended_retention.hpp"
 #include "core/leader/leader_state.hpp"
 #include "core/leader/overload_guard.hpp"
 #include "core/leader/read_report.hpp"
@@ -66,8 +67,10 @@
           self_(options.replica.self), random_(options.replica.seed),
           replica_(clock, raft_link_, store, machine_,
                    std::move(options.replica)),
-          workflows_(clock, runs, metrics, leader_log{this}, options.fleet)
+          workflows_(clock, runs, metrics, leader_log{this}, options.fleet),
+          retention_(clock.now())
     {
+        machine_.on_restored([this] { retention_.restart(clock_.now()); });
         machine_.on_applied(
             [this](command const& it, apply_result const& result)
             { on_command_applied(it, result); });
@@ -317,7 +320,10 @@
         if (is_expiry_due)
         {
             last_key_expiry_ = now;
-            propose_own(expire_workflows{wall - config::workflow_retention});
+            if (auto const before = retention_.forgotten_before(wall, now))
+            {
+                propose_own(expire_workflows{*before});
+            }
         }
         // One command removes a bounded number of keys.
         auto const& state = machine_.state();
@@ -440,6 +446,7 @@
         {
             leader_->on_applied(applied, result, clock_.now());
         }
+        record_end_time(applied);
         workflows_.on_applied(applied, machine_.state());
         if (!leader_)
         {
@@ -459,6 +466,25 @@
         }
     }
 
+    /// Notes the time that a command may have given the record of a workflow.
+    auto record_end_time(command const& it) -> void
+    {
+        auto const now = clock_.now();
+        if (auto const* const cancel = std::get_if<cancel_workflow>(&it))
+        {
+            retention_.add(cancel->at, now);
+        }
+        else if (auto const* const ended = std::get_if<end_runs>(&it))
+        {
+            retention_.add(ended->at, now);
+        }
+        else if (auto const* const sent = std::get_if<submit_workflow>(&it);
+                 sent != nullptr && sent->submitted != wall_time{})
+        {
+            retention_.add(sent->submitted, now);
+        }
+    }
+
     auto propose_own(command it) -> void
     {
         auto bytes = Codec::encode(it);
@@ -1115,6 +1141,7 @@
     time_point next_read_report_{}; ///< not before
     std::function<void(disk_event, std::string const&)> on_disk_event_;
     workflow_driver<Clock, Runs, leader_log, Metrics> workflows_;
+    ended_retention retention_;
     std::map<call_origin, revision> waiting_callers_;
     std::set<call_origin> open_calls_; ///< without an answer
     overload_guard overload_;
--- a/src/app/log_machine.hpp
+++ b/src/app/log_machine.hpp
@@ -53,6 +53,10 @@
         BOOST_OUTCOME_TRY(it,
                           Snapshots::template decode<state_snapshot>(bytes));
         state_ = state_machine{std::move(it)};
+        if (on_restored_)
+        {
+            on_restored_();
+        }
         return outcome::success();
     }
 
@@ -67,11 +71,17 @@
     {
         listener_ = std::move(callback);
     }
+    /// Called when a snapshot has taken the place of the state.
+    auto on_restored(std::function<void()> callback) -> void
+    {
+        on_restored_ = std::move(callback);
+    }
 
 private:
     state_machine state_;
     apply_result last_result_;
     listener listener_;
+    std::function<void()> on_restored_;
 };
 
 } // namespace apricotlb
--- a/tests/control_role_test.cpp
+++ b/tests/control_role_test.cpp
@@ -352,6 +352,43 @@
     EXPECT_EQ(it.refusal(again), std::nullopt);
 }
 
+// A clock that was set forward by 150 s forgot the cancelling at the next
+// expiry, and what had been cancelled ran when it arrived.
+TEST(control_role, keeps_a_cancelling_over_a_step_of_the_time_of_day)
+{
+    for (auto const step : {seconds{-3600}, seconds{150}, seconds{3600}})
+    {
+        lone_leader it;
+        // Past the time in which nothing is forgotten after a start.
+        it.run(2 * config::workflow_retention);
+        it.call(lone_leader::cancel("late"));
+        it.run(milliseconds{100});
+        it.set_wall_error(step);
+        it.call(lone_leader::cancel("other"));
+        it.run(config::key_expiry_interval + seconds{1});
+        it.set_wall_error({});
+        it.run(config::key_expiry_interval + seconds{1});
+        it.call(lone_leader::submission("late"));
+        it.run(milliseconds{100});
+        EXPECT_EQ(it.accepted(), 0U) << step.count();
+    }
+}
+
+// Ended workflows that are never forgotten would fill the memory.
+TEST(control_role, forgets_ended_workflows_after_their_time)
+{
+    lone_leader it;
+    for (auto n = 0; n < 6; ++n)
+    {
+        it.call(lone_leader::cancel("w" + std::to_string(n)));
+        it.run(config::key_expiry_interval / 2);
+    }
+    EXPECT_GT(it.state().workflows().ended_count(), 0U);
+    it.run(config::workflow_retention + config::key_expiry_interval +
+           seconds{5});
+    EXPECT_EQ(it.state().workflows().ended_count(), 0U);
+}
+
 // The submission waits for its commit while its cancelling arrives.
 TEST(control_role, cancels_a_workflow_whose_submission_is_not_committed_yet)
 {
