Count the answer to a poll only for the life that it was sent to

Its lists were then taken as proof that the worker refuses orders to its former life, which it does not yet, and the open poll counted as answered, so that two were open from then on, each judged by the time of the other. The same held for a life that had been replaced and came back. The cause is that an answer was matched to a life by its number alone.

Answers are now matched by the token as well, which rises with each life that the leader meets; the same holds for the answers that say that another life is there. run_contacts.of_a_claim_do_not_answer_the_poll_of_the_life_that_came failed before (is_listed, no poll in flight) and passes.

Fixtures that make polls by hand gave them no token. They now give the one that the leader gives; their checks are unchanged.

--- a/src/core/fleet/run_reports.cpp
+++ b/src/core/fleet/run_reports.cpp
@@ -297,11 +297,20 @@
     on_leave(worker, now);
 }
 
+/// A life that comes back gets a new token. A poll about a life that was only
+/// announced has the token of the known one.
+auto run_scheduler::is_for_present_life(worker_entry const& worker,
+                                        order_target const& to) const -> bool
+{
+    return worker.incarnation == to.instance.incarnation &&
+           to.fence == make_fence(leading_in_, worker.life);
+}
+
 /// A token that this leader has replaced by a higher one is refused as well.
 auto run_scheduler::on_fenced(identified_worker& worker, order_target const& to,
                               task_run const& run) -> void
 {
-    if (to.fence != make_fence(leading_in_, worker.second.life))
+    if (!is_for_present_life(worker.second, to))
     {
         return;
     }
@@ -459,7 +468,10 @@
                           now);
         break;
     case order_outcome::other_incarnation:
-        on_incarnation_end(worker, now);
+        if (is_for_present_life(worker.second, order.to))
+        {
+            on_incarnation_end(worker, now);
+        }
         break;
     case order_outcome::not_sent:
     case order_outcome::no_answer:
@@ -512,7 +524,8 @@
     {
         on_fenced(*worker, order.to, order.run);
     }
-    else if (answer.outcome == order_outcome::other_incarnation)
+    else if (answer.outcome == order_outcome::other_incarnation &&
+             is_for_present_life(entry, order.to))
     {
         on_incarnation_end(*worker, now);
     }
@@ -571,7 +584,7 @@
     auto const found = workers_.find(order.to.instance.id);
     if (found == workers_.end() ||
         on_claim_answer(*found, order, answer, now) ||
-        found->second.incarnation != order.to.instance.incarnation)
+        !is_for_present_life(found->second, order.to))
     {
         return;
     }
--- a/src/core/fleet/run_scheduler.hpp
+++ b/src/core/fleet/run_scheduler.hpp
@@ -420,6 +420,11 @@
                              time_point now) -> void;
     /// The worker has left in order.
     auto on_leave(identified_worker& worker, time_point now) -> void;
+    /// False for an order to another life of the worker, or to an earlier spell
+    /// of a life that has come back.
+    [[nodiscard]] auto is_for_present_life(worker_entry const& worker,
+                                           order_target const& to) const
+        -> bool;
     /// The worker has refused the leader's fencing token.
     auto on_fenced(identified_worker& worker, order_target const& to,
                    task_run const& run) -> void;
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -120,6 +120,9 @@
             knows_halts ? halts : lease_halts{});
     }
 
+    /// Term of the present leader.
+    [[nodiscard]] auto leading_in() const -> term { return term_; }
+
     /// Orders pass through relays once there are some.
     auto add_relay(std::string const& name) -> void
     {
--- a/tests/measured_fleet.hpp
+++ b/tests/measured_fleet.hpp
@@ -241,6 +241,8 @@
             }
             poll_order order;
             order.to.instance = {worker_id{worker}, worker_incarnation{1}};
+            order.to.fence = make_fence(
+                term{1}, scheduler_.workers().at(worker_id{worker}).life);
             scheduler_.on_answer(order, answer, now);
             carry_out();
         }
--- a/tests/obstacle_events_test.cpp
+++ b/tests/obstacle_events_test.cpp
@@ -291,6 +291,8 @@
          it.unheard.insert("w1");
          poll_order order;
          order.to.instance = {worker_id{"w1"}, worker_incarnation{1}};
+         order.to.fence = make_fence(
+             it.leading_in(), it.leader->workers().at(worker_id{"w1"}).life);
          poll_answer other;
          other.outcome = order_outcome::other_incarnation;
          it.leader->on_answer(order, other, it.now);
--- a/tests/run_contacts_test.cpp
+++ b/tests/run_contacts_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace apricotlb
 {
@@ -93,6 +95,59 @@
     EXPECT_GE(lease.latest_end(), ends_there);
 }
 
+// A poll about an announced life carries the token of the known one, so that
+// its answer says nothing about which orders the new life refuses; it counted
+// as the answer to the poll that was open.
+TEST_F(run_contacts, of_a_claim_do_not_answer_the_poll_of_the_life_that_came)
+{
+    scheduler.on_announcement(announcement("w", 5), now);
+    auto const polls = [&]
+    {
+        std::vector<poll_order> out;
+        for (auto const& each : scheduler.take_actions())
+        {
+            if (auto const* const it = std::get_if<poll_order>(&each))
+            {
+                out.push_back(*it);
+            }
+        }
+        return out;
+    };
+    scheduler.tick(now);
+    auto const of_known = polls();
+    ASSERT_EQ(of_known.size(), 1U);
+
+    now += milliseconds{100};
+    auto next = announcement("w", 1);
+    next.instance.incarnation = worker_incarnation{-7};
+    scheduler.on_announcement(next, now);
+    auto const of_claim = polls();
+    ASSERT_EQ(of_claim.size(), 1U);
+    EXPECT_EQ(of_claim.front().to.instance, next.instance);
+
+    now += milliseconds{10};
+    poll_answer answer;
+    answer.outcome = order_outcome::done;
+    answer.lists.incarnation = next.instance.incarnation;
+    answer.lists.clock = next.clock;
+    scheduler.on_answer(of_known.front(), answer, now);
+    EXPECT_EQ(entry("w").incarnation, next.instance.incarnation);
+    now += config::poll_retry_delay;
+    scheduler.tick(now);
+    EXPECT_TRUE(entry("w").poll_in_flight);
+    auto const of_next = polls();
+    ASSERT_EQ(of_next.size(), 1U);
+    EXPECT_NE(of_next.front().to.fence, of_claim.front().to.fence);
+
+    now += milliseconds{10};
+    scheduler.on_answer(of_claim.front(), answer, now);
+    EXPECT_TRUE(entry("w").poll_in_flight);
+    EXPECT_FALSE(entry("w").is_listed);
+    EXPECT_TRUE(polls().empty());
+    scheduler.on_answer(of_next.front(), answer, now);
+    EXPECT_TRUE(entry("w").is_listed);
+}
+
 // The sender then gives the full announcement.
 TEST_F(run_contacts, of_unknown_workers_change_nothing)
 {
--- a/tests/run_waits_test.cpp
+++ b/tests/run_waits_test.cpp
@@ -61,6 +61,9 @@
         }
         poll_order order;
         order.to.instance = it.instance;
+        order.to.fence =
+            make_fence(fleet.leading_in(),
+                       fleet.leader->workers().at(it.instance.id).life);
         fleet.leader->on_answer(order, answer, fleet.now);
     }
     auto plan() -> void { fleet.leader->plan(fleet.now, wall_time{}); }
--- a/tests/scavenging_start_test.cpp
+++ b/tests/scavenging_start_test.cpp
@@ -301,6 +301,8 @@
     {
         poll_order order;
         order.to.instance = {worker_id{name}, worker_incarnation{1}};
+        order.to.fence = make_fence(
+            term{1}, it.scheduler().workers().at(worker_id{name}).life);
         it.scheduler().on_answer(order, poll_answer{}, it.now);
     }
     EXPECT_EQ(started(), 1U);
